Set up the workspace, the error table, the ports and HTTP by h11

The workspace holds four packages: the decisions (lagoonfold), HTTP and platform adapters (lagoonfold-io), the daemon and the operators' command line.

lagoonfold-io is a package of its own because the daemon, the command line, the stand-ins and the load tool all need the same client and server; inside the daemon's package the command line would have had to depend on the daemon.

--- /dev/null
+++ b/packages/lagoonfold-ctl/src/lagoonfold_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line of lagoonfold."""
--- /dev/null
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_messages.py
@@ -0,0 +1,72 @@
+"""HTTP messages and limits shared by the client and the server."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+Headers = tuple[tuple[str, str], ...]
+
+READ_SIZE_BYTES = 65_536
+
+
+def find_header(headers: Headers, name: str) -> str | None:
+    """Return the first value of a header, whose name is given in lower case, or None."""
+    for key, value in headers:
+        if key == name:
+            return value
+    return None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HttpLimits:
+    """Limits of a server: sizes in bytes, times in seconds."""
+
+    max_header_bytes: int = 32_768
+    max_body_bytes: int = 8_388_608
+    max_connections: int = 2_000
+    header_timeout_s: float = 10.0
+    body_timeout_s: float = 30.0
+    idle_timeout_s: float = 75.0
+    write_timeout_s: float = 30.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HttpRequest:
+    """A whole request; header names are in lower case."""
+
+    method: str
+    path: str
+    query: str = ""
+    headers: Headers = ()
+    body: bytes = b""
+
+    def header(self, name: str) -> str | None:
+        """Return the first value of the header, whose name is in lower case, or None."""
+        return find_header(self.headers, name)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HttpResponse:
+    """A whole response; header names are in lower case."""
+
+    status: int
+    headers: Headers = ()
+    body: bytes = b""
+
+    def header(self, name: str) -> str | None:
+        """Return the first value of the header, whose name is in lower case, or None."""
+        return find_header(self.headers, name)
+
+
+class Sent(Enum):
+    """How far a failed request got: no byte left, or some may have arrived."""
+
+    NOTHING = "nothing"
+    MAYBE = "maybe"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HttpError:
+    """A request that got no whole response."""
+
+    detail: str
+    sent: Sent
--- /dev/null
+++ b/packages/lagoonfold/src/lagoonfold/__init__.py
@@ -0,0 +1,69 @@
+"""Decisions of the lagoonfold scheduler, for the daemons and for programs that embed them.
+
+Nothing in this package does I/O: time, random numbers and inputs come in as arguments, and
+decisions go out as values.
+"""
+
+from lagoonfold._board import Cell
+from lagoonfold._errors import ANSWERS_BY_KIND, Answer, ErrorKind, Ran, Refusal
+from lagoonfold._ids import (
+    AccountId,
+    CallId,
+    Epoch,
+    InstanceId,
+    KeyDigest,
+    ProfileName,
+    ProgramId,
+    RequestId,
+    RouteName,
+    ShardId,
+    UpstreamId,
+    WriterId,
+    new_id,
+)
+from lagoonfold._ports import (
+    ABSENT_REVISION,
+    NO_LEASE,
+    Entry,
+    InstanceList,
+    KeyValueStore,
+    LeaseGrant,
+    ListedInstance,
+    Listing,
+    StoreError,
+    StoreErrorKind,
+    WatchEvent,
+)
+
+__all__ = [
+    "ABSENT_REVISION",
+    "ANSWERS_BY_KIND",
+    "NO_LEASE",
+    "AccountId",
+    "Answer",
+    "CallId",
+    "Cell",
+    "Entry",
+    "Epoch",
+    "ErrorKind",
+    "InstanceId",
+    "InstanceList",
+    "KeyDigest",
+    "KeyValueStore",
+    "LeaseGrant",
+    "ListedInstance",
+    "Listing",
+    "ProfileName",
+    "ProgramId",
+    "Ran",
+    "Refusal",
+    "RequestId",
+    "RouteName",
+    "ShardId",
+    "StoreError",
+    "StoreErrorKind",
+    "UpstreamId",
+    "WatchEvent",
+    "WriterId",
+    "new_id",
+]
--- /dev/null
+++ b/packages/lagoonfold/src/lagoonfold/_errors.py
@@ -0,0 +1,108 @@
+"""The closed list of error kinds and the table from each kind to the caller's answer.
+
+Every refusal that leaves the system is a `Refusal` of one `ErrorKind`. The HTTP status and the
+title come from `ANSWERS_BY_KIND`; no other module maps errors to answers.
+
+    refusal = Refusal(kind=ErrorKind.RATE_EXCEEDED, detail="50 requests/s", retry_after_s=0.2)
+    ANSWERS_BY_KIND[refusal.kind].status   # 429
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Ran(Enum):
+    """Whether the refused request reached an upstream: known not to have, or not known."""
+
+    NO = "no"
+    UNKNOWN = "unknown"
+    YES = "yes"
+
+
+class ErrorKind(Enum):
+    """Every reason for which a request is refused or fails."""
+
+    BODY_TOO_LARGE = "body-too-large"
+    BUDGET_EXHAUSTED = "budget-exhausted"
+    CALL_IN_PROGRESS = "call-in-progress"
+    CANCELLED = "cancelled"
+    CONFIG_STALE = "config-stale"
+    DEADLINE_EXCEEDED = "deadline-exceeded"
+    FORBIDDEN = "forbidden"
+    HEADERS_TOO_LARGE = "headers-too-large"
+    IDEMPOTENCY_MISMATCH = "idempotency-mismatch"
+    INTERNAL = "internal"
+    KEY_WITHDRAWN = "key-withdrawn"
+    MALFORMED = "malformed"
+    METHOD_NOT_ALLOWED = "method-not-allowed"
+    NOT_FOUND = "not-found"
+    OUTCOME_UNKNOWN = "outcome-unknown"
+    OWNER_UNAVAILABLE = "owner-unavailable"
+    PLATFORM_UNAVAILABLE = "platform-unavailable"
+    POISONOUS = "poisonous"
+    PROGRAM_ENDED = "program-ended"
+    QUEUE_FULL = "queue-full"
+    RATE_EXCEEDED = "rate-exceeded"
+    REQUEST_TIMEOUT = "request-timeout"
+    SHUTTING_DOWN = "shutting-down"
+    TOO_MANY_CONNECTIONS = "too-many-connections"
+    TURN_OUT_OF_ORDER = "turn-out-of-order"
+    UNAUTHENTICATED = "unauthenticated"
+    UPSTREAM_FAILED = "upstream-failed"
+    UPSTREAM_UNAVAILABLE = "upstream-unavailable"
+    VERSION_CONFLICT = "version-conflict"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Answer:
+    """The HTTP status and the title under which an error kind is reported."""
+
+    status: int
+    title: str
+
+
+ANSWERS_BY_KIND: dict[ErrorKind, Answer] = {
+    ErrorKind.BODY_TOO_LARGE: Answer(status=413, title="Request body too large"),
+    ErrorKind.BUDGET_EXHAUSTED: Answer(status=402, title="Program budget exhausted"),
+    ErrorKind.CALL_IN_PROGRESS: Answer(status=409, title="Call in progress"),
+    ErrorKind.CANCELLED: Answer(status=409, title="Call cancelled"),
+    ErrorKind.CONFIG_STALE: Answer(status=503, title="Configuration cannot be verified"),
+    ErrorKind.DEADLINE_EXCEEDED: Answer(status=504, title="Deadline exceeded"),
+    ErrorKind.FORBIDDEN: Answer(status=403, title="Forbidden"),
+    ErrorKind.HEADERS_TOO_LARGE: Answer(status=431, title="Request headers too large"),
+    ErrorKind.IDEMPOTENCY_MISMATCH: Answer(status=422, title="Idempotency key reused"),
+    ErrorKind.INTERNAL: Answer(status=500, title="Internal error"),
+    ErrorKind.KEY_WITHDRAWN: Answer(status=401, title="Key withdrawn"),
+    ErrorKind.MALFORMED: Answer(status=400, title="Malformed request"),
+    ErrorKind.METHOD_NOT_ALLOWED: Answer(status=405, title="Method not allowed"),
+    ErrorKind.NOT_FOUND: Answer(status=404, title="Not found"),
+    ErrorKind.OUTCOME_UNKNOWN: Answer(status=502, title="Outcome unknown"),
+    ErrorKind.OWNER_UNAVAILABLE: Answer(status=503, title="Program owner unavailable"),
+    ErrorKind.PLATFORM_UNAVAILABLE: Answer(status=503, title="Platform service unavailable"),
+    ErrorKind.POISONOUS: Answer(status=422, title="Request crashes upstreams"),
+    ErrorKind.PROGRAM_ENDED: Answer(status=409, title="Program ended"),
+    ErrorKind.QUEUE_FULL: Answer(status=503, title="Queue full"),
+    ErrorKind.RATE_EXCEEDED: Answer(status=429, title="Rate exceeded"),
+    ErrorKind.REQUEST_TIMEOUT: Answer(status=408, title="Request timeout"),
+    ErrorKind.SHUTTING_DOWN: Answer(status=503, title="Shutting down"),
+    ErrorKind.TOO_MANY_CONNECTIONS: Answer(status=503, title="Too many connections"),
+    ErrorKind.TURN_OUT_OF_ORDER: Answer(status=409, title="Turn out of order"),
+    ErrorKind.UNAUTHENTICATED: Answer(status=401, title="Unauthenticated"),
+    ErrorKind.UPSTREAM_FAILED: Answer(status=502, title="Upstream failed"),
+    ErrorKind.UPSTREAM_UNAVAILABLE: Answer(status=503, title="No upstream available"),
+    ErrorKind.VERSION_CONFLICT: Answer(status=409, title="Version conflict"),
+}
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Refusal:
+    """A request that was refused or failed, and what the caller may conclude from it.
+
+    `ran` is `Ran.NO` only where no byte of the request was sent to an upstream.
+    `retry_after_s` is in seconds; zero means that repeating the request will not help.
+    """
+
+    kind: ErrorKind
+    detail: str
+    ran: Ran = Ran.NO
+    retry_after_s: float = 0.0
--- /dev/null
+++ b/packages/lagoonfold/src/lagoonfold/_ids.py
@@ -0,0 +1,24 @@
+"""Identifiers that the packages share."""
+
+import secrets
+from typing import NewType
+
+AccountId = NewType("AccountId", str)
+CallId = NewType("CallId", str)
+Epoch = NewType("Epoch", int)
+InstanceId = NewType("InstanceId", str)
+KeyDigest = NewType("KeyDigest", str)
+ProfileName = NewType("ProfileName", str)
+ProgramId = NewType("ProgramId", str)
+RequestId = NewType("RequestId", str)
+RouteName = NewType("RouteName", str)
+ShardId = NewType("ShardId", int)
+UpstreamId = NewType("UpstreamId", str)
+WriterId = NewType("WriterId", str)
+
+_ID_BYTES = 12
+
+
+def new_id(prefix: str) -> str:
+    """Return a random identifier of 96 bits behind a readable prefix, such as `req-5f0c...`."""
+    return f"{prefix}-{secrets.token_hex(_ID_BYTES)}"
--- /dev/null
+++ b/packages/lagoonfold/src/lagoonfold/_ports.py
@@ -0,0 +1,128 @@
+"""Ports to the platform: what the controllers need of the outside, without saying how.
+
+A store's failed operation says whether it may have taken effect: `StoreErrorKind.UNAVAILABLE`
+means that it did not, `StoreErrorKind.LOST_ANSWER` that it may have. The caller of a lost
+compare-and-swap reads the key back and compares the writer id in the value.
+"""
+
+from collections.abc import AsyncIterator
+from contextlib import AbstractAsyncContextManager
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+from result import Result
+
+ABSENT_REVISION = 0
+NO_LEASE = 0
+
+
+class StoreErrorKind(Enum):
+    """Why an operation of the key-value service failed."""
+
+    CONFLICT = "conflict"
+    LEASE_EXPIRED = "lease-expired"
+    LOST_ANSWER = "lost-answer"
+    THROTTLED = "throttled"
+    UNAVAILABLE = "unavailable"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StoreError:
+    """A failed operation of the key-value service."""
+
+    kind: StoreErrorKind
+    detail: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Entry:
+    """A key's value; `revision` is that of its last change, `ABSENT_REVISION` if it is absent."""
+
+    key: str
+    value: bytes
+    revision: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Listing:
+    """The entries below a prefix, all read at one revision of the store."""
+
+    entries: tuple[Entry, ...]
+    revision: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LeaseGrant:
+    """A granted lease; `ttl_s` counts from the moment before the grant was asked for."""
+
+    lease_id: int
+    ttl_s: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WatchEvent:
+    """A change below a watched prefix; a deleted key has `ABSENT_REVISION` in its entry."""
+
+    entry: Entry
+    revision: int
+
+
+class KeyValueStore(Protocol):
+    """The platform's key-value service: single-key compare-and-swap, leases and watches."""
+
+    async def get(self, key: str) -> Result[Entry, StoreError]:
+        """Read one key; an absent key gives an empty value with `ABSENT_REVISION`."""
+
+    async def list(self, prefix: str) -> Result[Listing, StoreError]:
+        """Read all keys below a prefix, in key order."""
+
+    async def put_if(
+        self, key: str, value: bytes, *, expected_revision: int, lease_id: int = NO_LEASE
+    ) -> Result[int, StoreError]:
+        """Write if the key's revision is the expected one; return the new revision."""
+
+    async def delete_if(self, key: str, *, expected_revision: int) -> Result[None, StoreError]:
+        """Delete the key if its revision is the expected one."""
+
+    async def delete_range(self, start: str, end: str) -> Result[None, StoreError]:
+        """Delete the keys from `start` up to but not including `end`, as one call."""
+
+    async def grant_lease(self, ttl_s: float) -> Result[LeaseGrant, StoreError]:
+        """Create a lease; keys written under it are deleted when it expires."""
+
+    async def renew_lease(self, lease_id: int) -> Result[float, StoreError]:
+        """Renew a lease and return its time to live in seconds."""
+
+    async def revoke_lease(self, lease_id: int) -> Result[None, StoreError]:
+        """End a lease at once and delete its keys."""
+
+    def watch(
+        self, prefix: str, *, from_revision: int
+    ) -> AbstractAsyncContextManager[AsyncIterator[WatchEvent]]:
+        """Iterate over the changes below a prefix; the iteration ends when the watch is lost."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ListedInstance:
+    """An entry of the platform's instance list, which lags behind the truth.
+
+    `role` is `entry`, `engine`, `tool` or `service`; `address` is `host:port`; `models` names
+    what an engine serves; `service` names what a tool or plain service is.
+    """
+
+    instance_id: str
+    role: str
+    address: str
+    failure_domain: str
+    leaving: bool = False
+    models: tuple[str, ...] = ()
+    service: str = ""
+    checks_fencing: bool = False
+
+
+class InstanceList(Protocol):
+    """The platform's list of live and leaving instances."""
+
+    async def read(self) -> Result[tuple[ListedInstance, ...], StoreError]:
+        """Return all listed instances."""
--- /dev/null
+++ b/tests/_run.py
@@ -0,0 +1,50 @@
+"""Runs the test suite and prints the verdict on one closing line.
+
+Tests named in KNOWN-RED.txt may fail; they are printed and do not change the verdict. A listed
+test that passes fails the run, so that the list stays true.
+"""
+
+import sys
+import unittest
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+KNOWN_RED = ROOT / "KNOWN-RED.txt"
+
+
+def read_known_red() -> set[str]:
+    """Return the test ids listed in KNOWN-RED.txt: the first word of each `test:` line."""
+    if not KNOWN_RED.exists():
+        return set()
+    lines = KNOWN_RED.read_text().splitlines()
+    return {line.split()[1] for line in lines if line.startswith("test: ")}
+
+
+def load_suite(names: list[str]) -> unittest.TestSuite:
+    """Return the named modules' tests, or all tests where no name is given."""
+    loader = unittest.TestLoader()
+    if names:
+        return loader.loadTestsFromNames(names)
+    return loader.discover(str(ROOT / "tests"), top_level_dir=str(ROOT))
+
+
+def main(names: list[str]) -> int:
+    """Run the tests and return the exit status of the process."""
+    known_red = read_known_red()
+    runner = unittest.TextTestRunner(verbosity=2 if names else 1)
+    outcome = runner.run(load_suite(names))
+    failed = {case.id() for case, _ in [*outcome.failures, *outcome.errors]}
+    red = sorted(failed & known_red)
+    unexpected = failed - known_red
+    mended = {case.id() for case in outcome.unexpectedSuccesses}
+    for name in red:
+        print(f"known red: {name}")
+    passed = outcome.testsRun - len(failed) - len(outcome.skipped)
+    print(
+        f"{passed} passed, {len(unexpected) + len(mended)} failed, {len(outcome.skipped)} skipped"
+    )
+    return 1 if unexpected or mended or outcome.testsRun == 0 else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/tests/test_http.py
@@ -0,0 +1,89 @@
+"""Tests of the HTTP client and server against each other."""
+
+from collections.abc import Awaitable, Callable
+
+import trio
+from lagoonfold_io import Exchange, HttpClient, HttpLimits, HttpRequest, HttpResponse, HttpServer
+from result import Err
+
+from tests._suite import load_functions
+
+
+async def _echo(request: HttpRequest, exchange: Exchange) -> None:
+    if request.path == "/stream":
+        await exchange.start(200, ())
+        for part in (b"one ", b"two"):
+            await exchange.send(part)
+        await exchange.finish()
+    else:
+        await exchange.respond(HttpResponse(status=200, body=request.body))
+
+
+def _with_server(check: Callable[[str], Awaitable[None]], limits: HttpLimits | None = None) -> None:
+    async def run() -> None:
+        async with trio.open_nursery() as nursery:
+            server = HttpServer(_echo, limits=limits)
+            port = await nursery.start(server.serve, "127.0.0.1", 0)
+            await check(f"127.0.0.1:{port}")
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+
+
+def test_echo_on_a_kept_connection() -> None:
+    """Two requests in a row get their own answers."""
+
+    async def check(address: str) -> None:
+        client = HttpClient()
+        for body in (b"first", b"second"):
+            request = HttpRequest(method="POST", path="/", body=body)
+            response = (await client.fetch(address, request)).unwrap()
+            assert response.body == body
+
+    _with_server(check)
+
+
+def test_streamed_response() -> None:
+    """A streamed response arrives whole."""
+
+    async def check(address: str) -> None:
+        response = await HttpClient().fetch(address, HttpRequest(method="GET", path="/stream"))
+        assert response.unwrap().body == b"one two"
+
+    _with_server(check)
+
+
+def test_oversized_body_is_refused() -> None:
+    """A body over the limit gets 413."""
+
+    async def check(address: str) -> None:
+        request = HttpRequest(method="POST", path="/", body=b"x" * 100)
+        assert (await HttpClient().fetch(address, request)).unwrap().status == 413
+
+    _with_server(check, HttpLimits(max_body_bytes=10))
+
+
+def test_malformed_request_is_refused() -> None:
+    """Bytes that are no HTTP get 400 and a closed connection."""
+
+    async def check(address: str) -> None:
+        host, port = address.split(":")
+        stream = await trio.open_tcp_stream(host, int(port))
+        await stream.send_all(b"\x00\x01nonsense\r\n\r\n")
+        assert (await stream.receive_some(100)).startswith(b"HTTP/1.1 400")
+
+    _with_server(check)
+
+
+def test_refused_connection_sent_nothing() -> None:
+    """A server that is not there gives an error that says no byte was sent."""
+
+    async def run() -> None:
+        response = await HttpClient().fetch("127.0.0.1:1", HttpRequest(method="GET", path="/"))
+        assert isinstance(response, Err)
+        assert response.err_value.sent.value == "nothing"
+
+    trio.run(run)
+
+
+load_tests = load_functions(globals())
