Add stand-ins for the model engine, tools and the instance list

Cause: the path, the failure tests and the load tool need outside systems that count what they ran. Each stand-in keeps a log of the requests it saw and takes faults at run time.

The linter now names the first-party packages, since its guess changed with the folder it ran in. Checked: each started by hand and asked with curl.

--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems, for tests, demos and measurements."""
--- /dev/null
+++ b/standins/_server.py
@@ -0,0 +1,62 @@
+"""Runs a stand-in's handler until the process is told to stop."""
+
+import json
+import signal
+
+import msgspec
+import trio
+
+from lagoonfold_io import Exchange, HttpLimits, HttpRequest, HttpResponse, HttpServer
+from standins._faults import Faults
+from standins._seen import SeenLog
+
+JSON_HEADERS = (("content-type", "application/json"),)
+LIMITS = HttpLimits(max_body_bytes=64 * 1024 * 1024, max_connections=20_000, idle_timeout_s=600.0)
+
+
+def json_response(value: object, status: int = 200) -> HttpResponse:
+    """Return a response with a JSON body."""
+    return HttpResponse(status=status, headers=JSON_HEADERS, body=json.dumps(value).encode())
+
+
+class StandIn:
+    """A stand-in's request log and faults, and the two routes that reach them."""
+
+    def __init__(self, *, keep_bodies: bool = True) -> None:
+        self.faults = Faults()
+        self.seen = SeenLog(keep_bodies=keep_bodies)
+
+    async def handle(self, request: HttpRequest, exchange: Exchange) -> None:
+        """Serve the log and the faults; leave everything else to `serve`."""
+        if request.path == "/_log":
+            await exchange.respond(self.seen.response())
+        elif request.path == "/_faults":
+            self.faults = msgspec.json.decode(request.body, type=Faults)
+            await exchange.respond(json_response({}))
+        elif request.path == "/livez":
+            await exchange.respond(json_response({"live": True}))
+        else:
+            await self.serve(request, exchange)
+
+    async def serve(self, request: HttpRequest, exchange: Exchange) -> None:
+        """Answer one request."""
+        raise NotImplementedError
+
+
+async def _stop_on_signal(scope: trio.CancelScope) -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            scope.cancel()
+
+
+async def _serve(stand_in: StandIn, host: str, port: int) -> None:
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_stop_on_signal, nursery.cancel_scope)
+        server = HttpServer(stand_in.handle, limits=LIMITS)
+        bound_port = await nursery.start(server.serve, host, port)
+        print(json.dumps({"event": "listening", "port": bound_port}), flush=True)
+
+
+def run_stand_in(stand_in: StandIn, *, host: str, port: int) -> None:
+    """Serve until SIGTERM or SIGINT; print the bound port as one JSON line."""
+    trio.run(_serve, stand_in, host, port)
--- /dev/null
+++ b/standins/instances.py
@@ -0,0 +1,45 @@
+"""Stand-in for the platform's instance list: `python -m standins.instances --port 7001`.
+
+`PUT /v1/instances` replaces the list; `GET /v1/instances` returns the list as it was
+`--lag` seconds ago.
+"""
+
+import json
+
+import fire
+import trio
+
+from lagoonfold_io import Exchange, HttpRequest
+from standins._server import StandIn, json_response, run_stand_in
+
+
+class InstancesStandIn(StandIn):
+    """Keeps each version of the list with the time of its arrival."""
+
+    def __init__(self, lag_s: float) -> None:
+        super().__init__()
+        self._lag_s = lag_s
+        self._versions: list[tuple[float, list]] = [(float("-inf"), [])]
+
+    async def serve(self, request: HttpRequest, exchange: Exchange) -> None:
+        """Replace or return the list."""
+        if request.path != "/v1/instances":
+            await exchange.respond(json_response({}, status=404))
+        elif request.method == "PUT":
+            self._versions.append((trio.current_time(), json.loads(request.body)["instances"]))
+            await exchange.respond(json_response({}))
+        else:
+            await exchange.respond(json_response({"instances": self._visible()}))
+
+    def _visible(self) -> list:
+        limit = trio.current_time() - self._lag_s
+        return [version for at, version in self._versions if at <= limit][-1]
+
+
+def main(port: int = 0, host: str = "127.0.0.1", lag: float = 0.0) -> None:
+    """Serve the instance list; `lag` is in seconds."""
+    run_stand_in(InstancesStandIn(lag), host=host, port=port)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/standins/tool.py
@@ -0,0 +1,57 @@
+"""Stand-in for a tool or plain service: `python -m standins.tool --port 7002 --delay 0.05`.
+
+Each POST runs once and answers `{"run": n, "echo": body}`, where `n` counts the runs.
+"""
+
+import json
+import os
+
+import fire
+import trio
+
+from lagoonfold_io import Exchange, HttpRequest
+from standins._seen import SeenState
+from standins._server import StandIn, json_response, run_stand_in
+
+CRASH_MARKER = b"crash-the-upstream"
+
+
+class ToolStandIn(StandIn):
+    """Runs every request it gets, after a delay in seconds."""
+
+    def __init__(self, delay_s: float) -> None:
+        super().__init__()
+        self._delay_s = delay_s
+        self._runs = 0
+
+    async def serve(self, request: HttpRequest, exchange: Exchange) -> None:
+        """Run one request."""
+        if self.faults.refuse:
+            await exchange.respond(json_response({"error": "refused"}, status=503))
+            return
+        seen = self.seen.add(request)
+        seen.state = SeenState.CANCELLED.value
+        if CRASH_MARKER in request.body:
+            os._exit(1)
+        if self.faults.hang:
+            await trio.sleep_forever()
+        if self.faults.take_failure():
+            seen.state = SeenState.FAILED.value
+            await exchange.respond(json_response({"error": "failed"}, status=500))
+            return
+        await trio.sleep(self._delay_s * self.faults.slow)
+        self._runs += 1
+        seen.state = SeenState.ANSWERED.value
+        if self.faults.answer_then_hang:
+            await trio.sleep_forever()
+        echo = json.loads(request.body) if request.body else None
+        await exchange.respond(json_response({"run": self._runs, "echo": echo}))
+
+
+def main(port: int = 0, host: str = "127.0.0.1", delay: float = 0.01) -> None:
+    """Serve the tool; `delay` is the time of one run in seconds."""
+    run_stand_in(ToolStandIn(delay), host=host, port=port)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -1,7 +1,6 @@
 """Tests of the error table."""
 
 from lagoonfold import ANSWERS_BY_KIND, ErrorKind
-
 from tests._suite import load_functions
 
 
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -3,9 +3,9 @@
 from collections.abc import Awaitable, Callable
 
 import trio
-from lagoonfold_io import Exchange, HttpClient, HttpLimits, HttpRequest, HttpResponse, HttpServer
 from result import Err
 
+from lagoonfold_io import Exchange, HttpClient, HttpLimits, HttpRequest, HttpResponse, HttpServer
 from tests._suite import load_functions
 
 
