Add the peer bus: mailboxes over pynng, requests, and streams with credit

Cause: instances need requests and bounded streams between each other. Ruled out: one Req/Rep pair per peer, since it orders calls behind each other; waking trio by pynng's threads per message, since a pollable descriptor and non-blocking reads take all that is ready at once. An empty message crashed pynng's receive; found by the test of invalid frames.

--- /dev/null
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_peers/_calls.py
@@ -0,0 +1,122 @@
+"""The two ends of a call between instances, and the credit that bounds a stream.
+
+The calling end grants credit: the offset up to which it takes bytes. The called end waits before
+it sends beyond it, so a slow client holds back the source and no buffer grows without limit.
+"""
+
+from collections import deque
+from collections.abc import Callable
+
+import trio
+
+from lagoonfold_node._peers._messages import (
+    CallRefused,
+    PeerMessage,
+    StreamCredit,
+    StreamEnd,
+    StreamPart,
+)
+
+STREAM_WINDOW_BYTES = 131_072
+CREDIT_TIMEOUT_S = 60.0
+
+Send = Callable[[PeerMessage], bool]
+
+
+class InboundCall:
+    """The called end: answers one message of a peer.
+
+    A handler answers a request by one `reply`, or a stream by `send_part` between other replies.
+    It is cancelled when the caller withdraws the call or falls silent.
+    """
+
+    def __init__(self, sender: str, call_id: str, send: Send) -> None:
+        self.sender = sender
+        self.call_id = call_id
+        self.scope = trio.CancelScope()
+        self.was_withdrawn = False
+        self.offset = 0
+        self._limit = STREAM_WINDOW_BYTES
+        self._send = send
+        self._credit = trio.Event()
+
+    def reply(self, message: PeerMessage) -> bool:
+        """Send an answer; return False where the peer's queue is full and it was dropped."""
+        return self._send(message)
+
+    async def send_part(self, data: bytes) -> None:
+        """Send a part of a stream once the receiver's credit covers the ones before it.
+
+        Raises `trio.TooSlowError` if the receiver grants no credit for `CREDIT_TIMEOUT_S`.
+        """
+        with trio.fail_after(CREDIT_TIMEOUT_S):
+            while self.offset >= self._limit:
+                await self._credit.wait()
+        self._send(StreamPart(offset=self.offset, data=data))
+        self.offset += len(data)
+
+    def grant(self, limit: int) -> None:
+        """Take note of the receiver's credit."""
+        self._limit = max(self._limit, limit)
+        self._credit.set()
+        self._credit = trio.Event()
+
+    def withdraw(self) -> None:
+        """Cancel the handler, since the caller no longer wants the answer."""
+        self.was_withdrawn = True
+        self.scope.cancel()
+
+
+class PeerLostError(Exception):
+    """The called instance fell silent, restarted, or never got the call."""
+
+
+class OutboundStream:
+    """The calling end: takes the answers of one call, in order."""
+
+    def __init__(self, peer: str, call_id: str, send: Send) -> None:
+        self.peer = peer
+        self.call_id = call_id
+        self.heard_at = trio.current_time()
+        self.peer_incarnation = ""
+        self.is_complete = False
+        self._send = send
+        self._answers: deque[PeerMessage] = deque()
+        self._ready = trio.Event()
+        self._lost = ""
+        self._taken = 0
+        self._granted = STREAM_WINDOW_BYTES
+
+    async def receive(self) -> PeerMessage:
+        """Return the next answer; raise `PeerLostError` when none will come."""
+        while not self._answers:
+            if self._lost:
+                raise PeerLostError(self._lost)
+            await self._ready.wait()
+        answer = self._answers.popleft()
+        if isinstance(answer, StreamPart):
+            self._count(len(answer.data))
+        elif isinstance(answer, StreamEnd | CallRefused):
+            self.is_complete = True
+        return answer
+
+    def _count(self, size: int) -> None:
+        """Grant more credit when half of the window has been taken."""
+        self._taken += size
+        if self._granted - self._taken <= STREAM_WINDOW_BYTES // 2:
+            self._granted = self._taken + STREAM_WINDOW_BYTES
+            self._send(StreamCredit(limit=self._granted))
+
+    def deliver(self, message: PeerMessage) -> None:
+        """Take an answer off the wire."""
+        self._answers.append(message)
+        self._signal()
+
+    def fail(self, reason: str) -> None:
+        """End the stream after the answers that have come."""
+        self._lost = reason
+        self._signal()
+
+    def _signal(self) -> None:
+        self._ready.set()
+        self._ready = trio.Event()
--- /dev/null
+++ b/tests/node/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the daemon's parts with in-process fakes."""
--- /dev/null
+++ b/tests/node/test_peers.py
@@ -0,0 +1,200 @@
+"""Tests of the peer bus: requests, streams with credit, lost and restarted peers."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import pynng
+import trio
+import trio.testing
+from lagoonfold import ErrorKind
+from lagoonfold_node._peers import (
+    InboundCall,
+    PeerBus,
+    PeerLostError,
+    PeerMessage,
+    StreamEnd,
+    StreamPart,
+    handles,
+    peer_message,
+)
+from result import Err, Ok
+
+from tests._suite import load_functions
+
+PART = b"x" * 16_384
+
+
+@peer_message
+class _Ask(PeerMessage, tag="test-ask"):
+    text: str
+
+
+@peer_message
+class _Said(PeerMessage, tag="test-said"):
+    text: str
+
+
+@peer_message
+class _Pour(PeerMessage, tag="test-pour"):
+    parts: int
+
+
+@dataclass
+class _Peer:
+    poured: int = 0
+    cancelled: trio.Event = field(default_factory=trio.Event)
+
+
+@handles(_Ask)
+async def _answer(peer: _Peer, call: InboundCall, message: _Ask) -> None:
+    if message.text == "hang":
+        try:
+            await trio.sleep_forever()
+        finally:
+            peer.cancelled.set()
+    call.reply(_Said(text=message.text.upper()))
+
+
+@handles(_Pour)
+async def _pour(peer: _Peer, call: InboundCall, message: _Pour) -> None:
+    for _ in range(message.parts):
+        await call.send_part(PART)
+        peer.poured += 1
+    call.reply(StreamEnd(size=call.offset))
+
+
+def _with_buses(check: Callable[[PeerBus, PeerBus, _Peer], Awaitable[None]]) -> None:
+    """Run two buses, `one` and `two`, that know each other; `_Peer` is the context of `two`."""
+
+    async def run() -> None:
+        addresses: dict[str, str] = {}
+        peer = _Peer()
+        one = PeerBus("one", "127.0.0.1:0", addresses.get, _Peer())
+        two = PeerBus("two", "127.0.0.1:0", addresses.get, peer)
+        async with trio.open_nursery() as nursery:
+            for bus in (one, two):
+                port = await nursery.start(bus.serve)
+                addresses[bus.instance_id] = f"127.0.0.1:{port}"
+            with trio.fail_after(10):
+                await check(one, two, peer)
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+
+
+def test_requests_get_their_own_answers() -> None:
+    """Concurrent requests are matched with their answers."""
+
+    async def check(one: PeerBus, two: PeerBus, peer: _Peer) -> None:
+        answers: dict[int, Any] = {}
+
+        async def ask(number: int) -> None:
+            answers[number] = await one.request("two", _Ask(text=f"q{number}"), 5)
+
+        async with trio.open_nursery() as nursery:
+            for number in range(50):
+                nursery.start_soon(ask, number)
+        assert answers == {number: Ok(_Said(text=f"Q{number}")) for number in range(50)}
+
+    _with_buses(check)
+
+
+def test_stream_stops_without_credit() -> None:
+    """A receiver that does not read holds the sender back; reading on gives the whole stream."""
+
+    async def check(one: PeerBus, two: PeerBus, peer: _Peer) -> None:
+        async with one.stream("two", _Pour(parts=100)) as stream:
+            while peer.poured < 8:
+                await trio.sleep(0.01)
+            await trio.testing.wait_all_tasks_blocked(0.05)
+            assert peer.poured == 8
+            size = 0
+            while isinstance(part := await stream.receive(), StreamPart):
+                assert part.offset == size
+                size += len(part.data)
+            assert part == StreamEnd(size=100 * len(PART)) and size == part.size
+
+    _with_buses(check)
+
+
+def test_leaving_a_stream_cancels_the_handler() -> None:
+    """A withdrawn call is cancelled at the peer."""
+
+    async def check(one: PeerBus, two: PeerBus, peer: _Peer) -> None:
+        with trio.move_on_after(0.1):
+            await one.request("two", _Ask(text="hang"), 5)
+        await peer.cancelled.wait()
+
+    _with_buses(check)
+
+
+def test_peer_without_address_is_unavailable() -> None:
+    """A request to an unknown instance is refused at once."""
+
+    async def check(one: PeerBus, two: PeerBus, peer: _Peer) -> None:
+        answer = await one.request("three", _Ask(text="x"), 5)
+        assert isinstance(answer, Err)
+        assert answer.err_value.kind is ErrorKind.OWNER_UNAVAILABLE
+
+    _with_buses(check)
+
+
+def test_call_lost_on_the_way_is_found() -> None:
+    """A peer that never got the call says so when probed."""
+
+    async def check(one: PeerBus, two: PeerBus, peer: _Peer) -> None:
+        two._take_call = lambda frame, message: None  # type: ignore[method-assign]
+        async with one.stream("two", _Ask(text="x")) as stream:
+            try:
+                await stream.receive()
+            except PeerLostError as error:
+                assert "does not know" in str(error)
+            else:
+                raise AssertionError("the call was answered")
+
+    _with_buses(check)
+
+
+def test_silent_peer_is_given_up() -> None:
+    """A peer that accepts connections and answers nothing is given up within seconds."""
+
+    async def check(one: PeerBus, two: PeerBus, peer: _Peer) -> None:
+        two._take = lambda data: None  # type: ignore[method-assign]
+        async with one.stream("two", _Ask(text="hang")) as stream:
+            try:
+                await stream.receive()
+            except PeerLostError as error:
+                assert "no sign of two" in str(error)
+            else:
+                raise AssertionError("the call was answered")
+
+    _with_buses(check)
+
+
+def test_invalid_frames_are_dropped() -> None:
+    """Bytes that are no frame are reported, and the bus goes on."""
+
+    async def run() -> None:
+        faults: list[str] = []
+        bus = PeerBus(
+            "one",
+            "127.0.0.1:0",
+            lambda peer: None,
+            _Peer(),
+            on_fault=lambda event, error: faults.append(event),
+        )
+        async with trio.open_nursery() as nursery:
+            port = await nursery.start(bus.serve)
+            with pynng.Push0(dial=f"tcp://127.0.0.1:{port}") as socket, trio.fail_after(5):
+                for data in (b"", b"\xc1", b"\x96\x01\x02", b"nonsense"):
+                    await socket.asend(data)
+                while len(faults) < 4:
+                    await trio.sleep(0.01)
+            nursery.cancel_scope.cancel()
+        assert set(faults) == {"peer-message-invalid"}
+
+    trio.run(run)
+
+
+load_tests = load_functions(globals())
