--- /dev/null
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_logs.py
@@ -0,0 +1,65 @@
+"""Logs as JSON lines with stable event names; keys never appear in them.
+
+configure_logging("info")
+events = EventLog("config")
+events.info("config.applied", version=12)
+# {"at": 1700000000.123, "level": "info", "event": "config.applied", "version": 12}
+"""
+
+import logging
+import sys
+from typing import TextIO
+
+import msgspec
+from lagoonfold.config import redact
+
+_ROOT = "lagoonfold"
+
+
+class JsonLineFormatter(logging.Formatter):
+    """Formats a record as one line of JSON, with keys redacted."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the line for a record, without the line end."""
+        line: dict[str, object] = {
+            "at": round(record.created, 3),
+            "level": record.levelname.lower(),
+            "event": record.getMessage(),
+        }
+        line.update(getattr(record, "fields", {}))
+        if record.exc_info:
+            line["error"] = self.formatException(record.exc_info)
+        return redact(msgspec.json.encode(line, enc_hook=str).decode())
+
+
+class EventLog:
+    """Logs events of one subsystem; fields are given by name."""
+
+    def __init__(self, subsystem: str) -> None:
+        self._logger = logging.getLogger(f"{_ROOT}.{subsystem}")
+
+    def debug(self, event: str, **fields: object) -> None:
+        """Log an event of interest to developers."""
+        self._logger.debug(event, extra={"fields": fields})
+
+    def info(self, event: str, **fields: object) -> None:
+        """Log an event of ordinary operation."""
+        self._logger.info(event, extra={"fields": fields})
+
+    def warning(self, event: str, **fields: object) -> None:
+        """Log an event that an operator may have to look at."""
+        self._logger.warning(event, extra={"fields": fields})
+
+    def error(self, event: str, error: BaseException | None = None, **fields: object) -> None:
+        """Log a failure, with the traceback of `error` where one is given."""
+        self._logger.error(event, exc_info=error, extra={"fields": fields})
+
+
+def configure_logging(level: str, stream: TextIO = sys.stderr) -> None:
+    """Send the logs of this process to a stream, from the level on."""
+    handler = logging.StreamHandler(stream)
+    handler.setFormatter(JsonLineFormatter())
+    logger = logging.getLogger(_ROOT)
+    logger.handlers[:] = [handler]
+    logger.setLevel(level.upper())
+    logger.propagate = False
--- /dev/null
+++ b/packages/lagoonfold/src/lagoonfold/config/_keys.py
@@ -0,0 +1,34 @@
+"""API keys: generated with 256 random bits, shown once, kept as SHA-256 digests.
+
+secret = generate_secret()
+digest_of(secret)   # what the configuration holds
+"""
+
+import hashlib
+import re
+import secrets
+
+from lagoonfold._ids import KeyDigest
+
+SECRET_PREFIX = "lfk_"
+SECRET_PATTERN = re.compile(SECRET_PREFIX + r"[A-Za-z0-9_-]{43}")
+
+_SECRET_BYTES = 32
+
+
+def generate_secret() -> str:
+    """Return a new key of 256 random bits behind a prefix that scanners can recognize."""
+    return SECRET_PREFIX + secrets.token_urlsafe(_SECRET_BYTES)
+
+
+def digest_of(secret: str) -> KeyDigest:
+    """Return the digest under which a key is stored.
+
+    A plain hash suffices because the key is random: there is nothing to guess from a dictionary.
+    """
+    return KeyDigest(hashlib.sha256(secret.encode("utf-8", "surrogateescape")).hexdigest())
+
+
+def redact(text: str) -> str:
+    """Return the text with every key replaced, for logs and error messages."""
+    return SECRET_PATTERN.sub(SECRET_PREFIX + "[redacted]", text)
--- /dev/null
+++ b/packages/lagoonfold/src/lagoonfold/settings/_models.py
@@ -0,0 +1,114 @@
+"""The models of an instance's settings file, one class for each section."""
+
+import ipaddress
+from pathlib import Path
+from typing import Annotated, Literal
+
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, model_validator
+
+_MAX_PORT = 65_535
+_NAME_PATTERN = r"^[a-z0-9][a-z0-9-]{0,62}$"
+
+
+def _check_address(address: str) -> str:
+    host, _, port = address.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        raise ValueError("an IPv4 number and a port, such as 10.0.0.1:8080") from None
+    if not port.isascii() or not port.isdigit() or not 1 <= int(port) <= _MAX_PORT:
+        raise ValueError(f"a port from 1 to {_MAX_PORT}, such as 10.0.0.1:8080")
+    return address
+
+
+Address = Annotated[str, AfterValidator(_check_address)]
+Name = Annotated[str, Field(pattern=_NAME_PATTERN)]
+PositiveInt = Annotated[int, Field(gt=0)]
+PositiveSeconds = Annotated[float, Field(gt=0, le=86_400)]
+Seconds = Annotated[float, Field(ge=0, le=86_400)]
+
+
+class _Section(BaseModel):
+    """A section of the file: unknown keys are refused and values are immutable."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True, allow_inf_nan=False)
+
+
+class InstanceSettings(_Section):
+    """This instance: its id, failure domain, and the addresses that it listens on."""
+
+    id: Name
+    failure_domain: Name
+    listen: Address
+    peer: Address
+    operator: Address
+    data_dir: Path | None = None
+
+
+class PlatformSettings(_Section):
+    """The platform's services, and how many calls a second this instance may make of them."""
+
+    kv: Address
+    instance_list: Address
+    kv_calls_per_s: PositiveInt = 60
+    kv_timeout_s: PositiveSeconds = 2.0
+    instance_list_interval_s: PositiveSeconds = 1.0
+
+
+class ClusterSettings(_Section):
+    """Shards, leases and commits; equal on all instances of a deployment."""
+
+    shards: Annotated[int, Field(ge=1, le=4_096)] = 32
+    lease_s: PositiveSeconds = 9.0
+    renew_s: PositiveSeconds = 3.0
+    takeover_wait_s: PositiveSeconds = 1.0
+    commit_interval_s: Seconds = 0.005
+    checkpoint_commits: PositiveInt = 256
+
+    @model_validator(mode="after")
+    def _check_renewal(self) -> "ClusterSettings":
+        if self.renew_s * 2 >= self.lease_s:
+            raise ValueError(f"renew_s of less than half of lease_s ({self.lease_s:g})")
+        return self
+
+
+class LimitSettings(_Section):
+    """Limits at the border: sizes in bytes, times in seconds."""
+
+    max_header_bytes: Annotated[int, Field(ge=1_024, le=1_048_576)] = 32_768
+    max_body_bytes: Annotated[int, Field(ge=1_024, le=1_073_741_824)] = 8_388_608
+    max_connections: PositiveInt = 2_000
+    max_streams: PositiveInt = 1_000
+    header_timeout_s: PositiveSeconds = 10.0
+    body_timeout_s: PositiveSeconds = 30.0
+    idle_timeout_s: PositiveSeconds = 75.0
+    write_timeout_s: PositiveSeconds = 30.0
+    drain_s: PositiveSeconds = 60.0
+
+
+class KeySettings(_Section):
+    """How soon a withdrawn key stops working, and how long to serve on unverified keys.
+
+    An instance that could not verify the configuration for `withdrawal_bound_s` refuses keyed
+    requests; `outage_grace_s` extends that time while the key-value service cannot be reached.
+    """
+
+    withdrawal_bound_s: Annotated[float, Field(ge=1, le=60)] = 5.0
+    outage_grace_s: Seconds = 0.0
+
+
+class LogSettings(_Section):
+    """What is logged."""
+
+    level: Literal["debug", "info", "warning", "error"] = "info"
+
+
+class Settings(_Section):
+    """All settings of one instance."""
+
+    instance: InstanceSettings
+    platform: PlatformSettings
+    cluster: ClusterSettings = ClusterSettings()
+    limits: LimitSettings = LimitSettings()
+    keys: KeySettings = KeySettings()
+    log: LogSettings = LogSettings()
--- /dev/null
+++ b/tests/config/test_changes.py
@@ -0,0 +1,115 @@
+"""Tests of configuration documents and changes."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from lagoonfold import ErrorKind
+from lagoonfold.config import (
+    EMPTY_CONFIGURATION,
+    MAX_WITHDRAWN_KEYS,
+    Account,
+    ApiKey,
+    Change,
+    Configuration,
+    ConfigView,
+    PutAccount,
+    PutKey,
+    RetireAccount,
+    WithdrawKey,
+    apply_change,
+    digest_of,
+    generate_secret,
+    redact,
+)
+from result import Ok
+
+from tests._suite import load_functions
+from tests.config._strategies import changes
+
+_NORTH = Account(account_id="north", rate_per_s=5.0, burst=10)
+
+
+def _apply_all(accepted: list[Change]) -> Configuration:
+    configuration = EMPTY_CONFIGURATION
+    for change in accepted:
+        configuration = apply_change(configuration, change).unwrap()
+    return configuration
+
+
+def _dangling(configuration: Configuration) -> list[str]:
+    """Return the names that documents refer to and that are absent."""
+    absent: list[str] = []
+    for profile in configuration.profiles_by_name.values():
+        absent += [name for name in profile.routes if name not in configuration.routes_by_name]
+        absent += [a for a in profile.account_ids if a not in configuration.accounts_by_id]
+    for key in configuration.keys_by_digest.values():
+        if not key.is_withdrawn() and key.account_id not in configuration.accounts_by_id:
+            absent.append(key.account_id)
+    return absent
+
+
+@settings(derandomize=True, max_examples=200)
+@given(st.lists(changes(), max_size=25))
+def test_any_changes_keep_versions_growing_and_references_whole(proposed: list[Change]) -> None:
+    """An accepted change adds one version, a refused one nothing; no reference dangles."""
+    configuration = EMPTY_CONFIGURATION
+    withdrawn: set[str] = set()
+    for change in proposed:
+        outcome = apply_change(configuration, change)
+        if isinstance(outcome, Ok):
+            assert outcome.ok_value.version == configuration.version + 1
+            configuration = outcome.ok_value
+        assert not _dangling(configuration)
+        now_withdrawn = {d for d, k in configuration.keys_by_digest.items() if k.is_withdrawn()}
+        assert withdrawn <= now_withdrawn
+        withdrawn = now_withdrawn
+
+
+def test_retiring_an_account_withdraws_its_keys() -> None:
+    """The keys of a retired account are withdrawn in the same version."""
+    key = ApiKey(digest=digest_of("one"), account_id="north")
+    configuration = _apply_all(
+        [
+            PutAccount(account=_NORTH, replaces=False),
+            PutKey(key=key, replaces=False),
+            RetireAccount(account_id="north"),
+        ]
+    )
+    assert configuration.keys_by_digest[key.digest].withdrawn_version == configuration.version
+
+
+def test_withdrawn_keys_are_forgotten_oldest_first() -> None:
+    """The configuration holds a bounded number of withdrawn keys, the newest ones."""
+    configuration = _apply_all([PutAccount(account=_NORTH, replaces=False)])
+    digests = [digest_of(str(number)) for number in range(MAX_WITHDRAWN_KEYS + 3)]
+    for digest in digests:
+        added = PutKey(key=ApiKey(digest=digest, account_id="north"), replaces=False)
+        for change in (added, WithdrawKey(digest=digest)):
+            configuration = apply_change(configuration, change).unwrap()
+    assert set(configuration.keys_by_digest) == set(digests[3:])
+
+
+def test_a_missing_document_is_not_replaced() -> None:
+    """Replacing a document that is absent is refused, as is adding one twice."""
+    replaced = apply_change(EMPTY_CONFIGURATION, PutAccount(account=_NORTH, replaces=True))
+    assert replaced.unwrap_err().kind is ErrorKind.NOT_FOUND
+    once = _apply_all([PutAccount(account=_NORTH, replaces=False)])
+    twice = apply_change(once, PutAccount(account=_NORTH, replaces=False))
+    assert twice.unwrap_err().kind is ErrorKind.VERSION_CONFLICT
+
+
+def test_secrets_are_long_and_redacted() -> None:
+    """Two secrets differ, have 43 characters after the prefix, and do not survive a log line."""
+    secret = generate_secret()
+    assert secret != generate_secret()
+    assert len(secret.removeprefix("lfk_")) == 43
+    assert secret not in redact(f"authorization: Bearer {secret}")
+
+
+def test_a_view_becomes_stale() -> None:
+    """A view is stale when its age is over the bound, and from the start."""
+    assert ConfigView().is_stale(0.0, 5.0)
+    assert not ConfigView(verified_at_s=10.0).is_stale(15.0, 5.0)
+    assert ConfigView(verified_at_s=10.0).is_stale(15.1, 5.0)
+
+
+load_tests = load_functions(globals())
