--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiment tools; each command ends by itself."""
