Add the key-value adapter, the instance list adapter and the key-value stand-in

The adapter speaks a subset of etcd v3's JSON gateway. A write whose answer was lost is told apart from one that certainly had no effect; every call is counted and kept under a rate.

--- a/packages/lagoonfold-io/src/lagoonfold_io/__init__.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/__init__.py
@@ -1,5 +1,7 @@
 """HTTP and platform adapters shared by the daemon, the command line and the test programs."""
 
+from lagoonfold_io._call_rate import CallRate
+from lagoonfold_io._etcd_store import EtcdStore
 from lagoonfold_io._http_client import HttpClient, ResponseHead, ResponseStream, StreamError
 from lagoonfold_io._http_messages import (
     Headers,
@@ -10,14 +12,18 @@
     Sent,
 )
 from lagoonfold_io._http_server import BorderFault, ClientGoneError, Exchange, HttpServer
+from lagoonfold_io._instance_list import HttpInstanceList
 
 __all__ = [
     "BorderFault",
+    "CallRate",
     "ClientGoneError",
+    "EtcdStore",
     "Exchange",
     "Headers",
     "HttpClient",
     "HttpError",
+    "HttpInstanceList",
     "HttpLimits",
     "HttpRequest",
     "HttpResponse",
--- /dev/null
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_call_rate.py
@@ -0,0 +1,41 @@
+"""A token bucket that keeps the calls to a service under a set rate."""
+
+from collections import Counter
+
+import trio
+
+_BURST_S = 1.0
+
+
+class CallRate:
+    """Admits at most `calls_per_s` calls a second and counts them by operation.
+
+    Up to one second's calls may be saved up. Urgent calls, such as lease renewals, never wait:
+    they are taken from the calls to come. `max_wait_s` limits how long other calls wait.
+    """
+
+    def __init__(self, calls_per_s: float, *, max_wait_s: float = 2.0) -> None:
+        self._calls_per_s = calls_per_s
+        self._max_wait_s = max_wait_s
+        self._burst = max(1.0, calls_per_s * _BURST_S)
+        self._level = self._burst
+        self._filled_at_s: float | None = None
+        self.counts_by_operation: Counter[str] = Counter()
+
+    async def admit(self, operation: str, *, urgent: bool = False) -> bool:
+        """Wait for a call's turn; return False at once if the wait would be too long."""
+        self._fill(trio.current_time())
+        wait_s = max(0.0, (1.0 - self._level) / self._calls_per_s)
+        if not urgent and wait_s > self._max_wait_s:
+            self.counts_by_operation["throttled"] += 1
+            return False
+        self._level -= 1.0
+        self.counts_by_operation[operation] += 1
+        if not urgent and wait_s > 0:
+            await trio.sleep(wait_s)
+        return True
+
+    def _fill(self, now_s: float) -> None:
+        last_s = now_s if self._filled_at_s is None else self._filled_at_s
+        self._level = min(self._burst, self._level + (now_s - last_s) * self._calls_per_s)
+        self._filled_at_s = now_s
--- /dev/null
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_etcd_store.py
@@ -0,0 +1,242 @@
+"""The key-value port over a subset of etcd v3's JSON gateway.
+
+A write whose answer was lost is reported as `StoreErrorKind.LOST_ANSWER`: it may have taken
+effect. A failure that says for certain that nothing was written is `UNAVAILABLE`, `CONFLICT`,
+`LEASE_EXPIRED` or `THROTTLED`.
+
+    store = EtcdStore(HttpClient(), "10.0.0.5:2379", calls_per_s=20)
+    entry = (await store.get("ownership")).unwrap()
+    await store.put_if("ownership", b"...", expected_revision=entry.revision)
+"""
+
+import math
+from collections import Counter
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import TypeVar
+
+import msgspec
+from result import Err, Ok, Result
+
+from lagoonfold import (
+    ABSENT_REVISION,
+    NO_LEASE,
+    Entry,
+    LeaseGrant,
+    Listing,
+    StoreError,
+    StoreErrorKind,
+    WatchEvent,
+)
+from lagoonfold_io._call_rate import CallRate
+from lagoonfold_io._etcd_messages import (
+    ErrorResponse,
+    KeepAliveResponse,
+    LeaseResponse,
+    RangeResponse,
+    TxnResponse,
+    prefix_end,
+    to_base64,
+)
+from lagoonfold_io._etcd_watch import read_events
+from lagoonfold_io._http_client import HttpClient
+from lagoonfold_io._http_messages import HttpError, HttpRequest, HttpResponse, Sent
+
+DEFAULT_CALL_TIMEOUT_S = 2.0
+DEFAULT_WATCH_SILENCE_S = 60.0
+_CODE_NOT_FOUND = 5
+_CLIENT_ERRORS = range(400, 500)
+_STATUS_OK = 200
+_STATUS_TOO_MANY_REQUESTS = 429
+
+T = TypeVar("T")
+_JSON_HEADERS = (("content-type", "application/json"),)
+
+
+class EtcdStore:
+    """A client of the key-value service; one instance serves one trio loop.
+
+    `calls_per_s` limits the calls of all operations together; lease operations never wait for it.
+    """
+
+    def __init__(
+        self,
+        client: HttpClient,
+        address: str,
+        *,
+        calls_per_s: float,
+        call_timeout_s: float = DEFAULT_CALL_TIMEOUT_S,
+        watch_silence_s: float = DEFAULT_WATCH_SILENCE_S,
+    ) -> None:
+        self._client = client
+        self._address = address
+        self._rate = CallRate(calls_per_s)
+        self._call_timeout_s = call_timeout_s
+        self._watch_silence_s = watch_silence_s
+
+    @property
+    def counts_by_operation(self) -> Counter[str]:
+        """The calls made so far, by operation; a watch counts as one."""
+        return self._rate.counts_by_operation
+
+    async def get(self, key: str) -> Result[Entry, StoreError]:
+        """Read one key; an absent key gives an empty value with `ABSENT_REVISION`."""
+        answer = await self._read("range", {"key": to_base64(key)})
+        if isinstance(answer, Err):
+            return answer
+        kvs = answer.ok_value.kvs
+        return Ok(kvs[0].to_entry() if kvs else Entry(key=key, value=b"", revision=ABSENT_REVISION))
+
+    async def list(self, prefix: str) -> Result[Listing, StoreError]:
+        """Read all keys below a prefix, in key order."""
+        fields = {"key": to_base64(prefix), "range_end": to_base64(prefix_end(prefix))}
+        answer = await self._read("range", fields)
+        if isinstance(answer, Err):
+            return answer
+        found = answer.ok_value
+        entries = tuple(kv.to_entry() for kv in found.kvs)
+        return Ok(Listing(entries=entries, revision=int(found.header.revision)))
+
+    async def put_if(
+        self, key: str, value: bytes, *, expected_revision: int, lease_id: int = NO_LEASE
+    ) -> Result[int, StoreError]:
+        """Write if the key's revision is the expected one; return the new revision."""
+        put = {"key": to_base64(key), "value": to_base64(value), "lease": str(lease_id)}
+        step = {"request_put": put}
+        return await self._write_if(key, expected_revision, step, urgent=lease_id != NO_LEASE)
+
+    async def delete_if(self, key: str, *, expected_revision: int) -> Result[None, StoreError]:
+        """Delete the key if its revision is the expected one."""
+        step = {"request_delete_range": {"key": to_base64(key)}}
+        answer = await self._write_if(key, expected_revision, step, urgent=False)
+        return answer.map(lambda _: None)
+
+    async def delete_range(self, start: str, end: str) -> Result[None, StoreError]:
+        """Delete the keys from `start` up to but not including `end`, as one call."""
+        fields = {"key": to_base64(start), "range_end": to_base64(end)}
+        answer = await self._call("/v3/kv/deleterange", fields, RangeResponse)
+        return answer.map(lambda _: None)
+
+    async def grant_lease(self, ttl_s: float) -> Result[LeaseGrant, StoreError]:
+        """Create a lease of `ttl_s`, rounded up to whole seconds."""
+        fields = {"TTL": str(math.ceil(ttl_s))}
+        answer = await self._call("/v3/lease/grant", fields, LeaseResponse, urgent=True)
+        return answer.map(
+            lambda lease: LeaseGrant(lease_id=int(lease.ID), ttl_s=float(int(lease.TTL)))
+        )
+
+    async def renew_lease(self, lease_id: int) -> Result[float, StoreError]:
+        """Renew a lease and return its time to live in seconds."""
+        fields = {"ID": str(lease_id)}
+        answer = await self._call("/v3/lease/keepalive", fields, KeepAliveResponse, urgent=True)
+        if isinstance(answer, Err):
+            return answer
+        ttl_s = float(int(answer.ok_value.result.TTL))
+        if ttl_s <= 0:
+            return _failed(StoreErrorKind.LEASE_EXPIRED, f"lease {lease_id} is gone")
+        return Ok(ttl_s)
+
+    async def revoke_lease(self, lease_id: int) -> Result[None, StoreError]:
+        """End a lease at once and delete its keys."""
+        fields = {"ID": str(lease_id)}
+        answer = await self._call("/v3/lease/revoke", fields, LeaseResponse, urgent=True)
+        return answer.map(lambda _: None)
+
+    @asynccontextmanager
+    async def watch(
+        self, prefix: str, *, from_revision: int
+    ) -> AsyncIterator[AsyncIterator[WatchEvent]]:
+        """Iterate over the changes below a prefix; the iteration ends when the watch is lost.
+
+        A watch that is silent for `watch_silence_s` counts as lost.
+        """
+        if not await self._rate.admit("watch"):
+            yield _no_events()
+            return
+        wanted = {
+            "key": to_base64(prefix),
+            "range_end": to_base64(prefix_end(prefix)),
+            "start_revision": str(from_revision),
+        }
+        request = _post("/v3/watch", {"create_request": wanted})
+        async with self._client.stream(
+            self._address, request, progress_timeout_s=self._watch_silence_s, fresh=True
+        ) as opened:
+            is_open = isinstance(opened, Ok) and opened.ok_value.head.status == _STATUS_OK
+            yield read_events(opened.ok_value) if is_open else _no_events()
+
+    async def _read(self, name: str, fields: dict) -> Result[RangeResponse, StoreError]:
+        answer = await self._call(f"/v3/kv/{name}", fields, RangeResponse)
+        if isinstance(answer, Err) and answer.err_value.kind is StoreErrorKind.LOST_ANSWER:
+            return _failed(StoreErrorKind.UNAVAILABLE, answer.err_value.detail)
+        return answer
+
+    async def _write_if(
+        self, key: str, expected_revision: int, step: dict, *, urgent: bool
+    ) -> Result[int, StoreError]:
+        compare = {
+            "key": to_base64(key),
+            "target": "MOD",
+            "result": "EQUAL",
+            "mod_revision": str(expected_revision),
+        }
+        fields = {"compare": [compare], "success": [step]}
+        answer = await self._call("/v3/kv/txn", fields, TxnResponse, urgent=urgent)
+        if isinstance(answer, Err):
+            return answer
+        if not answer.ok_value.succeeded:
+            return _failed(StoreErrorKind.CONFLICT, f"{key} is not at {expected_revision}")
+        return Ok(int(answer.ok_value.header.revision))
+
+    async def _call(
+        self, path: str, fields: dict, answer_type: type[T], *, urgent: bool = False
+    ) -> Result[T, StoreError]:
+        if not await self._rate.admit(path.rpartition("/")[2], urgent=urgent):
+            return _failed(StoreErrorKind.THROTTLED, "the instance's call rate is used up")
+        answer = await self._client.fetch(
+            self._address, _post(path, fields), timeout_s=self._call_timeout_s
+        )
+        if isinstance(answer, Err):
+            return Err(_transport_error(answer.err_value))
+        response = answer.ok_value
+        if response.status != _STATUS_OK:
+            return Err(_status_error(response))
+        try:
+            return Ok(msgspec.json.decode(response.body, type=answer_type))
+        except msgspec.DecodeError as error:
+            return _failed(StoreErrorKind.LOST_ANSWER, f"unreadable answer: {error}")
+
+
+def _post(path: str, fields: dict) -> HttpRequest:
+    body = msgspec.json.encode(fields)
+    return HttpRequest(method="POST", path=path, headers=_JSON_HEADERS, body=body)
+
+
+def _failed(kind: StoreErrorKind, detail: str) -> Err[StoreError]:
+    return Err(StoreError(kind=kind, detail=detail))
+
+
+def _transport_error(error: HttpError) -> StoreError:
+    nothing_sent = error.sent is Sent.NOTHING
+    kind = StoreErrorKind.UNAVAILABLE if nothing_sent else StoreErrorKind.LOST_ANSWER
+    return StoreError(kind=kind, detail=error.detail)
+
+
+def _status_error(response: HttpResponse) -> StoreError:
+    """Return what a status says; a server's error may come after the write took effect."""
+    try:
+        body = msgspec.json.decode(response.body, type=ErrorResponse)
+    except msgspec.DecodeError:
+        body = ErrorResponse(message=f"status {response.status}")
+    if response.status == _STATUS_TOO_MANY_REQUESTS:
+        return StoreError(kind=StoreErrorKind.THROTTLED, detail=body.message)
+    if body.code == _CODE_NOT_FOUND and "lease" in body.message:
+        return StoreError(kind=StoreErrorKind.LEASE_EXPIRED, detail=body.message)
+    refused = response.status in _CLIENT_ERRORS
+    kind = StoreErrorKind.UNAVAILABLE if refused else StoreErrorKind.LOST_ANSWER
+    return StoreError(kind=kind, detail=body.message)
+
+
+async def _no_events() -> AsyncIterator[WatchEvent]:
+    for event in ():
+        yield event
--- /dev/null
+++ b/standins/_kv_faults.py
@@ -0,0 +1,83 @@
+"""Faults of the key-value stand-in, set by `POST /_faults`.
+
+    {"outage": "refuse"}                       every call gets 503 before it has any effect
+    {"outage": "silent"}                       no call gets an answer or has an effect
+    {"delay_s": 0.5}                           every call takes half a second longer
+    {"drop_answer": 0.3, "seed": 7}            3 of 10 calls take effect but get no answer
+    {"refuse": 1.0, "operations": ["txn"], "remaining": 2}   the next two transactions get 503
+    {"mute_watches": true}                     watches stay open but tell of no change
+    {}                                         no faults
+
+An outage also breaks the open watches.
+"""
+
+import random
+from dataclasses import dataclass
+from enum import Enum
+
+import msgspec
+
+
+class Fate(Enum):
+    """What happens to one call."""
+
+    SERVE = "serve"
+    REFUSE = "refuse"
+    SILENT = "silent"
+    DROP_ANSWER = "drop-answer"
+
+
+class FaultPlan(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+    """The faults in force; the probabilities are per call, `remaining` counts faults left."""
+
+    outage: str = ""
+    delay_s: float = 0.0
+    drop_answer: float = 0.0
+    refuse: float = 0.0
+    silent: float = 0.0
+    seed: int = 0
+    operations: tuple[str, ...] = ()
+    key_contains: str = ""
+    remaining: int = -1
+    mute_watches: bool = False
+
+
+@dataclass(slots=True)
+class Faults:
+    """Decides the fate of each call by the plan and a seeded generator."""
+
+    plan: FaultPlan
+    _random: random.Random
+
+    @classmethod
+    def of(cls, plan: FaultPlan) -> "Faults":
+        """Return the faults of a plan with a generator from its seed."""
+        return cls(plan, random.Random(plan.seed))
+
+    def decide(self, operation: str, keys: list[str]) -> Fate:
+        """Return the fate of one call."""
+        plan = self.plan
+        if plan.outage:
+            return Fate.REFUSE if plan.outage == "refuse" else Fate.SILENT
+        if plan.operations and operation not in plan.operations:
+            return Fate.SERVE
+        if plan.key_contains and not any(plan.key_contains in key for key in keys):
+            return Fate.SERVE
+        if plan.remaining == 0:
+            return Fate.SERVE
+        fate = self._draw()
+        if fate is not Fate.SERVE and plan.remaining > 0:
+            plan.remaining -= 1
+        return fate
+
+    def _draw(self) -> Fate:
+        number = self._random.random()
+        for share, fate in (
+            (self.plan.refuse, Fate.REFUSE),
+            (self.plan.drop_answer, Fate.DROP_ANSWER),
+            (self.plan.silent, Fate.SILENT),
+        ):
+            if number < share:
+                return fate
+            number -= share
+        return Fate.SERVE
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapters to the platform against its stand-ins."""
--- /dev/null
+++ b/tests/platform/test_etcd_store.py
@@ -0,0 +1,127 @@
+"""Tests of the key-value adapter against the stand-in."""
+
+import trio
+import trio.testing
+from result import Err
+
+from lagoonfold import ABSENT_REVISION, StoreErrorKind
+from lagoonfold_io import CallRate, EtcdStore, HttpClient, HttpRequest
+from tests._suite import load_functions
+from tests.platform._kv import KvFixture, run_with_kv
+
+
+def test_write_needs_the_expected_revision() -> None:
+    """A write at an old revision is a conflict and changes nothing."""
+
+    async def check(kv: KvFixture) -> None:
+        first = (await kv.store.put_if("a", b"1", expected_revision=ABSENT_REVISION)).unwrap()
+        (await kv.store.put_if("a", b"2", expected_revision=first)).unwrap()
+        late = await kv.store.put_if("a", b"3", expected_revision=first)
+        assert isinstance(late, Err) and late.err_value.kind is StoreErrorKind.CONFLICT
+        assert (await kv.store.get("a")).unwrap().value == b"2"
+
+    run_with_kv(check)
+
+
+def test_list_and_delete_range() -> None:
+    """A listing holds the keys of its prefix; a range is deleted without its end."""
+
+    async def check(kv: KvFixture) -> None:
+        for key in ("p/1", "p/2", "p/3", "q/1"):
+            (await kv.store.put_if(key, key.encode(), expected_revision=0)).unwrap()
+        (await kv.store.delete_range("p/1", "p/3")).unwrap()
+        listing = (await kv.store.list("p/")).unwrap()
+        assert [entry.key for entry in listing.entries] == ["p/3"]
+
+    run_with_kv(check)
+
+
+def test_lost_answer_is_told_from_a_failure() -> None:
+    """A dropped answer may have taken effect; a refused connection has not."""
+
+    async def check(kv: KvFixture) -> None:
+        kv.set_faults(drop_answer=1.0)
+        lost = await kv.store.put_if("a", b"1", expected_revision=0)
+        assert isinstance(lost, Err) and lost.err_value.kind is StoreErrorKind.LOST_ANSWER
+        kv.set_faults()
+        assert (await kv.store.get("a")).unwrap().value == b"1"
+        nowhere = EtcdStore(HttpClient(), "127.0.0.1:1", calls_per_s=10)
+        failed = await nowhere.put_if("a", b"2", expected_revision=0)
+        assert isinstance(failed, Err) and failed.err_value.kind is StoreErrorKind.UNAVAILABLE
+
+    run_with_kv(check)
+
+
+def test_expired_lease_deletes_its_keys() -> None:
+    """A key under a lease that is not renewed goes away, and the renewal says so."""
+
+    async def check(kv: KvFixture) -> None:
+        lease = (await kv.store.grant_lease(1.0)).unwrap()
+        (await kv.store.put_if("i/1", b"x", expected_revision=0, lease_id=lease.lease_id)).unwrap()
+        assert (await kv.store.renew_lease(lease.lease_id)).unwrap() == lease.ttl_s
+        with trio.fail_after(10):
+            while (await kv.store.get("i/1")).unwrap().revision != ABSENT_REVISION:
+                await trio.sleep(0.05)
+        late = await kv.store.renew_lease(lease.lease_id)
+        assert isinstance(late, Err) and late.err_value.kind is StoreErrorKind.LEASE_EXPIRED
+
+    run_with_kv(check)
+
+
+def test_watch_tells_of_changes_from_a_revision() -> None:
+    """A watch tells of earlier and later changes in order, and of deletions."""
+
+    async def check(kv: KvFixture) -> None:
+        first = (await kv.store.put_if("w/1", b"a", expected_revision=0)).unwrap()
+        async with kv.store.watch("w/", from_revision=first) as events:
+            (await kv.store.delete_if("w/1", expected_revision=first)).unwrap()
+            seen = [await anext(events), await anext(events)]
+        assert [event.entry.value for event in seen] == [b"a", b""]
+        assert seen[1].entry.revision == ABSENT_REVISION
+
+    run_with_kv(check)
+
+
+def test_watch_ends_in_an_outage() -> None:
+    """An outage ends the iteration instead of leaving it to wait."""
+
+    async def check(kv: KvFixture) -> None:
+        async with kv.store.watch("w/", from_revision=1) as events:
+            (await kv.store.put_if("w/1", b"a", expected_revision=0)).unwrap()
+            await anext(events)
+            await kv.service.handle(_faults_request(b'{"outage": "silent"}'), _Discard())
+            with trio.fail_after(10):
+                assert [event async for event in events] == []
+
+    run_with_kv(check)
+
+
+def test_call_rate_is_kept() -> None:
+    """Calls beyond the rate wait for their turn or are refused; urgent ones are not held."""
+
+    async def run() -> None:
+        clock_start_s = trio.current_time()
+        rate = CallRate(10.0, max_wait_s=1.0)
+        admitted = [await rate.admit("range") for _ in range(15)]
+        elapsed_s = trio.current_time() - clock_start_s
+        assert all(admitted) and elapsed_s >= 0.49
+        for _ in range(30):
+            assert await rate.admit("keepalive", urgent=True)
+        assert not await rate.admit("range")
+        assert rate.counts_by_operation == {"range": 15, "keepalive": 30, "throttled": 1}
+
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+class _Discard:
+    """An exchange that takes any answer."""
+
+    async def respond(self, response: object) -> None:
+        """Drop the answer."""
+
+
+def _faults_request(body: bytes) -> HttpRequest:
+    return HttpRequest(method="POST", path="/_faults", body=body)
+
+
+load_tests = load_functions(globals())
