--- /dev/null
+++ b/packages/lagoonfold/src/lagoonfold/rates/_borrower.py
@@ -0,0 +1,126 @@
+"""The borrowing side of an account's rate, at each instance where its calls arrive."""
+
+import math
+from dataclasses import dataclass
+
+from lagoonfold.rates._demand import DemandMeter
+from lagoonfold.rates._messages import Ask, Loan, LoanReport
+
+_AHEAD_S = 0.25
+_RENEW_SHARE = 0.25
+_IDLE_RETURN_S = 0.1
+
+
+@dataclass(slots=True)
+class _HeldLoan:
+    loan_id: str
+    size: int
+    spent: int
+    expires_s: float
+    used_s: float
+    reported: int = 0
+
+    @property
+    def left(self) -> int:
+        return self.size - self.spent
+
+
+class Borrower:
+    """The tokens of one account that this instance may spend.
+
+    A loan's life is counted on this instance's clock from before the ask was sent, so it never
+    outlasts what the lender counts.
+    """
+
+    def __init__(self) -> None:
+        self._demand = DemandMeter()
+        self._loans_by_id: dict[str, _HeldLoan] = {}
+        self._sent_s_by_ask: dict[int, float] = {}
+        self._next_ask = 1
+
+    def note_arrival(self, *, now_s: float) -> None:
+        """Count an arriving call for the size of the next loans."""
+        self._demand.add(now_s=now_s)
+
+    def take(self, *, now_s: float) -> bool:
+        """Spend one token for a call that runs now; the loan that expires first goes first."""
+        usable = [loan for loan in self._loans_by_id.values() if self._is_usable(loan, now_s)]
+        if not usable:
+            return False
+        loan = min(usable, key=lambda held: held.expires_s)
+        loan.spent += 1
+        loan.used_s = now_s
+        return True
+
+    def available(self, *, now_s: float) -> int:
+        """Return the tokens that could be taken now."""
+        loans = self._loans_by_id.values()
+        return sum(loan.left for loan in loans if self._is_usable(loan, now_s))
+
+    def should_renew(self, *, now_s: float) -> bool:
+        """Tell whether to ask ahead of need: little is left of what the demand will take."""
+        expected = self._demand.rate_per_s(now_s=now_s) * _AHEAD_S
+        return expected >= 1 and self.available(now_s=now_s) < expected * _RENEW_SHARE
+
+    def ask(self, *, now_s: float, needed: int) -> Ask:
+        """Return the ask to send now, with reports of all loans held."""
+        expected = math.ceil(self._demand.rate_per_s(now_s=now_s) * _AHEAD_S)
+        number = self._next_ask
+        self._next_ask += 1
+        self._sent_s_by_ask[number] = now_s
+        return Ask(
+            number=number,
+            needed=needed,
+            wanted=max(needed, expected),
+            reports=self.report(now_s=now_s),
+        )
+
+    def report(self, *, now_s: float) -> tuple[LoanReport, ...]:
+        """Report spending; loans that are spent, expired or idle are closed and dropped."""
+        reports = tuple(self._report_one(loan, now_s) for loan in self._loans_by_id.values())
+        for report in reports:
+            if report.is_closed:
+                del self._loans_by_id[report.loan_id]
+        return reports
+
+    def has_news(self, *, now_s: float) -> bool:
+        """Tell whether a report would close a loan or tell the lender of more spending."""
+        return any(
+            loan.reported < loan.spent or self._is_closing(loan, now_s)
+            for loan in self._loans_by_id.values()
+        )
+
+    def receive(self, ask: Ask, loan: Loan, *, now_s: float) -> None:
+        """Add the loan that came in answer to an ask.
+
+        A repeated answer, or one to an ask that was given up, is ignored; a loan that came after
+        its end is kept only to be reported back.
+        """
+        sent_s = self._sent_s_by_ask.pop(ask.number, None)
+        if sent_s is None:
+            return
+        self._loans_by_id[loan.loan_id] = _HeldLoan(
+            loan_id=loan.loan_id,
+            size=loan.size,
+            spent=0,
+            expires_s=sent_s + loan.ttl_s,
+            used_s=now_s,
+        )
+
+    def give_up(self, ask: Ask) -> None:
+        """Forget an ask that got no loan; an answer that still comes will be ignored."""
+        self._sent_s_by_ask.pop(ask.number, None)
+
+    def _report_one(self, loan: _HeldLoan, now_s: float) -> LoanReport:
+        loan.reported = loan.spent
+        is_closed = self._is_closing(loan, now_s)
+        return LoanReport(loan_id=loan.loan_id, spent=loan.spent, is_closed=is_closed)
+
+    @staticmethod
+    def _is_usable(loan: _HeldLoan, now_s: float) -> bool:
+        return loan.left > 0 and now_s < loan.expires_s
+
+    @staticmethod
+    def _is_closing(loan: _HeldLoan, now_s: float) -> bool:
+        is_over = loan.left == 0 or now_s >= loan.expires_s
+        return is_over or now_s - loan.used_s >= _IDLE_RETURN_S
--- /dev/null
+++ b/packages/lagoonfold/src/lagoonfold/rates/_messages.py
@@ -0,0 +1,53 @@
+"""What lender and borrower say to each other."""
+
+import msgspec
+
+
+class RateLimit(msgspec.Struct, frozen=True, kw_only=True):
+    """An account's limit over all instances: tokens a second and tokens at once."""
+
+    rate_per_s: float
+    burst: float
+
+
+class LoanReport(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """What a borrower has spent of one loan so far.
+
+    A closed loan will not be spent from again; its rest goes back to the lender. Reports may be
+    lost, repeated or reordered: `spent` only grows.
+    """
+
+    loan_id: str
+    spent: int
+    is_closed: bool
+
+
+class Ask(msgspec.Struct, frozen=True, kw_only=True):
+    """A request for a loan, numbered by the borrower.
+
+    `needed` calls are waiting now; `wanted` adds the demand expected within a loan's life.
+    """
+
+    number: int
+    needed: int
+    wanted: int
+    reports: tuple[LoanReport, ...] = ()
+
+
+class Loan(msgspec.Struct, frozen=True, kw_only=True):
+    """Tokens lent; they may be spent until `ttl_s` seconds after the ask was sent."""
+
+    loan_id: str
+    size: int
+    ttl_s: float
+
+
+class Shortage(msgspec.Struct, frozen=True, kw_only=True):
+    """Nothing can be lent now.
+
+    `retry_after_s` is when one token will be there if nobody else takes it. `holders` are the
+    borrowers that may still have unspent tokens and could be asked to report.
+    """
+
+    retry_after_s: float
+    holders: tuple[str, ...] = ()
--- /dev/null
+++ b/packages/lagoonfold/src/lagoonfold/resilience/_breaker.py
@@ -0,0 +1,69 @@
+"""A circuit breaker per upstream."""
+
+from enum import Enum
+
+_FAILURES_TO_OPEN = 3
+_OPEN_S = 2.0
+_MAX_OPEN_S = 30.0
+
+
+class BreakerState(Enum):
+    """Whether calls pass: all, none, or one probe."""
+
+    CLOSED = "closed"
+    OPEN = "open"
+    HALF_OPEN = "half-open"
+
+
+class Breaker:
+    """Opens after consecutive failures, lets one probe through after a pause that doubles.
+
+    Only failures that speak against the upstream itself are noted here; an answer with a
+    client error is a success of the upstream.
+    """
+
+    __slots__ = ("_failures", "_is_probing", "_open_s", "_opened_s", "_threshold")
+
+    def __init__(self, *, failures_to_open: int = _FAILURES_TO_OPEN) -> None:
+        self._threshold = failures_to_open
+        self._failures = 0
+        self._open_s = _OPEN_S
+        self._opened_s: float | None = None
+        self._is_probing = False
+
+    def state(self, *, now_s: float) -> BreakerState:
+        """Return the state as of now."""
+        if self._opened_s is None:
+            return BreakerState.CLOSED
+        if now_s - self._opened_s < self._open_s or self._is_probing:
+            return BreakerState.OPEN
+        return BreakerState.HALF_OPEN
+
+    def allows(self, *, now_s: float) -> bool:
+        """Tell whether a call may be sent now."""
+        return self.state(now_s=now_s) is not BreakerState.OPEN
+
+    def note_sent(self, *, now_s: float) -> None:
+        """Note a call that is sent; in the half-open state it is the probe."""
+        if self.state(now_s=now_s) is BreakerState.HALF_OPEN:
+            self._is_probing = True
+
+    def note_success(self) -> None:
+        """Close the breaker."""
+        self._failures = 0
+        self._opened_s = None
+        self._is_probing = False
+        self._open_s = _OPEN_S
+
+    def note_failure(self, *, now_s: float) -> None:
+        """Count a failure; a failed probe opens for twice as long."""
+        self._failures += 1
+        if self._is_probing:
+            self._open_s = min(_MAX_OPEN_S, self._open_s * 2)
+        if self._is_probing or (self._opened_s is None and self._failures >= self._threshold):
+            self._opened_s = now_s
+        self._is_probing = False
+
+    def note_given_up(self) -> None:
+        """Note that a sent call ended without telling anything, such as by a cancel."""
+        self._is_probing = False
--- /dev/null
+++ b/packages/lagoonfold/src/lagoonfold/resilience/_poison.py
@@ -0,0 +1,134 @@
+"""Requests that take down the upstreams that run them.
+
+A request is known by the digest of its content, so a repeat under another id counts as the same.
+An upstream that dies blames each request it was running: the request becomes a suspect. A digest
+blamed for `MAX_INCIDENTS_PER_DIGEST` incidents is refused everywhere. Two rules keep the bound
+and spare the innocent:
+
+- until a digest has once run to its end, its copies are exposed to at most as many upstreams as
+  it may still take down;
+- a suspect shares no upstream with another suspect, so the next incident tells them apart.
+"""
+
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from lagoonfold._ids import UpstreamId
+
+MAX_INCIDENTS_PER_DIGEST = 2
+_MEMORY_S = 3600.0
+
+
+class PoisonNotice(msgspec.Struct, frozen=True, kw_only=True):
+    """An upstream that went down while it ran a request of this digest.
+
+    `incident_id` names the upstream's failure, so that a repeated notice counts once.
+    """
+
+    digest: str
+    upstream_id: str
+    incident_id: str
+
+
+@dataclass(slots=True)
+class _DigestRecord:
+    seen_s_by_incident: dict[str, float] = field(default_factory=dict)
+    running_by_upstream: Counter[UpstreamId] = field(default_factory=Counter)
+    finished_s: float | None = None
+
+    def fresh_incidents(self, oldest_s: float) -> int:
+        return sum(seen_s > oldest_s for seen_s in self.seen_s_by_incident.values())
+
+
+class PoisonRegistry:
+    """What is known here of each digest, merged from own failures and peers' notices."""
+
+    def __init__(self, *, memory_s: float = _MEMORY_S) -> None:
+        self._memory_s = memory_s
+        self._records_by_digest: dict[str, _DigestRecord] = {}
+        self._notices_by_key: dict[tuple[str, str], PoisonNotice] = {}
+
+    def note(self, notice: PoisonNotice, *, now_s: float) -> bool:
+        """Take in a notice, own or a peer's; return whether it is news."""
+        key = (notice.digest, notice.incident_id)
+        if key in self._notices_by_key:
+            return False
+        self._notices_by_key[key] = notice
+        self._record(notice.digest).seen_s_by_incident[notice.incident_id] = now_s
+        return True
+
+    def is_poisonous(self, digest: str, *, now_s: float) -> bool:
+        """Tell whether the digest has used up its incidents and must be refused."""
+        return self._incidents(digest, now_s) >= MAX_INCIDENTS_PER_DIGEST
+
+    def allowed_upstreams(
+        self, digest: str, candidates: Iterable[UpstreamId], *, now_s: float
+    ) -> frozenset[UpstreamId]:
+        """Return those of the candidates that a request of this digest may be sent to now.
+
+        None for a poisonous digest. An empty answer for another digest means: wait until one of
+        the running copies or another suspect has ended.
+        """
+        incidents = self._incidents(digest, now_s)
+        if incidents >= MAX_INCIDENTS_PER_DIGEST:
+            return frozenset()
+        allowed = frozenset(candidates)
+        record = self._records_by_digest.get(digest, _DigestRecord())
+        if incidents:
+            allowed -= self._upstreams_of_other_suspects(digest, now_s)
+        is_proven = record.finished_s is not None and not incidents
+        exposed = frozenset(record.running_by_upstream)
+        if not is_proven and len(exposed) + incidents >= MAX_INCIDENTS_PER_DIGEST:
+            allowed &= exposed
+        return allowed
+
+    def note_started(self, digest: str, upstream_id: UpstreamId) -> None:
+        """Count a request that is sent to an upstream."""
+        self._record(digest).running_by_upstream[upstream_id] += 1
+
+    def note_ended(
+        self, digest: str, upstream_id: UpstreamId, *, now_s: float, is_finished: bool
+    ) -> None:
+        """Count a request's end; `is_finished` if the upstream ran it to its end."""
+        record = self._record(digest)
+        record.running_by_upstream[upstream_id] -= 1
+        if record.running_by_upstream[upstream_id] <= 0:
+            del record.running_by_upstream[upstream_id]
+        if is_finished:
+            record.finished_s = now_s
+
+    def notices(self) -> tuple[PoisonNotice, ...]:
+        """Return all that is known, for a peer that has just started."""
+        return tuple(self._notices_by_key.values())
+
+    def forget_old(self, *, now_s: float) -> None:
+        """Drop what is older than the memory and not running."""
+        oldest_s = now_s - self._memory_s
+        for digest, record in tuple(self._records_by_digest.items()):
+            is_recent = record.finished_s is not None and record.finished_s > oldest_s
+            if not (is_recent or record.running_by_upstream or record.fresh_incidents(oldest_s)):
+                del self._records_by_digest[digest]
+        self._notices_by_key = {
+            key: notice
+            for key, notice in self._notices_by_key.items()
+            if notice.digest in self._records_by_digest
+        }
+
+    def _record(self, digest: str) -> _DigestRecord:
+        return self._records_by_digest.setdefault(digest, _DigestRecord())
+
+    def _incidents(self, digest: str, now_s: float) -> int:
+        record = self._records_by_digest.get(digest)
+        return record.fresh_incidents(now_s - self._memory_s) if record else 0
+
+    def _upstreams_of_other_suspects(self, digest: str, now_s: float) -> frozenset[UpstreamId]:
+        oldest_s = now_s - self._memory_s
+        return frozenset(
+            upstream_id
+            for other, record in self._records_by_digest.items()
+            if other != digest and record.fresh_incidents(oldest_s)
+            for upstream_id in record.running_by_upstream
+        )
--- /dev/null
+++ b/packages/lagoonfold/src/lagoonfold/scheduling/_orders.py
@@ -0,0 +1,153 @@
+"""Orders of waiting calls: who goes next.
+
+An order ranks the waiting calls. The fair ones rank accounts first, by the weighted service that
+each has had, then the calls within an account.
+
+    @order("last-come")
+    class LastCome(Order):
+        def rank(self, call, *, now_s):
+            return (-call.arrived_s,)
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from typing import TYPE_CHECKING
+
+from lagoonfold._ids import AccountId
+
+if TYPE_CHECKING:
+    from lagoonfold.scheduling._queue import QueuedCall
+
+_AGEING = 1.0
+_GUESSED_SERVICE_S = 0.5
+
+ORDERS_BY_NAME: dict[str, type[Order]] = {}
+
+
+def order(name: str) -> Callable[[type[Order]], type[Order]]:
+    """Register an order under a name."""
+
+    def register(cls: type[Order]) -> type[Order]:
+        ORDERS_BY_NAME[name] = cls
+        return cls
+
+    return register
+
+
+class Order:
+    """Ranks waiting calls; the smallest rank goes first."""
+
+    def rank(self, call: QueuedCall, *, now_s: float) -> tuple[float, ...]:
+        """Return the sort key of a call."""
+        raise NotImplementedError
+
+    def ranked(self, calls: Iterable[QueuedCall], *, now_s: float) -> list[QueuedCall]:
+        """Return the calls, next first."""
+        return sorted(calls, key=lambda call: self.rank(call, now_s=now_s))
+
+    def count_ahead(self, calls: Iterable[QueuedCall], attained_s: float, *, now_s: float) -> int:
+        """Return how many calls would go before a new one of this attained service."""
+        return sum(1 for _ in calls)
+
+    def note_queued(self, call: QueuedCall, *, now_s: float) -> None:
+        """Note a call that begins to wait."""
+
+    def note_dispatched(self, call: QueuedCall, *, now_s: float) -> None:
+        """Note a call that is sent to an upstream."""
+
+    def note_service(self, account_id: AccountId, service_s: float, *, weight: float) -> None:
+        """Note service that an account has had."""
+
+
+@order("first-come")
+class FirstCome(Order):
+    """First come, first served, over all accounts."""
+
+    def rank(self, call: QueuedCall, *, now_s: float) -> tuple[float, ...]:
+        """Rank by arrival."""
+        return (call.arrived_s,)
+
+
+@order("least-attained")
+class LeastAttained(Order):
+    """Least attained service by program, less what the call has waited, over all accounts.
+
+    The ageing makes a call that has waited for w seconds rank like one whose program had w
+    seconds less of service, so that every call goes in the end.
+    """
+
+    def rank(self, call: QueuedCall, *, now_s: float) -> tuple[float, ...]:
+        """Rank by aged attained service."""
+        return (_aged_s(call, now_s), call.arrived_s)
+
+    def count_ahead(self, calls: Iterable[QueuedCall], attained_s: float, *, now_s: float) -> int:
+        """Return how many waiting calls have less aged attained service."""
+        return sum(_aged_s(call, now_s) <= attained_s for call in calls)
+
+
+class _FairAccounts(Order):
+    """Weighted fair queueing between accounts by start time, any order within an account.
+
+    Each account has a virtual time: the weighted service it has had. An account that comes back
+    from idling starts at the virtual time of the busy ones, so idling saves nothing up.
+    """
+
+    def __init__(self) -> None:
+        self._virtual_s_by_account: dict[AccountId, float] = {}
+        self._virtual_now_s = 0.0
+
+    def ranked(self, calls: Iterable[QueuedCall], *, now_s: float) -> list[QueuedCall]:
+        """Return the calls by their accounts' virtual times, then by rank."""
+        waiting = list(calls)
+        return sorted(
+            waiting,
+            key=lambda call: (
+                self._virtual_s_by_account.get(call.account_id, 0.0),
+                self.rank(call, now_s=now_s),
+            ),
+        )
+
+    def note_queued(self, call: QueuedCall, *, now_s: float) -> None:
+        """Bring an account that was idle up to the virtual time of the busy ones."""
+        account_id = call.account_id
+        virtual_s = self._virtual_s_by_account.get(account_id, 0.0)
+        self._virtual_s_by_account[account_id] = max(virtual_s, self._virtual_now_s)
+
+    def note_dispatched(self, call: QueuedCall, *, now_s: float) -> None:
+        """Move the virtual clock on and charge a guess, until the service is known."""
+        account_id = call.account_id
+        virtual_s = self._virtual_s_by_account.get(account_id, 0.0)
+        self._virtual_now_s = max(self._virtual_now_s, virtual_s)
+        self._virtual_s_by_account[account_id] = virtual_s + _GUESSED_SERVICE_S / call.weight
+
+    def note_service(self, account_id: AccountId, service_s: float, *, weight: float) -> None:
+        """Replace the guess by the service that was measured."""
+        virtual_s = self._virtual_s_by_account.get(account_id, 0.0)
+        correction_s = (service_s - _GUESSED_SERVICE_S) / weight
+        self._virtual_s_by_account[account_id] = virtual_s + correction_s
+
+
+@order("fair-first-come")
+class FairFirstCome(_FairAccounts):
+    """Fair between accounts, first come first served within each."""
+
+    def rank(self, call: QueuedCall, *, now_s: float) -> tuple[float, ...]:
+        """Rank by arrival."""
+        return (call.arrived_s,)
+
+
+@order("fair-least-attained")
+class FairLeastAttained(_FairAccounts):
+    """Fair between accounts, aged least attained service by program within each."""
+
+    def rank(self, call: QueuedCall, *, now_s: float) -> tuple[float, ...]:
+        """Rank by aged attained service."""
+        return (_aged_s(call, now_s), call.arrived_s)
+
+
+def _aged_s(call: QueuedCall, now_s: float) -> float:
+    return call.attained_s - _AGEING * (now_s - call.arrived_s)
+
+
+DEFAULT_ORDER = "fair-least-attained"
--- /dev/null
+++ b/packages/lagoonfold/src/lagoonfold/scheduling/_queue.py
@@ -0,0 +1,76 @@
+"""The queue of calls that wait for a place on an upstream."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from lagoonfold._ids import AccountId, CallId, ProgramId
+from lagoonfold.scheduling._orders import DEFAULT_ORDER, ORDERS_BY_NAME, Order
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class QueuedCall:
+    """A call that waits.
+
+    `attained_s` is the service that its program has had so far, in seconds of an upstream;
+    `item` is the caller's own and is not looked at.
+    """
+
+    call_id: CallId
+    program_id: ProgramId
+    account_id: AccountId
+    arrived_s: float
+    deadline_s: float
+    attained_s: float = 0.0
+    weight: float = 1.0
+    item: Any = None
+
+
+class DispatchQueue:
+    """Calls in the order that the named policy gives them.
+
+    `pop` takes the next call that `fits`; `expire` takes out what has passed its deadline, so
+    that it gets its answer at once.
+    """
+
+    def __init__(self, *, order: str = DEFAULT_ORDER) -> None:
+        self._order: Order = ORDERS_BY_NAME[order]()
+        self._calls_by_id: dict[CallId, QueuedCall] = {}
+
+    def __len__(self) -> int:
+        return len(self._calls_by_id)
+
+    def push(self, call: QueuedCall, *, now_s: float) -> None:
+        """Add a call."""
+        self._calls_by_id[call.call_id] = call
+        self._order.note_queued(call, now_s=now_s)
+
+    def pop(
+        self, *, now_s: float, fits: Callable[[QueuedCall], bool] | None = None
+    ) -> QueuedCall | None:
+        """Take out the next call, or None where no waiting call fits."""
+        for call in self._order.ranked(self._calls_by_id.values(), now_s=now_s):
+            if fits is None or fits(call):
+                del self._calls_by_id[call.call_id]
+                self._order.note_dispatched(call, now_s=now_s)
+                return call
+        return None
+
+    def remove(self, call_id: CallId) -> QueuedCall | None:
+        """Take out a call that was cancelled."""
+        return self._calls_by_id.pop(call_id, None)
+
+    def expire(self, *, now_s: float) -> tuple[QueuedCall, ...]:
+        """Take out the calls whose deadline has passed."""
+        late = [call for call in self._calls_by_id.values() if call.deadline_s <= now_s]
+        for call in late:
+            del self._calls_by_id[call.call_id]
+        return tuple(late)
+
+    def note_service(self, account_id: AccountId, service_s: float, *, weight: float) -> None:
+        """Charge an account for service that one of its calls has had."""
+        self._order.note_service(account_id, service_s, weight=weight)
+
+    def ahead_of(self, attained_s: float, *, now_s: float) -> int:
+        """Return how many waiting calls would go before a new one of this attained service."""
+        return self._order.count_ahead(self._calls_by_id.values(), attained_s, now_s=now_s)
