--- /dev/null
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_border/_problems.py
@@ -0,0 +1,60 @@
+"""Refusals as RFC 9457 problem documents.
+
+A document has the usual members and three more: `kind`, one of the closed list of error kinds;
+`ran`, whether the request reached an upstream; and `request_id`.
+"""
+
+import math
+
+import msgspec
+from lagoonfold import ANSWERS_BY_KIND, ErrorKind, Refusal
+from lagoonfold_io import BorderFault, HttpResponse
+
+PROBLEM_CONTENT_TYPE = "application/problem+json"
+TYPE_PREFIX = "urn:lagoonfold:error:"
+REQUEST_ID_HEADER = "lagoonfold-request-id"
+
+
+class Problem(msgspec.Struct, frozen=True, kw_only=True):
+    """The members of a problem document."""
+
+    type: str
+    title: str
+    status: int
+    detail: str
+    kind: str
+    ran: str
+    request_id: str
+    retry_after_s: float | msgspec.UnsetType = msgspec.UNSET
+
+
+def problem_of(refusal: Refusal, request_id: str) -> Problem:
+    """Return the document that reports a refusal."""
+    answer = ANSWERS_BY_KIND[refusal.kind]
+    return Problem(
+        type=TYPE_PREFIX + refusal.kind.value,
+        title=answer.title,
+        status=answer.status,
+        detail=refusal.detail,
+        kind=refusal.kind.value,
+        ran=refusal.ran.value,
+        request_id=request_id,
+        retry_after_s=refusal.retry_after_s or msgspec.UNSET,
+    )
+
+
+def problem_response(refusal: Refusal, request_id: str) -> HttpResponse:
+    """Return the response that reports a refusal; `Retry-After` is in whole seconds."""
+    problem = problem_of(refusal, request_id)
+    headers = [("content-type", PROBLEM_CONTENT_TYPE), (REQUEST_ID_HEADER, request_id)]
+    if refusal.retry_after_s > 0:
+        headers.append(("retry-after", str(math.ceil(refusal.retry_after_s))))
+    if refusal.kind in (ErrorKind.UNAUTHENTICATED, ErrorKind.KEY_WITHDRAWN):
+        headers.append(("www-authenticate", "Bearer"))
+    body = msgspec.json.encode(problem)
+    return HttpResponse(status=problem.status, headers=tuple(headers), body=body)
+
+
+def refusal_of_fault(fault: BorderFault) -> Refusal:
+    """Return the refusal for a request that the HTTP server could not read."""
+    return Refusal(kind=ErrorKind(fault.value), detail=f"the request was not read: {fault.value}")
--- /dev/null
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_border/_requests.py
@@ -0,0 +1,117 @@
+"""Bodies and headers that callers send, validated where they enter.
+
+    body = decode_body(request.body, ChatBody)      # Result[ChatBody, Refusal]
+"""
+
+import re
+from typing import Annotated, Any, TypeVar
+
+import msgspec
+from lagoonfold import ErrorKind, Refusal
+from lagoonfold_io import HttpRequest
+from msgspec import UNSET, Meta, UnsetType
+from result import Err, Ok, Result
+
+MAX_NAME_LENGTH = 128
+MAX_TURN = 1_000_000
+MAX_TIMEOUT_S = 3_600.0
+DEFAULT_TIMEOUT_S = 300.0
+MAX_MESSAGES = 1_000
+
+_TOKEN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:-]{0,127}")
+
+Name = Annotated[str, Meta(min_length=1, max_length=MAX_NAME_LENGTH)]
+Count = Annotated[int, Meta(ge=0, le=10**12)]
+Json = msgspec.Raw | UnsetType
+T = TypeVar("T")
+
+
+class Message(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """One message of a chat; `content` and `tool_calls` are passed on as they are."""
+
+    role: Name
+    content: Any = None
+    name: str | None = None
+    tool_call_id: str | None = None
+    tool_calls: list[Any] | None = None
+
+
+class ChatBody(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """A chat completion request; `messages` are those that this turn adds to the history."""
+
+    model: Name
+    messages: Annotated[list[Message], Meta(min_length=1, max_length=MAX_MESSAGES)]
+    stream: bool = False
+    max_tokens: Annotated[int, Meta(ge=1, le=1_000_000)] | None = None
+    n: Annotated[int, Meta(ge=1, le=1)] = 1
+    temperature: Json = UNSET
+    top_p: Json = UNSET
+    stop: Json = UNSET
+    seed: Json = UNSET
+    tools: Json = UNSET
+    tool_choice: Json = UNSET
+    response_format: Json = UNSET
+    presence_penalty: Json = UNSET
+    frequency_penalty: Json = UNSET
+
+
+class BudgetBody(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """A program's own limits; each is capped by the profile's."""
+
+    tokens: Count | None = None
+    calls: Count | None = None
+    cost_micros: Count | None = None
+    wall_s: Annotated[float, Meta(gt=0, le=10**9)] | None = None
+
+
+class ProgramBody(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """A request for a new program, perhaps as the child of another."""
+
+    profile: Name
+    parent: Name | None = None
+    budget: BudgetBody | None = None
+
+
+def decode_body(body: bytes, body_type: type[T]) -> Result[T, Refusal]:
+    """Decode a JSON body; the refusal names the field that is wrong."""
+    try:
+        return Ok(msgspec.json.decode(body, type=body_type))
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        return malformed(f"body: {error}")
+
+
+def malformed(detail: str) -> Err[Refusal]:
+    """Return the refusal of a request that does not say what it must."""
+    return Err(Refusal(kind=ErrorKind.MALFORMED, detail=detail))
+
+
+def read_token(request: HttpRequest, name: str, default: str = "") -> Result[str, Refusal]:
+    """Return a header that holds an identifier; the name is in lower case."""
+    value = request.header(name)
+    if value is None:
+        return Ok(default) if default else malformed(f"header {name} is required")
+    if not _TOKEN.fullmatch(value):
+        return malformed(f"header {name}: letters, digits, '.', '_', ':', '-', 128 at most")
+    return Ok(value)
+
+
+def read_turn(request: HttpRequest) -> Result[int, Refusal]:
+    """Return the turn's number, counted from 1."""
+    value = request.header("lagoonfold-turn") or ""
+    if not value.isascii() or not value.isdigit() or not 1 <= int(value[:9]) <= MAX_TURN:
+        return malformed(f"header lagoonfold-turn: a number from 1 to {MAX_TURN}")
+    return Ok(int(value[:9]))
+
+
+def read_timeout_s(request: HttpRequest) -> Result[float, Refusal]:
+    """Return the time that the caller gives the call, in seconds."""
+    value = request.header("lagoonfold-timeout")
+    if value is None:
+        return Ok(DEFAULT_TIMEOUT_S)
+    try:
+        timeout_s = float(value)
+    except ValueError:
+        timeout_s = 0.0
+    if not 0 < timeout_s <= MAX_TIMEOUT_S:
+        return malformed(f"header lagoonfold-timeout: seconds, over 0, at most {MAX_TIMEOUT_S:g}")
+    return Ok(timeout_s)
