--- a/packages/lagoonfold-io/src/lagoonfold_io/_http_client.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_client.py
@@ -72,19 +72,45 @@
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives; each wait is limited by the progress timeout."""
-        while True:
-            event = await _next_event(self._connection, self._progress_timeout_s)
+        while data := await self.read():
+            yield data
+
+    async def read(self) -> bytes:
+        """Return all body bytes that are ready, waiting for the first; empty at the end.
+
+        A cancelled read loses nothing: the next one goes on where it stopped. Raises
+        `StreamError` on a break or without progress.
+        """
+        parts: list[bytes] = []
+        while not self._complete:
+            event = _ready_event(self._connection) if parts else None
+            if event is None:
+                if parts:
+                    break
+                event = await _next_event(self._connection, self._progress_timeout_s)
             if isinstance(event, h11.Data):
-                yield bytes(event.data)
+                parts.append(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 self._complete = True
-                return
+        return b"".join(parts)
 
     def is_complete(self) -> bool:
         """Tell whether the whole body has been read."""
         return self._complete
 
 
+def _ready_event(connection: _Connection) -> h11.Event | None:
+    """Return the next protocol event that needs no further input, or None."""
+    if connection.protocol.their_state is not h11.SEND_BODY:
+        return None
+    try:
+        event = connection.protocol.next_event()
+    except h11.ProtocolError:
+        # The connection's state is kept: the next read meets the same error.
+        return None
+    return None if event is h11.NEED_DATA or event is h11.PAUSED else event
+
+
 async def _next_event(connection: _Connection, timeout_s: float) -> h11.Event:
     """Return the next protocol event, reading as needed; raise `StreamError` when it fails."""
     try:
@@ -168,8 +194,9 @@
             yield taken
             return
         connection = taken.ok_value
-        opened = await self._start(connection, address, request, progress_timeout_s)
+        opened: Result[ResponseStream, HttpError] | None = None
         try:
+            opened = await self._start(connection, address, request, progress_timeout_s)
             yield opened
         finally:
             if isinstance(opened, Ok) and opened.ok_value.is_complete():
--- a/packages/lagoonfold-node/src/lagoonfold_node/_border/_keys.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_border/_keys.py
@@ -8,10 +8,11 @@
 from dataclasses import dataclass
 
 import trio
+from result import Err, Ok, Result
+
 from lagoonfold import AccountId, Cell, ErrorKind, KeyDigest, Refusal
 from lagoonfold.config import ApiKey, ConfigView, digest_of
 from lagoonfold_io import HttpRequest
-from result import Err, Ok, Result
 
 STALE_CHECK_INTERVAL_S = 0.25
 STALE_RETRY_AFTER_S = 2.0
--- a/packages/lagoonfold-node/src/lagoonfold_node/_border/_problems.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_border/_problems.py
@@ -7,6 +7,7 @@
 import math
 
 import msgspec
+
 from lagoonfold import ANSWERS_BY_KIND, ErrorKind, Refusal
 from lagoonfold_io import BorderFault, HttpResponse
 
--- a/packages/lagoonfold-node/src/lagoonfold_node/_border/_requests.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_border/_requests.py
@@ -1,17 +1,18 @@
 """Bodies and headers that callers send, validated where they enter.
 
-    body = decode_body(request.body, ChatBody)      # Result[ChatBody, Refusal]
+body = decode_body(request.body, ChatBody)      # Result[ChatBody, Refusal]
 """
 
 import re
 from typing import Annotated, Any, TypeVar
 
 import msgspec
-from lagoonfold import ErrorKind, Refusal
-from lagoonfold_io import HttpRequest
 from msgspec import UNSET, Meta, UnsetType
 from result import Err, Ok, Result
 
+from lagoonfold import ErrorKind, Refusal
+from lagoonfold_io import HttpRequest
+
 MAX_NAME_LENGTH = 128
 MAX_TURN = 1_000_000
 MAX_TIMEOUT_S = 3_600.0
--- a/packages/lagoonfold-node/src/lagoonfold_node/_logs.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_logs.py
@@ -11,6 +11,7 @@
 from typing import TextIO
 
 import msgspec
+
 from lagoonfold.config import redact
 
 _ROOT = "lagoonfold"
--- a/packages/lagoonfold-node/src/lagoonfold_node/_peers/_bus.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_peers/_bus.py
@@ -16,9 +16,9 @@
 
 import msgspec
 import trio
-from lagoonfold import ErrorKind, Ran, Refusal, new_id
 from result import Err, Ok, Result
 
+from lagoonfold import ErrorKind, Ran, Refusal, new_id
 from lagoonfold_node._peers._calls import InboundCall, OutboundStream, PeerLostError
 from lagoonfold_node._peers._mailbox import Inbox, Outbox
 from lagoonfold_node._peers._messages import (
--- a/packages/lagoonfold-node/src/lagoonfold_node/_peers/_messages.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_peers/_messages.py
@@ -12,6 +12,7 @@
 from typing import TypeVar, Union
 
 import msgspec
+
 from lagoonfold import ErrorKind, Ran, Refusal
 
 WIRE_VERSION = 1
--- /dev/null
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_upstreams/_engine.py
@@ -0,0 +1,235 @@
+"""The adapter to model engines that speak streamed chat completions over HTTP.
+
+A stream that makes no progress is probed for on a new connection. An engine that does not answer
+the probe is given up at once; one that does keeps its time to the first token, but a stream that
+falls silent after that is given up, with its connection and the older ones.
+"""
+
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Any
+
+import msgspec
+import trio
+from result import Err, Ok, Result
+
+from lagoonfold import Ran
+from lagoonfold_io import HttpClient, HttpError, HttpRequest, ResponseStream, Sent
+from lagoonfold_io import StreamError as HttpStreamError
+from lagoonfold_node._upstreams._completion import Completion, StreamError, parse_events
+from lagoonfold_node._upstreams._headers import UpstreamIdentity, upstream_headers
+
+FIRST_BYTE_TIMEOUT_S = 30.0
+SILENCE_TIMEOUT_S = 2.0
+PROBE_AFTER_S = 1.0
+PROBE_TIMEOUT_S = 1.0
+CONTROL_TIMEOUT_S = 2.0
+DRAIN_TIMEOUT_S = 0.2
+MAX_EVENT_BYTES = 1_048_576
+JSON_HEADERS = (("content-type", "application/json"),)
+
+_PROBE = HttpRequest(method="GET", path="/v1/load")
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class UpstreamFailure:
+    """A try that brought no whole answer.
+
+    `is_down` says that the upstream itself is at fault, as opposed to the request; `status` is
+    the upstream's HTTP status, or zero.
+    """
+
+    detail: str
+    ran: Ran
+    is_down: bool = True
+    status: int = 0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EngineCall:
+    """A request for a completion; `body` holds the fields of the caller's request.
+
+    `priority` is lower first, `cache_key` is the program's id, and `resume_from` is the number of
+    tokens that are there already.
+    """
+
+    address: str
+    identity: UpstreamIdentity
+    body: dict[str, Any]
+    priority: int
+    cache_key: str
+    resume_from: int = 0
+    first_byte_timeout_s: float = FIRST_BYTE_TIMEOUT_S
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EngineChunk:
+    """Whole events as they came, with the final one marked."""
+
+    raw: bytes
+    is_last: bool
+
+
+class EngineStream:
+    """An engine's answer being read; `completion` grows with each chunk."""
+
+    def __init__(self, response: ResponseStream, completion: Completion) -> None:
+        self.completion = completion
+        self._response = response
+        self._rest = b""
+
+    async def drain(self) -> None:
+        """Read the end of the response, so that the connection can be kept."""
+        try:
+            with trio.move_on_after(DRAIN_TIMEOUT_S):
+                while await self._response.read():
+                    pass
+        except HttpStreamError:
+            pass
+
+    async def read(self) -> Result[EngineChunk, UpstreamFailure]:
+        """Return the next events; the last chunk ends with the end-of-stream event."""
+        while True:
+            try:
+                with trio.fail_after(SILENCE_TIMEOUT_S):
+                    data = await self._response.read()
+            except trio.TooSlowError:
+                return _failed(f"silent for {SILENCE_TIMEOUT_S:g} s")
+            except HttpStreamError as error:
+                return _failed(error.error.detail)
+            if not data:
+                return _failed("the stream ended before its last event")
+            chunk = self._parse(self._rest + data if self._rest else data)
+            if chunk is not None:
+                return chunk
+
+    def _parse(self, buffer: bytes) -> Result[EngineChunk, UpstreamFailure] | None:
+        events, size = parse_events(buffer)
+        self._rest = buffer[size:]
+        if len(self._rest) > MAX_EVENT_BYTES:
+            return _failed("an event is too large")
+        if not events:
+            return None
+        try:
+            for event in events:
+                self.completion.add(event)
+        except StreamError as error:
+            return _failed(str(error))
+        return Ok(EngineChunk(raw=buffer[:size], is_last=self.completion.is_done))
+
+
+def _failed(detail: str) -> Err[UpstreamFailure]:
+    return Err(UpstreamFailure(detail=detail, ran=Ran.UNKNOWN))
+
+
+def failure_of(error: HttpError) -> UpstreamFailure:
+    """Return the failure for a request that got no response."""
+    ran = Ran.NO if error.sent is Sent.NOTHING else Ran.UNKNOWN
+    return UpstreamFailure(detail=error.detail, ran=ran)
+
+
+class HttpEngine:
+    """Sends completions, cache orders and role orders to engines."""
+
+    def __init__(self, client: HttpClient) -> None:
+        self._client = client
+
+    @asynccontextmanager
+    async def open(
+        self, call: EngineCall, completion: Completion
+    ) -> AsyncIterator[Result[EngineStream, UpstreamFailure]]:
+        """Send a request and yield its stream; leaving the block early cancels the request."""
+        async with AsyncExitStack() as stack:
+            yield await self._start(stack, call, completion)
+
+    async def _start(
+        self, stack: AsyncExitStack, call: EngineCall, completion: Completion
+    ) -> Result[EngineStream, UpstreamFailure]:
+        request = HttpRequest(
+            method="POST",
+            path="/v1/chat/completions",
+            headers=upstream_headers(call.identity, JSON_HEADERS),
+            body=_encode(call),
+        )
+        opened: Result[ResponseStream, HttpError] | None = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch, call.address, nursery.cancel_scope)
+            stream = self._client.stream(
+                call.address, request, progress_timeout_s=call.first_byte_timeout_s
+            )
+            opened = await stack.enter_async_context(stream)
+            nursery.cancel_scope.cancel()
+        if opened is None:
+            return _failed("silent, and does not answer a probe")
+        if isinstance(opened, Err):
+            return Err(failure_of(opened.err_value))
+        response = opened.ok_value
+        if response.head.status != HTTPStatus.OK:
+            return await _refused(response)
+        return Ok(EngineStream(response, completion))
+
+    async def _watch(self, address: str, scope: trio.CancelScope) -> None:
+        """Probe a silent engine on new connections; cancel the wait for one that is gone."""
+        while True:
+            await trio.sleep(PROBE_AFTER_S)
+            probed = await self._client.fetch(
+                address, _PROBE, timeout_s=PROBE_TIMEOUT_S, fresh=True
+            )
+            if isinstance(probed, Err):
+                scope.cancel()
+                return
+
+    async def free_cache(self, address: str, cache_key: str, identity: UpstreamIdentity) -> bool:
+        """Free what the engine caches for a program; return whether it said so."""
+        request = HttpRequest(
+            method="DELETE",
+            path=f"/v1/cache/{cache_key}",
+            headers=upstream_headers(identity),
+        )
+        answer = await self._client.fetch(address, request, timeout_s=CONTROL_TIMEOUT_S)
+        return isinstance(answer, Ok) and answer.ok_value.status == HTTPStatus.OK
+
+    async def order(
+        self, address: str, order: dict[str, str], identity: UpstreamIdentity
+    ) -> Result[int, UpstreamFailure]:
+        """Give an order under the identity's fencing number; return the engine's status."""
+        request = HttpRequest(
+            method="POST",
+            path="/v1/orders",
+            headers=upstream_headers(identity, JSON_HEADERS),
+            body=msgspec.json.encode({**order, "fencing": identity.fencing}),
+        )
+        answer = await self._client.fetch(address, request, timeout_s=CONTROL_TIMEOUT_S)
+        if isinstance(answer, Err):
+            return Err(failure_of(answer.err_value))
+        return Ok(answer.ok_value.status)
+
+
+def _encode(call: EngineCall) -> bytes:
+    body = {
+        **call.body,
+        "stream": True,
+        "stream_options": {"include_usage": True},
+        "priority": call.priority,
+        "cache_key": call.cache_key,
+    }
+    if call.resume_from:
+        body["resume_from"] = call.resume_from
+    return msgspec.json.encode(body)
+
+
+async def _refused(response: ResponseStream) -> Err[UpstreamFailure]:
+    """Return the failure for a response whose status says that there is no answer."""
+    status = response.head.status
+    try:
+        with trio.move_on_after(SILENCE_TIMEOUT_S):
+            await response.read()
+    except HttpStreamError:
+        pass
+    is_down = status >= HTTPStatus.INTERNAL_SERVER_ERROR
+    failure = UpstreamFailure(
+        detail=f"status {status}", ran=Ran.UNKNOWN, is_down=is_down, status=status
+    )
+    return Err(failure)
--- /dev/null
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_upstreams/_service.py
@@ -0,0 +1,72 @@
+"""The adapter to tools and plain services: one request, one whole answer.
+
+A call that may not run twice goes out on a new connection, so that a broken kept one never
+leaves its outcome in doubt.
+"""
+
+from dataclasses import dataclass
+from http import HTTPStatus
+
+from result import Err, Ok, Result
+
+from lagoonfold import Ran
+from lagoonfold_io import Headers, HttpClient, HttpRequest
+from lagoonfold_node._upstreams._engine import UpstreamFailure, failure_of
+from lagoonfold_node._upstreams._headers import UpstreamIdentity, upstream_headers
+
+DEFAULT_CONTENT_TYPE = "application/octet-stream"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServiceCall:
+    """A request to a tool or plain service; `headers` are the caller's, before the allow-list."""
+
+    address: str
+    identity: UpstreamIdentity
+    method: str
+    path: str
+    query: str = ""
+    headers: Headers = ()
+    body: bytes = b""
+    is_idempotent: bool
+    timeout_s: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServiceAnswer:
+    """What the service answered."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+class HttpService:
+    """Sends calls to tools and plain services."""
+
+    def __init__(self, client: HttpClient) -> None:
+        self._client = client
+
+    async def call(self, call: ServiceCall) -> Result[ServiceAnswer, UpstreamFailure]:
+        """Send a call and return its answer; a 5xx answer is a failure that may have run."""
+        request = HttpRequest(
+            method=call.method,
+            path=call.path,
+            query=call.query,
+            headers=upstream_headers(call.identity, call.headers),
+            body=call.body,
+        )
+        fetched = await self._client.fetch(
+            call.address, request, timeout_s=call.timeout_s, fresh=not call.is_idempotent
+        )
+        if isinstance(fetched, Err):
+            return Err(failure_of(fetched.err_value))
+        response = fetched.ok_value
+        if response.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+            detail = f"status {response.status}"
+            failure = UpstreamFailure(detail=detail, ran=Ran.UNKNOWN, status=response.status)
+            return Err(failure)
+        content_type = response.header("content-type") or DEFAULT_CONTENT_TYPE
+        return Ok(
+            ServiceAnswer(status=response.status, content_type=content_type, body=response.body)
+        )
--- a/tests/config/_strategies.py
+++ b/tests/config/_strategies.py
@@ -1,6 +1,7 @@
 """Strategies for configuration documents and changes over a small world of names."""
 
 from hypothesis import strategies as st
+
 from lagoonfold.config import (
     Account,
     ApiKey,
--- a/tests/config/test_changes.py
+++ b/tests/config/test_changes.py
@@ -2,6 +2,8 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from result import Ok
+
 from lagoonfold import ErrorKind
 from lagoonfold.config import (
     EMPTY_CONFIGURATION,
@@ -20,8 +22,6 @@
     generate_secret,
     redact,
 )
-from result import Ok
-
 from tests._suite import load_functions
 from tests.config._strategies import changes
 
--- a/tests/node/test_peers.py
+++ b/tests/node/test_peers.py
@@ -7,6 +7,8 @@
 import pynng
 import trio
 import trio.testing
+from result import Err, Ok
+
 from lagoonfold import ErrorKind
 from lagoonfold_node._peers import (
     InboundCall,
@@ -18,8 +20,6 @@
     handles,
     peer_message,
 )
-from result import Err, Ok
-
 from tests._suite import load_functions
 
 PART = b"x" * 16_384
--- a/tests/settings/test_settings.py
+++ b/tests/settings/test_settings.py
@@ -2,9 +2,9 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from lagoonfold.settings import SettingsFault, load_settings, parse_settings
 from result import Err, Ok
 
+from lagoonfold.settings import SettingsFault, load_settings, parse_settings
 from tests._run import ROOT
 from tests._suite import load_functions
 
