--- /dev/null
+++ b/packages/lagoonfold/src/lagoonfold/membership/_table.py
@@ -0,0 +1,136 @@
+"""The ownership table: the live members, and the owner and epoch of every shard.
+
+The table is one value of the key-value service, written by compare-and-swap. An epoch only grows,
+and grows with every change of owner, a restart under the same instance id included.
+"""
+
+from dataclasses import dataclass
+
+import msgspec
+from result import Err, Ok, Result
+
+from lagoonfold._ids import Epoch, InstanceId, ShardId
+
+FORMAT = 1
+
+
+class Member(msgspec.Struct, frozen=True, kw_only=True):
+    """A live instance as it registers itself; `incarnation` differs for every process."""
+
+    instance_id: str
+    incarnation: str
+    address: str
+    failure_domain: str
+    leaving: bool = False
+    has_disk: bool = False
+
+    @property
+    def run_id(self) -> str:
+        """Return the id of the process: the instance's id with the incarnation."""
+        return f"{self.instance_id}/{self.incarnation}"
+
+
+class ShardOwner(msgspec.Struct, frozen=True, array_like=True):
+    """Who owns a shard; `previous_run_id` names the process that owned it before."""
+
+    instance_id: str
+    run_id: str
+    epoch: int
+    previous_run_id: str = ""
+
+
+NO_OWNER = ShardOwner("", "", 0)
+
+
+class OwnershipTable(msgspec.Struct, frozen=True, kw_only=True):
+    """The members and the owners, whose index is the shard's id."""
+
+    writer_id: str = ""
+    members: tuple[Member, ...] = ()
+    owners: tuple[ShardOwner, ...] = ()
+    format: int = FORMAT
+
+    @property
+    def shard_count(self) -> int:
+        """Return the number of shards."""
+        return len(self.owners)
+
+    def owner(self, shard_id: ShardId) -> ShardOwner:
+        """Return the shard's owner, `NO_OWNER` before the first placement."""
+        return self.owners[shard_id] if shard_id < len(self.owners) else NO_OWNER
+
+    def members_by_id(self) -> dict[InstanceId, Member]:
+        """Return the members by instance id."""
+        return {InstanceId(member.instance_id): member for member in self.members}
+
+    def live_run_ids(self) -> frozenset[str]:
+        """Return the processes that are members."""
+        return frozenset(member.run_id for member in self.members)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TableView:
+    """A table with its revision and the time, on the own clock, at which it was current."""
+
+    table: OwnershipTable
+    revision: int
+    verified_at_s: float
+
+
+def next_table(
+    table: OwnershipTable,
+    members: tuple[Member, ...],
+    placed: tuple[InstanceId, ...],
+    writer_id: str,
+) -> OwnershipTable:
+    """Return the table in which each shard belongs to the placed instance.
+
+    Every change of owner raises the shard's epoch by one.
+    """
+    members_by_id = {InstanceId(member.instance_id): member for member in members}
+    owners = []
+    for index, instance_id in enumerate(placed):
+        before = table.owner(ShardId(index))
+        run_id = members_by_id[instance_id].run_id
+        if before.run_id == run_id:
+            owners.append(before)
+            continue
+        epoch = Epoch(before.epoch + 1)
+        owners.append(ShardOwner(instance_id, run_id, epoch, before.run_id))
+    return OwnershipTable(writer_id=writer_id, members=members, owners=tuple(owners))
+
+
+_TABLE_DECODER = msgspec.msgpack.Decoder(OwnershipTable)
+_MEMBER_DECODER = msgspec.msgpack.Decoder(Member)
+_ENCODER = msgspec.msgpack.Encoder()
+
+
+def encode_table(table: OwnershipTable) -> bytes:
+    """Return the table as the value of its key."""
+    return _ENCODER.encode(table)
+
+
+def decode_table(value: bytes) -> Result[OwnershipTable, str]:
+    """Read a table; an empty value is the table before the first placement."""
+    if not value:
+        return Ok(OwnershipTable())
+    try:
+        table = _TABLE_DECODER.decode(value)
+    except msgspec.DecodeError as error:
+        return Err(f"ownership table: {error}")
+    if table.format != FORMAT:
+        return Err(f"ownership table: format {table.format} is not {FORMAT}")
+    return Ok(table)
+
+
+def encode_member(member: Member) -> bytes:
+    """Return a member as the value of its key."""
+    return _ENCODER.encode(member)
+
+
+def decode_member(value: bytes) -> Result[Member, str]:
+    """Read a member."""
+    try:
+        return Ok(_MEMBER_DECODER.decode(value))
+    except msgspec.DecodeError as error:
+        return Err(f"member: {error}")
--- /dev/null
+++ b/packages/lagoonfold/src/lagoonfold/records/_apply.py
@@ -0,0 +1,152 @@
+"""What each record changes in the state of a shard."""
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any, TypeVar
+
+from lagoonfold._ids import AccountId, CallId, ProgramId
+from lagoonfold.records._costs import NO_COST, Cost
+from lagoonfold.records._programs import Program
+from lagoonfold.records._records import (
+    Begun,
+    Created,
+    Ended,
+    Fenced,
+    Forgotten,
+    Interrupted,
+    Released,
+    Settled,
+)
+from lagoonfold.records._turns import Outcome, Turn, first_link, next_link
+
+if TYPE_CHECKING:
+    from lagoonfold.records._shard import ProgramShard
+
+F = TypeVar("F", bound=Callable[..., None])
+APPLY_BY_TYPE: dict[type, Callable[["ProgramShard", Any], None]] = {}
+
+_TAKES_PLACE_IN_ORDER = (Outcome.ANSWERED, Outcome.UNKNOWN)
+
+
+def applies(record_type: type) -> Callable[[F], F]:
+    """Enter a function as the one that applies records of a type."""
+
+    def enter(function: F) -> F:
+        APPLY_BY_TYPE[record_type] = function
+        return function
+
+    return enter
+
+
+@applies(Created)
+def _create(shard: "ProgramShard", record: Created) -> None:
+    program_id = ProgramId(record.program_id)
+    if program_id in shard.programs_by_id:
+        return
+    parent_id = ProgramId(record.parent_id) if record.parent_id else None
+    shard.programs_by_id[program_id] = Program(
+        program_id=program_id,
+        account_id=AccountId(record.account_id),
+        profile=record.profile,
+        parent_id=parent_id,
+        limits=record.limits,
+        created_at_s=record.created_at_s,
+        last_link=first_link(program_id),
+    )
+    if parent_id is not None and parent_id in shard.programs_by_id:
+        shard.programs_by_id[parent_id].child_ids.append(program_id)
+
+
+@applies(Begun)
+def _begin(shard: "ProgramShard", record: Begun) -> None:
+    program = shard.programs_by_id[ProgramId(record.program_id)]
+    program.running = record
+    for each in shard.lineage(program):
+        each.reserved = each.reserved + record.reserve
+
+
+@applies(Settled)
+def _settle(shard: "ProgramShard", record: Settled) -> None:
+    program = shard.programs_by_id.get(ProgramId(record.program_id))
+    if program is None or not program.is_running(CallId(record.call_id)):
+        return
+    begun = program.running
+    _release(shard, program, record.used)
+    if record.outcome in _TAKES_PLACE_IN_ORDER:
+        _append_turn(program, _turn_of(begun, record))
+
+
+@applies(Interrupted)
+def _interrupt(shard: "ProgramShard", record: Interrupted) -> None:
+    program = shard.programs_by_id.get(ProgramId(record.program_id))
+    if program is None or not program.is_running(CallId(record.call_id)):
+        return
+    begun = program.running
+    _release(shard, program, begun.reserve)
+    if not begun.is_idempotent:
+        lost = Settled(
+            record.program_id, record.call_id, Outcome.UNKNOWN, 0, "", b"", begun.reserve
+        )
+        _append_turn(program, _turn_of(begun, lost))
+
+
+@applies(Ended)
+def _end(shard: "ProgramShard", record: Ended) -> None:
+    program = shard.programs_by_id.get(ProgramId(record.program_id))
+    if program is not None and program.end_reason is None:
+        program.end_reason = record.reason
+        program.ended_at_s = record.ended_at_s
+
+
+@applies(Forgotten)
+def _forget(shard: "ProgramShard", record: Forgotten) -> None:
+    program = shard.programs_by_id.pop(ProgramId(record.program_id), None)
+    if program is None or program.parent_id is None:
+        return
+    parent = shard.programs_by_id.get(program.parent_id)
+    if parent is not None:
+        parent.child_ids.remove(program.program_id)
+
+
+@applies(Fenced)
+def _fence(shard: "ProgramShard", record: Fenced) -> None:
+    for interrupted in shard.decide_interrupt(record.live_run_ids):
+        shard.apply(interrupted)
+
+
+@applies(Released)
+def _release_shard(shard: "ProgramShard", record: Released) -> None:
+    """Change nothing: the calls that are under way go on, and settle at the next owner."""
+
+
+def _release(shard: "ProgramShard", program: Program, used: Cost) -> None:
+    """Replace the reserve of the running call by what it used."""
+    reserve = program.running.reserve if program.running is not None else NO_COST
+    for each in shard.lineage(program):
+        each.reserved = each.reserved - reserve
+        each.used = each.used + used
+    program.running = None
+
+
+def _turn_of(begun: Begun, settled: Settled) -> Turn:
+    return Turn(
+        begun.turn,
+        begun.call_id,
+        begun.route,
+        begun.is_idempotent,
+        begun.idempotency_key,
+        begun.content_digest,
+        begun.body,
+        settled.outcome,
+        settled.status,
+        settled.content_type,
+        settled.answer,
+        settled.used,
+    )
+
+
+def _append_turn(program: Program, turn: Turn) -> None:
+    program.recent_turns.append(turn)
+    program.last_link = next_link(program.last_link, turn)
+    program.next_turn = turn.turn + 1
+    if turn.idempotency_key:
+        program.turns_by_key[turn.idempotency_key] = turn.turn
--- /dev/null
+++ b/packages/lagoonfold/src/lagoonfold/records/_checkpoint.py
@@ -0,0 +1,218 @@
+"""A shard's checkpoint: the state at a place in the journal, with turns moved into segments.
+
+`plan_checkpoint` packs the turns in memory into segments and encodes the rest of the state in
+parts; both are immutable values with unique names. The head names the parts and is written last,
+by compare-and-swap. `adopt` then drops the packed turns from memory.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+import msgspec
+from result import Err, Ok, Result
+
+from lagoonfold._ids import AccountId, ProgramId, ShardId
+from lagoonfold.records._costs import Cost, Limits
+from lagoonfold.records._frames import CHECKPOINT, STATE, frame, unframe
+from lagoonfold.records._journal import shard_prefix
+from lagoonfold.records._programs import Program, SegmentRef
+from lagoonfold.records._records import Begun, EndReason
+from lagoonfold.records._segments import BulkValue, PackedTurns, bulk_name, pack_turns
+from lagoonfold.records._shard import ProgramShard
+
+MAX_PART_BYTES = 400_000
+MAX_FENCES = 64
+
+
+class CheckpointHead(msgspec.Struct, frozen=True, array_like=True):
+    """The value of a shard's checkpoint key.
+
+    The state covers all journal entries before `next_sequence`. `fences` holds the sequence
+    numbers of the latest fence entries, which stay when the journal is trimmed: a former owner's
+    next append must meet one of them.
+    """
+
+    epoch: int
+    next_sequence: int
+    fences: tuple[int, ...]
+    parts: tuple[str, ...]
+
+
+EMPTY_HEAD = CheckpointHead(0, 1, (), ())
+
+
+class ProgramState(msgspec.Struct, frozen=True, array_like=True):
+    """A program in a checkpoint; its turns are all in segments."""
+
+    program_id: str
+    account_id: str
+    profile: str
+    parent_id: str
+    limits: Limits
+    created_at_s: float
+    last_link: bytes
+    used: Cost
+    next_turn: int
+    running: Begun | None
+    end_reason: EndReason | None
+    ended_at_s: float
+    segments: tuple[SegmentRef, ...]
+    turns_by_key: dict[str, int]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CheckpointPlan:
+    """What to store for a checkpoint, in this order: the values, then the head."""
+
+    values: tuple[BulkValue, ...]
+    head: CheckpointHead
+    packed_by_program: Mapping[ProgramId, PackedTurns]
+
+
+def checkpoint_key(shard_id: ShardId) -> str:
+    """Return the key of a shard's checkpoint."""
+    return f"{shard_prefix(shard_id)}checkpoint"
+
+
+def plan_checkpoint(
+    shard: ProgramShard, *, epoch: int, next_sequence: int, fences: tuple[int, ...]
+) -> CheckpointPlan:
+    """Return the checkpoint of the shard as it is, which covers entries before `next_sequence`."""
+    values, packed = pack_turns(shard.programs_by_id.values(), next_sequence)
+    states = tuple(
+        _to_state(program, packed.get(program.program_id))
+        for program in shard.programs_by_id.values()
+    )
+    parts = tuple(
+        BulkValue(name=bulk_name(next_sequence, data), data=data) for data in _parts(states)
+    )
+    head = CheckpointHead(
+        epoch, next_sequence, fences[-MAX_FENCES:], tuple(part.name for part in parts)
+    )
+    return CheckpointPlan(values=(*values, *parts), head=head, packed_by_program=packed)
+
+
+def adopt(shard: ProgramShard, plan: CheckpointPlan) -> None:
+    """Refer to the segments of a stored checkpoint in place of the turns in memory."""
+    for program_id, packed in plan.packed_by_program.items():
+        program = shard.programs_by_id.get(program_id)
+        if program is None:
+            continue
+        program.segments = (*program.segments, *packed.refs)
+        program.recent_turns = [
+            turn for turn in program.recent_turns if turn.turn > packed.last_turn
+        ]
+
+
+def restore_shard(parts: tuple[bytes, ...]) -> Result[ProgramShard, str]:
+    """Return the state that a checkpoint's parts hold."""
+    shard = ProgramShard()
+    for part in parts:
+        content = unframe(STATE, part)
+        if isinstance(content, Err):
+            return Err(f"checkpoint part: {content.err_value}")
+        try:
+            states = _STATES_DECODER.decode(content.ok_value)
+        except msgspec.DecodeError as error:
+            return Err(f"checkpoint part: {error}")
+        for state in states:
+            shard.programs_by_id[ProgramId(state.program_id)] = _to_program(state)
+    _restore_links(shard)
+    return Ok(shard)
+
+
+def encode_head(head: CheckpointHead) -> bytes:
+    """Return a checkpoint's head as a framed value."""
+    return frame(CHECKPOINT, _ENCODER.encode(head))
+
+
+def decode_head(data: bytes) -> Result[CheckpointHead, str]:
+    """Read a checkpoint's head; an empty value is the head before the first checkpoint."""
+    if not data:
+        return Ok(EMPTY_HEAD)
+    content = unframe(CHECKPOINT, data)
+    if isinstance(content, Err):
+        return Err(f"checkpoint: {content.err_value}")
+    try:
+        return Ok(_HEAD_DECODER.decode(content.ok_value))
+    except msgspec.DecodeError as error:
+        return Err(f"checkpoint: {error}")
+
+
+def bulk_names(shard: ProgramShard) -> frozenset[str]:
+    """Return the names of all segments that the state refers to."""
+    return frozenset(
+        ref.name for program in shard.programs_by_id.values() for ref in program.segments
+    )
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_HEAD_DECODER = msgspec.msgpack.Decoder(CheckpointHead)
+_STATES_DECODER = msgspec.msgpack.Decoder(tuple[ProgramState, ...])
+
+
+def _parts(states: tuple[ProgramState, ...]) -> list[bytes]:
+    """Encode the states in parts, each of about `MAX_PART_BYTES` at most."""
+    parts: list[bytes] = []
+    batch: list[msgspec.Raw] = []
+    size = 0
+    for state in states:
+        data = _ENCODER.encode(state)
+        if batch and size + len(data) > MAX_PART_BYTES:
+            parts.append(frame(STATE, _ENCODER.encode(batch)))
+            batch, size = [], 0
+        batch.append(msgspec.Raw(data))
+        size += len(data)
+    if batch:
+        parts.append(frame(STATE, _ENCODER.encode(batch)))
+    return parts
+
+
+def _to_state(program: Program, packed: PackedTurns | None) -> ProgramState:
+    segments = program.segments if packed is None else (*program.segments, *packed.refs)
+    return ProgramState(
+        program.program_id,
+        program.account_id,
+        program.profile,
+        program.parent_id or "",
+        program.limits,
+        program.created_at_s,
+        program.last_link,
+        program.used,
+        program.next_turn,
+        program.running,
+        program.end_reason,
+        program.ended_at_s,
+        segments,
+        dict(program.turns_by_key),
+    )
+
+
+def _to_program(state: ProgramState) -> Program:
+    return Program(
+        program_id=ProgramId(state.program_id),
+        account_id=AccountId(state.account_id),
+        profile=state.profile,
+        parent_id=ProgramId(state.parent_id) if state.parent_id else None,
+        limits=state.limits,
+        created_at_s=state.created_at_s,
+        last_link=state.last_link,
+        used=state.used,
+        next_turn=state.next_turn,
+        running=state.running,
+        end_reason=state.end_reason,
+        ended_at_s=state.ended_at_s,
+        segments=state.segments,
+        turns_by_key=dict(state.turns_by_key),
+    )
+
+
+def _restore_links(shard: ProgramShard) -> None:
+    """Rebuild what follows from other fields: children, and reserves of running calls."""
+    for program in shard.programs_by_id.values():
+        parent = shard.programs_by_id.get(program.parent_id) if program.parent_id else None
+        if parent is not None:
+            parent.child_ids.append(program.program_id)
+        if program.running is not None:
+            for each in shard.lineage(program):
+                each.reserved = each.reserved + program.running.reserve
--- /dev/null
+++ b/packages/lagoonfold/src/lagoonfold/records/_journal.py
@@ -0,0 +1,86 @@
+"""A shard's journal: numbered entries, each the records of one group commit.
+
+An entry is written only if its key is absent. `writer_id` is unique to each attempt to append,
+so that a writer whose answer was lost can read the entry back and tell whether it is its own.
+"""
+
+import msgspec
+from result import Err, Ok, Result
+
+from lagoonfold._ids import ShardId
+from lagoonfold.records._frames import JOURNAL, frame, unframe
+from lagoonfold.records._records import Fenced, Record
+
+MAX_ENTRY_BYTES = 900_000
+_SEQUENCE_DIGITS = 12
+
+
+class JournalEntry(msgspec.Struct, frozen=True, array_like=True):
+    """One group commit of an owner at an epoch."""
+
+    writer_id: str
+    epoch: int
+    records: tuple[Record, ...]
+
+    def is_fence(self) -> bool:
+        """Tell whether the entry is the first of its epoch."""
+        return bool(self.records) and isinstance(self.records[0], Fenced)
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_ENTRY_DECODER = msgspec.msgpack.Decoder(JournalEntry)
+_RECORD_DECODER = msgspec.msgpack.Decoder(tuple[Record, ...])
+
+
+def shard_prefix(shard_id: ShardId) -> str:
+    """Return the prefix of all keys of a shard."""
+    return f"shard/{shard_id:04d}/"
+
+
+def journal_prefix(shard_id: ShardId) -> str:
+    """Return the prefix of a shard's journal."""
+    return f"{shard_prefix(shard_id)}journal/"
+
+
+def journal_key(shard_id: ShardId, sequence: int) -> str:
+    """Return the key of a journal entry; keys sort as their sequence numbers."""
+    return f"{journal_prefix(shard_id)}{sequence:0{_SEQUENCE_DIGITS}d}"
+
+
+def sequence_of(key: str) -> int:
+    """Return the sequence number in a journal entry's key."""
+    return int(key.rpartition("/")[2])
+
+
+def encode_entry(entry: JournalEntry) -> bytes:
+    """Return a journal entry as a framed value."""
+    return frame(JOURNAL, _ENCODER.encode(entry))
+
+
+def decode_entry(data: bytes) -> Result[JournalEntry, str]:
+    """Read a framed journal entry."""
+    content = unframe(JOURNAL, data)
+    if isinstance(content, Err):
+        return Err(f"journal entry: {content.err_value}")
+    try:
+        return Ok(_ENTRY_DECODER.decode(content.ok_value))
+    except msgspec.DecodeError as error:
+        return Err(f"journal entry: {error}")
+
+
+def encode_records(records: tuple[Record, ...]) -> bytes:
+    """Return records as they travel between instances."""
+    return _ENCODER.encode(records)
+
+
+def decode_records(data: bytes) -> Result[tuple[Record, ...], str]:
+    """Read records that another instance sent."""
+    try:
+        return Ok(_RECORD_DECODER.decode(data))
+    except msgspec.DecodeError as error:
+        return Err(f"records: {error}")
+
+
+def size_of(record: Record) -> int:
+    """Return a record's size in a journal entry, in bytes."""
+    return len(_ENCODER.encode(record))
--- /dev/null
+++ b/packages/lagoonfold/src/lagoonfold/records/_records.py
@@ -0,0 +1,100 @@
+"""The records of which a shard's journal is made.
+
+A record states what happened; `ProgramShard.apply` is the only code that acts on one. Times are
+wall-clock seconds since the Unix epoch, the only clock that two instances share. They decide
+about budgets in wall time and about retention, never about safety.
+"""
+
+from enum import Enum
+
+import msgspec
+
+from lagoonfold.records._costs import Cost, Limits
+from lagoonfold.records._turns import Outcome
+
+
+class EndReason(Enum):
+    """Why a program takes no more calls."""
+
+    CANCELLED = "cancelled"
+    ENDED = "ended"
+    EXPIRED = "expired"
+
+
+class Created(msgspec.Struct, frozen=True, array_like=True, tag="c"):
+    """A program was created; `parent_id` is empty for a root."""
+
+    program_id: str
+    account_id: str
+    profile: str
+    parent_id: str
+    limits: Limits
+    created_at_s: float
+
+
+class Begun(msgspec.Struct, frozen=True, array_like=True, tag="b"):
+    """A call may go upstream; `executor` names the process that sends it."""
+
+    program_id: str
+    call_id: str
+    turn: int
+    route: str
+    is_idempotent: bool
+    idempotency_key: str
+    content_digest: str
+    body: bytes
+    reserve: Cost
+    executor: str
+
+
+class Settled(msgspec.Struct, frozen=True, array_like=True, tag="s"):
+    """A call ended; `used` replaces what was reserved for it."""
+
+    program_id: str
+    call_id: str
+    outcome: Outcome
+    status: int
+    content_type: str
+    answer: bytes
+    used: Cost
+
+
+class Interrupted(msgspec.Struct, frozen=True, array_like=True, tag="i"):
+    """A call's executor is gone: the outcome is unknown, and the whole reserve counts as used."""
+
+    program_id: str
+    call_id: str
+
+
+class Ended(msgspec.Struct, frozen=True, array_like=True, tag="e"):
+    """A program takes no more calls."""
+
+    program_id: str
+    reason: EndReason
+    ended_at_s: float
+
+
+class Forgotten(msgspec.Struct, frozen=True, array_like=True, tag="f"):
+    """An ended program's history has been kept long enough."""
+
+    program_id: str
+
+
+class Fenced(msgspec.Struct, frozen=True, array_like=True, tag="n"):
+    """A new owner has taken over; calls of executors that are not `live_run_ids` were interrupted.
+
+    The record stands alone in its journal entry and is the first of its epoch.
+    """
+
+    epoch: int
+    run_id: str
+    live_run_ids: tuple[str, ...]
+
+
+class Released(msgspec.Struct, frozen=True, array_like=True, tag="r"):
+    """The owner has handed the shard over and appends nothing more."""
+
+    epoch: int
+
+
+Record = Created | Begun | Settled | Interrupted | Ended | Forgotten | Fenced | Released
--- /dev/null
+++ b/packages/lagoonfold/src/lagoonfold/records/_segments.py
@@ -0,0 +1,140 @@
+"""Bulk segments: immutable values that hold runs of turns, named by place and digest.
+
+A name is `<sequence>-<digest>`: the journal's sequence number at which the segment was made, so
+that names sort by age, and the digest of the whole value.
+"""
+
+import hashlib
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+import msgspec
+from result import Err, Ok, Result
+
+from lagoonfold._ids import ProgramId, ShardId
+from lagoonfold.records._frames import SEGMENT, frame, unframe
+from lagoonfold.records._journal import shard_prefix
+from lagoonfold.records._programs import Program, SegmentRef
+from lagoonfold.records._turns import DIGEST_BYTES, Turn, encode_turn
+
+MAX_SEGMENT_BYTES = 850_000
+_TARGET_SEGMENT_BYTES = 400_000
+_SEQUENCE_DIGITS = 12
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class BulkValue:
+    """An immutable value and its name."""
+
+    name: str
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PackedTurns:
+    """Where a program's turns up to `last_turn` were packed."""
+
+    refs: tuple[SegmentRef, ...]
+    last_turn: int
+
+
+def bulk_name(sequence: int, data: bytes) -> str:
+    """Return the name of a value made at a place in the journal."""
+    digest = hashlib.blake2b(data, digest_size=DIGEST_BYTES).hexdigest()
+    return f"{sequence:0{_SEQUENCE_DIGITS}d}-{digest}"
+
+
+def bulk_key(shard_id: ShardId, name: str) -> str:
+    """Return the key of a bulk value in the key-value service."""
+    return f"{shard_prefix(shard_id)}bulk/{name}"
+
+
+def check_bulk(name: str, data: bytes) -> Result[bytes, str]:
+    """Return the value if it is the one that its name promises."""
+    digest = hashlib.blake2b(data, digest_size=DIGEST_BYTES).hexdigest()
+    if name.rpartition("-")[2] != digest:
+        return Err(f"bulk value {name}: the digest of {len(data)} bytes is {digest}")
+    return Ok(data)
+
+
+def pack_turns(
+    programs: Iterable[Program], sequence: int
+) -> tuple[tuple[BulkValue, ...], Mapping[ProgramId, PackedTurns]]:
+    """Pack the programs' turns in memory into segments; return these and where each turn went."""
+    packer = _Packer(sequence)
+    for program in programs:
+        for turn in program.recent_turns:
+            packer.add(program.program_id, turn)
+    packer.close()
+    packed = {
+        program_id: PackedTurns(refs=tuple(refs), last_turn=_last_turn(refs))
+        for program_id, refs in packer.refs_by_program.items()
+    }
+    return tuple(packer.values), packed
+
+
+def read_turns(ref: SegmentRef, data: bytes) -> Result[tuple[Turn, ...], str]:
+    """Return the turns that a reference names in a segment's value."""
+    content = unframe(SEGMENT, data)
+    if isinstance(content, Err):
+        return Err(f"segment {ref.name}: {content.err_value}")
+    part = content.ok_value[ref.offset : ref.offset + ref.length]
+    try:
+        turns = _TURNS_DECODER.decode(_array_head(ref.count) + part)
+    except msgspec.DecodeError as error:
+        return Err(f"segment {ref.name} at {ref.offset}: {error}")
+    return Ok(turns)
+
+
+class _Packer:
+    """Fills segments one after another; a program's turns in one segment lie side by side."""
+
+    def __init__(self, sequence: int) -> None:
+        self.values: list[BulkValue] = []
+        self.refs_by_program: dict[ProgramId, list[SegmentRef]] = {}
+        self._sequence = sequence
+        self._content = bytearray()
+        self._open_refs: list[tuple[ProgramId, SegmentRef]] = []
+
+    def add(self, program_id: ProgramId, turn: Turn) -> None:
+        """Append a turn to the open segment, or to a new one where it is full."""
+        data = encode_turn(turn)
+        if self._content and len(self._content) + len(data) > _TARGET_SEGMENT_BYTES:
+            self.close()
+        offset = len(self._content)
+        self._content += data
+        last = self._open_refs[-1] if self._open_refs else None
+        if last is not None and last[0] == program_id:
+            ref = last[1]
+            longer = SegmentRef(
+                "", ref.offset, ref.length + len(data), ref.first_turn, ref.count + 1
+            )
+            self._open_refs[-1] = (program_id, longer)
+        else:
+            self._open_refs.append((program_id, SegmentRef("", offset, len(data), turn.turn, 1)))
+
+    def close(self) -> None:
+        """End the open segment and name it."""
+        if not self._content:
+            return
+        data = frame(SEGMENT, bytes(self._content))
+        name = bulk_name(self._sequence, data)
+        self.values.append(BulkValue(name=name, data=data))
+        for program_id, ref in self._open_refs:
+            named = msgspec.structs.replace(ref, name=name)
+            self.refs_by_program.setdefault(program_id, []).append(named)
+        self._content = bytearray()
+        self._open_refs = []
+
+
+_TURNS_DECODER = msgspec.msgpack.Decoder(tuple[Turn, ...])
+_ARRAY_32 = b"\xdd"
+
+
+def _array_head(count: int) -> bytes:
+    """Return the head of a msgpack array of `count` items."""
+    return _ARRAY_32 + count.to_bytes(4, "big")
+
+
+def _last_turn(refs: list[SegmentRef]) -> int:
+    return refs[-1].first_turn + refs[-1].count - 1
--- /dev/null
+++ b/packages/lagoonfold/src/lagoonfold/records/_shard.py
@@ -0,0 +1,316 @@
+"""The state machine of one shard: decisions give records, and applying records changes the state.
+
+    decided = shard.decide_begin(request, now_s)
+    if isinstance(decided, Ok) and isinstance(decided.ok_value, Execute):
+        await journal.commit(decided.ok_value.records)   # which applies them
+
+Applying the same records in the same order gives the same state on every instance.
+"""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from lagoonfold._errors import ErrorKind, Ran, Refusal
+from lagoonfold._ids import AccountId, CallId, ProgramId, RouteName
+from lagoonfold.records._apply import APPLY_BY_TYPE
+from lagoonfold.records._costs import NO_COST, Cost, Limits
+from lagoonfold.records._programs import Program
+from lagoonfold.records._records import (
+    Begun,
+    Created,
+    Ended,
+    EndReason,
+    Forgotten,
+    Interrupted,
+    Record,
+    Settled,
+)
+from lagoonfold.records._turns import Outcome, Turn
+
+MAX_CONTENT_BYTES = 400_000
+IN_PROGRESS_RETRY_S = 1.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CreateRequest:
+    """Asks for a new program under limits; a child also draws on its parent's budget."""
+
+    program_id: ProgramId
+    account_id: AccountId
+    profile: str
+    limits: Limits
+    parent_id: ProgramId | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallRequest:
+    """Asks for the call at a place in a program's order.
+
+    `call_id` is new for every attempt. `idempotency_key` is empty if the caller chose none; the
+    program and the turn then identify the call. `reserve` is the most that the call may use.
+    """
+
+    call_id: CallId
+    program_id: ProgramId
+    account_id: AccountId
+    turn: int
+    route: RouteName
+    is_idempotent: bool
+    content_digest: str
+    body: bytes
+    reserve: Cost
+    idempotency_key: str = ""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Replay:
+    """The call was made before: give the recorded turn's answer, after `match_replay`."""
+
+    turn: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Join:
+    """The same call is under way: wait for it to settle, then replay."""
+
+    call_id: CallId
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Execute:
+    """Make the call; with `commit_first` no byte may go upstream before `records` are durable.
+
+    Otherwise sending may overlap the commit, and the answer's end waits for both.
+    """
+
+    call_id: CallId
+    records: tuple[Record, ...]
+    commit_first: bool
+
+
+Decision = Replay | Join | Execute
+
+
+class ProgramShard:
+    """All programs of one shard."""
+
+    def __init__(self) -> None:
+        self.programs_by_id: dict[ProgramId, Program] = {}
+
+    def find(self, program_id: ProgramId, account_id: AccountId) -> Result[Program, Refusal]:
+        """Return an account's program; another account's is reported as not found."""
+        program = self.programs_by_id.get(program_id)
+        if program is None or program.account_id != account_id:
+            return _refuse(ErrorKind.NOT_FOUND, f"no program {program_id}")
+        return Ok(program)
+
+    def running_calls(self) -> tuple[Begun, ...]:
+        """Return the calls that are under way."""
+        programs = self.programs_by_id.values()
+        return tuple(program.running for program in programs if program.running is not None)
+
+    def decide_create(
+        self, request: CreateRequest, now_s: float
+    ) -> Result[tuple[Record, ...], Refusal]:
+        """Return the records that create a program, none if it exists with the same account."""
+        existing = self.programs_by_id.get(request.program_id)
+        if existing is not None:
+            return self.find(request.program_id, request.account_id).map(lambda _: ())
+        if request.parent_id is not None:
+            parent = self.find(request.parent_id, request.account_id)
+            if isinstance(parent, Err):
+                return parent
+            spent = self._check_open(parent.ok_value, NO_COST, now_s)
+            if spent is not None:
+                return Err(spent)
+        created = Created(
+            request.program_id,
+            request.account_id,
+            request.profile,
+            request.parent_id or "",
+            request.limits,
+            now_s,
+        )
+        return Ok((created,))
+
+    def decide_begin(
+        self, request: CallRequest, now_s: float, *, executor: str = ""
+    ) -> Result[Decision, Refusal]:
+        """Decide about a call: replay its recorded answer, join it, make it, or refuse it."""
+        found = self.find(request.program_id, request.account_id)
+        if isinstance(found, Err):
+            return found
+        program = found.ok_value
+        used_at = program.turns_by_key.get(request.idempotency_key, request.turn)
+        if used_at != request.turn:
+            return _mismatch(f"the idempotency key belongs to turn {used_at}")
+        if 0 < request.turn < program.next_turn:
+            return self._decide_replay(program, request)
+        if program.running is not None:
+            return _decide_join(program.running, request)
+        if request.turn != program.next_turn:
+            return _out_of_order(f"the next turn is {program.next_turn}")
+        return self._decide_execute(program, request, now_s, executor)
+
+    def decide_settle(self, settled: Settled) -> Result[tuple[Record, ...], Refusal]:
+        """Return the records that settle a running call, none if it has settled already."""
+        program = self.programs_by_id.get(ProgramId(settled.program_id))
+        if program is None:
+            return _refuse(ErrorKind.NOT_FOUND, f"no program {settled.program_id}")
+        if program.is_running(CallId(settled.call_id)):
+            return Ok((settled,))
+        for turn in reversed(program.recent_turns):
+            if turn.call_id == settled.call_id and turn.outcome is settled.outcome:
+                return Ok(())
+        detail = f"call {settled.call_id} is no longer under way"
+        return _refuse(ErrorKind.OUTCOME_UNKNOWN, detail, ran=Ran.UNKNOWN)
+
+    def decide_end(
+        self, program_id: ProgramId, account_id: AccountId, reason: EndReason, now_s: float
+    ) -> Result[tuple[Record, ...], Refusal]:
+        """Return the records that end a program and all its descendants."""
+        found = self.find(program_id, account_id)
+        if isinstance(found, Err):
+            return found
+        return Ok(tuple(self._ends(found.ok_value, reason, now_s)))
+
+    def decide_cancel(
+        self, program_id: ProgramId, account_id: AccountId, now_s: float
+    ) -> Result[tuple[Record, ...], Refusal]:
+        """Return the records that cancel a program and all its descendants."""
+        return self.decide_end(program_id, account_id, EndReason.CANCELLED, now_s)
+
+    def decide_expire(self, now_s: float, keep_ended_s: float) -> tuple[Record, ...]:
+        """Return the records that end programs out of time and forget those kept long enough."""
+        records: list[Record] = []
+        for program in self.programs_by_id.values():
+            if program.end_reason is None and now_s >= program.created_at_s + program.limits.wall_s:
+                records.extend(self._ends(program, EndReason.EXPIRED, now_s))
+            elif self._is_forgettable(program, now_s - keep_ended_s):
+                records.append(Forgotten(program.program_id))
+        return tuple(records)
+
+    def decide_interrupt(self, live_run_ids: Iterable[str]) -> tuple[Record, ...]:
+        """Return the records for running calls whose executors are gone."""
+        live = frozenset(live_run_ids)
+        return tuple(
+            Interrupted(call.program_id, call.call_id)
+            for call in self.running_calls()
+            if call.executor not in live
+        )
+
+    def apply(self, record: Record) -> None:
+        """Change the state by one record."""
+        APPLY_BY_TYPE[type(record)](self, record)
+
+    def lineage(self, program: Program) -> Iterator[Program]:
+        """Yield the program and its ancestors."""
+        current: Program | None = program
+        while current is not None:
+            yield current
+            current = self.programs_by_id.get(current.parent_id) if current.parent_id else None
+
+    def _decide_replay(self, program: Program, request: CallRequest) -> Result[Decision, Refusal]:
+        recorded = program.recent_turn(request.turn)
+        if recorded is not None:
+            matched = match_replay(recorded, request)
+            if isinstance(matched, Err):
+                return matched
+        return Ok(Replay(turn=request.turn))
+
+    def _decide_execute(
+        self, program: Program, request: CallRequest, now_s: float, executor: str
+    ) -> Result[Decision, Refusal]:
+        if len(request.body) > MAX_CONTENT_BYTES:
+            detail = f"a turn holds at most {MAX_CONTENT_BYTES} bytes"
+            return _refuse(ErrorKind.BODY_TOO_LARGE, detail)
+        refusal = self._check_open(program, request.reserve, now_s)
+        if refusal is not None:
+            return Err(refusal)
+        begun = Begun(
+            request.program_id,
+            request.call_id,
+            request.turn,
+            request.route,
+            request.is_idempotent,
+            request.idempotency_key,
+            request.content_digest,
+            request.body,
+            request.reserve,
+            executor,
+        )
+        return Ok(
+            Execute(
+                call_id=request.call_id, records=(begun,), commit_first=not request.is_idempotent
+            )
+        )
+
+    def _check_open(self, program: Program, reserve: Cost, now_s: float) -> Refusal | None:
+        """Return why a program can't spend the reserve, by its own budget and its ancestors'."""
+        for each in self.lineage(program):
+            if each.end_reason is not None:
+                detail = f"program {each.program_id} is {each.end_reason.value}"
+                return Refusal(kind=ErrorKind.PROGRAM_ENDED, detail=detail)
+            exceeded = each.limits.exceeded_by(each.used + each.reserved + reserve)
+            if now_s >= each.created_at_s + each.limits.wall_s:
+                exceeded = "wall_s"
+            if exceeded is not None:
+                detail = f"program {each.program_id}: the limit of {exceeded} is reached"
+                return Refusal(kind=ErrorKind.BUDGET_EXHAUSTED, detail=detail)
+        return None
+
+    def _ends(self, program: Program, reason: EndReason, now_s: float) -> Iterator[Record]:
+        for child_id in program.child_ids:
+            child = self.programs_by_id.get(child_id)
+            if child is not None:
+                yield from self._ends(child, reason, now_s)
+        if program.end_reason is None:
+            yield Ended(program.program_id, reason, now_s)
+
+    def _is_forgettable(self, program: Program, ended_before_s: float) -> bool:
+        """Tell whether an ended program is old enough, with no descendants and no call left."""
+        if program.end_reason is None or program.running is not None or program.child_ids:
+            return False
+        return program.ended_at_s <= ended_before_s
+
+
+def match_replay(recorded: Turn, request: CallRequest) -> Result[Turn, Refusal]:
+    """Return the recorded turn if the request repeats it, else the refusal.
+
+    A repeated call whose outcome is unknown is refused as such.
+    """
+    same_key = recorded.idempotency_key == request.idempotency_key
+    if not same_key or recorded.content_digest != request.content_digest:
+        return _mismatch(f"turn {request.turn} was made with another key or content")
+    if recorded.outcome is Outcome.UNKNOWN:
+        detail = f"the outcome of turn {recorded.turn} is unknown; it is not run again"
+        return _refuse(ErrorKind.OUTCOME_UNKNOWN, detail, ran=Ran.UNKNOWN)
+    return Ok(recorded)
+
+
+def _decide_join(running: Begun, request: CallRequest) -> Result[Decision, Refusal]:
+    if request.turn != running.turn:
+        detail = f"turn {running.turn} is under way"
+        if request.turn != running.turn + 1:
+            return _out_of_order(detail)
+        return _refuse(ErrorKind.CALL_IN_PROGRESS, detail, retry_after_s=IN_PROGRESS_RETRY_S)
+    same_key = running.idempotency_key == request.idempotency_key
+    if not same_key or running.content_digest != request.content_digest:
+        return _mismatch(f"turn {request.turn} is under way with another key or content")
+    return Ok(Join(call_id=CallId(running.call_id)))
+
+
+def _mismatch(detail: str) -> Err[Refusal]:
+    return _refuse(ErrorKind.IDEMPOTENCY_MISMATCH, detail)
+
+
+def _out_of_order(detail: str) -> Err[Refusal]:
+    return _refuse(ErrorKind.TURN_OUT_OF_ORDER, detail)
+
+
+def _refuse(
+    kind: ErrorKind, detail: str, *, ran: Ran = Ran.NO, retry_after_s: float = 0.0
+) -> Err[Refusal]:
+    return Err(Refusal(kind=kind, detail=detail, ran=ran, retry_after_s=retry_after_s))
--- /dev/null
+++ b/packages/lagoonfold/src/lagoonfold/records/_turns.py
@@ -0,0 +1,104 @@
+"""Turns of a program's history, and the digest chain over them.
+
+    chain(0) = digest(program id)
+    chain(n) = digest(chain(n - 1), digest(turn n))
+
+The owner keeps the last link. A history that was read is checked link by link, so that a turn of
+another program, a missing one or a changed one is found.
+"""
+
+import hashlib
+from enum import Enum
+
+import msgspec
+from result import Err, Ok, Result
+
+from lagoonfold._ids import ProgramId
+from lagoonfold.records._costs import Cost
+
+DIGEST_BYTES = 16
+
+
+class Outcome(Enum):
+    """How a call ended.
+
+    `ANSWERED` and `UNKNOWN` take the call's place in the program's order. `FAILED` is for
+    idempotent calls, which may be made again; `NOT_RUN` is for calls of which no byte was sent.
+    """
+
+    ANSWERED = "answered"
+    FAILED = "failed"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+class Turn(msgspec.Struct, frozen=True, array_like=True):
+    """One call of a program: what was asked and what came of it.
+
+    `body` holds the request as the caller sent it: the new messages of the turn. `status` is the
+    HTTP status of the answer, zero where there is none.
+    """
+
+    turn: int
+    call_id: str
+    route: str
+    is_idempotent: bool
+    idempotency_key: str
+    content_digest: str
+    body: bytes
+    outcome: Outcome
+    status: int
+    content_type: str
+    answer: bytes
+    used: Cost
+
+
+def digest_of_content(*parts: bytes) -> str:
+    """Return the digest of a request's content, in hexadecimal."""
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for part in parts:
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.hexdigest()
+
+
+def first_link(program_id: ProgramId) -> bytes:
+    """Return the chain's link before the first turn."""
+    return hashlib.blake2b(program_id.encode(), digest_size=DIGEST_BYTES).digest()
+
+
+def next_link(link: bytes, turn: Turn) -> bytes:
+    """Return the chain's link after a turn."""
+    inner = hashlib.blake2b(encode_turn(turn), digest_size=DIGEST_BYTES).digest()
+    return hashlib.blake2b(link + inner, digest_size=DIGEST_BYTES).digest()
+
+
+def check_history(
+    program_id: ProgramId, turns: tuple[Turn, ...], last_link: bytes
+) -> Result[tuple[Turn, ...], str]:
+    """Return the turns if they are the program's whole history in order, else what is wrong."""
+    link = first_link(program_id)
+    for index, turn in enumerate(turns, start=1):
+        if turn.turn != index:
+            return Err(f"{program_id}: turn {turn.turn} stands in place of turn {index}")
+        link = next_link(link, turn)
+    if link != last_link:
+        return Err(f"{program_id}: the digest chain of {len(turns)} turns does not match")
+    return Ok(turns)
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_TURN_DECODER = msgspec.msgpack.Decoder(Turn)
+
+
+def encode_turn(turn: Turn) -> bytes:
+    """Return a turn as bytes; equal turns give equal bytes."""
+    return _ENCODER.encode(turn)
+
+
+def decode_turn(data: bytes) -> Result[Turn, str]:
+    """Read a turn."""
+    try:
+        return Ok(_TURN_DECODER.decode(data))
+    except msgspec.DecodeError as error:
+        return Err(f"turn: {error}")
--- /dev/null
+++ b/tests/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of leases, the ownership table and the placement of shards."""
--- /dev/null
+++ b/tests/records/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the records of programs."""
