Add the rate gate and the dispatcher of the node

Found while writing: with no call ended yet the expected wait was two minutes and admission refused everything behind the first call; the drain is now also taken from what runs (Little's law). Of two copies of a request on one upstream that dies, each blames the same incident.

--- /dev/null
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_caches.py
@@ -0,0 +1,83 @@
+"""Frees the cached prefixes of programs that are gone."""
+
+from collections.abc import Callable
+from http import HTTPStatus
+
+import trio
+from result import Ok
+
+from lagoonfold import ProgramId, UpstreamId
+from lagoonfold_io import HttpClient, HttpRequest
+from lagoonfold_node._dispatch._table import UpstreamTable
+
+FREE_TIMEOUT_S = 1.0
+RETRY_INTERVAL_S = 1.0
+SWEEP_EVERY = 10
+
+_SETTLED = frozenset({HTTPStatus.OK, HTTPStatus.NO_CONTENT, HTTPStatus.NOT_FOUND})
+
+
+class CacheFreer:
+    """Asks engines to free, again until each has answered or has left the list.
+
+    The sweep finds cached programs that are gone without anybody having freed them, as after
+    their owner died: engines' events name them to every instance, and `is_gone` answers for the
+    programs that are owned here.
+    """
+
+    def __init__(
+        self,
+        table: UpstreamTable,
+        client: HttpClient,
+        *,
+        is_gone: Callable[[ProgramId], bool] = lambda program_id: False,
+    ) -> None:
+        self._table = table
+        self._client = client
+        self._is_gone = is_gone
+        self._pending: set[tuple[ProgramId, UpstreamId]] = set()
+        self._wake = trio.Event()
+
+    @property
+    def pending(self) -> int:
+        """How many frees have not been answered yet."""
+        return len(self._pending)
+
+    def free(self, program_id: ProgramId) -> None:
+        """Free a program that ended or was cancelled, wherever it may be cached."""
+        for upstream_id in self._table.prefixes.forget_program(program_id):
+            self._pending.add((program_id, upstream_id))
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Send what is pending and sweep, until cancelled."""
+        round_number = 0
+        while True:
+            with trio.move_on_after(RETRY_INTERVAL_S):
+                await self._wake.wait()
+            self._wake = trio.Event()
+            round_number += 1
+            if round_number % SWEEP_EVERY == 0:
+                self._sweep()
+            await self._send_pending()
+
+    def _sweep(self) -> None:
+        for program_id in self._table.prefixes.programs():
+            if self._is_gone(program_id):
+                self.free(program_id)
+
+    async def _send_pending(self) -> None:
+        async with trio.open_nursery() as nursery:
+            for program_id, upstream_id in tuple(self._pending):
+                nursery.start_soon(self._send, program_id, upstream_id)
+
+    async def _send(self, program_id: ProgramId, upstream_id: UpstreamId) -> None:
+        state = self._table.states_by_id.get(upstream_id)
+        if state is None:
+            self._pending.discard((program_id, upstream_id))
+            return
+        request = HttpRequest(method="DELETE", path=f"/v1/cache/{program_id}")
+        address = state.listed.address
+        answer = await self._client.fetch(address, request, timeout_s=FREE_TIMEOUT_S)
+        if isinstance(answer, Ok) and answer.ok_value.status in _SETTLED:
+            self._pending.discard((program_id, upstream_id))
--- /dev/null
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_dispatcher.py
@@ -0,0 +1,240 @@
+"""Places calls on upstreams: admission, the queue, the choice, and what is learnt from each end."""
+
+import random
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import trio
+from result import Err, Ok, Result
+
+from lagoonfold import ErrorKind, ProgramId, Refusal
+from lagoonfold.scheduling import (
+    ADMISSIONS_BY_NAME,
+    DEFAULT_ADMISSION,
+    PlacementInput,
+    QueuedCall,
+    priority_of,
+    service_s,
+)
+from lagoonfold_node._dispatch._caches import CacheFreer
+from lagoonfold_node._dispatch._lane import NO_UPSTREAM_RETRY_S, Lane, Waiter
+from lagoonfold_node._dispatch._poison import PoisonNotices
+from lagoonfold_node._dispatch._requests import Outcome, Placement, PlacementRequest
+from lagoonfold_node._dispatch._retries import Retries
+from lagoonfold_node._dispatch._table import UpstreamState, UpstreamTable
+from lagoonfold_node._metrics import Metrics
+
+TICK_S = 0.05
+
+
+class Dispatcher:
+    """Holds one queue for each model and service, and places what waits as room appears."""
+
+    def __init__(
+        self,
+        table: UpstreamTable,
+        poison: PoisonNotices,
+        caches: CacheFreer,
+        metrics: Metrics,
+        rng: random.Random,
+    ) -> None:
+        self.table = table
+        self.poison = poison
+        self.caches = caches
+        self.retries = Retries(metrics, rng)
+        self._metrics = metrics
+        self._rng = rng
+        self._admission = ADMISSIONS_BY_NAME[DEFAULT_ADMISSION]()
+        self._lanes_by_target: dict[tuple[bool, str], Lane] = {}
+
+    async def run(self) -> None:
+        """Look for room at an interval, until cancelled; ends of calls look at once."""
+        while True:
+            await trio.sleep(TICK_S)
+            self.pump()
+
+    def pump(self) -> None:
+        """Place every waiting call for which there is room."""
+        now_s = trio.current_time()
+        for lane in self._lanes_by_target.values():
+            self._pump_lane(lane, now_s)
+
+    def free_program(self, program_id: ProgramId) -> None:
+        """Free the caches of a program that ended or was cancelled."""
+        self.caches.free(program_id)
+
+    @asynccontextmanager
+    async def place(self, request: PlacementRequest) -> AsyncIterator[Result[Placement, Refusal]]:
+        """Wait for a place and hold it; a call that is given up on gets its refusal at once."""
+        lane = self._lanes_by_target.setdefault((request.is_model, request.target), Lane())
+        refusal = self._refuse_early(request, lane)
+        if refusal is not None:
+            yield self._refused(refusal)
+            return
+        state = await self._wait(request, lane)
+        if state is None:
+            yield self._refused(self._refuse_late(request, lane))
+            return
+        placement = Placement(
+            upstream_id=state.load.upstream_id,
+            address=state.listed.address,
+            priority=priority_of(request.attained_s),
+        )
+        started_s = trio.current_time()
+        lane.running += 1
+        try:
+            yield Ok(placement)
+        finally:
+            self._note_end(request, lane, state, placement, trio.current_time() - started_s)
+        if placement.outcome is Outcome.WENT_DOWN:
+            await self.poison.keep(request.content_digest)
+
+    def _refused(self, refusal: Refusal) -> Err[Refusal]:
+        self._metrics.count("placement_refusals", refusal.kind.value)
+        return Err(refusal)
+
+    def _refuse_early(self, request: PlacementRequest, lane: Lane) -> Refusal | None:
+        now_s = trio.current_time()
+        if self.poison.registry.is_poisonous(request.content_digest, now_s=now_s):
+            return _poisonous()
+        if request.deadline_s <= now_s:
+            return Refusal(kind=ErrorKind.DEADLINE_EXCEEDED, detail="the deadline has passed")
+        if not self.table.serving(request.target, is_model=request.is_model):
+            return _no_upstream(request)
+        admitted = self._admission.decide(lane.admission_input(request, now_s=now_s))
+        return admitted.err_value if isinstance(admitted, Err) else None
+
+    def _refuse_late(self, request: PlacementRequest, lane: Lane) -> Refusal:
+        now_s = trio.current_time()
+        if self.poison.registry.is_poisonous(request.content_digest, now_s=now_s):
+            return _poisonous()
+        states = self.table.serving(request.target, is_model=request.is_model)
+        if not any(state.breaker.allows(now_s=now_s) for state in states):
+            return _no_upstream(request)
+        return lane.refuse_after_wait(now_s=now_s)
+
+    async def _wait(self, request: PlacementRequest, lane: Lane) -> UpstreamState | None:
+        now_s = trio.current_time()
+        waiter = Waiter(request=request)
+        call = lane.queued(waiter, now_s=now_s)
+        lane.queue.push(call, now_s=now_s)
+        self._pump_lane(lane, now_s)
+        try:
+            with trio.move_on_at(call.deadline_s):
+                await waiter.placed.wait()
+        except trio.Cancelled:
+            self._take_back(lane, call, waiter)
+            raise
+        lane.queue.remove(call.call_id)
+        self._metrics.record("queue_wait", trio.current_time() - now_s)
+        return waiter.state
+
+    def _take_back(self, lane: Lane, call: QueuedCall, waiter: Waiter) -> None:
+        """Withdraw a call whose caller went away while it waited."""
+        lane.queue.remove(call.call_id)
+        if waiter.state is None:
+            return
+        waiter.state.load.note_ended(now_s=trio.current_time())
+        waiter.state.breaker.note_given_up()
+        self._end_digest(waiter.request, waiter.state, is_finished=False)
+
+    def _pump_lane(self, lane: Lane, now_s: float) -> None:
+        lane.queue.expire(now_s=now_s)
+        while lane.queue.pop(now_s=now_s, fits=lambda call: self._try(lane, call, now_s)):
+            pass
+
+    def _try(self, lane: Lane, call: QueuedCall, now_s: float) -> bool:
+        """Choose an upstream for a waiting call and hold it, if there is one."""
+        waiter: Waiter = call.item
+        request = waiter.request
+        wanted = PlacementInput(
+            program_id=request.program_id,
+            prompt_tokens=request.prompt_tokens,
+            cached_by_upstream=self.table.prefixes.tokens_by_upstream(request.program_id),
+            call_s=lane.call_s.mean_s,
+        )
+        loads = [state.load for state in self._candidates(request, now_s)]
+        chosen = lane.chooser.choose(wanted, loads, self._rng)
+        if chosen is None:
+            return False
+        state = self.table.states_by_id[chosen]
+        state.load.note_sent(now_s=now_s)
+        state.breaker.note_sent(now_s=now_s)
+        self.poison.registry.note_started(request.content_digest, chosen)
+        waiter.state = state
+        waiter.placed.set()
+        return True
+
+    def _candidates(self, request: PlacementRequest, now_s: float) -> list[UpstreamState]:
+        serving = self.table.serving(request.target, is_model=request.is_model)
+        up = [state for state in serving if state.breaker.allows(now_s=now_s)]
+        fresh = [state for state in up if state.load.upstream_id not in request.avoid]
+        states_by_id = {state.load.upstream_id: state for state in fresh or up}
+        allowed = self.poison.registry.allowed_upstreams(
+            request.content_digest, states_by_id, now_s=now_s
+        )
+        return [state for upstream_id, state in states_by_id.items() if upstream_id in allowed]
+
+    def _note_end(
+        self,
+        request: PlacementRequest,
+        lane: Lane,
+        state: UpstreamState,
+        placement: Placement,
+        duration_s: float,
+    ) -> None:
+        now_s = trio.current_time()
+        outcome = placement.outcome
+        lane.running -= 1
+        state.load.note_ended(now_s=now_s)
+        if outcome is Outcome.WENT_DOWN:
+            self.poison.blame(request.content_digest, placement.upstream_id)
+        self._end_digest(request, state, is_finished=outcome is Outcome.FINISHED)
+        if outcome is Outcome.FINISHED:
+            state.breaker.note_success()
+            lane.ends.add(now_s=now_s)
+            lane.call_s.note(duration_s)
+            self._charge(request, lane, placement)
+        elif outcome is Outcome.GIVEN_UP:
+            state.breaker.note_given_up()
+        else:
+            state.breaker.note_failure(now_s=now_s)
+        self._metrics.count("placements", outcome.value)
+        self._pump_lane(lane, now_s)
+
+    def _charge(self, request: PlacementRequest, lane: Lane, placement: Placement) -> None:
+        usage = placement.usage
+        used_s = service_s(
+            prompt_tokens=usage.prompt_tokens,
+            cached_tokens=usage.cached_tokens,
+            completion_tokens=usage.completion_tokens,
+        )
+        lane.queue.note_service(request.account_id, used_s, weight=request.weight)
+        if request.is_model:
+            tokens = usage.prompt_tokens + usage.completion_tokens
+            self.table.prefixes.note_ran(request.program_id, placement.upstream_id, tokens)
+            recomputed = usage.prompt_tokens - usage.cached_tokens
+            self._metrics.count("prefill_tokens", "computed", recomputed)
+            self._metrics.count("prefill_tokens", "cached", usage.cached_tokens)
+
+    def _end_digest(
+        self, request: PlacementRequest, state: UpstreamState, *, is_finished: bool
+    ) -> None:
+        self.poison.registry.note_ended(
+            request.content_digest,
+            state.load.upstream_id,
+            now_s=trio.current_time(),
+            is_finished=is_finished,
+        )
+
+
+def _poisonous() -> Refusal:
+    return Refusal(kind=ErrorKind.POISONOUS, detail="this request has taken down two upstreams")
+
+
+def _no_upstream(request: PlacementRequest) -> Refusal:
+    return Refusal(
+        kind=ErrorKind.UPSTREAM_UNAVAILABLE,
+        detail=f"no upstream serves {request.target}",
+        retry_after_s=NO_UPSTREAM_RETRY_S,
+    )
--- /dev/null
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_feeds.py
@@ -0,0 +1,123 @@
+"""Polls of the engines' load reports and cache events."""
+
+from collections.abc import Callable
+from http import HTTPStatus
+
+import msgspec
+import trio
+from result import Err
+
+from lagoonfold import ProgramId, UpstreamId
+from lagoonfold.scheduling import CacheEvent, CacheEventKind, LoadReport
+from lagoonfold_io import HttpClient, HttpRequest
+from lagoonfold_node._dispatch._table import UpstreamState, UpstreamTable
+
+LOAD_INTERVAL_S = 0.5
+EVENTS_EVERY = 2
+POLL_TIMEOUT_S = 1.0
+
+
+class _LoadBody(msgspec.Struct, frozen=True):
+    running: int
+    waiting: int
+    slots: int
+    cached_tokens: int = 0
+    capacity_tokens: int = 0
+
+
+class _EventBody(msgspec.Struct, frozen=True):
+    seq: int
+    kind: CacheEventKind
+    cache_key: str
+    tokens: int
+
+
+class _EventsBody(msgspec.Struct, frozen=True):
+    events: tuple[_EventBody, ...]
+    next: int
+
+
+class UpstreamFeeds:
+    """Keeps the upstream table current from what engines publish.
+
+    A poll that fails leaves what is known as it was; whether an engine is up is learnt from
+    calls, not from polls.
+    """
+
+    def __init__(
+        self, table: UpstreamTable, client: HttpClient, on_change: Callable[[], None]
+    ) -> None:
+        self._table = table
+        self._client = client
+        self._on_change = on_change
+        self._next_by_upstream: dict[UpstreamId, int] = {}
+        self._polling: set[UpstreamId] = set()
+
+    async def run(self) -> None:
+        """Poll until cancelled; a slow engine holds up no other."""
+        round_number = 0
+        async with trio.open_nursery() as nursery:
+            while True:
+                has_events = round_number % EVENTS_EVERY == 0
+                for upstream_id, state in tuple(self._table.states_by_id.items()):
+                    if state.listed.role == "engine" and upstream_id not in self._polling:
+                        nursery.start_soon(self._poll, upstream_id, state, has_events)
+                round_number += 1
+                await trio.sleep(LOAD_INTERVAL_S)
+
+    async def _poll(self, upstream_id: UpstreamId, state: UpstreamState, has_events: bool) -> None:
+        self._polling.add(upstream_id)
+        try:
+            await self._poll_load(state)
+            if has_events:
+                await self._poll_events(upstream_id, state)
+        finally:
+            self._polling.discard(upstream_id)
+
+    async def _poll_load(self, state: UpstreamState) -> None:
+        body = await self._get(state, "/v1/load", "")
+        if body is None:
+            return
+        try:
+            load = msgspec.json.decode(body, type=_LoadBody)
+        except msgspec.DecodeError:
+            return
+        report = LoadReport(
+            running=load.running,
+            waiting=load.waiting,
+            slots=load.slots,
+            cached_tokens=load.cached_tokens,
+            capacity_tokens=load.capacity_tokens,
+        )
+        state.load.note_report(report, now_s=trio.current_time())
+        self._on_change()
+
+    async def _poll_events(self, upstream_id: UpstreamId, state: UpstreamState) -> None:
+        after = self._next_by_upstream.get(upstream_id, 0)
+        body = await self._get(state, "/v1/cache/events", f"after={after}")
+        if body is None:
+            return
+        try:
+            answer = msgspec.json.decode(body, type=_EventsBody)
+        except msgspec.DecodeError:
+            return
+        self._next_by_upstream[upstream_id] = answer.next
+        for event in answer.events:
+            self._table.prefixes.note_event(upstream_id, _event_of(event))
+
+    async def _get(self, state: UpstreamState, path: str, query: str) -> bytes | None:
+        request = HttpRequest(method="GET", path=path, query=query)
+        address = state.listed.address
+        answer = await self._client.fetch(address, request, timeout_s=POLL_TIMEOUT_S)
+        if isinstance(answer, Err) or answer.ok_value.status != HTTPStatus.OK:
+            return None
+        return answer.ok_value.body
+
+
+def _event_of(body: _EventBody) -> CacheEvent:
+    return CacheEvent(
+        sequence=body.seq,
+        kind=body.kind,
+        program_id=ProgramId(body.cache_key),
+        tokens=body.tokens,
+    )
--- /dev/null
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_handlers.py
@@ -0,0 +1,18 @@
+"""Handlers of the dispatchers' messages; the node that they are called with has a dispatcher."""
+
+from typing import Protocol
+
+from lagoonfold_node._dispatch._dispatcher import Dispatcher
+from lagoonfold_node._dispatch._messages import PoisonSeen
+from lagoonfold_node._peers import InboundCall, handles
+
+
+class HasDispatch(Protocol):
+    """What the handlers need of the node."""
+
+    dispatcher: Dispatcher
+
+
+@handles(PoisonSeen)
+async def _take_notice(node: HasDispatch, call: InboundCall, message: PoisonSeen) -> None:
+    node.dispatcher.poison.take(message.notice)
--- /dev/null
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_lane.py
@@ -0,0 +1,89 @@
+"""The queue of one model or service, with what is measured of its calls."""
+
+from dataclasses import dataclass, field
+
+import trio
+
+from lagoonfold import ErrorKind, Refusal
+from lagoonfold.rates import DemandMeter
+from lagoonfold.scheduling import (
+    CHOOSERS_BY_NAME,
+    DEFAULT_CHOOSER,
+    AdmissionInput,
+    DispatchQueue,
+    QueuedCall,
+    ReplicaChooser,
+    ServiceMeter,
+)
+from lagoonfold_node._dispatch._requests import PlacementRequest
+from lagoonfold_node._dispatch._table import UpstreamState
+
+INITIAL_CALL_S = 1.0
+NO_UPSTREAM_RETRY_S = 2.0
+MIN_RETRY_AFTER_S = 0.1
+
+
+@dataclass(slots=True, eq=False)
+class Waiter:
+    """A waiting call and, once it is placed, the upstream that is held for it."""
+
+    request: PlacementRequest
+    placed: trio.Event = field(default_factory=trio.Event)
+    state: UpstreamState | None = None
+
+
+class Lane:
+    """The calls for one target."""
+
+    def __init__(self) -> None:
+        self.queue = DispatchQueue()
+        self.chooser: ReplicaChooser = CHOOSERS_BY_NAME[DEFAULT_CHOOSER]()
+        self.ends = DemandMeter()
+        self.call_s = ServiceMeter(initial_s=INITIAL_CALL_S)
+        self.running = 0
+
+    def drain_per_s(self, *, now_s: float) -> float:
+        """Return how many calls end a second: as measured, or by what runs now if that is more.
+
+        The second is all there is to go by after a start or a pause.
+        """
+        return max(self.ends.rate_per_s(now_s=now_s), self.running / self.call_s.mean_s)
+
+    def admission_input(self, request: PlacementRequest, *, now_s: float) -> AdmissionInput:
+        """Return what admission is decided on."""
+        return AdmissionInput(
+            ahead=self.queue.ahead_of(request.attained_s, now_s=now_s),
+            drain_per_s=self.drain_per_s(now_s=now_s),
+            call_s=self.call_s.mean_s,
+            max_wait_s=request.max_wait_s,
+            deadline_s=request.deadline_s,
+            now_s=now_s,
+            is_first=request.is_first,
+        )
+
+    def queued(self, waiter: Waiter, *, now_s: float) -> QueuedCall:
+        """Return the entry of a call; a program's first call waits no longer than it may."""
+        request = waiter.request
+        until_s = request.deadline_s
+        if request.is_first:
+            until_s = min(until_s, now_s + request.max_wait_s)
+        return QueuedCall(
+            call_id=request.call_id,
+            program_id=request.program_id,
+            account_id=request.account_id,
+            arrived_s=now_s,
+            deadline_s=until_s,
+            attained_s=request.attained_s,
+            weight=request.weight,
+            item=waiter,
+        )
+
+    def refuse_after_wait(self, *, now_s: float) -> Refusal:
+        """Return the answer to a call for which no place became free in time."""
+        drain_per_s = self.drain_per_s(now_s=now_s)
+        wait_s = len(self.queue) / drain_per_s if drain_per_s > 0 else NO_UPSTREAM_RETRY_S
+        return Refusal(
+            kind=ErrorKind.QUEUE_FULL,
+            detail="no place became free in time",
+            retry_after_s=max(MIN_RETRY_AFTER_S, wait_s),
+        )
--- /dev/null
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_poison.py
@@ -0,0 +1,118 @@
+"""Notices of poisonous requests: to all peers at once, and in the key-value service to last."""
+
+import secrets
+from collections.abc import Callable, Iterable
+
+import msgspec
+import trio
+from result import Err, Ok
+
+from lagoonfold import InstanceId, KeyValueStore, StoreErrorKind, UpstreamId
+from lagoonfold.resilience import PoisonNotice, PoisonRegistry
+from lagoonfold_node._dispatch._messages import PoisonSeen
+from lagoonfold_node._peers import PeerBus
+
+KEY_PREFIX = "poison/"
+KEPT_S = 3600.0
+REFRESH_INTERVAL_S = 10.0
+INCIDENT_SPAN_S = 1.0
+WRITE_TRIES = 3
+WRITE_TIMEOUT_S = 0.5
+
+_NOTICES = msgspec.json.Decoder(tuple[PoisonNotice, ...])
+
+
+class PoisonNotices:
+    """The registry of this instance and its way to and from the others.
+
+    A notice is sent to the peers before the failed call is tried again or answered. The key
+    under `poison/` is for instances that start later and for peers that a message did not reach.
+    """
+
+    def __init__(
+        self,
+        bus: PeerBus,
+        store: KeyValueStore,
+        peers: Callable[[], Iterable[InstanceId]],
+    ) -> None:
+        self.registry = PoisonRegistry(memory_s=KEPT_S)
+        self._bus = bus
+        self._store = store
+        self._peers = peers
+        self._incident_by_upstream: dict[UpstreamId, tuple[float, str]] = {}
+
+    async def run(self) -> None:
+        """Read the kept notices at the start and at an interval, until cancelled."""
+        while True:
+            await self._refresh()
+            self.registry.forget_old(now_s=trio.current_time())
+            await trio.sleep(REFRESH_INTERVAL_S)
+
+    def blame(self, digest: str, upstream_id: UpstreamId) -> None:
+        """Note that an upstream went down while it ran the request, and tell the peers."""
+        notice = PoisonNotice(
+            digest=digest,
+            upstream_id=upstream_id,
+            incident_id=self._incident_of(upstream_id),
+        )
+        self.take(notice)
+        for peer in self._peers():
+            self._bus.send(peer, PoisonSeen(notice=notice))
+
+    def take(self, notice: PoisonNotice) -> None:
+        """Take in an own or a peer's notice."""
+        self.registry.note(notice, now_s=trio.current_time())
+
+    async def keep(self, digest: str) -> None:
+        """Write all notices of a digest to the key-value service, joined with what is there.
+
+        It is given up after `WRITE_TIMEOUT_S`: the peers know already.
+        """
+        with trio.move_on_after(WRITE_TIMEOUT_S):
+            await self._write(KEY_PREFIX + digest, digest)
+
+    def _incident_of(self, upstream_id: UpstreamId) -> str:
+        """Return the incident that the failures of one moment at one upstream share."""
+        now_s = trio.current_time()
+        known = self._incident_by_upstream.get(upstream_id)
+        if known is not None and now_s - known[0] < INCIDENT_SPAN_S:
+            return known[1]
+        incident_id = f"{upstream_id}/{secrets.token_hex(6)}"
+        self._incident_by_upstream[upstream_id] = (now_s, incident_id)
+        return incident_id
+
+    async def _write(self, key: str, digest: str) -> None:
+        lease = await self._store.grant_lease(KEPT_S)
+        if isinstance(lease, Err):
+            return
+        for _ in range(WRITE_TRIES):
+            found = await self._store.get(key)
+            if isinstance(found, Err):
+                return
+            entry = found.ok_value
+            for notice in _decode(entry.value):
+                self.take(notice)
+            notices = [notice for notice in self.registry.notices() if notice.digest == digest]
+            written = await self._store.put_if(
+                key,
+                msgspec.json.encode(notices),
+                expected_revision=entry.revision,
+                lease_id=lease.ok_value.lease_id,
+            )
+            if isinstance(written, Ok) or written.err_value.kind is not StoreErrorKind.CONFLICT:
+                return
+
+    async def _refresh(self) -> None:
+        listed = await self._store.list(KEY_PREFIX)
+        if isinstance(listed, Err):
+            return
+        for entry in listed.ok_value.entries:
+            for notice in _decode(entry.value):
+                self.take(notice)
+
+
+def _decode(value: bytes) -> tuple[PoisonNotice, ...]:
+    try:
+        return _NOTICES.decode(value) if value else ()
+    except msgspec.DecodeError:
+        return ()
--- /dev/null
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_retries.py
@@ -0,0 +1,47 @@
+"""Retry budgets of accounts and upstreams, and the counters of what was decided."""
+
+import random
+
+import trio
+from result import Err, Result
+
+from lagoonfold import AccountId
+from lagoonfold.resilience import FailedTry, RetryAfter, RetryBudget, RetryStop, decide_retry
+from lagoonfold_node._dispatch._table import UpstreamState
+from lagoonfold_node._metrics import Metrics
+
+
+class Retries:
+    """Decides on retries of failed tries.
+
+    retries.note_first_try(account_id, state)
+    match retries.decide(failed, account_id, state): ...
+    """
+
+    def __init__(self, metrics: Metrics, rng: random.Random) -> None:
+        self._metrics = metrics
+        self._rng = rng
+        self._budgets_by_account: dict[AccountId, RetryBudget] = {}
+
+    def note_first_try(self, account_id: AccountId, state: UpstreamState) -> None:
+        """Earn a share of a retry for the account and for the upstream."""
+        self._budget(account_id).note_first_try()
+        state.retries.note_first_try()
+
+    def decide(
+        self, failed: FailedTry, account_id: AccountId, state: UpstreamState | None
+    ) -> Result[RetryAfter, RetryStop]:
+        """Return when to try again, or why not; `state` is of the upstream that failed."""
+        decision = decide_retry(
+            failed,
+            account=self._budget(account_id),
+            upstream=state.retries if state is not None else RetryBudget(),
+            rng=self._rng,
+            now_s=trio.current_time(),
+        )
+        reason = decision.err_value.value if isinstance(decision, Err) else "retried"
+        self._metrics.count("retries", reason)
+        return decision
+
+    def _budget(self, account_id: AccountId) -> RetryBudget:
+        return self._budgets_by_account.setdefault(account_id, RetryBudget())
--- /dev/null
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_service.py
@@ -0,0 +1,60 @@
+"""Wires the parts of the dispatch controller and runs them."""
+
+import random
+from collections.abc import Callable
+
+import trio
+
+from lagoonfold import InstanceId, KeyValueStore, ProgramId
+from lagoonfold_io import HttpClient
+from lagoonfold_node._board import Board
+from lagoonfold_node._dispatch._caches import CacheFreer
+from lagoonfold_node._dispatch._dispatcher import Dispatcher
+from lagoonfold_node._dispatch._feeds import UpstreamFeeds
+from lagoonfold_node._dispatch._poison import PoisonNotices
+from lagoonfold_node._dispatch._table import UpstreamTable
+from lagoonfold_node._metrics import Metrics
+from lagoonfold_node._peers import PeerBus
+
+
+class DispatchService:
+    """The dispatch controller of one instance; `dispatcher` is what calls are placed by.
+
+    It follows the cell `upstreams` and reads the cell `members`. `is_gone` tells of a program
+    owned here whether it has ended.
+    """
+
+    def __init__(
+        self,
+        instance_id: InstanceId,
+        board: Board,
+        bus: PeerBus,
+        store: KeyValueStore,
+        client: HttpClient,
+        metrics: Metrics,
+        *,
+        is_gone: Callable[[ProgramId], bool] = lambda program_id: False,
+        rng: random.Random | None = None,
+    ) -> None:
+        table = UpstreamTable()
+        poison = PoisonNotices(
+            bus, store, lambda: [peer for peer in board.members.read() if peer != instance_id]
+        )
+        caches = CacheFreer(table, client, is_gone=is_gone)
+        self.dispatcher = Dispatcher(table, poison, caches, metrics, rng or random.Random())
+        self._feeds = UpstreamFeeds(table, client, self.dispatcher.pump)
+        self._upstreams = board.upstreams
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+        dispatcher = self.dispatcher
+        dispatcher.table.follow(self._upstreams.read())
+        unsubscribe = self._upstreams.subscribe(dispatcher.table.follow)
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._feeds.run)
+                nursery.start_soon(dispatcher.poison.run)
+                nursery.start_soon(dispatcher.caches.run)
+                nursery.start_soon(dispatcher.run)
+        finally:
+            unsubscribe()
--- /dev/null
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_table.py
@@ -0,0 +1,66 @@
+"""What this instance knows of each listed upstream."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from lagoonfold import ListedInstance, UpstreamId
+from lagoonfold.resilience import Breaker, RetryBudget
+from lagoonfold.scheduling import CachedPrefixes, ReplicaLoad
+
+LOAD_LAG_S = 1.0
+UNREPORTED_SLOTS = 64
+
+
+@dataclass(slots=True, kw_only=True)
+class UpstreamState:
+    """One upstream: its entry in the list, load, breaker and retry budget."""
+
+    listed: ListedInstance
+    load: ReplicaLoad
+    breaker: Breaker = field(default_factory=Breaker)
+    retries: RetryBudget = field(default_factory=RetryBudget)
+
+
+class UpstreamTable:
+    """Upstreams by id, kept in step with the list.
+
+    An upstream that leaves the list is dropped with its load and breaker; one that is leaving
+    stays, since calls may still run there, but is no candidate.
+    """
+
+    def __init__(self) -> None:
+        self.states_by_id: dict[UpstreamId, UpstreamState] = {}
+        self.prefixes = CachedPrefixes()
+
+    def follow(self, listed_by_id: Mapping[UpstreamId, ListedInstance]) -> None:
+        """Take in the list as it is now."""
+        for upstream_id in tuple(self.states_by_id):
+            if upstream_id not in listed_by_id:
+                del self.states_by_id[upstream_id]
+                self.prefixes.forget_upstream(upstream_id)
+        for upstream_id, listed in listed_by_id.items():
+            state = self.states_by_id.get(upstream_id)
+            if state is not None and state.listed.address == listed.address:
+                state.listed = listed
+            else:
+                self.states_by_id[upstream_id] = _new_state(upstream_id, listed)
+                self.prefixes.forget_upstream(upstream_id)
+
+    def serving(self, target: str, *, is_model: bool) -> list[UpstreamState]:
+        """Return the upstreams that serve a model or service and are not leaving."""
+        return [
+            state
+            for state in self.states_by_id.values()
+            if not state.listed.leaving and _serves(state.listed, target, is_model)
+        ]
+
+
+def _serves(listed: ListedInstance, target: str, is_model: bool) -> bool:
+    if is_model:
+        return listed.role == "engine" and target in listed.models
+    return listed.role in ("tool", "service") and listed.service == target
+
+
+def _new_state(upstream_id: UpstreamId, listed: ListedInstance) -> UpstreamState:
+    load = ReplicaLoad(upstream_id, slots=UNREPORTED_SLOTS, lag_s=LOAD_LAG_S)
+    return UpstreamState(listed=listed, load=load)
--- /dev/null
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_rates/_lenders.py
@@ -0,0 +1,102 @@
+"""The lending side of the rate controller: one lender for each account owned here."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from result import Err, Ok, Result
+
+from lagoonfold import AccountId, ErrorKind, InstanceId, Refusal
+from lagoonfold.config import Account
+from lagoonfold.rates import Ask, Lender, Loan, LoanReport, RateLimit, Shortage
+
+RECALL_INTERVAL_S = 0.02
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Lending:
+    """The right to lend for an account: the epoch, and since when on this process's clock."""
+
+    epoch: int
+    since_s: float
+
+
+class AccountOwners(Protocol):
+    """Who owns which account, asked again before every loan."""
+
+    def owner_of(self, account_id: AccountId) -> InstanceId | None:
+        """Return the owning instance, or None while there is none."""
+
+    def lending(self, account_id: AccountId) -> Lending | None:
+        """Return the right to lend if this instance owns the account and may act now."""
+
+
+class Lenders:
+    """Lenders by account, each made anew under each epoch of ownership.
+
+    A lender counts from when the account's shard was opened here, not from the first ask, so an
+    account that was quiet since finds its burst there.
+    """
+
+    def __init__(
+        self,
+        owners: AccountOwners,
+        find_account: Callable[[AccountId], Account | None],
+    ) -> None:
+        self._owners = owners
+        self._find_account = find_account
+        self._lenders_by_account: dict[AccountId, tuple[int, RateLimit, Lender]] = {}
+        self._recalled_s_by_account: dict[AccountId, float] = {}
+
+    def lend(
+        self, borrower: InstanceId, account_id: AccountId, ask: Ask, *, now_s: float
+    ) -> Result[Result[Loan, Shortage], Refusal]:
+        """Return a loan or a shortage, or a refusal where this instance may not lend."""
+        lender = self._lender(account_id, now_s)
+        if lender is None:
+            return Err(
+                Refusal(
+                    kind=ErrorKind.OWNER_UNAVAILABLE,
+                    detail="the account's owner is changing",
+                    retry_after_s=1.0,
+                )
+            )
+        return Ok(lender.lend(borrower, ask, now_s=now_s))
+
+    def report(
+        self,
+        borrower: InstanceId,
+        account_id: AccountId,
+        reports: tuple[LoanReport, ...],
+        *,
+        now_s: float,
+    ) -> None:
+        """Take in reports; those on a former epoch's loans mean nothing to the lender."""
+        lender = self._lender(account_id, now_s)
+        if lender is not None:
+            lender.report(borrower, reports, now_s=now_s)
+
+    def should_recall(self, account_id: AccountId, *, now_s: float) -> bool:
+        """Tell whether to ask the holders to give back; at most once in an interval."""
+        recalled_s = self._recalled_s_by_account.get(account_id, float("-inf"))
+        if now_s - recalled_s < RECALL_INTERVAL_S:
+            return False
+        self._recalled_s_by_account[account_id] = now_s
+        return True
+
+    def _lender(self, account_id: AccountId, now_s: float) -> Lender | None:
+        lending = self._owners.lending(account_id)
+        account = self._find_account(account_id)
+        if lending is None or account is None:
+            self._lenders_by_account.pop(account_id, None)
+            return None
+        limit = RateLimit(rate_per_s=account.rate_per_s, burst=account.burst)
+        known = self._lenders_by_account.get(account_id)
+        if known is None or known[0] != lending.epoch:
+            lender = Lender(limit=limit, epoch=lending.epoch, now_s=lending.since_s)
+        else:
+            lender = known[2]
+            if known[1] != limit:
+                lender.change_limit(limit, now_s=now_s)
+        self._lenders_by_account[account_id] = (lending.epoch, limit, lender)
+        return lender
--- /dev/null
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_rates/_messages.py
@@ -0,0 +1,41 @@
+"""What instances say to each other about allowances."""
+
+from lagoonfold.rates import Ask, Loan, LoanReport, Shortage
+from lagoonfold_node._peers import PeerMessage, peer_message
+
+
+@peer_message
+class BorrowAllowance(PeerMessage, tag="borrow-allowance"):
+    """Asks the account's owner for a loan, with reports of the loans held."""
+
+    account_id: str
+    ask: Ask
+
+
+@peer_message
+class AllowanceGranted(PeerMessage, tag="allowance-granted"):
+    """The loan that answers an ask."""
+
+    loan: Loan
+
+
+@peer_message
+class AllowanceShort(PeerMessage, tag="allowance-short"):
+    """Nothing can be lent now."""
+
+    shortage: Shortage
+
+
+@peer_message
+class ReportAllowance(PeerMessage, tag="report-allowance"):
+    """Tells the account's owner what was spent of loans, and gives back what is closed."""
+
+    account_id: str
+    reports: tuple[LoanReport, ...]
+
+
+@peer_message
+class RecallAllowance(PeerMessage, tag="recall-allowance"):
+    """Asks a borrower to give back what it has not spent of an account."""
+
+    account_id: str
--- a/packages/lagoonfold/src/lagoonfold/rates/_borrower.py
+++ b/packages/lagoonfold/src/lagoonfold/rates/_borrower.py
@@ -75,9 +75,14 @@
             reports=self.report(now_s=now_s),
         )
 
-    def report(self, *, now_s: float) -> tuple[LoanReport, ...]:
-        """Report spending; loans that are spent, expired or idle are closed and dropped."""
-        reports = tuple(self._report_one(loan, now_s) for loan in self._loans_by_id.values())
+    def report(self, *, now_s: float, close_all: bool = False) -> tuple[LoanReport, ...]:
+        """Report spending; loans that are spent, expired or idle are closed and dropped.
+
+        `close_all` closes the others too, so that their tokens can be lent elsewhere.
+        """
+        reports = tuple(
+            self._report_one(loan, now_s, close_all) for loan in self._loans_by_id.values()
+        )
         for report in reports:
             if report.is_closed:
                 del self._loans_by_id[report.loan_id]
@@ -111,9 +116,9 @@
         """Forget an ask that got no loan; an answer that still comes will be ignored."""
         self._sent_s_by_ask.pop(ask.number, None)
 
-    def _report_one(self, loan: _HeldLoan, now_s: float) -> LoanReport:
+    def _report_one(self, loan: _HeldLoan, now_s: float, close_all: bool) -> LoanReport:
         loan.reported = loan.spent
-        is_closed = self._is_closing(loan, now_s)
+        is_closed = close_all or self._is_closing(loan, now_s)
         return LoanReport(loan_id=loan.loan_id, spent=loan.spent, is_closed=is_closed)
 
     @staticmethod
--- a/packages/lagoonfold/src/lagoonfold/rates/_messages.py
+++ b/packages/lagoonfold/src/lagoonfold/rates/_messages.py
@@ -45,9 +45,11 @@
 class Shortage(msgspec.Struct, frozen=True, kw_only=True):
     """Nothing can be lent now.
 
-    `retry_after_s` is when one token will be there if nobody else takes it. `holders` are the
+    `retry_after_s` is when one token will be there if nobody else takes it; `is_takeover` says
+    that the lender still waits for loans of the account's former owner. `holders` are the
     borrowers that may still have unspent tokens and could be asked to report.
     """
 
     retry_after_s: float
+    is_takeover: bool = False
     holders: tuple[str, ...] = ()
--- a/packages/lagoonfold/src/lagoonfold/scheduling/_admission.py
+++ b/packages/lagoonfold/src/lagoonfold/scheduling/_admission.py
@@ -23,12 +23,11 @@
 class AdmissionInput:
     """A call that asks for a place.
 
-    `ahead` calls wait before it and `in_service` run; `drain_per_s` is how many end a second.
+    `ahead` calls wait before it; `drain_per_s` is how many end a second.
     `is_first` marks the first call of a program, in which nothing has been invested yet.
     """
 
     ahead: int
-    in_service: int
     drain_per_s: float
     call_s: float
     max_wait_s: float
--- a/packages/lagoonfold/src/lagoonfold/scheduling/_cached_prefixes.py
+++ b/packages/lagoonfold/src/lagoonfold/scheduling/_cached_prefixes.py
@@ -37,6 +37,10 @@
         self._sequence_by_upstream: dict[UpstreamId, int] = {}
         self.gaps = 0
 
+    def programs(self) -> tuple[ProgramId, ...]:
+        """Return the programs that are believed to be cached somewhere."""
+        return tuple(self._tokens_by_program)
+
     def tokens_by_upstream(self, program_id: ProgramId) -> Mapping[UpstreamId, int]:
         """Return the tokens believed to be cached for a program, by replica."""
         return self._tokens_by_program.get(program_id, {})
--- a/tests/rates/_fleet.py
+++ b/tests/rates/_fleet.py
@@ -7,9 +7,10 @@
 import random
 from dataclasses import dataclass, field
 
-from lagoonfold.rates import MAX_CLOCK_DRIFT, Ask, Borrower, Lender, Loan, RateLimit
 from result import Ok
 
+from lagoonfold.rates import MAX_CLOCK_DRIFT, Ask, Borrower, Lender, Loan, RateLimit
+
 LIMIT = RateLimit(rate_per_s=20.0, burst=10)
 INSTANCE_COUNT = 4
 _TOLERANCE = 1e-6
--- a/tests/rates/test_borrowing.py
+++ b/tests/rates/test_borrowing.py
@@ -1,8 +1,8 @@
 """What borrower and lender do in the usual cases."""
 
-from lagoonfold.rates import Ask, Borrower, Lender, LoanReport, RateLimit, held_s
 from result import Err, Ok
 
+from lagoonfold.rates import Ask, Borrower, Lender, LoanReport, RateLimit, held_s
 from tests._suite import load_functions
 
 _LIMIT = RateLimit(rate_per_s=10.0, burst=20)
--- a/tests/rates/test_bound.py
+++ b/tests/rates/test_bound.py
@@ -2,8 +2,8 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from lagoonfold.rates import Borrower, Lender, LoanReport
 
+from lagoonfold.rates import Borrower, Lender, LoanReport
 from tests._suite import load_functions
 from tests.rates._fleet import Fleet, run_random
 from tests.rates._strategies import steps
--- a/tests/resilience/test_resilience.py
+++ b/tests/resilience/test_resilience.py
@@ -4,6 +4,8 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from result import Err, Ok, Result
+
 from lagoonfold import Ran, UpstreamId
 from lagoonfold.resilience import (
     MAX_INCIDENTS_PER_DIGEST,
@@ -18,8 +20,6 @@
     backoff_s,
     decide_retry,
 )
-from result import Err, Ok, Result
-
 from tests._suite import load_functions
 
 _UPSTREAMS = tuple(UpstreamId(f"e-{number}") for number in range(5))
