Add the configuration log and the operators' command line

A change is one compare-and-swap of config/head; after a lost answer the log is searched for the change's id before anything else is decided.

The key-value stand-in answers /livez, which the fleet waits for.

--- /dev/null
+++ b/packages/lagoonfold-ctl/src/lagoonfold_ctl/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command line as `python -m lagoonfold_ctl`."""
+
+from lagoonfold_ctl import main
+
+main()
--- /dev/null
+++ b/packages/lagoonfold-ctl/src/lagoonfold_ctl/_documents.py
@@ -0,0 +1,270 @@
+"""The commands that add, change, retire, list and show configuration documents."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from fire.decorators import SetParseFn
+from result import Err, Ok, Result
+
+from lagoonfold import ErrorKind, Refusal
+from lagoonfold.config import (
+    Change,
+    ChangeRecord,
+    Configuration,
+    PutAccount,
+    PutKey,
+    PutProfile,
+    PutRoute,
+    RetireAccount,
+    RetireProfile,
+    RetireRoute,
+    WithdrawKey,
+    digest_of,
+    generate_secret,
+)
+from lagoonfold_ctl._inputs import (
+    AccountInput,
+    Input,
+    KeyInput,
+    ProfileInput,
+    RouteInput,
+    parse_input,
+)
+from lagoonfold_ctl._render import describe_change, render_fields, render_table, to_fields
+from lagoonfold_ctl._session import CommandError, Session, unwrap
+
+Given = Mapping[str, object]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Kind:
+    """One kind of document: where it is kept and how it is changed."""
+
+    noun: str
+    model: type[Input]
+    documents_of: Callable[[Configuration], Mapping[str, Any]]
+    put: Callable[[Any, bool], Change]
+    retire: Callable[[str], Change]
+
+
+_ACCOUNT = _Kind(
+    noun="account",
+    model=AccountInput,
+    documents_of=lambda configuration: configuration.accounts_by_id,
+    put=lambda account, replaces: PutAccount(account=account, replaces=replaces),
+    retire=lambda account_id: RetireAccount(account_id=account_id),
+)
+_ROUTE = _Kind(
+    noun="route",
+    model=RouteInput,
+    documents_of=lambda configuration: configuration.routes_by_name,
+    put=lambda route, replaces: PutRoute(route=route, replaces=replaces),
+    retire=lambda name: RetireRoute(name=name),
+)
+_PROFILE = _Kind(
+    noun="profile",
+    model=ProfileInput,
+    documents_of=lambda configuration: configuration.profiles_by_name,
+    put=lambda profile, replaces: PutProfile(profile=profile, replaces=replaces),
+    retire=lambda name: RetireProfile(name=name),
+)
+_KEY = _Kind(
+    noun="key with the digest",
+    model=KeyInput,
+    documents_of=lambda configuration: configuration.keys_by_digest,
+    put=lambda key, replaces: PutKey(key=key, replaces=replaces),
+    retire=lambda digest: WithdrawKey(digest=digest),
+)
+
+
+def _find(kind: _Kind, configuration: Configuration, name: str) -> Result[str, Refusal]:
+    """Return the name of a document; a key may be named by its digest's first characters."""
+    documents = kind.documents_of(configuration)
+    found = [name] if name in documents else []
+    if kind is _KEY and name:
+        found = [digest for digest in documents if digest.startswith(name)]
+    if len(found) == 1:
+        return Ok(found[0])
+    count = "no" if not found else "more than one"
+    return Err(Refusal(kind=ErrorKind.NOT_FOUND, detail=f"there is {count} {kind.noun} {name}"))
+
+
+class _Commands:
+    """The commands that all kinds of documents share."""
+
+    def __init__(self, session: Session, kind: _Kind) -> None:
+        self._session = session
+        self._kind = kind
+
+    @SetParseFn(str)
+    def retire(self, name: str) -> None:
+        """Retire a document for good."""
+
+        def make(configuration: Configuration) -> Result[Change, Refusal]:
+            return _find(self._kind, configuration, name).map(self._kind.retire)
+
+        self._report(self._session.propose(make))
+
+    def list(self) -> None:
+        """List all documents of this kind."""
+        documents = self._kind.documents_of(self._session.read())
+        rows = [to_fields(document) for _, document in sorted(documents.items())]
+        self._session.show(rows, render_table(rows))
+
+    @SetParseFn(str)
+    def show(self, name: str) -> None:
+        """Show one document."""
+        configuration = self._session.read()
+        found = unwrap(_find(self._kind, configuration, name))
+        fields = to_fields(self._kind.documents_of(configuration)[found])
+        self._session.show(fields, render_fields(fields))
+
+    def _add(self, given: Given) -> ChangeRecord:
+        parsed = parse_input(self._kind.model, given)
+        change = parsed.map(lambda read: self._kind.put(read.to_document(), False))
+        return self._session.propose(lambda _: change)
+
+    def _change(self, name: str, given: Given) -> ChangeRecord:
+        kind = self._kind
+
+        def make(configuration: Configuration) -> Result[Change, Refusal]:
+            found = _find(kind, configuration, name)
+            present = found.map(lambda key: kind.documents_of(configuration)[key])
+            parsed = present.map(kind.model.fields_of).and_then(
+                lambda fields: parse_input(kind.model, given, fields)
+            )
+            return parsed.map(lambda read: kind.put(read.to_document(), True))
+
+        return self._session.propose(make)
+
+    def _report(self, record: ChangeRecord, **extra: object) -> None:
+        fields = {**describe_change(record), **extra}
+        self._session.show(fields, render_fields(fields))
+
+
+class AccountCommands(_Commands):
+    """Client accounts: their rate and burst over all instances together."""
+
+    def __init__(self, session: Session) -> None:
+        super().__init__(session, _ACCOUNT)
+
+    @SetParseFn(str)
+    def add(self, id: str, rate: str, burst: str, weight: str | None = None) -> None:
+        """Add an account with RATE requests a second and BURST requests at once."""
+        self._report(self._add({"id": id, "rate": rate, "burst": burst, "weight": weight}))
+
+    @SetParseFn(str)
+    def change(
+        self, id: str, rate: str | None = None, burst: str | None = None, weight: str | None = None
+    ) -> None:
+        """Change the given fields of an account."""
+        self._report(self._change(id, {"rate": rate, "burst": burst, "weight": weight}))
+
+
+class RouteCommands(_Commands):
+    """Routes to models, tools and plain services."""
+
+    def __init__(self, session: Session) -> None:
+        super().__init__(session, _ROUTE)
+
+    @SetParseFn(str)
+    def add(
+        self,
+        name: str,
+        kind: str,
+        target: str,
+        idempotent: str | None = None,
+        open: str | None = None,
+        timeout: str | None = None,
+        cost_per_call: str | None = None,
+        cost_per_1000_tokens: str | None = None,
+    ) -> None:
+        """Add a route of KIND model, tool or service to the TARGET of the instance list."""
+        self._report(self._add(_given(locals())))
+
+    @SetParseFn(str)
+    def change(
+        self,
+        name: str,
+        kind: str | None = None,
+        target: str | None = None,
+        idempotent: str | None = None,
+        open: str | None = None,
+        timeout: str | None = None,
+        cost_per_call: str | None = None,
+        cost_per_1000_tokens: str | None = None,
+    ) -> None:
+        """Change the given fields of a route."""
+        self._report(self._change(name, _given(locals())))
+
+
+class ProfileCommands(_Commands):
+    """Profiles: how a class of programs is treated."""
+
+    def __init__(self, session: Session) -> None:
+        super().__init__(session, _PROFILE)
+
+    @SetParseFn(str)
+    def add(
+        self,
+        name: str,
+        accounts: str | None = None,
+        routes: str | None = None,
+        tokens: str | None = None,
+        calls: str | None = None,
+        cost_micros: str | None = None,
+        wall: str | None = None,
+        max_wait: str | None = None,
+        weight: str | None = None,
+    ) -> None:
+        """Add a profile for ACCOUNTS and ROUTES (names by commas), with a budget per program."""
+        self._report(self._add(_given(locals())))
+
+    @SetParseFn(str)
+    def change(
+        self,
+        name: str,
+        accounts: str | None = None,
+        routes: str | None = None,
+        tokens: str | None = None,
+        calls: str | None = None,
+        cost_micros: str | None = None,
+        wall: str | None = None,
+        max_wait: str | None = None,
+        weight: str | None = None,
+    ) -> None:
+        """Change the given fields of a profile."""
+        self._report(self._change(name, _given(locals())))
+
+
+class KeyCommands(_Commands):
+    """API keys: shown once, kept as digests, named by a digest's first characters."""
+
+    def __init__(self, session: Session) -> None:
+        super().__init__(session, _KEY)
+
+    @SetParseFn(str)
+    def add(self, account: str, profiles: str | None = None, label: str | None = None) -> None:
+        """Add a key for an account and print it; it can't be shown again."""
+        secret = generate_secret()
+        digest = digest_of(secret)
+        given = {"digest": digest, "account": account, "profiles": profiles, "label": label}
+        record = self._add(given)
+        made = getattr(record.change, "key", None)
+        if made is None or made.digest != digest:
+            raise CommandError(
+                "that change id was used before; if it made a key, it can't be shown again: "
+                "withdraw it and add another"
+            )
+        self._report(record, key=secret, digest=digest)
+
+    @SetParseFn(str)
+    def change(self, digest: str, profiles: str | None = None, label: str | None = None) -> None:
+        """Change the profiles or the label of a key."""
+        self._report(self._change(digest, {"profiles": profiles, "label": label}))
+
+
+def _given(arguments: Given) -> Given:
+    """Return a method's arguments as the fields that the operator gave."""
+    return {name: value for name, value in arguments.items() if name != "self"}
--- /dev/null
+++ b/packages/lagoonfold-ctl/src/lagoonfold_ctl/_fleet.py
@@ -0,0 +1,89 @@
+"""The commands that ask the instances' operator ports."""
+
+from urllib.parse import quote
+
+import msgspec
+import trio
+from result import Err
+
+from lagoonfold_ctl._render import render_fields, render_table
+from lagoonfold_ctl._session import EXIT_REFUSED, EXIT_UNAVAILABLE, CommandError, Session
+from lagoonfold_io import EtcdStore, HttpClient, HttpRequest
+
+INSTANCES_PREFIX = "instances/"
+
+_TIMEOUT_S = 3.0
+_STATUS_OK = 200
+
+
+class FleetCommands:
+    """Asks every instance, or those at given operator addresses."""
+
+    def __init__(self, session: Session) -> None:
+        self._session = session
+
+    def status(self, operators: str) -> None:
+        """Show one row for each instance."""
+        answers = self._ask(operators, "/v1/status")
+        rows = [_row(address, answer) for address, answer in sorted(answers.items())]
+        self._session.show(rows, render_table(rows))
+
+    def explain(self, wanted_id: str, operators: str) -> None:
+        """Show what the instances know about an id."""
+        answers = self._ask(operators, f"/v1/explain/{quote(wanted_id, safe='')}")
+        known = {address: answer for address, answer in answers.items() if answer is not None}
+        if not known:
+            raise CommandError(f"no instance knows {wanted_id}", EXIT_REFUSED, "not-found")
+        text = "\n\n".join(
+            f"at {address}\n{_render(answer)}" for address, answer in sorted(known.items())
+        )
+        self._session.show(known, text)
+
+    def _ask(self, operators: str, path: str) -> dict[str, object]:
+        """Return each operator port's answer by address; None where there was none."""
+        if operators:
+            addresses = [address for address in operators.split(",") if address]
+            return trio.run(_ask_all, HttpClient(), addresses, path)
+
+        async def act(_: object, store: EtcdStore, client: HttpClient) -> dict[str, object]:
+            return await _ask_all(client, await _operator_addresses(store), path)
+
+        return self._session.run(act)
+
+
+async def _operator_addresses(store: EtcdStore) -> list[str]:
+    listing = await store.list(INSTANCES_PREFIX)
+    if isinstance(listing, Err):
+        detail = f"key-value service: {listing.err_value.detail}; --operators=HOST:PORT,... asks"
+        raise CommandError(f"{detail} the instances directly", EXIT_UNAVAILABLE)
+    entries = [msgspec.json.decode(entry.value) for entry in listing.ok_value.entries]
+    return [entry["operator_address"] for entry in entries]
+
+
+async def _ask_all(client: HttpClient, addresses: list[str], path: str) -> dict[str, object]:
+    answers: dict[str, object] = {}
+
+    async def ask(address: str) -> None:
+        request = HttpRequest(method="GET", path=path)
+        answer = await client.fetch(address, request, timeout_s=_TIMEOUT_S)
+        answers[address] = None
+        if not isinstance(answer, Err) and answer.ok_value.status == _STATUS_OK:
+            answers[address] = msgspec.json.decode(answer.ok_value.body)
+
+    async with trio.open_nursery() as nursery:
+        for address in addresses:
+            nursery.start_soon(ask, address)
+    return answers
+
+
+def _row(address: str, answer: object) -> dict[str, object]:
+    fields = answer if isinstance(answer, dict) else {"state": "no answer"}
+    return {"operator": address, **fields}
+
+
+def _render(answer: object) -> str:
+    if isinstance(answer, dict):
+        return render_fields(answer)
+    if isinstance(answer, list) and all(isinstance(row, dict) for row in answer):
+        return render_table(answer)
+    return str(answer)
--- /dev/null
+++ b/packages/lagoonfold-ctl/src/lagoonfold_ctl/_main.py
@@ -0,0 +1,112 @@
+"""The command line `lagoonfold`: configuration, checks of settings, and the state of the fleet.
+
+lagoonfold account add north --rate=50 --burst=100 --kv=10.0.0.5:2379
+lagoonfold key add north --kv=10.0.0.5:2379
+lagoonfold check instance.ini
+"""
+
+import logging
+import sys
+
+import fire
+from fire.decorators import SetParseFn
+from result import Err
+
+from lagoonfold.settings import load_settings
+from lagoonfold_ctl._documents import (
+    AccountCommands,
+    KeyCommands,
+    ProfileCommands,
+    RouteCommands,
+)
+from lagoonfold_ctl._fleet import FleetCommands
+from lagoonfold_ctl._render import describe_change, render_table
+from lagoonfold_ctl._session import EXIT_REFUSED, EXIT_USAGE, CommandError, Session, unwrap
+
+_TRUE_WORDS = ("true", "1", "yes")
+_DEFAULT_HISTORY_LIMIT = 20
+
+
+@SetParseFn(str)
+class Lagoonfold:
+    """Operate lagoonfold.
+
+    Common options: --kv=HOST:PORT or --settings=FILE, --by=NAME, --json, --expect-version=N
+    (refuse the change if anything changed since version N), --change-id=ID (repeat a change
+    whose outcome is unknown).
+    """
+
+    def __init__(
+        self,
+        kv: str = "",
+        settings: str = "",
+        by: str = "",
+        json: str = "false",
+        expect_version: str = "",
+        change_id: str = "",
+    ) -> None:
+        session = Session(
+            kv=kv,
+            settings=settings,
+            by=by,
+            json=str(json).lower() in _TRUE_WORDS,
+            expect_version=_parse_version(expect_version),
+            change_id=change_id,
+        )
+        self._session = session
+        self.account = AccountCommands(session)
+        self.key = KeyCommands(session)
+        self.profile = ProfileCommands(session)
+        self.route = RouteCommands(session)
+
+    @SetParseFn(str)
+    def history(self, limit: str = str(_DEFAULT_HISTORY_LIMIT)) -> None:
+        """List the newest changes: who made them, when, and from what version."""
+        if not limit.isdigit():
+            raise CommandError(f"--limit={limit}: a whole number", EXIT_USAGE)
+
+        async def act(log, *_):
+            return unwrap(await log.history(int(limit)))
+
+        rows = [describe_change(record) for record in self._session.run(act)]
+        self._session.show(rows, render_table(rows))
+
+    @SetParseFn(str)
+    def status(self, operators: str = "") -> None:
+        """Show the state of every instance, or of those at OPERATORS (addresses by commas)."""
+        FleetCommands(self._session).status(operators)
+
+    @SetParseFn(str)
+    def explain(self, id: str, operators: str = "") -> None:
+        """Show each decision about a program, a call or a refused request, with its inputs."""
+        FleetCommands(self._session).explain(id, operators)
+
+    @SetParseFn(str)
+    def check(self, file: str) -> None:
+        """Check a settings file and name every fault in it."""
+        loaded = load_settings(file)
+        faults = loaded.err_value if isinstance(loaded, Err) else ()
+        text = "\n".join(str(fault) for fault in faults) or f"{file}: no faults"
+        self._session.show(faults, text)
+        if faults:
+            sys.exit(EXIT_REFUSED)
+
+
+def _parse_version(text: str) -> int | None:
+    if not text:
+        return None
+    if not str(text).isdigit():
+        raise CommandError(f"--expect-version={text}: a whole number", EXIT_USAGE)
+    return int(text)
+
+
+def main() -> None:
+    """Run the command line of this process."""
+    logging.disable(logging.CRITICAL)
+    wants_json = any(word in ("--json", "--json=true") for word in sys.argv)
+    try:
+        fire.Fire(Lagoonfold, name="lagoonfold")
+    except CommandError as error:
+        sys.exit(Session(json=wants_json).fail(error))
+    except KeyboardInterrupt:
+        sys.exit(EXIT_REFUSED)
--- a/packages/lagoonfold-io/src/lagoonfold_io/__init__.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/__init__.py
@@ -1,6 +1,7 @@
 """HTTP and platform adapters shared by the daemon, the command line and the test programs."""
 
 from lagoonfold_io._call_rate import CallRate
+from lagoonfold_io._config_log import ConfigLog, LogState
 from lagoonfold_io._etcd_store import EtcdStore
 from lagoonfold_io._http_client import HttpClient, ResponseHead, ResponseStream, StreamError
 from lagoonfold_io._http_messages import (
@@ -18,6 +19,7 @@
     "BorderFault",
     "CallRate",
     "ClientGoneError",
+    "ConfigLog",
     "EtcdStore",
     "Exchange",
     "Headers",
@@ -28,6 +30,7 @@
     "HttpRequest",
     "HttpResponse",
     "HttpServer",
+    "LogState",
     "ResponseHead",
     "ResponseStream",
     "Sent",
--- /dev/null
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_config_log.py
@@ -0,0 +1,220 @@
+"""The configuration log over the key-value port: read it, change it, read its history.
+
+A change whose answer was lost is looked for by its id before anything else is decided. It can
+take effect at most once: a repeated write expects the same revision of the head.
+
+    log = ConfigLog(store)
+    state = (await log.read(EMPTY_CONFIGURATION)).unwrap()
+    accepted = await log.propose(proposal)
+"""
+
+from dataclasses import dataclass
+
+import trio
+from result import Err, Ok, Result
+
+from lagoonfold import (
+    ABSENT_REVISION,
+    ErrorKind,
+    KeyValueStore,
+    Ran,
+    Refusal,
+    StoreError,
+    StoreErrorKind,
+)
+from lagoonfold.config import (
+    EMPTY_CONFIGURATION,
+    HEAD_KEY,
+    Accepted,
+    ChangeRecord,
+    Configuration,
+    ConfigurationError,
+    Head,
+    HistorySegment,
+    Proposal,
+    Write,
+    decide_change,
+    decode_head,
+    decode_segment,
+    decode_snapshot,
+    encode_value,
+    find_change,
+    history_key,
+    needs_snapshot,
+    replay,
+    snapshot_key,
+)
+
+MAX_ATTEMPTS = 8
+RETRY_PAUSE_S = 0.25
+RETRY_AFTER_S = 5.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LogState:
+    """The head as read at a revision, and the configuration at its version."""
+
+    head: Head
+    revision: int
+    configuration: Configuration
+
+
+class ConfigLog:
+    """Reads and changes the configuration in the key-value service."""
+
+    def __init__(self, store: KeyValueStore) -> None:
+        self._store = store
+
+    async def read(self, known: Configuration) -> Result[LogState, Refusal]:
+        """Read the head and bring the known configuration up to it.
+
+        Errors: `PLATFORM_UNAVAILABLE`, or `INTERNAL` when stored values are damaged.
+        """
+        entry = await self._store.get(HEAD_KEY)
+        if isinstance(entry, Err):
+            return Err(_unavailable(entry.err_value))
+        return await self.resolve(entry.ok_value.value, entry.ok_value.revision, known)
+
+    async def resolve(
+        self, value: bytes, revision: int, known: Configuration
+    ) -> Result[LogState, Refusal]:
+        """Bring the known configuration up to a head's value, reading its snapshot if needed."""
+        try:
+            head = decode_head(value)
+            if needs_snapshot(known, head):
+                snapshot = await self._store.get(snapshot_key(head.snapshot_version))
+                if isinstance(snapshot, Err):
+                    return Err(_unavailable(snapshot.err_value))
+                known = decode_snapshot(snapshot.ok_value.value, head.snapshot_digest)
+            configuration = replay(known, head)
+        except ConfigurationError as error:
+            return Err(Refusal(kind=ErrorKind.INTERNAL, detail=str(error)))
+        return Ok(LogState(head=head, revision=revision, configuration=configuration))
+
+    async def propose(self, proposal: Proposal) -> Result[ChangeRecord, Refusal]:
+        """Put a change in force, once, and return its record.
+
+        Errors: those of `decide_change`, not run; `PLATFORM_UNAVAILABLE` with `Ran.UNKNOWN` when
+        an answer was lost and the log could not be read since. The same proposal may then be
+        made again with the same change id.
+        """
+        known = EMPTY_CONFIGURATION
+        maybe_written = False
+        refusal = _unavailable(StoreError(kind=StoreErrorKind.UNAVAILABLE, detail="no attempt"))
+        for attempt in range(MAX_ATTEMPTS):
+            await trio.sleep(RETRY_PAUSE_S if attempt else 0)
+            read = await self.read(known)
+            if isinstance(read, Err):
+                refusal = read.err_value
+                continue
+            state = read.ok_value
+            known = state.configuration
+            decided = await self._decide(state, proposal)
+            if not isinstance(decided, Ok) or isinstance(decided.ok_value, ChangeRecord):
+                return decided
+            written = await self._write(state, decided.ok_value)
+            if isinstance(written, Ok):
+                return Ok(decided.ok_value.record)
+            maybe_written = maybe_written or written.err_value.kind is StoreErrorKind.LOST_ANSWER
+            refusal = _unavailable(written.err_value)
+        return Err(_with_certainty(refusal, maybe_written))
+
+    async def _decide(
+        self, state: LogState, proposal: Proposal
+    ) -> Result[Accepted | ChangeRecord, Refusal]:
+        """Return the change's record if it is in force already, else how to write it."""
+        found = await self._find(state.head, proposal.change_id, proposal.from_version)
+        if isinstance(found, Err):
+            return found
+        if found.ok_value is not None:
+            return Ok(found.ok_value)
+        return decide_change(state.configuration, state.head, proposal)
+
+    async def _find(
+        self, head: Head, change_id: str, since_version: int
+    ) -> Result[ChangeRecord | None, Refusal]:
+        """Look for a change in the head and in the segments since a version."""
+        found = find_change(head.recent, change_id)
+        version = head.snapshot_version
+        while found is None and version > since_version:
+            segment = await self._segment(version)
+            if isinstance(segment, Err):
+                return segment
+            found = find_change(segment.ok_value.records, change_id)
+            version = segment.ok_value.previous_version
+        return Ok(found)
+
+    async def _write(self, state: LogState, accepted: Accepted) -> Result[int, StoreError]:
+        for write in accepted.immutable:
+            written = await self._write_immutable(write)
+            if isinstance(written, Err):
+                return written
+        value = encode_value(accepted.head)
+        return await self._store.put_if(HEAD_KEY, value, expected_revision=state.revision)
+
+    async def _write_immutable(self, write: Write) -> Result[None, StoreError]:
+        """Create a value that follows from the head alone; one that is there is the same."""
+        written = await self._store.put_if(
+            write.key, write.value, expected_revision=ABSENT_REVISION
+        )
+        if isinstance(written, Err) and written.err_value.kind is not StoreErrorKind.CONFLICT:
+            # The head is not written yet, so a lost answer here leaves the change undone.
+            error = StoreError(kind=StoreErrorKind.UNAVAILABLE, detail=written.err_value.detail)
+            return Err(error)
+        return Ok(None)
+
+    async def find(self, change_id: str) -> Result[ChangeRecord | None, Refusal]:
+        """Return the record of a change, or None, looking through the whole log."""
+        read = await self._store.get(HEAD_KEY)
+        if isinstance(read, Err):
+            return Err(_unavailable(read.err_value))
+        try:
+            head = decode_head(read.ok_value.value)
+        except ConfigurationError as error:
+            return Err(Refusal(kind=ErrorKind.INTERNAL, detail=str(error)))
+        return await self._find(head, change_id, 0)
+
+    async def history(self, limit: int) -> Result[tuple[ChangeRecord, ...], Refusal]:
+        """Return the newest changes, newest first."""
+        entry = await self._store.get(HEAD_KEY)
+        if isinstance(entry, Err):
+            return Err(_unavailable(entry.err_value))
+        try:
+            head = decode_head(entry.ok_value.value)
+        except ConfigurationError as error:
+            return Err(Refusal(kind=ErrorKind.INTERNAL, detail=str(error)))
+        records = list(reversed(head.recent))
+        version = head.snapshot_version
+        while version > 0 and len(records) < limit:
+            segment = await self._segment(version)
+            if isinstance(segment, Err):
+                return segment
+            records.extend(reversed(segment.ok_value.records))
+            version = segment.ok_value.previous_version
+        return Ok(tuple(records[:limit]))
+
+    async def _segment(self, version: int) -> Result[HistorySegment, Refusal]:
+        entry = await self._store.get(history_key(version))
+        if isinstance(entry, Err):
+            return Err(_unavailable(entry.err_value))
+        try:
+            return Ok(decode_segment(entry.ok_value.value))
+        except ConfigurationError as error:
+            return Err(Refusal(kind=ErrorKind.INTERNAL, detail=str(error)))
+
+
+def _unavailable(error: StoreError) -> Refusal:
+    return Refusal(
+        kind=ErrorKind.PLATFORM_UNAVAILABLE,
+        detail=f"key-value service: {error.detail}",
+        retry_after_s=RETRY_AFTER_S,
+    )
+
+
+def _with_certainty(refusal: Refusal, maybe_written: bool) -> Refusal:
+    return Refusal(
+        kind=refusal.kind,
+        detail=refusal.detail,
+        ran=Ran.UNKNOWN if maybe_written else Ran.NO,
+        retry_after_s=refusal.retry_after_s,
+    )
--- a/packages/lagoonfold/src/lagoonfold/config/_log.py
+++ b/packages/lagoonfold/src/lagoonfold/config/_log.py
@@ -19,7 +19,7 @@
 from lagoonfold.config._documents import Configuration
 
 HEAD_KEY = "config/head"
-MAX_RECENT_CHANGES = 64
+MAX_RECENT_CHANGES = 32
 MAX_VALUE_BYTES = 1_000_000
 
 
@@ -166,9 +166,9 @@
     Errors: `VERSION_CONFLICT` with the changes that came between; those of `apply_change`;
     `MALFORMED` when the configuration would outgrow one value of the store.
     """
-    between = _conflicting(head, proposal)
-    if between:
-        return Err(Refusal(kind=ErrorKind.VERSION_CONFLICT, detail=_describe(between, proposal)))
+    conflict = _find_conflict(head, proposal)
+    if conflict:
+        return Err(Refusal(kind=ErrorKind.VERSION_CONFLICT, detail=conflict))
     applied = apply_change(configuration, proposal.change)
     if isinstance(applied, Err):
         return applied
@@ -210,21 +210,25 @@
     return Accepted(immutable=immutable, head=compacted, record=record)
 
 
-def _conflicting(head: Head, proposal: Proposal) -> tuple[ChangeRecord, ...]:
-    """Return the changes since the operator looked that the proposal would overwrite."""
-    subject = subject_of(proposal.change)
+def _find_conflict(head: Head, proposal: Proposal) -> str:
+    """Describe the changes since the operator looked that stand in the proposal's way."""
     since = [record for record in head.recent if record.version > proposal.from_version]
-    if proposal.is_strict:
-        return tuple(since)
-    return tuple(record for record in since if subject_of(record.change) == subject)
-
-
-def _describe(between: tuple[ChangeRecord, ...], proposal: Proposal) -> str:
-    changes = "; ".join(
-        f"version {record.version}: {subject_of(record.change)} by {record.changed_by}"
-        for record in between
-    )
-    return f"changed since version {proposal.from_version}: {changes}"
+    if not proposal.is_strict:
+        subject = subject_of(proposal.change)
+        since = [record for record in since if subject_of(record.change) == subject]
+    described = "; ".join(describe_record(record) for record in since)
+    if described:
+        return f"changed since version {proposal.from_version}: {described}"
+    if proposal.from_version < head.snapshot_version:
+        return f"over {len(head.recent)} changes since version {proposal.from_version}"
+    if proposal.from_version > head.version:
+        return f"version {proposal.from_version} does not exist; the newest is {head.version}"
+    return ""
+
+
+def describe_record(record: ChangeRecord) -> str:
+    """Return a line about a change: its version, its document, and who made it."""
+    return f"version {record.version}: {subject_of(record.change)} by {record.changed_by}"
 
 
 def find_change(records: tuple[ChangeRecord, ...], change_id: str) -> ChangeRecord | None:
--- a/standins/kv.py
+++ b/standins/kv.py
@@ -88,6 +88,8 @@
             await exchange.respond(_json(200, {}))
         elif request.path == "/_log":
             await exchange.respond(_json(200, self.counts_by_operation))
+        elif request.path == "/livez":
+            await exchange.respond(_json(200, {}))
         else:
             await self._serve(request, exchange)
 
--- /dev/null
+++ b/tests/config/_memory_store.py
@@ -0,0 +1,56 @@
+"""A key-value store in memory whose answers can be lost and whose writes can be delayed."""
+
+from collections.abc import Callable
+
+from result import Err, Ok, Result
+
+from lagoonfold import ABSENT_REVISION, Entry, StoreError, StoreErrorKind
+
+
+class MemoryStore:
+    """Single-key compare-and-swap; `next_fault` is asked before each write what goes wrong.
+
+    A late write's answer is lost and the write arrives just before the next one.
+    """
+
+    def __init__(self) -> None:
+        self.entries_by_key: dict[str, Entry] = {}
+        self.revision = 0
+        self.writes = 0
+        self.next_fault: Callable[[], str] = lambda: ""
+        self._late: list[tuple[str, bytes, int]] = []
+
+    async def get(self, key: str) -> Result[Entry, StoreError]:
+        """Read one key."""
+        absent = Entry(key=key, value=b"", revision=ABSENT_REVISION)
+        return Ok(self.entries_by_key.get(key, absent))
+
+    async def put_if(
+        self, key: str, value: bytes, *, expected_revision: int, lease_id: int = 0
+    ) -> Result[int, StoreError]:
+        """Write if the revision is the expected one, unless a fault comes between."""
+        fault = self.next_fault()
+        while self._late:
+            self._swap(*self._late.pop())
+        if fault == "late":
+            self._late.append((key, value, expected_revision))
+            return _failed(StoreErrorKind.LOST_ANSWER)
+        if fault == "unavailable":
+            return _failed(StoreErrorKind.UNAVAILABLE)
+        if fault == "lost-before":
+            return _failed(StoreErrorKind.LOST_ANSWER)
+        written = self._swap(key, value, expected_revision)
+        return _failed(StoreErrorKind.LOST_ANSWER) if fault == "lost-after" else written
+
+    def _swap(self, key: str, value: bytes, expected: int) -> Result[int, StoreError]:
+        present = self.entries_by_key.get(key)
+        if (present.revision if present else ABSENT_REVISION) != expected:
+            return _failed(StoreErrorKind.CONFLICT)
+        self.revision += 1
+        self.writes += 1
+        self.entries_by_key[key] = Entry(key=key, value=value, revision=self.revision)
+        return Ok(self.revision)
+
+
+def _failed(kind: StoreErrorKind) -> Err[StoreError]:
+    return Err(StoreError(kind=kind, detail=kind.value))
--- /dev/null
+++ b/tests/ctl/test_ctl.py
@@ -0,0 +1,119 @@
+"""Tests of the operators' command line as a process, against the key-value stand-in."""
+
+import json
+import subprocess
+import sys
+import tempfile
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+from standins._process import Process
+from standins.fleet import free_port, is_ready, wait_until
+from tests._run import ROOT
+from tests._suite import load_functions
+
+_FIVE_FAULTS = """
+[instance]
+id = Entry 1
+failure_domain = domain-a
+listen = entry-1.example:8080
+peer = 10.0.0.1:8081
+operator = 10.0.0.1:8082
+[platform]
+instance_list = 10.0.9.2:8500
+[limits]
+max_conections = 5
+[keys]
+withdrawal_bound_s = soon
+"""
+
+
+def _lagoonfold(*words: str) -> tuple[int, str, str]:
+    command = [sys.executable, "-m", "lagoonfold_ctl", *words]
+    ran = subprocess.run(command, capture_output=True, text=True, timeout=30, check=False)
+    assert "Traceback" not in ran.stderr, ran.stderr
+    return ran.returncode, ran.stdout, ran.stderr
+
+
+@contextmanager
+def _store() -> Iterator[str]:
+    """Yield the address of a running key-value stand-in."""
+    address = f"127.0.0.1:{free_port()}"
+    port = address.rpartition(":")[2]
+    with tempfile.TemporaryDirectory() as folder:
+        command = [sys.executable, "-m", "standins.kv", f"--port={port}"]
+        process = Process.start(command, Path(folder) / "kv.log")
+        try:
+            wait_until(lambda: is_ready(address, "/livez"), "the key-value stand-in")
+            yield address
+        finally:
+            process.kill()
+
+
+def test_check_names_five_faults_on_five_lines() -> None:
+    """Five faults give five lines and a failing exit status; as JSON, five objects."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "instance.ini"
+        path.write_text(_FIVE_FAULTS)
+        status, text, _ = _lagoonfold("check", str(path))
+        assert status == 1
+        lines = text.strip().splitlines()
+        assert len(lines) == 5, text
+        assert any(line.startswith("[limits] max_conections = '5': ") for line in lines)
+        status, text, _ = _lagoonfold("check", str(path), "--json")
+        faults = json.loads(text)
+        assert status == 1 and len(faults) == 5
+        assert set(faults[0]) == {"section", "key", "value", "expected"}
+
+
+def test_check_passes_the_examples() -> None:
+    """A file without faults exits with zero."""
+    assert _lagoonfold("check", str(ROOT / "examples" / "brunner.ini"))[0] == 0
+
+
+def test_an_operator_adds_changes_and_withdraws() -> None:
+    """The life of an account and its key, with the history of who changed what."""
+    with _store() as address:
+        options = (f"--kv={address}", "--by=ada", "--json")
+
+        def operate(*words: str) -> dict | list:
+            status, text, errors = _lagoonfold(*words, *options)
+            assert status == 0, errors
+            return json.loads(text)
+
+        assert operate("account", "add", "north", "--rate=50", "--burst=100")["version"] == 1
+        made = operate("key", "add", "north", "--label=crew 7")
+        assert made["key"].startswith("lfk_")
+        shown = operate("key", "show", made["digest"][:10])
+        assert shown["label"] == "crew 7" and made["key"] not in json.dumps(shown)
+        assert operate("account", "change", "north", "--rate=60")["from_version"] == 2
+        assert operate("account", "show", "north")["rate_per_s"] == 60.0
+        operate("key", "retire", made["digest"][:10])
+        assert operate("key", "list")[0]["withdrawn_version"] == 4
+        history = operate("history")
+        assert [change["version"] for change in history] == [4, 3, 2, 1]
+        assert {change["changed_by"] for change in history} == {"ada"}
+        repeat = ("account", "change", "north", "--burst=7", "--change-id=change-7")
+        assert operate(*repeat) == operate(*repeat)
+
+
+def test_refusals_have_their_own_exit_statuses() -> None:
+    """A fault of input, a conflict, and a service that is down are told apart."""
+    with _store() as address:
+        kv = f"--kv={address}"
+        add = ("account", "add", "north", "--rate=1", "--burst=1", kv)
+        assert _lagoonfold(*add)[0] == 0
+        assert _lagoonfold(*add)[0] == 3
+        status, _, errors = _lagoonfold("account", "add", "x", "--rate=-1", "--burst=b", kv)
+        assert status == 1 and "rate" in errors and "burst" in errors
+        status, _, errors = _lagoonfold(
+            "account", "change", "north", "--rate=2", "--expect-version=0", kv, "--json"
+        )
+        assert status == 3 and json.loads(errors)["kind"] == "version-conflict"
+        assert "account north" in json.loads(errors)["error"]
+    assert _lagoonfold("account", "list", f"--kv={address}")[0] == 4
+    assert _lagoonfold("account", "list")[0] == 2
+
+
+load_tests = load_functions(globals())
