Add the configuration controller: watchers, pushes and verified views

A view that nobody could verify within the bound is stale.

Red before green: with the answer's age left out, the stateful test of vouching fails (1 passed, 1 failed); with the watcher's interval read off, the tests of a silent watch and of an outage fail. Green with both: python -m tests._run tests.config.test_tracker tests.node.test_config_controller.

--- a/packages/lagoonfold-io/src/lagoonfold_io/_config_log.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_config_log.py
@@ -15,6 +15,7 @@
 
 from lagoonfold import (
     ABSENT_REVISION,
+    Entry,
     ErrorKind,
     KeyValueStore,
     Ran,
@@ -70,17 +71,20 @@
 
         Errors: `PLATFORM_UNAVAILABLE`, or `INTERNAL` when stored values are damaged.
         """
-        entry = await self._store.get(HEAD_KEY)
+        entry = await self.read_head()
         if isinstance(entry, Err):
-            return Err(_unavailable(entry.err_value))
-        return await self.resolve(entry.ok_value.value, entry.ok_value.revision, known)
+            return entry
+        return await self.resolve(entry.ok_value, known)
+
+    async def read_head(self) -> Result[Entry, Refusal]:
+        """Read the head's entry, to be resolved. Errors: `PLATFORM_UNAVAILABLE`."""
+        entry = await self._store.get(HEAD_KEY)
+        return entry.map_err(_unavailable)
 
-    async def resolve(
-        self, value: bytes, revision: int, known: Configuration
-    ) -> Result[LogState, Refusal]:
-        """Bring the known configuration up to a head's value, reading its snapshot if needed."""
+    async def resolve(self, entry: Entry, known: Configuration) -> Result[LogState, Refusal]:
+        """Bring the known configuration up to a head, reading its snapshot if needed."""
         try:
-            head = decode_head(value)
+            head = decode_head(entry.value)
             if needs_snapshot(known, head):
                 snapshot = await self._store.get(snapshot_key(head.snapshot_version))
                 if isinstance(snapshot, Err):
@@ -89,7 +93,7 @@
             configuration = replay(known, head)
         except ConfigurationError as error:
             return Err(Refusal(kind=ErrorKind.INTERNAL, detail=str(error)))
-        return Ok(LogState(head=head, revision=revision, configuration=configuration))
+        return Ok(LogState(head=head, revision=entry.revision, configuration=configuration))
 
     async def propose(self, proposal: Proposal) -> Result[ChangeRecord, Refusal]:
         """Put a change in force, once, and return its record.
@@ -165,9 +169,9 @@
 
     async def find(self, change_id: str) -> Result[ChangeRecord | None, Refusal]:
         """Return the record of a change, or None, looking through the whole log."""
-        read = await self._store.get(HEAD_KEY)
+        read = await self.read_head()
         if isinstance(read, Err):
-            return Err(_unavailable(read.err_value))
+            return read
         try:
             head = decode_head(read.ok_value.value)
         except ConfigurationError as error:
@@ -176,9 +180,9 @@
 
     async def history(self, limit: int) -> Result[tuple[ChangeRecord, ...], Refusal]:
         """Return the newest changes, newest first."""
-        entry = await self._store.get(HEAD_KEY)
+        entry = await self.read_head()
         if isinstance(entry, Err):
-            return Err(_unavailable(entry.err_value))
+            return entry
         try:
             head = decode_head(entry.ok_value.value)
         except ConfigurationError as error:
--- /dev/null
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_config_controller/_controller.py
@@ -0,0 +1,175 @@
+"""The configuration controller: keeps the `config` cell current and verified.
+
+Reads the cell `members`; writes `config`. In each group of a failure domain one instance, the
+watcher, watches the head in the key-value service and reads it at an interval, so that a lost
+event or a silent watch costs one interval at most. It sends changes to its group at once. The
+others ask it at the same interval; where it does not answer, or can't vouch for its own view,
+they ask the service.
+"""
+
+from collections.abc import Mapping
+
+import trio
+from result import Err, Ok, Result
+
+from lagoonfold import ABSENT_REVISION, Cell, Entry, InstanceId, KeyValueStore, Refusal
+from lagoonfold.config import (
+    HEAD_KEY,
+    ChangeRecord,
+    ConfigTracker,
+    ConfigView,
+    watcher_group,
+)
+from lagoonfold_io import ConfigLog
+from lagoonfold_node._board import Member
+from lagoonfold_node._config_controller._messages import (
+    ConfigChanged,
+    ConfigVerified,
+    VerifyConfig,
+)
+from lagoonfold_node._logs import EventLog
+from lagoonfold_node._metrics import Metrics
+from lagoonfold_node._peers import PeerBus
+
+VERIFICATIONS_PER_BOUND = 4
+WATCH_RETRY_S = 1.0
+
+_events = EventLog("config")
+
+
+class ConfigController:
+    """Keeps one instance's configuration; `run` never returns."""
+
+    def __init__(
+        self,
+        *,
+        instance_id: InstanceId,
+        failure_domain: str,
+        store: KeyValueStore,
+        bus: PeerBus,
+        cell: Cell[ConfigView],
+        members: Cell[Mapping[InstanceId, Member]],
+        metrics: Metrics,
+        withdrawal_bound_s: float,
+    ) -> None:
+        self.tracker = ConfigTracker()
+        self._instance_id = instance_id
+        self._failure_domain = failure_domain
+        self._store = store
+        self._log = ConfigLog(store)
+        self._bus = bus
+        self._cell = cell
+        self._members = members
+        self._metrics = metrics
+        self._interval_s = withdrawal_bound_s / VERIFICATIONS_PER_BOUND
+        self._head_revision = ABSENT_REVISION
+        self._has_read = False
+        self._wake = trio.Event()
+
+    async def run(self) -> None:
+        """Verify at the interval and watch while this instance is its group's watcher."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch_while_watcher)
+            while True:
+                await self._verify()
+                self._wake = trio.Event()
+                with trio.move_on_after(self._interval_s):
+                    await self._wake.wait()
+
+    def take_changes(self, records: tuple[ChangeRecord, ...]) -> None:
+        """Apply changes sent by the watcher; where one is missing, ask at once."""
+        before = self.tracker.view().configuration.version
+        if not self.tracker.take_records(records):
+            self._metrics.count("config_updates", "gap")
+            self._wake.set()
+        self._publish(before, "pushed")
+
+    def _group(self) -> tuple[str, ...]:
+        """Return the instances of this one's group, the watcher first."""
+        domain_ids = [
+            member.instance_id
+            for member in self._members.read().values()
+            if member.failure_domain == self._failure_domain and not member.is_leaving
+        ]
+        return watcher_group(self._instance_id, domain_ids)
+
+    def _is_watcher(self) -> bool:
+        return self._group()[0] == self._instance_id
+
+    async def _verify(self) -> None:
+        """Bring the view up to date and vouch for it, through the watcher or the service."""
+        watcher = self._group()[0]
+        if watcher != self._instance_id and await self._ask_peer(InstanceId(watcher)):
+            return
+        read = await self._read_service()
+        if isinstance(read, Err):
+            self._metrics.count("config_verify_failures", read.err_value.kind.value)
+            _events.warning("config.unverified", detail=read.err_value.detail)
+
+    async def _ask_peer(self, peer: InstanceId) -> bool:
+        """Ask a peer; return False where it could not vouch for a view of half the bound."""
+        asked_at_s = trio.current_time()
+        before = self.tracker.view().configuration.version
+        request = VerifyConfig(known_version=before)
+        replied = await self._bus.request(peer, request, self._interval_s)
+        if isinstance(replied, Err) or not isinstance(replied.ok_value, ConfigVerified):
+            self._metrics.count("config_verify_failures", "peer")
+            return False
+        answer = replied.ok_value.answer
+        self.tracker.take_answer(answer, asked_at_s)
+        self._publish(before, "peer")
+        return answer.age_s <= 2 * self._interval_s
+
+    async def _read_service(self) -> Result[None, Refusal]:
+        """Read the head; an unchanged one only vouches for what is known."""
+        asked_at_s = trio.current_time()
+        entry = await self._log.read_head()
+        if isinstance(entry, Err):
+            return entry
+        return await self._take_head(entry.ok_value, asked_at_s, "read")
+
+    async def _take_head(
+        self, entry: Entry, asked_at_s: float, source: str
+    ) -> Result[None, Refusal]:
+        known = self.tracker.view().configuration
+        resolved = await self._log.resolve(entry, known)
+        if isinstance(resolved, Err):
+            return resolved
+        state = resolved.ok_value
+        self._head_revision = max(self._head_revision, state.revision)
+        self._has_read = True
+        if state.head.version >= known.version:
+            self.tracker.take_read(state.configuration, state.head.recent, asked_at_s)
+        self._publish(known.version, source)
+        return Ok(None)
+
+    def _publish(self, before: int, source: str) -> None:
+        """Write the cell, and pass changes on where this instance is the watcher."""
+        view = self.tracker.view()
+        self._cell.write(view)
+        version = view.configuration.version
+        self._metrics.set_gauge("config_version", version)
+        if version == before:
+            return
+        self._metrics.count("config_updates", source)
+        _events.info("config.applied", version=version, from_version=before, source=source)
+        group = self._group()
+        if group[0] == self._instance_id:
+            changed = ConfigChanged(records=self.tracker.records_since(before))
+            for peer in group[1:]:
+                self._bus.send(peer, changed)
+
+    async def _watch_while_watcher(self) -> None:
+        while True:
+            if self._has_read and self._is_watcher():
+                await self._watch()
+            await trio.sleep(WATCH_RETRY_S)
+
+    async def _watch(self) -> None:
+        """Follow the head until the watch is lost or another instance becomes the watcher."""
+        async with self._store.watch(HEAD_KEY, from_revision=self._head_revision + 1) as events:
+            async for event in events:
+                if event.entry.value:
+                    await self._take_head(event.entry, self.tracker.view().verified_at_s, "watch")
+                if not self._is_watcher():
+                    return
--- /dev/null
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_config_controller/_handlers.py
@@ -0,0 +1,30 @@
+"""Handlers of the configuration messages."""
+
+from typing import Protocol
+
+import trio
+
+from lagoonfold_node._config_controller._controller import ConfigController
+from lagoonfold_node._config_controller._messages import (
+    ConfigChanged,
+    ConfigVerified,
+    VerifyConfig,
+)
+from lagoonfold_node._peers import InboundCall, handles
+
+
+class HasConfiguration(Protocol):
+    """The part of the node that these handlers use."""
+
+    configuration: ConfigController
+
+
+@handles(VerifyConfig)
+async def _answer(node: HasConfiguration, call: InboundCall, message: VerifyConfig) -> None:
+    answer = node.configuration.tracker.answer(message.known_version, trio.current_time())
+    call.reply(ConfigVerified(answer=answer))
+
+
+@handles(ConfigChanged)
+async def _take(node: HasConfiguration, call: InboundCall, message: ConfigChanged) -> None:
+    node.configuration.take_changes(message.records)
--- a/packages/lagoonfold/src/lagoonfold/config/__init__.py
+++ b/packages/lagoonfold/src/lagoonfold/config/__init__.py
@@ -54,6 +54,12 @@
     replay,
     snapshot_key,
 )
+from lagoonfold.config._tracker import (
+    WATCHER_GROUP_SIZE,
+    ConfigAnswer,
+    ConfigTracker,
+    watcher_group,
+)
 
 __all__ = [
     "EMPTY_CONFIGURATION",
@@ -63,12 +69,15 @@
     "MAX_WITHDRAWN_KEYS",
     "NEVER_VERIFIED_S",
     "SECRET_PREFIX",
+    "WATCHER_GROUP_SIZE",
     "Accepted",
     "Account",
     "ApiKey",
     "Budget",
     "Change",
     "ChangeRecord",
+    "ConfigAnswer",
+    "ConfigTracker",
     "ConfigView",
     "Configuration",
     "ConfigurationError",
@@ -104,4 +113,5 @@
     "replay",
     "snapshot_key",
     "subject_of",
+    "watcher_group",
 ]
--- a/tests/config/_memory_store.py
+++ b/tests/config/_memory_store.py
@@ -1,10 +1,12 @@
 """A key-value store in memory whose answers can be lost and whose writes can be delayed."""
 
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
 
+import trio
 from result import Err, Ok, Result
 
-from lagoonfold import ABSENT_REVISION, Entry, StoreError, StoreErrorKind
+from lagoonfold import ABSENT_REVISION, Entry, StoreError, StoreErrorKind, WatchEvent
 
 
 class MemoryStore:
@@ -18,10 +20,17 @@
         self.revision = 0
         self.writes = 0
         self.next_fault: Callable[[], str] = lambda: ""
+        self.is_down = False
+        self.is_watch_silent = False
+        self.reads = 0
+        self._watches: list[trio.MemorySendChannel[WatchEvent]] = []
         self._late: list[tuple[str, bytes, int]] = []
 
     async def get(self, key: str) -> Result[Entry, StoreError]:
         """Read one key."""
+        self.reads += 1
+        if self.is_down:
+            return _failed(StoreErrorKind.UNAVAILABLE)
         absent = Entry(key=key, value=b"", revision=ABSENT_REVISION)
         return Ok(self.entries_by_key.get(key, absent))
 
@@ -49,8 +58,24 @@
         self.revision += 1
         self.writes += 1
         self.entries_by_key[key] = Entry(key=key, value=value, revision=self.revision)
+        event = WatchEvent(entry=self.entries_by_key[key], revision=self.revision)
+        if not self.is_watch_silent:
+            for watch in self._watches:
+                watch.send_nowait(event)
         return Ok(self.revision)
 
+    @asynccontextmanager
+    async def watch(
+        self, prefix: str, *, from_revision: int
+    ) -> AsyncIterator[AsyncIterator[WatchEvent]]:
+        """Iterate over changes from now on; the tests' reads cover what came before."""
+        send, receive = trio.open_memory_channel[WatchEvent](100)
+        self._watches.append(send)
+        try:
+            yield (event async for event in receive if event.entry.key.startswith(prefix))
+        finally:
+            self._watches.remove(send)
+
 
 def _failed(kind: StoreErrorKind) -> Err[StoreError]:
     return Err(StoreError(kind=kind, detail=kind.value))
