--- a/tests/node/test_config_controller.py
+++ b/tests/node/test_config_controller.py
@@ -129,8 +129,8 @@
 
     async def check(domain: _Domain) -> None:
         domain.store.is_watch_silent = True
-        for name in ("i1", "i2"):
-            domain.start(name)
+        nodes = [domain.start(name) for name in ("i1", "i2")]
+        await domain.until(lambda: not any(node.is_stale() for node in nodes))
         version = await domain.change("north")
         await domain.until(lambda: domain.all_at(version))
 
