--- a/packages/lagoonfold-io/src/lagoonfold_io/_etcd_messages.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_etcd_messages.py
@@ -36,11 +36,18 @@
     kvs: tuple[KeyValue, ...] = ()
 
 
+class StepResponse(msgspec.Struct, kw_only=True):
+    """The answer to one step of a transaction, of which only reads matter here."""
+
+    response_range: RangeResponse = msgspec.field(default_factory=RangeResponse)
+
+
 class TxnResponse(msgspec.Struct, kw_only=True):
     """The answer to a transaction."""
 
     header: Header = msgspec.field(default_factory=Header)
     succeeded: bool = False
+    responses: tuple[StepResponse, ...] = ()
 
 
 class LeaseResponse(msgspec.Struct, kw_only=True):
--- a/packages/lagoonfold-io/src/lagoonfold_io/_etcd_store.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_etcd_store.py
@@ -87,6 +87,22 @@
         kvs = answer.ok_value.kvs
         return Ok(kvs[0].to_entry() if kvs else Entry(key=key, value=b"", revision=ABSENT_REVISION))
 
+    async def get_if_changed(
+        self, key: str, known_revision: int
+    ) -> Result[Entry | None, StoreError]:
+        """Read one key; return None, without its value travelling, if its revision is known."""
+        fields = {
+            "compare": [_at_revision(key, known_revision)],
+            "failure": [{"request_range": {"key": to_base64(key)}}],
+        }
+        answer = await self._call("/v3/kv/txn", fields, TxnResponse)
+        if isinstance(answer, Err):
+            return _not_lost(answer)
+        if answer.ok_value.succeeded:
+            return Ok(None)
+        kvs = answer.ok_value.responses[0].response_range.kvs
+        return Ok(kvs[0].to_entry() if kvs else Entry(key=key, value=b"", revision=ABSENT_REVISION))
+
     async def list(self, prefix: str) -> Result[Listing, StoreError]:
         """Read all keys below a prefix, in key order."""
         fields = {"key": to_base64(prefix), "range_end": to_base64(prefix_end(prefix))}
@@ -167,20 +183,12 @@
 
     async def _read(self, name: str, fields: dict) -> Result[RangeResponse, StoreError]:
         answer = await self._call(f"/v3/kv/{name}", fields, RangeResponse)
-        if isinstance(answer, Err) and answer.err_value.kind is StoreErrorKind.LOST_ANSWER:
-            return _failed(StoreErrorKind.UNAVAILABLE, answer.err_value.detail)
-        return answer
+        return _not_lost(answer) if isinstance(answer, Err) else answer
 
     async def _write_if(
         self, key: str, expected_revision: int, step: dict, *, urgent: bool
     ) -> Result[int, StoreError]:
-        compare = {
-            "key": to_base64(key),
-            "target": "MOD",
-            "result": "EQUAL",
-            "mod_revision": str(expected_revision),
-        }
-        fields = {"compare": [compare], "success": [step]}
+        fields = {"compare": [_at_revision(key, expected_revision)], "success": [step]}
         answer = await self._call("/v3/kv/txn", fields, TxnResponse, urgent=urgent)
         if isinstance(answer, Err):
             return answer
@@ -207,6 +215,22 @@
             return _failed(StoreErrorKind.LOST_ANSWER, f"unreadable answer: {error}")
 
 
+def _at_revision(key: str, revision: int) -> dict:
+    return {
+        "key": to_base64(key),
+        "target": "MOD",
+        "result": "EQUAL",
+        "mod_revision": str(revision),
+    }
+
+
+def _not_lost(failed: Err[StoreError]) -> Err[StoreError]:
+    """Return the error of a read, which has no effect that a lost answer could hide."""
+    if failed.err_value.kind is StoreErrorKind.LOST_ANSWER:
+        return _failed(StoreErrorKind.UNAVAILABLE, failed.err_value.detail)
+    return failed
+
+
 def _post(path: str, fields: dict) -> HttpRequest:
     body = msgspec.json.encode(fields)
     return HttpRequest(method="POST", path=path, headers=_JSON_HEADERS, body=body)
--- /dev/null
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/__init__.py
@@ -0,0 +1,14 @@
+"""Membership, ownership of shards, recovery and group commit of one instance."""
+
+from lagoonfold_node._ownership._context import OwnershipContext, OwnershipSettings
+from lagoonfold_node._ownership._open_shard import OpenShard, ShardStatus
+from lagoonfold_node._ownership._ownership import Ownership, Shards
+
+__all__ = [
+    "OpenShard",
+    "Ownership",
+    "OwnershipContext",
+    "OwnershipSettings",
+    "ShardStatus",
+    "Shards",
+]
--- /dev/null
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_allocator.py
@@ -0,0 +1,134 @@
+"""Places shards on instances, on the one instance that holds the `allocator` key.
+
+Reads the cells `lease` and `ownership`; writes the key `ownership`, which `TableKeeper` reads.
+Every instance tries for the key. Its lease is the instance's own, so the key goes with it.
+"""
+
+import trio
+from result import Err, Ok, Result
+
+from lagoonfold import ABSENT_REVISION, StoreError, StoreErrorKind, new_id
+from lagoonfold.membership import (
+    Member,
+    OwnershipTable,
+    decode_member,
+    decode_table,
+    encode_table,
+    next_table,
+    place_shards,
+)
+from lagoonfold_node._ownership._context import (
+    ALLOCATOR_KEY,
+    INSTANCES_PREFIX,
+    OWNERSHIP_KEY,
+    OwnershipContext,
+)
+
+_MAX_SETTLE_S = 1.0
+_BALANCE_INTERVAL_S = 1.0
+_REARM_S = 0.5
+
+
+class Allocator:
+    """Campaigns for the key, and places shards while holding it.
+
+    A newly elected allocator waits for a moment before its first placement, so that instances
+    that lost their leases in the same outage can register again.
+    """
+
+    def __init__(self, context: OwnershipContext) -> None:
+        self._context = context
+        self._members_changed = trio.Event()
+
+    async def run(self) -> None:
+        """Campaign and place until cancelled."""
+        while True:
+            if self._context.has_lease() and await self._campaign():
+                await self._hold()
+            await trio.sleep(self._context.settings.renew_s)
+
+    async def _campaign(self) -> bool:
+        """Try for the key; return whether this process holds it."""
+        held = await self._context.store.get(ALLOCATOR_KEY)
+        if isinstance(held, Err):
+            return False
+        entry = held.ok_value
+        if entry.revision != ABSENT_REVISION:
+            return entry.value.decode() == self._context.run_id
+        lease = self._context.board.lease.read()
+        if lease is None:
+            return False
+        value = self._context.run_id.encode()
+        written = await self._context.store.put_if(
+            ALLOCATOR_KEY, value, expected_revision=ABSENT_REVISION, lease_id=lease.lease_id
+        )
+        return isinstance(written, Ok)
+
+    async def _hold(self) -> None:
+        """Place shards until the key or the lease is lost."""
+        self._context.log.info("allocator.elected", instance=self._context.instance_id)
+        await trio.sleep(min(_MAX_SETTLE_S, self._context.settings.renew_s))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch_members)
+            while self._context.has_lease() and await self._campaign():
+                self._members_changed = trio.Event()
+                changed = await self._place()
+                wait_s = _BALANCE_INTERVAL_S if changed else self._context.settings.renew_s
+                with trio.move_on_after(wait_s):
+                    await self._members_changed.wait()
+            nursery.cancel_scope.cancel()
+
+    async def _watch_members(self) -> None:
+        while True:
+            async with self._context.store.watch(INSTANCES_PREFIX, from_revision=0) as events:
+                async for _ in events:
+                    self._members_changed.set()
+            await trio.sleep(_REARM_S)
+            self._members_changed.set()
+
+    async def _place(self) -> bool:
+        """Write a new table if the placement changes; return whether it did or may have."""
+        placed = await self._try_place()
+        if isinstance(placed, Err):
+            self._context.count_store_error(placed.err_value)
+            return True
+        return placed.ok_value
+
+    async def _try_place(self) -> Result[bool, StoreError]:
+        store = self._context.store
+        current = await store.get(OWNERSHIP_KEY)
+        if isinstance(current, Err):
+            return current
+        listing = await store.list(INSTANCES_PREFIX)
+        if isinstance(listing, Err):
+            return listing
+        members = tuple(
+            decoded.ok_value
+            for decoded in (decode_member(entry.value) for entry in listing.ok_value.entries)
+            if isinstance(decoded, Ok)
+        )
+        table = decode_table(current.ok_value.value)
+        if isinstance(table, Err):
+            detail = table.err_value
+            self._context.log.error("ownership.unreadable", detail=detail)
+            return Err(StoreError(kind=StoreErrorKind.CONFLICT, detail=detail))
+        after = self._next(table.ok_value, members)
+        if after is None:
+            return Ok(False)
+        written = await store.put_if(
+            OWNERSHIP_KEY, encode_table(after), expected_revision=current.ok_value.revision
+        )
+        if isinstance(written, Err):
+            return written
+        self._context.metrics.count("ownership_writes")
+        return Ok(True)
+
+    def _next(self, table: OwnershipTable, members: tuple[Member, ...]) -> OwnershipTable | None:
+        """Return the next table, or None if nothing changes."""
+        if not members:
+            return None
+        shard_count = max(self._context.settings.shard_count, table.shard_count)
+        placed = place_shards(table, members, shard_count)
+        after = next_table(table, members, placed, new_id("writer"))
+        unchanged = after.owners == table.owners and after.members == table.members
+        return None if unchanged else after
--- /dev/null
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_appender.py
@@ -0,0 +1,82 @@
+"""Appends entries to a shard's journal, one at a time, each exactly once.
+
+An entry is created at the next sequence number only if its key is absent. After a lost answer or
+a conflict the key is read back: an entry of the same writer id is this append, any other means
+that a new owner has fenced the journal.
+"""
+
+from enum import Enum
+
+import trio
+from result import Err, Ok
+
+from lagoonfold import ABSENT_REVISION, KeyValueStore, ShardId, StoreErrorKind, new_id
+from lagoonfold.records import (
+    JournalEntry,
+    Record,
+    decode_entry,
+    encode_entry,
+    journal_key,
+)
+
+_FIRST_BACKOFF_S = 0.02
+_MAX_BACKOFF_S = 0.5
+_MAY_HAVE_WRITTEN = (StoreErrorKind.CONFLICT, StoreErrorKind.LOST_ANSWER)
+
+
+class Appended(Enum):
+    """How an append ended."""
+
+    DONE = "done"
+    FENCED = "fenced"
+
+
+class Appender:
+    """The end of one shard's journal, as one owner sees it.
+
+    `failing_since_s` is when the appends began to fail, None while they succeed.
+    """
+
+    def __init__(self, store: KeyValueStore, shard_id: ShardId, epoch: int, next_sequence: int):
+        self._store = store
+        self._shard_id = shard_id
+        self.epoch = epoch
+        self.next_sequence = next_sequence
+        self.failing_since_s: float | None = None
+        self.bytes_written = 0
+
+    async def append(self, records: tuple[Record, ...]) -> Appended:
+        """Append an entry, trying until it is done or a new owner's fence is met."""
+        entry = JournalEntry(new_id("writer"), self.epoch, records)
+        data = encode_entry(entry)
+        key = journal_key(self._shard_id, self.next_sequence)
+        backoff_s = _FIRST_BACKOFF_S
+        while True:
+            appended = await self._try(key, data, entry.writer_id)
+            if appended is Appended.DONE:
+                self.next_sequence += 1
+                self.bytes_written += len(data)
+                self.failing_since_s = None
+            if appended is not None:
+                return appended
+            if self.failing_since_s is None:
+                self.failing_since_s = trio.current_time()
+            await trio.sleep(backoff_s)
+            backoff_s = min(_MAX_BACKOFF_S, backoff_s * 2)
+
+    async def _try(self, key: str, data: bytes, writer_id: str) -> Appended | None:
+        """Try once; return None if the attempt must be repeated."""
+        written = await self._store.put_if(key, data, expected_revision=ABSENT_REVISION)
+        if isinstance(written, Ok):
+            return Appended.DONE
+        if written.err_value.kind not in _MAY_HAVE_WRITTEN:
+            return None
+        return await self._read_back(key, writer_id)
+
+    async def _read_back(self, key: str, writer_id: str) -> Appended | None:
+        found = await self._store.get(key)
+        if isinstance(found, Err) or found.ok_value.revision == ABSENT_REVISION:
+            return None
+        entry = decode_entry(found.ok_value.value)
+        is_own = isinstance(entry, Ok) and entry.ok_value.writer_id == writer_id
+        return Appended.DONE if is_own else Appended.FENCED
--- /dev/null
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_context.py
@@ -0,0 +1,98 @@
+"""What the ownership controllers share: the store, the board, and this process's identity."""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+import trio
+
+from lagoonfold import InstanceId, KeyValueStore, ShardId, StoreError, new_id
+from lagoonfold.membership import Member, ShardOwner, TableView
+from lagoonfold_node._board import Board
+from lagoonfold_node._logs import EventLog
+from lagoonfold_node._metrics import Metrics
+
+INSTANCES_PREFIX = "instances/"
+ALLOCATOR_KEY = "allocator"
+OWNERSHIP_KEY = "ownership"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OwnershipSettings:
+    """The settings of membership and recovery; times in seconds.
+
+    A new owner waits `takeover_wait_s` after its predecessor's lease expired, and up to
+    `handover_wait_s` for a live predecessor to release the shard. Records that arrive within
+    `commit_interval_s` share one journal entry.
+    """
+
+    shard_count: int = 32
+    lease_s: float = 9.0
+    renew_s: float = 3.0
+    takeover_wait_s: float = 1.0
+    handover_wait_s: float = 10.0
+    commit_interval_s: float = 0.005
+    checkpoint_commits: int = 256
+    keep_ended_s: float = 86_400.0
+
+
+def _new_incarnation() -> str:
+    return new_id("run")
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OwnershipContext:
+    """The controllers' surroundings; `bus` is the peer bus, None where there is none."""
+
+    instance_id: InstanceId
+    peer_address: str
+    failure_domain: str
+    store: KeyValueStore
+    board: Board
+    metrics: Metrics
+    settings: OwnershipSettings = OwnershipSettings()
+    bus: Any = None
+    has_disk: bool = False
+    incarnation: str = field(default_factory=_new_incarnation)
+    log: EventLog = field(default_factory=lambda: EventLog("ownership"))
+
+    @property
+    def member(self) -> Member:
+        """Return this process as it registers itself."""
+        return Member(
+            instance_id=self.instance_id,
+            incarnation=self.incarnation,
+            address=self.peer_address,
+            failure_domain=self.failure_domain,
+            leaving=self.board.stopping.read(),
+            has_disk=self.has_disk,
+        )
+
+    @property
+    def run_id(self) -> str:
+        """Return the id of this process."""
+        return f"{self.instance_id}/{self.incarnation}"
+
+    def has_lease(self) -> bool:
+        """Tell whether this instance's lease is unexpired on its own clock."""
+        lease = self.board.lease.read()
+        return lease is not None and lease.is_valid(trio.current_time())
+
+    def table_view(self) -> TableView | None:
+        """Return the ownership table as last read, or None."""
+        return self.board.ownership.read()
+
+    def owner(self, shard_id: ShardId) -> ShardOwner | None:
+        """Return the shard's owner by the table as last read."""
+        view = self.table_view()
+        return None if view is None else view.table.owner(shard_id)
+
+    def is_table_fresh(self) -> bool:
+        """Tell whether the ownership table was verified within the length of a lease."""
+        view = self.table_view()
+        if view is None:
+            return False
+        return trio.current_time() - view.verified_at_s < self.settings.lease_s
+
+    def count_store_error(self, error: StoreError) -> None:
+        """Count a failed call of the key-value service."""
+        self.metrics.count("store_errors", error.kind.value)
--- /dev/null
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_forwarder.py
@@ -0,0 +1,97 @@
+"""Takes the outcome of a call to the shard's new owner, after a hand-over during the call.
+
+The new owner keeps the call as running under its executor's name. It settles it once, whichever
+of the messages arrive, and refuses an outcome for a call that it has given up.
+"""
+
+import trio
+from result import Err, Ok, Result
+
+from lagoonfold import ErrorKind, Ran, Refusal, ShardId
+from lagoonfold.records import Record, Settled, decode_records, encode_records
+from lagoonfold_node._ownership._context import OwnershipContext
+from lagoonfold_node._peers import CallRefused, InboundCall, PeerMessage, handles, peer_message
+
+_FORWARD_FOR_S = 30.0
+_REQUEST_TIMEOUT_S = 2.0
+_RETRY_S = 0.1
+_FINAL = (ErrorKind.OUTCOME_UNKNOWN, ErrorKind.NOT_FOUND)
+
+
+@peer_message
+class SettleCalls(PeerMessage, tag="settle-calls"):
+    """Outcomes of calls that the sender executed for a shard's former owner."""
+
+    shard_id: int
+    records: bytes
+
+
+@peer_message
+class CallsSettled(PeerMessage, tag="calls-settled"):
+    """The outcomes are durable."""
+
+
+class Forwarder:
+    """Sends outcomes to whoever owns the shard, until they are taken or refused for good."""
+
+    def __init__(self, context: OwnershipContext, shard_id: ShardId) -> None:
+        self._context = context
+        self._shard_id = shard_id
+
+    async def settle(self, records: tuple[Record, ...]) -> Result[None, Refusal]:
+        """Make outcomes durable at the new owner."""
+        message = SettleCalls(shard_id=self._shard_id, records=encode_records(records))
+        with trio.move_on_after(_FORWARD_FOR_S):
+            while True:
+                answer = await self._try(message)
+                if isinstance(answer, Ok) or answer.err_value.kind in _FINAL:
+                    self._context.metrics.count("forwarded_outcomes")
+                    return answer
+                await trio.sleep(_RETRY_S)
+        return _unknown(f"no owner of shard {self._shard_id} took the outcome")
+
+    async def _try(self, message: SettleCalls) -> Result[None, Refusal]:
+        owner = self._context.owner(self._shard_id)
+        bus = self._context.bus
+        if owner is None or bus is None:
+            return Err(Refusal(kind=ErrorKind.OWNER_UNAVAILABLE, detail="no owner is known"))
+        if owner.instance_id == self._context.instance_id:
+            return await settle_here(self._context, self._shard_id, message.records)
+        answer = await bus.request(owner.instance_id, message, _REQUEST_TIMEOUT_S)
+        return answer.map(lambda _: None)
+
+
+async def settle_here(
+    context: OwnershipContext, shard_id: ShardId, data: bytes
+) -> Result[None, Refusal]:
+    """Settle calls that another process executed, on a shard that is open here."""
+    shard = context.board.shards.read().get(shard_id)
+    if shard is None or not shard.may_act():
+        return Err(Refusal(kind=ErrorKind.OWNER_UNAVAILABLE, detail="the shard is not open here"))
+    records = decode_records(data)
+    if isinstance(records, Err):
+        return Err(Refusal(kind=ErrorKind.MALFORMED, detail=records.err_value))
+    for record in records.ok_value:
+        if not isinstance(record, Settled):
+            return Err(Refusal(kind=ErrorKind.MALFORMED, detail="only outcomes are taken"))
+        decided = shard.state.decide_settle(record)
+        if isinstance(decided, Err):
+            return decided
+        committed = await shard.commit(decided.ok_value)
+        if isinstance(committed, Err):
+            return committed
+    return Ok(None)
+
+
+@handles(SettleCalls)
+async def _take_outcomes(node, call: InboundCall, message: SettleCalls) -> None:
+    context = node.ownership.context
+    settled = await settle_here(context, ShardId(message.shard_id), message.records)
+    if isinstance(settled, Ok):
+        call.reply(CallsSettled())
+    else:
+        call.reply(CallRefused.of(settled.err_value))
+
+
+def _unknown(detail: str) -> Err[Refusal]:
+    return Err(Refusal(kind=ErrorKind.OUTCOME_UNKNOWN, detail=detail, ran=Ran.UNKNOWN))
--- /dev/null
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_opener.py
@@ -0,0 +1,95 @@
+"""Opens a shard: waits for the former owner, recovers the state, and fences the journal."""
+
+import trio
+from result import Err
+
+from lagoonfold import ShardId, StoreError, StoreErrorKind
+from lagoonfold.membership import ShardOwner
+from lagoonfold.records import Fenced
+from lagoonfold_node._ownership._appender import Appended, Appender
+from lagoonfold_node._ownership._bulk import BulkStore
+from lagoonfold_node._ownership._checkpointer import Checkpointer
+from lagoonfold_node._ownership._context import OwnershipContext
+from lagoonfold_node._ownership._open_shard import OpenShard
+from lagoonfold_node._ownership._recovery import RecoveredShard, recover_shard
+
+_POLL_S = 0.05
+_RETRY_S = 0.2
+
+
+class ShardOpener:
+    """Opens one shard for the owner that the table names."""
+
+    def __init__(
+        self, context: OwnershipContext, bulk: BulkStore, shard_id: ShardId, owner: ShardOwner
+    ) -> None:
+        self._context = context
+        self._bulk = bulk
+        self._shard_id = shard_id
+        self._owner = owner
+        self._started_at_s = trio.current_time()
+
+    async def open(self) -> OpenShard | None:
+        """Return the open shard, or None if a later owner has written to it already."""
+        while True:
+            recovered = await recover_shard(self._context.store, self._bulk, self._shard_id)
+            if isinstance(recovered, Err):
+                self._report(recovered.err_value)
+                await trio.sleep(_RETRY_S)
+                continue
+            shard = recovered.ok_value
+            if shard.epoch > self._owner.epoch:
+                return None
+            if not self._is_free(shard):
+                await trio.sleep(_POLL_S)
+                continue
+            opened = await self._fence(shard)
+            if opened is not None:
+                return opened
+
+    def _is_free(self, shard: RecoveredShard) -> bool:
+        """Tell whether the former owner has released the shard or was waited for long enough."""
+        if not self._context.has_lease() or not self._context.is_table_fresh():
+            return False
+        settings = self._context.settings
+        waited_s = trio.current_time() - self._started_at_s
+        never_used = shard.next_sequence == 1
+        if shard.is_released or never_used or not self._owner.previous_run_id:
+            return True
+        if self._owner.previous_run_id in self._live_run_ids():
+            return waited_s >= settings.handover_wait_s
+        return waited_s >= settings.takeover_wait_s
+
+    async def _fence(self, shard: RecoveredShard) -> OpenShard | None:
+        """Append the fence; return None if the former owner was faster."""
+        appender = Appender(
+            self._context.store, self._shard_id, self._owner.epoch, shard.next_sequence
+        )
+        record = Fenced(self._owner.epoch, self._context.run_id, self._live_run_ids())
+        if await appender.append((record,)) is Appended.FENCED:
+            return None
+        shard.state.apply(record)
+        fences = (*shard.fences, shard.next_sequence)
+        checkpointer = Checkpointer(
+            self._context.store,
+            self._bulk,
+            self._shard_id,
+            self._owner.epoch,
+            shard,
+            fences,
+        )
+        self._context.metrics.record("shard_open", trio.current_time() - self._started_at_s)
+        return OpenShard(
+            self._context, self._bulk, self._shard_id, shard.state, appender, checkpointer
+        )
+
+    def _live_run_ids(self) -> tuple[str, ...]:
+        view = self._context.table_view()
+        live = frozenset() if view is None else view.table.live_run_ids()
+        return tuple(sorted(live | {self._context.run_id}))
+
+    def _report(self, error: StoreError) -> None:
+        self._context.count_store_error(error)
+        if error.kind is StoreErrorKind.CONFLICT:
+            detail = error.detail
+            self._context.log.warning("shard.unreadable", shard=self._shard_id, detail=detail)
--- /dev/null
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_ownership.py
@@ -0,0 +1,88 @@
+"""The ownership part of an instance: membership, shards, and the way to a shard's state.
+
+ownership = Ownership(context)
+nursery.start_soon(ownership.run)
+shard = ownership.shards.opened(ownership.shards.shard_of("prg-1f0c"))
+await ownership.hand_over(timeout_s=20.0)
+"""
+
+import trio
+
+from lagoonfold import InstanceId, ShardId
+from lagoonfold.membership import shard_of
+from lagoonfold_node._ownership._allocator import Allocator
+from lagoonfold_node._ownership._bulk import BulkStore, CachedBulkStore, KvBulkStore
+from lagoonfold_node._ownership._context import OwnershipContext
+from lagoonfold_node._ownership._lease_keeper import LeaseKeeper
+from lagoonfold_node._ownership._open_shard import OpenShard
+from lagoonfold_node._ownership._shard_keeper import ShardKeeper
+from lagoonfold_node._ownership._table_keeper import TableKeeper
+
+_POLL_S = 0.05
+
+
+class Shards:
+    """Finds owners and open shards."""
+
+    def __init__(self, context: OwnershipContext) -> None:
+        self._context = context
+
+    def shard_of(self, text: str) -> ShardId:
+        """Return the shard of a program id or an account id."""
+        view = self._context.table_view()
+        count = 0 if view is None else view.table.shard_count
+        return shard_of(text, count or self._context.settings.shard_count)
+
+    def owner_of(self, text: str) -> InstanceId | None:
+        """Return the owner of a program or an account, None if it is not known."""
+        owner = self._context.owner(self.shard_of(text))
+        if owner is None or not owner.instance_id:
+            return None
+        return InstanceId(owner.instance_id)
+
+    def opened(self, shard_id: ShardId) -> OpenShard | None:
+        """Return the shard if it is open here."""
+        return self._context.board.shards.read().get(shard_id)
+
+    def opened_for(self, text: str) -> OpenShard | None:
+        """Return the shard of a program or an account if it is open here."""
+        return self.opened(self.shard_of(text))
+
+
+class Ownership:
+    """Runs the controllers of membership and shards."""
+
+    def __init__(self, context: OwnershipContext, *, bulk: BulkStore | None = None) -> None:
+        self.context = context
+        self.shards = Shards(context)
+        self.bulk = CachedBulkStore(bulk or KvBulkStore(context.store))
+        self._lease_keeper = LeaseKeeper(context)
+        self._table_keeper = TableKeeper(context)
+        self._allocator = Allocator(context)
+        self._shard_keeper = ShardKeeper(context, self.bulk)
+
+    async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Run until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._lease_keeper.run)
+            nursery.start_soon(self._table_keeper.run)
+            nursery.start_soon(self._allocator.run)
+            nursery.start_soon(self._shard_keeper.run)
+            task_status.started()
+
+    async def hand_over(self, *, timeout_s: float) -> None:
+        """Leave in a planned stop: hand every shard over, then end the lease.
+
+        The cell `stopping` must be set before. Calls that are under way settle at the new owners.
+        """
+        with trio.move_on_after(timeout_s):
+            while self.context.board.shards.read() and self._has_successors():
+                await trio.sleep(_POLL_S)
+            await self._shard_keeper.release_all()
+            await self._lease_keeper.revoke()
+
+    def _has_successors(self) -> bool:
+        """Tell whether another instance stays, to which the allocator will move the shards."""
+        members = self.context.board.members.read().values()
+        own_id = self.context.instance_id
+        return any(not each.is_leaving and each.instance_id != own_id for each in members)
--- /dev/null
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_recovery.py
@@ -0,0 +1,112 @@
+"""Reads a shard's state from its checkpoint and the journal after it."""
+
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from lagoonfold import Entry, KeyValueStore, ShardId, StoreError, StoreErrorKind
+from lagoonfold.records import (
+    CheckpointHead,
+    JournalEntry,
+    ProgramShard,
+    Released,
+    checkpoint_key,
+    decode_entry,
+    decode_head,
+    journal_prefix,
+    restore_shard,
+    sequence_of,
+)
+from lagoonfold_node._ownership._bulk import BulkStore
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RecoveredShard:
+    """A shard as its journal says: `next_sequence` is where the next entry goes.
+
+    `epoch` is the highest that has written. `is_released` says that the last owner handed over
+    and appends nothing more.
+    """
+
+    state: ProgramShard
+    head: CheckpointHead
+    head_revision: int
+    next_sequence: int
+    fences: tuple[int, ...]
+    epoch: int
+    is_released: bool
+
+
+async def recover_shard(
+    store: KeyValueStore, bulk: BulkStore, shard_id: ShardId
+) -> Result[RecoveredShard, StoreError]:
+    """Return the shard's state; `CONFLICT` says that it changed during the read, or is damaged."""
+    read = await store.get(checkpoint_key(shard_id))
+    if isinstance(read, Err):
+        return read
+    head = decode_head(read.ok_value.value)
+    if isinstance(head, Err):
+        return _conflict(head.err_value)
+    state = await _read_state(bulk, shard_id, head.ok_value)
+    if isinstance(state, Err):
+        return state
+    listing = await store.list(journal_prefix(shard_id))
+    if isinstance(listing, Err):
+        return listing
+    return _replay(state.ok_value, head.ok_value, read.ok_value.revision, listing.ok_value.entries)
+
+
+async def _read_state(
+    bulk: BulkStore, shard_id: ShardId, head: CheckpointHead
+) -> Result[ProgramShard, StoreError]:
+    parts = []
+    for name in head.parts:
+        part = await bulk.get(shard_id, name)
+        if isinstance(part, Err):
+            return part
+        parts.append(part.ok_value)
+    return restore_shard(tuple(parts)).map_err(_as_conflict)
+
+
+def _replay(
+    state: ProgramShard, head: CheckpointHead, head_revision: int, entries: tuple[Entry, ...]
+) -> Result[RecoveredShard, StoreError]:
+    sequence = head.next_sequence
+    fences = list(head.fences)
+    epoch = head.epoch
+    last: JournalEntry | None = None
+    for entry in entries:
+        number = sequence_of(entry.key)
+        if number < head.next_sequence:
+            continue
+        if number != sequence:
+            return _conflict(f"journal goes from {sequence - 1} to {number}")
+        decoded = decode_entry(entry.value)
+        if isinstance(decoded, Err):
+            return _conflict(f"{entry.key}: {decoded.err_value}")
+        last = decoded.ok_value
+        if last.is_fence():
+            fences.append(number)
+        for record in last.records:
+            state.apply(record)
+        epoch = max(epoch, last.epoch)
+        sequence += 1
+    return Ok(
+        RecoveredShard(
+            state=state,
+            head=head,
+            head_revision=head_revision,
+            next_sequence=sequence,
+            fences=tuple(fences),
+            epoch=epoch,
+            is_released=last is not None and isinstance(last.records[-1], Released),
+        )
+    )
+
+
+def _conflict(detail: str) -> Err[StoreError]:
+    return Err(_as_conflict(detail))
+
+
+def _as_conflict(detail: str) -> StoreError:
+    return StoreError(kind=StoreErrorKind.CONFLICT, detail=detail)
--- /dev/null
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_shard_keeper.py
@@ -0,0 +1,125 @@
+"""Opens the shards that the table gives to this process and hands over those it takes away.
+
+Reads the cells `ownership` and `lease`; writes the cell `shards`.
+"""
+
+import time
+from collections.abc import Mapping
+
+import trio
+
+from lagoonfold import ShardId
+from lagoonfold.membership import ShardOwner
+from lagoonfold_node._ownership._bulk import BulkStore
+from lagoonfold_node._ownership._context import OwnershipContext
+from lagoonfold_node._ownership._open_shard import OpenShard, ShardStatus
+from lagoonfold_node._ownership._opener import ShardOpener
+
+_EXPIRY_INTERVAL_S = 5.0
+_MAX_OPENING = 8
+
+
+class ShardKeeper:
+    """Keeps the set of open shards as the table says."""
+
+    def __init__(self, context: OwnershipContext, bulk: BulkStore) -> None:
+        self._context = context
+        self._bulk = bulk
+        self._scopes_by_shard: dict[ShardId, tuple[int, trio.CancelScope]] = {}
+        self._changed = trio.Event()
+        self._limiter = trio.CapacityLimiter(_MAX_OPENING)
+
+    async def run(self) -> None:
+        """Follow the table until cancelled."""
+        unsubscribe = self._context.board.ownership.subscribe(lambda _: self._changed.set())
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._expire_programs)
+                while True:
+                    self._changed = trio.Event()
+                    self._reconcile(nursery)
+                    await self._changed.wait()
+        finally:
+            unsubscribe()
+
+    async def release_all(self) -> None:
+        """Hand over every open shard, whatever the table says."""
+        async with trio.open_nursery() as nursery:
+            for shard in tuple(self._opened().values()):
+                nursery.start_soon(self._release, shard)
+
+    def _opened(self) -> Mapping[ShardId, OpenShard]:
+        return self._context.board.shards.read()
+
+    def _reconcile(self, nursery: trio.Nursery) -> None:
+        """Start what the difference between the table and the open shards asks for."""
+        view = self._context.table_view()
+        if view is None:
+            return
+        for index, owner in enumerate(view.table.owners):
+            self._reconcile_shard(nursery, ShardId(index), owner)
+        for shard in tuple(self._opened().values()):
+            nursery.start_soon(self._interrupt_lost, shard)
+
+    def _reconcile_shard(self, nursery: trio.Nursery, shard_id: ShardId, owner: ShardOwner) -> None:
+        wanted = owner.epoch if owner.run_id == self._context.run_id else None
+        opening = self._scopes_by_shard.get(shard_id)
+        opened = self._opened().get(shard_id)
+        if opening is not None and opening[0] != wanted:
+            opening[1].cancel()
+            del self._scopes_by_shard[shard_id]
+            opening = None
+        if opened is not None and opened.epoch != wanted:
+            nursery.start_soon(self._release, opened)
+        elif wanted is not None and opening is None and opened is None:
+            scope = trio.CancelScope()
+            self._scopes_by_shard[shard_id] = (owner.epoch, scope)
+            nursery.start_soon(self._open, shard_id, owner, scope)
+
+    async def _open(self, shard_id: ShardId, owner: ShardOwner, scope: trio.CancelScope) -> None:
+        shard = None
+        with scope:
+            async with self._limiter:
+                shard = await ShardOpener(self._context, self._bulk, shard_id, owner).open()
+        if self._scopes_by_shard.get(shard_id) == (owner.epoch, scope):
+            del self._scopes_by_shard[shard_id]
+        if shard is None:
+            return
+        self._context.metrics.count("shards_opened")
+        self._context.board.shards.write({**self._opened(), shard_id: shard})
+        self._changed.set()
+        await shard.run()
+        self._remove(shard)
+
+    async def _release(self, shard: OpenShard) -> None:
+        if shard.status is ShardStatus.OPEN:
+            self._context.metrics.count("shards_released")
+            await shard.release()
+            self._remove(shard)
+
+    def _remove(self, shard: OpenShard) -> None:
+        opened = dict(self._opened())
+        if opened.get(shard.shard_id) is shard:
+            del opened[shard.shard_id]
+            self._context.board.shards.write(opened)
+            self._changed.set()
+
+    async def _interrupt_lost(self, shard: OpenShard) -> None:
+        """Settle as interrupted the calls whose executors are no longer members."""
+        view = self._context.table_view()
+        if view is None or not shard.may_act():
+            return
+        live = view.table.live_run_ids() | {self._context.run_id}
+        records = shard.state.decide_interrupt(live)
+        if records:
+            await shard.commit(records)
+
+    async def _expire_programs(self) -> None:
+        while True:
+            await trio.sleep(_EXPIRY_INTERVAL_S)
+            for shard in tuple(self._opened().values()):
+                records = shard.state.decide_expire(
+                    time.time(), self._context.settings.keep_ended_s
+                )
+                if records and shard.may_act():
+                    await shard.commit(records)
--- a/packages/lagoonfold/src/lagoonfold/_ports.py
+++ b/packages/lagoonfold/src/lagoonfold/_ports.py
@@ -74,6 +74,11 @@
     async def get(self, key: str) -> Result[Entry, StoreError]:
         """Read one key; an absent key gives an empty value with `ABSENT_REVISION`."""
 
+    async def get_if_changed(
+        self, key: str, known_revision: int
+    ) -> Result[Entry | None, StoreError]:
+        """Read one key; return None, without its value travelling, if its revision is known."""
+
     async def list(self, prefix: str) -> Result[Listing, StoreError]:
         """Read all keys below a prefix, in key order."""
 
--- /dev/null
+++ b/tests/ownership/_fleet.py
@@ -0,0 +1,195 @@
+"""Instances' ownership parts in one loop, each with its own way to one key-value stand-in."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+import trio
+from result import Ok
+
+from lagoonfold import InstanceId, ProgramId, new_id
+from lagoonfold.records import CallRequest, Cost, CreateRequest, Limits, Turn, digest_of_content
+from lagoonfold_node._board import Board
+from lagoonfold_node._metrics import Metrics
+from lagoonfold_node._ownership import (
+    OpenShard,
+    Ownership,
+    OwnershipContext,
+    OwnershipSettings,
+)
+from lagoonfold_node._peers import PeerBus
+from tests.platform._kv import KvFixture, run_with_kv
+
+WAIT_LIMIT_S = 20.0
+SETTINGS = OwnershipSettings(
+    shard_count=4,
+    lease_s=1.0,
+    renew_s=0.2,
+    takeover_wait_s=0.1,
+    handover_wait_s=5.0,
+    commit_interval_s=0.0,
+    checkpoint_commits=8,
+)
+LIMITS = Limits(100_000, 1_000, 100_000, 3_600.0)
+
+
+class PartitionedStore:
+    """A store that stops answering while `is_cut`, as for an instance that is cut off."""
+
+    def __init__(self, inner: object) -> None:
+        self._inner = inner
+        self._healed = trio.Event()
+        self._healed.set()
+
+    def cut(self) -> None:
+        """Let every call wait."""
+        self._healed = trio.Event()
+
+    def heal(self) -> None:
+        """Let the waiting calls go on."""
+        self._healed.set()
+
+    @asynccontextmanager
+    async def watch(self, prefix: str, *, from_revision: int) -> AsyncIterator[AsyncIterator]:
+        """Watch; events wait while the store is cut."""
+        await self._healed.wait()
+        async with self._inner.watch(prefix, from_revision=from_revision) as events:
+            yield self._held(events)
+
+    async def _held(self, events: AsyncIterator) -> AsyncIterator:
+        async for event in events:
+            await self._healed.wait()
+            yield event
+
+    def __getattr__(self, name: str) -> object:
+        operation = getattr(self._inner, name)
+
+        async def call(*args: object, **options: object) -> object:
+            await self._healed.wait()
+            return await operation(*args, **options)
+
+        return call
+
+
+@dataclass(slots=True)
+class Instance:
+    """One running instance; `scope` ends it as a crash does."""
+
+    ownership: Ownership
+    store: PartitionedStore
+    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+
+    @property
+    def board(self) -> Board:
+        """Return the instance's blackboard."""
+        return self.ownership.context.board
+
+
+class Fleet:
+    """Starts instances `entry-<n>` and waits for what they come to."""
+
+    def __init__(self, kv: KvFixture, nursery: trio.Nursery) -> None:
+        self.kv = kv
+        self._nursery = nursery
+
+    async def start(self, index: int, settings: OwnershipSettings = SETTINGS) -> Instance:
+        """Start an instance."""
+        board = Board()
+        store = PartitionedStore(self.kv.connect())
+        instance_id = f"entry-{index}"
+
+        def find_address(peer: str) -> str | None:
+            member = board.members.read().get(InstanceId(peer))
+            return None if member is None else member.peer_address
+
+        node = _Node()
+        bus = PeerBus(instance_id, "127.0.0.1:0", find_address, node)
+        port = await self._nursery.start(bus.serve)
+        context = OwnershipContext(
+            instance_id=InstanceId(instance_id),
+            peer_address=f"127.0.0.1:{port}",
+            failure_domain=f"domain-{index % 3}",
+            store=store,
+            board=board,
+            metrics=Metrics(),
+            settings=settings,
+            bus=bus,
+        )
+        node.ownership = Ownership(context)
+        instance = Instance(node.ownership, store)
+
+        async def run() -> None:
+            with instance.scope:
+                await node.ownership.run()
+
+        self._nursery.start_soon(run)
+        return instance
+
+    async def open_shard(self, instances: list[Instance], text: str) -> tuple[Instance, OpenShard]:
+        """Wait until one of the instances may act for a program; return it with the shard."""
+        with trio.fail_after(WAIT_LIMIT_S):
+            while True:
+                for instance in instances:
+                    shard = instance.ownership.shards.opened_for(text)
+                    if shard is not None and shard.may_act():
+                        return instance, shard
+                await trio.sleep(0.01)
+
+
+async def read_turns(fleet: Fleet, instances: list[Instance], program_id: str) -> tuple[Turn, ...]:
+    """Return a program's history from whichever instance owns it."""
+    with trio.fail_after(WAIT_LIMIT_S):
+        while True:
+            _, shard = await fleet.open_shard(instances, program_id)
+            history = await shard.read_history(ProgramId(program_id))
+            if isinstance(history, Ok):
+                return history.ok_value
+
+
+class _Node:
+    """The bus's context."""
+
+    ownership: Ownership
+
+
+def run_with_fleet(check: Callable[[Fleet], Awaitable[None]]) -> None:
+    """Run a check with a fleet on a fresh stand-in."""
+
+    async def run(kv: KvFixture) -> None:
+        async with trio.open_nursery() as nursery:
+            await check(Fleet(kv, nursery))
+            nursery.cancel_scope.cancel()
+
+    run_with_kv(run)
+
+
+async def wait_until(condition: Callable[[], bool]) -> None:
+    """Wait until a condition holds."""
+    with trio.fail_after(WAIT_LIMIT_S):
+        while not condition():
+            await trio.sleep(0.01)
+
+
+async def create_program(shard: OpenShard, program_id: str) -> None:
+    """Create a program of the account `acme`."""
+    request = CreateRequest(
+        program_id=ProgramId(program_id), account_id="acme", profile="field", limits=LIMITS
+    )
+    records = shard.state.decide_create(request, 0.0).unwrap()
+    (await shard.commit(records)).unwrap()
+
+
+def make_call(program_id: str, turn: int, *, is_idempotent: bool = False) -> CallRequest:
+    """Return the request for a program's call."""
+    body = f"request of turn {turn}".encode()
+    return CallRequest(
+        call_id=new_id("call"),
+        program_id=ProgramId(program_id),
+        account_id="acme",
+        turn=turn,
+        route="register",
+        is_idempotent=is_idempotent,
+        content_digest=digest_of_content(body),
+        body=body,
+        reserve=Cost(10, 1, 1),
+    )
--- /dev/null
+++ b/tests/ownership/test_takeover.py
@@ -0,0 +1,200 @@
+"""Tests of ownership under crashes, partitions, planned stops and lost answers."""
+
+import trio
+from result import Err
+
+from lagoonfold import ErrorKind, ProgramId, Ran
+from lagoonfold.records import Outcome, Replay, Settled, match_replay
+from lagoonfold_node._ownership import OpenShard
+from tests._suite import load_functions
+from tests.ownership._fleet import (
+    Fleet,
+    create_program,
+    make_call,
+    read_turns,
+    run_with_fleet,
+    wait_until,
+)
+
+PROGRAM = "prg-1"
+
+
+async def _begin(shard: OpenShard, turn: int) -> str:
+    """Begin a call that must not run twice; return its id."""
+    request = make_call(PROGRAM, turn)
+    execute = shard.state.decide_begin(request, 0.0, executor=shard.executor).unwrap()
+    (await shard.commit(execute.records)).unwrap()
+    return execute.call_id
+
+
+def _answered(call_id: str) -> Settled:
+    return Settled(
+        PROGRAM,
+        call_id,
+        Outcome.ANSWERED,
+        200,
+        "text/plain",
+        b"done",
+        make_call(PROGRAM, 1).reserve,
+    )
+
+
+async def _make_turn(shard: OpenShard, turn: int) -> None:
+    call_id = await _begin(shard, turn)
+    (await shard.commit(shard.state.decide_settle(_answered(call_id)).unwrap())).unwrap()
+
+
+def test_crash_between_intent_and_outcome() -> None:
+    """The next owner keeps the history, reports the call as unknown, and goes on behind it."""
+
+    async def check(fleet: Fleet) -> None:
+        instances = [await fleet.start(index) for index in range(2)]
+        owner, shard = await fleet.open_shard(instances, PROGRAM)
+        await create_program(shard, PROGRAM)
+        await _make_turn(shard, 1)
+        await _begin(shard, 2)
+        owner.scope.cancel()
+        instances.remove(owner)
+        _, successor = await fleet.open_shard(instances, PROGRAM)
+        assert successor.epoch > shard.epoch
+        repeated = successor.state.decide_begin(make_call(PROGRAM, 2), 0.0)
+        assert isinstance(repeated, Err)
+        refusal = repeated.err_value
+        assert (refusal.kind, refusal.ran) == (ErrorKind.OUTCOME_UNKNOWN, Ran.UNKNOWN)
+        history = (await successor.read_history(ProgramId(PROGRAM))).unwrap()
+        assert [turn.outcome for turn in history] == [Outcome.ANSWERED, Outcome.UNKNOWN]
+        await _make_turn(successor, 3)
+
+    run_with_fleet(check)
+
+
+def test_owner_cut_off_past_its_lease() -> None:
+    """An owner that was cut off stops by its own clock, and its later append meets the fence."""
+
+    async def check(fleet: Fleet) -> None:
+        instances = [await fleet.start(index) for index in range(2)]
+        owner, shard = await fleet.open_shard(instances, PROGRAM)
+        await create_program(shard, PROGRAM)
+        call_id = await _begin(shard, 1)
+        owner.store.cut()
+        instances.remove(owner)
+        await wait_until(lambda: not shard.may_act())
+        await fleet.open_shard(instances, PROGRAM)
+        assert not shard.may_act()
+        refused = await shard.commit(shard.state.decide_cancel(PROGRAM, "acme", 0.0).unwrap())
+        assert isinstance(refused, Err) and refused.err_value.ran is Ran.NO
+        owner.store.heal()
+        with trio.fail_after(20):
+            late = await shard.commit((_answered(call_id),))
+        assert isinstance(late, Err) and late.err_value.kind is ErrorKind.OUTCOME_UNKNOWN
+        turns = await read_turns(fleet, [owner, *instances], PROGRAM)
+        assert [turn.outcome for turn in turns] == [Outcome.UNKNOWN]
+
+    run_with_fleet(check)
+
+
+def test_planned_stop_during_a_call() -> None:
+    """A call under way at a hand-over settles at the new owner, and its repeat is replayed."""
+
+    async def check(fleet: Fleet) -> None:
+        instances = [await fleet.start(index) for index in range(2)]
+        owner, shard = await fleet.open_shard(instances, PROGRAM)
+        await create_program(shard, PROGRAM)
+        call_id = await _begin(shard, 1)
+        owner.board.stopping.write(True)
+        instances.remove(owner)
+        _, successor = await fleet.open_shard(instances, PROGRAM)
+        assert not shard.may_act()
+        (await shard.commit((_answered(call_id),))).unwrap()
+        repeat = make_call(PROGRAM, 1)
+        assert successor.state.decide_begin(repeat, 0.0).unwrap() == Replay(turn=1)
+        program = successor.state.programs_by_id[ProgramId(PROGRAM)]
+        recorded = (await successor.read_turn(program, 1)).unwrap()
+        assert match_replay(recorded, repeat).unwrap().answer == b"done"
+        with trio.fail_after(20):
+            await owner.ownership.hand_over(timeout_s=10)
+        assert not owner.board.shards.read()
+
+    run_with_fleet(check)
+
+
+def test_executor_lost_after_a_hand_over() -> None:
+    """A call whose executor dies after handing over becomes unknown at the new owner."""
+
+    async def check(fleet: Fleet) -> None:
+        instances = [await fleet.start(index) for index in range(2)]
+        owner, shard = await fleet.open_shard(instances, PROGRAM)
+        await create_program(shard, PROGRAM)
+        await _begin(shard, 1)
+        owner.board.stopping.write(True)
+        instances.remove(owner)
+        _, successor = await fleet.open_shard(instances, PROGRAM)
+        assert len(successor.state.running_calls()) == 1
+        owner.scope.cancel()
+        await wait_until(lambda: not successor.state.running_calls())
+        turns = (await successor.read_history(ProgramId(PROGRAM))).unwrap()
+        assert [turn.outcome for turn in turns] == [Outcome.UNKNOWN]
+
+    run_with_fleet(check)
+
+
+def test_lost_answers_neither_lose_nor_double() -> None:
+    """With three in ten answers lost, every turn is recorded once, through checkpoints too."""
+
+    async def check(fleet: Fleet) -> None:
+        instances = [await fleet.start(0)]
+        _, shard = await fleet.open_shard(instances, PROGRAM)
+        await create_program(shard, PROGRAM)
+        fleet.kv.set_faults(drop_answer=0.3, seed=5, operations=("txn",), key_contains="shard/")
+        for turn in range(1, 31):
+            await _make_turn(shard, turn)
+        await wait_until(lambda: shard.state.programs_by_id[ProgramId(PROGRAM)].segments != ())
+        fleet.kv.set_faults()
+        instances[0].scope.cancel()
+        restarted = [await fleet.start(0)]
+        _, again = await fleet.open_shard(restarted, PROGRAM)
+        turns = (await again.read_history(ProgramId(PROGRAM))).unwrap()
+        assert [turn.turn for turn in turns] == list(range(1, 31))
+        assert all(turn.outcome is Outcome.ANSWERED for turn in turns)
+
+    run_with_fleet(check)
+
+
+def test_group_commit_shares_entries() -> None:
+    """Records that are ready together go into few journal entries."""
+
+    async def check(fleet: Fleet) -> None:
+        instances = [await fleet.start(0)]
+        instance, shard = await fleet.open_shard(instances, PROGRAM)
+        before = instance.ownership.context.metrics.counted("commits")
+        async with trio.open_nursery() as nursery:
+            for _ in range(50):
+                nursery.start_soon(create_program, shard, f"{PROGRAM}.{len(nursery.child_tasks)}")
+        after = instance.ownership.context.metrics.counted("commits")
+        assert len(shard.state.programs_by_id) == 50 and after - before <= 3
+
+    run_with_fleet(check)
+
+
+def test_outage_refuses_truthfully_and_ends() -> None:
+    """In an outage no call begins, the refusal says when to return, and work goes on after it."""
+
+    async def check(fleet: Fleet) -> None:
+        instances = [await fleet.start(index) for index in range(2)]
+        _, shard = await fleet.open_shard(instances, PROGRAM)
+        await create_program(shard, PROGRAM)
+        fleet.kv.set_faults(outage="refuse")
+        await wait_until(lambda: not shard.may_act())
+        request = make_call(PROGRAM, 1)
+        execute = shard.state.decide_begin(request, 0.0, executor=shard.executor).unwrap()
+        refused = await shard.commit(execute.records)
+        assert isinstance(refused, Err)
+        assert refused.err_value.ran is Ran.NO and refused.err_value.retry_after_s > 0
+        fleet.kv.set_faults()
+        _, later = await fleet.open_shard(instances, PROGRAM)
+        await _make_turn(later, 1)
+
+    run_with_fleet(check)
+
+
+load_tests = load_functions(globals())
--- a/tests/platform/test_etcd_store.py
+++ b/tests/platform/test_etcd_store.py
@@ -23,6 +23,21 @@
     run_with_kv(check)
 
 
+def test_read_if_changed() -> None:
+    """A known revision gives None; a change and a deletion give the key as it is."""
+
+    async def check(kv: KvFixture) -> None:
+        first = (await kv.store.put_if("a", b"1", expected_revision=0)).unwrap()
+        assert (await kv.store.get_if_changed("a", first)).unwrap() is None
+        second = (await kv.store.put_if("a", b"2", expected_revision=first)).unwrap()
+        changed = (await kv.store.get_if_changed("a", first)).unwrap()
+        assert (changed.value, changed.revision) == (b"2", second)
+        (await kv.store.delete_if("a", expected_revision=second)).unwrap()
+        assert (await kv.store.get_if_changed("a", second)).unwrap().revision == 0
+
+    run_with_kv(check)
+
+
 def test_list_and_delete_range() -> None:
     """A listing holds the keys of its prefix; a range is deleted without its end."""
 
--- /dev/null
+++ b/tests/records/test_program_shard.py
@@ -0,0 +1,331 @@
+"""A stateful test of `ProgramShard` against an oracle written from the users' promises.
+
+The oracle keeps, for every program, the calls that took a place in its order, what was used, and
+how often each non-idempotent call may have reached an upstream.
+"""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+from result import Err, Ok
+
+from lagoonfold import ErrorKind, ProgramId, Ran
+from lagoonfold.membership import child_program_id
+from lagoonfold.records import (
+    NO_COST,
+    CallRequest,
+    Cost,
+    CreateRequest,
+    Execute,
+    Fenced,
+    Join,
+    JournalEntry,
+    Outcome,
+    ProgramShard,
+    Record,
+    Replay,
+    Settled,
+    adopt,
+    check_history,
+    decode_entry,
+    encode_entry,
+    plan_checkpoint,
+    read_turns,
+    restore_shard,
+)
+from tests._suite import load_functions
+from tests.records._strategies import (
+    LIMITS,
+    accounts,
+    bodies,
+    keys,
+    make_request,
+    outcomes,
+    reserves,
+    turns,
+)
+
+
+@dataclass
+class _Expected:
+    """What a program must have come to."""
+
+    account_id: str
+    parent_id: ProgramId | None
+    calls: list[tuple[CallRequest, Outcome, bytes]] = field(default_factory=list)
+    running: CallRequest | None = None
+    used: Cost = NO_COST
+    is_ended: bool = False
+
+
+class ShardMachine(RuleBasedStateMachine):
+    """Drives a shard, a replica fed from its journal, and the oracle."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.shard = ProgramShard()
+        self.replica = ProgramShard()
+        self.segments: dict[str, bytes] = {}
+        self.expected: dict[ProgramId, _Expected] = {}
+        self.may_have_run: Counter[tuple[ProgramId, int]] = Counter()
+        self.epoch = 1
+        self.answers = 0
+
+    def _commit(self, records: tuple[Record, ...]) -> None:
+        """Apply records, and apply them again as a new owner reads them from the journal."""
+        entry = JournalEntry("writer", self.epoch, records)
+        for record in records:
+            self.shard.apply(record)
+        for record in decode_entry(encode_entry(entry)).unwrap().records:
+            self.replica.apply(record)
+
+    def _lineage(self, program_id: ProgramId) -> list[_Expected]:
+        expected = self.expected[program_id]
+        above = self._lineage(expected.parent_id) if expected.parent_id else []
+        return [expected, *above]
+
+    def _pick(self, data: st.DataObject) -> ProgramId:
+        return data.draw(st.sampled_from(sorted(self.expected)))
+
+    @precondition(lambda self: len(self.expected) < 4)
+    @rule(account=accounts, parent=st.booleans(), data=st.data())
+    def create(self, account: str, parent: bool, data: st.DataObject) -> None:
+        """Create a root, or a child of any program."""
+        parent_id = self._pick(data) if parent and self.expected else None
+        name = f"prg-{len(self.expected)}"
+        program_id = child_program_id(parent_id) if parent_id else ProgramId(name)
+        request = CreateRequest(
+            program_id=program_id,
+            account_id=account,
+            profile="field",
+            limits=LIMITS,
+            parent_id=parent_id,
+        )
+        decided = self.shard.decide_create(request, 0.0)
+        if isinstance(decided, Ok):
+            assert parent_id is None or self.expected[parent_id].account_id == account
+            self._commit(decided.ok_value)
+            self.expected[program_id] = _Expected(account, parent_id)
+
+    @precondition(lambda self: self.expected)
+    @rule(
+        account=accounts,
+        turn=turns,
+        body=bodies,
+        key=keys,
+        idempotent=st.booleans(),
+        reserve=reserves,
+        aim=st.booleans(),
+        data=st.data(),
+    )
+    def call(
+        self,
+        account: str,
+        turn: int,
+        body: bytes,
+        key: str,
+        idempotent: bool,
+        reserve: Cost,
+        aim: bool,
+        data: st.DataObject,
+    ) -> None:
+        """Ask for a call, often for the next one of the right account."""
+        program_id = self._pick(data)
+        expected = self.expected[program_id]
+        if aim:
+            account, turn = expected.account_id, len(expected.calls) + 1
+        request = make_request(
+            program_id,
+            turn,
+            account_id=account,
+            body=body,
+            key=key,
+            is_idempotent=idempotent,
+            reserve=reserve,
+        )
+        decided = self.shard.decide_begin(request, 1.0, executor=f"run-{self.epoch}")
+        if isinstance(decided, Err):
+            assert decided.err_value.ran is not Ran.YES
+            self._check_refusal(expected, request, decided.err_value.kind)
+            return
+        assert account == expected.account_id
+        decision = decided.ok_value
+        if isinstance(decision, Execute):
+            self._check_execute(expected, request, decision)
+        elif isinstance(decision, Join):
+            assert expected.running.call_id == decision.call_id
+            assert expected.running.body == body
+        else:
+            self._check_replay(expected, request, decision)
+
+    def _check_refusal(self, expected: _Expected, request: CallRequest, kind: ErrorKind) -> None:
+        is_due = request.turn == len(expected.calls) + 1 and expected.running is None
+        if request.account_id != expected.account_id:
+            assert kind is ErrorKind.NOT_FOUND
+        elif kind is ErrorKind.PROGRAM_ENDED:
+            assert any(each.is_ended for each in self._lineage(request.program_id))
+        elif kind is ErrorKind.BUDGET_EXHAUSTED:
+            assert is_due and self._would_exceed(request)
+        elif kind is ErrorKind.OUTCOME_UNKNOWN:
+            assert expected.calls[request.turn - 1][1] is Outcome.UNKNOWN
+        else:
+            other_turn = any(
+                call.idempotency_key == request.idempotency_key and request.idempotency_key
+                for call, _, _ in expected.calls
+            )
+            assert not is_due or (kind is ErrorKind.IDEMPOTENCY_MISMATCH and other_turn)
+
+    def _would_exceed(self, request: CallRequest) -> bool:
+        return any(
+            LIMITS.exceeded_by(self._spent(each) + request.reserve)
+            for each in self._lineage(request.program_id)
+        )
+
+    def _spent(self, expected: _Expected) -> Cost:
+        """Return what the program's tree has used and reserved."""
+        total = expected.used
+        for program_id, other in self.expected.items():
+            if other.running is not None and expected in self._lineage(program_id):
+                total = total + other.running.reserve
+        return total
+
+    def _check_execute(self, expected: _Expected, request: CallRequest, decision: Execute) -> None:
+        assert expected.running is None and request.turn == len(expected.calls) + 1
+        assert decision.commit_first is not request.is_idempotent
+        self._commit(decision.records)
+        expected.running = request
+        if not request.is_idempotent:
+            self.may_have_run[(request.program_id, request.turn)] += 1
+
+    def _check_replay(self, expected: _Expected, request: CallRequest, decision: Replay) -> None:
+        recorded, outcome, _ = expected.calls[decision.turn - 1]
+        if self.shard.programs_by_id[request.program_id].recent_turn(decision.turn) is not None:
+            assert recorded.body == request.body and outcome is Outcome.ANSWERED
+
+    @precondition(lambda self: any(each.running for each in self.expected.values()))
+    @rule(outcome=outcomes, share=st.integers(0, 2), data=st.data())
+    def settle(self, outcome: Outcome, share: int, data: st.DataObject) -> None:
+        """End a running call; its repeat by a late message must change nothing."""
+        running = sorted(name for name, each in self.expected.items() if each.running)
+        program_id = data.draw(st.sampled_from(running))
+        expected = self.expected[program_id]
+        request = expected.running
+        self.answers += 1
+        answer = f"answer {self.answers}".encode()
+        used = Cost(
+            request.reserve.tokens * share // 2, 1, request.reserve.cost_micros * share // 2
+        )
+        settled = Settled(program_id, request.call_id, outcome, 200, "text/plain", answer, used)
+        self._commit(self.shard.decide_settle(settled).unwrap())
+        self._settle_expected(program_id, outcome, answer, used)
+        if outcome is Outcome.NOT_RUN and not request.is_idempotent:
+            self.may_have_run[(program_id, request.turn)] -= 1
+        if outcome is Outcome.FAILED:
+            del self.may_have_run[(program_id, request.turn)]
+        repeated = self.shard.decide_settle(settled)
+        assert isinstance(repeated, Err) or repeated.ok_value == ()
+
+    def _settle_expected(
+        self, program_id: ProgramId, outcome: Outcome, answer: bytes, used: Cost
+    ) -> None:
+        expected = self.expected[program_id]
+        if outcome in (Outcome.ANSWERED, Outcome.UNKNOWN):
+            expected.calls.append((expected.running, outcome, answer))
+        expected.running = None
+        for each in self._lineage(program_id):
+            each.used = each.used + used
+
+    @rule()
+    def take_over(self) -> None:
+        """Crash the owner: a new one goes on from the journal."""
+        late = [each.running for each in self.expected.values() if each.running]
+        self.epoch += 1
+        self.shard = self.replica
+        self.replica = ProgramShard()
+        self._copy_to_replica()
+        run_id = f"run-{self.epoch}"
+        self._commit((Fenced(self.epoch, run_id, (run_id,)),))
+        for request in late:
+            outcome = None if request.is_idempotent else Outcome.UNKNOWN
+            self._settle_expected(request.program_id, outcome, b"", request.reserve)
+            answer = Settled(
+                request.program_id, request.call_id, Outcome.ANSWERED, 200, "", b"late", NO_COST
+            )
+            assert isinstance(self.shard.decide_settle(answer), Err)
+
+    def _copy_to_replica(self) -> None:
+        """Store a checkpoint, and restore the replica from it."""
+        plan = plan_checkpoint(self.shard, epoch=self.epoch, next_sequence=1, fences=())
+        values = {value.name: value.data for value in plan.values}
+        self.segments.update(values)
+        self.replica = restore_shard(tuple(values[name] for name in plan.head.parts)).unwrap()
+        adopt(self.shard, plan)
+
+    @rule()
+    def checkpoint(self) -> None:
+        """Move the turns into segments on both sides."""
+        self._copy_to_replica()
+
+    @precondition(lambda self: self.expected)
+    @rule(data=st.data())
+    def end(self, data: st.DataObject) -> None:
+        """Cancel a program with its descendants."""
+        program_id = self._pick(data)
+        account_id = self.expected[program_id].account_id
+        self._commit(self.shard.decide_cancel(program_id, account_id, 2.0).unwrap())
+        for name in self.expected:
+            if self.expected[program_id] in self._lineage(name):
+                self.expected[name].is_ended = True
+
+    @invariant()
+    def replica_equals_owner(self) -> None:
+        """A new owner would come to the same state."""
+        assert self.replica.programs_by_id == self.shard.programs_by_id
+
+    @invariant()
+    def histories_are_whole(self) -> None:
+        """Each history holds its own program's calls in order, with the answers they got."""
+        for program_id, expected in self.expected.items():
+            program = self.shard.programs_by_id[program_id]
+            stored = [
+                turn
+                for ref in program.segments
+                for turn in read_turns(ref, self.segments[ref.name]).unwrap()
+            ]
+            history = (*stored, *program.recent_turns)
+            check_history(program_id, history, program.last_link).unwrap()
+            assert [(turn.call_id, turn.outcome, turn.answer) for turn in history] == [
+                (call.call_id, outcome, answer) for call, outcome, answer in expected.calls
+            ]
+
+    @invariant()
+    def budgets_hold(self) -> None:
+        """No program's tree has used or reserved more than its limits."""
+        for program_id, expected in self.expected.items():
+            program = self.shard.programs_by_id[program_id]
+            assert program.used == expected.used
+            assert program.used + program.reserved == self._spent(expected)
+            assert LIMITS.exceeded_by(program.used + program.reserved) is None
+
+    @invariant()
+    def runs_at_most_once(self) -> None:
+        """No non-idempotent call may have reached an upstream twice."""
+        assert all(count <= 1 for count in self.may_have_run.values())
+
+
+def test_shard_against_oracle() -> None:
+    """Random calls, crashes, checkpoints and ends keep every promise."""
+    from hypothesis.stateful import run_state_machine_as_test
+
+    run_state_machine_as_test(
+        ShardMachine,
+        settings=settings(
+            derandomize=True, max_examples=150, stateful_step_count=40, deadline=None
+        ),
+    )
+
+
+load_tests = load_functions(globals())
