--- a/packages/lagoonfold-io/src/lagoonfold_io/_http_client.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_client.py
@@ -123,7 +123,7 @@
             connection.protocol.receive_data(data)
     except trio.TooSlowError as error:
         detail = f"no progress for {timeout_s:g} s"
-        raise StreamError(HttpError(detail=detail, sent=Sent.MAYBE)) from error
+        raise StreamError(HttpError(detail=detail, sent=Sent.MAYBE, is_timeout=True)) from error
     except _BREAKS as error:
         raise StreamError(
             HttpError(detail=f"connection broke: {error}", sent=Sent.MAYBE)
@@ -154,7 +154,10 @@
 
         `fresh` asks for a new connection, as for a request that may not be sent twice.
         """
-        response = Err(HttpError(detail=f"no answer within {timeout_s:g} s", sent=Sent.MAYBE))
+        late = HttpError(
+            detail=f"no answer within {timeout_s:g} s", sent=Sent.MAYBE, is_timeout=True
+        )
+        response: Result[HttpResponse, HttpError] = Err(late)
         with trio.move_on_after(timeout_s):
             response = await self._fetch(address, request, timeout_s, fresh)
         return response
--- a/packages/lagoonfold-io/src/lagoonfold_io/_http_messages.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_messages.py
@@ -66,7 +66,8 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class HttpError:
-    """A request that got no whole response."""
+    """A request that got no whole response; `is_timeout` if nothing broke but time ran out."""
 
     detail: str
     sent: Sent
+    is_timeout: bool = False
--- a/packages/lagoonfold-io/src/lagoonfold_io/_http_server.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_server.py
@@ -108,6 +108,10 @@
         await self._write(self._protocol.send(h11.EndOfMessage()))
         self.finished = True
 
+    def abort(self) -> None:
+        """Give a streamed response up: its connection is closed without the response's end."""
+        self._protocol.send_failed()
+
     async def _write(self, data: bytes) -> None:
         try:
             with trio.fail_after(self._limits.write_timeout_s):
--- /dev/null
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_border/_caller_sink.py
@@ -0,0 +1,80 @@
+"""Gives an answer to a caller's connection.
+
+A stream of events is passed on as it comes, and kept so that it can go on after its owner was
+lost. Any other answer is gathered and sent whole, so that one that breaks off can be asked for
+again.
+"""
+
+import msgspec
+
+from lagoonfold import Refusal
+from lagoonfold_io import Exchange, HttpResponse
+from lagoonfold_node._execution import EVENT_STREAM
+from lagoonfold_node._problems import (
+    REQUEST_ID_HEADER,
+    problem_of,
+    problem_response,
+)
+from lagoonfold_node._upstreams import Completion, parse_events
+
+
+class CallerSink:
+    """One caller's answer."""
+
+    def __init__(self, exchange: Exchange, request_id: str) -> None:
+        self._exchange = exchange
+        self._request_id = request_id
+        self._status = 0
+        self._content_type = ""
+        self._parts: list[bytes] = []
+
+    @property
+    def has_streamed(self) -> bool:
+        """Tell whether a part of a stream has been sent."""
+        return self._exchange.started
+
+    def delivered(self) -> Completion:
+        """Return the completion that the sent events make up."""
+        completion = Completion()
+        events, _ = parse_events(b"".join(self._parts))
+        for event in events:
+            completion.add(event)
+        return completion
+
+    async def start(self, status: int, content_type: str) -> None:
+        """Take the head; a stream that goes on has sent its own already."""
+        self._status = status
+        self._content_type = content_type
+        if content_type != EVENT_STREAM:
+            self._parts = []
+        elif not self._exchange.started:
+            headers = (
+                ("content-type", content_type),
+                ("cache-control", "no-store"),
+                (REQUEST_ID_HEADER, self._request_id),
+            )
+            await self._exchange.start(status, headers)
+
+    async def send(self, data: bytes) -> None:
+        """Take a part."""
+        self._parts.append(data)
+        if self._content_type == EVENT_STREAM:
+            await self._exchange.send(data)
+
+    async def finish(self) -> None:
+        """End the answer."""
+        if self._content_type == EVENT_STREAM:
+            await self._exchange.finish()
+            return
+        headers = (("content-type", self._content_type), (REQUEST_ID_HEADER, self._request_id))
+        body = b"".join(self._parts)
+        await self._exchange.respond(HttpResponse(status=self._status, headers=headers, body=body))
+
+    async def refuse(self, refusal: Refusal) -> None:
+        """Report a refusal; within a stream it is the last event, and the end stays out."""
+        if not self._exchange.started:
+            await self._exchange.respond(problem_response(refusal, self._request_id))
+            return
+        error = msgspec.json.encode({"error": problem_of(refusal, self._request_id)})
+        await self._exchange.send(b"data: " + error + b"\n\n")
+        self._exchange.abort()
--- a/packages/lagoonfold-node/src/lagoonfold_node/_border/_keys.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_border/_keys.py
@@ -68,10 +68,14 @@
         key = self._config.read().configuration.keys_by_digest[digest]
         return Ok(Caller(account_id=key.account_id, digest=digest, key=key))
 
+    def is_stale(self) -> bool:
+        """Tell whether the configuration is too old to vouch for any key."""
+        return self._config.read().is_stale(trio.current_time(), self._bound_s)
+
     def check(self, digest: KeyDigest) -> Refusal | None:
         """Return why a key is not good now, or None if it is."""
         view = self._config.read()
-        if view.is_stale(trio.current_time(), self._bound_s):
+        if self.is_stale():
             detail = f"the configuration was not verified for {self._bound_s:g} s"
             return Refusal(
                 kind=ErrorKind.CONFIG_STALE, detail=detail, retry_after_s=STALE_RETRY_AFTER_S
--- /dev/null
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_border/_plain_calls.py
@@ -0,0 +1,207 @@
+"""Calls to plain services outside programs.
+
+A call that may be repeated, or that comes without an idempotency key, is made by the instance of
+arrival. One that may not run twice and has a key is made as the only call of a program of its
+own, whose id is the digest of account, route and key: wherever it is repeated, the same owner
+finds its record.
+"""
+
+from dataclasses import dataclass
+
+import trio
+from result import Err, Ok, Result
+
+from lagoonfold import (
+    AccountId,
+    CallId,
+    ErrorKind,
+    ProgramId,
+    Ran,
+    Refusal,
+    RouteName,
+    new_id,
+)
+from lagoonfold.config import Configuration, Route, RouteKind
+from lagoonfold.records import digest_of_content
+from lagoonfold_io import HttpRequest
+from lagoonfold_node._board import Board
+from lagoonfold_node._border._caller_sink import CallerSink
+from lagoonfold_node._border._forward import Forwarder
+from lagoonfold_node._dispatch import Placement, PlacementRequest
+from lagoonfold_node._execution import (
+    CreateProgram,
+    PlainRequest,
+    RunCall,
+    Task,
+    Tried,
+    encode_plain_request,
+    run_tries,
+)
+from lagoonfold_node._execution import service_call as make_service_call
+from lagoonfold_node._upstreams import (
+    ServiceAnswer,
+    UpstreamAccess,
+    UpstreamFailure,
+    UpstreamIdentity,
+)
+
+OPEN_ACCOUNT = AccountId("")
+UNLIMITED = 10**15
+RECORD_KEPT_S = 86_400.0
+PLAIN_PROFILE = ""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PlainCall:
+    """A request to a service, of an account or on an open route."""
+
+    route: Route
+    request: HttpRequest
+    rest: str
+    account_id: AccountId
+    request_id: str
+    idempotency_key: str
+    timeout_s: float
+
+    def upstream_request(self) -> PlainRequest:
+        """Return what is sent to the service."""
+        return PlainRequest(
+            method=self.request.method,
+            path=f"/{self.rest}",
+            query=self.request.query,
+            content_type=self.request.header("content-type") or "",
+            accept=self.request.header("accept") or "",
+            body=self.request.body,
+        )
+
+
+class _NoSink:
+    """Takes the answer of the program's creation, which nobody reads."""
+
+    has_streamed = False
+
+    async def start(self, status: int, content_type: str) -> None:
+        """Take the head."""
+
+    async def send(self, data: bytes) -> None:
+        """Take a part."""
+
+    async def finish(self) -> None:
+        """Take the end."""
+
+
+class PlainCalls:
+    """Makes calls to plain services."""
+
+    def __init__(self, board: Board, forwarder: Forwarder, access: UpstreamAccess) -> None:
+        self._board = board
+        self._forwarder = forwarder
+        self._access = access
+
+    def find_route(self, name: str) -> Route | None:
+        """Return the route of a plain service, or None."""
+        route = self._configuration().routes_by_name.get(RouteName(name))
+        return route if route is not None and route.kind is RouteKind.SERVICE else None
+
+    def is_open(self, values_by_name: dict[str, str]) -> bool:
+        """Tell whether a request's route is open to all."""
+        route = self.find_route(values_by_name.get("route", ""))
+        return route is not None and route.is_open
+
+    def allows(self, account_id: AccountId, route: Route) -> bool:
+        """Tell whether one of the account's profiles has the route."""
+        return any(
+            account_id in profile.account_ids and route.name in profile.routes
+            for profile in self._configuration().profiles_by_name.values()
+        )
+
+    async def make(self, call: PlainCall, sink: CallerSink) -> Refusal | None:
+        """Make a call and give its answer to the sink."""
+        is_recorded = call.idempotency_key and not call.route.is_idempotent
+        if is_recorded and call.account_id != OPEN_ACCOUNT:
+            return await self._make_recorded(call, sink)
+        answered = await self._make_here(call)
+        if isinstance(answered, Err):
+            return answered.err_value
+        answer = answered.ok_value
+        await sink.start(answer.status, answer.content_type)
+        await sink.send(answer.body)
+        await sink.finish()
+        return None
+
+    def _configuration(self) -> Configuration:
+        return self._board.config.read().configuration
+
+    async def _make_recorded(self, call: PlainCall, sink: CallerSink) -> Refusal | None:
+        """Make a call as a program of its own, so that it runs once for its key."""
+        parts = (call.account_id, call.route.name, call.idempotency_key)
+        program_id = f"svc-{digest_of_content(*(part.encode() for part in parts))}"
+        common = {
+            "request_id": call.request_id,
+            "account_id": call.account_id,
+            "program_id": program_id,
+            "timeout_s": call.timeout_s,
+        }
+        create = CreateProgram(
+            **common,
+            profile=PLAIN_PROFILE,
+            parent_id="",
+            tokens=UNLIMITED,
+            calls=UNLIMITED,
+            cost_micros=UNLIMITED,
+            wall_s=RECORD_KEPT_S,
+        )
+        refusal = await self._forwarder.perform(create, _NoSink())
+        if refusal is not None:
+            return refusal
+        run = RunCall(
+            **common,
+            turn=1,
+            route=call.route.name,
+            idempotency_key=call.idempotency_key,
+            body=encode_plain_request(call.upstream_request()),
+        )
+        return await self._forwarder.perform(run, sink)
+
+    async def _make_here(self, call: PlainCall) -> Result[ServiceAnswer, Refusal]:
+        call_id = CallId(new_id("call"))
+        deadline_s = trio.current_time() + min(call.timeout_s, call.route.timeout_s)
+        plain = call.upstream_request()
+        identity = UpstreamIdentity(
+            request_id=call.request_id, idempotency_key=call.idempotency_key
+        )
+
+        async def send(placement: Placement) -> Result[Tried[ServiceAnswer], UpstreamFailure]:
+            sent = make_service_call(
+                plain,
+                address=placement.address,
+                identity=identity,
+                is_idempotent=call.route.is_idempotent,
+                deadline_s=deadline_s,
+            )
+            called = await self._access.services.call(sent)
+            return called.map(lambda answer: Tried(value=answer))
+
+        content = encode_plain_request(plain)
+        request = PlacementRequest(
+            call_id=call_id,
+            program_id=ProgramId(call_id),
+            account_id=call.account_id,
+            target=call.route.target,
+            content_digest=digest_of_content(call.route.name.encode(), content),
+            deadline_s=deadline_s,
+            is_model=False,
+        )
+        task = Task(request=request, send=send, is_idempotent=call.route.is_idempotent)
+        answered = await run_tries(self._access.dispatcher, task)
+        if isinstance(answered, Ok) or call.route.is_idempotent:
+            return answered
+        return Err(_truthful(answered.err_value))
+
+
+def _truthful(refusal: Refusal) -> Refusal:
+    """Return the refusal of a call that may not be repeated by the system."""
+    if refusal.ran is Ran.NO:
+        return refusal
+    detail = f"{refusal.detail}; the outcome is unknown and it was not run again"
+    return Refusal(kind=ErrorKind.OUTCOME_UNKNOWN, detail=detail, ran=Ran.UNKNOWN)
--- /dev/null
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_decisions.py
@@ -0,0 +1,48 @@
+"""The latest decisions with their inputs, for `explain`.
+
+decisions.add("placement", request_id, program_id=program_id, upstream="engine-2")
+decisions.about(program_id)
+"""
+
+import time
+from collections import deque
+
+import msgspec
+
+MAX_DECISIONS = 10_000
+
+
+class Decision(msgspec.Struct, frozen=True, kw_only=True):
+    """One decision; `at_s` is wall-clock seconds, and `inputs` is what it rested on."""
+
+    at_s: float
+    kind: str
+    request_id: str
+    program_id: str
+    inputs: dict[str, object]
+
+
+class DecisionLog:
+    """A ring of the latest decisions of this instance."""
+
+    def __init__(self, max_decisions: int = MAX_DECISIONS) -> None:
+        self._decisions: deque[Decision] = deque(maxlen=max_decisions)
+
+    def add(self, kind: str, request_id: str, *, program_id: str = "", **inputs: object) -> None:
+        """Note a decision."""
+        decision = Decision(
+            at_s=time.time(),
+            kind=kind,
+            request_id=request_id,
+            program_id=program_id,
+            inputs=inputs,
+        )
+        self._decisions.append(decision)
+
+    def about(self, subject: str) -> list[Decision]:
+        """Return the decisions about a request or a program, the oldest first."""
+        return [
+            decision
+            for decision in self._decisions
+            if subject in (decision.request_id, decision.program_id)
+        ]
--- /dev/null
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_execution/_feed.py
@@ -0,0 +1,116 @@
+"""The answer of a running call, read by everyone who waits for it.
+
+The executor writes whole events as they come; each reader takes all that is ready at its own
+pace. The executor waits while every reader is too far behind, so a slow caller holds back the
+engine, and a reader that was lost holds back nobody. A call goes on without readers; what then
+becomes of it is the executor's decision.
+"""
+
+import sys
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import trio
+
+from lagoonfold import Refusal
+
+READ_AHEAD_BYTES = 131_072
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Answer:
+    """A whole answer, as it is recorded."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+class FeedReader:
+    """One reader's place in a feed."""
+
+    __slots__ = ("_feed", "index")
+
+    def __init__(self, feed: "AnswerFeed") -> None:
+        self._feed = feed
+        self.index = 0
+
+    def skip_parts(self) -> None:
+        """Hold back nothing: this reader waits for the whole answer alone."""
+        self.index = sys.maxsize
+
+    async def read(self) -> bytes:
+        """Return all parts that are ready, waiting for the first; empty at the end."""
+        feed = self._feed
+        while self.index >= len(feed.parts) and not feed.is_over:
+            await feed.changed.wait()
+        parts = feed.parts[self.index :]
+        self.index = len(feed.parts)
+        feed.signal()
+        return b"".join(parts)
+
+
+class AnswerFeed:
+    """The parts so far, and at the end the whole answer or the refusal."""
+
+    def __init__(self, on_abandoned: Callable[[], None]) -> None:
+        self.parts: list[bytes] = []
+        self.answer: Answer | None = None
+        self.refusal: Refusal | None = None
+        self.changed = trio.Event()
+        self._readers: list[FeedReader] = []
+        self._on_abandoned = on_abandoned
+
+    @property
+    def is_over(self) -> bool:
+        """Tell whether the call has ended."""
+        return self.answer is not None or self.refusal is not None
+
+    def signal(self) -> None:
+        """Wake everyone who waits for a change."""
+        self.changed.set()
+        self.changed = trio.Event()
+
+    def attach(self) -> FeedReader:
+        """Add a reader at the start of the answer."""
+        reader = FeedReader(self)
+        self._readers.append(reader)
+        return reader
+
+    def detach(self, reader: FeedReader) -> None:
+        """Remove a reader; the executor is told when the last one is gone before the end."""
+        self._readers.remove(reader)
+        self.signal()
+        if not self._readers and not self.is_over:
+            self._on_abandoned()
+
+    async def write(self, part: bytes) -> None:
+        """Add a part, after waiting for a reader to be near enough."""
+        while self._unread_bytes() > READ_AHEAD_BYTES:
+            await self.changed.wait()
+        self.parts.append(part)
+        self.signal()
+
+    def _unread_bytes(self) -> int:
+        if not self._readers:
+            return 0
+        fastest = max(reader.index for reader in self._readers)
+        return sum(len(part) for part in self.parts[fastest:])
+
+    def finish(self, answer: Answer, last_part: bytes = b"") -> None:
+        """End the call with its whole answer."""
+        if last_part:
+            self.parts.append(last_part)
+        self.answer = answer
+        self.signal()
+
+    def refuse(self, refusal: Refusal) -> None:
+        """End the call without an answer."""
+        self.refusal = refusal
+        self.signal()
+
+    async def wait(self) -> Answer | Refusal:
+        """Wait for the end of the call."""
+        while not self.is_over:
+            await self.changed.wait()
+        return self.answer if self.answer is not None else self.refusal
--- /dev/null
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_execution/_model_call.py
@@ -0,0 +1,181 @@
+"""Calls to models: placed on a replica, streamed, and resumed on another after a failure.
+
+The events pass through unchanged; the last ones are held back until the outcome is recorded. An
+interrupted stream is resumed from the tokens that the readers have, so that they get the whole
+answer once.
+"""
+
+from dataclasses import dataclass, field
+from functools import partial
+
+import msgspec
+from result import Err, Ok, Result
+
+from lagoonfold import Ran, Refusal
+from lagoonfold.config import RouteKind
+from lagoonfold_node._dispatch import Placement, ServiceUsage
+from lagoonfold_node._execution._costs import (
+    DEFAULT_ANSWER_TOKENS,
+    answer_room,
+    cost_of,
+    prompt_tokens_of,
+)
+from lagoonfold_node._execution._executor import Executor
+from lagoonfold_node._execution._feed import Answer
+from lagoonfold_node._execution._placing import placement_request
+from lagoonfold_node._execution._prompts import engine_body, history_messages
+from lagoonfold_node._execution._render import COMPLETION
+from lagoonfold_node._execution._runners import Finished, runs
+from lagoonfold_node._execution._running import RunningCall
+from lagoonfold_node._execution._tries import Task, Tried, run_tries
+from lagoonfold_node._upstreams import (
+    DONE_EVENT,
+    Completion,
+    EngineCall,
+    EngineStream,
+    UpstreamFailure,
+    Usage,
+    whole_completion,
+)
+
+OK = 200
+FINISH_STOP = "stop"
+FINISH_LENGTH = "length"
+
+
+@dataclass(slots=True, kw_only=True)
+class _Generation:
+    """A call's answer over all its tries; `limit` is the most tokens that it may have."""
+
+    running: RunningCall
+    body: dict
+    prompt_tokens: int
+    limit: int
+    completion: Completion = field(default_factory=Completion)
+    last_part: bytes = b""
+
+    def next_completion(self) -> Completion:
+        """Return the completion that the next try adds to what is there."""
+        former = self.completion
+        self.completion = Completion()
+        self.completion.resumed_at(former.text(), former.tokens)
+        return self.completion
+
+    def is_at_limit(self) -> bool:
+        """Tell whether the answer has as many tokens as the budget allows."""
+        return self.completion.tokens >= self.limit
+
+    def charged_tokens(self) -> int:
+        """Return the tokens to be charged so far."""
+        return prompt_tokens_of(self.running.operation.body) + self.completion.tokens
+
+
+@runs(RouteKind.MODEL)
+async def run_model(executor: Executor, running: RunningCall) -> Result[Finished, Refusal]:
+    """Generate a whole answer, on as many replicas as it takes within the retry budgets."""
+    history = await running.shard.read_history(running.program_id)
+    if isinstance(history, Err):
+        return history
+    operation = running.operation
+    earlier = history_messages(history.ok_value)
+    limit = answer_room(running.reserve, operation.body)
+    is_limited = operation.max_tokens is not None or limit < DEFAULT_ANSWER_TOKENS
+    body = engine_body(
+        operation.body,
+        earlier,
+        model=running.route.target,
+        max_tokens=limit if is_limited else None,
+    )
+    generation = _Generation(
+        running=running,
+        body=body,
+        prompt_tokens=prompt_tokens_of(msgspec.json.encode(body["messages"])),
+        limit=limit,
+    )
+    generation.completion.resumed_at(operation.delivered_text, operation.delivered_tokens)
+    task = Task(
+        request=placement_request(executor, running, prompt_tokens=generation.prompt_tokens),
+        send=partial(_generate, executor, generation),
+        is_idempotent=running.route.is_idempotent,
+        may_act=running.shard.may_act,
+    )
+    generated = await run_tries(executor.access.dispatcher, task)
+    if isinstance(generated, Err):
+        return generated
+    return Ok(_finished(generation))
+
+
+async def _generate(
+    executor: Executor, generation: _Generation, placement: Placement
+) -> Result[Tried[None], UpstreamFailure]:
+    """Generate the rest of the answer on one replica."""
+    if generation.completion.tool_calls_by_index:
+        return Err(UpstreamFailure(detail="tool calls can't be resumed", ran=Ran.UNKNOWN))
+    running = generation.running
+    completion = generation.next_completion()
+    call = EngineCall(
+        address=placement.address,
+        identity=running.identity(),
+        body=generation.body,
+        priority=placement.priority,
+        cache_key=running.program_id,
+        resume_from=completion.tokens,
+    )
+    running.was_sent = True
+    async with executor.access.engine.open(call, completion) as opened:
+        if isinstance(opened, Err):
+            return opened
+        failure = await _relay(generation, opened.ok_value)
+    if failure is not None:
+        return Err(failure)
+    return Ok(Tried(value=None, usage=_service_usage(generation)))
+
+
+async def _relay(generation: _Generation, stream: EngineStream) -> UpstreamFailure | None:
+    """Give the events to the readers as they come, all but the last."""
+    running = generation.running
+    while True:
+        read = await stream.read()
+        if isinstance(read, Err):
+            return read.err_value
+        chunk = read.ok_value
+        running.spent = cost_of(running.route, generation.charged_tokens())
+        if chunk.is_last:
+            generation.last_part = chunk.raw
+            await stream.drain()
+            return None
+        await running.feed.write(chunk.raw)
+        if generation.is_at_limit():
+            generation.completion.finish_reason = FINISH_LENGTH
+            generation.last_part = DONE_EVENT
+            return None
+
+
+def _service_usage(generation: _Generation) -> ServiceUsage:
+    usage = generation.completion.usage
+    return ServiceUsage(
+        prompt_tokens=usage.prompt_tokens if usage else generation.prompt_tokens,
+        cached_tokens=usage.cached_tokens() if usage else 0,
+        completion_tokens=generation.completion.tokens,
+    )
+
+
+def _finished(generation: _Generation) -> Finished:
+    running, completion = generation.running, generation.completion
+    usage = completion.usage or Usage(
+        prompt_tokens=generation.prompt_tokens,
+        completion_tokens=completion.tokens,
+        total_tokens=generation.prompt_tokens + completion.tokens,
+    )
+    body = whole_completion(
+        completion.message(),
+        call_id=running.call_id,
+        model=running.operation.route,
+        finish_reason=completion.finish_reason or FINISH_STOP,
+        usage=usage,
+    )
+    return Finished(
+        answer=Answer(status=OK, content_type=COMPLETION, body=body),
+        used=cost_of(running.route, generation.charged_tokens()),
+        last_part=generation.last_part,
+    )
--- /dev/null
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_execution/_ports.py
@@ -0,0 +1,48 @@
+"""What the execution needs of the ownership part."""
+
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+from result import Result
+
+from lagoonfold import Epoch, InstanceId, ProgramId, Refusal, ShardId
+from lagoonfold.records import Program, ProgramShard, Record, Turn
+
+WaitDurable = Callable[[], Awaitable[Result[None, Refusal]]]
+
+
+class OpenShard(Protocol):
+    """A shard that this instance owns; `executor` is the name under which it sends calls."""
+
+    state: ProgramShard
+    shard_id: ShardId
+    epoch: Epoch
+    executor: str
+
+    def may_act(self) -> bool:
+        """Tell whether this instance still owns the shard for certain."""
+
+    def submit(self, records: tuple[Record, ...]) -> WaitDurable:
+        """Apply records now; the returned function waits until they are durable."""
+
+    async def commit(self, records: tuple[Record, ...]) -> Result[None, Refusal]:
+        """Apply records now and wait until they are durable."""
+
+    async def read_history(self, program_id: ProgramId) -> Result[tuple[Turn, ...], Refusal]:
+        """Return a program's whole history, checked against its digest chain."""
+
+    async def read_turn(self, program: Program, turn: int) -> Result[Turn, Refusal]:
+        """Return one turn of a program."""
+
+    async def wait_settled(self, call_id: str) -> None:
+        """Wait until a call is no longer under way, or the shard has moved."""
+
+
+class Shards(Protocol):
+    """The shards of the fleet as this instance knows them."""
+
+    def owner_of(self, text: str) -> InstanceId | None:
+        """Return the owner of a program or account."""
+
+    def opened_for(self, text: str) -> OpenShard | None:
+        """Return the shard of a program or account if it is open here."""
--- /dev/null
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_execution/_runners.py
@@ -0,0 +1,37 @@
+"""The registry of what runs a call of each kind of route."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
+
+from result import Result
+
+from lagoonfold import Refusal
+from lagoonfold.config import RouteKind
+from lagoonfold.records import Cost
+from lagoonfold_node._execution._feed import Answer
+from lagoonfold_node._execution._running import RunningCall
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Finished:
+    """A whole answer with its cost; `last_part` ends the stream of those who read it so."""
+
+    answer: Answer
+    used: Cost
+    last_part: bytes = b""
+
+
+Runner = Callable[[Any, RunningCall], Awaitable[Result[Finished, Refusal]]]
+
+RUNNERS_BY_KIND: dict[RouteKind, Runner] = {}
+
+
+def runs(kind: RouteKind) -> Callable[[Runner], Runner]:
+    """Enter the decorated function as the runner of calls to routes of a kind."""
+
+    def enter(runner: Runner) -> Runner:
+        RUNNERS_BY_KIND[kind] = runner
+        return runner
+
+    return enter
--- /dev/null
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_execution/_running.py
@@ -0,0 +1,71 @@
+"""Calls under way at their owner."""
+
+from dataclasses import dataclass, field
+
+import trio
+
+from lagoonfold import AccountId, CallId, ErrorKind, ProgramId, Ran, Refusal
+from lagoonfold.config import Route
+from lagoonfold.records import NO_COST, Cost
+from lagoonfold_node._execution._feed import AnswerFeed
+from lagoonfold_node._execution._operations import RunCall
+from lagoonfold_node._execution._ports import OpenShard
+from lagoonfold_node._upstreams import UpstreamIdentity
+
+ABANDONED = Refusal(kind=ErrorKind.CANCELLED, detail="the caller hung up", ran=Ran.UNKNOWN)
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class RunningCall:
+    """A call between its begin and its settlement.
+
+    `deadline_s` is on the process's clock. `was_sent` says whether a byte may have gone upstream.
+    `spent` is what an interrupted call has cost so far. `stopped` is why the call was cancelled.
+    """
+
+    call_id: CallId
+    operation: RunCall
+    route: Route
+    shard: OpenShard
+    reserve: Cost
+    deadline_s: float
+    content_digest: str
+    feed: AnswerFeed = field(init=False)
+    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+    begun: trio.Event = field(default_factory=trio.Event)
+    begin_refusal: Refusal | None = None
+    was_sent: bool = False
+    spent: Cost = NO_COST
+    stopped: Refusal | None = None
+
+    def __post_init__(self) -> None:
+        self.feed = AnswerFeed(self._abandon)
+
+    @property
+    def program_id(self) -> ProgramId:
+        """Return the program that makes the call."""
+        return ProgramId(self.operation.program_id)
+
+    @property
+    def account_id(self) -> AccountId:
+        """Return the account that the program runs for."""
+        return AccountId(self.operation.account_id)
+
+    def identity(self) -> UpstreamIdentity:
+        """Return what an upstream is told of the call."""
+        return UpstreamIdentity(
+            request_id=self.operation.request_id,
+            fencing=f"{self.shard.shard_id}:{self.shard.epoch}",
+            idempotency_key=self.operation.idempotency_key or str(self.call_id),
+        )
+
+    def stop(self, refusal: Refusal) -> None:
+        """Cancel the call for a reason."""
+        if self.stopped is None:
+            self.stopped = refusal
+        self.scope.cancel()
+
+    def _abandon(self) -> None:
+        """Cancel an idempotent call that nobody waits for; another runs to its outcome."""
+        if self.route.is_idempotent:
+            self.stop(ABANDONED)
--- /dev/null
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_execution/_tries.py
@@ -0,0 +1,124 @@
+"""Tries of one call on one upstream after another, within the retry budgets.
+
+The dispatcher chooses each upstream. The owner's right to act is asked immediately before each
+try. A call that may have run and is not idempotent is tried no more.
+"""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, replace
+from typing import Generic, TypeVar
+
+import trio
+from result import Err, Ok, Result
+
+from lagoonfold import ErrorKind, Ran, Refusal, UpstreamId
+from lagoonfold.resilience import FailedTry
+from lagoonfold_node._dispatch import Dispatcher, Placement, PlacementRequest, ServiceUsage
+from lagoonfold_node._execution._sink import refuse
+from lagoonfold_node._upstreams import UpstreamFailure
+
+RETRY_AFTER_S = 1.0
+
+T = TypeVar("T")
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Tried(Generic[T]):
+    """What a try brought, with the usage that the dispatcher learns from."""
+
+    value: T
+    usage: ServiceUsage | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Task(Generic[T]):
+    """A call to be tried: what places it, what sends it, and what must hold before each try."""
+
+    request: PlacementRequest
+    send: Callable[[Placement], Awaitable[Result[Tried[T], UpstreamFailure]]]
+    is_idempotent: bool
+    may_act: Callable[[], bool] = lambda: True
+
+
+async def run_tries(dispatcher: Dispatcher, task: Task[T]) -> Result[T, Refusal]:
+    """Try a call until it is answered or given up; the refusal says whether it may have run."""
+    request = task.request
+    attempt = 0
+    ran = Ran.NO
+    while True:
+        attempt += 1
+        async with dispatcher.place(request) as placed:
+            if isinstance(placed, Err):
+                return Err(_with_ran(placed.err_value, ran))
+            if not task.may_act():
+                return Err(_lease_lapsed(ran))
+            placement = placed.ok_value
+            _note_try(dispatcher, request, placement, attempt)
+            tried = await task.send(placement)
+            if isinstance(tried, Ok):
+                placement.succeed(tried.ok_value.usage)
+                return Ok(tried.ok_value.value)
+            failure = tried.err_value
+            _note_failure(placement, failure)
+        ran = _worse(ran, failure.ran)
+        delay_s = _decide_retry(dispatcher, task, placement.upstream_id, failure, attempt)
+        if delay_s is None:
+            return Err(_failed(request, failure, ran))
+        request = replace(request, avoid=request.avoid | {placement.upstream_id})
+        await trio.sleep(delay_s)
+
+
+def _note_try(
+    dispatcher: Dispatcher, request: PlacementRequest, placement: Placement, attempt: int
+) -> None:
+    state = dispatcher.table.states_by_id.get(placement.upstream_id)
+    if attempt == 1 and state is not None:
+        dispatcher.retries.note_first_try(request.account_id, state)
+
+
+def _note_failure(placement: Placement, failure: UpstreamFailure) -> None:
+    """Tell the dispatcher; an upstream that found fault with the request is well."""
+    if failure.is_refused():
+        placement.succeed()
+    else:
+        placement.fail(went_down=failure.went_down)
+
+
+def _decide_retry(
+    dispatcher: Dispatcher,
+    task: Task[T],
+    upstream_id: UpstreamId,
+    failure: UpstreamFailure,
+    attempt: int,
+) -> float | None:
+    """Return after how many seconds to try again, or None to give up."""
+    if failure.is_refused():
+        return None
+    failed = FailedTry(
+        attempt=attempt,
+        ran=failure.ran,
+        is_idempotent=task.is_idempotent,
+        deadline_s=task.request.deadline_s,
+    )
+    state = dispatcher.table.states_by_id.get(upstream_id)
+    decided = dispatcher.retries.decide(failed, task.request.account_id, state)
+    return decided.ok_value.delay_s if isinstance(decided, Ok) else None
+
+
+def _worse(ran: Ran, other: Ran) -> Ran:
+    return Ran.NO if ran is Ran.NO and other is Ran.NO else Ran.UNKNOWN
+
+
+def _with_ran(refusal: Refusal, ran: Ran) -> Refusal:
+    return replace(refusal, ran=_worse(ran, refusal.ran))
+
+
+def _lease_lapsed(ran: Ran) -> Refusal:
+    detail = "the owner's lease lapsed"
+    return refuse(ErrorKind.OWNER_UNAVAILABLE, detail, ran=ran, retry_after_s=RETRY_AFTER_S)
+
+
+def _failed(request: PlacementRequest, failure: UpstreamFailure, ran: Ran) -> Refusal:
+    is_late = trio.current_time() >= request.deadline_s
+    kind = ErrorKind.DEADLINE_EXCEEDED if is_late else ErrorKind.UPSTREAM_FAILED
+    return refuse(kind, f"{request.target}: {failure.detail}", ran=ran, retry_after_s=RETRY_AFTER_S)
--- /dev/null
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_node.py
@@ -0,0 +1,246 @@
+"""One instance: its parts, wired around the blackboard.
+
+The peer bus calls its handlers with the node, which therefore names each part that they use.
+"""
+
+from dataclasses import dataclass, field
+
+import trio
+
+from lagoonfold import InstanceId, ProgramId
+from lagoonfold.settings import Settings
+from lagoonfold_io import EtcdStore, HttpClient, HttpInstanceList, HttpLimits
+from lagoonfold_node._account_owners import ShardAccountOwners
+from lagoonfold_node._board import Board
+from lagoonfold_node._border import Border, Forwarder, KeyGuard, PlainCalls
+from lagoonfold_node._config_controller import ConfigController
+from lagoonfold_node._decisions import DecisionLog
+from lagoonfold_node._dispatch import Dispatcher, DispatchService
+from lagoonfold_node._execution import Executor, OpenShard
+from lagoonfold_node._logs import EventLog
+from lagoonfold_node._metrics import Metrics
+from lagoonfold_node._operator import OperatorPort
+from lagoonfold_node._orders import Orders
+from lagoonfold_node._ownership import Ownership, OwnershipContext, OwnershipSettings
+from lagoonfold_node._peers import PeerBus
+from lagoonfold_node._rates import Lenders, RateGate
+from lagoonfold_node._status import describe_node, why_not_ready
+from lagoonfold_node._upstreams import (
+    HttpEngine,
+    HttpService,
+    UpstreamAccess,
+    UpstreamDirectory,
+)
+
+
+@dataclass(slots=True)
+class Node:
+    """The parts of one instance, made from its settings."""
+
+    settings: Settings
+    board: Board = field(default_factory=Board)
+    metrics: Metrics = field(default_factory=Metrics)
+    decisions: DecisionLog = field(default_factory=DecisionLog)
+    client: HttpClient = field(default_factory=HttpClient)
+    log: EventLog = field(default_factory=lambda: EventLog("node"))
+    store: EtcdStore = field(init=False)
+    bus: PeerBus = field(init=False)
+    configuration: ConfigController = field(init=False)
+    ownership: Ownership = field(init=False)
+    directory: UpstreamDirectory = field(init=False)
+    dispatch: DispatchService = field(init=False)
+    rates: RateGate = field(init=False)
+    executor: Executor = field(init=False)
+    guard: KeyGuard = field(init=False)
+    border: Border = field(init=False)
+    operator: OperatorPort = field(init=False)
+
+    def __post_init__(self) -> None:
+        self._make_platform()
+        self._make_controllers()
+        self._make_path()
+        self.operator = OperatorPort(
+            metrics=self.metrics,
+            decisions=self.decisions,
+            why_not_ready=lambda: why_not_ready(self),
+            status=lambda: describe_node(self),
+            owner_of=self.ownership.shards.owner_of,
+            give_order=Orders(self).give,
+        )
+
+    @property
+    def instance_id(self) -> InstanceId:
+        """Return this instance's id."""
+        return InstanceId(self.settings.instance.id)
+
+    @property
+    def dispatcher(self) -> Dispatcher:
+        """Return what places calls on upstreams."""
+        return self.dispatch.dispatcher
+
+    def _make_platform(self) -> None:
+        platform = self.settings.platform
+        self.store = EtcdStore(
+            self.client,
+            platform.kv,
+            calls_per_s=platform.kv_calls_per_s,
+            call_timeout_s=platform.kv_timeout_s,
+        )
+        self.bus = PeerBus(
+            self.instance_id,
+            self.settings.instance.peer,
+            self._find_peer,
+            self,
+            on_fault=self._on_fault,
+        )
+        self.directory = UpstreamDirectory(
+            self.board.upstreams,
+            HttpInstanceList(self.client, platform.instance_list),
+            interval_s=platform.instance_list_interval_s,
+        )
+
+    def _make_controllers(self) -> None:
+        settings, board = self.settings, self.board
+        self.configuration = ConfigController(
+            instance_id=self.instance_id,
+            failure_domain=settings.instance.failure_domain,
+            store=self.store,
+            bus=self.bus,
+            cell=board.config,
+            members=board.members,
+            metrics=self.metrics,
+            withdrawal_bound_s=settings.keys.withdrawal_bound_s,
+        )
+        self.ownership = Ownership(
+            OwnershipContext(
+                instance_id=self.instance_id,
+                peer_address=settings.instance.peer,
+                failure_domain=settings.instance.failure_domain,
+                store=self.store,
+                board=board,
+                metrics=self.metrics,
+                settings=_ownership_settings(settings),
+                bus=self.bus,
+                has_disk=settings.instance.data_dir is not None,
+                incarnation=self.bus.incarnation,
+            )
+        )
+        self.dispatch = DispatchService(
+            self.instance_id,
+            board,
+            self.bus,
+            self.store,
+            self.client,
+            self.metrics,
+            is_gone=self._is_gone,
+        )
+        owners = ShardAccountOwners(self.ownership.shards)
+        find_account = lambda account_id: (  # noqa: E731
+            board.config.read().configuration.accounts_by_id.get(account_id)
+        )
+        self.rates = RateGate(self.instance_id, self.bus, owners, Lenders(owners, find_account))
+
+    def _make_path(self) -> None:
+        settings = self.settings
+        access = UpstreamAccess(
+            engine=HttpEngine(self.client),
+            services=HttpService(self.client),
+            dispatcher=self.dispatcher,
+        )
+        self.executor = Executor(
+            shards=self.ownership.shards,
+            config=self.board.config,
+            access=access,
+            decisions=self.decisions,
+            on_ended=self._free,
+            on_fault=self._on_fault,
+        )
+        forwarder = Forwarder(
+            instance_id=self.instance_id,
+            shards=self.ownership.shards,
+            bus=self.bus,
+            executor=self.executor,
+            metrics=self.metrics,
+        )
+        keys = settings.keys
+        self.guard = KeyGuard(self.board.config, keys.withdrawal_bound_s + keys.outage_grace_s)
+        self.border = Border(
+            board=self.board,
+            guard=self.guard,
+            rates=self.rates,
+            forwarder=forwarder,
+            plain_calls=PlainCalls(self.board, forwarder, access),
+            metrics=self.metrics,
+            decisions=self.decisions,
+            limits=_http_limits(settings),
+            max_streams=settings.limits.max_streams,
+        )
+
+    def _find_peer(self, instance_id: str) -> str | None:
+        member = self.board.members.read().get(InstanceId(instance_id))
+        return member.peer_address if member is not None else None
+
+    def _on_fault(self, event: str, error: BaseException) -> None:
+        self.metrics.count("faults", event)
+        self.log.error(event, error)
+
+    def _free(self, program_id: ProgramId, shard: OpenShard) -> None:
+        self.dispatcher.free_program(program_id)
+
+    def _is_gone(self, program_id: ProgramId) -> bool:
+        """Tell whether a cached program is owned here and has ended or is not known."""
+        shard = self.ownership.shards.opened_for(program_id)
+        if shard is None or not shard.may_act():
+            return False
+        program = shard.state.programs_by_id.get(program_id)
+        return program is None or program.end_reason is not None
+
+    async def serve(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Run every part until cancelled."""
+        instance = self.settings.instance
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self.operator.server.serve, *_host_and_port(instance.operator))
+            await nursery.start(self.bus.serve)
+            await nursery.start(self.executor.run)
+            await nursery.start(self.rates.run)
+            for run in (
+                self.ownership.run,
+                self.configuration.run,
+                self.directory.run,
+                self.dispatch.run,
+                self.guard.run,
+            ):
+                nursery.start_soon(run)
+            await nursery.start(self.border.server.serve, *_host_and_port(instance.listen))
+            self.log.info("node.started", instance_id=self.instance_id)
+            task_status.started()
+
+
+def _host_and_port(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def _ownership_settings(settings: Settings) -> OwnershipSettings:
+    cluster = settings.cluster
+    return OwnershipSettings(
+        shard_count=cluster.shards,
+        lease_s=cluster.lease_s,
+        renew_s=cluster.renew_s,
+        takeover_wait_s=cluster.takeover_wait_s,
+        commit_interval_s=cluster.commit_interval_s,
+        checkpoint_commits=cluster.checkpoint_commits,
+    )
+
+
+def _http_limits(settings: Settings) -> HttpLimits:
+    limits = settings.limits
+    return HttpLimits(
+        max_header_bytes=limits.max_header_bytes,
+        max_body_bytes=limits.max_body_bytes,
+        max_connections=limits.max_connections,
+        header_timeout_s=limits.header_timeout_s,
+        body_timeout_s=limits.body_timeout_s,
+        idle_timeout_s=limits.idle_timeout_s,
+        write_timeout_s=limits.write_timeout_s,
+    )
--- /dev/null
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_operator/__init__.py
@@ -0,0 +1,5 @@
+"""The operators' port of an instance: liveness, metrics, status and explanations."""
+
+from lagoonfold_node._operator._server import OperatorPort
+
+__all__ = ["OperatorPort"]
--- a/packages/lagoonfold-node/src/lagoonfold_node/_peers/_bus.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_peers/_bus.py
@@ -84,6 +84,11 @@
             for outbox in self._outboxes_by_peer.values():
                 outbox.close()
 
+    @property
+    def active_calls(self) -> int:
+        """Return the number of peers' calls that are under way here."""
+        return len(self._inbound_by_call)
+
     def send(self, instance_id: str, message: PeerMessage) -> bool:
         """Send a message that has no answer; return False if it can't be queued."""
         return self._send(instance_id, new_id("msg"), False, message)
@@ -120,7 +125,7 @@
             yield stream
         finally:
             del self._outbound_by_call[call_id]
-            if not stream.is_complete:
+            if not stream.is_complete and not stream.is_lost:
                 send(CallCancelled())
 
     def _send(self, peer: str, call_id: str, is_answer: bool, message: PeerMessage) -> bool:
--- a/packages/lagoonfold-node/src/lagoonfold_node/_peers/_calls.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_peers/_calls.py
@@ -87,6 +87,11 @@
         self._taken = 0
         self._granted = STREAM_WINDOW_BYTES
 
+    @property
+    def is_lost(self) -> bool:
+        """Tell whether the peer was given up."""
+        return bool(self._lost)
+
     async def receive(self) -> PeerMessage:
         """Return the next answer; raise `PeerLostError` when none will come."""
         while not self._answers:
--- /dev/null
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_status.py
@@ -0,0 +1,55 @@
+"""What an instance reports of itself: readiness and status."""
+
+from typing import TYPE_CHECKING
+
+import trio
+
+if TYPE_CHECKING:
+    from lagoonfold_node._node import Node
+
+
+def why_not_ready(node: "Node") -> str:
+    """Return why an instance should get no traffic, or an empty text."""
+    if node.board.stopping.read():
+        return "stopping"
+    if node.guard.is_stale():
+        return "the configuration could not be verified"
+    if not node.ownership.context.has_lease():
+        return "no lease"
+    if not node.board.members.read():
+        return "no members are known"
+    return ""
+
+
+def describe_node(node: "Node") -> dict:
+    """Return the status that operators see."""
+    view = node.board.config.read()
+    table = node.board.ownership.read()
+    return {
+        "instance_id": node.instance_id,
+        "failure_domain": node.settings.instance.failure_domain,
+        "ready": not why_not_ready(node),
+        "reason": why_not_ready(node),
+        "stopping": node.board.stopping.read(),
+        "config_version": view.configuration.version,
+        "config_age_s": round(max(0.0, trio.current_time() - view.verified_at_s), 3),
+        "has_lease": node.ownership.context.has_lease(),
+        "members": sorted(node.board.members.read()),
+        "shards": [
+            {
+                "shard": shard.shard_id,
+                "epoch": shard.epoch,
+                "programs": len(shard.state.programs_by_id),
+            }
+            for shard in node.board.shards.read().values()
+        ],
+        "ownership_revision": table.revision if table is not None else 0,
+        "upstreams": [
+            {"id": entry.instance_id, "role": entry.role, "leaving": entry.leaving}
+            for entry in node.board.upstreams.read().values()
+        ],
+        "requests": node.border.active,
+        "calls": len(node.executor.running_by_call),
+        "peer_bytes": {"sent": node.bus.bytes_sent, "received": node.bus.bytes_received},
+        "store_calls": dict(node.store.counts_by_operation),
+    }
--- a/packages/lagoonfold-node/src/lagoonfold_node/_upstreams/__init__.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_upstreams/__init__.py
@@ -1,6 +1,15 @@
 """What the node sends to engines, tools and services, and what it knows of them."""
 
-from lagoonfold_node._upstreams._completion import Completion, StreamError, parse_events
+from lagoonfold_node._upstreams._access import UpstreamAccess
+from lagoonfold_node._upstreams._completion import (
+    DONE_EVENT,
+    Completion,
+    StreamError,
+    Usage,
+    completion_events,
+    parse_events,
+    whole_completion,
+)
 from lagoonfold_node._upstreams._directory import UpstreamDirectory
 from lagoonfold_node._upstreams._engine import (
     EngineCall,
@@ -13,6 +22,7 @@
 from lagoonfold_node._upstreams._service import HttpService, ServiceAnswer, ServiceCall
 
 __all__ = [
+    "DONE_EVENT",
     "Completion",
     "EngineCall",
     "EngineChunk",
@@ -22,9 +32,13 @@
     "ServiceAnswer",
     "ServiceCall",
     "StreamError",
+    "UpstreamAccess",
     "UpstreamDirectory",
     "UpstreamFailure",
     "UpstreamIdentity",
+    "Usage",
+    "completion_events",
     "parse_events",
     "upstream_headers",
+    "whole_completion",
 ]
--- /dev/null
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_upstreams/_access.py
@@ -0,0 +1,16 @@
+"""What a running call needs to reach upstreams, in one place."""
+
+from dataclasses import dataclass
+
+from lagoonfold_node._dispatch import Dispatcher
+from lagoonfold_node._upstreams._engine import HttpEngine
+from lagoonfold_node._upstreams._service import HttpService
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class UpstreamAccess:
+    """The adapters, and the dispatcher that places calls on upstreams."""
+
+    engine: HttpEngine
+    services: HttpService
+    dispatcher: Dispatcher
--- a/packages/lagoonfold-node/src/lagoonfold_node/_upstreams/_directory.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_upstreams/_directory.py
@@ -49,14 +49,3 @@
         }
         if upstreams != self._upstreams.read():
             self._upstreams.write(upstreams)
-
-
-def find_services(
-    upstreams: Mapping[UpstreamId, ListedInstance], service: str
-) -> tuple[ListedInstance, ...]:
-    """Return the replicas of a tool or plain service that take new work."""
-    return tuple(
-        entry
-        for entry in upstreams.values()
-        if entry.service == service and not entry.leaving and entry.role != "engine"
-    )
--- a/packages/lagoonfold-node/src/lagoonfold_node/_upstreams/_engine.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_upstreams/_engine.py
@@ -5,9 +5,10 @@
 falls silent after that is given up, with its connection and the older ones.
 """
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
+from functools import partial
 from http import HTTPStatus
 from typing import Any
 
@@ -37,15 +38,19 @@
 class UpstreamFailure:
     """A try that brought no whole answer.
 
-    `is_down` says that the upstream itself is at fault, as opposed to the request; `status` is
-    the upstream's HTTP status, or zero.
+    `went_down` says that the upstream broke off or answers no probe, so that the request may have
+    taken it down; `status` is the upstream's HTTP status, or zero.
     """
 
     detail: str
     ran: Ran
-    is_down: bool = True
+    went_down: bool = False
     status: int = 0
 
+    def is_refused(self) -> bool:
+        """Tell whether the upstream is well and found fault with the request."""
+        return HTTPStatus.BAD_REQUEST <= self.status < HTTPStatus.INTERNAL_SERVER_ERROR
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class EngineCall:
@@ -75,9 +80,15 @@
 class EngineStream:
     """An engine's answer being read; `completion` grows with each chunk."""
 
-    def __init__(self, response: ResponseStream, completion: Completion) -> None:
+    def __init__(
+        self,
+        response: ResponseStream,
+        completion: Completion,
+        probe: Callable[[], Awaitable[bool]],
+    ) -> None:
         self.completion = completion
         self._response = response
+        self._probe = probe
         self._rest = b""
 
     async def drain(self) -> None:
@@ -96,9 +107,10 @@
                 with trio.fail_after(SILENCE_TIMEOUT_S):
                     data = await self._response.read()
             except trio.TooSlowError:
-                return _failed(f"silent for {SILENCE_TIMEOUT_S:g} s")
+                went_down = not await self._probe()
+                return _failed(f"silent for {SILENCE_TIMEOUT_S:g} s", went_down=went_down)
             except HttpStreamError as error:
-                return _failed(error.error.detail)
+                return Err(failure_of(error.error))
             if not data:
                 return _failed("the stream ended before its last event")
             chunk = self._parse(self._rest + data if self._rest else data)
@@ -120,14 +132,18 @@
         return Ok(EngineChunk(raw=buffer[:size], is_last=self.completion.is_done))
 
 
-def _failed(detail: str) -> Err[UpstreamFailure]:
-    return Err(UpstreamFailure(detail=detail, ran=Ran.UNKNOWN))
+def _failed(detail: str, *, went_down: bool = False) -> Err[UpstreamFailure]:
+    return Err(UpstreamFailure(detail=detail, ran=Ran.UNKNOWN, went_down=went_down))
 
 
 def failure_of(error: HttpError) -> UpstreamFailure:
     """Return the failure for a request that got no response."""
-    ran = Ran.NO if error.sent is Sent.NOTHING else Ran.UNKNOWN
-    return UpstreamFailure(detail=error.detail, ran=ran)
+    was_sent = error.sent is not Sent.NOTHING
+    return UpstreamFailure(
+        detail=error.detail,
+        ran=Ran.UNKNOWN if was_sent else Ran.NO,
+        went_down=was_sent and not error.is_timeout,
+    )
 
 
 class HttpEngine:
@@ -162,34 +178,26 @@
             opened = await stack.enter_async_context(stream)
             nursery.cancel_scope.cancel()
         if opened is None:
-            return _failed("silent, and does not answer a probe")
+            return _failed("silent, and answers no probe", went_down=True)
         if isinstance(opened, Err):
             return Err(failure_of(opened.err_value))
         response = opened.ok_value
         if response.head.status != HTTPStatus.OK:
             return await _refused(response)
-        return Ok(EngineStream(response, completion))
+        return Ok(EngineStream(response, completion, partial(self._probe, call.address)))
 
     async def _watch(self, address: str, scope: trio.CancelScope) -> None:
         """Probe a silent engine on new connections; cancel the wait for one that is gone."""
         while True:
             await trio.sleep(PROBE_AFTER_S)
-            probed = await self._client.fetch(
-                address, _PROBE, timeout_s=PROBE_TIMEOUT_S, fresh=True
-            )
-            if isinstance(probed, Err):
+            if not await self._probe(address):
                 scope.cancel()
                 return
 
-    async def free_cache(self, address: str, cache_key: str, identity: UpstreamIdentity) -> bool:
-        """Free what the engine caches for a program; return whether it said so."""
-        request = HttpRequest(
-            method="DELETE",
-            path=f"/v1/cache/{cache_key}",
-            headers=upstream_headers(identity),
-        )
-        answer = await self._client.fetch(address, request, timeout_s=CONTROL_TIMEOUT_S)
-        return isinstance(answer, Ok) and answer.ok_value.status == HTTPStatus.OK
+    async def _probe(self, address: str) -> bool:
+        """Tell whether an engine answers on a new connection."""
+        probed = await self._client.fetch(address, _PROBE, timeout_s=PROBE_TIMEOUT_S, fresh=True)
+        return isinstance(probed, Ok)
 
     async def order(
         self, address: str, order: dict[str, str], identity: UpstreamIdentity
@@ -228,8 +236,4 @@
             await response.read()
     except HttpStreamError:
         pass
-    is_down = status >= HTTPStatus.INTERNAL_SERVER_ERROR
-    failure = UpstreamFailure(
-        detail=f"status {status}", ran=Ran.UNKNOWN, is_down=is_down, status=status
-    )
-    return Err(failure)
+    return Err(UpstreamFailure(detail=f"status {status}", ran=Ran.UNKNOWN, status=status))
--- a/packages/lagoonfold/src/lagoonfold/scheduling/_admission.py
+++ b/packages/lagoonfold/src/lagoonfold/scheduling/_admission.py
@@ -77,11 +77,14 @@
     """Queues what is expected to start within its profile's tolerance and end by its deadline.
 
     A later call of a program is queued up to its deadline, since the program's work so far
-    would be lost with it; new programs are turned away first.
+    would be lost with it; new programs are turned away first. With nothing ahead a call is always
+    queued: how long other calls took says little about this one.
     """
 
     def decide(self, call: AdmissionInput) -> Result[None, Refusal]:
         """Refuse at once what would be given up later."""
+        if call.ahead == 0:
+            return Ok(None)
         wait_s = expected_wait_s(call)
         left_s = call.deadline_s - call.now_s - call.call_s
         bound_s = min(call.max_wait_s, left_s) if call.is_first else left_s
--- /dev/null
+++ b/tests/node/_path.py
@@ -0,0 +1,446 @@
+"""A small fleet in one process: real border, bus, executor and dispatcher; fakes around them.
+
+async def check(fleet: PathFleet) -> None:
+    program_id = await fleet.create_program()
+    reply = await fleet.chat(0, program_id, 1, "hello")
+
+run_fleet(check)
+"""
+
+import json
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field, replace
+from functools import partial
+
+import trio
+from result import Err, Ok, Result
+
+from lagoonfold import (
+    ErrorKind,
+    ListedInstance,
+    Refusal,
+    StoreError,
+    StoreErrorKind,
+)
+from lagoonfold.config import (
+    Account,
+    ApiKey,
+    Budget,
+    Configuration,
+    ConfigView,
+    Profile,
+    Route,
+    RouteKind,
+    digest_of,
+)
+from lagoonfold.records import ProgramShard, Settled
+from lagoonfold_io import Exchange, HttpClient, HttpLimits, HttpRequest, HttpResponse, HttpServer
+from lagoonfold_node._board import Board
+from lagoonfold_node._border import Border, Forwarder, KeyGuard, PlainCalls
+from lagoonfold_node._decisions import DecisionLog
+from lagoonfold_node._dispatch import CacheFreer, Dispatcher, PoisonNotices, UpstreamTable
+from lagoonfold_node._execution import Executor
+from lagoonfold_node._metrics import Metrics
+from lagoonfold_node._peers import PeerBus
+from lagoonfold_node._upstreams import HttpEngine, HttpService, UpstreamAccess
+
+KEY = "lfk_" + "k" * 43
+OTHER_KEY = "lfk_" + "o" * 43
+TOKENS = tuple(f"t{number} " for number in range(8))
+DRAIN_S = 15.0
+
+ROUTES = {
+    "small": Route(name="small", kind=RouteKind.MODEL, target="small", is_idempotent=True),
+    "register": Route(name="register", kind=RouteKind.TOOL, target="registry", timeout_s=5.0),
+    "lookup": Route(name="lookup", kind=RouteKind.TOOL, target="registry", is_idempotent=True),
+    "open": Route(
+        name="open", kind=RouteKind.SERVICE, target="registry", is_idempotent=True, is_open=True
+    ),
+    "post": Route(name="post", kind=RouteKind.SERVICE, target="registry", timeout_s=5.0),
+}
+PROFILE = Profile(
+    name="field",
+    account_ids=("acc",),
+    budget=Budget(tokens=100_000, calls=50, cost_micros=10**9, wall_s=3600.0),
+    routes=tuple(ROUTES),
+)
+
+
+def make_configuration() -> Configuration:
+    """Return a configuration of one profile, two accounts, and a key for each."""
+    keys = [
+        ApiKey(digest=digest_of(KEY), account_id="acc"),
+        ApiKey(digest=digest_of(OTHER_KEY), account_id="other"),
+    ]
+    return Configuration(
+        version=1,
+        profiles_by_name={"field": PROFILE},
+        accounts_by_id={
+            name: Account(account_id=name, rate_per_s=1000.0, burst=1000)
+            for name in ("acc", "other")
+        },
+        keys_by_digest={key.digest: key for key in keys},
+        routes_by_name=ROUTES,
+    )
+
+
+@dataclass(eq=False)
+class FakeShard:
+    """A shard whose journal is memory; `owner` moves with the fleet's take-over."""
+
+    owner: str
+    state: ProgramShard = field(default_factory=ProgramShard)
+    shard_id: int = 3
+    epoch: int = 1
+    acts: bool = True
+    commit_delay_s: float = 0.0
+    commit_refusal: Refusal | None = None
+    journal: list = field(default_factory=list)
+    lost_by_owner: dict[str, ProgramShard] = field(default_factory=dict)
+
+    @property
+    def executor(self) -> str:
+        return self.owner
+
+    def may_act(self) -> bool:
+        return self.acts
+
+    def submit(self, records):
+        if self.commit_refusal is not None:
+            refusal = self.commit_refusal
+
+            async def refused() -> Result[None, Refusal]:
+                return Err(refusal)
+
+            return refused
+        for record in records:
+            self.state.apply(record)
+            self.journal.append(record)
+        return self._wait
+
+    async def _wait(self) -> Result[None, Refusal]:
+        await trio.sleep(self.commit_delay_s)
+        return Ok(None)
+
+    async def commit(self, records) -> Result[None, Refusal]:
+        return await self.submit(records)()
+
+    async def read_history(self, program_id):
+        return Ok(tuple(self.state.programs_by_id[program_id].recent_turns))
+
+    async def read_turn(self, program, turn):
+        return Ok(program.recent_turn(turn))
+
+    async def wait_settled(self, call_id: str) -> None:
+        while any(call.call_id == call_id for call in self.state.running_calls()):
+            await trio.sleep(0.01)
+
+    def settled(self) -> list[Settled]:
+        return [record for record in self.journal if isinstance(record, Settled)]
+
+
+@dataclass
+class FakeShards:
+    """The one shard as one instance sees it."""
+
+    instance_id: str
+    fleet: "PathFleet"
+
+    def owner_of(self, text: str) -> str | None:
+        return self.fleet.shard.owner or None
+
+    def opened_for(self, text: str) -> FakeShard | None:
+        return self.fleet.shard if self.fleet.shard.owner == self.instance_id else None
+
+
+class FakeRates:
+    """Admits everything, or what the test says."""
+
+    def __init__(self) -> None:
+        self.refusal: Refusal | None = None
+
+    async def admit(self, account_id: str) -> Result[None, Refusal]:
+        return Err(self.refusal) if self.refusal else Ok(None)
+
+
+class DownStore:
+    """A key-value service that is down; poison notices then go by the peers alone."""
+
+    async def grant_lease(self, ttl_s: float):
+        return Err(StoreError(kind=StoreErrorKind.UNAVAILABLE, detail="down"))
+
+
+@dataclass
+class FakeUpstream:
+    """An engine and a tool in one; `seen` is the judge of what ran."""
+
+    seen: list[HttpRequest] = field(default_factory=list)
+    gate: trio.Event | None = None
+    break_after: int = -1
+    silent_after: int = -1
+    is_hung: bool = False
+    status: int = 200
+    cancelled: int = 0
+    tokens_sent: int = 0
+    address: str = ""
+
+    async def handle(self, request: HttpRequest, exchange: Exchange) -> None:
+        if request.path == "/v1/load":
+            await exchange.respond(HttpResponse(status=200, body=b"{}"))
+            return
+        self.seen.append(request)
+        try:
+            await self._answer(request, exchange)
+        except trio.Cancelled:
+            self.cancelled += 1
+            raise
+
+    async def _answer(self, request: HttpRequest, exchange: Exchange) -> None:
+        if self.is_hung:
+            await trio.sleep_forever()
+        if self.status != 200:
+            await exchange.respond(HttpResponse(status=self.status))
+        elif request.path == "/v1/chat/completions":
+            await self._stream(json.loads(request.body), exchange)
+        else:
+            if self.gate is not None:
+                await self.gate.wait()
+            headers = (("content-type", "application/json"),)
+            body = json.dumps({"run": len(self.seen)}).encode()
+            await exchange.respond(HttpResponse(status=200, headers=headers, body=body))
+
+    async def _stream(self, body: dict, exchange: Exchange) -> None:
+        await exchange.start(200, (("content-type", "text/event-stream"),))
+        count = min(len(TOKENS), body.get("max_tokens", len(TOKENS)))
+        for number in range(body.get("resume_from", 0), count):
+            if number == self.break_after:
+                raise OSError("broken by the test")
+            if number == self.silent_after:
+                await trio.sleep_forever()
+            if self.gate is not None and number == 4:
+                await self.gate.wait()
+            delta = {"choices": [{"index": 0, "delta": {"content": TOKENS[number]}}]}
+            await exchange.send(b"data: " + json.dumps(delta).encode() + b"\n\n")
+            self.tokens_sent += 1
+        usage = {"prompt_tokens": 10, "completion_tokens": len(TOKENS), "total_tokens": 18}
+        reason = "stop" if count == len(TOKENS) else "length"
+        last = {"choices": [{"index": 0, "delta": {}, "finish_reason": reason}], "usage": usage}
+        await exchange.send(b"data: " + json.dumps(last).encode() + b"\n\ndata: [DONE]\n\n")
+        await exchange.finish()
+
+    def runs(self, path: str) -> list[HttpRequest]:
+        return [request for request in self.seen if request.path == path]
+
+
+class PathNode:
+    """One instance of the small fleet; the bus's handlers find their parts here."""
+
+    def __init__(self, instance_id: str, fleet: "PathFleet") -> None:
+        self.board = Board()
+        self.metrics = Metrics()
+        self.rates = FakeRates()
+        client = HttpClient()
+        self.bus = PeerBus(instance_id, "127.0.0.1:0", fleet.peers.get, self)
+        table = UpstreamTable()
+        self.board.upstreams.subscribe(table.follow)
+        poison = PoisonNotices(
+            self.bus, DownStore(), lambda: [peer for peer in fleet.peers if peer != instance_id]
+        )
+        self.dispatcher = Dispatcher(
+            table, poison, CacheFreer(table, client), self.metrics, random.Random(1)
+        )
+        access = UpstreamAccess(
+            engine=HttpEngine(client), services=HttpService(client), dispatcher=self.dispatcher
+        )
+        shards = FakeShards(instance_id, fleet)
+        decisions = DecisionLog()
+        self.executor = Executor(
+            shards=shards,
+            config=self.board.config,
+            access=access,
+            decisions=decisions,
+            on_fault=fleet.note_fault,
+        )
+        forwarder = Forwarder(
+            instance_id=instance_id,
+            shards=shards,
+            bus=self.bus,
+            executor=self.executor,
+            metrics=self.metrics,
+        )
+        self.guard = KeyGuard(self.board.config, 60.0)
+        self.border = Border(
+            board=self.board,
+            guard=self.guard,
+            rates=self.rates,
+            forwarder=forwarder,
+            plain_calls=PlainCalls(self.board, forwarder, access),
+            metrics=self.metrics,
+            decisions=decisions,
+            limits=HttpLimits(),
+            max_streams=100,
+        )
+        self.address = ""
+
+    def configure(self, configuration: Configuration) -> None:
+        """Put a configuration in force, verified now."""
+        view = ConfigView(configuration=configuration, verified_at_s=trio.current_time())
+        self.board.config.write(view)
+
+
+class PathFleet:
+    """Two instances, two engines, a tool, and a caller."""
+
+    def __init__(self) -> None:
+        self.peers: dict[str, str] = {}
+        self.shard = FakeShard(owner="i0")
+        self.faults: list[tuple[str, BaseException]] = []
+        self.nodes = [PathNode("i0", self), PathNode("i1", self)]
+        self.engines = [FakeUpstream(), FakeUpstream()]
+        self.tool = FakeUpstream()
+        self.client = HttpClient()
+        self.scopes_by_node: dict[str, trio.CancelScope] = {}
+
+    def note_fault(self, event: str, error: BaseException) -> None:
+        self.faults.append((event, error))
+
+    async def run(self, check: Callable[["PathFleet"], Awaitable[None]]) -> None:
+        async with trio.open_nursery() as nursery:
+            await self._start(nursery)
+            with trio.fail_after(30):
+                await check(self)
+            nursery.cancel_scope.cancel()
+        for event, error in self.faults:
+            raise AssertionError(event) from error
+
+    async def _start(self, nursery: trio.Nursery) -> None:
+        upstreams = {}
+        for index, upstream in enumerate([*self.engines, self.tool]):
+            server = HttpServer(upstream.handle)
+            port = await nursery.start(server.serve, "127.0.0.1", 0)
+            upstream.address = f"127.0.0.1:{port}"
+            upstreams[f"u{index}"] = _listed(f"u{index}", upstream.address, index < 2)
+        for node in self.nodes:
+            await nursery.start(self._run_node, node)
+            node.configure(make_configuration())
+            node.board.upstreams.write(upstreams)
+
+    async def _run_node(self, node: PathNode, *, task_status: trio.TaskStatus[None]) -> None:
+        with trio.CancelScope() as scope:
+            self.scopes_by_node[node.bus.instance_id] = scope
+            async with trio.open_nursery() as nursery:
+                port = await nursery.start(node.bus.serve)
+                self.peers[node.bus.instance_id] = f"127.0.0.1:{port}"
+                await nursery.start(node.executor.run)
+                nursery.start_soon(node.dispatcher.run)
+                nursery.start_soon(node.guard.run)
+                port = await nursery.start(node.border.server.serve, "127.0.0.1", 0)
+                node.address = f"127.0.0.1:{port}"
+                task_status.started()
+
+    def kill_owner(self) -> None:
+        """End the owner at once, with what it had in memory."""
+        self.shard.acts = False
+        self.scopes_by_node[self.shard.owner].cancel()
+        self.peers.pop(self.shard.owner)
+
+    def take_over(self) -> None:
+        """Make the other instance the owner, with the state that the journal gives."""
+        owner = "i1" if self.shard.owner == "i0" else "i0"
+        former = self.shard
+        self.shard = replace(former, owner=owner, epoch=former.epoch + 1, acts=True)
+        self.shard.state = ProgramShard()
+        for record in former.journal:
+            self.shard.state.apply(record)
+        self.shard.journal = list(former.journal)
+        for record in self.shard.state.decide_interrupt([owner]):
+            self.shard.submit((record,))
+
+    async def send(
+        self, node: int, method: str, path: str, body: object = None, **headers: str
+    ) -> HttpResponse:
+        """Send one request with the account's key, unless `authorization` says otherwise."""
+        fields = {"authorization": f"Bearer {KEY}", **headers}
+        names = tuple((name.replace("_", "-"), value) for name, value in fields.items() if value)
+        data = b"" if body is None else json.dumps(body).encode()
+        request = HttpRequest(method=method, path=path, headers=names, body=data)
+        sent = await self.client.fetch(self.nodes[node].address, request, timeout_s=DRAIN_S)
+        return sent.unwrap()
+
+    async def create_program(self, node: int = 0, **fields: object) -> str:
+        reply = await self.send(node, "POST", "/v1/programs", {"profile": "field", **fields})
+        assert reply.status == 201, reply
+        return json.loads(reply.body)["program_id"]
+
+    async def chat(
+        self, node: int, program_id: str, turn: int, text: str, *, stream: bool = True, **headers
+    ) -> HttpResponse:
+        body = {
+            "model": "small",
+            "stream": stream,
+            "messages": [{"role": "user", "content": text}],
+        }
+        names = {"lagoonfold_program": program_id, "lagoonfold_turn": str(turn), **headers}
+        return await self.send(node, "POST", "/v1/chat/completions", body, **names)
+
+    async def tool_call(
+        self, node: int, program_id: str, turn: int, route: str = "register", **headers
+    ) -> HttpResponse:
+        path = f"/v1/programs/{program_id}/tools/{route}"
+        return await self.send(
+            node, "POST", path, {"point": 17}, lagoonfold_turn=str(turn), **headers
+        )
+
+
+def _listed(upstream_id: str, address: str, is_engine: bool) -> ListedInstance:
+    return ListedInstance(
+        instance_id=upstream_id,
+        role="engine" if is_engine else "tool",
+        address=address,
+        failure_domain="a",
+        models=("small",) if is_engine else (),
+        service="" if is_engine else "registry",
+    )
+
+
+def text_of(reply: HttpResponse) -> str:
+    """Return the text of a streamed answer; a stream without its end has none."""
+    assert reply.body.endswith(b"data: [DONE]\n\n"), reply.body[-300:]
+    events = [line[6:] for line in reply.body.split(b"\n\n") if line.startswith(b"data: {")]
+    deltas = [json.loads(event)["choices"][0]["delta"] for event in events]
+    return "".join(delta.get("content") or "" for delta in deltas)
+
+
+def kind_of(reply: HttpResponse) -> ErrorKind:
+    """Return the error kind of a problem document."""
+    return ErrorKind(json.loads(reply.body)["kind"])
+
+
+async def wait_for(condition: Callable[[], bool]) -> None:
+    """Wait for a state."""
+    while not condition():
+        await trio.sleep(0.005)
+
+
+def run_fleet(check: Callable[[PathFleet], Awaitable[None]]) -> None:
+    """Run a check against a small fleet."""
+
+    async def run() -> None:
+        await PathFleet().run(check)
+
+    trio.run(run)
+
+
+__all__ = [
+    "KEY",
+    "OTHER_KEY",
+    "TOKENS",
+    "PathFleet",
+    "kind_of",
+    "make_configuration",
+    "partial",
+    "run_fleet",
+    "text_of",
+    "wait_for",
+]
--- /dev/null
+++ b/tests/node/test_path.py
@@ -0,0 +1,451 @@
+"""Tests of the path from a caller to upstreams and back, on a small fleet in one process."""
+
+import json
+from dataclasses import replace
+
+import trio
+
+from lagoonfold import ErrorKind, Refusal
+from lagoonfold.config import digest_of
+from lagoonfold_io import HttpRequest
+from tests._suite import load_functions
+from tests.node._path import (
+    KEY,
+    OTHER_KEY,
+    TOKENS,
+    PathFleet,
+    kind_of,
+    make_configuration,
+    run_fleet,
+    text_of,
+    wait_for,
+)
+
+WHOLE = "".join(TOKENS)
+
+
+def test_program_over_two_instances() -> None:
+    """A program's turns run in order whichever instance they enter, and its history is whole."""
+
+    async def check(fleet: PathFleet) -> None:
+        program_id = await fleet.create_program(1)
+        assert text_of(await fleet.chat(0, program_id, 1, "one")) == WHOLE
+        assert text_of(await fleet.chat(1, program_id, 2, "two")) == WHOLE
+        tool = await fleet.tool_call(1, program_id, 3)
+        assert json.loads(tool.body) == {"run": 1}
+        whole = await fleet.chat(1, program_id, 4, "four", stream=False)
+        assert json.loads(whole.body)["choices"][0]["message"]["content"] == WHOLE
+        history = await fleet.send(1, "GET", f"/v1/programs/{program_id}/history")
+        turns = json.loads(history.body)["turns"]
+        assert [turn["turn"] for turn in turns] == [1, 2, 3, 4]
+        sent = [json.loads(r.body)["messages"] for e in fleet.engines for r in e.seen]
+        longest = max(sent, key=len)
+        contents = [message["content"] for message in longest]
+        assert contents == ["one", WHOLE, "two", WHOLE, "four"]
+
+    run_fleet(check)
+
+
+def test_repeat_gets_the_recorded_answer() -> None:
+    """A repeated call of each kind is answered from the record and runs once."""
+
+    async def check(fleet: PathFleet) -> None:
+        program_id = await fleet.create_program()
+        for node in (0, 1):
+            assert text_of(await fleet.chat(node, program_id, 1, "one")) == WHOLE
+        for node in (0, 1):
+            reply = await fleet.tool_call(node, program_id, 2, idempotency_key="k1")
+            assert json.loads(reply.body) == {"run": 1}
+        assert sum(len(engine.seen) for engine in fleet.engines) == 1
+        assert len(fleet.tool.seen) == 1
+        changed = await fleet.chat(0, program_id, 1, "another")
+        assert kind_of(changed) is ErrorKind.IDEMPOTENCY_MISMATCH
+        early = await fleet.chat(0, program_id, 9, "early")
+        assert kind_of(early) is ErrorKind.TURN_OUT_OF_ORDER
+
+    run_fleet(check)
+
+
+def test_concurrent_repeats_join() -> None:
+    """The same call sent through both instances at once runs once, and both get all of it."""
+
+    async def check(fleet: PathFleet) -> None:
+        program_id = await fleet.create_program()
+        replies = []
+
+        async def ask(node: int) -> None:
+            replies.append(await fleet.chat(node, program_id, 1, "one"))
+
+        async with trio.open_nursery() as nursery:
+            for node in (0, 1, 0, 1):
+                nursery.start_soon(ask, node)
+        assert [text_of(reply) for reply in replies] == [WHOLE] * 4
+        assert sum(len(engine.seen) for engine in fleet.engines) == 1
+
+    run_fleet(check)
+
+
+def test_no_key_goes_upstream() -> None:
+    """Upstreams see neither the key nor any header that is not on the list."""
+
+    async def check(fleet: PathFleet) -> None:
+        program_id = await fleet.create_program()
+        await fleet.chat(1, program_id, 1, "one", x_secret=KEY, cookie=KEY)
+        await fleet.tool_call(1, program_id, 2, cookie=KEY)
+        await fleet.send(1, "POST", "/v1/services/open/x", {}, cookie=KEY)
+        seen = [*fleet.engines[0].seen, *fleet.engines[1].seen, *fleet.tool.seen]
+        assert len(seen) == 3
+        for request in seen:
+            assert KEY not in str(request.headers) + request.body.decode()
+
+    run_fleet(check)
+
+
+def test_keys_and_accounts() -> None:
+    """Without a good key nothing runs, and another account's program is not found."""
+
+    async def check(fleet: PathFleet) -> None:
+        program_id = await fleet.create_program()
+        missing = await fleet.chat(0, program_id, 1, "x", authorization="")
+        assert kind_of(missing) is ErrorKind.UNAUTHENTICATED
+        wrong = await fleet.chat(0, program_id, 1, "x", authorization="Bearer nonsense")
+        assert kind_of(wrong) is ErrorKind.UNAUTHENTICATED
+        other = await fleet.chat(0, program_id, 1, "x", authorization=f"Bearer {OTHER_KEY}")
+        assert kind_of(other) is ErrorKind.NOT_FOUND
+        profile = {"profile": "field"}
+        bearer = f"Bearer {OTHER_KEY}"
+        denied = await fleet.send(0, "POST", "/v1/programs", profile, authorization=bearer)
+        assert kind_of(denied) is ErrorKind.FORBIDDEN
+        assert not fleet.engines[0].seen + fleet.engines[1].seen
+
+    run_fleet(check)
+
+
+def test_withdrawn_key_cuts_streams_and_idle_connections() -> None:
+    """Withdrawal ends an open stream without its end, and the next request is refused."""
+
+    async def check(fleet: PathFleet) -> None:
+        program_id = await fleet.create_program(1)
+        for engine in fleet.engines:
+            engine.gate = trio.Event()
+        replies = []
+
+        async def ask() -> None:
+            request = HttpRequest(
+                method="POST",
+                path="/v1/chat/completions",
+                headers=(
+                    ("authorization", f"Bearer {KEY}"),
+                    ("lagoonfold-program", program_id),
+                    ("lagoonfold-turn", "1"),
+                ),
+                body=b'{"model":"small","stream":true,"messages":[{"role":"user","content":"x"}]}',
+            )
+            replies.append(await fleet.client.fetch(fleet.nodes[1].address, request))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await wait_for(lambda: sum(e.tokens_sent for e in fleet.engines) == 4)
+            configuration = make_configuration()
+            keys = dict(configuration.keys_by_digest)
+            key = keys[digest_of(KEY)]
+            keys[key.digest] = replace(key, withdrawn_version=2)
+            for node in fleet.nodes:
+                node.configure(replace(configuration, version=2, keys_by_digest=keys))
+        assert replies[0].is_err()
+        refused = await fleet.send(1, "GET", f"/v1/programs/{program_id}")
+        assert kind_of(refused) is ErrorKind.KEY_WITHDRAWN
+        await wait_for(lambda: sum(e.cancelled for e in fleet.engines) == 1)
+
+    run_fleet(check)
+
+
+def test_hang_up_cancels_upstream() -> None:
+    """A caller that hangs up at the instance of arrival ends the engine's work."""
+
+    async def check(fleet: PathFleet) -> None:
+        program_id = await fleet.create_program()
+        for engine in fleet.engines:
+            engine.gate = trio.Event()
+        for node in (0, 1):
+            with trio.move_on_after(30) as scope:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(fleet.chat, node, program_id, 1, "one")
+                    await wait_for(lambda: sum(e.tokens_sent for e in fleet.engines) % 8 == 4)
+                    scope.cancel()
+            await wait_for(lambda: sum(e.cancelled for e in fleet.engines) == 1)
+            await wait_for(lambda: not fleet.nodes[0].executor.running_by_call)
+            for engine in fleet.engines:
+                engine.tokens_sent = engine.cancelled = 0
+
+    run_fleet(check)
+
+
+def test_interrupted_stream_is_resumed() -> None:
+    """An engine that breaks off mid-stream is replaced; the caller gets each token once."""
+
+    async def check(fleet: PathFleet) -> None:
+        program_id = await fleet.create_program()
+        for engine in fleet.engines:
+            engine.break_after = 3
+        heal = fleet.engines
+
+        async def mend() -> None:
+            await wait_for(lambda: sum(e.tokens_sent for e in heal) == 3)
+            for engine in heal:
+                engine.break_after = -1
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(mend)
+            reply = await fleet.chat(1, program_id, 1, "one")
+        assert text_of(reply) == WHOLE
+        bodies = [json.loads(r.body) for e in fleet.engines for r in e.seen]
+        assert sorted(body.get("resume_from", 0) for body in bodies) == [0, 3]
+
+    run_fleet(check)
+
+
+def test_silent_stream_is_found_and_resumed() -> None:
+    """A stream that falls silent is given up after the progress deadline and goes on elsewhere."""
+
+    async def check(fleet: PathFleet) -> None:
+        program_id = await fleet.create_program()
+        for engine in fleet.engines:
+            engine.silent_after = 2
+
+        async def mend() -> None:
+            await wait_for(lambda: sum(e.tokens_sent for e in fleet.engines) == 2)
+            for engine in fleet.engines:
+                engine.silent_after = -1
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(mend)
+            reply = await fleet.chat(0, program_id, 1, "one")
+        assert text_of(reply) == WHOLE
+
+    run_fleet(check)
+
+
+def test_owner_dies_mid_stream() -> None:
+    """The instance of arrival goes on with the new owner; the caller gets the whole answer once."""
+
+    async def check(fleet: PathFleet) -> None:
+        program_id = await fleet.create_program()
+        for engine in fleet.engines:
+            engine.gate = trio.Event()
+        replies = []
+
+        async def ask() -> None:
+            replies.append(await fleet.chat(1, program_id, 1, "one"))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await wait_for(lambda: sum(e.tokens_sent for e in fleet.engines) == 4)
+            await trio.sleep(0.05)
+            fleet.kill_owner()
+            for engine in fleet.engines:
+                engine.gate = None
+            fleet.take_over()
+        assert text_of(replies[0]) == WHOLE
+
+    run_fleet(check)
+
+
+def test_owner_dies_during_a_non_idempotent_call() -> None:
+    """The new owner says that the outcome is unknown, and the call is not run again."""
+
+    async def check(fleet: PathFleet) -> None:
+        program_id = await fleet.create_program()
+        fleet.tool.gate = trio.Event()
+        replies = []
+
+        async def ask() -> None:
+            replies.append(await fleet.tool_call(1, program_id, 1))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await wait_for(lambda: len(fleet.tool.seen) == 1)
+            fleet.kill_owner()
+            fleet.take_over()
+            fleet.tool.gate = None
+        assert kind_of(replies[0]) is ErrorKind.OUTCOME_UNKNOWN
+        assert json.loads(replies[0].body)["ran"] == "unknown"
+        again = await fleet.tool_call(1, program_id, 1)
+        assert kind_of(again) is ErrorKind.OUTCOME_UNKNOWN
+        assert len(fleet.tool.seen) == 1
+
+    run_fleet(check)
+
+
+def test_paused_owner_sends_nothing() -> None:
+    """An owner whose lease lapsed while the intent was written sends no byte and says so."""
+
+    async def check(fleet: PathFleet) -> None:
+        program_id = await fleet.create_program()
+        fleet.shard.commit_delay_s = 0.1
+
+        async def lapse() -> None:
+            await wait_for(lambda: fleet.shard.state.running_calls() != ())
+            fleet.shard.acts = False
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(lapse)
+            reply = await fleet.tool_call(0, program_id, 1, lagoonfold_timeout="0.5")
+        assert kind_of(reply) is ErrorKind.OWNER_UNAVAILABLE
+        assert not fleet.tool.seen
+
+    run_fleet(check)
+
+
+def test_intent_that_is_not_recorded_sends_nothing() -> None:
+    """A non-idempotent call whose intent can't be written is refused as not run."""
+
+    async def check(fleet: PathFleet) -> None:
+        program_id = await fleet.create_program()
+        fleet.shard.commit_refusal = Refusal(kind=ErrorKind.PLATFORM_UNAVAILABLE, detail="down")
+        reply = await fleet.tool_call(1, program_id, 1)
+        assert kind_of(reply) is ErrorKind.PLATFORM_UNAVAILABLE
+        assert json.loads(reply.body)["ran"] == "no"
+        assert not fleet.tool.seen
+
+    run_fleet(check)
+
+
+def test_hung_tool_ends_at_its_route_timeout() -> None:
+    """A non-idempotent call to a hung tool ends as unknown, and the program goes on."""
+
+    async def check(fleet: PathFleet) -> None:
+        program_id = await fleet.create_program()
+        fleet.tool.is_hung = True
+        routes = make_configuration().routes_by_name
+        register = replace(routes["register"], timeout_s=0.2)
+        for node in fleet.nodes:
+            changed = {**routes, "register": register}
+            node.configure(replace(make_configuration(), routes_by_name=changed))
+        reply = await fleet.tool_call(1, program_id, 1)
+        assert kind_of(reply) is ErrorKind.OUTCOME_UNKNOWN, reply
+        assert len(fleet.tool.seen) == 1
+        assert text_of(await fleet.chat(1, program_id, 2, "two")) == WHOLE
+
+    run_fleet(check)
+
+
+def test_budget_holds() -> None:
+    """A call over the program's or its parent's budget is refused before anything is sent."""
+
+    async def check(fleet: PathFleet) -> None:
+        parent_id = await fleet.create_program(budget={"calls": 1})
+        child_id = await fleet.create_program(1, parent=parent_id)
+        assert text_of(await fleet.chat(1, child_id, 1, "one")) == WHOLE
+        refused = await fleet.chat(1, child_id, 2, "two")
+        assert kind_of(refused) is ErrorKind.BUDGET_EXHAUSTED
+        assert sum(len(engine.seen) for engine in fleet.engines) == 1
+        short_id = await fleet.create_program(budget={"tokens": 20})
+        reply = await fleet.chat(0, short_id, 1, "one", stream=False)
+        whole = json.loads(reply.body)
+        assert whole["choices"][0]["finish_reason"] == "length"
+        described = json.loads((await fleet.send(1, "GET", f"/v1/programs/{short_id}")).body)
+        assert described["budget"]["tokens"]["used"] <= 20
+
+    run_fleet(check)
+
+
+def test_cancel_and_end() -> None:
+    """Cancelling stops the running call; an ended program takes no more calls."""
+
+    async def check(fleet: PathFleet) -> None:
+        program_id = await fleet.create_program()
+        for engine in fleet.engines:
+            engine.gate = trio.Event()
+        replies = []
+
+        async def ask() -> None:
+            replies.append(await fleet.chat(1, program_id, 1, "one", stream=False))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await wait_for(lambda: sum(e.tokens_sent for e in fleet.engines) == 4)
+            cancelled = await fleet.send(1, "DELETE", f"/v1/programs/{program_id}")
+            assert json.loads(cancelled.body)["state"] == "cancelled"
+        assert kind_of(replies[0]) is ErrorKind.CANCELLED
+        after = await fleet.chat(0, program_id, 1, "one")
+        assert kind_of(after) is ErrorKind.PROGRAM_ENDED
+
+    run_fleet(check)
+
+
+def test_plain_services() -> None:
+    """An open route needs no key; a keyed non-idempotent call runs once for its key."""
+
+    async def check(fleet: PathFleet) -> None:
+        opened = await fleet.send(0, "GET", "/v1/services/open/a/b", authorization="")
+        assert opened.status == 200, opened
+        assert fleet.tool.seen[-1].path == "/a/b"
+        closed = await fleet.send(0, "POST", "/v1/services/post/x", {}, authorization="")
+        assert kind_of(closed) is ErrorKind.UNAUTHENTICATED
+        path = "/v1/services/post/publish"
+        first = await fleet.send(0, "POST", path, {"a": 1}, idempotency_key="k")
+        again = await fleet.send(1, "POST", path, {"a": 1}, idempotency_key="k")
+        assert first.body == again.body, (first, again)
+        assert len(fleet.tool.runs("/publish")) == 1
+        fleet.tool.status = 500
+        unknown = await fleet.send(0, "POST", path, {"a": 2})
+        assert kind_of(unknown) is ErrorKind.OUTCOME_UNKNOWN
+        assert len(fleet.tool.runs("/publish")) == 2
+
+    run_fleet(check)
+
+
+def test_malformed_requests_are_refused() -> None:
+    """Every malformed request gets a problem document of a 4xx status."""
+
+    async def check(fleet: PathFleet) -> None:
+        program_id = await fleet.create_program()
+        chat = "/v1/chat/completions"
+        message = {"model": "small", "messages": [{"role": "user", "content": "x"}]}
+        names = {"lagoonfold_program": program_id, "lagoonfold_turn": "1"}
+        cases = [
+            ("POST", chat, None, names),
+            ("POST", chat, [], names),
+            ("POST", chat, {**message, "messages": []}, names),
+            ("POST", chat, {**message, "n": 2}, names),
+            ("POST", chat, {**message, "model": "absent"}, names),
+            ("POST", chat, message, {**names, "lagoonfold_turn": "-1"}),
+            ("POST", chat, message, {**names, "lagoonfold_turn": "9" * 400}),
+            ("POST", chat, message, {**names, "lagoonfold_timeout": "nan"}),
+            ("POST", chat, message, {"lagoonfold_turn": "1"}),
+            ("POST", chat, message, {**names, "idempotency_key": "a b"}),
+            ("GET", chat, None, {}),
+            ("GET", "/nothing", None, {}),
+            ("POST", "/v1/programs", {"profile": "field", "surplus": 1}, {}),
+            ("POST", "/v1/programs", {"profile": "field", "parent": "absent"}, {}),
+            ("GET", "/v1/programs/absent", None, {}),
+        ]
+        for method, path, body, headers in cases:
+            reply = await fleet.send(0, method, path, body, **headers)
+            assert 400 <= reply.status < 500, (method, path, body, headers, reply)
+            assert reply.header("content-type") == "application/problem+json"
+            assert json.loads(reply.body)["ran"] == "no"
+
+    run_fleet(check)
+
+
+def test_refusals_carry_request_id_and_retry_after() -> None:
+    """A refused caller learns the kind, when to come back, and its own request id."""
+
+    async def check(fleet: PathFleet) -> None:
+        fleet.nodes[0].rates.refusal = Refusal(
+            kind=ErrorKind.RATE_EXCEEDED, detail="used up", retry_after_s=0.4
+        )
+        reply = await fleet.send(
+            0, "POST", "/v1/programs", {"profile": "field"}, lagoonfold_request_id="req-mine"
+        )
+        problem = json.loads(reply.body)
+        assert reply.status == 429 and problem["kind"] == "rate-exceeded"
+        assert problem["request_id"] == "req-mine" == reply.header("lagoonfold-request-id")
+        assert reply.header("retry-after") == "1" and problem["retry_after_s"] == 0.4
+
+    run_fleet(check)
+
+
+load_tests = load_functions(globals())
