--- a/packages/lagoonfold-ctl/src/lagoonfold_ctl/_fleet.py
+++ b/packages/lagoonfold-ctl/src/lagoonfold_ctl/_fleet.py
@@ -4,8 +4,9 @@
 
 import msgspec
 import trio
-from result import Err
+from result import Err, Ok
 
+from lagoonfold.membership import decode_member
 from lagoonfold_ctl._render import render_fields, render_table
 from lagoonfold_ctl._session import EXIT_REFUSED, EXIT_UNAVAILABLE, CommandError, Session
 from lagoonfold_io import EtcdStore, HttpClient, HttpRequest
@@ -56,8 +57,9 @@
     if isinstance(listing, Err):
         detail = f"key-value service: {listing.err_value.detail}; --operators=HOST:PORT,... asks"
         raise CommandError(f"{detail} the instances directly", EXIT_UNAVAILABLE)
-    entries = [msgspec.json.decode(entry.value) for entry in listing.ok_value.entries]
-    return [entry["operator_address"] for entry in entries]
+    decoded = [decode_member(entry.value) for entry in listing.ok_value.entries]
+    members = [member.ok_value for member in decoded if isinstance(member, Ok)]
+    return [member.operator_address for member in members if member.operator_address]
 
 
 async def _ask_all(client: HttpClient, addresses: list[str], path: str) -> dict[str, object]:
--- a/packages/lagoonfold/src/lagoonfold/membership/_table.py
+++ b/packages/lagoonfold/src/lagoonfold/membership/_table.py
@@ -23,6 +23,7 @@
     failure_domain: str
     leaving: bool = False
     has_disk: bool = False
+    operator_address: str = ""
 
     @property
     def run_id(self) -> str:
