--- a/packages/lagoonfold-ctl/src/lagoonfold_ctl/_fleet.py
+++ b/packages/lagoonfold-ctl/src/lagoonfold_ctl/_fleet.py
@@ -1,5 +1,6 @@
 """The commands that ask the instances' operator ports."""
 
+from collections.abc import Mapping
 from urllib.parse import quote
 
 import msgspec
@@ -14,6 +15,14 @@
 INSTANCES_PREFIX = "instances/"
 
 _TIMEOUT_S = 3.0
+_SUMMARY_FIELDS = (
+    "instance_id",
+    "failure_domain",
+    "config_version",
+    "config_age_s",
+    "requests",
+    "calls",
+)
 _STATUS_OK = 200
 
 
@@ -27,16 +36,20 @@
         """Show one row for each instance."""
         answers = self._ask(operators, "/v1/status")
         rows = [_row(address, answer) for address, answer in sorted(answers.items())]
-        self._session.show(rows, render_table(rows))
+        self._session.show(rows, render_table([_summary(row) for row in rows]))
 
     def explain(self, wanted_id: str, operators: str) -> None:
         """Show what the instances know about an id."""
         answers = self._ask(operators, f"/v1/explain/{quote(wanted_id, safe='')}")
-        known = {address: answer for address, answer in answers.items() if answer is not None}
+        known = {
+            address: answer["decisions"]
+            for address, answer in answers.items()
+            if isinstance(answer, dict) and answer.get("decisions")
+        }
         if not known:
             raise CommandError(f"no instance knows {wanted_id}", EXIT_REFUSED, "not-found")
         text = "\n\n".join(
-            f"at {address}\n{_render(answer)}" for address, answer in sorted(known.items())
+            f"at {address}\n{_render(decisions)}" for address, decisions in sorted(known.items())
         )
         self._session.show(known, text)
 
@@ -83,9 +96,18 @@
     return {"operator": address, **fields}
 
 
-def _render(answer: object) -> str:
-    if isinstance(answer, dict):
-        return render_fields(answer)
-    if isinstance(answer, list) and all(isinstance(row, dict) for row in answer):
-        return render_table(answer)
-    return str(answer)
+def _summary(row: Mapping[str, object]) -> dict[str, object]:
+    """Return the fields of an instance that fit a line; long lists as their lengths."""
+    shards = row.get("shards", [])
+    return {
+        "operator": row["operator"],
+        **{field: row.get(field, "") for field in _SUMMARY_FIELDS},
+        "shards": len(shards),
+        "programs": sum(shard.get("programs", 0) for shard in shards),
+        "state": row.get("reason") or row.get("state") or "ready",
+    }
+
+
+def _render(decisions: list[dict[str, object]]) -> str:
+    """Return one block for each decision, in the order in which they were made."""
+    return "\n\n".join(render_fields(decision) for decision in decisions)
--- a/packages/lagoonfold-node/src/lagoonfold_node/_node.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_node.py
@@ -122,6 +122,7 @@
                 settings=_ownership_settings(settings),
                 bus=self.bus,
                 has_disk=settings.instance.data_dir is not None,
+                operator_address=settings.instance.operator,
                 incarnation=self.bus.incarnation,
             )
         )
@@ -162,8 +163,7 @@
             executor=self.executor,
             metrics=self.metrics,
         )
-        keys = settings.keys
-        self.guard = KeyGuard(self.board.config, keys.withdrawal_bound_s + keys.outage_grace_s)
+        self.guard = KeyGuard(self.board.config, settings.keys.serve_bound_s)
         self.border = Border(
             board=self.board,
             guard=self.guard,
--- a/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_context.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_context.py
@@ -52,6 +52,7 @@
     settings: OwnershipSettings = OwnershipSettings()
     bus: Any = None
     has_disk: bool = False
+    operator_address: str = ""
     incarnation: str = field(default_factory=_new_incarnation)
     log: EventLog = field(default_factory=lambda: EventLog("ownership"))
 
@@ -65,6 +66,7 @@
             failure_domain=self.failure_domain,
             leaving=self.board.stopping.read(),
             has_disk=self.has_disk,
+            operator_address=self.operator_address,
         )
 
     @property
--- a/tests/ctl/test_ctl.py
+++ b/tests/ctl/test_ctl.py
@@ -4,12 +4,14 @@
 import subprocess
 import sys
 import tempfile
+from base64 import b64encode
 from collections.abc import Iterator
 from contextlib import contextmanager
 from pathlib import Path
 
+from lagoonfold.membership import Member, encode_member
 from standins._process import Process
-from standins.fleet import free_port, is_ready, wait_until
+from standins.fleet import call, free_port, is_ready, wait_until
 from tests._run import ROOT
 from tests._suite import load_functions
 
@@ -98,6 +100,28 @@
         assert operate(*repeat) == operate(*repeat)
 
 
+def test_status_and_explain_ask_the_registered_instances() -> None:
+    """Each registered instance has a row, one that does not answer too; an unknown id fails."""
+    with _store() as address:
+        member = Member(
+            instance_id="i1",
+            incarnation="run-1",
+            address="127.0.0.1:1",
+            failure_domain="domain-a",
+            operator_address=address,
+        )
+        put = {
+            "key": b64encode(b"instances/i1").decode(),
+            "value": b64encode(encode_member(member)).decode(),
+        }
+        assert call("POST", address, "/v3/kv/put", put)[0] == 200
+        kv = f"--kv={address}"
+        status, text, _ = _lagoonfold("status", kv, "--json")
+        assert status == 0 and json.loads(text) == [{"operator": address, "state": "no answer"}]
+        assert _lagoonfold("status", kv)[1].splitlines()[1].endswith("no answer")
+        assert _lagoonfold("explain", "prg-1", kv)[0] == 1
+
+
 def test_refusals_have_their_own_exit_statuses() -> None:
     """A fault of input, a conflict, and a service that is down are told apart."""
     with _store() as address:
