--- a/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_open_shard.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_open_shard.py
@@ -6,8 +6,10 @@
 """
 
 from collections import deque
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from enum import Enum
+from functools import partial
 
 import trio
 from result import Err, Ok, Result
@@ -40,6 +42,9 @@
 _CHECKPOINT_RETRY_S = 5.0
 
 
+WaitDurable = Callable[[], Awaitable[Result[None, Refusal]]]
+
+
 class ShardStatus(Enum):
     """Whether the owner takes calls, is handing over, or has handed over or lost the shard."""
 
@@ -110,12 +115,23 @@
         A refusal means that the records may or may not become durable. A call whose `Begun` was
         refused must not be sent. `Settled` records reach the shard's new owner if it has moved.
         """
+        return await self.submit(records)()
+
+    def submit(self, records: tuple[Record, ...]) -> WaitDurable:
+        """Apply records now, so that the next decision sees them.
+
+        The returned function waits until they are durable, with the result of `commit`.
+        """
         if self.status is not ShardStatus.OPEN:
-            return await self._commit_elsewhere(records)
+            return partial(self._commit_elsewhere, records)
         refusal = self._refuse_commit(records)
         if refusal is not None:
-            return Err(refusal)
-        batch = self._enqueue(records)
+            return partial(_refused, refusal)
+        return partial(self._wait_durable, self._enqueue(records), records)
+
+    async def _wait_durable(
+        self, batch: _Batch | None, records: tuple[Record, ...]
+    ) -> Result[None, Refusal]:
         if batch is None:
             return Ok(None)
         started_at_s = trio.current_time()
@@ -299,6 +315,10 @@
     return Ran.UNKNOWN if any(isinstance(record, Settled) for record in records) else Ran.NO
 
 
+async def _refused(refusal: Refusal) -> Result[None, Refusal]:
+    return Err(refusal)
+
+
 def _moved(shard_id: ShardId) -> Refusal:
     return Refusal(
         kind=ErrorKind.OWNER_UNAVAILABLE,
--- a/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_ownership.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_ownership.py
@@ -4,6 +4,7 @@
 nursery.start_soon(ownership.run)
 shard = ownership.shards.opened(ownership.shards.shard_of("prg-1f0c"))
 await ownership.hand_over(timeout_s=20.0)
+await ownership.leave()
 """
 
 import trio
@@ -71,15 +72,19 @@
             task_status.started()
 
     async def hand_over(self, *, timeout_s: float) -> None:
-        """Leave in a planned stop: hand every shard over, then end the lease.
+        """Hand every shard over in a planned stop; the cell `stopping` must be set before.
 
-        The cell `stopping` must be set before. Calls that are under way settle at the new owners.
+        Calls that are under way settle at the new owners, which take them for interrupted when
+        this instance leaves: `leave` comes after them.
         """
         with trio.move_on_after(timeout_s):
             while self.context.board.shards.read() and self._has_successors():
                 await trio.sleep(_POLL_S)
             await self._shard_keeper.release_all()
-            await self._lease_keeper.revoke()
+
+    async def leave(self) -> None:
+        """End the lease, after the last call has settled."""
+        await self._lease_keeper.revoke()
 
     def _has_successors(self) -> bool:
         """Tell whether another instance stays, to which the allocator will move the shards."""
