--- a/packages/lagoonfold-node/src/lagoonfold_node/_account_owners.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_account_owners.py
@@ -1,18 +1,32 @@
 """Who owns which client account, for the rate controller."""
 
+from collections.abc import Mapping
+
 import trio
 
-from lagoonfold import AccountId, InstanceId
-from lagoonfold_node._ownership import Shards
+from lagoonfold import AccountId, Cell, InstanceId, ShardId
+from lagoonfold_node._ownership import OpenShard, Shards
 from lagoonfold_node._rates import Lending
 
 
 class ShardAccountOwners:
-    """Finds accounts' owners by their shards; a shard's epoch and opening bound the lending."""
+    """Finds accounts' owners by their shards.
+
+    Reads the cell `shards`, and notes when each was opened here: lending under an epoch counts
+    from then.
+    """
 
-    def __init__(self, shards: Shards) -> None:
+    def __init__(self, shards: Shards, opened: Cell[Mapping[ShardId, OpenShard]]) -> None:
         self._shards = shards
-        self._since_by_epoch: dict[tuple[int, int], float] = {}
+        self._since_by_shard: dict[tuple[ShardId, int], float] = {}
+        opened.subscribe(self._note_opened)
+
+    def _note_opened(self, opened: Mapping[ShardId, OpenShard]) -> None:
+        now_s = trio.current_time()
+        self._since_by_shard = {
+            (shard_id, shard.epoch): self._since_by_shard.get((shard_id, shard.epoch), now_s)
+            for shard_id, shard in opened.items()
+        }
 
     def owner_of(self, account_id: AccountId) -> InstanceId | None:
         """Return the owning instance, or None while there is none."""
@@ -23,6 +37,5 @@
         shard = self._shards.opened_for(account_id)
         if shard is None or not shard.may_act():
             return None
-        key = (shard.shard_id, shard.epoch)
-        since_s = self._since_by_epoch.setdefault(key, trio.current_time())
-        return Lending(epoch=shard.epoch, since_s=since_s)
+        since_s = self._since_by_shard.get((shard.shard_id, shard.epoch))
+        return None if since_s is None else Lending(epoch=shard.epoch, since_s=since_s)
--- a/packages/lagoonfold-node/src/lagoonfold_node/_node.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_node.py
@@ -135,7 +135,7 @@
             self.metrics,
             is_gone=self._is_gone,
         )
-        owners = ShardAccountOwners(self.ownership.shards)
+        owners = ShardAccountOwners(self.ownership.shards, board.shards)
         find_account = lambda account_id: (  # noqa: E731
             board.config.read().configuration.accounts_by_id.get(account_id)
         )
