--- /dev/null
+++ b/models/ownership.py
@@ -0,0 +1,359 @@
+"""Who owns a shard: takeover, the journal as the fence, and writes whose answers are lost.
+
+Two instances, one shard. The ownership table gives the shard to an instance under an epoch that
+grows with every change; it may change at any moment, since a lease may lapse at any moment. An
+instance has authority for one lease from before it last asked the table, and loses it as time
+passes; a pause is any stretch in which an instance takes no step. A new owner waits until all
+authority from before the change has lapsed, recovers, and appends a fence entry.
+
+An append creates the key of its sequence number if it is absent. It travels: the store may apply
+it long after its writer has given up waiting or has died. A writer that gave up asks again with
+the identical write. Entries covered by a checkpoint are deleted, so that a late append to a
+deleted number succeeds; therefore an append counts as done only if the writer still has authority
+when the answer arrives. A checkpoint replaces only the one that its writer read or wrote, and
+entries are deleted only after it is in place.
+"""
+
+from collections.abc import Iterator
+from enum import Enum
+from typing import NamedTuple
+
+from minicheck import Protocol
+
+from models._specification import Step, protocol, specification
+
+MAX_EPOCH = 2
+MAX_ENTRIES = 4
+MAX_RECORDS = 1
+FENCE = 0
+
+
+class Fault(Enum):
+    """A deliberate fault of the protocol."""
+
+    NO_CHECK_AFTER_PAUSE = "no-check-after-pause"
+    NO_TAKEOVER_WAIT = "no-takeover-wait"
+    LEASE_NEVER_LAPSES = "lease-never-lapses"
+    LEASE_FROM_ANSWER = "lease-counted-from-the-answer"
+    NO_FENCE_ENTRY = "no-fence-entry"
+    OVERWRITE = "append-without-compare"
+    LOST_MEANS_WRITTEN = "lost-answer-taken-for-success"
+    LOST_MEANS_FAILED = "lost-answer-taken-for-failure"
+    NO_CHECK_AFTER_APPEND = "no-check-after-append"
+    FENCE_PAST_SUCCESSOR = "fence-past-a-later-owner"
+    BLIND_CHECKPOINT = "checkpoint-without-compare"
+
+
+class Mode(Enum):
+    """What an instance is doing with the shard."""
+
+    IDLE = "idle"
+    OPENING = "opening"
+    OPEN = "open"
+    APPENDING = "appending"
+    UNSURE = "unsure"
+
+
+class Entry(NamedTuple):
+    """A journal entry with its unique writer: the epoch and a number within it."""
+
+    epoch: int
+    record: int
+
+
+class Write(NamedTuple):
+    """An append on its way to the store."""
+
+    instance: int
+    sequence: int
+    entry: Entry
+
+
+class Checkpoint(NamedTuple):
+    """A checkpoint on its way to the store: the one that it replaces, and its entries."""
+
+    instance: int
+    replaced: int
+    covered: int
+
+
+class Instance(NamedTuple):
+    """One instance; `known` counts the entries that its state of the shard contains.
+
+    `checkpoint` counts the entries of the last checkpoint that it read or wrote.
+    """
+
+    mode: Mode = Mode.IDLE
+    epoch: int = 0
+    known: int = 0
+    record: int = 0
+    checkpoint: int = 0
+    has_authority: bool = False
+    has_asked: bool = False
+    answer: str = ""
+
+
+class State(NamedTuple):
+    """The store, the network, the instances, and what callers were told.
+
+    `opened` is the latest epoch under which an instance has opened the shard, `opened_at` the
+    number of entries that it knew then; `overwritten` notes that an entry has changed, `sent_late`
+    that an instance acted on an upstream under an earlier epoch.
+    """
+
+    owner: int = 0
+    epoch: int = 1
+    has_waited: bool = True
+    journal: tuple[Entry, ...] = ()
+    checkpoint: int = 0
+    deleted: int = 0
+    writes: frozenset[Write] = frozenset()
+    checkpoints: frozenset[Checkpoint] = frozenset()
+    instances: tuple[Instance, ...] = (Instance(), Instance())
+    acknowledged: frozenset[tuple[int, Entry]] = frozenset()
+    refused: frozenset[Entry] = frozenset()
+    opened: int = 0
+    opened_at: int = 0
+    overwritten: bool = False
+    sent_late: bool = False
+
+
+def _with(state: State, index: int, **changes: object) -> State:
+    instances = list(state.instances)
+    instances[index] = instances[index]._replace(**changes)
+    return state._replace(instances=tuple(instances))
+
+
+def _opened(state: State, index: int) -> State:
+    opened = _with(state, index, mode=Mode.OPEN, answer="")
+    instance = opened.instances[index]
+    if instance.epoch <= state.opened:
+        return opened
+    return opened._replace(opened=instance.epoch, opened_at=instance.known)
+
+
+def _append(state: State, index: int, record: int) -> State:
+    instance = state.instances[index]
+    write = Write(index, instance.known, Entry(instance.epoch, record))
+    sent = state._replace(writes=state.writes | {write})
+    return _with(sent, index, mode=Mode.APPENDING, record=record, answer="")
+
+
+class _Steps:
+    """The steps of the protocol, sound or with one fault."""
+
+    def __init__(self, fault: Fault | None) -> None:
+        self._fault = fault
+
+    def __call__(self, state: State) -> Iterator[Step]:
+        yield from self._platform(state)
+        for index, instance in enumerate(state.instances):
+            for label, following in self._instance(state, index, instance):
+                yield f"{label} {'AB'[index]}", following
+
+    def _platform(self, state: State) -> Iterator[Step]:
+        if state.epoch < MAX_EPOCH:
+            yield "change owner", state._replace(
+                owner=1 - state.owner, epoch=state.epoch + 1, has_waited=False
+            )
+        if not state.has_waited:
+            yield "lease time passes", self._lapse_former(state)
+        for write in state.writes:
+            yield from self._apply(state, write)
+        for checkpoint in state.checkpoints:
+            yield "store checkpoint of", self._store(state, checkpoint)
+
+    def _lapse_former(self, state: State) -> State:
+        former = 1 - state.owner
+        has_asked = self._fault is Fault.LEASE_FROM_ANSWER and state.instances[former].has_asked
+        keeps = self._fault is Fault.LEASE_NEVER_LAPSES and state.instances[former].has_authority
+        lapsed = _with(state, former, has_authority=keeps, has_asked=has_asked)
+        return lapsed._replace(has_waited=True)
+
+    def _apply(self, state: State, write: Write) -> Iterator[Step]:
+        rest = state._replace(writes=state.writes - {write})
+        journal = state.journal
+        if write.sequence >= len(journal) and len(journal) == MAX_ENTRIES:
+            return
+        if write.sequence == len(journal):
+            answer, after = "done", rest._replace(journal=(*journal, write.entry))
+        elif write.sequence < state.deleted:
+            answer, after = "done", rest
+        elif write.sequence < len(journal) and self._fault is Fault.OVERWRITE:
+            kept = (*journal[: write.sequence], write.entry, *journal[write.sequence + 1 :])
+            answer, after = "done", rest._replace(journal=kept, overwritten=kept != journal)
+        else:
+            answer, after = "conflict", rest
+        yield "lose the answer to", after
+        writer = state.instances[write.instance]
+        current = Write(write.instance, writer.known, Entry(writer.epoch, writer.record))
+        if writer.mode is Mode.APPENDING and current == write:
+            yield f"answer {answer} to", _with(after, write.instance, answer=answer)
+
+    def _store(self, state: State, checkpoint: Checkpoint) -> State:
+        """Store a checkpoint if it replaces the expected one; its live writer then deletes."""
+        rest = state._replace(checkpoints=state.checkpoints - {checkpoint})
+        matches = state.checkpoint == checkpoint.replaced
+        if not matches and self._fault is not Fault.BLIND_CHECKPOINT:
+            return rest
+        stored = rest._replace(checkpoint=checkpoint.covered)
+        if not state.instances[checkpoint.instance].has_authority:
+            return stored
+        known = _with(stored, checkpoint.instance, checkpoint=checkpoint.covered)
+        return known._replace(deleted=max(state.deleted, checkpoint.covered))
+
+    def _instance(self, state: State, index: int, instance: Instance) -> Iterator[Step]:
+        if instance.mode is not Mode.IDLE:
+            yield "crash", _with(state, index, **Instance()._asdict())
+        yield from self._authority(state, index, instance)
+        if instance.mode is Mode.IDLE:
+            yield from self._open(state, index)
+        elif instance.mode is Mode.OPENING and len(state.journal) < MAX_ENTRIES:
+            yield "append fence", _append(state, index, FENCE)
+        elif instance.mode is Mode.OPEN:
+            yield from self._act(state, index, instance)
+        elif instance.mode is Mode.APPENDING:
+            yield from self._take_answer(state, index, instance)
+        elif instance.mode is Mode.UNSURE:
+            yield from self._resolve(state, index, instance)
+
+    def _authority(self, state: State, index: int, instance: Instance) -> Iterator[Step]:
+        if instance.epoch == state.epoch and state.owner == index and not instance.has_asked:
+            yield "ask table", _with(state, index, has_asked=True)
+        if instance.has_asked and instance.mode is not Mode.IDLE:
+            yield "hear from table", _with(state, index, has_authority=True, has_asked=False)
+        if instance.has_authority:
+            yield "lapse", _with(state, index, has_authority=False, has_asked=False)
+
+    def _open(self, state: State, index: int) -> Iterator[Step]:
+        used = any(other.epoch == state.epoch for other in state.instances)
+        waited = state.has_waited or self._fault is Fault.NO_TAKEOVER_WAIT
+        written = any(entry.epoch == state.epoch for entry in state.journal)
+        written = written or any(write.entry.epoch == state.epoch for write in state.writes)
+        if state.owner != index or used or not waited or written:
+            return
+        fenced = self._fault is not Fault.NO_FENCE_ENTRY
+        known = len(state.journal)
+        fresh = Instance(
+            mode=Mode.OPENING, epoch=state.epoch, known=known, checkpoint=state.checkpoint
+        )
+        recovered = _with(state, index, **fresh._asdict())
+        yield "recover", recovered if fenced else _opened(recovered, index)
+
+    def _act(self, state: State, index: int, instance: Instance) -> Iterator[Step]:
+        may_act = instance.has_authority
+        if may_act and instance.record < MAX_RECORDS and len(state.journal) < MAX_ENTRIES:
+            yield "append", _append(state, index, instance.record + 1)
+        if may_act or self._fault is Fault.NO_CHECK_AFTER_PAUSE:
+            late = state.sent_late or instance.epoch < state.opened
+            yield "send upstream from", state._replace(sent_late=late)
+        travels = any(checkpoint.instance == index for checkpoint in state.checkpoints)
+        if may_act and instance.checkpoint < instance.known and not travels:
+            write = Checkpoint(index, instance.checkpoint, instance.known)
+            yield "checkpoint", state._replace(checkpoints=state.checkpoints | {write})
+
+    def _take_answer(self, state: State, index: int, instance: Instance) -> Iterator[Step]:
+        yield "give up waiting", _with(state, index, mode=Mode.UNSURE, answer="")
+        if instance.answer == "done":
+            yield "take answer", self._done(state, index, instance)
+        elif instance.answer == "conflict":
+            yield "take conflict", self._conflict(state, index, instance)
+
+    def _done(self, state: State, index: int, instance: Instance) -> State:
+        """Count the entry as written; a fence is no promise to a caller."""
+        entry = Entry(instance.epoch, instance.record)
+        opened = _opened(_with(state, index, known=instance.known + 1), index)
+        if instance.record == FENCE:
+            return opened
+        if not instance.has_authority and self._fault is not Fault.NO_CHECK_AFTER_APPEND:
+            return _with(state, index, mode=Mode.IDLE, answer="", has_asked=False)
+        return opened._replace(acknowledged=state.acknowledged | {(instance.known, entry)})
+
+    def _conflict(self, state: State, index: int, instance: Instance) -> State:
+        if instance.known < state.deleted:
+            return _with(state, index, mode=Mode.IDLE, answer="", has_asked=False)
+        present = state.journal[instance.known]
+        if present == Entry(instance.epoch, instance.record):
+            return self._done(state, index, instance)
+        has_successor = present.epoch > instance.epoch
+        if has_successor and self._fault is Fault.FENCE_PAST_SUCCESSOR:
+            has_successor = False
+        if instance.record == FENCE and not has_successor:
+            known = instance.known + 1
+            return _with(state, index, mode=Mode.OPENING, known=known, answer="")
+        entry = Entry(instance.epoch, instance.record)
+        stopped = _with(
+            state, index, mode=Mode.IDLE, answer="", has_authority=False, has_asked=False
+        )
+        return stopped._replace(refused=state.refused | {entry})
+
+    def _resolve(self, state: State, index: int, instance: Instance) -> Iterator[Step]:
+        if self._fault is Fault.LOST_MEANS_WRITTEN:
+            yield "assume written", self._done(state, index, instance)
+        elif self._fault is Fault.LOST_MEANS_FAILED and instance.record != FENCE:
+            entry = Entry(instance.epoch, instance.record)
+            refused = state._replace(refused=state.refused | {entry})
+            yield "assume failed", _with(refused, index, mode=Mode.OPEN)
+        else:
+            yield "write again", _append(state, index, instance.record)
+
+
+def _is_acknowledged_durable(state: State) -> bool:
+    return all(
+        sequence < len(state.journal) and state.journal[sequence] == entry
+        for sequence, entry in state.acknowledged
+    )
+
+
+def _is_refused_absent(state: State) -> bool:
+    return not any(entry in state.journal for entry in state.refused)
+
+
+def _does_owner_know_acknowledged(state: State) -> bool:
+    return all(
+        sequence < instance.known
+        for instance in state.instances
+        if instance.mode is Mode.OPEN and instance.has_authority
+        for sequence, _ in state.acknowledged
+    )
+
+
+def _are_predecessors_known(state: State) -> bool:
+    return all(entry.epoch >= state.opened for entry in state.journal[state.opened_at :])
+
+
+def _are_epochs_ordered(state: State) -> bool:
+    epochs = [entry.epoch for entry in state.journal]
+    return epochs == sorted(epochs)
+
+
+INVARIANTS = {
+    "acknowledged_is_durable": _is_acknowledged_durable,
+    "refused_is_absent": _is_refused_absent,
+    "owner_knows_acknowledged": _does_owner_know_acknowledged,
+    "predecessors_are_known": _are_predecessors_known,
+    "entries_are_final": lambda state: not state.overwritten,
+    "deleted_is_in_checkpoint": lambda state: state.deleted <= state.checkpoint,
+    "epochs_are_ordered": _are_epochs_ordered,
+    "no_act_after_takeover": lambda state: not state.sent_late,
+}
+
+
+@specification(
+    {
+        Fault.NO_CHECK_AFTER_PAUSE: "no_act_after_takeover",
+        Fault.NO_TAKEOVER_WAIT: "no_act_after_takeover",
+        Fault.LEASE_NEVER_LAPSES: "owner_knows_acknowledged",
+        Fault.LEASE_FROM_ANSWER: "no_act_after_takeover",
+        Fault.NO_FENCE_ENTRY: "predecessors_are_known",
+        Fault.OVERWRITE: "entries_are_final",
+        Fault.LOST_MEANS_WRITTEN: "acknowledged_is_durable",
+        Fault.LOST_MEANS_FAILED: "refused_is_absent",
+        Fault.NO_CHECK_AFTER_APPEND: "acknowledged_is_durable",
+        Fault.FENCE_PAST_SUCCESSOR: "epochs_are_ordered",
+        Fault.BLIND_CHECKPOINT: "deleted_is_in_checkpoint",
+    }
+)
+def ownership(fault: Fault | None) -> Protocol:
+    """Return the protocol of shard ownership."""
+    return protocol("ownership", State(), _Steps(fault), INVARIANTS)
