--- a/tests/records/_strategies.py
+++ b/tests/records/_strategies.py
@@ -6,7 +6,7 @@
 from lagoonfold.records import CallRequest, Cost, Limits, Outcome, digest_of_content
 
 ACCOUNTS = ("acme", "globex")
-LIMITS = Limits(60, 6, 600, 100.0)
+LIMITS = Limits(40, 6, 600, 100.0)
 
 accounts = st.sampled_from(ACCOUNTS)
 bodies = st.sampled_from((b"one", b"two"))
--- /dev/null
+++ b/tests/records/test_damage.py
@@ -0,0 +1,118 @@
+"""Damaged journal entries, checkpoints and segments are found, byte by byte and bit by bit."""
+
+import random
+from collections.abc import Callable, Iterator
+
+from result import Err, Ok, Result
+
+from lagoonfold import ProgramId
+from lagoonfold.records import (
+    CheckpointHead,
+    Cost,
+    CreateRequest,
+    JournalEntry,
+    Outcome,
+    ProgramShard,
+    Settled,
+    check_bulk,
+    check_history,
+    decode_entry,
+    decode_head,
+    decode_records,
+    encode_entry,
+    encode_head,
+    encode_records,
+    plan_checkpoint,
+    read_turns,
+    restore_shard,
+)
+from tests._suite import load_functions
+from tests.records._strategies import LIMITS, make_request
+
+PROGRAM = ProgramId("prg-1")
+SEED = 11
+SETTLED = Settled(PROGRAM, "call-1", Outcome.ANSWERED, 200, "text/plain", b"answer", Cost(1, 1, 1))
+
+
+def _damaged(data: bytes) -> Iterator[bytes]:
+    """Yield the value cut at every byte, with every bit flipped, and with bytes appended."""
+    for size in range(1, len(data)):
+        yield data[:size]
+    for position in range(len(data) * 8):
+        changed = bytearray(data)
+        changed[position // 8] ^= 1 << (position % 8)
+        yield bytes(changed)
+    yield data + b"\0"
+
+
+def _all_are_found(data: bytes, decode: Callable[[bytes], Result]) -> None:
+    assert isinstance(decode(data), Ok)
+    for damaged in _damaged(data):
+        decoded = decode(damaged)
+        assert isinstance(decoded, Err) and len(decoded.err_value) > 10
+
+
+def _shard_with_turns(count: int) -> ProgramShard:
+    shard = ProgramShard()
+    request = CreateRequest(program_id=PROGRAM, account_id="acme", profile="field", limits=LIMITS)
+    records = list(shard.decide_create(request, 0.0).unwrap())
+    for record in records:
+        shard.apply(record)
+    for turn in range(1, count + 1):
+        call = make_request(PROGRAM, turn)
+        for record in shard.decide_begin(call, 0.0).unwrap().records:
+            shard.apply(record)
+        shard.apply(
+            Settled(PROGRAM, call.call_id, Outcome.ANSWERED, 200, "", b"answer", Cost(1, 1, 1))
+        )
+    return shard
+
+
+def test_damaged_journal_entry() -> None:
+    """No damage to a journal entry goes unseen."""
+    _all_are_found(encode_entry(JournalEntry("writer-1", 3, (SETTLED,))), decode_entry)
+
+
+def test_damaged_checkpoint_head() -> None:
+    """No damage to a checkpoint's head goes unseen."""
+    _all_are_found(encode_head(CheckpointHead(1, 9, (1, 4), ("part-1",))), decode_head)
+
+
+def test_damaged_segment_and_part() -> None:
+    """No damage to a bulk value goes unseen, by its name or by its checksum."""
+    shard = _shard_with_turns(3)
+    plan = plan_checkpoint(shard, epoch=1, next_sequence=7, fences=(1,))
+    segment, part = plan.values
+    ref = plan.packed_by_program[PROGRAM].refs[0]
+    for value in plan.values:
+        _all_are_found(value.data, lambda data, name=value.name: check_bulk(name, data))
+    _all_are_found(segment.data, lambda data: read_turns(ref, data))
+    _all_are_found(part.data, lambda data: restore_shard((data,)))
+
+
+def test_changed_histories_break_the_chain() -> None:
+    """A missing, doubled, swapped or foreign turn does not pass as a program's history."""
+    program = _shard_with_turns(3).programs_by_id[PROGRAM]
+    first, second, third = program.recent_turns
+    link = program.last_link
+    assert isinstance(check_history(PROGRAM, (first, second, third), link), Ok)
+    for wrong in ((first, second), (first, third), (first, third, second), (first, second, second)):
+        assert isinstance(check_history(PROGRAM, wrong, link), Err)
+    assert isinstance(check_history(ProgramId("prg-2"), (first, second, third), link), Err)
+
+
+def test_random_bytes_are_errors() -> None:
+    """Bytes that were never encoded are errors of every decoder, never exceptions."""
+    generator = random.Random(SEED)
+    for _ in range(2_000):
+        data = generator.randbytes(generator.randrange(1, 80))
+        assert isinstance(decode_entry(data), Err) and isinstance(decode_head(data), Err)
+        assert isinstance(restore_shard((data,)), Err)
+        decode_records(data)
+    damaged = 0
+    for changed in _damaged(encode_records((SETTLED,))):
+        damaged += isinstance(decode_records(changed), Err)
+    assert damaged > 0
+
+
+load_tests = load_functions(globals())
--- a/tests/records/test_program_shard.py
+++ b/tests/records/test_program_shard.py
@@ -9,11 +9,16 @@
 
 from hypothesis import settings
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
 from result import Err, Ok
 
 from lagoonfold import ErrorKind, ProgramId, Ran
-from lagoonfold.membership import child_program_id
 from lagoonfold.records import (
     NO_COST,
     CallRequest,
@@ -49,7 +54,7 @@
 )
 
 
-@dataclass
+@dataclass(eq=False)
 class _Expected:
     """What a program must have come to."""
 
@@ -73,6 +78,7 @@
         self.may_have_run: Counter[tuple[ProgramId, int]] = Counter()
         self.epoch = 1
         self.answers = 0
+        self.past_calls: list[CallRequest] = []
 
     def _commit(self, records: tuple[Record, ...]) -> None:
         """Apply records, and apply them again as a new owner reads them from the journal."""
@@ -91,12 +97,14 @@
         return data.draw(st.sampled_from(sorted(self.expected)))
 
     @precondition(lambda self: len(self.expected) < 4)
-    @rule(account=accounts, parent=st.booleans(), data=st.data())
-    def create(self, account: str, parent: bool, data: st.DataObject) -> None:
-        """Create a root, or a child of any program."""
+    @rule(account=accounts, parent=st.booleans(), aim=st.booleans(), data=st.data())
+    def create(self, account: str, parent: bool, aim: bool, data: st.DataObject) -> None:
+        """Create a root, or a child of any program, mostly under the right account."""
         parent_id = self._pick(data) if parent and self.expected else None
+        if aim and parent_id:
+            account = self.expected[parent_id].account_id
         name = f"prg-{len(self.expected)}"
-        program_id = child_program_id(parent_id) if parent_id else ProgramId(name)
+        program_id = ProgramId(f"{parent_id}.{name}" if parent_id else name)
         request = CreateRequest(
             program_id=program_id,
             account_id=account,
@@ -234,10 +242,20 @@
         expected = self.expected[program_id]
         if outcome in (Outcome.ANSWERED, Outcome.UNKNOWN):
             expected.calls.append((expected.running, outcome, answer))
+        self.past_calls.append(expected.running)
         expected.running = None
         for each in self._lineage(program_id):
             each.used = each.used + used
 
+    @precondition(lambda self: self.past_calls)
+    @rule(data=st.data())
+    def settle_late(self, data: st.DataObject) -> None:
+        """An outcome of a call that is over is refused, and changes nothing if it is applied."""
+        past = data.draw(st.sampled_from(self.past_calls))
+        late = Settled(past.program_id, past.call_id, Outcome.FAILED, 0, "", b"late", NO_COST)
+        assert isinstance(self.shard.decide_settle(late), Err)
+        self._commit((late,))
+
     @rule()
     def take_over(self) -> None:
         """Crash the owner: a new one goes on from the journal."""
@@ -318,12 +336,10 @@
 
 def test_shard_against_oracle() -> None:
     """Random calls, crashes, checkpoints and ends keep every promise."""
-    from hypothesis.stateful import run_state_machine_as_test
-
     run_state_machine_as_test(
         ShardMachine,
         settings=settings(
-            derandomize=True, max_examples=150, stateful_step_count=40, deadline=None
+            derandomize=True, max_examples=250, stateful_step_count=40, deadline=None
         ),
     )
 
