Send a model call while its begin is being written

read_history waited until all records were durable, the call's own begin included, so the overlap that the design means was lost. Admission latency is now recorded.

--- a/packages/lagoonfold-node/src/lagoonfold_node/_border/_border.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_border/_border.py
@@ -152,7 +152,9 @@
 
     async def _perform_counted(self, matched: Matched, call: Call) -> Refusal | None:
         if matched.entry.is_counted:
+            started_s = trio.current_time()
             admitted = await self._rates.admit(call.caller.account_id)
+            self._metrics.record("admission", trio.current_time() - started_s)
             if isinstance(admitted, Err):
                 return admitted.err_value
         return await self._within_deadline(matched, call)
--- a/packages/lagoonfold-node/src/lagoonfold_node/_execution/_model_call.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_execution/_model_call.py
@@ -73,7 +73,7 @@
 @runs(RouteKind.MODEL)
 async def run_model(executor: Executor, running: RunningCall) -> Result[Finished, Refusal]:
     """Generate a whole answer, on as many replicas as it takes within the retry budgets."""
-    history = await running.shard.read_history(running.program_id)
+    history = await running.shard.read_history(running.program_id, wait_durable=False)
     if isinstance(history, Err):
         return history
     operation = running.operation
--- a/packages/lagoonfold-node/src/lagoonfold_node/_execution/_ports.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_execution/_ports.py
@@ -28,7 +28,9 @@
     async def commit(self, records: tuple[Record, ...]) -> Result[None, Refusal]:
         """Apply records now and wait until they are durable."""
 
-    async def read_history(self, program_id: ProgramId) -> Result[tuple[Turn, ...], Refusal]:
+    async def read_history(
+        self, program_id: ProgramId, *, wait_durable: bool = True
+    ) -> Result[tuple[Turn, ...], Refusal]:
         """Return a program's whole history, checked against its digest chain."""
 
     async def read_turn(self, program: Program, turn: int) -> Result[Turn, Refusal]:
--- a/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_open_shard.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_open_shard.py
@@ -141,14 +141,20 @@
         self._context.metrics.record("commit", trio.current_time() - started_at_s)
         return Ok(None)
 
-    async def read_history(self, program_id: ProgramId) -> Result[tuple[Turn, ...], Refusal]:
-        """Return a program's turns, whose digest chain was checked."""
+    async def read_history(
+        self, program_id: ProgramId, *, wait_durable: bool = True
+    ) -> Result[tuple[Turn, ...], Refusal]:
+        """Return a program's turns, whose digest chain was checked.
+
+        Without `wait_durable` the last turns may still be on their way to the journal: that is
+        enough for a prompt, not for an answer to a caller.
+        """
         program = self.state.programs_by_id.get(program_id)
         if program is None:
             return _refuse(ErrorKind.NOT_FOUND, f"no program {program_id}")
         segments, recent = program.segments, tuple(program.recent_turns)
         last_link = program.last_link
-        durable = await self.commit(())
+        durable = await self.commit(()) if wait_durable else Ok(None)
         if isinstance(durable, Err):
             return durable
         turns: list[Turn] = []
--- a/tests/node/_path.py
+++ b/tests/node/_path.py
@@ -126,7 +126,7 @@
     async def commit(self, records) -> Result[None, Refusal]:
         return await self.submit(records)()
 
-    async def read_history(self, program_id):
+    async def read_history(self, program_id, *, wait_durable=True):
         return Ok(tuple(self.state.programs_by_id[program_id].recent_turns))
 
     async def read_turn(self, program, turn):
