--- a/bench/load.py
+++ b/bench/load.py
@@ -40,7 +40,7 @@
 def configure(fleet: Fleet) -> str:
     """Add an account without a practical limit, a profile and a key; return the key."""
     fleet.operate("account", "add", ACCOUNT, "--rate=1000000", "--burst=1000000")
-    fleet.operate("route", "add", MODEL, "--kind=model", f"--target={MODEL}")
+    fleet.operate("route", "add", MODEL, "--kind=model", f"--target={MODEL}", "--idempotent=true")
     fleet.operate("profile", "add", PROFILE, f"--accounts={ACCOUNT}", f"--routes={MODEL}")
     return fleet.operate("key", "add", ACCOUNT)["key"]
 
--- a/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_context.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_context.py
@@ -22,7 +22,7 @@
 
     A new owner waits `takeover_wait_s` after its predecessor's lease expired, and up to
     `handover_wait_s` for a live predecessor to release the shard. Records that arrive within
-    `commit_interval_s` share one journal entry.
+    `commit_interval_s` of the last journal entry share the next one.
     """
 
     shard_count: int = 32
--- a/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_open_shard.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_open_shard.py
@@ -90,6 +90,7 @@
         self._commits_since_checkpoint = 0
         self._bytes_since_checkpoint = 0
         self._next_checkpoint_at_s = 0.0
+        self._last_commit_at_s = float("-inf")
         self._settled_by_call: dict[str, trio.Event] = {}
 
     @property
@@ -246,7 +247,8 @@
         if not self._queue:
             self._wake = trio.Event()
             await self._wake.wait()
-        await trio.sleep(self._context.settings.commit_interval_s)
+        await trio.sleep_until(self._last_commit_at_s + self._context.settings.commit_interval_s)
+        self._last_commit_at_s = trio.current_time()
 
     async def _commit_next(self, nursery: trio.Nursery) -> None:
         batch = self._queue[0]
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -28,7 +28,7 @@
 def configure(fleet: Fleet) -> str:
     """Add an account, two routes, a profile and a key; return the key."""
     fleet.operate("account", "add", "survey", "--rate=50", "--burst=100")
-    fleet.operate("route", "add", MODEL, "--kind=model", f"--target={MODEL}")
+    fleet.operate("route", "add", MODEL, "--kind=model", f"--target={MODEL}", "--idempotent=true")
     tool = ("--kind=tool", f"--target={TOOL_SERVICE}", "--idempotent=false")
     fleet.operate("route", "add", "register", *tool)
     fleet.operate("profile", "add", PROFILE, "--accounts=survey", f"--routes={MODEL},register")
