Keep history on the disks of two instances, in different failure domains

Segments are immutable files named by their digest. Checkpoints and their parts stay in the key-value service, which alone says what is valid. Where fewer than two disks answer, the service keeps the segments. A survey by the shard's owner finds damaged, lost and unused copies.

The test of a damaged copy first failed: a damaged file that no read had met still counted as a copy, so that damage to the other one lost the value. The survey now reads files again after a while.

--- a/packages/lagoonfold-node/src/lagoonfold_node/_node.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_node.py
@@ -121,7 +121,7 @@
                 metrics=self.metrics,
                 settings=_ownership_settings(settings),
                 bus=self.bus,
-                has_disk=settings.instance.data_dir is not None,
+                data_dir=settings.instance.data_dir,
                 operator_address=settings.instance.operator,
                 incarnation=self.bus.incarnation,
             )
--- a/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_bulk.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_bulk.py
@@ -105,6 +105,11 @@
         """Drop the values made at sequence numbers from `first` up to but not including `end`."""
         await self._inner.delete_between(shard_id, first, end)
 
+    def forget(self) -> None:
+        """Drop what is in memory; the values stay where they are kept."""
+        self._values_by_name.clear()
+        self._size = 0
+
     def _remember(self, shard_id: ShardId, name: str, data: bytes) -> None:
         self._size += len(data) - len(self._values_by_name.pop((shard_id, name), b""))
         self._values_by_name[(shard_id, name)] = data
--- a/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_checkpointer.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_checkpointer.py
@@ -15,7 +15,7 @@
     journal_key,
     plan_checkpoint,
 )
-from lagoonfold_node._ownership._bulk import BulkStore
+from lagoonfold_node._ownership._bulk import BulkStore, KvBulkStore
 from lagoonfold_node._ownership._recovery import RecoveredShard
 
 _MAY_HAVE_WRITTEN = (StoreErrorKind.CONFLICT, StoreErrorKind.LOST_ANSWER)
@@ -38,6 +38,7 @@
     ) -> None:
         self._store = store
         self._bulk = bulk
+        self._parts = KvBulkStore(store)
         self._shard_id = shard_id
         self._epoch = epoch
         self._head = recovered.head
@@ -46,6 +47,11 @@
         self._known_names = set(bulk_names(recovered.state))
         self._has_swept = False
 
+    @property
+    def next_sequence(self) -> int:
+        """Return the first journal entry that the stored checkpoint does not cover."""
+        return self._head.next_sequence
+
     def plan(self, state: ProgramShard, next_sequence: int) -> CheckpointPlan:
         """Return the checkpoint of the state as it is."""
         return plan_checkpoint(
@@ -55,7 +61,8 @@
     async def store(self, state: ProgramShard, plan: CheckpointPlan) -> Result[None, StoreError]:
         """Store a checkpoint; a failure leaves the former one, and the journal as it is."""
         for value in plan.values:
-            kept = await self._bulk.put(self._shard_id, value)
+            keeper = self._parts if value.name in plan.head.parts else self._bulk
+            kept = await keeper.put(self._shard_id, value)
             if isinstance(kept, Err):
                 return kept
         written = await self._write_head(plan.head)
@@ -117,9 +124,10 @@
         made after the checkpoint that this owner started from and before its own first.
         """
         used = set(bulk_names(state))
-        unused = (self._known_names - used) | (set(former.parts) - set(self._head.parts))
-        for name in sorted(unused):
+        for name in sorted(self._known_names - used):
             await self._bulk.delete(self._shard_id, name)
+        for name in sorted(set(former.parts) - set(self._head.parts)):
+            await self._parts.delete(self._shard_id, name)
         self._known_names = used
         if not self._has_swept:
             self._has_swept = True
--- a/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_context.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_context.py
@@ -1,6 +1,7 @@
 """What the ownership controllers share: the store, the board, and this process's identity."""
 
 from dataclasses import dataclass, field
+from pathlib import Path
 from typing import Any
 
 import trio
@@ -51,7 +52,7 @@
     metrics: Metrics
     settings: OwnershipSettings = OwnershipSettings()
     bus: Any = None
-    has_disk: bool = False
+    data_dir: Path | None = None
     operator_address: str = ""
     incarnation: str = field(default_factory=_new_incarnation)
     log: EventLog = field(default_factory=lambda: EventLog("ownership"))
@@ -65,7 +66,7 @@
             address=self.peer_address,
             failure_domain=self.failure_domain,
             leaving=self.board.stopping.read(),
-            has_disk=self.has_disk,
+            has_disk=self.data_dir is not None,
             operator_address=self.operator_address,
         )
 
--- a/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_open_shard.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_open_shard.py
@@ -25,6 +25,7 @@
     Released,
     Settled,
     Turn,
+    bulk_names,
     check_history,
     read_turns,
     size_of,
@@ -170,6 +171,15 @@
         checked = check_history(program_id, (*turns, *recent), last_link)
         return self._damaged(checked.err_value) if isinstance(checked, Err) else checked
 
+    @property
+    def checkpointed_sequence(self) -> int:
+        """Return the first journal entry that the stored checkpoint does not cover."""
+        return self._checkpointer.next_sequence
+
+    def bulk_names(self) -> tuple[str, ...]:
+        """Return the names of the bulk values that hold turns."""
+        return tuple(sorted(bulk_names(self.state)))
+
     async def read_turn(self, program: Program, turn: int) -> Result[Turn, Refusal]:
         """Return one turn of a program, as for the replay of a call."""
         recent = program.recent_turn(turn)
--- a/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_opener.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_opener.py
@@ -32,7 +32,7 @@
     async def open(self) -> OpenShard | None:
         """Return the open shard, or None if a later owner has written to it already."""
         while True:
-            recovered = await recover_shard(self._context.store, self._bulk, self._shard_id)
+            recovered = await recover_shard(self._context.store, self._shard_id)
             if isinstance(recovered, Err):
                 self._report(recovered.err_value)
                 await trio.sleep(_RETRY_S)
--- a/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_ownership.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_ownership.py
@@ -13,7 +13,10 @@
 from lagoonfold.membership import shard_of
 from lagoonfold_node._ownership._allocator import Allocator
 from lagoonfold_node._ownership._bulk import BulkStore, CachedBulkStore, KvBulkStore
+from lagoonfold_node._ownership._bulk_keeper import BulkKeeper
 from lagoonfold_node._ownership._context import OwnershipContext
+from lagoonfold_node._ownership._disk_bulk import DiskBulkStore
+from lagoonfold_node._ownership._disk_files import DiskFiles
 from lagoonfold_node._ownership._lease_keeper import LeaseKeeper
 from lagoonfold_node._ownership._open_shard import OpenShard
 from lagoonfold_node._ownership._shard_keeper import ShardKeeper
@@ -56,7 +59,10 @@
     def __init__(self, context: OwnershipContext, *, bulk: BulkStore | None = None) -> None:
         self.context = context
         self.shards = Shards(context)
-        self.bulk = CachedBulkStore(bulk or KvBulkStore(context.store))
+        self.files = DiskFiles(context.data_dir) if context.data_dir is not None else None
+        disks = DiskBulkStore(context, self.files, KvBulkStore(context.store))
+        self.bulk = CachedBulkStore(bulk or disks)
+        self.bulk_keeper = BulkKeeper(context, disks)
         self._lease_keeper = LeaseKeeper(context)
         self._table_keeper = TableKeeper(context)
         self._allocator = Allocator(context)
@@ -69,6 +75,9 @@
             nursery.start_soon(self._table_keeper.run)
             nursery.start_soon(self._allocator.run)
             nursery.start_soon(self._shard_keeper.run)
+            nursery.start_soon(self.bulk_keeper.run)
+            if self.files is not None:
+                nursery.start_soon(self.files.run)
             task_status.started()
 
     async def hand_over(self, *, timeout_s: float) -> None:
--- a/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_recovery.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_recovery.py
@@ -17,7 +17,7 @@
     restore_shard,
     sequence_of,
 )
-from lagoonfold_node._ownership._bulk import BulkStore
+from lagoonfold_node._ownership._bulk import BulkStore, KvBulkStore
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -38,7 +38,7 @@
 
 
 async def recover_shard(
-    store: KeyValueStore, bulk: BulkStore, shard_id: ShardId
+    store: KeyValueStore, shard_id: ShardId
 ) -> Result[RecoveredShard, StoreError]:
     """Return the shard's state; `CONFLICT` says that it changed during the read, or is damaged."""
     read = await store.get(checkpoint_key(shard_id))
@@ -47,7 +47,7 @@
     head = decode_head(read.ok_value.value)
     if isinstance(head, Err):
         return _conflict(head.err_value)
-    state = await _read_state(bulk, shard_id, head.ok_value)
+    state = await _read_state(KvBulkStore(store), shard_id, head.ok_value)
     if isinstance(state, Err):
         return state
     listing = await store.list(journal_prefix(shard_id))
--- a/tests/ownership/_fleet.py
+++ b/tests/ownership/_fleet.py
@@ -3,12 +3,22 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from pathlib import Path
 
 import trio
 from result import Ok
 
 from lagoonfold import InstanceId, ProgramId, new_id
-from lagoonfold.records import CallRequest, Cost, CreateRequest, Limits, Turn, digest_of_content
+from lagoonfold.records import (
+    CallRequest,
+    Cost,
+    CreateRequest,
+    Limits,
+    Outcome,
+    Settled,
+    Turn,
+    digest_of_content,
+)
 from lagoonfold_node._board import Board
 from lagoonfold_node._metrics import Metrics
 from lagoonfold_node._ownership import (
@@ -92,7 +102,13 @@
         self.kv = kv
         self._nursery = nursery
 
-    async def start(self, index: int, settings: OwnershipSettings = SETTINGS) -> Instance:
+    async def start(
+        self,
+        index: int,
+        settings: OwnershipSettings = SETTINGS,
+        *,
+        data_dir: Path | None = None,
+    ) -> Instance:
         """Start an instance."""
         board = Board()
         store = PartitionedStore(self.kv.connect())
@@ -114,6 +130,7 @@
             metrics=Metrics(),
             settings=settings,
             bus=bus,
+            data_dir=data_dir,
         )
         node.ownership = Ownership(context)
         instance = Instance(node.ownership, store)
@@ -193,3 +210,24 @@
         body=body,
         reserve=Cost(10, 1, 1),
     )
+
+
+async def begin_call(shard: OpenShard, program_id: str, turn: int) -> str:
+    """Begin a call that must not run twice; return its id."""
+    request = make_call(program_id, turn)
+    execute = shard.state.decide_begin(request, 0.0, executor=shard.executor).unwrap()
+    (await shard.commit(execute.records)).unwrap()
+    return execute.call_id
+
+
+def answered(program_id: str, call_id: str) -> Settled:
+    """Return the outcome of an answered call."""
+    used = Cost(10, 1, 1)
+    return Settled(program_id, call_id, Outcome.ANSWERED, 200, "text/plain", b"done", used)
+
+
+async def make_turn(shard: OpenShard, program_id: str, turn: int) -> None:
+    """Begin a call and settle it with an answer."""
+    call_id = await begin_call(shard, program_id, turn)
+    records = shard.state.decide_settle(answered(program_id, call_id)).unwrap()
+    (await shard.commit(records)).unwrap()
--- a/tests/ownership/test_takeover.py
+++ b/tests/ownership/test_takeover.py
@@ -4,13 +4,15 @@
 from result import Err
 
 from lagoonfold import ErrorKind, ProgramId, Ran
-from lagoonfold.records import Outcome, Replay, Settled, match_replay
-from lagoonfold_node._ownership import OpenShard
+from lagoonfold.records import Outcome, Replay, match_replay
 from tests._suite import load_functions
 from tests.ownership._fleet import (
     Fleet,
+    answered,
+    begin_call,
     create_program,
     make_call,
+    make_turn,
     read_turns,
     run_with_fleet,
     wait_until,
@@ -19,31 +21,6 @@
 PROGRAM = "prg-1"
 
 
-async def _begin(shard: OpenShard, turn: int) -> str:
-    """Begin a call that must not run twice; return its id."""
-    request = make_call(PROGRAM, turn)
-    execute = shard.state.decide_begin(request, 0.0, executor=shard.executor).unwrap()
-    (await shard.commit(execute.records)).unwrap()
-    return execute.call_id
-
-
-def _answered(call_id: str) -> Settled:
-    return Settled(
-        PROGRAM,
-        call_id,
-        Outcome.ANSWERED,
-        200,
-        "text/plain",
-        b"done",
-        make_call(PROGRAM, 1).reserve,
-    )
-
-
-async def _make_turn(shard: OpenShard, turn: int) -> None:
-    call_id = await _begin(shard, turn)
-    (await shard.commit(shard.state.decide_settle(_answered(call_id)).unwrap())).unwrap()
-
-
 def test_crash_between_intent_and_outcome() -> None:
     """The next owner keeps the history, reports the call as unknown, and goes on behind it."""
 
@@ -51,8 +28,8 @@
         instances = [await fleet.start(index) for index in range(2)]
         owner, shard = await fleet.open_shard(instances, PROGRAM)
         await create_program(shard, PROGRAM)
-        await _make_turn(shard, 1)
-        await _begin(shard, 2)
+        await make_turn(shard, PROGRAM, 1)
+        await begin_call(shard, PROGRAM, 2)
         owner.scope.cancel()
         instances.remove(owner)
         _, successor = await fleet.open_shard(instances, PROGRAM)
@@ -63,7 +40,7 @@
         assert (refusal.kind, refusal.ran) == (ErrorKind.OUTCOME_UNKNOWN, Ran.UNKNOWN)
         history = (await successor.read_history(ProgramId(PROGRAM))).unwrap()
         assert [turn.outcome for turn in history] == [Outcome.ANSWERED, Outcome.UNKNOWN]
-        await _make_turn(successor, 3)
+        await make_turn(successor, PROGRAM, 3)
 
     run_with_fleet(check)
 
@@ -75,7 +52,7 @@
         instances = [await fleet.start(index) for index in range(2)]
         owner, shard = await fleet.open_shard(instances, PROGRAM)
         await create_program(shard, PROGRAM)
-        call_id = await _begin(shard, 1)
+        call_id = await begin_call(shard, PROGRAM, 1)
         owner.store.cut()
         instances.remove(owner)
         await wait_until(lambda: not shard.may_act())
@@ -85,7 +62,7 @@
         assert isinstance(refused, Err) and refused.err_value.ran is Ran.NO
         owner.store.heal()
         with trio.fail_after(20):
-            late = await shard.commit((_answered(call_id),))
+            late = await shard.commit((answered(PROGRAM, call_id),))
         assert isinstance(late, Err) and late.err_value.kind is ErrorKind.OUTCOME_UNKNOWN
         turns = await read_turns(fleet, [owner, *instances], PROGRAM)
         assert [turn.outcome for turn in turns] == [Outcome.UNKNOWN]
@@ -100,12 +77,12 @@
         instances = [await fleet.start(index) for index in range(2)]
         owner, shard = await fleet.open_shard(instances, PROGRAM)
         await create_program(shard, PROGRAM)
-        call_id = await _begin(shard, 1)
+        call_id = await begin_call(shard, PROGRAM, 1)
         owner.board.stopping.write(True)
         instances.remove(owner)
         _, successor = await fleet.open_shard(instances, PROGRAM)
         assert not shard.may_act()
-        (await shard.commit((_answered(call_id),))).unwrap()
+        (await shard.commit((answered(PROGRAM, call_id),))).unwrap()
         repeat = make_call(PROGRAM, 1)
         assert successor.state.decide_begin(repeat, 0.0).unwrap() == Replay(turn=1)
         program = successor.state.programs_by_id[ProgramId(PROGRAM)]
@@ -125,7 +102,7 @@
         instances = [await fleet.start(index) for index in range(2)]
         owner, shard = await fleet.open_shard(instances, PROGRAM)
         await create_program(shard, PROGRAM)
-        await _begin(shard, 1)
+        await begin_call(shard, PROGRAM, 1)
         owner.board.stopping.write(True)
         instances.remove(owner)
         _, successor = await fleet.open_shard(instances, PROGRAM)
@@ -147,7 +124,7 @@
         await create_program(shard, PROGRAM)
         fleet.kv.set_faults(drop_answer=0.3, seed=5, operations=("txn",), key_contains="shard/")
         for turn in range(1, 31):
-            await _make_turn(shard, turn)
+            await make_turn(shard, PROGRAM, turn)
         await wait_until(lambda: shard.state.programs_by_id[ProgramId(PROGRAM)].segments != ())
         fleet.kv.set_faults()
         instances[0].scope.cancel()
@@ -192,7 +169,7 @@
         assert refused.err_value.ran is Ran.NO and refused.err_value.retry_after_s > 0
         fleet.kv.set_faults()
         _, later = await fleet.open_shard(instances, PROGRAM)
-        await _make_turn(later, 1)
+        await make_turn(later, PROGRAM, 1)
 
     run_with_fleet(check)
 
