Spend one bare cancel scope a token instead of two nested timeouts

Cause: relaying cost 0.38 ms of processor time a token; in the profile, entering and leaving `trio.fail_after` came third after sockets and h11. Each read was timed twice (30 s in the client, 2 s in the engine adapter), each time through a generator. Ruled out: parsing of the events (0.05 ms a token under the profiler).

--- a/packages/lagoonfold-io/src/lagoonfold_io/_http_client.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_client.py
@@ -75,19 +75,21 @@
         while data := await self.read():
             yield data
 
-    async def read(self) -> bytes:
+    async def read(self, *, timeout_s: float | None = None) -> bytes:
         """Return all body bytes that are ready, waiting for the first; empty at the end.
 
         A cancelled read loses nothing: the next one goes on where it stopped. Raises
-        `StreamError` on a break or without progress.
+        `StreamError` on a break, or without progress for `timeout_s` (by default the progress
+        timeout of the request).
         """
+        limit_s = self._progress_timeout_s if timeout_s is None else timeout_s
         parts: list[bytes] = []
         while not self._complete:
             event = _ready_event(self._connection) if parts else None
             if event is None:
                 if parts:
                     break
-                event = await _next_event(self._connection, self._progress_timeout_s)
+                event = await _next_event(self._connection, limit_s)
             if isinstance(event, h11.Data):
                 parts.append(event.data)
             elif isinstance(event, h11.EndOfMessage):
@@ -118,12 +120,7 @@
             event = connection.protocol.next_event()
             if event is not h11.NEED_DATA:
                 break
-            with trio.fail_after(timeout_s):
-                data = await connection.stream.receive_some(READ_SIZE_BYTES)
-            connection.protocol.receive_data(data)
-    except trio.TooSlowError as error:
-        detail = f"no progress for {timeout_s:g} s"
-        raise StreamError(HttpError(detail=detail, sent=Sent.MAYBE, is_timeout=True)) from error
+            connection.protocol.receive_data(await _receive(connection, timeout_s))
     except _BREAKS as error:
         raise StreamError(
             HttpError(detail=f"connection broke: {error}", sent=Sent.MAYBE)
@@ -133,6 +130,14 @@
     return event
 
 
+async def _receive(connection: _Connection, timeout_s: float) -> bytes:
+    # A bare scope costs half of what `trio.fail_after` does, and this runs once a token.
+    with trio.CancelScope(deadline=trio.current_time() + timeout_s):
+        return await connection.stream.receive_some(READ_SIZE_BYTES)
+    detail = f"no progress for {timeout_s:g} s"
+    raise StreamError(HttpError(detail=detail, sent=Sent.MAYBE, is_timeout=True))
+
+
 class HttpClient:
     """A pool of connections; one instance serves one trio loop."""
 
--- a/packages/lagoonfold-io/src/lagoonfold_io/_http_server.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_server.py
@@ -113,11 +113,15 @@
         self._protocol.send_failed()
 
     async def _write(self, data: bytes) -> None:
+        deadline = trio.current_time() + self._limits.write_timeout_s
         try:
-            with trio.fail_after(self._limits.write_timeout_s):
+            # A bare scope costs half of what `trio.fail_after` does, and this runs once a token.
+            with trio.CancelScope(deadline=deadline) as scope:
                 await self._stream.send_all(data)
-        except (trio.TooSlowError, *_BREAKS) as error:
+        except _BREAKS as error:
             raise ClientGoneError from error
+        if scope.cancelled_caught:
+            raise ClientGoneError
 
 
 class HttpServer:
--- a/packages/lagoonfold-node/src/lagoonfold_node/_upstreams/_engine.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_upstreams/_engine.py
@@ -104,19 +104,22 @@
         """Return the next events; the last chunk ends with the end-of-stream event."""
         while True:
             try:
-                with trio.fail_after(SILENCE_TIMEOUT_S):
-                    data = await self._response.read()
-            except trio.TooSlowError:
-                went_down = not await self._probe()
-                return _failed(f"silent for {SILENCE_TIMEOUT_S:g} s", went_down=went_down)
+                data = await self._response.read(timeout_s=SILENCE_TIMEOUT_S)
             except HttpStreamError as error:
-                return Err(failure_of(error.error))
+                return await self._broken(error.error)
             if not data:
                 return _failed("the stream ended before its last event")
             chunk = self._parse(self._rest + data if self._rest else data)
             if chunk is not None:
                 return chunk
 
+    async def _broken(self, error: HttpError) -> Err[UpstreamFailure]:
+        """Return the failure for a stream that broke, or fell silent and was probed for."""
+        if not error.is_timeout:
+            return Err(failure_of(error))
+        went_down = not await self._probe()
+        return _failed(f"silent for {SILENCE_TIMEOUT_S:g} s", went_down=went_down)
+
     def _parse(self, buffer: bytes) -> Result[EngineChunk, UpstreamFailure] | None:
         events, size = parse_events(buffer)
         self._rest = buffer[size:]
