--- a/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_dispatcher.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_dispatcher.py
@@ -10,12 +10,12 @@
 from lagoonfold import ErrorKind, ProgramId, Refusal
 from lagoonfold.scheduling import (
     ADMISSIONS_BY_NAME,
-    DEFAULT_ADMISSION,
     PlacementInput,
     QueuedCall,
     priority_of,
     service_s,
 )
+from lagoonfold.settings import SchedulingSettings
 from lagoonfold_node._dispatch._caches import CacheFreer
 from lagoonfold_node._dispatch._lane import NO_UPSTREAM_RETRY_S, Lane, Waiter
 from lagoonfold_node._dispatch._poison import PoisonNotices
@@ -25,6 +25,7 @@
 from lagoonfold_node._metrics import Metrics
 
 TICK_S = 0.05
+DEFAULT_POLICIES = SchedulingSettings()
 
 
 class Dispatcher:
@@ -37,6 +38,8 @@
         caches: CacheFreer,
         metrics: Metrics,
         rng: random.Random,
+        *,
+        policies: SchedulingSettings = DEFAULT_POLICIES,
     ) -> None:
         self.table = table
         self.poison = poison
@@ -44,7 +47,8 @@
         self.retries = Retries(metrics, rng)
         self._metrics = metrics
         self._rng = rng
-        self._admission = ADMISSIONS_BY_NAME[DEFAULT_ADMISSION]()
+        self._policies = policies
+        self._admission = ADMISSIONS_BY_NAME[policies.admission]()
         self._lanes_by_target: dict[tuple[bool, str], Lane] = {}
 
     async def run(self) -> None:
@@ -66,7 +70,7 @@
     @asynccontextmanager
     async def place(self, request: PlacementRequest) -> AsyncIterator[Result[Placement, Refusal]]:
         """Wait for a place and hold it; a call that is given up on gets its refusal at once."""
-        lane = self._lanes_by_target.setdefault((request.is_model, request.target), Lane())
+        lane = self._lane((request.is_model, request.target))
         refusal = self._refuse_early(request, lane)
         if refusal is not None:
             yield self._refused(refusal)
@@ -89,6 +93,11 @@
         if placement.outcome is Outcome.WENT_DOWN:
             await self.poison.keep(request.content_digest)
 
+    def _lane(self, target: tuple[bool, str]) -> Lane:
+        if target not in self._lanes_by_target:
+            self._lanes_by_target[target] = Lane(self._policies)
+        return self._lanes_by_target[target]
+
     def _refused(self, refusal: Refusal) -> Err[Refusal]:
         self._metrics.count("placement_refusals", refusal.kind.value)
         return Err(refusal)
--- a/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_lane.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_lane.py
@@ -8,13 +8,13 @@
 from lagoonfold.rates import DemandMeter
 from lagoonfold.scheduling import (
     CHOOSERS_BY_NAME,
-    DEFAULT_CHOOSER,
     AdmissionInput,
     DispatchQueue,
     QueuedCall,
     ReplicaChooser,
     ServiceMeter,
 )
+from lagoonfold.settings import SchedulingSettings
 from lagoonfold_node._dispatch._requests import PlacementRequest
 from lagoonfold_node._dispatch._table import UpstreamState
 
@@ -35,9 +35,9 @@
 class Lane:
     """The calls for one target."""
 
-    def __init__(self) -> None:
-        self.queue = DispatchQueue()
-        self.chooser: ReplicaChooser = CHOOSERS_BY_NAME[DEFAULT_CHOOSER]()
+    def __init__(self, policies: SchedulingSettings) -> None:
+        self.queue = DispatchQueue(order=policies.order)
+        self.chooser: ReplicaChooser = CHOOSERS_BY_NAME[policies.replica]()
         self.ends = DemandMeter()
         self.call_s = ServiceMeter(initial_s=INITIAL_CALL_S)
         self.running = 0
--- a/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_service.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_service.py
@@ -6,10 +6,11 @@
 import trio
 
 from lagoonfold import InstanceId, KeyValueStore, ProgramId
+from lagoonfold.settings import SchedulingSettings
 from lagoonfold_io import HttpClient
 from lagoonfold_node._board import Board
 from lagoonfold_node._dispatch._caches import CacheFreer
-from lagoonfold_node._dispatch._dispatcher import Dispatcher
+from lagoonfold_node._dispatch._dispatcher import DEFAULT_POLICIES, Dispatcher
 from lagoonfold_node._dispatch._feeds import UpstreamFeeds
 from lagoonfold_node._dispatch._poison import PoisonNotices
 from lagoonfold_node._dispatch._table import UpstreamTable
@@ -35,13 +36,16 @@
         *,
         is_gone: Callable[[ProgramId], bool] = lambda program_id: False,
         rng: random.Random | None = None,
+        policies: SchedulingSettings = DEFAULT_POLICIES,
     ) -> None:
         table = UpstreamTable()
         poison = PoisonNotices(
             bus, store, lambda: [peer for peer in board.members.read() if peer != instance_id]
         )
         caches = CacheFreer(table, client, is_gone=is_gone)
-        self.dispatcher = Dispatcher(table, poison, caches, metrics, rng or random.Random())
+        self.dispatcher = Dispatcher(
+            table, poison, caches, metrics, rng or random.Random(), policies=policies
+        )
         self._feeds = UpstreamFeeds(table, client, self.dispatcher.pump)
         self._upstreams = board.upstreams
 
--- a/packages/lagoonfold-node/src/lagoonfold_node/_node.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_node.py
@@ -134,6 +134,7 @@
             self.client,
             self.metrics,
             is_gone=self._is_gone,
+            policies=settings.scheduling,
         )
         owners = ShardAccountOwners(self.ownership.shards, board.shards)
         find_account = lambda account_id: (  # noqa: E731
--- a/packages/lagoonfold/src/lagoonfold/settings/__init__.py
+++ b/packages/lagoonfold/src/lagoonfold/settings/__init__.py
@@ -8,6 +8,7 @@
     LimitSettings,
     LogSettings,
     PlatformSettings,
+    SchedulingSettings,
     Settings,
 )
 
@@ -18,6 +19,7 @@
     "LimitSettings",
     "LogSettings",
     "PlatformSettings",
+    "SchedulingSettings",
     "Settings",
     "SettingsFault",
     "load_settings",
--- a/packages/lagoonfold/src/lagoonfold/settings/_models.py
+++ b/packages/lagoonfold/src/lagoonfold/settings/_models.py
@@ -1,11 +1,21 @@
 """The models of an instance's settings file, one class for each section."""
 
 import ipaddress
+from collections.abc import Collection
 from pathlib import Path
 from typing import Annotated, Literal
 
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field
 
+from lagoonfold.scheduling import (
+    ADMISSIONS_BY_NAME,
+    CHOOSERS_BY_NAME,
+    DEFAULT_ADMISSION,
+    DEFAULT_CHOOSER,
+    DEFAULT_ORDER,
+    ORDERS_BY_NAME,
+)
+
 _MAX_PORT = 65_535
 _RENEWALS_PER_LEASE = 3
 _NAME_PATTERN = r"^[a-z0-9][a-z0-9-]{0,62}$"
@@ -101,6 +111,32 @@
         return self.withdrawal_bound_s + self.outage_grace_s
 
 
+def _check_order(name: str) -> str:
+    return _check_registered(name, ORDERS_BY_NAME)
+
+
+def _check_replica(name: str) -> str:
+    return _check_registered(name, CHOOSERS_BY_NAME)
+
+
+def _check_admission(name: str) -> str:
+    return _check_registered(name, ADMISSIONS_BY_NAME)
+
+
+def _check_registered(name: str, registry: Collection[str]) -> str:
+    if name not in registry:
+        raise ValueError(f"one of {', '.join(sorted(registry))}")
+    return name
+
+
+class SchedulingSettings(_Section):
+    """The policies by name: who goes next, on which replica, and who may wait."""
+
+    order: Annotated[str, AfterValidator(_check_order)] = DEFAULT_ORDER
+    replica: Annotated[str, AfterValidator(_check_replica)] = DEFAULT_CHOOSER
+    admission: Annotated[str, AfterValidator(_check_admission)] = DEFAULT_ADMISSION
+
+
 class LogSettings(_Section):
     """What is logged."""
 
@@ -115,4 +151,5 @@
     cluster: ClusterSettings = ClusterSettings()
     limits: LimitSettings = LimitSettings()
     keys: KeySettings = KeySettings()
+    scheduling: SchedulingSettings = SchedulingSettings()
     log: LogSettings = LogSettings()
--- a/tests/settings/test_settings.py
+++ b/tests/settings/test_settings.py
@@ -53,6 +53,12 @@
     assert faults["limits", "max_conections"].value == "5"
 
 
+def test_an_unknown_policy_is_named_with_the_known_ones() -> None:
+    """A policy that is not in the registry is a fault that lists what is."""
+    faults = _faults(_GOOD + "[scheduling]\norder = loudest-first\n")
+    assert "fair-least-attained" in faults["scheduling", "order"].expected
+
+
 def test_faults_of_form_do_not_hide_others() -> None:
     """Repeated sections and keys and broken lines are named beside wrong values."""
     text = "stray = 1\n" + _GOOD.replace("10.0.0.1:8081", "10.0.0.1:0")
