Verify the configuration by a read that carries the head only when it changed

A head of up to 32 changes read in full four times in each withdrawal bound would take more than the 2 KB/s that a node may spend on control.

--- a/packages/lagoonfold-io/src/lagoonfold_io/_config_log.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_config_log.py
@@ -81,6 +81,11 @@
         entry = await self._store.get(HEAD_KEY)
         return entry.map_err(_unavailable)
 
+    async def read_head_if_changed(self, known_revision: int) -> Result[Entry | None, Refusal]:
+        """Read the head's entry, or None where it is still at the known revision."""
+        entry = await self._store.get_if_changed(HEAD_KEY, known_revision)
+        return entry.map_err(_unavailable)
+
     async def resolve(self, entry: Entry, known: Configuration) -> Result[LogState, Refusal]:
         """Bring the known configuration up to a head, reading its snapshot if needed."""
         try:
--- a/packages/lagoonfold-node/src/lagoonfold_node/_config_controller/_controller.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_config_controller/_controller.py
@@ -123,10 +123,15 @@
     async def _read_service(self) -> Result[None, Refusal]:
         """Read the head; an unchanged one only vouches for what is known."""
         asked_at_s = trio.current_time()
-        entry = await self._log.read_head()
-        if isinstance(entry, Err):
-            return entry
-        return await self._take_head(entry.ok_value, asked_at_s, "read")
+        read = await self._log.read_head_if_changed(self._head_revision)
+        if isinstance(read, Err):
+            return read
+        if read.ok_value is not None:
+            return await self._take_head(read.ok_value, asked_at_s, "read")
+        self._has_read = True
+        self.tracker.take_unchanged(asked_at_s)
+        self._cell.write(self.tracker.view())
+        return Ok(None)
 
     async def _take_head(
         self, entry: Entry, asked_at_s: float, source: str
--- a/packages/lagoonfold/src/lagoonfold/config/_tracker.py
+++ b/packages/lagoonfold/src/lagoonfold/config/_tracker.py
@@ -61,6 +61,10 @@
         self._verify(configuration.version, asked_at_s)
         return self._view.configuration.version > before
 
+    def take_unchanged(self, asked_at_s: float) -> None:
+        """Note that the service has nothing newer than what it said before."""
+        self._verify(self._view.configuration.version, asked_at_s)
+
     def take_answer(self, answer: ConfigAnswer, asked_at_s: float) -> bool:
         """Take a peer's answer to a question at `asked_at_s`; tell whether it is new."""
         before = self._view.configuration.version
--- a/tests/config/_memory_store.py
+++ b/tests/config/_memory_store.py
@@ -34,6 +34,13 @@
         absent = Entry(key=key, value=b"", revision=ABSENT_REVISION)
         return Ok(self.entries_by_key.get(key, absent))
 
+    async def get_if_changed(
+        self, key: str, known_revision: int
+    ) -> Result[Entry | None, StoreError]:
+        """Read one key, or None where it is at the known revision."""
+        read = await self.get(key)
+        return read.map(lambda entry: None if entry.revision == known_revision else entry)
+
     async def put_if(
         self, key: str, value: bytes, *, expected_revision: int, lease_id: int = 0
     ) -> Result[int, StoreError]:
