--- a/packages/lagoonfold/src/lagoonfold/config/_tracker.py
+++ b/packages/lagoonfold/src/lagoonfold/config/_tracker.py
@@ -19,7 +19,7 @@
 from lagoonfold.config._documents import Configuration, ConfigView
 from lagoonfold.config._log import ChangeRecord
 
-WATCHER_GROUP_SIZE = 8
+WATCHER_GROUP_SIZE = 4
 
 _KEPT_RECORDS = 64
 
