--- a/packages/lagoonfold-node/src/lagoonfold_node/_execution/_calls.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_execution/_calls.py
@@ -16,6 +16,7 @@
     NO_COST,
     CallRequest,
     Cost,
+    Decision,
     Execute,
     Join,
     Outcome,
@@ -56,6 +57,7 @@
     route = allowed.ok_value
     request = _request(operation, route, shard)
     decided = shard.state.decide_begin(request, time.time(), executor=shard.executor)
+    _note_begin(executor, shard, request, operation, decided)
     if isinstance(decided, Err):
         return decided.err_value
     match decided.ok_value:
@@ -67,6 +69,38 @@
             return await _join(executor, shard, call_id, operation, sink)
 
 
+def _note_begin(
+    executor: Executor,
+    shard: OpenShard,
+    request: CallRequest,
+    operation: RunCall,
+    decided: Result[Decision, Refusal],
+) -> None:
+    """Note what was decided about a call, and what it rested on."""
+    program = shard.state.programs_by_id.get(request.program_id)
+    if isinstance(decided, Ok):
+        verdict = type(decided.ok_value).__name__.lower()
+    else:
+        verdict = f"{decided.err_value.kind.value}: {decided.err_value.detail}"
+    executor.decisions.add(
+        "begin",
+        operation.request_id,
+        program_id=request.program_id,
+        decided=verdict,
+        call_id=request.call_id,
+        turn=request.turn,
+        next_turn=program.next_turn if program else 0,
+        route=request.route,
+        is_idempotent=request.is_idempotent,
+        content_digest=request.content_digest,
+        reserve_tokens=request.reserve.tokens,
+        used_tokens=program.used.tokens if program else 0,
+        limit_tokens=program.limits.tokens if program else 0,
+        shard=shard.shard_id,
+        epoch=shard.epoch,
+    )
+
+
 def _find_route(
     configuration: Configuration, shard: OpenShard, operation: RunCall
 ) -> Result[Route, Refusal]:
@@ -189,7 +223,7 @@
     try:
         with trio.fail_after(SETTLE_TIMEOUT_S):
             await running.begun.wait()
-            refusal = await _record(running, finished)
+            refusal = await _record(executor, running, finished)
     except trio.TooSlowError:
         refusal = refuse(
             ErrorKind.PLATFORM_UNAVAILABLE,
@@ -204,7 +238,9 @@
         running.feed.finish(finished.ok_value.answer, finished.ok_value.last_part)
 
 
-async def _record(running: RunningCall, finished: Result[Finished, Refusal]) -> Refusal | None:
+async def _record(
+    executor: Executor, running: RunningCall, finished: Result[Finished, Refusal]
+) -> Refusal | None:
     """Commit the settlement; return what the caller is told if it gets no answer."""
     if running.begin_refusal is not None:
         refusal = running.begin_refusal
@@ -212,6 +248,16 @@
             refusal.kind, refusal.detail, ran=_ran(running), retry_after_s=refusal.retry_after_s
         )
     settled, refusal = _settlement(running, finished)
+    executor.decisions.add(
+        "settle",
+        running.operation.request_id,
+        program_id=running.program_id,
+        decided=settled.outcome.value,
+        call_id=running.call_id,
+        used_tokens=settled.used.tokens,
+        refusal=refusal.detail if refusal else "",
+        was_sent=running.was_sent,
+    )
     decided = running.shard.state.decide_settle(settled)
     if isinstance(decided, Err):
         return decided.err_value
--- a/packages/lagoonfold-node/src/lagoonfold_node/_execution/_executor.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_execution/_executor.py
@@ -65,6 +65,11 @@
             return not_owner(operation.program_id)
         return await PERFORMERS_BY_TYPE[type(operation)](self, shard, operation, sink)
 
+    def note(self, running: RunningCall, kind: str, inputs: dict[str, object]) -> None:
+        """Note a decision about a running call."""
+        request_id = running.operation.request_id
+        self.decisions.add(kind, request_id, program_id=running.program_id, **inputs)
+
     def note_ended(self, program_id: ProgramId, shard: OpenShard, is_cancelled: bool) -> None:
         """Free what an ended program holds; a cancelled one's running call is stopped."""
         if is_cancelled:
--- a/packages/lagoonfold-node/src/lagoonfold_node/_execution/_model_call.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_execution/_model_call.py
@@ -101,6 +101,7 @@
         send=partial(_generate, executor, generation),
         is_idempotent=running.route.is_idempotent,
         may_act=running.shard.may_act,
+        note=partial(executor.note, running),
     )
     generated = await run_tries(executor.access.dispatcher, task)
     if isinstance(generated, Err):
--- a/packages/lagoonfold-node/src/lagoonfold_node/_execution/_tool_call.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_execution/_tool_call.py
@@ -1,5 +1,7 @@
 """Calls to tools and plain services as a turn of a program."""
 
+from functools import partial
+
 import msgspec
 import trio
 from result import Err, Ok, Result
@@ -102,6 +104,7 @@
         send=send,
         is_idempotent=running.route.is_idempotent,
         may_act=running.shard.may_act,
+        note=partial(executor.note, running),
     )
     called = await run_tries(executor.access.dispatcher, task)
     if isinstance(called, Err):
--- a/packages/lagoonfold-node/src/lagoonfold_node/_execution/_tries.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_execution/_tries.py
@@ -32,12 +32,16 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Task(Generic[T]):
-    """A call to be tried: what places it, what sends it, and what must hold before each try."""
+    """A call to be tried: what places it, what sends it, and what must hold before each try.
+
+    `note` is told of each placement and of each failed try.
+    """
 
     request: PlacementRequest
     send: Callable[[Placement], Awaitable[Result[Tried[T], UpstreamFailure]]]
     is_idempotent: bool
     may_act: Callable[[], bool] = lambda: True
+    note: Callable[[str, dict[str, object]], None] = lambda kind, inputs: None
 
 
 async def run_tries(dispatcher: Dispatcher, task: Task[T]) -> Result[T, Refusal]:
@@ -54,6 +58,7 @@
                 return Err(_lease_lapsed(ran))
             placement = placed.ok_value
             _note_try(dispatcher, request, placement, attempt)
+            task.note("placement", _describe_placement(request, placement, attempt))
             tried = await task.send(placement)
             if isinstance(tried, Ok):
                 placement.succeed(tried.ok_value.usage)
@@ -62,6 +67,7 @@
             _note_failure(placement, failure)
         ran = _worse(ran, failure.ran)
         delay_s = _decide_retry(dispatcher, task, placement.upstream_id, failure, attempt)
+        task.note("retry", _describe_failure(placement, failure, attempt, delay_s))
         if delay_s is None:
             return Err(_failed(request, failure, ran))
         request = replace(request, avoid=request.avoid | {placement.upstream_id})
@@ -76,6 +82,34 @@
         dispatcher.retries.note_first_try(request.account_id, state)
 
 
+def _describe_placement(
+    request: PlacementRequest, placement: Placement, attempt: int
+) -> dict[str, object]:
+    return {
+        "decided": placement.upstream_id,
+        "attempt": attempt,
+        "target": request.target,
+        "priority": placement.priority,
+        "prompt_tokens": request.prompt_tokens,
+        "attained_s": request.attained_s,
+        "weight": request.weight,
+        "avoided": sorted(request.avoid),
+    }
+
+
+def _describe_failure(
+    placement: Placement, failure: UpstreamFailure, attempt: int, delay_s: float | None
+) -> dict[str, object]:
+    return {
+        "decided": "give up" if delay_s is None else f"again after {delay_s:.3f} s",
+        "attempt": attempt,
+        "upstream": placement.upstream_id,
+        "failure": failure.detail,
+        "ran": failure.ran.value,
+        "went_down": failure.went_down,
+    }
+
+
 def _note_failure(placement: Placement, failure: UpstreamFailure) -> None:
     """Tell the dispatcher; an upstream that found fault with the request is well."""
     if failure.is_refused():
