Keep large answers whole, begin idempotent calls in a short outage, split the owner's modules

An answer of more than 900 KB was refused at its commit, so that its call stayed under way for ever; it now goes into several entries, and a bulk value into several keys. The allocator adds what the instance list says of leaving instances.

--- a/packages/lagoonfold-node/src/lagoonfold_node/_node.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_node.py
@@ -93,9 +93,10 @@
             self,
             on_fault=self._on_fault,
         )
+        self.instance_list = HttpInstanceList(self.client, platform.instance_list)
         self.directory = UpstreamDirectory(
             self.board.upstreams,
-            HttpInstanceList(self.client, platform.instance_list),
+            self.instance_list,
             interval_s=platform.instance_list_interval_s,
         )
 
@@ -121,6 +122,7 @@
                 metrics=self.metrics,
                 settings=_ownership_settings(settings),
                 bus=self.bus,
+                instance_list=self.instance_list,
                 data_dir=settings.instance.data_dir,
                 operator_address=settings.instance.operator,
                 incarnation=self.bus.incarnation,
--- a/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_allocator.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_allocator.py
@@ -5,9 +5,10 @@
 """
 
 import trio
+from msgspec.structs import replace
 from result import Err, Ok, Result
 
-from lagoonfold import ABSENT_REVISION, StoreError, StoreErrorKind, new_id
+from lagoonfold import ABSENT_REVISION, Listing, StoreError, StoreErrorKind, new_id
 from lagoonfold.membership import (
     Member,
     OwnershipTable,
@@ -39,6 +40,7 @@
     def __init__(self, context: OwnershipContext) -> None:
         self._context = context
         self._members_changed = trio.Event()
+        self._leaving_ids: frozenset[str] = frozenset()
 
     async def run(self) -> None:
         """Campaign and place until cancelled."""
@@ -102,11 +104,7 @@
         listing = await store.list(INSTANCES_PREFIX)
         if isinstance(listing, Err):
             return listing
-        members = tuple(
-            decoded.ok_value
-            for decoded in (decode_member(entry.value) for entry in listing.ok_value.entries)
-            if isinstance(decoded, Ok)
-        )
+        members = await self._mark_leaving(_members_of(listing.ok_value))
         table = decode_table(current.ok_value.value)
         if isinstance(table, Err):
             detail = table.err_value
@@ -123,6 +121,23 @@
         self._context.metrics.count("ownership_writes")
         return Ok(True)
 
+    async def _mark_leaving(self, members: tuple[Member, ...]) -> tuple[Member, ...]:
+        """Mark the members that the instance list says are leaving.
+
+        The list lags and may fail to answer, so it only adds to what members say of themselves;
+        whether a member is alive is said by its lease alone.
+        """
+        if self._context.instance_list is not None:
+            listed = await self._context.instance_list.read()
+            if isinstance(listed, Ok):
+                self._leaving_ids = frozenset(
+                    each.instance_id for each in listed.ok_value if each.leaving
+                )
+        return tuple(
+            replace(member, leaving=member.leaving or member.instance_id in self._leaving_ids)
+            for member in members
+        )
+
     def _next(self, table: OwnershipTable, members: tuple[Member, ...]) -> OwnershipTable | None:
         """Return the next table, or None if nothing changes."""
         if not members:
@@ -132,3 +147,9 @@
         after = next_table(table, members, placed, new_id("writer"))
         unchanged = after.owners == table.owners and after.members == table.members
         return None if unchanged else after
+
+
+def _members_of(listing: Listing) -> tuple[Member, ...]:
+    """Return the registered members; an entry that can't be read is left out."""
+    decoded = (decode_member(entry.value) for entry in listing.entries)
+    return tuple(each.ok_value for each in decoded if isinstance(each, Ok))
--- a/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_bulk.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_bulk.py
@@ -13,6 +13,9 @@
 from lagoonfold.records import BulkValue, bulk_key, check_bulk
 
 DEFAULT_CACHE_BYTES = 16_777_216
+MAX_PART_BYTES = 900_000
+_PARTS_MARK = b"LF1M"
+_AFTER_PARTS = chr(ord("/") + 1)
 
 
 class BulkStore(Protocol):
@@ -32,31 +35,46 @@
 
 
 class KvBulkStore:
-    """Keeps bulk values in the key-value service, for deployments without disks."""
+    """Keeps bulk values in the key-value service, for deployments without disks.
+
+    A value that is too large for one key lies under several, `<key>/<part>`, and is complete once
+    the key itself, written last, says how many there are.
+    """
 
     def __init__(self, store: KeyValueStore) -> None:
         self._store = store
 
     async def put(self, shard_id: ShardId, value: BulkValue) -> Result[None, StoreError]:
         """Keep a value; putting it again changes nothing."""
-        written = await self._store.put_if(
-            bulk_key(shard_id, value.name), value.data, expected_revision=ABSENT_REVISION
-        )
-        if isinstance(written, Err) and written.err_value.kind is not StoreErrorKind.CONFLICT:
-            return written
-        return Ok(None)
+        key = bulk_key(shard_id, value.name)
+        if len(value.data) <= MAX_PART_BYTES:
+            return await self._create(key, value.data)
+        starts = range(0, len(value.data), MAX_PART_BYTES)
+        for index, start in enumerate(starts):
+            part = value.data[start : start + MAX_PART_BYTES]
+            created = await self._create(f"{key}/{index:04d}", part)
+            if isinstance(created, Err):
+                return created
+        return await self._create(key, _PARTS_MARK + str(len(starts)).encode())
 
     async def get(self, shard_id: ShardId, name: str) -> Result[bytes, StoreError]:
         """Return a value whose digest was checked."""
-        read = await self._store.get(bulk_key(shard_id, name))
+        key = bulk_key(shard_id, name)
+        read = await self._store.get(key)
         if isinstance(read, Err):
             return read
-        return check_bulk(name, read.ok_value.value).map_err(_unreadable)
+        data = read.ok_value.value
+        if data.startswith(_PARTS_MARK):
+            joined = await self._join(key, int(data[len(_PARTS_MARK) :]))
+            if isinstance(joined, Err):
+                return joined
+            data = joined.ok_value
+        return check_bulk(name, data).map_err(_unreadable)
 
     async def delete(self, shard_id: ShardId, name: str) -> None:
         """Drop a value that nothing refers to any more; a failure leaves it behind."""
         key = bulk_key(shard_id, name)
-        await self._store.delete_range(key, key + "\0")
+        await self._store.delete_range(key, key + _AFTER_PARTS)
 
     async def delete_between(self, shard_id: ShardId, first: int, end: int) -> None:
         """Drop the values made at sequence numbers from `first` up to but not including `end`."""
@@ -64,6 +82,22 @@
             start, stop = (bulk_key(shard_id, f"{sequence:012d}") for sequence in (first, end))
             await self._store.delete_range(start, stop)
 
+    async def _create(self, key: str, data: bytes) -> Result[None, StoreError]:
+        """Create a key; one that is there holds the same, since its name has the digest."""
+        written = await self._store.put_if(key, data, expected_revision=ABSENT_REVISION)
+        if isinstance(written, Err) and written.err_value.kind is not StoreErrorKind.CONFLICT:
+            return written
+        return Ok(None)
+
+    async def _join(self, key: str, count: int) -> Result[bytes, StoreError]:
+        parts = []
+        for index in range(count):
+            read = await self._store.get(f"{key}/{index:04d}")
+            if isinstance(read, Err):
+                return read
+            parts.append(read.ok_value.value)
+        return Ok(b"".join(parts))
+
 
 class CachedBulkStore:
     """Keeps the values used last in memory, up to a number of bytes."""
--- a/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_context.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_context.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from lagoonfold import InstanceId, KeyValueStore, ShardId, StoreError, new_id
+from lagoonfold import InstanceId, InstanceList, KeyValueStore, ShardId, StoreError, new_id
 from lagoonfold.membership import Member, ShardOwner, TableView
 from lagoonfold_node._board import Board
 from lagoonfold_node._logs import EventLog
@@ -42,7 +42,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class OwnershipContext:
-    """The controllers' surroundings; `bus` is the peer bus, None where there is none."""
+    """The controllers' surroundings; `bus` and `instance_list` are None where there are none."""
 
     instance_id: InstanceId
     peer_address: str
@@ -52,6 +52,7 @@
     metrics: Metrics
     settings: OwnershipSettings = OwnershipSettings()
     bus: Any = None
+    instance_list: InstanceList | None = None
     data_dir: Path | None = None
     operator_address: str = ""
     incarnation: str = field(default_factory=_new_incarnation)
--- /dev/null
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_history.py
@@ -0,0 +1,40 @@
+"""Reads a program's history from segments and memory, and checks its digest chain."""
+
+from result import Err, Result
+
+from lagoonfold import ErrorKind, Refusal, ShardId
+from lagoonfold.records import Program, Turn, check_history, read_turns
+from lagoonfold_node._ownership._bulk import BulkStore
+from lagoonfold_node._ownership._context import OwnershipContext
+from lagoonfold_node._ownership._refusals import outage
+
+
+class HistoryReader:
+    """Reads the histories of one shard."""
+
+    def __init__(self, context: OwnershipContext, bulk: BulkStore, shard_id: ShardId) -> None:
+        self._context = context
+        self._bulk = bulk
+        self._shard_id = shard_id
+
+    async def read(self, program: Program) -> Result[tuple[Turn, ...], Refusal]:
+        """Return the program's turns as they are at the call."""
+        segments, recent = program.segments, tuple(program.recent_turns)
+        last_link = program.last_link
+        turns: list[Turn] = []
+        for ref in segments:
+            read = await self._bulk.get(self._shard_id, ref.name)
+            if isinstance(read, Err):
+                detail = f"history of {program.program_id}: {read.err_value.detail}"
+                return Err(outage(detail))
+            packed = read_turns(ref, read.ok_value)
+            if isinstance(packed, Err):
+                return self._damaged(packed.err_value)
+            turns.extend(packed.ok_value)
+        checked = check_history(program.program_id, (*turns, *recent), last_link)
+        return self._damaged(checked.err_value) if isinstance(checked, Err) else checked
+
+    def _damaged(self, detail: str) -> Err[Refusal]:
+        self._context.log.error("history.damaged", shard=self._shard_id, detail=detail)
+        self._context.metrics.count("damaged_histories")
+        return Err(Refusal(kind=ErrorKind.INTERNAL, detail=detail))
--- a/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_open_shard.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_open_shard.py
@@ -5,20 +5,19 @@
 after the commit that holds it.
 """
 
-from collections import deque
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
 from enum import Enum
 from functools import partial
+from itertools import chain
 
 import trio
 from result import Err, Ok, Result
 
-from lagoonfold import ErrorKind, ProgramId, Ran, Refusal, ShardId
+from lagoonfold import ErrorKind, ProgramId, Refusal, ShardId
 from lagoonfold.records import (
-    MAX_ENTRY_BYTES,
     Begun,
     CheckpointPlan,
+    Interrupted,
     Program,
     ProgramShard,
     Record,
@@ -26,21 +25,19 @@
     Settled,
     Turn,
     bulk_names,
-    check_history,
-    read_turns,
-    size_of,
+    split_record,
 )
 from lagoonfold_node._ownership._appender import Appended, Appender
+from lagoonfold_node._ownership._batches import Batch, BatchQueue
 from lagoonfold_node._ownership._bulk import BulkStore
+from lagoonfold_node._ownership._checkpoint_schedule import CheckpointSchedule
 from lagoonfold_node._ownership._checkpointer import Checkpointer
 from lagoonfold_node._ownership._context import OwnershipContext
 from lagoonfold_node._ownership._forwarder import Forwarder
+from lagoonfold_node._ownership._history import HistoryReader
+from lagoonfold_node._ownership._refusals import moved, outage
 
-MOVED_RETRY_S = 0.5
-OUTAGE_RETRY_S = 5.0
 STALL_LIMIT_S = 1.0
-CHECKPOINT_BYTES = 2_000_000
-_CHECKPOINT_RETRY_S = 5.0
 
 
 WaitDurable = Callable[[], Awaitable[Result[None, Refusal]]]
@@ -54,17 +51,6 @@
     GONE = "gone"
 
 
-@dataclass(slots=True, eq=False)
-class _Batch:
-    """Records that go into one journal entry."""
-
-    records: list[Record] = field(default_factory=list)
-    size_bytes: int = 0
-    done: trio.Event = field(default_factory=trio.Event)
-    is_sent: bool = False
-    is_durable: bool = False
-
-
 class OpenShard:
     """One open shard; `run` is its committing task."""
 
@@ -82,15 +68,12 @@
         self.state = state
         self.status = ShardStatus.OPEN
         self._context = context
-        self._bulk = bulk
+        self._history = HistoryReader(context, bulk, shard_id)
         self._appender = appender
         self._checkpointer = checkpointer
         self._forwarder = Forwarder(context, shard_id)
-        self._queue: deque[_Batch] = deque()
-        self._wake = trio.Event()
-        self._commits_since_checkpoint = 0
-        self._bytes_since_checkpoint = 0
-        self._next_checkpoint_at_s = 0.0
+        self._queue = BatchQueue()
+        self._schedule = CheckpointSchedule(context.settings.checkpoint_commits)
         self._last_commit_at_s = float("-inf")
         self._settled_by_call: dict[str, trio.Event] = {}
 
@@ -111,6 +94,13 @@
         owner = self._context.owner(self.shard_id)
         return owner.run_id == self._context.run_id and owner.epoch == self.epoch
 
+    def is_stalled(self) -> bool:
+        """Tell whether the journal could not be written for a while."""
+        failing_since_s = self._appender.failing_since_s
+        return (
+            failing_since_s is not None and trio.current_time() - failing_since_s >= STALL_LIMIT_S
+        )
+
     async def commit(self, records: tuple[Record, ...]) -> Result[None, Refusal]:
         """Apply records and return when they are durable; without records, when all before are.
 
@@ -132,7 +122,7 @@
         return partial(self._wait_durable, self._enqueue(records), records)
 
     async def _wait_durable(
-        self, batch: _Batch | None, records: tuple[Record, ...]
+        self, batch: Batch | None, records: tuple[Record, ...]
     ) -> Result[None, Refusal]:
         if batch is None:
             return Ok(None)
@@ -153,23 +143,13 @@
         """
         program = self.state.programs_by_id.get(program_id)
         if program is None:
-            return _refuse(ErrorKind.NOT_FOUND, f"no program {program_id}")
-        segments, recent = program.segments, tuple(program.recent_turns)
-        last_link = program.last_link
-        durable = await self.commit(()) if wait_durable else Ok(None)
-        if isinstance(durable, Err):
-            return durable
-        turns: list[Turn] = []
-        for ref in segments:
-            read = await self._bulk.get(self.shard_id, ref.name)
-            if isinstance(read, Err):
-                return _outage(f"history of {program_id}: {read.err_value.detail}")
-            packed = read_turns(ref, read.ok_value)
-            if isinstance(packed, Err):
-                return self._damaged(packed.err_value)
-            turns.extend(packed.ok_value)
-        checked = check_history(program_id, (*turns, *recent), last_link)
-        return self._damaged(checked.err_value) if isinstance(checked, Err) else checked
+            detail = f"no program {program_id}"
+            return Err(Refusal(kind=ErrorKind.NOT_FOUND, detail=detail))
+        if wait_durable:
+            durable = await self.commit(())
+            if isinstance(durable, Err):
+                return durable
+        return await self._history.read(program)
 
     @property
     def checkpointed_sequence(self) -> int:
@@ -214,104 +194,81 @@
 
     def _refuse_commit(self, records: tuple[Record, ...]) -> Refusal | None:
         """Return why records may not be queued; the settling of a call always may."""
-        if sum(size_of(record) for record in records) > MAX_ENTRY_BYTES:
-            detail = f"records of more than {MAX_ENTRY_BYTES} bytes"
-            return Refusal(kind=ErrorKind.BODY_TOO_LARGE, detail=detail, ran=_ran(records))
         if records and all(isinstance(record, Settled) for record in records):
             return None
         if not self.may_act():
-            return _moved(self.shard_id)
-        failing_since_s = self._appender.failing_since_s
-        if failing_since_s is None or trio.current_time() - failing_since_s < STALL_LIMIT_S:
+            return self._why_not_owner()
+        if not self.is_stalled():
             return None
-        return _outage("the journal cannot be written").err_value
+        if records and all(_is_idempotent_begun(record) for record in records):
+            return None
+        return outage("the journal cannot be written")
+
+    def _why_not_owner(self) -> Refusal:
+        owner = self._context.owner(self.shard_id)
+        if owner is not None and owner.run_id == self._context.run_id:
+            return outage("the lease or the ownership cannot be verified")
+        return moved(self.shard_id)
 
-    def _enqueue(self, records: tuple[Record, ...]) -> _Batch | None:
+    def _enqueue(self, records: tuple[Record, ...]) -> Batch | None:
         """Apply and queue records; return the batch to wait for, None if all is durable."""
         if not records:
-            return self._queue[-1] if self._queue else None
-        for record in records:
+            return self._queue.last()
+        batch = self._queue.last()
+        for record in chain.from_iterable(split_record(each) for each in records):
             self.state.apply(record)
             self._note_settled(record)
-        size_bytes = sum(size_of(record) for record in records)
-        batch = self._batch_for(size_bytes)
-        batch.records.extend(records)
-        batch.size_bytes += size_bytes
-        self._wake.set()
+            batch = self._queue.add(record)
         return batch
 
-    def _batch_for(self, size_bytes: int) -> _Batch:
-        """Return the last batch if it has room and is not on its way, else a new one."""
-        last = self._queue[-1] if self._queue else None
-        if last is None or last.is_sent or last.size_bytes + size_bytes > MAX_ENTRY_BYTES:
-            self._queue.append(_Batch())
-        return self._queue[-1]
-
     def _note_settled(self, record: Record) -> None:
-        if not isinstance(record, Begun) and hasattr(record, "call_id"):
+        if isinstance(record, Settled | Interrupted):
             event = self._settled_by_call.pop(record.call_id, None)
             if event is not None:
                 event.set()
 
     async def _wait_for_batch(self) -> None:
-        if not self._queue:
-            self._wake = trio.Event()
-            await self._wake.wait()
+        await self._queue.wait()
         await trio.sleep_until(self._last_commit_at_s + self._context.settings.commit_interval_s)
         self._last_commit_at_s = trio.current_time()
 
     async def _commit_next(self, nursery: trio.Nursery) -> None:
-        batch = self._queue[0]
-        batch.is_sent = True
+        batch = self._queue.send_first()
         plan = None
-        if self._is_checkpoint_due(batch):
+        if self._is_checkpoint_due():
             plan = self._checkpointer.plan(self.state, self._appender.next_sequence + 1)
         appended = await self._appender.append(tuple(batch.records))
         if appended is Appended.FENCED:
             self._context.metrics.count("shards_fenced")
             self._go(ShardStatus.GONE)
             return
-        self._queue.popleft()
-        batch.is_durable = True
-        batch.done.set()
+        self._queue.finish_first()
         self._context.metrics.count("commits")
         self._context.metrics.count("committed_records", amount=len(batch.records))
-        self._commits_since_checkpoint += 1
-        self._bytes_since_checkpoint += batch.size_bytes
+        self._schedule.note_commit(batch.size_bytes)
         if isinstance(batch.records[-1], Released):
             self._go(ShardStatus.GONE)
         elif plan is not None:
-            self._next_checkpoint_at_s = trio.current_time() + _CHECKPOINT_RETRY_S
+            self._schedule.start()
             nursery.start_soon(self._store_checkpoint, plan)
 
-    def _is_checkpoint_due(self, batch: _Batch) -> bool:
-        """Tell whether to plan a checkpoint; the state must hold no records beyond the batch."""
-        if len(self._queue) > 1 or trio.current_time() < self._next_checkpoint_at_s:
-            return False
-        if self.status is not ShardStatus.OPEN:
-            return False
-        many = self._commits_since_checkpoint >= self._context.settings.checkpoint_commits
-        return many or self._bytes_since_checkpoint >= CHECKPOINT_BYTES
+    def _is_checkpoint_due(self) -> bool:
+        """Tell whether to plan a checkpoint; the state must hold no records beyond one batch."""
+        is_quiet = len(self._queue) == 1 and self.status is ShardStatus.OPEN
+        return is_quiet and self._schedule.is_due()
 
     async def _store_checkpoint(self, plan: CheckpointPlan) -> None:
-        commits, size_bytes = self._commits_since_checkpoint, self._bytes_since_checkpoint
-        self._next_checkpoint_at_s = float("inf")
         stored = await self._checkpointer.store(self.state, plan)
-        self._next_checkpoint_at_s = trio.current_time()
+        self._schedule.finish(is_stored=isinstance(stored, Ok))
         if isinstance(stored, Err):
-            self._next_checkpoint_at_s += _CHECKPOINT_RETRY_S
             self._context.count_store_error(stored.err_value)
-            return
-        self._commits_since_checkpoint -= commits
-        self._bytes_since_checkpoint -= size_bytes
-        self._context.metrics.count("checkpoints")
+        else:
+            self._context.metrics.count("checkpoints")
 
     def _go(self, status: ShardStatus) -> None:
         """End all waiting; what is not durable is the new owner's to decide."""
         self.status = status
-        for batch in self._queue:
-            batch.done.set()
-        self._queue.clear()
+        self._queue.abandon()
         for event in self._settled_by_call.values():
             event.set()
         self._settled_by_call.clear()
@@ -320,35 +277,13 @@
         """Take the settling of a call to the new owner; refuse everything else."""
         if records and all(isinstance(record, Settled) for record in records):
             return await self._forwarder.settle(records)
-        return Err(_moved(self.shard_id))
+        return Err(moved(self.shard_id))
 
-    def _damaged(self, detail: str) -> Err[Refusal]:
-        self._context.log.error("history.damaged", shard=self.shard_id, detail=detail)
-        self._context.metrics.count("damaged_histories")
-        return _refuse(ErrorKind.INTERNAL, detail)
 
-
-def _ran(records: tuple[Record, ...]) -> Ran:
-    """Return what a caller may conclude from a failed commit: a settled call has run."""
-    return Ran.UNKNOWN if any(isinstance(record, Settled) for record in records) else Ran.NO
+def _is_idempotent_begun(record: Record) -> bool:
+    """Tell whether a call may begin in an outage: it is harmless twice, and its end waits."""
+    return isinstance(record, Begun) and record.is_idempotent
 
 
 async def _refused(refusal: Refusal) -> Result[None, Refusal]:
     return Err(refusal)
-
-
-def _moved(shard_id: ShardId) -> Refusal:
-    return Refusal(
-        kind=ErrorKind.OWNER_UNAVAILABLE,
-        detail=f"shard {shard_id} is not owned here",
-        retry_after_s=MOVED_RETRY_S,
-    )
-
-
-def _refuse(kind: ErrorKind, detail: str) -> Err[Refusal]:
-    return Err(Refusal(kind=kind, detail=detail))
-
-
-def _outage(detail: str) -> Err[Refusal]:
-    kind = ErrorKind.PLATFORM_UNAVAILABLE
-    return Err(Refusal(kind=kind, detail=detail, retry_after_s=OUTAGE_RETRY_S))
--- /dev/null
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_refusals.py
@@ -0,0 +1,20 @@
+"""Refusals of an owner."""
+
+from lagoonfold import ErrorKind, Refusal, ShardId
+
+MOVED_RETRY_S = 0.5
+OUTAGE_RETRY_S = 5.0
+
+
+def moved(shard_id: ShardId) -> Refusal:
+    """Return the refusal of a process that does not own the shard."""
+    return Refusal(
+        kind=ErrorKind.OWNER_UNAVAILABLE,
+        detail=f"shard {shard_id} is not owned here",
+        retry_after_s=MOVED_RETRY_S,
+    )
+
+
+def outage(detail: str) -> Refusal:
+    """Return the refusal of an owner that can't reach the key-value service."""
+    return Refusal(kind=ErrorKind.PLATFORM_UNAVAILABLE, detail=detail, retry_after_s=OUTAGE_RETRY_S)
--- a/packages/lagoonfold-node/src/lagoonfold_node/_peers/_bus.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_peers/_bus.py
@@ -80,6 +80,7 @@
                     for data in await inbox.receive():
                         self._take(data)
         finally:
+            self._nursery = None
             inbox.close()
             for outbox in self._outboxes_by_peer.values():
                 outbox.close()
--- a/packages/lagoonfold/src/lagoonfold/records/__init__.py
+++ b/packages/lagoonfold/src/lagoonfold/records/__init__.py
@@ -4,6 +4,15 @@
 decided = shard.decide_begin(request, now_s=time.time())
 """
 
+from lagoonfold.records._calls import (
+    CallRequest,
+    CreateRequest,
+    Decision,
+    Execute,
+    Join,
+    Replay,
+    match_replay,
+)
 from lagoonfold.records._checkpoint import (
     EMPTY_HEAD,
     CheckpointHead,
@@ -28,9 +37,11 @@
     journal_prefix,
     sequence_of,
     size_of,
+    split_record,
 )
 from lagoonfold.records._programs import Program, SegmentRef
 from lagoonfold.records._records import (
+    AnswerPart,
     Begun,
     Created,
     Ended,
@@ -49,17 +60,7 @@
     check_bulk,
     read_turns,
 )
-from lagoonfold.records._shard import (
-    MAX_CONTENT_BYTES,
-    CallRequest,
-    CreateRequest,
-    Decision,
-    Execute,
-    Join,
-    ProgramShard,
-    Replay,
-    match_replay,
-)
+from lagoonfold.records._shard import MAX_CONTENT_BYTES, ProgramShard
 from lagoonfold.records._turns import (
     Outcome,
     Turn,
@@ -76,6 +77,7 @@
     "MAX_CONTENT_BYTES",
     "MAX_ENTRY_BYTES",
     "NO_COST",
+    "AnswerPart",
     "Begun",
     "BulkValue",
     "CallRequest",
@@ -129,4 +131,5 @@
     "restore_shard",
     "sequence_of",
     "size_of",
+    "split_record",
 ]
--- a/packages/lagoonfold/src/lagoonfold/records/_apply.py
+++ b/packages/lagoonfold/src/lagoonfold/records/_apply.py
@@ -7,6 +7,7 @@
 from lagoonfold.records._costs import NO_COST, Cost
 from lagoonfold.records._programs import Program
 from lagoonfold.records._records import (
+    AnswerPart,
     Begun,
     Created,
     Ended,
@@ -64,15 +65,25 @@
         each.reserved = each.reserved + record.reserve
 
 
+@applies(AnswerPart)
+def _add_answer_part(shard: "ProgramShard", record: AnswerPart) -> None:
+    program = shard.programs_by_id.get(ProgramId(record.program_id))
+    if program is None or not program.is_running(CallId(record.call_id)):
+        return
+    del program.answer_parts[record.index :]
+    program.answer_parts.append(record.data)
+
+
 @applies(Settled)
 def _settle(shard: "ProgramShard", record: Settled) -> None:
     program = shard.programs_by_id.get(ProgramId(record.program_id))
     if program is None or not program.is_running(CallId(record.call_id)):
         return
     begun = program.running
+    answer = b"".join((*program.answer_parts, record.answer))
     _release(shard, program, record.used)
     if record.outcome in _TAKES_PLACE_IN_ORDER:
-        _append_turn(program, _turn_of(begun, record))
+        _append_turn(program, _turn_of(begun, record, answer))
 
 
 @applies(Interrupted)
@@ -86,7 +97,7 @@
         lost = Settled(
             record.program_id, record.call_id, Outcome.UNKNOWN, 0, "", b"", begun.reserve
         )
-        _append_turn(program, _turn_of(begun, lost))
+        _append_turn(program, _turn_of(begun, lost, b""))
 
 
 @applies(Ended)
@@ -125,9 +136,10 @@
         each.reserved = each.reserved - reserve
         each.used = each.used + used
     program.running = None
+    program.answer_parts.clear()
 
 
-def _turn_of(begun: Begun, settled: Settled) -> Turn:
+def _turn_of(begun: Begun, settled: Settled, answer: bytes) -> Turn:
     return Turn(
         begun.turn,
         begun.call_id,
@@ -139,7 +151,7 @@
         settled.outcome,
         settled.status,
         settled.content_type,
-        settled.answer,
+        answer,
         settled.used,
     )
 
--- a/packages/lagoonfold/src/lagoonfold/records/_journal.py
+++ b/packages/lagoonfold/src/lagoonfold/records/_journal.py
@@ -9,9 +9,10 @@
 
 from lagoonfold._ids import ShardId
 from lagoonfold.records._frames import JOURNAL, frame, unframe
-from lagoonfold.records._records import Fenced, Record
+from lagoonfold.records._records import AnswerPart, Fenced, Record, Settled
 
 MAX_ENTRY_BYTES = 900_000
+ANSWER_PART_BYTES = 400_000
 _SEQUENCE_DIGITS = 12
 
 
@@ -81,6 +82,21 @@
         return Err(f"records: {error}")
 
 
+def split_record(record: Record) -> tuple[Record, ...]:
+    """Return the record, or the records that stand for it if its answer is large."""
+    if not isinstance(record, Settled) or len(record.answer) <= ANSWER_PART_BYTES:
+        return (record,)
+    *parts, rest = (
+        record.answer[start : start + ANSWER_PART_BYTES]
+        for start in range(0, len(record.answer), ANSWER_PART_BYTES)
+    )
+    answer_parts = (
+        AnswerPart(record.program_id, record.call_id, index, data)
+        for index, data in enumerate(parts)
+    )
+    return (*answer_parts, msgspec.structs.replace(record, answer=rest))
+
+
 def size_of(record: Record) -> int:
     """Return a record's size in a journal entry, in bytes."""
     return len(_ENCODER.encode(record))
--- a/packages/lagoonfold/src/lagoonfold/records/_programs.py
+++ b/packages/lagoonfold/src/lagoonfold/records/_programs.py
@@ -25,7 +25,8 @@
     """A program's position, budget and history.
 
     `recent_turns` follow those that lie in `segments`. `turns_by_key` holds the turn of every
-    idempotency key that the caller chose. `last_link` is the digest chain's last link.
+    idempotency key that the caller chose. `answer_parts` belong to the running call. `last_link`
+    is the digest chain's last link.
     """
 
     program_id: ProgramId
@@ -39,6 +40,7 @@
     reserved: Cost = NO_COST
     next_turn: int = 1
     running: Begun | None = None
+    answer_parts: list[bytes] = field(default_factory=list)
     end_reason: EndReason | None = None
     ended_at_s: float = 0.0
     child_ids: list[ProgramId] = field(default_factory=list)
--- a/packages/lagoonfold/src/lagoonfold/records/_records.py
+++ b/packages/lagoonfold/src/lagoonfold/records/_records.py
@@ -47,6 +47,18 @@
     executor: str
 
 
+class AnswerPart(msgspec.Struct, frozen=True, array_like=True, tag="p"):
+    """A part of an answer that is too large for one journal entry; `Settled` holds the last.
+
+    The part of index zero replaces any parts before it.
+    """
+
+    program_id: str
+    call_id: str
+    index: int
+    data: bytes
+
+
 class Settled(msgspec.Struct, frozen=True, array_like=True, tag="s"):
     """A call ended; `used` replaces what was reserved for it."""
 
@@ -97,4 +109,6 @@
     epoch: int
 
 
-Record = Created | Begun | Settled | Interrupted | Ended | Forgotten | Fenced | Released
+Record = (
+    Created | Begun | AnswerPart | Settled | Interrupted | Ended | Forgotten | Fenced | Released
+)
--- a/packages/lagoonfold/src/lagoonfold/records/_segments.py
+++ b/packages/lagoonfold/src/lagoonfold/records/_segments.py
@@ -17,7 +17,6 @@
 from lagoonfold.records._programs import Program, SegmentRef
 from lagoonfold.records._turns import DIGEST_BYTES, Turn, encode_turn
 
-MAX_SEGMENT_BYTES = 850_000
 _TARGET_SEGMENT_BYTES = 400_000
 _SEQUENCE_DIGITS = 12
 
--- a/packages/lagoonfold/src/lagoonfold/records/_shard.py
+++ b/packages/lagoonfold/src/lagoonfold/records/_shard.py
@@ -8,14 +8,25 @@
 """
 
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass
 
 from result import Err, Ok, Result
 
 from lagoonfold._errors import ErrorKind, Ran, Refusal
-from lagoonfold._ids import AccountId, CallId, ProgramId, RouteName
+from lagoonfold._ids import AccountId, CallId, ProgramId
 from lagoonfold.records._apply import APPLY_BY_TYPE
-from lagoonfold.records._costs import NO_COST, Cost, Limits
+from lagoonfold.records._calls import (
+    CallRequest,
+    CreateRequest,
+    Decision,
+    Execute,
+    Replay,
+    decide_join,
+    match_replay,
+    mismatch,
+    out_of_order,
+    refuse,
+)
+from lagoonfold.records._costs import NO_COST, Cost
 from lagoonfold.records._programs import Program
 from lagoonfold.records._records import (
     Begun,
@@ -27,70 +38,8 @@
     Record,
     Settled,
 )
-from lagoonfold.records._turns import Outcome, Turn
 
 MAX_CONTENT_BYTES = 400_000
-IN_PROGRESS_RETRY_S = 1.0
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class CreateRequest:
-    """Asks for a new program under limits; a child also draws on its parent's budget."""
-
-    program_id: ProgramId
-    account_id: AccountId
-    profile: str
-    limits: Limits
-    parent_id: ProgramId | None = None
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class CallRequest:
-    """Asks for the call at a place in a program's order.
-
-    `call_id` is new for every attempt. `idempotency_key` is empty if the caller chose none; the
-    program and the turn then identify the call. `reserve` is the most that the call may use.
-    """
-
-    call_id: CallId
-    program_id: ProgramId
-    account_id: AccountId
-    turn: int
-    route: RouteName
-    is_idempotent: bool
-    content_digest: str
-    body: bytes
-    reserve: Cost
-    idempotency_key: str = ""
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Replay:
-    """The call was made before: give the recorded turn's answer, after `match_replay`."""
-
-    turn: int
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Join:
-    """The same call is under way: wait for it to settle, then replay."""
-
-    call_id: CallId
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Execute:
-    """Make the call; with `commit_first` no byte may go upstream before `records` are durable.
-
-    Otherwise sending may overlap the commit, and the answer's end waits for both.
-    """
-
-    call_id: CallId
-    records: tuple[Record, ...]
-    commit_first: bool
-
-
-Decision = Replay | Join | Execute
 
 
 class ProgramShard:
@@ -103,7 +52,7 @@
         """Return an account's program; another account's is reported as not found."""
         program = self.programs_by_id.get(program_id)
         if program is None or program.account_id != account_id:
-            return _refuse(ErrorKind.NOT_FOUND, f"no program {program_id}")
+            return refuse(ErrorKind.NOT_FOUND, f"no program {program_id}")
         return Ok(program)
 
     def running_calls(self) -> tuple[Begun, ...]:
@@ -145,27 +94,27 @@
         program = found.ok_value
         used_at = program.turns_by_key.get(request.idempotency_key, request.turn)
         if used_at != request.turn:
-            return _mismatch(f"the idempotency key belongs to turn {used_at}")
+            return mismatch(f"the idempotency key belongs to turn {used_at}")
         if 0 < request.turn < program.next_turn:
             return self._decide_replay(program, request)
         if program.running is not None:
-            return _decide_join(program.running, request)
+            return decide_join(program.running, request)
         if request.turn != program.next_turn:
-            return _out_of_order(f"the next turn is {program.next_turn}")
+            return out_of_order(f"the next turn is {program.next_turn}")
         return self._decide_execute(program, request, now_s, executor)
 
     def decide_settle(self, settled: Settled) -> Result[tuple[Record, ...], Refusal]:
         """Return the records that settle a running call, none if it has settled already."""
         program = self.programs_by_id.get(ProgramId(settled.program_id))
         if program is None:
-            return _refuse(ErrorKind.NOT_FOUND, f"no program {settled.program_id}")
+            return refuse(ErrorKind.NOT_FOUND, f"no program {settled.program_id}")
         if program.is_running(CallId(settled.call_id)):
             return Ok((settled,))
         for turn in reversed(program.recent_turns):
             if turn.call_id == settled.call_id and turn.outcome is settled.outcome:
                 return Ok(())
         detail = f"call {settled.call_id} is no longer under way"
-        return _refuse(ErrorKind.OUTCOME_UNKNOWN, detail, ran=Ran.UNKNOWN)
+        return refuse(ErrorKind.OUTCOME_UNKNOWN, detail, ran=Ran.UNKNOWN)
 
     def decide_end(
         self, program_id: ProgramId, account_id: AccountId, reason: EndReason, now_s: float
@@ -225,7 +174,7 @@
     ) -> Result[Decision, Refusal]:
         if len(request.body) > MAX_CONTENT_BYTES:
             detail = f"a turn holds at most {MAX_CONTENT_BYTES} bytes"
-            return _refuse(ErrorKind.BODY_TOO_LARGE, detail)
+            return refuse(ErrorKind.BODY_TOO_LARGE, detail)
         refusal = self._check_open(program, request.reserve, now_s)
         if refusal is not None:
             return Err(refusal)
@@ -274,43 +223,3 @@
         if program.end_reason is None or program.running is not None or program.child_ids:
             return False
         return program.ended_at_s <= ended_before_s
-
-
-def match_replay(recorded: Turn, request: CallRequest) -> Result[Turn, Refusal]:
-    """Return the recorded turn if the request repeats it, else the refusal.
-
-    A repeated call whose outcome is unknown is refused as such.
-    """
-    same_key = recorded.idempotency_key == request.idempotency_key
-    if not same_key or recorded.content_digest != request.content_digest:
-        return _mismatch(f"turn {request.turn} was made with another key or content")
-    if recorded.outcome is Outcome.UNKNOWN:
-        detail = f"the outcome of turn {recorded.turn} is unknown; it is not run again"
-        return _refuse(ErrorKind.OUTCOME_UNKNOWN, detail, ran=Ran.UNKNOWN)
-    return Ok(recorded)
-
-
-def _decide_join(running: Begun, request: CallRequest) -> Result[Decision, Refusal]:
-    if request.turn != running.turn:
-        detail = f"turn {running.turn} is under way"
-        if request.turn != running.turn + 1:
-            return _out_of_order(detail)
-        return _refuse(ErrorKind.CALL_IN_PROGRESS, detail, retry_after_s=IN_PROGRESS_RETRY_S)
-    same_key = running.idempotency_key == request.idempotency_key
-    if not same_key or running.content_digest != request.content_digest:
-        return _mismatch(f"turn {request.turn} is under way with another key or content")
-    return Ok(Join(call_id=CallId(running.call_id)))
-
-
-def _mismatch(detail: str) -> Err[Refusal]:
-    return _refuse(ErrorKind.IDEMPOTENCY_MISMATCH, detail)
-
-
-def _out_of_order(detail: str) -> Err[Refusal]:
-    return _refuse(ErrorKind.TURN_OUT_OF_ORDER, detail)
-
-
-def _refuse(
-    kind: ErrorKind, detail: str, *, ran: Ran = Ran.NO, retry_after_s: float = 0.0
-) -> Err[Refusal]:
-    return Err(Refusal(kind=kind, detail=detail, ran=ran, retry_after_s=retry_after_s))
--- a/tests/node/test_peers.py
+++ b/tests/node/test_peers.py
@@ -197,4 +197,25 @@
     trio.run(run)
 
 
+def test_call_that_outlives_its_bus() -> None:
+    """A call that is cancelled after its bus has ended raises nothing."""
+
+    async def run() -> None:
+        scope = trio.CancelScope()
+        bus = PeerBus("one", "127.0.0.1:0", lambda _: "127.0.0.1:1", _Peer())
+
+        async def serve(task_status: trio.TaskStatus[int]) -> None:
+            with scope:
+                await bus.serve(task_status=task_status)
+
+        async with trio.open_nursery() as nursery:
+            await nursery.start(serve)
+            async with bus.stream("two", _Ask(text="hang")):
+                scope.cancel()
+                await trio.testing.wait_all_tasks_blocked()
+            assert not bus.send("two", _Ask(text="late"))
+
+    trio.run(run)
+
+
 load_tests = load_functions(globals())
--- a/tests/ownership/test_takeover.py
+++ b/tests/ownership/test_takeover.py
@@ -1,12 +1,23 @@
 """Tests of ownership under crashes, partitions, planned stops and lost answers."""
 
-import trio
-from result import Err
+from dataclasses import replace
 
-from lagoonfold import ErrorKind, ProgramId, Ran
+import msgspec
+import trio
+from result import Err, Ok, Result
+
+from lagoonfold import (
+    ErrorKind,
+    ListedInstance,
+    ProgramId,
+    Ran,
+    StoreError,
+    StoreErrorKind,
+)
 from lagoonfold.records import Outcome, Replay, match_replay
 from tests._suite import load_functions
 from tests.ownership._fleet import (
+    SETTINGS,
     Fleet,
     answered,
     begin_call,
@@ -15,6 +26,7 @@
     make_turn,
     read_turns,
     run_with_fleet,
+    submit_call,
     wait_until,
 )
 
@@ -115,6 +127,48 @@
     run_with_fleet(check)
 
 
+class _LaggingList:
+    """An instance list that knows no living instance, and at times does not answer."""
+
+    def __init__(self) -> None:
+        self.leaving_ids: tuple[str, ...] = ()
+        self.is_down = False
+
+    async def read(self) -> Result[tuple[ListedInstance, ...], StoreError]:
+        """Return the leaving instances."""
+        if self.is_down:
+            return Err(StoreError(kind=StoreErrorKind.UNAVAILABLE, detail="down"))
+        return Ok(
+            tuple(
+                ListedInstance(
+                    instance_id=name, role="entry", address="", failure_domain="", leaving=True
+                )
+                for name in self.leaving_ids
+            )
+        )
+
+
+def test_instance_listed_as_leaving_is_emptied() -> None:
+    """Shards leave a listed instance, and stay where they are while the list does not answer."""
+
+    async def check(fleet: Fleet) -> None:
+        listed = _LaggingList()
+        instances = [await fleet.start(index, instance_list=listed) for index in range(2)]
+        await wait_until(lambda: all(each.board.shards.read() for each in instances))
+        leaving, _ = await fleet.open_shard(instances, PROGRAM)
+        instances.remove(leaving)
+        listed.leaving_ids = (leaving.ownership.context.instance_id,)
+        await wait_until(lambda: not leaving.board.shards.read())
+        await fleet.open_shard(instances, PROGRAM)
+        listed.is_down = True
+        revision = leaving.board.ownership.read().revision
+        await fleet.start(2, instance_list=listed)
+        await wait_until(lambda: leaving.board.ownership.read().revision > revision)
+        assert not leaving.board.shards.read()
+
+    run_with_fleet(check)
+
+
 def test_lost_answers_neither_lose_nor_double() -> None:
     """With three in ten answers lost, every turn is recorded once, through checkpoints too."""
 
@@ -153,6 +207,31 @@
     run_with_fleet(check)
 
 
+def test_large_answer_is_kept_whole() -> None:
+    """An answer of several journal entries survives a checkpoint and a takeover."""
+
+    async def check(fleet: Fleet) -> None:
+        answer = bytes(range(256)) * 10_000
+        instances = [await fleet.start(0)]
+        _, shard = await fleet.open_shard(instances, PROGRAM)
+        await create_program(shard, PROGRAM)
+        call_id = await begin_call(shard, PROGRAM, 1)
+        settled = msgspec.structs.replace(answered(PROGRAM, call_id), answer=answer)
+        (await shard.commit((settled,))).unwrap()
+        instances[0].scope.cancel()
+        instances = [await fleet.start(0)]
+        assert (await read_turns(fleet, instances, PROGRAM))[0].answer == answer
+        _, shard = await fleet.open_shard(instances, PROGRAM)
+        for turn in range(2, 14):
+            await make_turn(shard, PROGRAM, turn)
+        await wait_until(lambda: shard.bulk_names() != ())
+        instances[0].scope.cancel()
+        turns = await read_turns(fleet, [await fleet.start(0)], PROGRAM)
+        assert turns[0].answer == answer and len(turns) == 13
+
+    run_with_fleet(check)
+
+
 def test_outage_refuses_truthfully_and_ends() -> None:
     """In an outage no call begins, the refusal says when to return, and work goes on after it."""
 
@@ -174,4 +253,32 @@
     run_with_fleet(check)
 
 
+def test_outage_shorter_than_the_lease() -> None:
+    """Idempotent calls begin while the lease lasts, others are refused; all that began settle."""
+
+    async def check(fleet: Fleet) -> None:
+        settings = replace(SETTINGS, lease_s=15.0, renew_s=0.5, shard_count=1)
+        instances = [await fleet.start(0, settings)]
+        _, shard = await fleet.open_shard(instances, PROGRAM)
+        programs = [f"prg-{number}" for number in range(3)]
+        for program_id in programs:
+            await create_program(shard, program_id)
+        fleet.kv.set_faults(outage="refuse")
+        begun = [submit_call(shard, programs[0], is_idempotent=True)]
+        await wait_until(shard.is_stalled)
+        refused = await shard.commit(submit_call(shard, programs[1], is_idempotent=False).records)
+        assert isinstance(refused, Err)
+        refusal = refused.err_value
+        assert (refusal.kind, refusal.ran) == (ErrorKind.PLATFORM_UNAVAILABLE, Ran.NO)
+        assert refusal.retry_after_s > 0
+        begun.append(submit_call(shard, programs[2], is_idempotent=True))
+        fleet.kv.set_faults()
+        for program_id, execute in zip((programs[0], programs[2]), begun, strict=True):
+            (await shard.commit((answered(program_id, execute.call_id),))).unwrap()
+        counts = [shard.state.programs_by_id[ProgramId(each)].next_turn for each in programs]
+        assert counts == [2, 1, 2] and shard.epoch == 1
+
+    run_with_fleet(check)
+
+
 load_tests = load_functions(globals())
