Run a command only when the whole command line was understood

fire calls a method before it looks at what follows on the line: a mistyped flag ended with status 2 after the change had been made. Commands now return what is to be done, and main does it when nothing was left over.

--- a/packages/lagoonfold-ctl/src/lagoonfold_ctl/_documents.py
+++ b/packages/lagoonfold-ctl/src/lagoonfold_ctl/_documents.py
@@ -4,7 +4,6 @@
 from dataclasses import dataclass
 from typing import Any
 
-from fire.decorators import SetParseFn
 from result import Err, Ok, Result
 
 from lagoonfold import ErrorKind, Refusal
@@ -23,6 +22,7 @@
     digest_of,
     generate_secret,
 )
+from lagoonfold_ctl._commands import command
 from lagoonfold_ctl._inputs import (
     AccountInput,
     Input,
@@ -97,7 +97,7 @@
         self._session = session
         self._kind = kind
 
-    @SetParseFn(str)
+    @command
     def retire(self, name: str) -> None:
         """Retire a document for good."""
 
@@ -106,13 +106,14 @@
 
         self._report(self._session.propose(make))
 
+    @command
     def list(self) -> None:
         """List all documents of this kind."""
         documents = self._kind.documents_of(self._session.read())
         rows = [to_fields(document) for _, document in sorted(documents.items())]
         self._session.show(rows, render_table(rows))
 
-    @SetParseFn(str)
+    @command
     def show(self, name: str) -> None:
         """Show one document."""
         configuration = self._session.read()
@@ -149,12 +150,12 @@
     def __init__(self, session: Session) -> None:
         super().__init__(session, _ACCOUNT)
 
-    @SetParseFn(str)
+    @command
     def add(self, id: str, rate: str, burst: str, weight: str | None = None) -> None:
         """Add an account with RATE requests a second and BURST requests at once."""
         self._report(self._add({"id": id, "rate": rate, "burst": burst, "weight": weight}))
 
-    @SetParseFn(str)
+    @command
     def change(
         self, id: str, rate: str | None = None, burst: str | None = None, weight: str | None = None
     ) -> None:
@@ -168,7 +169,7 @@
     def __init__(self, session: Session) -> None:
         super().__init__(session, _ROUTE)
 
-    @SetParseFn(str)
+    @command
     def add(
         self,
         name: str,
@@ -183,7 +184,7 @@
         """Add a route of KIND model, tool or service to the TARGET of the instance list."""
         self._report(self._add(_given(locals())))
 
-    @SetParseFn(str)
+    @command
     def change(
         self,
         name: str,
@@ -205,7 +206,7 @@
     def __init__(self, session: Session) -> None:
         super().__init__(session, _PROFILE)
 
-    @SetParseFn(str)
+    @command
     def add(
         self,
         name: str,
@@ -221,7 +222,7 @@
         """Add a profile for ACCOUNTS and ROUTES (names by commas), with a budget per program."""
         self._report(self._add(_given(locals())))
 
-    @SetParseFn(str)
+    @command
     def change(
         self,
         name: str,
@@ -244,7 +245,7 @@
     def __init__(self, session: Session) -> None:
         super().__init__(session, _KEY)
 
-    @SetParseFn(str)
+    @command
     def add(self, account: str, profiles: str | None = None, label: str | None = None) -> None:
         """Add a key for an account and print it; it can't be shown again."""
         secret = generate_secret()
@@ -259,7 +260,7 @@
             )
         self._report(record, key=secret, digest=digest)
 
-    @SetParseFn(str)
+    @command
     def change(self, digest: str, profiles: str | None = None, label: str | None = None) -> None:
         """Change the profiles or the label of a key."""
         self._report(self._change(digest, {"profiles": profiles, "label": label}))
--- a/packages/lagoonfold-ctl/src/lagoonfold_ctl/_main.py
+++ b/packages/lagoonfold-ctl/src/lagoonfold_ctl/_main.py
@@ -13,6 +13,7 @@
 from result import Err
 
 from lagoonfold.settings import load_settings
+from lagoonfold_ctl._commands import Pending, command, run_pending
 from lagoonfold_ctl._documents import (
     AccountCommands,
     KeyCommands,
@@ -59,7 +60,7 @@
         self.profile = ProfileCommands(session)
         self.route = RouteCommands(session)
 
-    @SetParseFn(str)
+    @command
     def history(self, limit: str = str(_DEFAULT_HISTORY_LIMIT)) -> None:
         """List the newest changes: who made them, when, and from what version."""
         if not limit.isdigit():
@@ -71,17 +72,17 @@
         rows = [describe_change(record) for record in self._session.run(act)]
         self._session.show(rows, render_table(rows))
 
-    @SetParseFn(str)
+    @command
     def status(self, operators: str = "") -> None:
         """Show the state of every instance, or of those at OPERATORS (addresses by commas)."""
         FleetCommands(self._session).status(operators)
 
-    @SetParseFn(str)
+    @command
     def explain(self, id: str, operators: str = "") -> None:
         """Show each decision about a program, a call or a refused request, with its inputs."""
         FleetCommands(self._session).explain(id, operators)
 
-    @SetParseFn(str)
+    @command
     def check(self, file: str) -> None:
         """Check a settings file and name every fault in it."""
         loaded = load_settings(file)
@@ -100,12 +101,19 @@
     return int(text)
 
 
+def _show_only_help(component: object) -> object:
+    """Let fire print the help of a group; a command prints its own output."""
+    return None if isinstance(component, Pending) else component
+
+
 def main() -> None:
     """Run the command line of this process."""
     logging.disable(logging.CRITICAL)
     wants_json = any(word in ("--json", "--json=true") for word in sys.argv)
     try:
-        fire.Fire(Lagoonfold, name="lagoonfold")
+        asked = fire.Fire(Lagoonfold, name="lagoonfold", serialize=_show_only_help)
+        if isinstance(asked, Pending):
+            run_pending(asked)
     except CommandError as error:
         sys.exit(Session(json=wants_json).fail(error))
     except KeyboardInterrupt:
--- a/tests/ctl/test_ctl.py
+++ b/tests/ctl/test_ctl.py
@@ -122,6 +122,16 @@
         assert _lagoonfold("explain", "prg-1", kv)[0] == 1
 
 
+def test_a_mistyped_command_changes_nothing() -> None:
+    """An unknown flag or an argument too many is refused before anything is done."""
+    with _store() as address:
+        kv = f"--kv={address}"
+        add = ("account", "add", "north", "--rate=1", "--burst=1", kv)
+        assert _lagoonfold(*add, "--wieght=2")[0] == 2
+        assert _lagoonfold(*add, "extra", "words")[0] == 2
+        assert _lagoonfold("account", "list", kv, "--json")[1].strip() == "[]"
+
+
 def test_refusals_have_their_own_exit_statuses() -> None:
     """A fault of input, a conflict, and a service that is down are told apart."""
     with _store() as address:
