--- a/packages/lagoonfold-node/src/lagoonfold_node/_node.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_node.py
@@ -44,6 +44,7 @@
     client: HttpClient = field(default_factory=HttpClient)
     log: EventLog = field(default_factory=lambda: EventLog("node"))
     store: EtcdStore = field(init=False)
+    instance_list: HttpInstanceList = field(init=False)
     bus: PeerBus = field(init=False)
     configuration: ConfigController = field(init=False)
     ownership: Ownership = field(init=False)
