Go on recording an outcome after its caller was told that it is late

Found by reading: when the begin of an idempotent call was not durable within the settle timeout, as in an outage, the outcome was dropped and the call stayed under way for as long as its executor lived, so that its program could not go on. The same held for an outcome that no new owner had taken within 30 s. Both are now recorded as late as it takes; the caller is still answered in time.

--- a/packages/lagoonfold-node/src/lagoonfold_node/_execution/_calls.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_execution/_calls.py
@@ -225,6 +225,7 @@
             await running.begun.wait()
             refusal = await _record(executor, running, finished)
     except trio.TooSlowError:
+        executor.spawn(_record_late, executor, running, finished)
         refusal = refuse(
             ErrorKind.PLATFORM_UNAVAILABLE,
             "the outcome could not be recorded in time",
@@ -238,6 +239,14 @@
         running.feed.finish(finished.ok_value.answer, finished.ok_value.last_part)
 
 
+async def _record_late(
+    executor: Executor, running: RunningCall, finished: Result[Finished, Refusal]
+) -> None:
+    """Record an outcome whose caller was answered before, so that its program can go on."""
+    await running.begun.wait()
+    await _record(executor, running, finished)
+
+
 async def _record(
     executor: Executor, running: RunningCall, finished: Result[Finished, Refusal]
 ) -> Refusal | None:
--- a/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_forwarder.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_forwarder.py
@@ -7,14 +7,14 @@
 import trio
 from result import Err, Ok, Result
 
-from lagoonfold import ErrorKind, Ran, Refusal, ShardId
+from lagoonfold import ErrorKind, Refusal, ShardId
 from lagoonfold.records import Record, Settled, decode_records, encode_records
 from lagoonfold_node._ownership._context import OwnershipContext
 from lagoonfold_node._peers import CallRefused, InboundCall, PeerMessage, handles, peer_message
 
-_FORWARD_FOR_S = 30.0
 _REQUEST_TIMEOUT_S = 2.0
-_RETRY_S = 0.1
+_FIRST_RETRY_S = 0.1
+_MAX_RETRY_S = 2.0
 _FINAL = (ErrorKind.OUTCOME_UNKNOWN, ErrorKind.NOT_FOUND)
 
 
@@ -39,16 +39,19 @@
         self._shard_id = shard_id
 
     async def settle(self, records: tuple[Record, ...]) -> Result[None, Refusal]:
-        """Make outcomes durable at the new owner."""
+        """Make outcomes durable at the new owner, however long it takes to find one.
+
+        The new owner keeps the calls as running for as long as this process lives.
+        """
         message = SettleCalls(shard_id=self._shard_id, records=encode_records(records))
-        with trio.move_on_after(_FORWARD_FOR_S):
-            while True:
-                answer = await self._try(message)
-                if isinstance(answer, Ok) or answer.err_value.kind in _FINAL:
-                    self._context.metrics.count("forwarded_outcomes")
-                    return answer
-                await trio.sleep(_RETRY_S)
-        return _unknown(f"no owner of shard {self._shard_id} took the outcome")
+        retry_s = _FIRST_RETRY_S
+        while True:
+            answer = await self._try(message)
+            if isinstance(answer, Ok) or answer.err_value.kind in _FINAL:
+                self._context.metrics.count("forwarded_outcomes")
+                return answer
+            await trio.sleep(retry_s)
+            retry_s = min(_MAX_RETRY_S, retry_s * 2)
 
     async def _try(self, message: SettleCalls) -> Result[None, Refusal]:
         owner = self._context.owner(self._shard_id)
@@ -91,7 +94,3 @@
         call.reply(CallsSettled())
     else:
         call.reply(CallRefused.of(settled.err_value))
-
-
-def _unknown(detail: str) -> Err[Refusal]:
-    return Err(Refusal(kind=ErrorKind.OUTCOME_UNKNOWN, detail=detail, ran=Ran.UNKNOWN))
