--- /dev/null
+++ b/bench/policy/_clock.py
@@ -0,0 +1,29 @@
+"""An event queue in simulated time."""
+
+import heapq
+from collections.abc import Callable
+from itertools import count
+from typing import Any
+
+
+class Clock:
+    """Simulated seconds and what happens at them."""
+
+    def __init__(self) -> None:
+        self.now_s = 0.0
+        self._events: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
+        self._number = count()
+
+    def at(self, when_s: float, action: Callable[..., None], *args: Any) -> None:
+        """Do something at a moment."""
+        heapq.heappush(self._events, (when_s, next(self._number), action, args))
+
+    def after(self, delay_s: float, action: Callable[..., None], *args: Any) -> None:
+        """Do something after a delay."""
+        self.at(self.now_s + delay_s, action, *args)
+
+    def run(self, until_s: float) -> None:
+        """Let events happen up to a moment, or until there are none."""
+        while self._events and self._events[0][0] <= until_s:
+            self.now_s, _, action, args = heapq.heappop(self._events)
+            action(*args)
--- /dev/null
+++ b/bench/policy/_engine.py
@@ -0,0 +1,187 @@
+"""A plain model of one engine: batch slots, one prefill at a time, decode, a prefix cache.
+
+Calls that find no free slot wait in the order of their priority. The cache drops the least
+recently used prefix of a program that is not running. Cache events are published late and with
+gaps, load reports with a lag.
+"""
+
+import heapq
+import random
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from itertools import count
+
+from bench.policy._clock import Clock
+
+EVENT_LAG_S = 1.0
+EVENT_LOSS = 0.1
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EngineSize:
+    """What an engine can do: slots, tokens a second, and tokens of cache."""
+
+    slots: int = 16
+    prefill_tokens_per_s: float = 8000.0
+    decode_tokens_per_s: float = 50.0
+    import_tokens_per_s: float = 40_000.0
+    cache_tokens: int = 600_000
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class EngineCall:
+    """A call at an engine; `on_end` is told whether it finished."""
+
+    program_id: str
+    prompt_tokens: int
+    completion_tokens: int
+    priority: int
+    on_end: Callable[["EngineCall", bool], None]
+    imported_tokens: int = 0
+    computed_tokens: int = 0
+    started_s: float = 0.0
+    is_cancelled: bool = False
+
+
+@dataclass(slots=True)
+class EngineTotals:
+    """Sums over a run."""
+
+    computed_tokens: int = 0
+    cached_tokens: int = 0
+    busy_s: float = 0.0
+
+
+class Engine:
+    """One replica."""
+
+    def __init__(
+        self,
+        number: int,
+        size: EngineSize,
+        clock: Clock,
+        rng: random.Random,
+        on_cache_event: Callable[[int, int, str, str, int], None],
+    ) -> None:
+        self.number = number
+        self.size = size
+        self.slowdown = 1.0
+        self.is_dead = False
+        self.totals = EngineTotals()
+        self.running: dict[int, EngineCall] = {}
+        self._clock = clock
+        self._rng = rng
+        self._on_cache_event = on_cache_event
+        self._waiting: list[tuple[int, int, EngineCall]] = []
+        self._arrivals = count()
+        self._prefill_free_s = 0.0
+        self._cached: OrderedDict[str, int] = OrderedDict()
+        self._cached_total = 0
+        self._sequence = 0
+
+    def load(self) -> tuple[int, int, int]:
+        """Return running and waiting calls and cached tokens, as they are now."""
+        return len(self.running), len(self._waiting), self._cached_total
+
+    def cached(self, program_id: str) -> int:
+        """Return the cached tokens of a program."""
+        return self._cached.get(program_id, 0)
+
+    def take(self, call: EngineCall) -> None:
+        """Start a call or let it wait; a dead engine fails it at once."""
+        if self.is_dead:
+            call.on_end(call, False)
+            return
+        heapq.heappush(self._waiting, (call.priority, next(self._arrivals), call))
+        self._start_waiting()
+
+    def die(self) -> None:
+        """Fail everything and refuse all that comes."""
+        self.is_dead = True
+        calls = [*self.running.values(), *(call for _, _, call in self._waiting)]
+        self.running.clear()
+        self._waiting.clear()
+        self._cached.clear()
+        self._cached_total = 0
+        for call in calls:
+            call.is_cancelled = True
+            call.on_end(call, False)
+
+    def free(self, program_id: str) -> None:
+        """Drop a program's prefix."""
+        tokens = self._cached.pop(program_id, 0)
+        if tokens:
+            self._cached_total -= tokens
+            self._publish("evicted", program_id, tokens)
+
+    def _start_waiting(self) -> None:
+        while self._waiting and len(self.running) < self.size.slots:
+            _, _, call = heapq.heappop(self._waiting)
+            self.running[id(call)] = call
+            self._start(call)
+
+    def _start(self, call: EngineCall) -> None:
+        now_s = self._clock.now_s
+        call.started_s = now_s
+        held = min(call.prompt_tokens, max(self.cached(call.program_id), call.imported_tokens))
+        if call.program_id in self._cached:
+            self._cached.move_to_end(call.program_id)
+        call.computed_tokens = call.prompt_tokens - held
+        self.totals.computed_tokens += call.computed_tokens
+        self.totals.cached_tokens += held
+        import_s = call.imported_tokens / self.size.import_tokens_per_s
+        prefill_s = call.computed_tokens / self.size.prefill_tokens_per_s * self.slowdown
+        self._prefill_free_s = max(now_s + import_s, self._prefill_free_s) + prefill_s
+        decode_s = call.completion_tokens / self.size.decode_tokens_per_s * self.slowdown
+        self._clock.at(self._prefill_free_s + decode_s, self._end, call)
+
+    def _end(self, call: EngineCall) -> None:
+        if call.is_cancelled:
+            return
+        del self.running[id(call)]
+        self.totals.busy_s += self._clock.now_s - call.started_s
+        self._store(call.program_id, call.prompt_tokens + call.completion_tokens)
+        call.on_end(call, True)
+        self._start_waiting()
+
+    def _store(self, program_id: str, tokens: int) -> None:
+        self._cached_total += tokens - self._cached.get(program_id, 0)
+        self._cached[program_id] = tokens
+        self._cached.move_to_end(program_id)
+        self._publish("stored", program_id, tokens)
+        running = {call.program_id for call in self.running.values()}
+        for other in tuple(self._cached):
+            if self._cached_total <= self.size.cache_tokens:
+                break
+            if other not in running:
+                self.free(other)
+
+    def _publish(self, kind: str, program_id: str, tokens: int) -> None:
+        self._sequence += 1
+        if self._rng.random() >= EVENT_LOSS:
+            event = (self.number, self._sequence, kind, program_id, tokens)
+            self._clock.after(EVENT_LAG_S, self._on_cache_event, *event)
+
+
+@dataclass(slots=True)
+class LoadBoard:
+    """What engines publish of their load, each `interval_s`, seen `lag_s` later."""
+
+    lag_s: float = 1.0
+    interval_s: float = 0.5
+    listeners: list[Callable[[int, tuple[int, int, int]], None]] = field(default_factory=list)
+
+    def start(self, engines: list[Engine], clock: Clock) -> None:
+        """Publish for as long as the clock runs."""
+        clock.after(self.interval_s, self._publish, engines, clock)
+
+    def _publish(self, engines: list[Engine], clock: Clock) -> None:
+        for engine in engines:
+            if not engine.is_dead:
+                clock.after(self.lag_s, self._deliver, engine.number, engine.load())
+        clock.after(self.interval_s, self._publish, engines, clock)
+
+    def _deliver(self, number: int, load: tuple[int, int, int]) -> None:
+        for listener in self.listeners:
+            listener(number, load)
--- /dev/null
+++ b/bench/policy/_scheduler.py
@@ -0,0 +1,235 @@
+"""One instance's scheduler in the model: the library's queue, chooser, caches and admission."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from result import Err
+
+from bench.policy._clock import Clock
+from bench.policy._engine import Engine, EngineCall
+from lagoonfold import AccountId, CallId, ProgramId, Refusal, UpstreamId
+from lagoonfold.rates import DemandMeter
+from lagoonfold.resilience import Breaker
+from lagoonfold.scheduling import (
+    ADMISSIONS_BY_NAME,
+    CHOOSERS_BY_NAME,
+    AdmissionInput,
+    CachedPrefixes,
+    CacheEvent,
+    CacheEventKind,
+    DispatchQueue,
+    LoadReport,
+    PlacementInput,
+    QueuedCall,
+    ReplicaLoad,
+    ServiceMeter,
+    priority_of,
+    service_s,
+)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Policy:
+    """The decisions that a run is made with, by their names in the registries."""
+
+    order: str = "fair-least-attained"
+    chooser: str = "near-best-two"
+    cache: str = "keep"
+    admission: str = "always-queue"
+    has_priorities: bool = True
+    allowance: float = 1.0
+    max_wait_s: float = 30.0
+    counts_sent: bool = True
+
+
+BASELINE = Policy(order="first-come", chooser="round-robin", has_priorities=False)
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class ModelCall:
+    """A call of a program on its way through a scheduler."""
+
+    call_id: str
+    program_id: str
+    account: int
+    prompt_tokens: int
+    completion_tokens: int
+    attained_s: float
+    is_first: bool
+    deadline_s: float
+    imported_tokens: int
+    on_done: Callable[[UpstreamId, int], None]
+    on_refused: Callable[[Refusal], None]
+    on_failed: Callable[[], None]
+    sent_s: float = 0.0
+
+
+@dataclass(slots=True)
+class _Measures:
+    ends: DemandMeter = field(default_factory=DemandMeter)
+    call_s: ServiceMeter = field(default_factory=lambda: ServiceMeter(initial_s=2.0))
+
+
+class Scheduler:
+    """The scheduler of one entry instance, with its own lagging view of the engines."""
+
+    def __init__(
+        self, policy: Policy, engines: list[Engine], clock: Clock, rng: random.Random
+    ) -> None:
+        self.policy = policy
+        self.prefixes = CachedPrefixes()
+        self.queue = DispatchQueue(order=policy.order)
+        self._chooser = CHOOSERS_BY_NAME[policy.chooser](allowance=policy.allowance)
+        self._admission = ADMISSIONS_BY_NAME[policy.admission]()
+        self._clock = clock
+        self._rng = rng
+        self._engines_by_id = {UpstreamId(f"e-{e.number}"): e for e in engines}
+        self._loads_by_id = {
+            upstream_id: ReplicaLoad(upstream_id, slots=engine.size.slots, lag_s=1.0)
+            for upstream_id, engine in self._engines_by_id.items()
+        }
+        self._breakers_by_id = {upstream_id: Breaker() for upstream_id in self._engines_by_id}
+        self._measures = _Measures()
+        self._running = 0
+
+    def note_report(self, number: int, load: tuple[int, int, int]) -> None:
+        """Take in a lagging load report."""
+        running, waiting, cached_tokens = load
+        upstream_id = UpstreamId(f"e-{number}")
+        size = self._engines_by_id[upstream_id].size
+        report = LoadReport(
+            running=running,
+            waiting=waiting,
+            slots=size.slots,
+            cached_tokens=cached_tokens,
+            capacity_tokens=size.cache_tokens,
+        )
+        self._loads_by_id[upstream_id].note_report(report, now_s=self._clock.now_s)
+        self.pump()
+
+    def note_cache_event(
+        self, number: int, sequence: int, kind: str, program_id: str, tokens: int
+    ) -> None:
+        """Take in a late cache event."""
+        event = CacheEvent(
+            sequence=sequence,
+            kind=CacheEventKind(kind),
+            program_id=ProgramId(program_id),
+            tokens=tokens,
+        )
+        self.prefixes.note_event(UpstreamId(f"e-{number}"), event)
+
+    def used_share(self, upstream_id: UpstreamId) -> float:
+        """Return how full an engine's cache is, as last reported."""
+        load = self._loads_by_id[upstream_id]
+        return load.cached_tokens / load.capacity_tokens if load.capacity_tokens else 0.0
+
+    def submit(self, call: ModelCall) -> None:
+        """Queue a call or refuse it at once."""
+        now_s = self._clock.now_s
+        refused = self._admission.decide(self._admission_input(call))
+        if isinstance(refused, Err):
+            call.on_refused(refused.err_value)
+            return
+        until_s = call.deadline_s
+        if call.is_first:
+            until_s = min(until_s, now_s + self.policy.max_wait_s)
+        queued = QueuedCall(
+            call_id=CallId(call.call_id),
+            program_id=ProgramId(call.program_id),
+            account_id=AccountId(str(call.account)),
+            arrived_s=now_s,
+            deadline_s=until_s,
+            attained_s=call.attained_s,
+            item=call,
+        )
+        self.queue.push(queued, now_s=now_s)
+        self.pump()
+
+    def _admission_input(self, call: ModelCall) -> AdmissionInput:
+        now_s = self._clock.now_s
+        measures = self._measures
+        drain = max(measures.ends.rate_per_s(now_s=now_s), self._running / measures.call_s.mean_s)
+        return AdmissionInput(
+            ahead=self.queue.ahead_of(call.attained_s, now_s=now_s),
+            drain_per_s=drain,
+            call_s=measures.call_s.mean_s,
+            max_wait_s=self.policy.max_wait_s,
+            deadline_s=call.deadline_s,
+            now_s=now_s,
+            is_first=call.is_first,
+        )
+
+    def pump(self) -> None:
+        """Send what waits while there is room, and answer what has waited too long."""
+        now_s = self._clock.now_s
+        for expired in self.queue.expire(now_s=now_s):
+            expired.item.on_refused(None)
+        while len(self.queue):
+            loads = self._loads_with_room()
+            queued = self.queue.pop(now_s=now_s) if loads else None
+            if queued is None:
+                return
+            self._send(queued.item, loads)
+
+    def _loads_with_room(self) -> list[ReplicaLoad]:
+        now_s = self._clock.now_s
+        return [
+            load
+            for upstream_id, load in self._loads_by_id.items()
+            if self._chooser.has_room(load)
+            and self._breakers_by_id[upstream_id].allows(now_s=now_s)
+        ]
+
+    def _send(self, call: ModelCall, loads: list[ReplicaLoad]) -> None:
+        now_s = self._clock.now_s
+        wanted = PlacementInput(
+            program_id=ProgramId(call.program_id),
+            prompt_tokens=call.prompt_tokens,
+            cached_by_upstream=self.prefixes.tokens_by_upstream(ProgramId(call.program_id)),
+            call_s=self._measures.call_s.mean_s,
+        )
+        chosen = self._chooser.pick(wanted, loads, self._rng).upstream_id
+        self._loads_by_id[chosen].note_sent(now_s=now_s)
+        self._breakers_by_id[chosen].note_sent(now_s=now_s)
+        self._running += 1
+        call.sent_s = now_s
+        engine_call = EngineCall(
+            program_id=call.program_id,
+            prompt_tokens=call.prompt_tokens,
+            completion_tokens=call.completion_tokens,
+            priority=priority_of(call.attained_s) if self.policy.has_priorities else 0,
+            imported_tokens=call.imported_tokens,
+            on_end=lambda ended, finished: self._note_end(call, chosen, ended, finished),
+        )
+        self._engines_by_id[chosen].take(engine_call)
+
+    def _note_end(
+        self, call: ModelCall, upstream_id: UpstreamId, ended: EngineCall, is_finished: bool
+    ) -> None:
+        now_s = self._clock.now_s
+        self._running -= 1
+        self._loads_by_id[upstream_id].note_ended(now_s=now_s)
+        if is_finished:
+            self._note_finished(call, upstream_id, ended)
+        else:
+            self._breakers_by_id[upstream_id].note_failure(now_s=now_s)
+            self.prefixes.forget_upstream(upstream_id)
+            self._clock.after(0.05, call.on_failed)
+        self._clock.after(0.0, self.pump)
+
+    def _note_finished(self, call: ModelCall, upstream_id: UpstreamId, ended: EngineCall) -> None:
+        now_s = self._clock.now_s
+        self._breakers_by_id[upstream_id].note_success()
+        self._measures.ends.add(now_s=now_s)
+        self._measures.call_s.note(now_s - call.sent_s)
+        used_s = service_s(
+            prompt_tokens=call.prompt_tokens,
+            cached_tokens=call.prompt_tokens - ended.computed_tokens,
+            completion_tokens=call.completion_tokens,
+        )
+        self.queue.note_service(AccountId(str(call.account)), used_s, weight=1.0)
+        tokens = call.prompt_tokens + call.completion_tokens
+        self.prefixes.note_ran(ProgramId(call.program_id), upstream_id, tokens)
+        call.on_done(upstream_id, ended.computed_tokens)
--- a/packages/lagoonfold-node/src/lagoonfold_node/_rates/_handlers.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_rates/_handlers.py
@@ -12,7 +12,6 @@
     AllowanceGranted,
     AllowanceShort,
     BorrowAllowance,
-    RecallAllowance,
     ReportAllowance,
 )
 
@@ -43,8 +42,3 @@
         message.reports,
         now_s=trio.current_time(),
     )
-
-
-@handles(RecallAllowance)
-async def _take_recall(node: HasRates, call: InboundCall, message: RecallAllowance) -> None:
-    node.rates.take_recall(AccountId(message.account_id))
--- a/packages/lagoonfold-node/src/lagoonfold_node/_rates/_lenders.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_rates/_lenders.py
@@ -10,8 +10,6 @@
 from lagoonfold.config import Account
 from lagoonfold.rates import Ask, Lender, Loan, LoanReport, RateLimit, Shortage
 
-RECALL_INTERVAL_S = 0.02
-
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Lending:
@@ -46,7 +44,6 @@
         self._owners = owners
         self._find_account = find_account
         self._lenders_by_account: dict[AccountId, tuple[int, RateLimit, Lender]] = {}
-        self._recalled_s_by_account: dict[AccountId, float] = {}
 
     def lend(
         self, borrower: InstanceId, account_id: AccountId, ask: Ask, *, now_s: float
@@ -76,14 +73,6 @@
         if lender is not None:
             lender.report(borrower, reports, now_s=now_s)
 
-    def should_recall(self, account_id: AccountId, *, now_s: float) -> bool:
-        """Tell whether to ask the holders to give back; at most once in an interval."""
-        recalled_s = self._recalled_s_by_account.get(account_id, float("-inf"))
-        if now_s - recalled_s < RECALL_INTERVAL_S:
-            return False
-        self._recalled_s_by_account[account_id] = now_s
-        return True
-
     def _lender(self, account_id: AccountId, now_s: float) -> Lender | None:
         lending = self._owners.lending(account_id)
         account = self._find_account(account_id)
--- a/packages/lagoonfold-node/src/lagoonfold_node/_rates/_messages.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_rates/_messages.py
@@ -32,10 +32,3 @@
 
     account_id: str
     reports: tuple[LoanReport, ...]
-
-
-@peer_message
-class RecallAllowance(PeerMessage, tag="recall-allowance"):
-    """Asks a borrower to give back what it has not spent of an account."""
-
-    account_id: str
--- a/packages/lagoonfold/src/lagoonfold/rates/_borrower.py
+++ b/packages/lagoonfold/src/lagoonfold/rates/_borrower.py
@@ -4,11 +4,13 @@
 from dataclasses import dataclass
 
 from lagoonfold.rates._demand import DemandMeter
-from lagoonfold.rates._messages import Ask, Loan, LoanReport
+from lagoonfold.rates._messages import Ask, Loan, LoanReport, Shortage
 
 _AHEAD_S = 0.25
 _RENEW_SHARE = 0.25
 _IDLE_RETURN_S = 0.1
+_MIN_PAUSE_S = 0.005
+_MAX_PAUSE_S = 0.1
 
 
 @dataclass(slots=True)
@@ -37,6 +39,8 @@
         self._loans_by_id: dict[str, _HeldLoan] = {}
         self._sent_s_by_ask: dict[int, float] = {}
         self._next_ask = 1
+        self._shortages = 0
+        self._may_ask_s = float("-inf")
 
     def note_arrival(self, *, now_s: float) -> None:
         """Count an arriving call for the size of the next loans."""
@@ -59,6 +63,8 @@
 
     def should_renew(self, *, now_s: float) -> bool:
         """Tell whether to ask ahead of need: little is left of what the demand will take."""
+        if now_s < self._may_ask_s:
+            return False
         expected = self._demand.rate_per_s(now_s=now_s) * _AHEAD_S
         return expected >= 1 and self.available(now_s=now_s) < expected * _RENEW_SHARE
 
@@ -75,14 +81,9 @@
             reports=self.report(now_s=now_s),
         )
 
-    def report(self, *, now_s: float, close_all: bool = False) -> tuple[LoanReport, ...]:
-        """Report spending; loans that are spent, expired or idle are closed and dropped.
-
-        `close_all` closes the others too, so that their tokens can be lent elsewhere.
-        """
-        reports = tuple(
-            self._report_one(loan, now_s, close_all) for loan in self._loans_by_id.values()
-        )
+    def report(self, *, now_s: float) -> tuple[LoanReport, ...]:
+        """Report spending; loans that are spent, expired or idle are closed and dropped."""
+        reports = tuple(self._report_one(loan, now_s) for loan in self._loans_by_id.values())
         for report in reports:
             if report.is_closed:
                 del self._loans_by_id[report.loan_id]
@@ -104,6 +105,7 @@
         sent_s = self._sent_s_by_ask.pop(ask.number, None)
         if sent_s is None:
             return
+        self._shortages = 0
         self._loans_by_id[loan.loan_id] = _HeldLoan(
             loan_id=loan.loan_id,
             size=loan.size,
@@ -116,9 +118,24 @@
         """Forget an ask that got no loan; an answer that still comes will be ignored."""
         self._sent_s_by_ask.pop(ask.number, None)
 
-    def _report_one(self, loan: _HeldLoan, now_s: float, close_all: bool) -> LoanReport:
+    def note_shortage(self, ask: Ask, shortage: Shortage, *, now_s: float) -> None:
+        """Take in the answer that nothing can be lent, and put the next ask off.
+
+        The first one waits for as long as the lender says. Under lasting overload the pause
+        doubles up to `_MAX_PAUSE_S`, so that refused calls don't each cost an ask.
+        """
+        self.give_up(ask)
+        self._shortages += 1
+        least_s = min(_MAX_PAUSE_S, _MIN_PAUSE_S * 2 ** min(self._shortages - 1, 10))
+        self._may_ask_s = now_s + max(least_s, min(shortage.retry_after_s, _MAX_PAUSE_S))
+
+    def pause_s(self, *, now_s: float) -> float:
+        """Return the seconds until the next ask makes sense, zero if now."""
+        return max(0.0, self._may_ask_s - now_s)
+
+    def _report_one(self, loan: _HeldLoan, now_s: float) -> LoanReport:
         loan.reported = loan.spent
-        is_closed = close_all or self._is_closing(loan, now_s)
+        is_closed = self._is_closing(loan, now_s)
         return LoanReport(loan_id=loan.loan_id, spent=loan.spent, is_closed=is_closed)
 
     @staticmethod
--- a/packages/lagoonfold/src/lagoonfold/rates/_lender.py
+++ b/packages/lagoonfold/src/lagoonfold/rates/_lender.py
@@ -116,11 +116,9 @@
         missing = max(0.0, 1 - self._level)
         refill_s = missing / self._limit.rate_per_s if self._limit.rate_per_s > 0 else 3600.0
         held_back_s = max(0.0, self._counts_from_s - now_s)
-        holders = {loan.borrower for loan in self._loans_by_id.values() if loan.unspent}
         return Shortage(
             retry_after_s=held_back_s + refill_s,
             is_takeover=held_back_s > 0,
-            holders=tuple(sorted(holders)),
         )
 
     def _advance(self, now_s: float) -> None:
--- a/packages/lagoonfold/src/lagoonfold/rates/_messages.py
+++ b/packages/lagoonfold/src/lagoonfold/rates/_messages.py
@@ -46,10 +46,8 @@
     """Nothing can be lent now.
 
     `retry_after_s` is when one token will be there if nobody else takes it; `is_takeover` says
-    that the lender still waits for loans of the account's former owner. `holders` are the
-    borrowers that may still have unspent tokens and could be asked to report.
+    that the lender still waits for loans of the account's former owner.
     """
 
     retry_after_s: float
     is_takeover: bool = False
-    holders: tuple[str, ...] = ()
