--- a/bench/policy/_clock.py
+++ b/bench/policy/_clock.py
@@ -23,7 +23,8 @@
         self.at(self.now_s + delay_s, action, *args)
 
     def run(self, until_s: float) -> None:
-        """Let events happen up to a moment, or until there are none."""
+        """Let events happen up to a moment."""
         while self._events and self._events[0][0] <= until_s:
             self.now_s, _, action, args = heapq.heappop(self._events)
             action(*args)
+        self.now_s = max(self.now_s, until_s)
--- a/bench/policy/_engine.py
+++ b/bench/policy/_engine.py
@@ -51,6 +51,7 @@
     computed_tokens: int = 0
     cached_tokens: int = 0
     busy_s: float = 0.0
+    prefill_s: float = 0.0
 
 
 class Engine:
@@ -132,6 +133,7 @@
         self.totals.cached_tokens += held
         import_s = call.imported_tokens / self.size.import_tokens_per_s
         prefill_s = call.computed_tokens / self.size.prefill_tokens_per_s * self.slowdown
+        self.totals.prefill_s += prefill_s
         self._prefill_free_s = max(now_s + import_s, self._prefill_free_s) + prefill_s
         decode_s = call.completion_tokens / self.size.decode_tokens_per_s * self.slowdown
         self._clock.at(self._prefill_free_s + decode_s, self._end, call)
--- a/bench/policy/_report.py
+++ b/bench/policy/_report.py
@@ -29,6 +29,7 @@
     out: Path = OUT,
 ) -> Path:
     """Plot one bar for each label, with the least and the most over the seeds."""
+    out.mkdir(parents=True, exist_ok=True)
     labels = list(spreads_by_label)
     means = [spread["mean"] for spread in spreads_by_label.values()]
     below = [spread["mean"] - spread["least"] for spread in spreads_by_label.values()]
@@ -54,6 +55,7 @@
     out: Path = OUT,
 ) -> Path:
     """Plot one line for each label."""
+    out.mkdir(parents=True, exist_ok=True)
     figure, axes = plt.subplots(figsize=(8, 4))
     for label, points in points_by_label.items():
         axes.plot(list(points), list(points.values()), marker=".", label=label)
--- /dev/null
+++ b/bench/policy/_scheduling_experiments.py
@@ -0,0 +1,120 @@
+"""Experiments on order, replica choice and tool pauses."""
+
+import statistics
+from collections.abc import Mapping, Sequence
+from dataclasses import replace
+
+from bench.policy._measure import RunMeasures, by_account, measure_all, summarize
+from bench.policy._points import (
+    BASELINE,
+    BASELINE_RATE_BY_WORKLOAD,
+    DEFAULT_RATE_BY_WORKLOAD,
+    scenarios,
+)
+from bench.policy._report import plot_spreads, write_report
+from bench.policy._scheduler import Policy
+from bench.policy._workloads import Surge
+from lagoonfold.scheduling import CACHE_POLICIES_BY_NAME, CHOOSERS_BY_NAME, ORDERS_BY_NAME
+
+FLOODING_ACCOUNT = 3
+FLOOD = Surge(factor=5.0, from_s=600.0, to_s=1500.0, account=FLOODING_ACCOUNT)
+
+
+def run_policies(
+    workload: str,
+    policies_by_label: Mapping[str, Policy],
+    *,
+    programs_per_s: float,
+    seeds: int,
+    surge: Surge | None = None,
+    **changes: object,
+) -> dict[str, list[RunMeasures]]:
+    """Measure each policy over the same seeds."""
+    todo = {
+        label: scenarios(
+            workload, policy, programs_per_s=programs_per_s, seeds=seeds, surge=surge, **changes
+        )
+        for label, policy in policies_by_label.items()
+    }
+    runs = measure_all([scenario for group in todo.values() for scenario in group])
+    return {label: runs[number * seeds : (number + 1) * seeds] for number, label in enumerate(todo)}
+
+
+def fairness(runs: Sequence[RunMeasures]) -> dict[str, object]:
+    """Compare the worst-served with the median account, without the one that floods."""
+    accounts = by_account(runs, from_s=FLOOD.from_s, to_s=FLOOD.to_s)
+    flooding = accounts.pop(FLOODING_ACCOUNT, None)
+    result: dict[str, object] = {"flooding": flooding, "accounts": accounts}
+    for name in ("latency_p95_s", "slowdown_p95"):
+        values = [account[name] for account in accounts.values()]
+        result[f"worst/median {name}"] = round(max(values) / statistics.median(values), 3)
+    return result
+
+
+def _report(name: str, runs_by_label: dict[str, list[RunMeasures]], axis: str) -> dict:
+    results = {label: summarize(runs) for label, runs in runs_by_label.items()}
+    spreads = {
+        label: result[axis.split("/")[0]][axis.split("/")[1]] for label, result in results.items()
+    }
+    plot_spreads(name, spreads, title=name, axis=axis)
+    return results
+
+
+def run_targets(workload: str, seeds: int) -> dict:
+    """The default policy against the baseline, at 85% load of the baseline."""
+    rate = BASELINE_RATE_BY_WORKLOAD[workload]
+    policies = {"baseline": BASELINE, "default": Policy()}
+    runs = run_policies(workload, policies, programs_per_s=rate, seeds=seeds)
+    results = _report(f"targets-{workload}", runs, "latency_s/p95")
+    write_report(f"targets-{workload}", results)
+    return results
+
+
+def run_order(workload: str, seeds: int) -> dict:
+    """The orders, each with the default replica choice, at 85% load; and while one floods."""
+    rate = DEFAULT_RATE_BY_WORKLOAD[workload]
+    policies = {
+        order: Policy(order=order, has_priorities="attained" in order)
+        for order in sorted(ORDERS_BY_NAME)
+    }
+    calm = run_policies(workload, policies, programs_per_s=rate, seeds=seeds)
+    flood = run_policies(workload, policies, programs_per_s=rate, seeds=seeds, surge=FLOOD)
+    results: dict = {"calm": _report(f"order-{workload}", calm, "slowdown/p95")}
+    results["flood"] = {label: summarize(runs) for label, runs in flood.items()}
+    for label in policies:
+        results["flood"][label]["fairness"] = fairness(flood[label])
+        results["calm"][label]["fairness"] = fairness(calm[label])
+    write_report(f"order-{workload}", results)
+    return results
+
+
+def run_replica(workload: str, seeds: int) -> dict:
+    """The replica choices, each with the default order."""
+    policies = {chooser: Policy(chooser=chooser) for chooser in sorted(CHOOSERS_BY_NAME)}
+    results = {}
+    for load, rates in (("85% of baseline", BASELINE_RATE_BY_WORKLOAD),) + (
+        ("85% of default", DEFAULT_RATE_BY_WORKLOAD),
+    ):
+        runs = run_policies(workload, policies, programs_per_s=rates[workload], seeds=seeds)
+        results[load] = _report(f"replica-{workload}-{load.split()[-1]}", runs, "latency_s/p95")
+    write_report(f"replica-{workload}", results)
+    return results
+
+
+def run_pauses(workload: str, seeds: int) -> dict:
+    """The cache policies at tool pauses, with plenty of memory and with a third of it."""
+    policies = {cache: Policy(cache=cache) for cache in sorted(CACHE_POLICIES_BY_NAME)}
+    rate = 0.9 * DEFAULT_RATE_BY_WORKLOAD[workload]
+    results = {}
+    for label, share in (("memory", 1.0), ("half memory", 0.5)):
+        size = _size_with(share)
+        runs = run_policies(workload, policies, programs_per_s=rate, seeds=seeds, size=size)
+        name = f"pauses-{workload}-{label.replace(' ', '-')}"
+        results[label] = _report(name, runs, "latency_s/p95")
+    write_report(f"pauses-{workload}", results)
+    return results
+
+
+def _size_with(share: float) -> object:
+    size = scenarios("brunner", Policy(), programs_per_s=1.0, seeds=1)[0].size
+    return replace(size, cache_tokens=int(size.cache_tokens * share))
--- a/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_dispatcher.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_dispatcher.py
@@ -167,7 +167,9 @@
         if chosen is None:
             return False
         state = self.table.states_by_id[chosen]
-        state.load.note_sent(now_s=now_s)
+        held = wanted.cached_by_upstream.get(chosen, 0)
+        added = max(0, request.prompt_tokens - held)
+        state.load.note_sent(now_s=now_s, added_tokens=added)
         state.breaker.note_sent(now_s=now_s)
         self.poison.registry.note_started(request.content_digest, chosen)
         waiter.state = state
--- a/packages/lagoonfold/src/lagoonfold/resilience/_breaker.py
+++ b/packages/lagoonfold/src/lagoonfold/resilience/_breaker.py
@@ -1,8 +1,11 @@
 """A circuit breaker per upstream."""
 
+from collections import deque
 from enum import Enum
 
 _FAILURES_TO_OPEN = 3
+_WINDOW_CALLS = 20
+_WINDOW_FAILURES_TO_OPEN = 5
 _OPEN_S = 2.0
 _MAX_OPEN_S = 30.0
 
@@ -16,13 +19,14 @@
 
 
 class Breaker:
-    """Opens after consecutive failures, lets one probe through after a pause that doubles.
+    """Opens after failures, lets one probe through after a pause that doubles.
 
-    Only failures that speak against the upstream itself are noted here; an answer with a
-    client error is a success of the upstream.
+    It opens after consecutive failures, which finds a dead upstream soonest, or after some among
+    the last calls, which finds one that fails now and then. Only failures that speak against the
+    upstream itself are noted here; an answer with a client error is a success of the upstream.
     """
 
-    __slots__ = ("_failures", "_is_probing", "_open_s", "_opened_s", "_threshold")
+    __slots__ = ("_failures", "_is_probing", "_last_failed", "_open_s", "_opened_s", "_threshold")
 
     def __init__(self, *, failures_to_open: int = _FAILURES_TO_OPEN) -> None:
         self._threshold = failures_to_open
@@ -30,6 +34,7 @@
         self._open_s = _OPEN_S
         self._opened_s: float | None = None
         self._is_probing = False
+        self._last_failed: deque[bool] = deque(maxlen=_WINDOW_CALLS)
 
     def state(self, *, now_s: float) -> BreakerState:
         """Return the state as of now."""
@@ -49,21 +54,29 @@
             self._is_probing = True
 
     def note_success(self) -> None:
-        """Close the breaker."""
+        """Note a success; one of a probe closes the breaker."""
+        if self._opened_s is not None:
+            self._last_failed.clear()
         self._failures = 0
         self._opened_s = None
         self._is_probing = False
         self._open_s = _OPEN_S
+        self._last_failed.append(False)
 
     def note_failure(self, *, now_s: float) -> None:
         """Count a failure; a failed probe opens for twice as long."""
         self._failures += 1
+        self._last_failed.append(True)
         if self._is_probing:
             self._open_s = min(_MAX_OPEN_S, self._open_s * 2)
-        if self._is_probing or (self._opened_s is None and self._failures >= self._threshold):
+        if self._is_probing or (self._opened_s is None and self._should_open()):
             self._opened_s = now_s
         self._is_probing = False
 
+    def _should_open(self) -> bool:
+        in_window = sum(self._last_failed)
+        return self._failures >= self._threshold or in_window >= _WINDOW_FAILURES_TO_OPEN
+
     def note_given_up(self) -> None:
         """Note that a sent call ended without telling anything, such as by a cancel."""
         self._is_probing = False
--- a/packages/lagoonfold/src/lagoonfold/scheduling/_choosers.py
+++ b/packages/lagoonfold/src/lagoonfold/scheduling/_choosers.py
@@ -20,6 +20,9 @@
 
 _NEAR_BEST_S = 0.1
 _AFFINITY_LOAD_BOUND = 1.25
+_SHORT_PREFIX_TOKENS = 4000
+_NEARLY_IDLE_SHARE = 0.125
+_USABLE_SHARE = 0.7
 
 CHOOSERS_BY_NAME: dict[str, type[ReplicaChooser]] = {}
 
@@ -59,7 +62,11 @@
         self, call: PlacementInput, replicas: Sequence[ReplicaLoad], rng: random.Random
     ) -> UpstreamId | None:
         """Return the replica for a call, or None if it must wait."""
-        free = [replica for replica in replicas if self.has_room(replica)]
+        free = [
+            replica
+            for replica in replicas
+            if self.has_room(replica) and self.has_memory(call, replica)
+        ]
         return self.pick(call, free, rng).upstream_id if free else None
 
     def pick(
@@ -72,6 +79,10 @@
         """Tell whether a replica can take one more call."""
         return replica.estimate() < max(1.0, replica.slots * self._allowance)
 
+    def has_memory(self, call: PlacementInput, replica: ReplicaLoad) -> bool:
+        """Tell whether the call's prefix may be brought into the replica's cache; always yes."""
+        return True
+
 
 @chooser("round-robin")
 class RoundRobin(ReplicaChooser):
@@ -134,6 +145,24 @@
         return min(drawn, key=lambda replica: (_load(replica), replica.own))
 
 
+@chooser("memory-bound")
+class MemoryBound(NearBestTwo):
+    """Near-best-two, where a prefix is brought in only if it pushes out no other.
+
+    When the programs under way need more cache than there is, each call evicts what another will
+    need, and the engines do little but compute prefixes again. Here a call whose prefix is
+    missing waits until there is room for it, while calls with cached or short prefixes pass. A
+    replica that has little to do takes any call, so that something always goes on.
+    """
+
+    def has_memory(self, call: PlacementInput, replica: ReplicaLoad) -> bool:
+        """Tell whether the missing part is short or fits, or the replica is nearly idle."""
+        missing = call.prompt_tokens - _cached(call, replica)
+        if missing <= _SHORT_PREFIX_TOKENS or missing <= replica.free_tokens(_USABLE_SHARE):
+            return True
+        return replica.estimate() < replica.slots * _NEARLY_IDLE_SHARE
+
+
 def _load(replica: ReplicaLoad) -> float:
     return replica.estimate() / max(1, replica.slots)
 
@@ -149,4 +178,4 @@
     return missing / call.prefill_tokens_per_s + wait_s
 
 
-DEFAULT_CHOOSER = "near-best-two"
+DEFAULT_CHOOSER = "memory-bound"
--- a/packages/lagoonfold/src/lagoonfold/scheduling/_load.py
+++ b/packages/lagoonfold/src/lagoonfold/scheduling/_load.py
@@ -39,6 +39,7 @@
         self._own = 0
         self._others = 0
         self._own_by_time: deque[tuple[float, int]] = deque(maxlen=_HISTORY_LENGTH)
+        self._added_by_time: deque[tuple[float, int]] = deque(maxlen=_HISTORY_LENGTH)
 
     @property
     def own(self) -> int:
@@ -49,9 +50,21 @@
         """Return the calls that are at the replica now, running or waiting."""
         return self._others + self._own
 
-    def note_sent(self, *, now_s: float) -> None:
-        """Count a call sent from here."""
+    def free_tokens(self, usable_share: float) -> float:
+        """Return how many tokens fit in a share of the cache beside those there and sent since.
+
+        Without a report of the capacity there is no bound.
+        """
+        if not self.capacity_tokens:
+            return float("inf")
+        added = sum(tokens for _, tokens in self._added_by_time)
+        return self.capacity_tokens * usable_share - self.cached_tokens - added
+
+    def note_sent(self, *, now_s: float, added_tokens: int = 0) -> None:
+        """Count a call sent from here, and the tokens that it adds to the cache."""
         self._own += 1
+        if added_tokens:
+            self._added_by_time.append((now_s, added_tokens))
         self._own_by_time.append((now_s, self._own))
 
     def note_ended(self, *, now_s: float) -> None:
@@ -64,6 +77,8 @@
         self.slots = report.slots
         self.cached_tokens = report.cached_tokens
         self.capacity_tokens = report.capacity_tokens
+        while self._added_by_time and self._added_by_time[0][0] <= now_s - self._lag_s:
+            self._added_by_time.popleft()
         total = report.running + report.waiting
         self._others = max(0, total - self._own_at(now_s - self._lag_s))
 
--- a/packages/lagoonfold/src/lagoonfold/scheduling/_orders.py
+++ b/packages/lagoonfold/src/lagoonfold/scheduling/_orders.py
@@ -11,7 +11,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+import heapq
+from collections.abc import Callable, Iterable, Iterator
 from typing import TYPE_CHECKING
 
 from lagoonfold._ids import AccountId
@@ -42,9 +43,12 @@
         """Return the sort key of a call."""
         raise NotImplementedError
 
-    def ranked(self, calls: Iterable[QueuedCall], *, now_s: float) -> list[QueuedCall]:
-        """Return the calls, next first."""
-        return sorted(calls, key=lambda call: self.rank(call, now_s=now_s))
+    def ranked(self, calls: Iterable[QueuedCall], *, now_s: float) -> Iterator[QueuedCall]:
+        """Yield the calls, next first; ranking all of them costs no more than a heap."""
+        heap = [(self.rank(call, now_s=now_s), number, call) for number, call in enumerate(calls)]
+        heapq.heapify(heap)
+        while heap:
+            yield heapq.heappop(heap)[2]
 
     def count_ahead(self, calls: Iterable[QueuedCall], attained_s: float, *, now_s: float) -> int:
         """Return how many calls would go before a new one of this attained service."""
@@ -97,16 +101,14 @@
         self._virtual_s_by_account: dict[AccountId, float] = {}
         self._virtual_now_s = 0.0
 
-    def ranked(self, calls: Iterable[QueuedCall], *, now_s: float) -> list[QueuedCall]:
-        """Return the calls by their accounts' virtual times, then by rank."""
-        waiting = list(calls)
-        return sorted(
-            waiting,
-            key=lambda call: (
-                self._virtual_s_by_account.get(call.account_id, 0.0),
-                self.rank(call, now_s=now_s),
-            ),
-        )
+    def rank(self, call: QueuedCall, *, now_s: float) -> tuple[float, ...]:
+        """Rank by the account's virtual time, then within the account."""
+        virtual_s = self._virtual_s_by_account.get(call.account_id, 0.0)
+        return (virtual_s, *self.rank_within(call, now_s=now_s))
+
+    def rank_within(self, call: QueuedCall, *, now_s: float) -> tuple[float, ...]:
+        """Return the sort key of a call among those of its account."""
+        raise NotImplementedError
 
     def note_queued(self, call: QueuedCall, *, now_s: float) -> None:
         """Bring an account that was idle up to the virtual time of the busy ones."""
@@ -132,7 +134,7 @@
 class FairFirstCome(_FairAccounts):
     """Fair between accounts, first come first served within each."""
 
-    def rank(self, call: QueuedCall, *, now_s: float) -> tuple[float, ...]:
+    def rank_within(self, call: QueuedCall, *, now_s: float) -> tuple[float, ...]:
         """Rank by arrival."""
         return (call.arrived_s,)
 
@@ -141,7 +143,7 @@
 class FairLeastAttained(_FairAccounts):
     """Fair between accounts, aged least attained service by program within each."""
 
-    def rank(self, call: QueuedCall, *, now_s: float) -> tuple[float, ...]:
+    def rank_within(self, call: QueuedCall, *, now_s: float) -> tuple[float, ...]:
         """Rank by aged attained service."""
         return (_aged_s(call, now_s), call.arrived_s)
 
--- a/tests/resilience/test_resilience.py
+++ b/tests/resilience/test_resilience.py
@@ -84,6 +84,19 @@
     assert breaker.state(now_s=6.3) is BreakerState.CLOSED
 
 
+def test_breaker_opens_on_scattered_failures() -> None:
+    """An upstream that fails every third call never fails thrice in a row but is put aside."""
+    breaker = Breaker()
+    for number in range(20):
+        if number % 3 == 0:
+            breaker.note_failure(now_s=0.0)
+        else:
+            breaker.note_success()
+        if not breaker.allows(now_s=0.0):
+            break
+    assert breaker.state(now_s=0.0) is BreakerState.OPEN
+
+
 def test_late_failures_do_not_prolong_an_open_breaker() -> None:
     """Calls sent before it opened, which fail later, don't put the probe off."""
     breaker = Breaker()
--- a/tests/scheduling/test_scheduling.py
+++ b/tests/scheduling/test_scheduling.py
@@ -140,6 +140,41 @@
     assert affinity.choose(call, _replicas(7, 0), random.Random(1)) == "e-1"
 
 
+def test_prefix_is_not_brought_in_over_others() -> None:
+    """A long missing prefix waits for room in the cache; a cached or a short one passes."""
+    chooser = CHOOSERS_BY_NAME["memory-bound"]()
+    replica = ReplicaLoad(UpstreamId("e-0"), slots=8, lag_s=1.0)
+    report = LoadReport(
+        running=4, waiting=0, slots=8, cached_tokens=65_000, capacity_tokens=100_000
+    )
+    replica.note_report(report, now_s=0.0)
+    chosen = {}
+    for name, tokens, cached in (
+        ("missing", 20_000, 0),
+        ("cached", 20_000, 19_000),
+        ("short", 900, 0),
+    ):
+        call = PlacementInput(
+            program_id=ProgramId(name),
+            prompt_tokens=tokens,
+            cached_by_upstream={UpstreamId("e-0"): cached},
+        )
+        chosen[name] = chooser.choose(call, [replica], random.Random(1))
+    assert chosen == {"missing": None, "cached": "e-0", "short": "e-0"}
+
+
+def test_nearly_idle_replica_takes_any_prefix() -> None:
+    """Where little runs even a prefix that pushes out others goes."""
+    replica = ReplicaLoad(UpstreamId("e-0"), slots=8, lag_s=1.0)
+    report = LoadReport(
+        running=0, waiting=0, slots=8, cached_tokens=99_000, capacity_tokens=100_000
+    )
+    replica.note_report(report, now_s=0.0)
+    call = PlacementInput(program_id=ProgramId("p"), prompt_tokens=90_000)
+    chooser = CHOOSERS_BY_NAME["memory-bound"]()
+    assert chooser.choose(call, [replica], random.Random(1)) == "e-0"
+
+
 def test_cached_prefixes_with_late_and_missing_events() -> None:
     """Old events are ignored, gaps are counted, and a program that is gone names its holders."""
     prefixes = CachedPrefixes()
