--- a/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_allocator.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_allocator.py
@@ -28,6 +28,8 @@
 _MAX_SETTLE_S = 1.0
 _BALANCE_INTERVAL_S = 1.0
 _REARM_S = 0.5
+_RELIST_INTERVAL_S = 30.0
+_ENTRY_ROLE = "entry"
 
 
 class Allocator:
@@ -75,11 +77,18 @@
             while self._context.has_lease() and await self._campaign():
                 self._members_changed = trio.Event()
                 changed = await self._place()
-                wait_s = _BALANCE_INTERVAL_S if changed else self._context.settings.renew_s
+                wait_s = _BALANCE_INTERVAL_S if changed else _RELIST_INTERVAL_S
                 with trio.move_on_after(wait_s):
-                    await self._members_changed.wait()
+                    await self._wait_for_change()
             nursery.cancel_scope.cancel()
 
+    async def _wait_for_change(self) -> None:
+        """Wait until members or leaving instances have changed, or the key may be lost."""
+        while self._context.has_lease() and not await self._read_leaving():
+            with trio.move_on_after(self._context.settings.renew_s):
+                await self._members_changed.wait()
+                return
+
     async def _watch_members(self) -> None:
         while True:
             async with self._context.store.watch(INSTANCES_PREFIX, from_revision=0) as events:
@@ -104,7 +113,10 @@
         listing = await store.list(INSTANCES_PREFIX)
         if isinstance(listing, Err):
             return listing
-        members = await self._mark_leaving(_members_of(listing.ok_value))
+        members = tuple(
+            replace(member, leaving=member.leaving or member.instance_id in self._leaving_ids)
+            for member in _members_of(listing.ok_value)
+        )
         table = decode_table(current.ok_value.value)
         if isinstance(table, Err):
             detail = table.err_value
@@ -121,22 +133,24 @@
         self._context.metrics.count("ownership_writes")
         return Ok(True)
 
-    async def _mark_leaving(self, members: tuple[Member, ...]) -> tuple[Member, ...]:
-        """Mark the members that the instance list says are leaving.
+    async def _read_leaving(self) -> bool:
+        """Read which instances are listed as leaving; return whether that has changed.
 
         The list lags and may fail to answer, so it only adds to what members say of themselves;
         whether a member is alive is said by its lease alone.
         """
-        if self._context.instance_list is not None:
-            listed = await self._context.instance_list.read()
-            if isinstance(listed, Ok):
-                self._leaving_ids = frozenset(
-                    each.instance_id for each in listed.ok_value if each.leaving
-                )
-        return tuple(
-            replace(member, leaving=member.leaving or member.instance_id in self._leaving_ids)
-            for member in members
+        if self._context.instance_list is None:
+            return False
+        listed = await self._context.instance_list.read()
+        if isinstance(listed, Err):
+            return False
+        before = self._leaving_ids
+        self._leaving_ids = frozenset(
+            each.instance_id
+            for each in listed.ok_value
+            if each.leaving and each.role == _ENTRY_ROLE
         )
+        return self._leaving_ids != before
 
     def _next(self, table: OwnershipTable, members: tuple[Member, ...]) -> OwnershipTable | None:
         """Return the next table, or None if nothing changes."""
--- a/packages/lagoonfold/src/lagoonfold/membership/_placement.py
+++ b/packages/lagoonfold/src/lagoonfold/membership/_placement.py
@@ -41,6 +41,8 @@
         self.shard_count = shard_count
         self.members_by_id = {InstanceId(member.instance_id): member for member in members}
         self.loads_by_id: Counter[InstanceId] = Counter({name: 0 for name in self.members_by_id})
+        self.loads_by_domain: Counter[str] = Counter()
+        self.sizes_by_domain = Counter(member.failure_domain for member in members)
         self.owner_by_shard: dict[ShardId, InstanceId] = {}
         for index in range(shard_count):
             owner = InstanceId(table.owner(ShardId(index)).instance_id)
@@ -67,12 +69,16 @@
                 return
             owned = [shard for shard, owner in self.owner_by_shard.items() if owner == fullest]
             moved = max(owned, key=lambda shard: _weight(shard, emptiest))
-            self.loads_by_id[fullest] -= 1
+            self._count(fullest, -1)
             self._assign(moved, emptiest)
 
     def _assign(self, shard_id: ShardId, owner: InstanceId) -> None:
         self.owner_by_shard[shard_id] = owner
-        self.loads_by_id[owner] += 1
+        self._count(owner, 1)
+
+    def _count(self, owner: InstanceId, change: int) -> None:
+        self.loads_by_id[owner] += change
+        self.loads_by_domain[self.members_by_id[owner].failure_domain] += change
 
     def _emptiness(self, name: InstanceId) -> tuple[int, float, str]:
         return self.loads_by_id[name], self._domain_load(name), name
@@ -85,10 +91,7 @@
     def _domain_load(self, name: InstanceId) -> float:
         """Return the shards for each member of a member's failure domain."""
         domain = self.members_by_id[name].failure_domain
-        peers = [
-            peer for peer, member in self.members_by_id.items() if member.failure_domain == domain
-        ]
-        return sum(self.loads_by_id[peer] for peer in peers) / len(peers)
+        return self.loads_by_domain[domain] / self.sizes_by_domain[domain]
 
 
 def _weight(shard_id: ShardId, name: InstanceId) -> int:
