--- /dev/null
+++ b/tests/node/test_node.py
@@ -0,0 +1,23 @@
+"""Tests of the wiring of an instance."""
+
+import trio
+
+from lagoonfold.settings import load_settings
+from lagoonfold_node._node import Node
+from lagoonfold_node._status import why_not_ready
+from tests._run import ROOT
+from tests._suite import load_functions
+
+
+def test_an_instance_of_each_example_is_wired_and_not_ready() -> None:
+    """Every part is made from the settings; without a verified configuration it is not ready."""
+
+    async def check(name: str) -> None:
+        node = Node(load_settings(ROOT / "examples" / name).unwrap())
+        assert why_not_ready(node) == "the configuration could not be verified"
+
+    for name in ("brunner.ini", "corrib.ini"):
+        trio.run(check, name)
+
+
+load_tests = load_functions(globals())
