Survey a shard's bulk values when it is opened, not only when the disks change

Cause: test_two_copies_survive_a_lost_disk_and_are_repaired failed under load, by the 20 s limit on reaching two copies. The survey ran 1 s after the disks changed; where the lost instance also owned the shard, nobody had opened it by then, and the next survey was due after 600 s. Ruled out: the copying itself and the survey's answers; the state was never reached, whatever the limit.

--- a/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_bulk_keeper.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_bulk_keeper.py
@@ -1,7 +1,8 @@
 """Surveys the bulk values of the shards that are open here, so that each keeps two copies.
 
-Reads the cells `shards` and `ownership`. A survey is due after a while, and when the set of
-instances with disks has changed.
+Reads the cells `shards` and `ownership`. A survey is due after a while, when the set of instances
+with disks has changed, and when a shard was opened here: its former owner may have been lost with
+its disk before anyone could survey the shard.
 """
 
 import trio
@@ -21,10 +22,13 @@
         self._bulk = bulk
         self._changed = trio.Event()
         self._known_disks: frozenset[str] = frozenset()
+        self._known_shards: frozenset[tuple[int, int]] = frozenset()
 
     async def run(self) -> None:
         """Survey until cancelled."""
-        unsubscribe = self._context.board.ownership.subscribe(lambda _: self._note_change())
+        board = self._context.board
+        unsubscribe = board.ownership.subscribe(lambda _: self._note_disks())
+        unsubscribe_shards = board.shards.subscribe(lambda _: self._note_shards())
         try:
             while True:
                 with trio.move_on_after(SURVEY_INTERVAL_S):
@@ -34,6 +38,7 @@
                 await self.survey()
         finally:
             unsubscribe()
+            unsubscribe_shards()
 
     async def survey(self) -> None:
         """Survey every shard that this process may act for."""
@@ -43,7 +48,7 @@
                     shard.shard_id, shard.bulk_names(), shard.checkpointed_sequence
                 )
 
-    def _note_change(self) -> None:
+    def _note_disks(self) -> None:
         view = self._context.table_view()
         members = () if view is None else view.table.members
         disks = frozenset(
@@ -52,3 +57,10 @@
         if disks != self._known_disks:
             self._known_disks = disks
             self._changed.set()
+
+    def _note_shards(self) -> None:
+        opened = self._context.board.shards.read().values()
+        shards = frozenset((shard.shard_id, shard.epoch) for shard in opened)
+        if not shards <= self._known_shards:
+            self._changed.set()
+        self._known_shards = shards
