Consider and observe a bounded number of replicas per model

Cause: docs/CAPACITY.md works out 454% of a core and 1.85 MB/s for an instance that polls 2,900 engines twice a second: the row furthest over its limit. Weighed: one observer for each failure domain that passes loads on (a second hop of lag, and one more role to fail over); load reports with each answer (the engines don't offer it); a subset of replicas for each instance by rendezvous, polled at a bounded total rate. The subset needs no agreement. An instance now considers 16 replicas of each model and makes at most 16 polls a second in all; today's five replicas are all considered and polled every 0.5 s as before. Spread, 483 replicas before 380 instances: a replica is considered by 2 to 25 instances (mean 12.6, deviation 29%) at 16 per model, 0 to 14 at 8 (39%), 10 to 45 at 32 (20%). A bound of 8 would leave a replica out; 32 doubles the time between polls. Conclusion: 16.

--- a/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_feeds.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_feeds.py
@@ -14,6 +14,7 @@
 
 LOAD_INTERVAL_S = 0.5
 EVENTS_EVERY = 2
+MAX_REQUESTS_PER_S = 16.0
 POLL_TIMEOUT_S = 1.0
 
 
@@ -40,6 +41,9 @@
 class UpstreamFeeds:
     """Keeps the upstream table current from what engines publish.
 
+    Many engines are polled less often, so that the polls stay under `MAX_REQUESTS_PER_S`; what was
+    sent to an engine since its last report is counted meanwhile.
+
     A poll that fails leaves what is known as it was; whether an engine is up is learnt from
     calls, not from polls.
     """
@@ -59,11 +63,12 @@
         async with trio.open_nursery() as nursery:
             while True:
                 has_events = round_number % EVENTS_EVERY == 0
-                for upstream_id, state in tuple(self._table.states_by_id.items()):
-                    if state.listed.role == "engine" and upstream_id not in self._polling:
-                        nursery.start_soon(self._poll, upstream_id, state, has_events)
+                engines = self._table.candidates()
+                for state in engines:
+                    if state.load.upstream_id not in self._polling:
+                        nursery.start_soon(self._poll, state.load.upstream_id, state, has_events)
                 round_number += 1
-                await trio.sleep(LOAD_INTERVAL_S)
+                await trio.sleep(poll_interval_s(len(engines)))
 
     async def _poll(self, upstream_id: UpstreamId, state: UpstreamState, has_events: bool) -> None:
         self._polling.add(upstream_id)
@@ -114,6 +119,12 @@
         return answer.ok_value.body
 
 
+def poll_interval_s(engines: int) -> float:
+    """Return the time between polls of each engine, in seconds."""
+    requests = engines * (1 + 1 / EVENTS_EVERY)
+    return max(LOAD_INTERVAL_S, requests / MAX_REQUESTS_PER_S)
+
+
 def _event_of(body: _EventBody) -> CacheEvent:
     return CacheEvent(
         sequence=body.seq,
--- a/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_service.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_service.py
@@ -38,7 +38,7 @@
         rng: random.Random | None = None,
         policies: SchedulingSettings = DEFAULT_POLICIES,
     ) -> None:
-        table = UpstreamTable()
+        table = UpstreamTable(instance_id)
         poison = PoisonNotices(
             bus, store, lambda: [peer for peer in board.members.read() if peer != instance_id]
         )
--- a/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_table.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_table.py
@@ -3,9 +3,14 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from lagoonfold import ListedInstance, UpstreamId
+from lagoonfold import InstanceId, ListedInstance, UpstreamId
 from lagoonfold.resilience import Breaker, RetryBudget
-from lagoonfold.scheduling import CachedPrefixes, ReplicaLoad
+from lagoonfold.scheduling import (
+    MAX_REPLICAS_PER_MODEL,
+    CachedPrefixes,
+    ReplicaLoad,
+    choose_candidates,
+)
 
 LOAD_LAG_S = 1.0
 UNREPORTED_SLOTS = 64
@@ -25,10 +30,14 @@
     """Upstreams by id, kept in step with the list.
 
     An upstream that leaves the list is dropped with its load and breaker; one that is leaving
-    stays, since calls may still run there, but is no candidate.
+    stays, since calls may still run there, but is no candidate. Of the engines of one model a
+    bounded number are candidates of this instance.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, observer: InstanceId, *, per_model: int = MAX_REPLICAS_PER_MODEL) -> None:
+        self._observer = observer
+        self._per_model = per_model
+        self._candidates: frozenset[UpstreamId] = frozenset()
         self.states_by_id: dict[UpstreamId, UpstreamState] = {}
         self.prefixes = CachedPrefixes()
 
@@ -45,13 +54,22 @@
             else:
                 self.states_by_id[upstream_id] = _new_state(upstream_id, listed)
                 self.prefixes.forget_upstream(upstream_id)
+        self._candidates = choose_candidates(
+            self._observer, listed_by_id.values(), per_model=self._per_model
+        )
+
+    def candidates(self) -> list[UpstreamState]:
+        """Return the engines that this instance considers, and observes."""
+        return [self.states_by_id[upstream_id] for upstream_id in sorted(self._candidates)]
 
     def serving(self, target: str, *, is_model: bool) -> list[UpstreamState]:
         """Return the upstreams that serve a model or service and are not leaving."""
         return [
             state
-            for state in self.states_by_id.values()
-            if not state.listed.leaving and _serves(state.listed, target, is_model)
+            for upstream_id, state in self.states_by_id.items()
+            if not state.listed.leaving
+            and _serves(state.listed, target, is_model)
+            and (not is_model or upstream_id in self._candidates)
         ]
 
 
--- a/packages/lagoonfold/src/lagoonfold/scheduling/__init__.py
+++ b/packages/lagoonfold/src/lagoonfold/scheduling/__init__.py
@@ -20,6 +20,7 @@
     cache_policy,
 )
 from lagoonfold.scheduling._cached_prefixes import CachedPrefixes, CacheEvent, CacheEventKind
+from lagoonfold.scheduling._candidates import MAX_REPLICAS_PER_MODEL, choose_candidates
 from lagoonfold.scheduling._choosers import (
     CHOOSERS_BY_NAME,
     DEFAULT_CHOOSER,
@@ -33,6 +34,8 @@
 from lagoonfold.scheduling._service import PauseMeter, ServiceMeter, priority_of, service_s
 
 __all__ = [
+    "MAX_REPLICAS_PER_MODEL",
+    "choose_candidates",
     "ADMISSIONS_BY_NAME",
     "CACHE_POLICIES_BY_NAME",
     "CHOOSERS_BY_NAME",
--- /dev/null
+++ b/packages/lagoonfold/src/lagoonfold/scheduling/_candidates.py
@@ -0,0 +1,41 @@
+"""Which replicas of a large fleet an instance considers and observes.
+
+Every instance takes the replicas of each model that have the highest rendezvous weight with it. It
+then watches a bounded number of them, however many there are, and a replica that comes or goes
+changes the candidates of few instances.
+
+    choose_candidates(InstanceId("entry-1"), listed, per_model=16)
+"""
+
+from collections import defaultdict
+from collections.abc import Iterable
+
+import xxhash
+
+from lagoonfold._ids import InstanceId, UpstreamId
+from lagoonfold._ports import ListedInstance
+
+MAX_REPLICAS_PER_MODEL = 16
+
+
+def choose_candidates(
+    observer: InstanceId,
+    listed: Iterable[ListedInstance],
+    *,
+    per_model: int = MAX_REPLICAS_PER_MODEL,
+) -> frozenset[UpstreamId]:
+    """Return the engines to consider: for each model at most `per_model` that are not leaving."""
+    engines_by_model: dict[str, list[ListedInstance]] = defaultdict(list)
+    for engine in listed:
+        if engine.role == "engine" and not engine.leaving:
+            for model in engine.models:
+                engines_by_model[model].append(engine)
+    candidates: set[UpstreamId] = set()
+    for engines in engines_by_model.values():
+        ranked = sorted(engines, key=lambda engine: _weight(observer, engine), reverse=True)
+        candidates.update(UpstreamId(engine.instance_id) for engine in ranked[:per_model])
+    return frozenset(candidates)
+
+
+def _weight(observer: InstanceId, engine: ListedInstance) -> int:
+    return xxhash.xxh64_intdigest(f"{observer}|{engine.instance_id}".encode())
--- a/tests/node/_path.py
+++ b/tests/node/_path.py
@@ -243,7 +243,7 @@
         self.rates = FakeRates()
         client = HttpClient()
         self.bus = PeerBus(instance_id, "127.0.0.1:0", fleet.peers.get, self)
-        table = UpstreamTable()
+        table = UpstreamTable(instance_id)
         self.board.upstreams.subscribe(table.follow)
         poison = PoisonNotices(
             self.bus, DownStore(), lambda: [peer for peer in fleet.peers if peer != instance_id]
--- a/tests/scheduling/test_dispatcher.py
+++ b/tests/scheduling/test_dispatcher.py
@@ -8,7 +8,15 @@
 import trio.testing
 from result import Err, Ok
 
-from lagoonfold import AccountId, CallId, ErrorKind, ListedInstance, ProgramId, UpstreamId
+from lagoonfold import (
+    AccountId,
+    CallId,
+    ErrorKind,
+    InstanceId,
+    ListedInstance,
+    ProgramId,
+    UpstreamId,
+)
 from lagoonfold.scheduling import LoadReport
 from lagoonfold_io import HttpClient
 from lagoonfold_node._dispatch import (
@@ -30,7 +38,7 @@
 
 
 def _dispatcher(count: int, *, slots: int = 1) -> Dispatcher:
-    table = UpstreamTable()
+    table = UpstreamTable(InstanceId("entry-1"))
     table.follow({UpstreamId(f"e-{n}"): _listed(n) for n in range(count)})
     for state in table.states_by_id.values():
         state.load.note_report(LoadReport(running=0, waiting=0, slots=slots), now_s=0.0)
