--- /dev/null
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_execution/_begin.py
@@ -0,0 +1,120 @@
+"""What a call's begin is decided on: its route, its reserve, and the note for `explain`."""
+
+import trio
+from result import Err, Ok, Result
+
+from lagoonfold import CallId, ErrorKind, ProgramId, Refusal, RouteName, new_id
+from lagoonfold.config import Configuration, Route, RouteKind
+from lagoonfold.records import (
+    CallRequest,
+    Cost,
+    Decision,
+    Program,
+    digest_of_content,
+)
+from lagoonfold_node._execution._costs import (
+    answer_limit,
+    cost_of,
+    prompt_tokens_of,
+    remaining_tokens,
+)
+from lagoonfold_node._execution._executor import Executor
+from lagoonfold_node._execution._operations import RunCall
+from lagoonfold_node._execution._ports import OpenShard
+from lagoonfold_node._execution._running import RunningCall
+from lagoonfold_node._execution._sink import refuse
+
+
+def note_begin(
+    executor: Executor,
+    shard: OpenShard,
+    request: CallRequest,
+    operation: RunCall,
+    decided: Result[Decision, Refusal],
+) -> None:
+    """Note what was decided about a call, and what it rested on."""
+    program = shard.state.programs_by_id.get(request.program_id)
+    if isinstance(decided, Ok):
+        verdict = type(decided.ok_value).__name__.lower()
+    else:
+        verdict = f"{decided.err_value.kind.value}: {decided.err_value.detail}"
+    executor.decisions.add(
+        "begin",
+        operation.request_id,
+        program_id=request.program_id,
+        decided=verdict,
+        call_id=request.call_id,
+        turn=request.turn,
+        next_turn=program.next_turn if program else 0,
+        route=request.route,
+        is_idempotent=request.is_idempotent,
+        content_digest=request.content_digest,
+        reserve_tokens=request.reserve.tokens,
+        used_tokens=program.used.tokens if program else 0,
+        limit_tokens=program.limits.tokens if program else 0,
+        shard=shard.shard_id,
+        epoch=shard.epoch,
+    )
+
+
+def find_route(
+    configuration: Configuration, shard: OpenShard, operation: RunCall
+) -> Result[Route, Refusal]:
+    """Return a route if the program's profile has it and the caller's key allows the profile.
+
+    A program whose profile was retired keeps the routes that there are.
+    """
+    route = configuration.routes_by_name.get(RouteName(operation.route))
+    if route is None:
+        return Err(refuse(ErrorKind.NOT_FOUND, f"no route {operation.route}"))
+    program = shard.state.programs_by_id.get(ProgramId(operation.program_id))
+    if program is None:
+        return Ok(route)
+    if operation.profile_names and program.profile not in operation.profile_names:
+        detail = f"the key does not allow profile {program.profile}"
+        return Err(refuse(ErrorKind.FORBIDDEN, detail))
+    profile = configuration.profiles_by_name.get(program.profile)
+    if profile is not None and route.name not in profile.routes:
+        return Err(refuse(ErrorKind.FORBIDDEN, f"profile {profile.name} has no route {route.name}"))
+    return Ok(route)
+
+
+def make_request(operation: RunCall, route: Route, shard: OpenShard) -> CallRequest:
+    program = shard.state.programs_by_id.get(ProgramId(operation.program_id))
+    return CallRequest(
+        call_id=CallId(new_id("call")),
+        program_id=ProgramId(operation.program_id),
+        account_id=operation.account_id,
+        turn=operation.turn,
+        route=RouteName(operation.route),
+        is_idempotent=route.is_idempotent,
+        content_digest=digest_of_content(operation.route.encode(), operation.body),
+        body=operation.body,
+        reserve=_reserve(operation, route, program, shard),
+        idempotency_key=operation.idempotency_key,
+    )
+
+
+def _reserve(operation: RunCall, route: Route, program: Program | None, shard: OpenShard) -> Cost:
+    if route.kind is not RouteKind.MODEL or program is None:
+        return cost_of(route, 0)
+    prompt_tokens = prompt_tokens_of(operation.body)
+    left = remaining_tokens(list(shard.state.lineage(program))) - prompt_tokens
+    return cost_of(route, prompt_tokens + answer_limit(operation.max_tokens, left))
+
+
+def make_running(
+    operation: RunCall, route: Route, shard: OpenShard, request: CallRequest
+) -> RunningCall:
+    timeout_s = route.timeout_s
+    if route.is_idempotent:
+        timeout_s = min(timeout_s, operation.timeout_s)
+    return RunningCall(
+        call_id=request.call_id,
+        operation=operation,
+        route=route,
+        shard=shard,
+        reserve=request.reserve,
+        deadline_s=trio.current_time() + timeout_s,
+        content_digest=request.content_digest,
+    )
--- a/packages/lagoonfold-node/src/lagoonfold_node/_execution/_calls.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_execution/_calls.py
@@ -8,30 +8,17 @@
 import time
 
 import trio
-from result import Err, Ok, Result
+from result import Err, Result
 
-from lagoonfold import CallId, ErrorKind, ProgramId, Ran, Refusal, RouteName, new_id
-from lagoonfold.config import Configuration, Route, RouteKind
+from lagoonfold import CallId, ErrorKind, Refusal
 from lagoonfold.records import (
-    NO_COST,
     CallRequest,
-    Cost,
-    Decision,
     Execute,
     Join,
-    Outcome,
-    Program,
     Replay,
-    Settled,
-    digest_of_content,
     match_replay,
 )
-from lagoonfold_node._execution._costs import (
-    answer_limit,
-    cost_of,
-    prompt_tokens_of,
-    remaining_tokens,
-)
+from lagoonfold_node._execution._begin import find_route, make_request, make_running, note_begin
 from lagoonfold_node._execution._executor import Executor, not_owner
 from lagoonfold_node._execution._feed import Answer
 from lagoonfold_node._execution._operations import RunCall, performs
@@ -39,10 +26,9 @@
 from lagoonfold_node._execution._render import send_answer, stream_answer
 from lagoonfold_node._execution._runners import RUNNERS_BY_KIND, Finished
 from lagoonfold_node._execution._running import RunningCall
+from lagoonfold_node._execution._settle import ran_of, settle
 from lagoonfold_node._execution._sink import Sink, refuse
 
-SETTLE_TIMEOUT_S = 15.0
-
 _NOT_BEGUN = refuse(ErrorKind.INTERNAL, "the call's begin was not recorded")
 
 
@@ -51,119 +37,26 @@
     executor: Executor, shard: OpenShard, operation: RunCall, sink: Sink
 ) -> Refusal | None:
     """Replay, join or make the call of a turn."""
-    allowed = _find_route(executor.config.read().configuration, shard, operation)
+    allowed = find_route(executor.config.read().configuration, shard, operation)
     if isinstance(allowed, Err):
         return allowed.err_value
     route = allowed.ok_value
-    request = _request(operation, route, shard)
+    request = make_request(operation, route, shard)
     decided = shard.state.decide_begin(request, time.time(), executor=shard.executor)
-    _note_begin(executor, shard, request, operation, decided)
+    note_begin(executor, shard, request, operation, decided)
     if isinstance(decided, Err):
         return decided.err_value
     match decided.ok_value:
         case Execute() as execute:
-            return await _start(executor, _running(operation, route, shard, request), execute, sink)
+            return await _start(
+                executor, make_running(operation, route, shard, request), execute, sink
+            )
         case Replay():
             return await _replay(shard, request, operation, sink)
         case Join(call_id=call_id):
             return await _join(executor, shard, call_id, operation, sink)
 
 
-def _note_begin(
-    executor: Executor,
-    shard: OpenShard,
-    request: CallRequest,
-    operation: RunCall,
-    decided: Result[Decision, Refusal],
-) -> None:
-    """Note what was decided about a call, and what it rested on."""
-    program = shard.state.programs_by_id.get(request.program_id)
-    if isinstance(decided, Ok):
-        verdict = type(decided.ok_value).__name__.lower()
-    else:
-        verdict = f"{decided.err_value.kind.value}: {decided.err_value.detail}"
-    executor.decisions.add(
-        "begin",
-        operation.request_id,
-        program_id=request.program_id,
-        decided=verdict,
-        call_id=request.call_id,
-        turn=request.turn,
-        next_turn=program.next_turn if program else 0,
-        route=request.route,
-        is_idempotent=request.is_idempotent,
-        content_digest=request.content_digest,
-        reserve_tokens=request.reserve.tokens,
-        used_tokens=program.used.tokens if program else 0,
-        limit_tokens=program.limits.tokens if program else 0,
-        shard=shard.shard_id,
-        epoch=shard.epoch,
-    )
-
-
-def _find_route(
-    configuration: Configuration, shard: OpenShard, operation: RunCall
-) -> Result[Route, Refusal]:
-    """Return a route if the program's profile has it and the caller's key allows the profile.
-
-    A program whose profile was retired keeps the routes that there are.
-    """
-    route = configuration.routes_by_name.get(RouteName(operation.route))
-    if route is None:
-        return Err(refuse(ErrorKind.NOT_FOUND, f"no route {operation.route}"))
-    program = shard.state.programs_by_id.get(ProgramId(operation.program_id))
-    if program is None:
-        return Ok(route)
-    if operation.profile_names and program.profile not in operation.profile_names:
-        detail = f"the key does not allow profile {program.profile}"
-        return Err(refuse(ErrorKind.FORBIDDEN, detail))
-    profile = configuration.profiles_by_name.get(program.profile)
-    if profile is not None and route.name not in profile.routes:
-        return Err(refuse(ErrorKind.FORBIDDEN, f"profile {profile.name} has no route {route.name}"))
-    return Ok(route)
-
-
-def _request(operation: RunCall, route: Route, shard: OpenShard) -> CallRequest:
-    program = shard.state.programs_by_id.get(ProgramId(operation.program_id))
-    return CallRequest(
-        call_id=CallId(new_id("call")),
-        program_id=ProgramId(operation.program_id),
-        account_id=operation.account_id,
-        turn=operation.turn,
-        route=RouteName(operation.route),
-        is_idempotent=route.is_idempotent,
-        content_digest=digest_of_content(operation.route.encode(), operation.body),
-        body=operation.body,
-        reserve=_reserve(operation, route, program, shard),
-        idempotency_key=operation.idempotency_key,
-    )
-
-
-def _reserve(operation: RunCall, route: Route, program: Program | None, shard: OpenShard) -> Cost:
-    if route.kind is not RouteKind.MODEL or program is None:
-        return cost_of(route, 0)
-    prompt_tokens = prompt_tokens_of(operation.body)
-    left = remaining_tokens(list(shard.state.lineage(program))) - prompt_tokens
-    return cost_of(route, prompt_tokens + answer_limit(operation.max_tokens, left))
-
-
-def _running(
-    operation: RunCall, route: Route, shard: OpenShard, request: CallRequest
-) -> RunningCall:
-    timeout_s = route.timeout_s
-    if route.is_idempotent:
-        timeout_s = min(timeout_s, operation.timeout_s)
-    return RunningCall(
-        call_id=request.call_id,
-        operation=operation,
-        route=route,
-        shard=shard,
-        reserve=request.reserve,
-        deadline_s=trio.current_time() + timeout_s,
-        content_digest=request.content_digest,
-    )
-
-
 async def _start(
     executor: Executor, running: RunningCall, decided: Execute, sink: Sink
 ) -> Refusal | None:
@@ -198,116 +91,18 @@
             finished = Err(_stopped(running, timer.cancelled_caught))
     except Exception as error:
         executor.on_fault("call-failed", error)
-        finished = Err(refuse(ErrorKind.INTERNAL, "the call failed", ran=_ran(running)))
+        finished = Err(refuse(ErrorKind.INTERNAL, "the call failed", ran=ran_of(running)))
     finally:
         with trio.CancelScope(shield=True):
-            await _settle(executor, running, finished or Err(_stopped(running, False)))
-
-
-def _ran(running: RunningCall) -> Ran:
-    return Ran.UNKNOWN if running.was_sent else Ran.NO
+            await settle(executor, running, finished or Err(_stopped(running, False)))
 
 
 def _stopped(running: RunningCall, is_late: bool) -> Refusal:
     """Return why a call was cancelled, with what is known of whether it ran."""
     if running.stopped is not None:
-        return refuse(running.stopped.kind, running.stopped.detail, ran=_ran(running))
+        return refuse(running.stopped.kind, running.stopped.detail, ran=ran_of(running))
     kind = ErrorKind.DEADLINE_EXCEEDED if is_late else ErrorKind.SHUTTING_DOWN
-    return refuse(kind, "the call did not end in time", ran=_ran(running))
-
-
-async def _settle(
-    executor: Executor, running: RunningCall, finished: Result[Finished, Refusal]
-) -> None:
-    """Record the outcome, then let the readers see the end."""
-    try:
-        with trio.fail_after(SETTLE_TIMEOUT_S):
-            await running.begun.wait()
-            refusal = await _record(executor, running, finished)
-    except trio.TooSlowError:
-        executor.spawn(_record_late, executor, running, finished)
-        refusal = refuse(
-            ErrorKind.PLATFORM_UNAVAILABLE,
-            "the outcome could not be recorded in time",
-            ran=_ran(running),
-            retry_after_s=1.0,
-        )
-    del executor.running_by_call[running.call_id]
-    if refusal is not None:
-        running.feed.refuse(refusal)
-    else:
-        running.feed.finish(finished.ok_value.answer, finished.ok_value.last_part)
-
-
-async def _record_late(
-    executor: Executor, running: RunningCall, finished: Result[Finished, Refusal]
-) -> None:
-    """Record an outcome whose caller was answered before, so that its program can go on."""
-    await running.begun.wait()
-    await _record(executor, running, finished)
-
-
-async def _record(
-    executor: Executor, running: RunningCall, finished: Result[Finished, Refusal]
-) -> Refusal | None:
-    """Commit the settlement; return what the caller is told if it gets no answer."""
-    if running.begin_refusal is not None:
-        refusal = running.begin_refusal
-        return refuse(
-            refusal.kind, refusal.detail, ran=_ran(running), retry_after_s=refusal.retry_after_s
-        )
-    settled, refusal = _settlement(running, finished)
-    executor.decisions.add(
-        "settle",
-        running.operation.request_id,
-        program_id=running.program_id,
-        decided=settled.outcome.value,
-        call_id=running.call_id,
-        used_tokens=settled.used.tokens,
-        refusal=refusal.detail if refusal else "",
-        was_sent=running.was_sent,
-    )
-    decided = running.shard.state.decide_settle(settled)
-    if isinstance(decided, Err):
-        return decided.err_value
-    committed = await running.shard.commit(decided.ok_value)
-    if isinstance(committed, Err):
-        unrecorded = committed.err_value
-        return refuse(
-            unrecorded.kind,
-            unrecorded.detail,
-            ran=_ran(running),
-            retry_after_s=unrecorded.retry_after_s,
-        )
-    return refusal
-
-
-def _settlement(
-    running: RunningCall, finished: Result[Finished, Refusal]
-) -> tuple[Settled, Refusal | None]:
-    """Return the record of an outcome, and the refusal that goes with a failed one."""
-    if isinstance(finished, Ok):
-        answer, used = finished.ok_value.answer, finished.ok_value.used
-        return _settled(running, Outcome.ANSWERED, answer, used), None
-    refusal = finished.err_value
-    if refusal.ran is Ran.NO:
-        return _settled(running, Outcome.NOT_RUN, None, NO_COST), refusal
-    if running.route.is_idempotent:
-        return _settled(running, Outcome.FAILED, None, running.spent), refusal
-    unknown = refuse(ErrorKind.OUTCOME_UNKNOWN, refusal.detail, ran=Ran.UNKNOWN)
-    return _settled(running, Outcome.UNKNOWN, None, running.reserve), unknown
-
-
-def _settled(running: RunningCall, outcome: Outcome, answer: Answer | None, used: Cost) -> Settled:
-    return Settled(
-        program_id=running.program_id,
-        call_id=running.call_id,
-        outcome=outcome,
-        status=answer.status if answer else 0,
-        content_type=answer.content_type if answer else "",
-        answer=answer.body if answer else b"",
-        used=used,
-    )
+    return refuse(kind, "the call did not end in time", ran=ran_of(running))
 
 
 async def _replay(
--- a/tests/node/test_path.py
+++ b/tests/node/test_path.py
@@ -9,7 +9,7 @@
 from lagoonfold import ErrorKind, Refusal
 from lagoonfold.config import digest_of
 from lagoonfold_io import HttpRequest, StreamError
-from lagoonfold_node._execution import _calls
+from lagoonfold_node._execution import _settle
 from tests._suite import load_functions
 from tests.node._path import (
     KEY,
@@ -327,7 +327,7 @@
     async def check(fleet: PathFleet) -> None:
         program_id = await fleet.create_program()
         fleet.shard.commit_delay_s = 1.0
-        with mock.patch.object(_calls, "SETTLE_TIMEOUT_S", 0.05):
+        with mock.patch.object(_settle, "SETTLE_TIMEOUT_S", 0.05):
             reply = await fleet.chat(0, program_id, 1, "hello", stream=False)
         problem = json.loads(reply.body)
         assert (problem["kind"], problem["ran"]) == ("platform-unavailable", "unknown")
