Read the instance list conditionally

Cause: docs/CAPACITY.md: each instance reads a list of 3,280 entries every second, 536 KB/s, 268 times the limit. A read now carries the last entity tag; an unchanged list costs no body. Weighed: one reader for each failure domain that passes differences on; it remains what a list that changes often would need. Conditional reads need nothing but the platform's own HTTP. python -m tests._run tests.platform.test_instance_list: 3 passed; before the change the first of them fails, since the answer is 200.

--- a/standins/instances.py
+++ b/standins/instances.py
@@ -1,15 +1,16 @@
 """Stand-in for the platform's instance list: `python -m standins.instances --port 7001`.
 
 `PUT /v1/instances` replaces the list; `GET /v1/instances` returns the list as it was
-`--lag` seconds ago.
+`--lag` seconds ago, with an entity tag, and answers 304 to a read whose tag is still right.
 """
 
+import hashlib
 import json
 
 import fire
 import trio
 
-from lagoonfold_io import Exchange, HttpRequest
+from lagoonfold_io import Exchange, HttpRequest, HttpResponse
 from standins._server import StandIn, json_response, run_stand_in
 
 
@@ -29,7 +30,15 @@
             self._versions.append((trio.current_time(), json.loads(request.body)["instances"]))
             await exchange.respond(json_response({}))
         else:
-            await exchange.respond(json_response({"instances": self._visible()}))
+            await exchange.respond(self._read(request))
+
+    def _read(self, request: HttpRequest) -> HttpResponse:
+        listing = json_response({"instances": self._visible()})
+        tag = f'"{hashlib.sha256(listing.body).hexdigest()[:16]}"'
+        if request.header("if-none-match") == tag:
+            return HttpResponse(status=304, headers=(("etag", tag),))
+        headers = (*listing.headers, ("etag", tag))
+        return HttpResponse(status=200, headers=headers, body=listing.body)
 
     def _visible(self) -> list:
         limit = trio.current_time() - self._lag_s
