--- a/standins/_server.py
+++ b/standins/_server.py
@@ -1,6 +1,7 @@
 """Runs a stand-in's handler until the process is told to stop."""
 
 import json
+import os
 import signal
 
 import msgspec
@@ -8,8 +9,9 @@
 
 from lagoonfold_io import Exchange, HttpLimits, HttpRequest, HttpResponse, HttpServer
 from standins._faults import Faults
-from standins._seen import SeenLog
+from standins._seen import Seen, SeenLog, SeenState
 
+CRASH_MARKER = b"crash-the-upstream"
 JSON_HEADERS = (("content-type", "application/json"),)
 LIMITS = HttpLimits(max_body_bytes=64 * 1024 * 1024, max_connections=20_000, idle_timeout_s=600.0)
 
@@ -42,6 +44,27 @@
         """Answer one request."""
         raise NotImplementedError
 
+    async def begin(self, request: HttpRequest, exchange: Exchange) -> Seen | None:
+        """Note a request that is to run; return None if a fault has answered it.
+
+        A request that holds `CRASH_MARKER` ends the process. What is begun counts as cancelled
+        until its end is noted.
+        """
+        if self.faults.refuse:
+            await exchange.respond(json_response({"error": "refused"}, status=503))
+            return None
+        seen = self.seen.add(request)
+        seen.state = SeenState.CANCELLED.value
+        if CRASH_MARKER in request.body:
+            os._exit(1)
+        if self.faults.hang:
+            await trio.sleep_forever()
+        if self.faults.take_failure():
+            seen.state = SeenState.FAILED.value
+            await exchange.respond(json_response({"error": "failed"}, status=500))
+            return None
+        return seen
+
 
 async def _stop_on_signal(scope: trio.CancelScope) -> None:
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -6,7 +6,6 @@
 """
 
 import json
-import os
 from collections import deque
 
 import fire
@@ -19,7 +18,6 @@
 from standins._seen import Seen, SeenState
 from standins._server import JSON_HEADERS, StandIn, json_response, run_stand_in
 
-CRASH_MARKER = b"crash-the-upstream"
 STREAM_HEADERS = (("content-type", "text/event-stream"), ("cache-control", "no-store"))
 
 
@@ -104,18 +102,8 @@
         return json_response({"done": order["kind"]})
 
     async def _complete(self, request: HttpRequest, exchange: Exchange) -> None:
-        if self.faults.refuse:
-            await exchange.respond(json_response({"error": "refused"}, status=503))
-            return
-        seen = self.seen.add(request)
-        seen.state = SeenState.CANCELLED.value
-        if CRASH_MARKER in request.body:
-            os._exit(1)
-        if self.faults.hang:
-            await trio.sleep_forever()
-        if self.faults.take_failure():
-            seen.state = SeenState.FAILED.value
-            await exchange.respond(json_response({"error": "failed"}, status=500))
+        seen = await self.begin(request, exchange)
+        if seen is None:
             return
         body = json.loads(request.body)
         async with self._slots.hold(int(body.get("priority", 0))):
--- a/standins/tool.py
+++ b/standins/tool.py
@@ -4,7 +4,6 @@
 """
 
 import json
-import os
 
 import fire
 import trio
@@ -13,8 +12,6 @@
 from standins._seen import SeenState
 from standins._server import StandIn, json_response, run_stand_in
 
-CRASH_MARKER = b"crash-the-upstream"
-
 
 class ToolStandIn(StandIn):
     """Runs every request it gets, after a delay in seconds."""
@@ -26,18 +23,8 @@
 
     async def serve(self, request: HttpRequest, exchange: Exchange) -> None:
         """Run one request."""
-        if self.faults.refuse:
-            await exchange.respond(json_response({"error": "refused"}, status=503))
-            return
-        seen = self.seen.add(request)
-        seen.state = SeenState.CANCELLED.value
-        if CRASH_MARKER in request.body:
-            os._exit(1)
-        if self.faults.hang:
-            await trio.sleep_forever()
-        if self.faults.take_failure():
-            seen.state = SeenState.FAILED.value
-            await exchange.respond(json_response({"error": "failed"}, status=500))
+        seen = await self.begin(request, exchange)
+        if seen is None:
             return
         await trio.sleep(self._delay_s * self.faults.slow)
         self._runs += 1
