--- a/bench/_fleet_slopes.py
+++ b/bench/_fleet_slopes.py
@@ -101,14 +101,14 @@
     return idle
 
 
-def _measure_changes(fleet: Fleet, idle: Idle) -> None:
+def _measure_changes(fleet: Fleet, idle: Idle, quantity: str) -> None:
     """Time changes of the configuration from their acceptance until they are in force."""
     for number in range(CHANGES):
-        name = f"account-{number}"
+        name = f"{quantity}-{number}"
         version = fleet.operate("account", "add", name, "--rate=1", "--burst=1")["version"]
         accepted_at_s = time.monotonic()
         wait_until(lambda version=version: _is_everywhere(fleet, version), f"version {version}")
-        idle.add("change_s", time.monotonic() - accepted_at_s)
+        idle.add(quantity, time.monotonic() - accepted_at_s)
 
 
 def _is_everywhere(fleet: Fleet, version: int) -> bool:
@@ -148,7 +148,9 @@
     for count in INSTANCE_COUNTS:
         with Fleet.start(instances=count, engines=1, lease_s=LEASE_S) as fleet:
             watchers[count] = _measure_idle(fleet)
-            _measure_changes(fleet, watchers[count])
+            _measure_changes(fleet, watchers[count], "change_s")
+            fleet.inject_store(mute_watches=True)
+            _measure_changes(fleet, watchers[count], "silent_watch_change_s")
     return _fit_all("watcher_", "instance in its group", watchers)
 
 
--- a/packages/lagoonfold-ctl/src/lagoonfold_ctl/_documents.py
+++ b/packages/lagoonfold-ctl/src/lagoonfold_ctl/_documents.py
@@ -1,99 +1,24 @@
 """The commands that add, change, retire, list and show configuration documents."""
 
-from collections.abc import Callable, Mapping
-from dataclasses import dataclass
-from typing import Any
-
-from result import Err, Ok, Result
-
-from lagoonfold import ErrorKind, Refusal
-from lagoonfold.config import (
-    Change,
-    ChangeRecord,
-    Configuration,
-    PutAccount,
-    PutKey,
-    PutProfile,
-    PutRoute,
-    RetireAccount,
-    RetireProfile,
-    RetireRoute,
-    WithdrawKey,
-    digest_of,
-    generate_secret,
-)
+from collections.abc import Mapping
+
+from result import Result
+
+from lagoonfold import Refusal
+from lagoonfold.config import Change, ChangeRecord, Configuration, digest_of, generate_secret
 from lagoonfold_ctl._commands import command
-from lagoonfold_ctl._inputs import (
-    AccountInput,
-    Input,
-    KeyInput,
-    ProfileInput,
-    RouteInput,
-    parse_input,
-)
+from lagoonfold_ctl._inputs import parse_input
+from lagoonfold_ctl._kinds import ACCOUNT, KEY, PROFILE, ROUTE, Kind, find
 from lagoonfold_ctl._render import describe_change, render_fields, render_table, to_fields
 from lagoonfold_ctl._session import CommandError, Session, unwrap
 
 Given = Mapping[str, object]
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class _Kind:
-    """One kind of document: where it is kept and how it is changed."""
-
-    noun: str
-    model: type[Input]
-    documents_of: Callable[[Configuration], Mapping[str, Any]]
-    put: Callable[[Any, bool], Change]
-    retire: Callable[[str], Change]
-
-
-_ACCOUNT = _Kind(
-    noun="account",
-    model=AccountInput,
-    documents_of=lambda configuration: configuration.accounts_by_id,
-    put=lambda account, replaces: PutAccount(account=account, replaces=replaces),
-    retire=lambda account_id: RetireAccount(account_id=account_id),
-)
-_ROUTE = _Kind(
-    noun="route",
-    model=RouteInput,
-    documents_of=lambda configuration: configuration.routes_by_name,
-    put=lambda route, replaces: PutRoute(route=route, replaces=replaces),
-    retire=lambda name: RetireRoute(name=name),
-)
-_PROFILE = _Kind(
-    noun="profile",
-    model=ProfileInput,
-    documents_of=lambda configuration: configuration.profiles_by_name,
-    put=lambda profile, replaces: PutProfile(profile=profile, replaces=replaces),
-    retire=lambda name: RetireProfile(name=name),
-)
-_KEY = _Kind(
-    noun="key with the digest",
-    model=KeyInput,
-    documents_of=lambda configuration: configuration.keys_by_digest,
-    put=lambda key, replaces: PutKey(key=key, replaces=replaces),
-    retire=lambda digest: WithdrawKey(digest=digest),
-)
-
-
-def _find(kind: _Kind, configuration: Configuration, name: str) -> Result[str, Refusal]:
-    """Return the name of a document; a key may be named by its digest's first characters."""
-    documents = kind.documents_of(configuration)
-    found = [name] if name in documents else []
-    if kind is _KEY and name:
-        found = [digest for digest in documents if digest.startswith(name)]
-    if len(found) == 1:
-        return Ok(found[0])
-    count = "no" if not found else "more than one"
-    return Err(Refusal(kind=ErrorKind.NOT_FOUND, detail=f"there is {count} {kind.noun} {name}"))
-
-
 class _Commands:
     """The commands that all kinds of documents share."""
 
-    def __init__(self, session: Session, kind: _Kind) -> None:
+    def __init__(self, session: Session, kind: Kind) -> None:
         self._session = session
         self._kind = kind
 
@@ -102,7 +27,7 @@
         """Retire a document for good."""
 
         def make(configuration: Configuration) -> Result[Change, Refusal]:
-            return _find(self._kind, configuration, name).map(self._kind.retire)
+            return find(self._kind, configuration, name).map(self._kind.retire)
 
         self._report(self._session.propose(make))
 
@@ -117,7 +42,7 @@
     def show(self, name: str) -> None:
         """Show one document."""
         configuration = self._session.read()
-        found = unwrap(_find(self._kind, configuration, name))
+        found = unwrap(find(self._kind, configuration, name))
         fields = to_fields(self._kind.documents_of(configuration)[found])
         self._session.show(fields, render_fields(fields))
 
@@ -130,7 +55,7 @@
         kind = self._kind
 
         def make(configuration: Configuration) -> Result[Change, Refusal]:
-            found = _find(kind, configuration, name)
+            found = find(kind, configuration, name)
             present = found.map(lambda key: kind.documents_of(configuration)[key])
             parsed = present.map(kind.model.fields_of).and_then(
                 lambda fields: parse_input(kind.model, given, fields)
@@ -148,7 +73,7 @@
     """Client accounts: their rate and burst over all instances together."""
 
     def __init__(self, session: Session) -> None:
-        super().__init__(session, _ACCOUNT)
+        super().__init__(session, ACCOUNT)
 
     @command
     def add(self, id: str, rate: str, burst: str, weight: str | None = None) -> None:
@@ -167,7 +92,7 @@
     """Routes to models, tools and plain services."""
 
     def __init__(self, session: Session) -> None:
-        super().__init__(session, _ROUTE)
+        super().__init__(session, ROUTE)
 
     @command
     def add(
@@ -204,7 +129,7 @@
     """Profiles: how a class of programs is treated."""
 
     def __init__(self, session: Session) -> None:
-        super().__init__(session, _PROFILE)
+        super().__init__(session, PROFILE)
 
     @command
     def add(
@@ -243,7 +168,7 @@
     """API keys: shown once, kept as digests, named by a digest's first characters."""
 
     def __init__(self, session: Session) -> None:
-        super().__init__(session, _KEY)
+        super().__init__(session, KEY)
 
     @command
     def add(self, account: str, profiles: str | None = None, label: str | None = None) -> None:
--- a/packages/lagoonfold/src/lagoonfold/config/__init__.py
+++ b/packages/lagoonfold/src/lagoonfold/config/__init__.py
@@ -3,8 +3,7 @@
 configuration = apply_change(EMPTY_CONFIGURATION, PutAccount(account=a, replaces=False))
 """
 
-from lagoonfold.config._changes import (
-    MAX_WITHDRAWN_KEYS,
+from lagoonfold.config._change_types import (
     Change,
     PutAccount,
     PutKey,
@@ -14,9 +13,8 @@
     RetireProfile,
     RetireRoute,
     WithdrawKey,
-    apply_change,
-    subject_of,
 )
+from lagoonfold.config._changes import MAX_WITHDRAWN_KEYS, apply_change, subject_of
 from lagoonfold.config._documents import (
     EMPTY_CONFIGURATION,
     NEVER_VERIFIED_S,
--- a/packages/lagoonfold/src/lagoonfold/config/_changes.py
+++ b/packages/lagoonfold/src/lagoonfold/config/_changes.py
@@ -1,4 +1,4 @@
-"""Changes of the configuration, and the function that applies one.
+"""The function that applies a change to the configuration.
 
 Each change type has an applier in a registry; an applier returns the new configuration at the
 same version, or a refusal that names the document and what is wrong with it.
@@ -10,82 +10,26 @@
 from dataclasses import replace
 from typing import Any, TypeVar
 
-import msgspec
 from result import Err, Ok, Result
 
 from lagoonfold._errors import ErrorKind, Refusal
-from lagoonfold._ids import AccountId, KeyDigest, ProfileName, RouteName
-from lagoonfold.config._documents import Account, ApiKey, Configuration, Profile, Route
+from lagoonfold._ids import KeyDigest
+from lagoonfold.config._change_types import (
+    Change,
+    PutAccount,
+    PutKey,
+    PutProfile,
+    PutRoute,
+    RetireAccount,
+    RetireProfile,
+    RetireRoute,
+    WithdrawKey,
+)
+from lagoonfold.config._documents import ApiKey, Configuration
 
 MAX_WITHDRAWN_KEYS = 1024
 
 
-class _ChangeBase(msgspec.Struct, frozen=True, kw_only=True, tag_field="op"):
-    """Common base: a change is stored under its `op` tag."""
-
-
-class PutProfile(_ChangeBase, frozen=True, kw_only=True, tag="put-profile"):
-    """Add a profile, or replace the one of that name."""
-
-    profile: Profile
-    replaces: bool
-
-
-class RetireProfile(_ChangeBase, frozen=True, kw_only=True, tag="retire-profile"):
-    """Remove a profile; its running programs keep their budget and end as they would."""
-
-    name: ProfileName
-
-
-class PutAccount(_ChangeBase, frozen=True, kw_only=True, tag="put-account"):
-    """Add a client account, or replace the one of that id."""
-
-    account: Account
-    replaces: bool
-
-
-class RetireAccount(_ChangeBase, frozen=True, kw_only=True, tag="retire-account"):
-    """Remove a client account that no profile names; its keys are withdrawn with it."""
-
-    account_id: AccountId
-
-
-class PutKey(_ChangeBase, frozen=True, kw_only=True, tag="put-key"):
-    """Add a key, or replace what the key of that digest may do."""
-
-    key: ApiKey
-    replaces: bool
-
-
-class WithdrawKey(_ChangeBase, frozen=True, kw_only=True, tag="withdraw-key"):
-    """Withdraw a key for good."""
-
-    digest: KeyDigest
-
-
-class PutRoute(_ChangeBase, frozen=True, kw_only=True, tag="put-route"):
-    """Add a route, or replace the one of that name."""
-
-    route: Route
-    replaces: bool
-
-
-class RetireRoute(_ChangeBase, frozen=True, kw_only=True, tag="retire-route"):
-    """Remove a route that no profile names."""
-
-    name: RouteName
-
-
-Change = (
-    PutProfile
-    | RetireProfile
-    | PutAccount
-    | RetireAccount
-    | PutKey
-    | WithdrawKey
-    | PutRoute
-    | RetireRoute
-)
 Outcome = Result[Configuration, Refusal]
 
 K = TypeVar("K")
--- a/packages/lagoonfold/src/lagoonfold/config/_log.py
+++ b/packages/lagoonfold/src/lagoonfold/config/_log.py
@@ -15,7 +15,8 @@
 from result import Err, Ok, Result
 
 from lagoonfold._errors import ErrorKind, Refusal
-from lagoonfold.config._changes import Change, apply_change, subject_of
+from lagoonfold.config._change_types import Change
+from lagoonfold.config._changes import apply_change, subject_of
 from lagoonfold.config._documents import Configuration
 
 HEAD_KEY = "config/head"
