--- a/packages/lagoonfold-node/src/lagoonfold_node/_border/_border.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_border/_border.py
@@ -35,6 +35,10 @@
 
 OWNER_ANSWER_S = 0.25
 
+_INTERNAL = Refusal(
+    kind=ErrorKind.INTERNAL, detail="the request failed here; it is logged", ran=Ran.UNKNOWN
+)
+
 _REQUEST_ID = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:-]{0,127}")
 
 
@@ -81,7 +85,6 @@
             self.handle,
             limits=limits,
             respond_to_fault=self._respond_to_fault,
-            on_handler_error=lambda error: self._log.error("border.handler_failed", error),
         )
 
     @property
@@ -103,6 +106,10 @@
         except ClientGoneError:
             self._metrics.count("client_gone")
             raise
+        except Exception as error:
+            self._log.error("border.request_failed", error, request_id=request_id)
+            self._count(_INTERNAL, request, request_id)
+            await sink.refuse(_INTERNAL)
         finally:
             self._active -= 1
             self._metrics.record("request", trio.current_time() - started_s)
--- a/tests/node/test_path.py
+++ b/tests/node/test_path.py
@@ -460,6 +460,22 @@
     run_fleet(check)
 
 
+def test_internal_failure_is_reported_as_one() -> None:
+    """A fault of our own gets a problem document that claims nothing, and the request's id."""
+
+    async def check(fleet: PathFleet) -> None:
+        async def fail(account_id: str) -> None:
+            raise ZeroDivisionError
+
+        fleet.nodes[0].rates.admit = fail
+        reply = await fleet.send(0, "POST", "/v1/programs", {"profile": "field"})
+        problem = json.loads(reply.body)
+        assert reply.status == 500 and problem["kind"] == "internal"
+        assert problem["ran"] == "unknown" and problem["request_id"]
+
+    run_fleet(check)
+
+
 def test_refusals_carry_request_id_and_retry_after() -> None:
     """A refused caller learns the kind, when to come back, and its own request id."""
 
