--- a/bench/policy/__main__.py
+++ b/bench/policy/__main__.py
@@ -8,6 +8,7 @@
 import fire
 
 from bench.policy._calibrate import find_rate
+from bench.policy._overload_experiment import run_admission
 from bench.policy._points import BASELINE
 from bench.policy._rates_experiment import run_rate_limits
 from bench.policy._scheduler import Policy
@@ -52,6 +53,11 @@
     _show(run_pauses(workload, seeds))
 
 
+def admission(workload: str, seeds: int = 2) -> None:
+    """Run decision 4."""
+    _show(run_admission(workload, seeds))
+
+
 def rates(seeds: int = 3) -> None:
     """Run decision 5."""
     _show(run_rate_limits(seeds))
@@ -63,5 +69,5 @@
 
 
 if __name__ == "__main__":
-    commands = (calibrate, targets, order, replica, pauses, rates, health)
+    commands = (calibrate, targets, order, replica, pauses, admission, rates, health)
     fire.Fire({command.__name__: command for command in commands})
--- /dev/null
+++ b/bench/policy/_overload_experiment.py
@@ -0,0 +1,92 @@
+"""The experiment on admission: a surge of all accounts for a minute."""
+
+import statistics
+from collections.abc import Sequence
+
+from bench.policy._measure import GOODPUT_BIN_S, RunMeasures, measure_all, percentile, summarize
+from bench.policy._points import DEFAULT_RATE_BY_WORKLOAD, scenarios
+from bench.policy._report import plot_lines, write_report
+from bench.policy._scheduler import Policy
+from bench.policy._workloads import Surge
+from lagoonfold.scheduling import ADMISSIONS_BY_NAME
+
+SURGE_FROM_S = 900.0
+SURGE_S = 60.0
+FACTORS = (2.0, 5.0)
+CALL_TIMEOUT_S = 120.0
+MAX_WAIT_S = 10.0
+RECOVERED_SLOWDOWN = 2.0
+RECOVERY_BIN_S = 15.0
+
+
+def run_admission(workload: str, seeds: int) -> dict:
+    """Compare the admission policies; goodput is the service of calls of completed programs."""
+    results: dict = {}
+    lines: dict[str, dict[float, float]] = {}
+    for factor in FACTORS:
+        surge = Surge(factor=factor, from_s=SURGE_FROM_S, to_s=SURGE_FROM_S + SURGE_S)
+        for name in sorted(ADMISSIONS_BY_NAME):
+            policy = Policy(admission=name, max_wait_s=MAX_WAIT_S)
+            if name == "always-queue":
+                policy = Policy(admission=name)
+            todo = scenarios(
+                workload,
+                policy,
+                programs_per_s=DEFAULT_RATE_BY_WORKLOAD[workload],
+                seeds=seeds,
+                surge=surge,
+                call_timeout_s=CALL_TIMEOUT_S,
+            )
+            runs = measure_all(todo)
+            label = f"{name}, {factor:g}x"
+            results[label] = _summarize(runs)
+            lines[label] = {
+                number * GOODPUT_BIN_S: value
+                for number, value in enumerate(_mean_goodput(runs))
+                if 800 <= number * GOODPUT_BIN_S < 1300
+            }
+    axes = ("time, s", "goodput, service-seconds a second")
+    plot_lines(f"admission-{workload}", lines, title=f"Overload, {workload}", axes_names=axes)
+    write_report(f"admission-{workload}", results)
+    return results
+
+
+def _summarize(runs: Sequence[RunMeasures]) -> dict:
+    goodput = _mean_goodput(runs)
+    before = _mean(goodput, 600.0, SURGE_FROM_S)
+    during = _mean(goodput, SURGE_FROM_S, SURGE_FROM_S + SURGE_S)
+    after = _mean(goodput, SURGE_FROM_S + SURGE_S, SURGE_FROM_S + 3 * SURGE_S)
+    summary = summarize(runs)
+    return {
+        "goodput before": round(before, 2),
+        "goodput during": round(during, 2),
+        "goodput in the two minutes after": round(after, 2),
+        "seconds to recover": _recovery_s(runs),
+        "refused": summary["refused"]["mean"],
+        "lost after the first turn": summary["lost"]["mean"],
+        "slowdown p95": summary["slowdown"]["p95"],
+    }
+
+
+def _mean_goodput(runs: Sequence[RunMeasures]) -> list[float]:
+    return [statistics.fmean(values) for values in zip(*(run.goodput for run in runs), strict=True)]
+
+
+def _mean(goodput: Sequence[float], from_s: float, to_s: float) -> float:
+    return statistics.fmean(goodput[int(from_s / GOODPUT_BIN_S) : int(to_s / GOODPUT_BIN_S)])
+
+
+def _recovery_s(runs: Sequence[RunMeasures]) -> float:
+    """Return when arriving programs fare as usual again, in seconds after the surge."""
+    start_s = SURGE_FROM_S + SURGE_S
+    for number in range(50):
+        from_s = start_s + number * RECOVERY_BIN_S
+        slowdowns = [
+            sample.slowdown
+            for run in runs
+            for sample in run.samples
+            if from_s <= sample.arrives_s < from_s + RECOVERY_BIN_S
+        ]
+        if percentile(slowdowns, 95) <= RECOVERED_SLOWDOWN:
+            return number * RECOVERY_BIN_S
+    return float("inf")
