--- a/bench/policy/__main__.py
+++ b/bench/policy/__main__.py
@@ -8,6 +8,7 @@
 import fire
 
 from bench.policy._calibrate import find_rate
+from bench.policy._faults_experiment import run_faults
 from bench.policy._overload_experiment import run_admission
 from bench.policy._points import BASELINE
 from bench.policy._rates_experiment import run_rate_limits
@@ -58,6 +59,11 @@
     _show(run_admission(workload, seeds))
 
 
+def faults(workload: str, seeds: int = 2) -> None:
+    """Run the part of decision 6 that concerns replicas."""
+    _show(run_faults(workload, seeds))
+
+
 def rates(seeds: int = 3) -> None:
     """Run decision 5."""
     _show(run_rate_limits(seeds))
@@ -69,5 +75,5 @@
 
 
 if __name__ == "__main__":
-    commands = (calibrate, targets, order, replica, pauses, admission, rates, health)
+    commands = (calibrate, targets, order, replica, pauses, admission, faults, rates, health)
     fire.Fire({command.__name__: command for command in commands})
