Take a model's route for idempotent unless the operator says otherwise

Cause: routes to models were non-idempotent by default, so an interrupted stream was reported as outcome-unknown in place of being resumed, and each call waited for its begin to be durable. Weighed: leaving the default and documenting the flag. Generating again harms nobody, and the safe default for tools and services stays.

--- a/packages/lagoonfold-ctl/src/lagoonfold_ctl/_inputs.py
+++ b/packages/lagoonfold-ctl/src/lagoonfold_ctl/_inputs.py
@@ -59,12 +59,16 @@
 
 
 class RouteInput(Input):
-    """A route; times in seconds, costs in millionths of a currency unit."""
+    """A route; times in seconds, costs in millionths of a currency unit.
+
+    Without a word on it a route to a model is idempotent, since generating again harms nobody, and
+    any other is not.
+    """
 
     name: Name
     kind: RouteKind
     target: Name
-    idempotent: bool = False
+    idempotent: bool | None = None
     open: bool = False
     timeout: PositiveFloat = 60.0
     cost_per_call: Count = 0
@@ -86,11 +90,12 @@
 
     def to_document(self) -> Route:
         """Return the route."""
+        by_kind = self.kind is RouteKind.MODEL
         return Route(
             name=self.name,
             kind=self.kind,
             target=self.target,
-            is_idempotent=self.idempotent,
+            is_idempotent=by_kind if self.idempotent is None else self.idempotent,
             is_open=self.open,
             timeout_s=self.timeout,
             cost_micros_per_call=self.cost_per_call,
