--- a/packages/lagoonfold-node/src/lagoonfold_node/_config_controller/_controller.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_config_controller/_controller.py
@@ -145,6 +145,8 @@
         self._has_read = True
         if state.head.version >= known.version:
             self.tracker.take_read(state.configuration, state.head.recent, asked_at_s)
+        else:
+            self._metrics.count("config_verify_failures", "older-head")
         self._publish(known.version, source)
         return Ok(None)
 
