--- a/tests/ctl/test_inputs.py
+++ b/tests/ctl/test_inputs.py
@@ -1,8 +1,67 @@
-"""Tests of the operators' input models."""
+"""Tests of the operators' input: any text gives a document or a refusal."""
 
-from lagoonfold_ctl._inputs import RouteInput, parse_input
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from result import Ok
+
+from lagoonfold import ErrorKind
+from lagoonfold.config import (
+    EMPTY_CONFIGURATION,
+    Account,
+    PutAccount,
+    PutRoute,
+    apply_change,
+    encode_value,
+)
+from lagoonfold_ctl._inputs import (
+    AccountInput,
+    Input,
+    KeyInput,
+    ProfileInput,
+    RouteInput,
+    parse_input,
+)
 from tests._suite import load_functions
 
+_MODELS = [AccountInput, RouteInput, ProfileInput, KeyInput]
+_TEXTS = st.one_of(
+    st.text(max_size=12),
+    st.sampled_from(["1", "-1", "0", "nan", "inf", "1e999", "True", "model", "a,b", ",", "\x00"]),
+)
+
+
+@settings(derandomize=True, max_examples=300)
+@given(st.sampled_from(_MODELS), st.data())
+def test_any_text_is_a_document_or_a_refusal(model: type[Input], data: st.DataObject) -> None:
+    """No text raises; what is accepted can be stored."""
+    given = {name: data.draw(_TEXTS) for name in model.model_fields}
+    parsed = parse_input(model, given)
+    if isinstance(parsed, Ok):
+        document = parsed.ok_value.to_document()
+        if isinstance(document, Account):
+            change = PutAccount(account=document, replaces=False)
+            encode_value(apply_change(EMPTY_CONFIGURATION, change).unwrap())
+    else:
+        assert parsed.err_value.kind is ErrorKind.MALFORMED
+
+
+def test_a_refusal_names_every_field_at_fault() -> None:
+    """Two wrong fields and a missing one are named together, with what was given."""
+    refusal = parse_input(AccountInput, {"id": "a b", "rate": "fast"}).unwrap_err()
+    assert all(name in refusal.detail for name in ("id", "rate", "burst", "'fast'"))
+
+
+def test_a_change_keeps_the_fields_that_are_not_given() -> None:
+    """A document goes through its fields and back unchanged but for the given one."""
+    first = parse_input(
+        RouteInput, {"name": "publish", "kind": "service", "target": "web", "timeout": "7"}
+    ).unwrap()
+    document = first.to_document()
+    changed = parse_input(RouteInput, {"open": "True"}, RouteInput.fields_of(document)).unwrap()
+    assert changed.to_document().is_open and changed.to_document().timeout_s == 7.0
+    stored = apply_change(EMPTY_CONFIGURATION, PutRoute(route=document, replaces=False)).unwrap()
+    assert stored.routes_by_name["publish"] == document
+
 
 def _is_idempotent(**given: str) -> bool:
     fields = {"name": "r", "target": "t", **given}
