Answer HEAD requests without a body, and outlive any fault of one connection

A HEAD request whose body was cut short ended the whole daemon: h11 refuses a body in the answer to HEAD, and the exception left the connection's task. Found by fuzzing the border of a running instance.

--- a/packages/lagoonfold-io/src/lagoonfold_io/_http_server.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_server.py
@@ -61,6 +61,7 @@
     def __init__(self, fault: BorderFault) -> None:
         super().__init__(fault.value)
         self.fault = fault
+        self.is_head = False
 
 
 Handler = Callable[[HttpRequest, "Exchange"], Awaitable[None]]
@@ -83,21 +84,27 @@
         protocol: h11.Connection,
         limits: HttpLimits,
         is_last: Callable[[], bool] = lambda: False,
+        *,
+        is_head: bool = False,
     ) -> None:
         self._stream = stream
         self._protocol = protocol
         self._limits = limits
         self._is_last = is_last
+        self._is_head = is_head
         self.started = False
         self.finished = False
 
     async def respond(self, response: HttpResponse) -> None:
-        """Send a whole response; raise `ClientGoneError` if the client does not take it."""
+        """Send a whole response; raise `ClientGoneError` if the client does not take it.
+
+        The answer to a HEAD request goes without its body.
+        """
         length = ("content-length", str(len(response.body)))
         headers = [*response.headers, length, *self._closing_headers()]
         head = h11.Response(status_code=response.status, headers=headers)
         parts = [self._protocol.send(head)]
-        if response.body:
+        if response.body and not self._is_head:
             parts.append(self._protocol.send(h11.Data(data=response.body)))
         parts.append(self._protocol.send(h11.EndOfMessage()))
         self.started = True
@@ -210,6 +217,9 @@
             await self._serve_requests(stream, protocol)
         except (ClientGoneError, *_BREAKS):
             pass
+        except Exception as error:
+            if self._on_handler_error is not None:
+                self._on_handler_error(error)
         finally:
             self._connections -= 1
             await trio.aclose_forcefully(stream)
@@ -218,12 +228,18 @@
         while True:
             try:
                 request = await self._read_request(stream, protocol)
-            except _FaultError as fault:
-                await self._refuse(stream, protocol, fault.fault)
+            except _FaultError as error:
+                await self._refuse(stream, protocol, error.fault, is_head=error.is_head)
                 return
             if request is None:
                 return
-            exchange = Exchange(stream, protocol, self._limits, lambda: self._is_leaving)
+            exchange = Exchange(
+                stream,
+                protocol,
+                self._limits,
+                lambda: self._is_leaving,
+                is_head=request.method == "HEAD",
+            )
             await self._run_handler(request, exchange, stream, protocol)
             reusable = protocol.our_state is h11.DONE and protocol.their_state is h11.DONE
             if not reusable or self._closing:
@@ -274,7 +290,11 @@
         head = await self._read_head(stream, protocol)
         if head is None:
             return None
-        body = await self._read_body(stream, protocol, head)
+        try:
+            body = await self._read_body(stream, protocol, head)
+        except _FaultError as error:
+            error.is_head = head.method == b"HEAD"
+            raise
         headers = tuple((name.decode(), value.decode("latin-1")) for name, value in head.headers)
         path, _, query = head.target.decode("latin-1").partition("?")
         return HttpRequest(
@@ -346,7 +366,12 @@
         raise _FaultError(BorderFault.REQUEST_TIMEOUT)
 
     async def _refuse(
-        self, stream: trio.SocketStream, protocol: h11.Connection, fault: BorderFault
+        self,
+        stream: trio.SocketStream,
+        protocol: h11.Connection,
+        fault: BorderFault,
+        *,
+        is_head: bool = False,
     ) -> None:
         """Answer a fault and close the connection."""
         if protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
@@ -354,7 +379,7 @@
         response = self._respond_to_fault(fault)
         headers = (*response.headers, ("connection", "close"))
         closing = HttpResponse(status=response.status, headers=headers, body=response.body)
-        await Exchange(stream, protocol, self._limits).respond(closing)
+        await Exchange(stream, protocol, self._limits, is_head=is_head).respond(closing)
         await _linger(stream)
 
 
--- /dev/null
+++ b/tests/fuzz/test_border.py
@@ -0,0 +1,96 @@
+"""Malformed requests to the callers' and the operators' port of a running instance."""
+
+import socket
+
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from standins.fleet import call
+from tests._suite import load_functions
+from tests.failure._world import world
+from tests.fuzz._strategies import requests
+
+ANSWER_TIMEOUT_S = 5.0
+_SETTINGS = settings(
+    derandomize=True,
+    max_examples=150,
+    deadline=None,
+    suppress_health_check=[HealthCheck.too_slow, HealthCheck.filter_too_much],
+)
+_KNOWN_STATUSES = {*range(200, 206), *range(400, 500), 503, 504}
+
+
+def _exchange(address: str, data: bytes) -> bytes:
+    """Send bytes, end the sending side, and return all that comes until the end."""
+    host, port = address.split(":")
+    with socket.create_connection((host, int(port)), timeout=ANSWER_TIMEOUT_S) as connection:
+        received = b""
+        try:
+            connection.sendall(data)
+            connection.shutdown(socket.SHUT_WR)
+            while chunk := connection.recv(65_536):
+                received += chunk
+        except ConnectionError:
+            pass
+        return received
+
+
+def _check(address: str, data: bytes) -> None:
+    answer = _exchange(address, data)
+    if answer:
+        status = int(answer.split(b" ", 2)[1])
+        assert status in _KNOWN_STATUSES, (data, answer)
+
+
+def _check_unharmed(operator: str, log: str) -> None:
+    """Check that the instance is up and met no fault of its own."""
+    assert call("GET", operator, "/readyz")[0] == 200
+    metrics = call("GET", operator, "/metrics")[1].decode()
+    assert "lagoonfold_faults_total{" not in metrics, metrics
+    assert "Traceback" not in log
+
+
+def test_callers_port() -> None:
+    """Every malformed request gets a 4xx or a closed connection; none hangs or is a fault."""
+    each = world()
+    handle = each.fleet.instances_by_id["i1"]
+
+    @_SETTINGS
+    @given(requests(each.key))
+    def run(data: bytes) -> None:
+        _check(handle.listen, data)
+
+    run()
+    _check_unharmed(handle.operator, handle.process.output())
+    assert "lagoonfold_refusals_total" in call("GET", handle.operator, "/metrics")[1].decode()
+
+
+def test_operators_port() -> None:
+    """The operators' port answers nonsense as well."""
+    each = world()
+    handle = each.fleet.instances_by_id["i2"]
+
+    @_SETTINGS
+    @given(requests(each.key))
+    def run(data: bytes) -> None:
+        _check(handle.operator, data)
+
+    run()
+    _check_unharmed(handle.operator, handle.process.output())
+
+
+def test_peer_port() -> None:
+    """Bytes that are no peer message are dropped, and the instance goes on."""
+    each = world()
+    handle = each.fleet.instances_by_id["i3"]
+
+    @_SETTINGS
+    @given(st.binary(min_size=1, max_size=200))
+    def run(data: bytes) -> None:
+        _exchange(handle.peer, data)
+
+    run()
+    _check_unharmed(handle.operator, handle.process.output())
+
+
+load_tests = load_functions(globals())
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -8,6 +8,8 @@
 from lagoonfold_io import Exchange, HttpClient, HttpLimits, HttpRequest, HttpResponse, HttpServer
 from tests._suite import load_functions
 
+_CUT_HEAD = b"HEAD / HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\n12345"
+
 
 async def _echo(request: HttpRequest, exchange: Exchange) -> None:
     if request.path == "/stream":
@@ -75,6 +77,23 @@
     _with_server(check)
 
 
+def test_head_requests_are_answered_without_a_body() -> None:
+    """The answer to a HEAD request, good or cut short, has no body, and the server goes on."""
+
+    async def check(address: str) -> None:
+        host, port = address.split(":")
+        for request in (b"HEAD / HTTP/1.1\r\nHost: x\r\n\r\n", _CUT_HEAD):
+            stream = await trio.open_tcp_stream(host, int(port))
+            await stream.send_all(request)
+            await stream.send_eof()
+            answer = b"".join([data async for data in stream])
+            assert answer.endswith(b"\r\n\r\n") or not answer, answer
+        good = HttpRequest(method="POST", path="/", body=b"after")
+        assert (await HttpClient().fetch(address, good)).unwrap().body == b"after"
+
+    _with_server(check)
+
+
 def test_refused_connection_sent_nothing() -> None:
     """A server that is not there gives an error that says no byte was sent."""
 
