Free the caches of inherited programs on every engine

Cache events are lost now and then, so the new owner of a program can't know all engines that the former owner used; it asks all of them. Events are also read from the start again when an engine is replaced under its id: the number of the last event belonged to the engine before.

Red: tests.failure.test_upstreams.test_cache_of_an_ended_program_is_freed, with all cache events lost and the owner killed, still saw the prefix after 30 s. Green with the change. Programs that expire under a new owner are still freed only where events named them.

--- a/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_caches.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_caches.py
@@ -43,9 +43,16 @@
         """How many frees have not been answered yet."""
         return len(self._pending)
 
-    def free(self, program_id: ProgramId) -> None:
-        """Free a program that ended or was cancelled, wherever it may be cached."""
-        for upstream_id in self._table.prefixes.forget_program(program_id):
+    def free(self, program_id: ProgramId, *, everywhere: bool = False) -> None:
+        """Free a program that ended or was cancelled, where it is known to be cached.
+
+        `everywhere` asks every engine: events are lost, so the new owner of a program can't know
+        of all engines that its former owner used.
+        """
+        upstream_ids = self._table.prefixes.forget_program(program_id)
+        if everywhere:
+            upstream_ids = self._table.engine_ids()
+        for upstream_id in upstream_ids:
             self._pending.add((program_id, upstream_id))
         self._wake.set()
 
--- a/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_dispatcher.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_dispatcher.py
@@ -63,9 +63,12 @@
         for lane in self._lanes_by_target.values():
             self._pump_lane(lane, now_s)
 
-    def free_program(self, program_id: ProgramId) -> None:
-        """Free the caches of a program that ended or was cancelled."""
-        self.caches.free(program_id)
+    def free_program(self, program_id: ProgramId, *, everywhere: bool = False) -> None:
+        """Free the caches of a program that ended or was cancelled.
+
+        `everywhere` is for a program that had another owner, which may have known of more.
+        """
+        self.caches.free(program_id, everywhere=everywhere)
 
     @asynccontextmanager
     async def place(self, request: PlacementRequest) -> AsyncIterator[Result[Placement, Refusal]]:
--- a/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_feeds.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_feeds.py
@@ -54,7 +54,6 @@
         self._table = table
         self._client = client
         self._on_change = on_change
-        self._next_by_upstream: dict[UpstreamId, int] = {}
         self._polling: set[UpstreamId] = set()
 
     async def run(self) -> None:
@@ -98,15 +97,14 @@
         self._on_change()
 
     async def _poll_events(self, upstream_id: UpstreamId, state: UpstreamState) -> None:
-        after = self._next_by_upstream.get(upstream_id, 0)
-        body = await self._get(state, "/v1/cache/events", f"after={after}")
+        body = await self._get(state, "/v1/cache/events", f"after={state.next_event}")
         if body is None:
             return
         try:
             answer = msgspec.json.decode(body, type=_EventsBody)
         except msgspec.DecodeError:
             return
-        self._next_by_upstream[upstream_id] = answer.next
+        state.next_event = answer.next
         for event in answer.events:
             self._table.prefixes.note_event(upstream_id, _event_of(event))
 
--- a/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_table.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_table.py
@@ -18,12 +18,16 @@
 
 @dataclass(slots=True, kw_only=True)
 class UpstreamState:
-    """One upstream: its entry in the list, load, breaker and retry budget."""
+    """One upstream: its entry in the list, load, breaker and retry budget.
+
+    `next_event` is the number of the last cache event that was read.
+    """
 
     listed: ListedInstance
     load: ReplicaLoad
     breaker: Breaker = field(default_factory=Breaker)
     retries: RetryBudget = field(default_factory=RetryBudget)
+    next_event: int = 0
 
 
 class UpstreamTable:
@@ -62,6 +66,14 @@
         """Return the engines that this instance considers, and observes."""
         return [self.states_by_id[upstream_id] for upstream_id in sorted(self._candidates)]
 
+    def engine_ids(self) -> tuple[UpstreamId, ...]:
+        """Return all engines that are listed, also those that are leaving."""
+        return tuple(
+            upstream_id
+            for upstream_id, state in self.states_by_id.items()
+            if state.listed.role == "engine"
+        )
+
     def serving(self, target: str, *, is_model: bool) -> list[UpstreamState]:
         """Return the upstreams that serve a model or service and are not leaving."""
         return [
--- a/packages/lagoonfold-node/src/lagoonfold_node/_execution/_ports.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_execution/_ports.py
@@ -22,6 +22,9 @@
     def may_act(self) -> bool:
         """Tell whether this instance still owns the shard for certain."""
 
+    def was_inherited(self, program_id: ProgramId) -> bool:
+        """Tell whether the program is older than this ownership of its shard."""
+
     def submit(self, records: tuple[Record, ...]) -> WaitDurable:
         """Apply records now; the returned function waits until they are durable."""
 
--- a/packages/lagoonfold-node/src/lagoonfold_node/_node.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_node.py
@@ -189,7 +189,7 @@
         self.log.error(event, error)
 
     def _free(self, program_id: ProgramId, shard: OpenShard) -> None:
-        self.dispatcher.free_program(program_id)
+        self.dispatcher.free_program(program_id, everywhere=shard.was_inherited(program_id))
 
     def _is_gone(self, program_id: ProgramId) -> bool:
         """Tell whether a cached program is owned here and has ended or is not known."""
--- a/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_open_shard.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_open_shard.py
@@ -76,6 +76,7 @@
         self._schedule = CheckpointSchedule(context.settings.checkpoint_commits)
         self._last_commit_at_s = float("-inf")
         self._settled_by_call: dict[str, trio.Event] = {}
+        self._inherited_ids = frozenset(state.programs_by_id)
 
     @property
     def executor(self) -> str:
@@ -101,6 +102,10 @@
             failing_since_s is not None and trio.current_time() - failing_since_s >= STALL_LIMIT_S
         )
 
+    def was_inherited(self, program_id: ProgramId) -> bool:
+        """Tell whether the program is older than this ownership of its shard."""
+        return program_id in self._inherited_ids
+
     async def commit(self, records: tuple[Record, ...]) -> Result[None, Refusal]:
         """Apply records and return when they are durable; without records, when all before are.
 
