Wait for a live former owner as long as it may act

The wait was 10 s whatever the lease; with a lease of more than 10 s a live predecessor cut off from the key-value service could still act on a table read before. The wait is now the lease and the takeover wait. Ruled out: relying on the lease alone, which a live predecessor still holds.

--- a/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_context.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_context.py
@@ -22,7 +22,8 @@
     """The settings of membership and recovery; times in seconds.
 
     A new owner waits `takeover_wait_s` after its predecessor's lease expired, and up to
-    `handover_wait_s` for a live predecessor to release the shard. Records that arrive within
+    `handover_wait_s` for a live predecessor to release the shard: longer than the predecessor acts
+    on a table that it can no longer verify. Records that arrive within
     `commit_interval_s` of the last journal entry share the next one.
     """
 
@@ -30,11 +31,15 @@
     lease_s: float = 9.0
     renew_s: float = 3.0
     takeover_wait_s: float = 1.0
-    handover_wait_s: float = 10.0
     commit_interval_s: float = 0.005
     checkpoint_commits: int = 256
     keep_ended_s: float = 86_400.0
 
+    @property
+    def handover_wait_s(self) -> float:
+        """Return how long a live predecessor is waited for."""
+        return self.lease_s + self.takeover_wait_s
+
 
 def _new_incarnation() -> str:
     return new_id("run")
