Prove the promises on processes under failure

One fleet of three instances, three engines without cache events, a tool and a service is shared by the tests; the upstreams' own logs judge. Status names the upstreams' addresses, so that tests can wait until an instance has read the list.

--- a/packages/lagoonfold-node/src/lagoonfold_node/_status.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_status.py
@@ -45,7 +45,12 @@
         ],
         "ownership_revision": table.revision if table is not None else 0,
         "upstreams": [
-            {"id": entry.instance_id, "role": entry.role, "leaving": entry.leaving}
+            {
+                "id": entry.instance_id,
+                "role": entry.role,
+                "address": entry.address,
+                "leaving": entry.leaving,
+            }
             for entry in node.board.upstreams.read().values()
         ],
         "requests": node.border.active,
--- /dev/null
+++ b/tests/failure/test_ownership.py
@@ -0,0 +1,332 @@
+"""Programs, configuration and rates while instances and the key-value service fail."""
+
+import http.client
+import json
+import time
+
+from standins.fleet import FleetError, call, wait_until
+from tests._suite import load_functions
+from tests.failure._world import (
+    PROFILE,
+    REGISTER,
+    SERVICE,
+    Background,
+    World,
+    mark,
+    persist,
+    world,
+)
+
+IN_FORCE_BOUND_S = 9.0
+WITHDRAWAL_BOUND_S = 5.0
+RATE_PER_S = 20
+BURST = 20
+
+
+def _config_version(each: World, instance_id: str) -> int:
+    """Return the version of the configuration that an instance serves."""
+    address = each.fleet.instances_by_id[instance_id].operator
+    lines = call("GET", address, "/metrics")[1].decode().splitlines()
+    return int(float(next(line for line in lines if "config_version" in line and line[0] != "#")
+                     .split()[-1]))  # fmt: skip
+
+
+def test_turns_in_order_over_kills_and_lost_answers() -> None:
+    """Two faults together: owners die while the journal's answers are lost; no turn is."""
+    each = world()
+    program_id, _ = each.owned_program()
+    each.fleet.inject_store(drop_answer=0.3, operations=["txn"], key_contains="journal", seed=7)
+    marks = [mark() for _ in range(4)]
+    for turn, marked in enumerate(marks, start=1):
+        owner = each.owner_of(program_id)
+        client = each.client()
+        reply = persist(
+            lambda c=client, t=turn, m=marked: c.tool(program_id, t, REGISTER, {"m": m}, key=m)
+        )
+        assert reply.status == 200, reply.body
+        if turn in (2, 3):
+            each.fleet.instances_by_id[owner].process.kill()
+            each.wait_taken_over(program_id, owner)
+            each.fleet.start_instance(owner)
+            each.fleet.wait_ready(owner)
+    assert [each.runs(marked) for marked in marks] == [1, 1, 1, 1]
+    turns = each.client().history(program_id)
+    assert [turn["request"]["m"] for turn in turns] == marks
+
+
+def test_turn_out_of_order_does_not_run() -> None:
+    """A call ahead of its turn is refused as not run, at every instance, and never reaches the
+    tool."""
+    each = world()
+    program_id, _ = each.owned_program()
+    marked = mark()
+    for instance_id in each.running():
+        reply = each.client(instance_id).tool(program_id, 3, REGISTER, {"m": marked})
+        assert (reply.status, reply.json()["ran"]) == (409, "no")
+    assert each.runs(marked) == 0
+
+
+def test_foreign_and_unknown_keys_do_not_run() -> None:
+    """A program answers only to its own account's key, at every instance."""
+    each = world()
+    program_id, _ = each.owned_program()
+    account = f"a-{mark()}"
+    each.fleet.operate("account", "add", account, "--rate=50", "--burst=50")
+    each.fleet.operate(
+        "profile", "add", f"p-{account}", f"--accounts={account}", f"--routes={REGISTER}"
+    )
+    foreign = each.add_key(account)
+    marked = mark()
+    for instance_id in each.running():
+        for key, status in ((foreign, 404), ("lfk_unknown", 401)):
+            client = each.client(instance_id, key=key)
+            reply = persist(lambda c=client: c.tool(program_id, 1, REGISTER, {"m": marked}))
+            assert (reply.status, reply.json()["ran"]) == (status, "no")
+            assert client.send("GET", f"/v1/programs/{program_id}/history").status == status
+    assert each.runs(marked) == 0
+
+
+def test_budget_holds_over_a_takeover() -> None:
+    """The calls made before the owner died still count against the program's budget."""
+    each = world()
+    name = f"p-{mark()}"
+    each.fleet.operate(
+        "profile", "add", name, "--accounts=survey", f"--routes={REGISTER}", "--calls=3"
+    )
+    client = each.client()
+    wait_until(
+        lambda: client.send("POST", "/v1/programs", {"profile": name}).status == 201,
+        "the profile in force",
+    )
+    program_id = client.create_program(name)
+    marks = [mark() for _ in range(5)]
+    for turn in (1, 2):
+        assert client.tool(program_id, turn, REGISTER, {"m": marks[turn - 1]}).status == 200
+    owner = each.owner_of(program_id)
+    each.fleet.instances_by_id[owner].process.kill()
+    each.wait_taken_over(program_id, owner)
+    client = each.client(*each.others(owner))
+    replies = [
+        persist(lambda t=turn: client.tool(program_id, t, REGISTER, {"m": marks[t - 1]}))
+        for turn in (3, 4)
+    ]
+    assert [reply.status for reply in replies] == [200, 402]
+    assert sum(each.runs(marked) for marked in marks) == 3
+
+
+def test_operators_race() -> None:
+    """Of two operators who add the same account one is told of the conflict; nothing is lost."""
+    each = world()
+    name = mark()
+
+    def add(rate: int) -> str:
+        try:
+            each.fleet.operate("account", "add", name, f"--rate={rate}", "--burst=1")
+        except FleetError as error:
+            return str(error)
+        return "added"
+
+    racing = [Background(lambda rate=rate: add(rate)) for rate in (11, 12, 13)]
+    told = [made.result() for made in racing]
+    assert told.count("added") == 1, told
+    shown = each.fleet.operate("account", "show", name)
+    assert f'"rate_per_s": {11 + told.index("added")}.0' in json.dumps(shown)
+
+
+def test_lost_answer_to_a_change_is_resolved() -> None:
+    """The operator is told that the change is in force, and it is in the history once."""
+    each = world()
+    name = mark()
+    each.fleet.inject_store(
+        drop_answer=1.0, operations=["txn"], key_contains="config/head", remaining=1
+    )
+    each.fleet.operate("account", "add", name, "--rate=1", "--burst=1")
+    history = json.dumps(each.fleet.operate("history"))
+    assert history.count(f'"{name}"') == 1 or history.count(name) == 1, history[:600]
+
+
+def test_change_is_in_force_everywhere_with_mute_watches() -> None:
+    """Watches that have gone silent do not hold back a change beyond the bound."""
+    each = world()
+    each.fleet.inject_store(mute_watches=True)
+    each.fleet.operate("account", "add", mark(), "--rate=1", "--burst=1")
+    started_s = time.monotonic()
+    newest = max(entry["version"] for entry in each.fleet.operate("history"))
+    wait_until(
+        lambda: all(_config_version(each, name) >= newest for name in each.running()),
+        f"version {newest} everywhere",
+        IN_FORCE_BOUND_S,
+    )
+    assert time.monotonic() - started_s < IN_FORCE_BOUND_S
+
+
+def test_restart_in_an_outage_serves_no_old_configuration() -> None:
+    """An instance that starts while the service is down takes no keyed request."""
+    each = world()
+    each.fleet.inject_store(outage="refuse")
+    handle = each.fleet.instances_by_id["i3"]
+    handle.process.kill()
+    each.fleet.start_instance("i3")
+
+    def listens() -> bool:
+        try:
+            return call("GET", handle.operator, "/livez", timeout_s=1.0)[0] == 200
+        except OSError:
+            return False
+
+    wait_until(listens, "the operators' port of i3")
+    assert call("GET", handle.operator, "/readyz")[0] == 503
+    marked = mark()
+    try:
+        reply = each.client("i3").send("POST", f"/v1/services/{SERVICE}", {"m": marked})
+    except OSError:
+        reply = None
+    assert reply is None or reply.status in (401, 503), reply.status
+    assert each.runs(marked) == 0
+    each.fleet.inject_store()
+    each.fleet.wait_ready("i3")
+
+
+def test_outage_loses_nothing() -> None:
+    """What was accepted before an outage is there after it; in it nothing is said falsely."""
+    each = world()
+    program_id, _ = each.owned_program()
+    marks = [mark() for _ in range(3)]
+    client = each.client()
+    first = persist(lambda: client.tool(program_id, 1, REGISTER, {"m": marks[0]}, key=marks[0]))
+    assert first.status == 200
+    each.fleet.inject_store(outage="refuse")
+    reply = client.tool(program_id, 2, REGISTER, {"m": marks[1]}, key=marks[1])
+    if reply.status != 200 and reply.json()["ran"] == "no":
+        assert each.runs(marks[1]) == 0
+    each.fleet.inject_store()
+    for instance_id in each.running():
+        each.fleet.wait_ready(instance_id)
+    client = each.client()
+
+    def repeated() -> bool:
+        again = client.tool(program_id, 2, REGISTER, {"m": marks[1]}, key=marks[1])
+        return again.status == 200 or again.json()["kind"] == "outcome-unknown"
+
+    wait_until(repeated, "turn 2 settled after the outage", 30.0)
+    assert each.runs(marks[0]) == 1
+    assert each.runs(marks[1]) <= 1
+    third = persist(lambda: client.tool(program_id, 3, REGISTER, {"m": marks[2]}))
+    assert third.status == 200
+    assert [turn["request"]["m"] for turn in client.history(program_id)] == marks
+
+
+def test_withdrawn_key_cuts_stream_and_connection() -> None:
+    """An open stream and an idle connection of a withdrawn key end within the bound."""
+    each = world()
+    key = each.add_key("survey")
+    client = each.client("i2", key=key)
+    program_id = client.create_program(PROFILE)
+    address = each.fleet.instances_by_id["i3"].listen
+    idle = http.client.HTTPConnection(address, timeout=10)
+    headers = {"Authorization": f"Bearer {key}"}
+    idle.request("GET", f"/v1/programs/{program_id}", headers=headers)
+    response = idle.getresponse()
+    response.read()
+    assert response.status == 200
+    for engine in ("engine-1", "engine-2", "engine-3"):
+        each.fleet.inject(engine, slow=100.0)
+    marked = mark()
+    stream = Background(lambda: client.chat(program_id, 1, marked, max_tokens=200))
+    wait_until(lambda: each.runs(marked) == 1, "the stream at an engine")
+    digest = each.fleet.operate("key", "list")
+    own = next(shown for shown in digest if _is_digest_of(shown, key))
+    each.fleet.operate("key", "retire", own["digest"][:16])
+    wait_until(stream.is_over, "the stream cut", WITHDRAWAL_BOUND_S)
+    wait_until(
+        lambda: _status_on(idle, program_id, headers) == 401, "401 when idle", WITHDRAWAL_BOUND_S
+    )
+    for instance_id in each.running():
+        reply = each.client(instance_id, key=key).send("GET", f"/v1/programs/{program_id}")
+        assert reply.status == 401
+
+
+def _is_digest_of(shown: dict, key: str) -> bool:
+    from lagoonfold.config import digest_of
+
+    return shown.get("digest") == digest_of(key)
+
+
+def _status_on(idle: http.client.HTTPConnection, program_id: str, headers: dict) -> int:
+    try:
+        idle.request("GET", f"/v1/programs/{program_id}", headers=headers)
+        response = idle.getresponse()
+        response.read()
+    except (OSError, http.client.HTTPException):
+        return 401
+    return response.status
+
+
+def test_rate_holds_over_three_instances_and_a_takeover() -> None:
+    """However a client account spreads its calls, no more than its rate and burst get through."""
+    each = world()
+    account = f"a-{mark()}"
+    each.fleet.operate("account", "add", account, f"--rate={RATE_PER_S}", f"--burst={BURST}")
+    each.fleet.operate(
+        "profile", "add", f"p-{account}", f"--accounts={account}", f"--routes={SERVICE}"
+    )
+    key = each.fleet.operate("key", "add", account)["key"]
+    wait_until(
+        lambda: all(
+            each.client(name, key=key).send("GET", "/v1/programs/none").status != 401
+            for name in each.running()
+        ),
+        "the key everywhere",
+    )
+    marked = mark()
+    started_s = time.monotonic()
+    killed = False
+    passed = 0
+    while time.monotonic() - started_s < 6.0:
+        burst = [
+            Background(lambda n=name: _try_service(each, n, key, marked)) for name in each.running()
+        ]
+        passed += sum(made.result() for made in burst)
+        if not killed and time.monotonic() - started_s > 2.0:
+            each.fleet.instances_by_id["i1"].process.kill()
+            killed = True
+    elapsed_s = time.monotonic() - started_s
+    ran = each.runs(marked)
+    assert ran >= passed > 0
+    assert ran <= RATE_PER_S * elapsed_s + BURST, (ran, elapsed_s)
+
+
+def _try_service(each: World, instance_id: str, key: str, marked: str) -> int:
+    try:
+        client = each.client(instance_id, key=key)
+        replies = [client.send("POST", f"/v1/services/{SERVICE}", {"m": marked}) for _ in range(8)]
+    except (OSError, http.client.HTTPException):
+        return 0
+    return sum(reply.status == 200 for reply in replies)
+
+
+def test_graceful_stop_cuts_nothing() -> None:
+    """A stream and a non-idempotent call under way at a stopping instance end whole."""
+    each = world()
+    program_id, owner = each.owned_program()
+    other_id = program_id
+    while each.owner_of(other_id) != owner or other_id == program_id:
+        other_id = each.client().create_program(PROFILE)
+    for engine in ("engine-1", "engine-2", "engine-3"):
+        each.fleet.inject(engine, slow=20.0)
+    each.fleet.inject("tool-1", slow=200.0)
+    streamed, called = mark(), mark()
+    beside = each.others(owner)[0]
+    calls = [
+        Background(lambda: each.client(owner).chat(program_id, 1, streamed, max_tokens=30)),
+        Background(lambda: each.client(beside).tool(other_id, 1, REGISTER, {"m": called})),
+    ]
+    wait_until(lambda: each.runs(streamed) and each.runs(called), "both calls upstream")
+    assert each.fleet.stop_instance(owner) == 0
+    stream, tool = (made.result() for made in calls)
+    assert stream.is_whole()
+    assert tool.status == 200, tool.body
+    assert each.runs(called) == 1
+
+
+load_tests = load_functions(globals())
--- /dev/null
+++ b/tests/failure/test_upstreams.py
@@ -0,0 +1,182 @@
+"""Upstreams that break, stall, leave, or are taken down by a request."""
+
+import time
+
+from standins._engine_text import answer_text
+from standins.client import Reply
+from standins.fleet import MODEL, call, wait_until
+from tests._suite import load_functions
+from tests.failure._world import PROFILE, REGISTER, Background, World, mark, persist, world
+
+CRASH_MARKER = "crash-the-upstream"
+LEAVING_BOUND_S = 3.0
+MAX_TAKEN_DOWN = 2
+ENGINES = ("engine-1", "engine-2", "engine-3")
+
+
+def _expected(text: str, count: int) -> str:
+    return answer_text([{"role": "user", "content": text}], count)
+
+
+def _text(reply: Reply) -> str:
+    """Return the text of a whole answer."""
+    assert reply.status == 200, f"{reply.status} {reply.body.decode()}"
+    assert reply.is_whole(), reply.body.decode()[-300:]
+    return reply.text()
+
+
+def test_broken_stream_is_resumed() -> None:
+    """A stream that breaks on the replica with the program's cache still arrives whole, once."""
+    each = world()
+    marked, client = mark(), each.client()
+    program_id = client.create_program(PROFILE)
+    first = client.chat(program_id, 1, marked)
+    served = next(name for name in ENGINES if each.seen(name, marked))
+    for engine in ENGINES:
+        each.fleet.inject(engine, break_after_tokens=3 if engine == served else -1)
+    reply = client.chat(program_id, 2, "go on", max_tokens=20)
+    messages = [
+        {"role": "user", "content": marked},
+        {"role": "assistant", "content": _text(first)},
+        {"role": "user", "content": "go on"},
+    ]
+    assert _text(reply) == answer_text(messages, 20)
+
+
+def test_crossed_answers_keep_to_their_requests() -> None:
+    """Many programs at once, on replicas of very different speed, get their own answers."""
+    each = world()
+    each.fleet.inject("engine-1", slow=20.0)
+    marks = [mark() for _ in range(12)]
+    clients = [each.client() for _ in marks]
+    programs = [client.create_program(PROFILE) for client in clients]
+    calls = [
+        Background(lambda c=client, p=program, m=marked: c.chat(p, 1, m, max_tokens=16))
+        for client, program, marked in zip(clients, programs, marks, strict=True)
+    ]
+    replies = [made.result() for made in calls]
+    assert [_text(reply) for reply in replies] == [_expected(marked, 16) for marked in marks]
+    for client, program, marked in zip(clients, programs, marks, strict=True):
+        turns = client.history(program)
+        assert [turn["request"]["messages"][0]["content"] for turn in turns] == [marked]
+
+
+def test_silent_engine_is_passed_over() -> None:
+    """Connections to a suspended engine stay open and say nothing; calls end elsewhere."""
+    each = world()
+    client = each.client()
+    for _ in range(6):
+        client.chat(client.create_program(PROFILE), 1, mark())
+    each.fleet.upstreams_by_id["engine-1"].freeze()
+    marks = [mark() for _ in range(6)]
+    programs = [client.create_program(PROFILE) for _ in marks]
+    calls = [
+        Background(lambda p=program, m=marked: each.client().chat(p, 1, m))
+        for program, marked in zip(programs, marks, strict=True)
+    ]
+    assert [_text(made.result()) for made in calls] == [_expected(marked, 16) for marked in marks]
+
+
+def test_dead_engine_still_listed() -> None:
+    """The instance list lags: an engine that is gone is listed, and calls still end well."""
+    each = world()
+    each.fleet.upstreams_by_id["engine-2"].kill()
+    client = each.client()
+    for _ in range(8):
+        marked = mark()
+        reply = client.chat(client.create_program(PROFILE), 1, marked)
+        assert _text(reply) == _expected(marked, 16)
+
+
+def test_leaving_engine_gets_nothing_new() -> None:
+    """Once an engine has been listed as leaving for the bound, no new work reaches it."""
+    each = world()
+    each.fleet.entries_by_id["engine-1"]["leaving"] = True
+    each.fleet.publish_list()
+    time.sleep(LEAVING_BOUND_S)
+    client = each.client()
+    marks = [mark() for _ in range(15)]
+    for marked in marks:
+        client.chat(client.create_program(PROFILE), 1, marked)
+    assert not any(each.seen("engine-1", marked) for marked in marks)
+
+
+def test_poisonous_request_takes_down_two_at_most() -> None:
+    """A request that crashes each engine is stopped, also when its caller repeats it."""
+    each = world()
+    text = f"{CRASH_MARKER} {mark()}"
+    replies = []
+    for instance_id in each.running():
+        client = each.client(instance_id)
+        replies.append(client.chat(client.create_program(PROFILE), 1, text, stream=False))
+    down = [name for name in ENGINES if not each.fleet.upstreams_by_id[name].is_running()]
+    assert 1 <= len(down) <= MAX_TAKEN_DOWN, down
+    assert replies[-1].json()["kind"] == "poisonous"
+    marked = mark()
+    client = each.client()
+    reply = client.chat(client.create_program(PROFILE), 1, marked)
+    assert _text(reply) == _expected(marked, 16)
+
+
+def test_cache_of_an_ended_program_is_freed() -> None:
+    """No engine keeps the prefix of a program whose owner died before its end."""
+    each = world()
+    program_id, owner = each.owned_program()
+    assert each.client(owner).chat(program_id, 1, mark()).status == 200
+
+    def held() -> bool:
+        return any(_holds(each, engine, program_id) for engine in ENGINES)
+
+    wait_until(held, "a cached prefix")
+    each.fleet.instances_by_id[owner].process.kill()
+    each.wait_taken_over(program_id, owner)
+    client = each.client(*each.others(owner))
+    assert persist(lambda: client.end(program_id)).status == 200
+    wait_until(lambda: not held(), "the cache freed", 30.0)
+
+
+def _holds(each: World, engine: str, program_id: str) -> bool:
+    address = each.fleet.entries_by_id[engine]["address"]
+    return program_id in call("GET", address, "/v1/cache")[1].decode()
+
+
+def test_hung_tool_ends_at_its_deadline() -> None:
+    """A tool that never answers costs its caller the route's time limit, not more."""
+    each = world()
+    marked = mark()
+    program_id, _ = each.owned_program()
+    each.fleet.operate("route", "add", f"slow-{marked}", "--kind=tool", "--target=registry",
+                       "--idempotent=false", "--timeout=1")  # fmt: skip
+    each.fleet.operate("profile", "add", f"p-{marked}", "--accounts=survey",
+                       f"--routes={MODEL},{REGISTER},slow-{marked}")  # fmt: skip
+    client = each.client()
+    wait_until(
+        lambda: client.send("POST", "/v1/programs", {"profile": f"p-{marked}"}).status == 201,
+        "the profile in force",
+    )
+    program_id = client.create_program(f"p-{marked}")
+    each.fleet.inject("tool-1", hang=True)
+    reply = client.tool(program_id, 1, f"slow-{marked}", {"m": marked})
+    assert reply.json()["ran"] == "unknown"
+    each.fleet.inject("tool-1")
+    again = client.tool(program_id, 1, f"slow-{marked}", {"m": marked})
+    assert again.json()["kind"] == "outcome-unknown"
+    assert each.runs(marked) == 1
+    assert client.tool(program_id, 2, REGISTER, {"m": mark()}).status == 200
+
+
+def test_no_upstream_saw_a_key() -> None:
+    """No request that any upstream saw, here or in earlier tests, carries a caller's key."""
+    each = world()
+    client = each.client()
+    program_id = client.create_program(PROFILE)
+    client.chat(program_id, 1, mark())
+    client.tool(program_id, 2, REGISTER, {"m": mark()})
+    for upstream_id in each.live_upstreams():
+        for seen in each.fleet.upstream_log(upstream_id):
+            text = f"{seen['path']} {seen['headers']} {seen['body']}"
+            assert "authorization" not in {name.lower() for name in seen["headers"]}
+            assert not any(secret in text for secret in each.secrets)
+
+
+load_tests = load_functions(globals())
