--- a/models/ownership.py
+++ b/models/ownership.py
@@ -16,17 +16,26 @@
 
 from collections.abc import Iterator
 from enum import Enum
-from typing import NamedTuple
 
 from minicheck import Protocol
 
+from models._ownership_state import (
+    FENCE,
+    MAX_ENTRIES,
+    MAX_EPOCH,
+    MAX_RECORDS,
+    Checkpoint,
+    Entry,
+    Instance,
+    Mode,
+    State,
+    Write,
+    append,
+    opened,
+    with_instance,
+)
 from models._specification import Step, protocol, specification
 
-MAX_EPOCH = 2
-MAX_ENTRIES = 4
-MAX_RECORDS = 1
-FENCE = 0
-
 
 class Fault(Enum):
     """A deliberate fault of the protocol."""
@@ -44,101 +53,6 @@
     BLIND_CHECKPOINT = "checkpoint-without-compare"
 
 
-class Mode(Enum):
-    """What an instance is doing with the shard."""
-
-    IDLE = "idle"
-    OPENING = "opening"
-    OPEN = "open"
-    APPENDING = "appending"
-    UNSURE = "unsure"
-
-
-class Entry(NamedTuple):
-    """A journal entry with its unique writer: the epoch and a number within it."""
-
-    epoch: int
-    record: int
-
-
-class Write(NamedTuple):
-    """An append on its way to the store."""
-
-    instance: int
-    sequence: int
-    entry: Entry
-
-
-class Checkpoint(NamedTuple):
-    """A checkpoint on its way to the store: the one that it replaces, and its entries."""
-
-    instance: int
-    replaced: int
-    covered: int
-
-
-class Instance(NamedTuple):
-    """One instance; `known` counts the entries that its state of the shard contains.
-
-    `checkpoint` counts the entries of the last checkpoint that it read or wrote.
-    """
-
-    mode: Mode = Mode.IDLE
-    epoch: int = 0
-    known: int = 0
-    record: int = 0
-    checkpoint: int = 0
-    has_authority: bool = False
-    has_asked: bool = False
-    answer: str = ""
-
-
-class State(NamedTuple):
-    """The store, the network, the instances, and what callers were told.
-
-    `opened` is the latest epoch under which an instance has opened the shard, `opened_at` the
-    number of entries that it knew then; `overwritten` notes that an entry has changed, `sent_late`
-    that an instance acted on an upstream under an earlier epoch.
-    """
-
-    owner: int = 0
-    epoch: int = 1
-    has_waited: bool = True
-    journal: tuple[Entry, ...] = ()
-    checkpoint: int = 0
-    deleted: int = 0
-    writes: frozenset[Write] = frozenset()
-    checkpoints: frozenset[Checkpoint] = frozenset()
-    instances: tuple[Instance, ...] = (Instance(), Instance())
-    acknowledged: frozenset[tuple[int, Entry]] = frozenset()
-    refused: frozenset[Entry] = frozenset()
-    opened: int = 0
-    opened_at: int = 0
-    overwritten: bool = False
-    sent_late: bool = False
-
-
-def _with(state: State, index: int, **changes: object) -> State:
-    instances = list(state.instances)
-    instances[index] = instances[index]._replace(**changes)
-    return state._replace(instances=tuple(instances))
-
-
-def _opened(state: State, index: int) -> State:
-    opened = _with(state, index, mode=Mode.OPEN, answer="")
-    instance = opened.instances[index]
-    if instance.epoch <= state.opened:
-        return opened
-    return opened._replace(opened=instance.epoch, opened_at=instance.known)
-
-
-def _append(state: State, index: int, record: int) -> State:
-    instance = state.instances[index]
-    write = Write(index, instance.known, Entry(instance.epoch, record))
-    sent = state._replace(writes=state.writes | {write})
-    return _with(sent, index, mode=Mode.APPENDING, record=record, answer="")
-
-
 class _Steps:
     """The steps of the protocol, sound or with one fault."""
 
@@ -167,7 +81,7 @@
         former = 1 - state.owner
         has_asked = self._fault is Fault.LEASE_FROM_ANSWER and state.instances[former].has_asked
         keeps = self._fault is Fault.LEASE_NEVER_LAPSES and state.instances[former].has_authority
-        lapsed = _with(state, former, has_authority=keeps, has_asked=has_asked)
+        lapsed = with_instance(state, former, has_authority=keeps, has_asked=has_asked)
         return lapsed._replace(has_waited=True)
 
     def _apply(self, state: State, write: Write) -> Iterator[Step]:
@@ -188,7 +102,7 @@
         writer = state.instances[write.instance]
         current = Write(write.instance, writer.known, Entry(writer.epoch, writer.record))
         if writer.mode is Mode.APPENDING and current == write:
-            yield f"answer {answer} to", _with(after, write.instance, answer=answer)
+            yield f"answer {answer} to", with_instance(after, write.instance, answer=answer)
 
     def _is_absent(self, state: State, sequence: int) -> bool:
         """Tell whether an entry was deleted; fences stay."""
@@ -206,17 +120,17 @@
         stored = rest._replace(checkpoint=checkpoint.covered)
         if not state.instances[checkpoint.instance].has_authority:
             return stored
-        known = _with(stored, checkpoint.instance, checkpoint=checkpoint.covered)
+        known = with_instance(stored, checkpoint.instance, checkpoint=checkpoint.covered)
         return known._replace(deleted=max(state.deleted, checkpoint.covered))
 
     def _instance(self, state: State, index: int, instance: Instance) -> Iterator[Step]:
         if instance.mode is not Mode.IDLE:
-            yield "crash", _with(state, index, **Instance()._asdict())
+            yield "crash", with_instance(state, index, **Instance()._asdict())
         yield from self._authority(state, index, instance)
         if instance.mode is Mode.IDLE:
             yield from self._open(state, index)
         elif instance.mode is Mode.OPENING and len(state.journal) < MAX_ENTRIES:
-            yield "append fence", _append(state, index, FENCE)
+            yield "append fence", append(state, index, FENCE)
         elif instance.mode is Mode.OPEN:
             yield from self._act(state, index, instance)
         elif instance.mode is Mode.APPENDING:
@@ -226,11 +140,13 @@
 
     def _authority(self, state: State, index: int, instance: Instance) -> Iterator[Step]:
         if instance.epoch == state.epoch and state.owner == index and not instance.has_asked:
-            yield "ask table", _with(state, index, has_asked=True)
+            yield "ask table", with_instance(state, index, has_asked=True)
         if instance.has_asked and instance.mode is not Mode.IDLE:
-            yield "hear from table", _with(state, index, has_authority=True, has_asked=False)
+            yield "hear from table", with_instance(
+                state, index, has_authority=True, has_asked=False
+            )
         if instance.has_authority:
-            yield "lapse", _with(state, index, has_authority=False, has_asked=False)
+            yield "lapse", with_instance(state, index, has_authority=False, has_asked=False)
 
     def _open(self, state: State, index: int) -> Iterator[Step]:
         used = any(other.epoch == state.epoch for other in state.instances)
@@ -244,13 +160,13 @@
         fresh = Instance(
             mode=Mode.OPENING, epoch=state.epoch, known=known, checkpoint=state.checkpoint
         )
-        recovered = _with(state, index, **fresh._asdict())
-        yield "recover", recovered if fenced else _opened(recovered, index)
+        recovered = with_instance(state, index, **fresh._asdict())
+        yield "recover", recovered if fenced else opened(recovered, index)
 
     def _act(self, state: State, index: int, instance: Instance) -> Iterator[Step]:
         may_act = instance.has_authority
         if may_act and instance.record < MAX_RECORDS and len(state.journal) < MAX_ENTRIES:
-            yield "append", _append(state, index, instance.record + 1)
+            yield "append", append(state, index, instance.record + 1)
         if may_act or self._fault is Fault.NO_CHECK_AFTER_PAUSE:
             late = state.sent_late or instance.epoch < state.opened
             yield "send upstream from", state._replace(sent_late=late)
@@ -260,7 +176,7 @@
             yield "checkpoint", state._replace(checkpoints=state.checkpoints | {write})
 
     def _take_answer(self, state: State, index: int, instance: Instance) -> Iterator[Step]:
-        yield "give up waiting", _with(state, index, mode=Mode.UNSURE, answer="")
+        yield "give up waiting", with_instance(state, index, mode=Mode.UNSURE, answer="")
         if instance.answer == "done":
             yield "take answer", self._done(state, index, instance)
         elif instance.answer == "conflict":
@@ -269,14 +185,14 @@
     def _done(self, state: State, index: int, instance: Instance) -> State:
         """Count the entry as written; a fence is no promise to a caller."""
         entry = Entry(instance.epoch, instance.record)
-        opened = _opened(_with(state, index, known=instance.known + 1), index)
+        after = opened(with_instance(state, index, known=instance.known + 1), index)
         if instance.record == FENCE:
-            return opened
-        return opened._replace(acknowledged=state.acknowledged | {(instance.known, entry)})
+            return after
+        return after._replace(acknowledged=state.acknowledged | {(instance.known, entry)})
 
     def _conflict(self, state: State, index: int, instance: Instance) -> State:
         if self._is_absent(state, instance.known):
-            return _with(state, index, mode=Mode.IDLE, answer="", has_asked=False)
+            return with_instance(state, index, mode=Mode.IDLE, answer="", has_asked=False)
         present = state.journal[instance.known]
         if present == Entry(instance.epoch, instance.record):
             return self._done(state, index, instance)
@@ -285,9 +201,9 @@
             has_successor = False
         if instance.record == FENCE and not has_successor:
             known = instance.known + 1
-            return _with(state, index, mode=Mode.OPENING, known=known, answer="")
+            return with_instance(state, index, mode=Mode.OPENING, known=known, answer="")
         entry = Entry(instance.epoch, instance.record)
-        stopped = _with(
+        stopped = with_instance(
             state, index, mode=Mode.IDLE, answer="", has_authority=False, has_asked=False
         )
         return stopped._replace(refused=state.refused | {entry})
@@ -298,9 +214,9 @@
         elif self._fault is Fault.LOST_MEANS_FAILED and instance.record != FENCE:
             entry = Entry(instance.epoch, instance.record)
             refused = state._replace(refused=state.refused | {entry})
-            yield "assume failed", _with(refused, index, mode=Mode.OPEN)
+            yield "assume failed", with_instance(refused, index, mode=Mode.OPEN)
         else:
-            yield "write again", _append(state, index, instance.record)
+            yield "write again", append(state, index, instance.record)
 
 
 def _is_acknowledged_durable(state: State) -> bool:
