Split the HTTP server and client into modules with one job

Behaviour and tests are as before: tests.test_http, tests.platform.test_instance_list and tests.node.test_path, 30 passed.

--- a/packages/lagoonfold-io/src/lagoonfold_io/__init__.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/__init__.py
@@ -3,7 +3,10 @@
 from lagoonfold_io._call_rate import CallRate
 from lagoonfold_io._config_log import ConfigLog, LogState
 from lagoonfold_io._etcd_store import EtcdStore
-from lagoonfold_io._http_client import HttpClient, ResponseHead, ResponseStream, StreamError
+from lagoonfold_io._http_client import HttpClient
+from lagoonfold_io._http_connection import ResponseHead, ResponseStream, StreamError
+from lagoonfold_io._http_exchange import ClientGoneError, Exchange
+from lagoonfold_io._http_faults import BorderFault
 from lagoonfold_io._http_messages import (
     Headers,
     HttpError,
@@ -12,7 +15,7 @@
     HttpResponse,
     Sent,
 )
-from lagoonfold_io._http_server import BorderFault, ClientGoneError, Exchange, HttpServer
+from lagoonfold_io._http_server import HttpServer
 from lagoonfold_io._instance_list import HttpInstanceList
 
 __all__ = [
--- /dev/null
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_connection.py
@@ -0,0 +1,152 @@
+"""A client's connection, and a response being read from it."""
+
+import math
+import os
+import select
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+
+import h11
+import trio
+
+from lagoonfold_io._http_messages import READ_SIZE_BYTES, Headers, HttpError, HttpRequest, Sent
+
+BREAKS = (trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError, OSError)
+
+
+@dataclass(slots=True, eq=False)
+class ClientConnection:
+    """An open connection with its protocol state."""
+
+    stream: trio.SocketStream
+    protocol: h11.Connection
+    opened_at: float
+    idle_since: float = 0.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ResponseHead:
+    """The status and the headers of a response whose body is still to be read."""
+
+    status: int
+    headers: Headers
+
+
+class StreamError(Exception):
+    """The connection broke or made no progress while a response was being read."""
+
+    def __init__(self, error: HttpError) -> None:
+        super().__init__(error.detail)
+        self.error = error
+
+
+@dataclass(slots=True, kw_only=True)
+class ResponseStream:
+    """A response being read; `chunks` yields body bytes and raises `StreamError` on a break."""
+
+    head: ResponseHead
+    _connection: ClientConnection
+    _progress_timeout_s: float
+    _complete: bool = field(default=False)
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body as it arrives; each wait is limited by the progress timeout."""
+        while data := await self.read():
+            yield data
+
+    async def read(self, *, is_timed: bool = True) -> bytes:
+        """Return all body bytes that are ready, waiting for the first; empty at the end.
+
+        A cancelled read loses nothing: the next one goes on where it stopped. Raises
+        `StreamError` on a break, or without progress unless the caller keeps time itself and
+        says so by `is_timed`.
+        """
+        timeout_s = self._progress_timeout_s if is_timed else math.inf
+        parts: list[bytes] = []
+        while not self._complete:
+            event = _ready_event(self._connection) if parts else None
+            if event is None:
+                if parts:
+                    break
+                event = await next_event(self._connection, timeout_s)
+            if isinstance(event, h11.Data):
+                parts.append(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                self._complete = True
+        return b"".join(parts)
+
+    def is_complete(self) -> bool:
+        """Tell whether the whole body has been read."""
+        return self._complete
+
+
+async def _receive(connection: ClientConnection, timeout_s: float) -> bytes:
+    """Return the next input; the timeout costs nothing where there is none."""
+    socket = connection.stream.socket
+    if timeout_s == math.inf:
+        await trio.lowlevel.wait_readable(socket)
+    else:
+        with trio.fail_after(timeout_s):
+            await trio.lowlevel.wait_readable(socket)
+    return os.read(socket.fileno(), READ_SIZE_BYTES)
+
+
+def _ready_event(connection: ClientConnection) -> h11.Event | None:
+    """Return the next protocol event that needs no further input, or None."""
+    if connection.protocol.their_state is not h11.SEND_BODY:
+        return None
+    try:
+        event = connection.protocol.next_event()
+    except h11.ProtocolError:
+        # The connection's state is kept: the next read meets the same error.
+        return None
+    return None if event is h11.NEED_DATA or event is h11.PAUSED else event
+
+
+async def next_event(connection: ClientConnection, timeout_s: float) -> h11.Event:
+    """Return the next protocol event, reading as needed; raise `StreamError` when it fails."""
+    try:
+        while True:
+            event = connection.protocol.next_event()
+            if event is not h11.NEED_DATA:
+                break
+            connection.protocol.receive_data(await _receive(connection, timeout_s))
+    except trio.TooSlowError as error:
+        detail = f"no progress for {timeout_s:g} s"
+        raise StreamError(HttpError(detail=detail, sent=Sent.MAYBE, is_timeout=True)) from error
+    except BREAKS as error:
+        raise StreamError(
+            HttpError(detail=f"connection broke: {error}", sent=Sent.MAYBE)
+        ) from error
+    if isinstance(event, h11.ConnectionClosed):
+        raise StreamError(HttpError(detail="connection closed", sent=Sent.MAYBE))
+    return event
+
+
+def close_now(connection: ClientConnection) -> None:
+    """Close a connection without waiting."""
+    connection.stream.socket.close()
+
+
+def has_input(connection: ClientConnection) -> bool:
+    """Tell whether an idle connection is readable, which means closed or out of step."""
+    socket = connection.stream.socket
+    if socket.fileno() < 0:
+        return True
+    poll = select.poll()
+    poll.register(socket.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
+def encode_request(protocol: h11.Connection, address: str, request: HttpRequest) -> bytes:
+    """Return a whole request as it goes over the wire."""
+    target = f"{request.path}?{request.query}" if request.query else request.path
+    headers = [("host", address), *request.headers]
+    if request.body or request.method in ("POST", "PUT"):
+        headers.append(("content-length", str(len(request.body))))
+    head = h11.Request(method=request.method, target=target, headers=headers)
+    parts = [protocol.send(head)]
+    if request.body:
+        parts.append(protocol.send(h11.Data(data=request.body)))
+    parts.append(protocol.send(h11.EndOfMessage()))
+    return b"".join(parts)
--- /dev/null
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_exchange.py
@@ -0,0 +1,97 @@
+"""The way to answer one request."""
+
+import os
+from collections.abc import Callable
+
+import h11
+import trio
+
+from lagoonfold_io._http_messages import Headers, HttpLimits, HttpResponse
+
+BREAKS = (trio.BrokenResourceError, trio.ClosedResourceError, OSError)
+_STREAM_HEADERS = ("transfer-encoding", "chunked")
+_CLOSE_HEADERS = (("connection", "close"),)
+
+
+class ClientGoneError(Exception):
+    """The client closed its connection or stopped reading before the response was complete."""
+
+
+class Exchange:
+    """One request's way to answer; every write is limited by the server's write timeout."""
+
+    def __init__(
+        self,
+        stream: trio.SocketStream,
+        protocol: h11.Connection,
+        limits: HttpLimits,
+        is_last: Callable[[], bool] = lambda: False,
+        *,
+        is_head: bool = False,
+    ) -> None:
+        self._stream = stream
+        self._protocol = protocol
+        self._limits = limits
+        self._is_last = is_last
+        self._is_head = is_head
+        self.started = False
+        self.finished = False
+
+    async def respond(self, response: HttpResponse) -> None:
+        """Send a whole response; raise `ClientGoneError` if the client does not take it.
+
+        The answer to a HEAD request goes without its body.
+        """
+        length = ("content-length", str(len(response.body)))
+        headers = [*response.headers, length, *self._closing_headers()]
+        head = h11.Response(status_code=response.status, headers=headers)
+        parts = [self._protocol.send(head)]
+        if response.body and not self._is_head:
+            parts.append(self._protocol.send(h11.Data(data=response.body)))
+        parts.append(self._protocol.send(h11.EndOfMessage()))
+        self.started = True
+        await self._write(b"".join(parts))
+        self.finished = True
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send the head of a streamed response."""
+        all_headers = [*headers, _STREAM_HEADERS, *self._closing_headers()]
+        head = h11.Response(status_code=status, headers=all_headers)
+        self.started = True
+        await self._write(self._protocol.send(head))
+
+    def _closing_headers(self) -> Headers:
+        return _CLOSE_HEADERS if self._is_last() else ()
+
+    async def send(self, data: bytes) -> None:
+        """Send a part of a streamed response; the wait is the back-pressure on the source."""
+        await self._write(self._protocol.send(h11.Data(data=data)))
+
+    async def finish(self) -> None:
+        """End a streamed response."""
+        await self._write(self._protocol.send(h11.EndOfMessage()))
+        self.finished = True
+
+    def _write_now(self, data: bytes) -> int:
+        """Write what the socket takes without a wait; return the number of bytes taken."""
+        fileno = self._stream.socket.fileno()
+        if fileno < 0:
+            raise trio.ClosedResourceError
+        try:
+            return os.write(fileno, data)
+        except BlockingIOError:
+            return 0
+
+    def abort(self) -> None:
+        """Give a streamed response up: its connection is closed without the response's end."""
+        self._protocol.send_failed()
+
+    async def _write(self, data: bytes) -> None:
+        try:
+            left = data[self._write_now(data) :]
+            if not left:
+                return
+            with trio.fail_after(self._limits.write_timeout_s):
+                await self._stream.send_all(left)
+        except (trio.TooSlowError, *BREAKS) as error:
+            raise ClientGoneError from error
--- /dev/null
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_faults.py
@@ -0,0 +1,40 @@
+"""What may be wrong with a request that never reaches a handler, and the plain answers to it."""
+
+from enum import Enum
+
+from lagoonfold_io._http_messages import HttpResponse
+
+
+class BorderFault(Enum):
+    """What was wrong with a request that never reached the handler."""
+
+    BODY_TOO_LARGE = "body-too-large"
+    HEADERS_TOO_LARGE = "headers-too-large"
+    MALFORMED = "malformed"
+    REQUEST_TIMEOUT = "request-timeout"
+    TOO_MANY_CONNECTIONS = "too-many-connections"
+
+
+_STATUS_BY_FAULT = {
+    BorderFault.BODY_TOO_LARGE: 413,
+    BorderFault.HEADERS_TOO_LARGE: 431,
+    BorderFault.MALFORMED: 400,
+    BorderFault.REQUEST_TIMEOUT: 408,
+    BorderFault.TOO_MANY_CONNECTIONS: 503,
+}
+
+
+class FaultError(Exception):
+    """A request that is refused before it reaches the handler."""
+
+    def __init__(self, fault: BorderFault) -> None:
+        super().__init__(fault.value)
+        self.fault = fault
+        self.is_head = False
+
+
+def plain_fault_response(fault: BorderFault) -> HttpResponse:
+    """Answer a fault with its status and a line of text."""
+    headers = (("content-type", "text/plain"),)
+    body = fault.value.encode()
+    return HttpResponse(status=_STATUS_BY_FAULT[fault], headers=headers, body=body)
--- a/packages/lagoonfold-io/src/lagoonfold_io/_http_server.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_server.py
@@ -11,150 +11,22 @@
         await nursery.start(server.serve, "127.0.0.1", 8080)
 """
 
-import os
-import select
 from collections.abc import Awaitable, Callable
-from enum import Enum
 
 import h11
 import trio
 
-from lagoonfold_io._http_messages import (
-    READ_SIZE_BYTES,
-    Headers,
-    HttpLimits,
-    HttpRequest,
-    HttpResponse,
-)
-
-_BREAKS = (trio.BrokenResourceError, trio.ClosedResourceError, OSError)
-_STREAM_HEADERS = ("transfer-encoding", "chunked")
-_CLOSE_HEADERS = (("connection", "close"),)
-
-
-class BorderFault(Enum):
-    """What was wrong with a request that never reached the handler."""
-
-    BODY_TOO_LARGE = "body-too-large"
-    HEADERS_TOO_LARGE = "headers-too-large"
-    MALFORMED = "malformed"
-    REQUEST_TIMEOUT = "request-timeout"
-    TOO_MANY_CONNECTIONS = "too-many-connections"
-
-
-_STATUS_BY_FAULT = {
-    BorderFault.BODY_TOO_LARGE: 413,
-    BorderFault.HEADERS_TOO_LARGE: 431,
-    BorderFault.MALFORMED: 400,
-    BorderFault.REQUEST_TIMEOUT: 408,
-    BorderFault.TOO_MANY_CONNECTIONS: 503,
-}
-
-
-class ClientGoneError(Exception):
-    """The client closed its connection or stopped reading before the response was complete."""
-
-
-class _FaultError(Exception):
-    """A request that is refused before it reaches the handler."""
-
-    def __init__(self, fault: BorderFault) -> None:
-        super().__init__(fault.value)
-        self.fault = fault
-        self.is_head = False
+from lagoonfold_io._http_exchange import BREAKS, ClientGoneError, Exchange
+from lagoonfold_io._http_faults import BorderFault, FaultError, plain_fault_response
+from lagoonfold_io._http_messages import READ_SIZE_BYTES, HttpLimits, HttpRequest, HttpResponse
+from lagoonfold_io._http_reading import RequestReader
 
+_LINGER_S = 1.0
 
-Handler = Callable[[HttpRequest, "Exchange"], Awaitable[None]]
+Handler = Callable[[HttpRequest, Exchange], Awaitable[None]]
 FaultResponder = Callable[[BorderFault], HttpResponse]
 
 
-def plain_fault_response(fault: BorderFault) -> HttpResponse:
-    """Answer a fault with its status and a line of text."""
-    headers = (("content-type", "text/plain"),)
-    body = fault.value.encode()
-    return HttpResponse(status=_STATUS_BY_FAULT[fault], headers=headers, body=body)
-
-
-class Exchange:
-    """One request's way to answer; every write is limited by the server's write timeout."""
-
-    def __init__(
-        self,
-        stream: trio.SocketStream,
-        protocol: h11.Connection,
-        limits: HttpLimits,
-        is_last: Callable[[], bool] = lambda: False,
-        *,
-        is_head: bool = False,
-    ) -> None:
-        self._stream = stream
-        self._protocol = protocol
-        self._limits = limits
-        self._is_last = is_last
-        self._is_head = is_head
-        self.started = False
-        self.finished = False
-
-    async def respond(self, response: HttpResponse) -> None:
-        """Send a whole response; raise `ClientGoneError` if the client does not take it.
-
-        The answer to a HEAD request goes without its body.
-        """
-        length = ("content-length", str(len(response.body)))
-        headers = [*response.headers, length, *self._closing_headers()]
-        head = h11.Response(status_code=response.status, headers=headers)
-        parts = [self._protocol.send(head)]
-        if response.body and not self._is_head:
-            parts.append(self._protocol.send(h11.Data(data=response.body)))
-        parts.append(self._protocol.send(h11.EndOfMessage()))
-        self.started = True
-        await self._write(b"".join(parts))
-        self.finished = True
-
-    async def start(self, status: int, headers: Headers) -> None:
-        """Send the head of a streamed response."""
-        all_headers = [*headers, _STREAM_HEADERS, *self._closing_headers()]
-        head = h11.Response(status_code=status, headers=all_headers)
-        self.started = True
-        await self._write(self._protocol.send(head))
-
-    def _closing_headers(self) -> Headers:
-        return _CLOSE_HEADERS if self._is_last() else ()
-
-    async def send(self, data: bytes) -> None:
-        """Send a part of a streamed response; the wait is the back-pressure on the source."""
-        await self._write(self._protocol.send(h11.Data(data=data)))
-
-    async def finish(self) -> None:
-        """End a streamed response."""
-        await self._write(self._protocol.send(h11.EndOfMessage()))
-        self.finished = True
-
-    def _write_now(self, data: bytes) -> int:
-        """Write what the socket takes without a wait; return the number of bytes taken."""
-        fileno = self._stream.socket.fileno()
-        if fileno < 0:
-            raise trio.ClosedResourceError
-        try:
-            return os.write(fileno, data)
-        except BlockingIOError:
-            return 0
-
-    def abort(self) -> None:
-        """Give a streamed response up: its connection is closed without the response's end."""
-        self._protocol.send_failed()
-
-    async def _write(self, data: bytes) -> None:
-        try:
-            left = data[self._write_now(data) :]
-            if not left:
-                return
-            with trio.fail_after(self._limits.write_timeout_s):
-                await self._stream.send_all(left)
-        except (trio.TooSlowError, *_BREAKS) as error:
-            raise ClientGoneError from error
-
-
 class HttpServer:
     """Serves one handler on one listening socket."""
 
@@ -215,7 +87,7 @@
                 await self._refuse(stream, protocol, BorderFault.TOO_MANY_CONNECTIONS)
                 return
             await self._serve_requests(stream, protocol)
-        except (ClientGoneError, *_BREAKS):
+        except (ClientGoneError, *BREAKS):
             pass
         except Exception as error:
             if self._on_handler_error is not None:
@@ -225,10 +97,13 @@
             await trio.aclose_forcefully(stream)
 
     async def _serve_requests(self, stream: trio.SocketStream, protocol: h11.Connection) -> None:
+        reader = RequestReader(
+            stream, protocol, self._limits, self._idle_scopes, lambda: self._closing
+        )
         while True:
             try:
-                request = await self._read_request(stream, protocol)
-            except _FaultError as error:
+                request = await reader.read()
+            except FaultError as error:
                 await self._refuse(stream, protocol, error.fault, is_head=error.is_head)
                 return
             if request is None:
@@ -276,7 +151,7 @@
         """Read ahead while the handler runs; an end of input means that the client is gone."""
         try:
             data = await stream.receive_some(READ_SIZE_BYTES)
-        except _BREAKS:
+        except BREAKS:
             scope.cancel()
             return
         if not data:
@@ -284,87 +159,6 @@
             return
         protocol.receive_data(data)
 
-    async def _read_request(
-        self, stream: trio.SocketStream, protocol: h11.Connection
-    ) -> HttpRequest | None:
-        head = await self._read_head(stream, protocol)
-        if head is None:
-            return None
-        try:
-            body = await self._read_body(stream, protocol, head)
-        except _FaultError as error:
-            error.is_head = head.method == b"HEAD"
-            raise
-        headers = tuple((name.decode(), value.decode("latin-1")) for name, value in head.headers)
-        path, _, query = head.target.decode("latin-1").partition("?")
-        return HttpRequest(
-            method=head.method.decode(), path=path, query=query, headers=headers, body=body
-        )
-
-    async def _read_head(
-        self, stream: trio.SocketStream, protocol: h11.Connection
-    ) -> h11.Request | None:
-        event = _parse(protocol)
-        if event is h11.NEED_DATA:
-            if not await self._wait_for_first_byte(stream, protocol):
-                return None
-            event = await self._read_event(stream, protocol, self._limits.header_timeout_s)
-        if isinstance(event, h11.ConnectionClosed):
-            return None
-        if not isinstance(event, h11.Request):
-            raise _FaultError(BorderFault.MALFORMED)
-        return event
-
-    async def _wait_for_first_byte(
-        self, stream: trio.SocketStream, protocol: h11.Connection
-    ) -> bool:
-        """Wait for input on an idle connection; return False when it should be closed.
-
-        A request that has come already is taken, also while the server closes.
-        """
-        if self._closing and not _is_readable(stream):
-            return False
-        with trio.move_on_after(self._limits.idle_timeout_s) as scope:
-            self._idle_scopes.add(scope)
-            try:
-                data = await stream.receive_some(READ_SIZE_BYTES)
-            finally:
-                self._idle_scopes.discard(scope)
-            protocol.receive_data(data)
-            return bool(data)
-        return False
-
-    async def _read_body(
-        self, stream: trio.SocketStream, protocol: h11.Connection, head: h11.Request
-    ) -> bytes:
-        if protocol.they_are_waiting_for_100_continue:
-            await stream.send_all(protocol.send(_CONTINUE))
-        parts: list[bytes] = []
-        size = 0
-        deadline = trio.current_time() + self._limits.body_timeout_s
-        while True:
-            left_s = max(0.0, deadline - trio.current_time())
-            event = await self._read_event(stream, protocol, left_s)
-            if isinstance(event, h11.EndOfMessage):
-                return b"".join(parts)
-            if not isinstance(event, h11.Data):
-                raise _FaultError(BorderFault.MALFORMED)
-            size += len(event.data)
-            if size > self._limits.max_body_bytes:
-                raise _FaultError(BorderFault.BODY_TOO_LARGE)
-            parts.append(bytes(event.data))
-
-    async def _read_event(
-        self, stream: trio.SocketStream, protocol: h11.Connection, timeout_s: float
-    ) -> h11.Event:
-        with trio.move_on_after(timeout_s):
-            while True:
-                event = _parse(protocol)
-                if event is not h11.NEED_DATA:
-                    return event
-                protocol.receive_data(await stream.receive_some(READ_SIZE_BYTES))
-        raise _FaultError(BorderFault.REQUEST_TIMEOUT)
-
     async def _refuse(
         self,
         stream: trio.SocketStream,
@@ -383,16 +177,6 @@
         await _linger(stream)
 
 
-_CONTINUE = h11.InformationalResponse(status_code=100, headers=[])
-_LINGER_S = 1.0
-
-
-def _is_readable(stream: trio.SocketStream) -> bool:
-    poll = select.poll()
-    poll.register(stream.socket.fileno(), select.POLLIN)
-    return bool(poll.poll(0))
-
-
 async def _linger(stream: trio.SocketStream) -> None:
     """Take unread input for a moment, so that a reset does not destroy the answer."""
     try:
@@ -400,14 +184,5 @@
         with trio.move_on_after(_LINGER_S):
             while await stream.receive_some(READ_SIZE_BYTES):
                 pass
-    except _BREAKS:
+    except BREAKS:
         pass
-
-
-def _parse(protocol: h11.Connection) -> h11.Event:
-    try:
-        return protocol.next_event()
-    except h11.RemoteProtocolError as error:
-        too_large = error.error_status_hint == 431
-        fault = BorderFault.HEADERS_TOO_LARGE if too_large else BorderFault.MALFORMED
-        raise _FaultError(fault) from error
