Refuse by how the last ask ended, not by one that is under way

Cause: in an outage of the key-value service calls inside their rate were refused as rate-exceeded while no owner could lend. A new ask cleared the outcome of the one before; a call that woke from the former ask after that found neither a shortage nor a refusal, and was told that the loan was used up. A call for which no loan came in time is now refused as owner-unavailable, which is what is known.

--- a/packages/lagoonfold-node/src/lagoonfold_node/_rates/_gate.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_rates/_gate.py
@@ -35,6 +35,13 @@
     shortage: Shortage | None = None
     refusal: Refusal | None = None
 
+    def note_answer(
+        self, *, shortage: Shortage | None = None, refusal: Refusal | None = None
+    ) -> None:
+        """Keep how the last ask ended; until the next one ends, calls are refused by it."""
+        self.shortage = shortage
+        self.refusal = refusal
+
 
 class RateGate:
     """Admits calls at the instance where they arrive.
@@ -124,20 +131,21 @@
             gate.ask_done = None
 
     async def _ask(self, account_id: AccountId, gate: _AccountGate) -> None:
-        gate.shortage, gate.refusal = None, None
         owner = self._owners.owner_of(account_id)
         if owner is None:
-            gate.refusal = _owner_changing("no owner")
+            gate.note_answer(refusal=_owner_changing("no owner"))
             return
         ask = gate.borrower.ask(now_s=self._clock(), needed=max(1, gate.waiting))
         answer = await self._ask_owner(owner, account_id, ask)
         if isinstance(answer, Err):
             gate.borrower.give_up(ask)
-            gate.refusal = answer.err_value
+            gate.note_answer(refusal=answer.err_value)
         elif isinstance(answer.ok_value, Err):
-            gate.shortage = answer.ok_value.err_value
-            gate.borrower.note_shortage(ask, gate.shortage, now_s=self._clock())
+            shortage = answer.ok_value.err_value
+            gate.note_answer(shortage=shortage)
+            gate.borrower.note_shortage(ask, shortage, now_s=self._clock())
         else:
+            gate.note_answer()
             gate.borrower.receive(ask, answer.ok_value.ok_value, now_s=self._clock())
 
     async def _ask_owner(
@@ -195,7 +203,7 @@
         return gate.refusal
     shortage = gate.shortage
     if shortage is None:
-        return Refusal(kind=ErrorKind.RATE_EXCEEDED, detail="loan used up", retry_after_s=0.01)
+        return _owner_changing("no loan came in time")
     if shortage.is_takeover:
         return _owner_changing("loans of the former owner are running out", shortage.retry_after_s)
     return Refusal(
--- a/tests/rates/test_gate.py
+++ b/tests/rates/test_gate.py
@@ -36,6 +36,7 @@
     ) -> Result[PeerMessage, Refusal]:
         if self._fleet.is_cut:
             await trio.sleep(timeout_s)
+            self._fleet.on_unanswered()
             return Err(unavailable(peer, "cut off"))
         await trio.sleep(self._fleet.delay_s)
         self._fleet.requests += 1
@@ -78,6 +79,7 @@
         self.requests = 0
         self.is_cut = False
         self.delay_s = 0.001
+        self.on_unanswered: Callable[[], None] = lambda: None
         self.owned_since_s = trio.current_time() - owned_for_s
         self.nodes: dict[InstanceId, Any] = {}
         for number in range(3):
@@ -165,6 +167,34 @@
     _with_fleet(check, rate_per_s=1.0, burst=10)
 
 
+def test_no_owner_is_never_told_as_rate_exceeded() -> None:
+    """While nobody can lend, calls that arrive just as a shared ask ends change no refusal."""
+
+    async def check(fleet: _Fleet) -> None:
+        fleet.is_cut = True
+        outcomes = []
+
+        async def admit() -> None:
+            outcomes.append(await fleet.admit(1))
+
+        async with trio.open_nursery() as nursery:
+            arrivals_left = 60
+
+            def arrive() -> None:
+                nonlocal arrivals_left
+                if arrivals_left:
+                    arrivals_left -= 1
+                    nursery.start_soon(admit)
+
+            fleet.on_unanswered = arrive
+            for _ in range(3):
+                nursery.start_soon(admit)
+        kinds = {outcome.err_value.kind for outcome in outcomes}
+        assert kinds == {ErrorKind.OWNER_UNAVAILABLE}
+
+    _with_fleet(check)
+
+
 def test_retry_after_is_honest() -> None:
     """A caller that comes back when it was told to is admitted."""
 
