Make three hollow process tests exercise their promise

Cause: red trials on a scratch copy left three tests green with the mechanism switched off. - Racing operators, compare-and-swap of config/head off: the operators ran one after the other. Writes of the head are now held, so that all have read before the first writes. - Lost answer to a change, search for the change id off: the one dropped answer was that of an instance's conditional read. Every answer to a transaction on the head is dropped now. - Silent engine, probe off: calls ended after the 30 s limit all the same. They must now end in half of it, and the engine's log must show that it had been sent some. The stand-in's delay keeps to the plan's filters, which see the keys that a transaction writes. Red now with the same faults: ['added', 'added', 'added']; changed since version 6; the request has not ended. Green without them. Also seen red: crossed answers delivered by sender alone, a dead engine without retries, a recorded turn not replayed. Stayed green: a restarted instance without its check of staleness, since it holds no key to serve on.

--- a/standins/_kv_faults.py
+++ b/standins/_kv_faults.py
@@ -3,6 +3,7 @@
     {"outage": "refuse"}                       every call gets 503 before it has any effect
     {"outage": "silent"}                       no call gets an answer or has an effect
     {"delay_s": 0.5}                           every call takes half a second longer
+    {"delay_s": 0.5, "operations": ["txn"], "key_contains": "config/"}   only these do
     {"drop_answer": 0.3, "seed": 7}            3 of 10 calls take effect but get no answer
     {"refuse": 1.0, "operations": ["txn"], "remaining": 2}   the next two transactions get 503
     {"mute_watches": true}                     watches stay open but tell of no change
@@ -59,17 +60,24 @@
         plan = self.plan
         if plan.outage:
             return Fate.REFUSE if plan.outage == "refuse" else Fate.SILENT
-        if plan.operations and operation not in plan.operations:
-            return Fate.SERVE
-        if plan.key_contains and not any(plan.key_contains in key for key in keys):
-            return Fate.SERVE
-        if plan.remaining == 0:
+        if not self._is_meant(operation, keys) or plan.remaining == 0:
             return Fate.SERVE
         fate = self._draw()
         if fate is not Fate.SERVE and plan.remaining > 0:
             plan.remaining -= 1
         return fate
 
+    def delay_s(self, operation: str, keys: list[str]) -> float:
+        """Return how much longer one call takes, in seconds."""
+        return self.plan.delay_s if self._is_meant(operation, keys) else 0.0
+
+    def _is_meant(self, operation: str, keys: list[str]) -> bool:
+        """Tell whether the plan's filters let the faults apply to a call."""
+        plan = self.plan
+        if plan.operations and operation not in plan.operations:
+            return False
+        return any(plan.key_contains in key for key in keys) or not plan.key_contains
+
     def _draw(self) -> Fate:
         number = self._random.random()
         for share, fate in (
--- a/standins/kv.py
+++ b/standins/kv.py
@@ -110,9 +110,9 @@
         except msgspec.DecodeError as error:
             await exchange.respond(_error(400, _CODE_INVALID, str(error)))
             return
-        fate = self.faults.decide(operation, _keys_of(fields))
-        if self.faults.plan.delay_s:
-            await trio.sleep(self.faults.plan.delay_s)
+        keys = _keys_of(fields)
+        fate = self.faults.decide(operation, keys)
+        await trio.sleep(self.faults.delay_s(operation, keys))
         if fate is Fate.REFUSE:
             await exchange.respond(_error(503, _CODE_UNAVAILABLE, "etcdserver: no leader"))
         elif fate is Fate.SILENT:
@@ -216,7 +216,8 @@
 
 
 def _keys_of(fields: Fields) -> list[str]:
-    steps = [fields, *fields.get("compare", [])]
+    requests = [request for step in fields.get("success", []) for request in step.values()]
+    steps = [fields, *fields.get("compare", []), *requests]
     return [_decode(step, "key").decode(errors="replace") for step in steps]
 
 
--- a/tests/failure/test_ownership.py
+++ b/tests/failure/test_ownership.py
@@ -115,9 +115,13 @@
 
 
 def test_operators_race() -> None:
-    """Of two operators who add the same account one is told of the conflict; nothing is lost."""
+    """Of three operators who add the same account one succeeds; nothing is lost.
+
+    Writes of the configuration take so long that all have read before the first has written.
+    """
     each = world()
     name = mark()
+    each.fleet.inject_store(delay_s=1.5, operations=["txn"], key_contains="config/head")
 
     def add(rate: int) -> str:
         try:
@@ -128,6 +132,7 @@
 
     racing = [Background(lambda rate=rate: add(rate)) for rate in (11, 12, 13)]
     told = [made.result() for made in racing]
+    each.fleet.inject_store()
     assert told.count("added") == 1, told
     shown = each.fleet.operate("account", "show", name)
     assert f'"rate_per_s": {11 + told.index("added")}.0' in json.dumps(shown)
@@ -137,10 +142,9 @@
     """The operator is told that the change is in force, and it is in the history once."""
     each = world()
     name = mark()
-    each.fleet.inject_store(
-        drop_answer=1.0, operations=["txn"], key_contains="config/head", remaining=1
-    )
+    each.fleet.inject_store(drop_answer=1.0, operations=["txn"], key_contains="config/head")
     each.fleet.operate("account", "add", name, "--rate=1", "--burst=1")
+    each.fleet.inject_store()
     history = json.dumps(each.fleet.operate("history"))
     assert history.count(f'"{name}"') == 1 or history.count(name) == 1, history[:600]
 
--- a/tests/failure/test_upstreams.py
+++ b/tests/failure/test_upstreams.py
@@ -2,6 +2,7 @@
 
 import time
 
+from lagoonfold_node._upstreams._engine import FIRST_BYTE_TIMEOUT_S
 from standins._engine_text import answer_text
 from standins.client import Reply
 from standins.fleet import MODEL, call, wait_until
@@ -11,6 +12,7 @@
 CRASH_MARKER = "crash-the-upstream"
 LEAVING_BOUND_S = 3.0
 MAX_TAKEN_DOWN = 2
+PASSED_OVER_LIMIT_S = FIRST_BYTE_TIMEOUT_S / 2
 ENGINES = ("engine-1", "engine-2", "engine-3")
 
 
@@ -58,7 +60,10 @@
 
 
 def test_silent_engine_is_passed_over() -> None:
-    """Connections to a suspended engine stay open and say nothing; calls end elsewhere."""
+    """Connections to a suspended engine say nothing; calls end elsewhere long before they time out.
+
+    The engine's log, read once it goes on, tells that calls had been sent to it.
+    """
     each = world()
     client = each.client()
     for _ in range(6):
@@ -70,7 +75,10 @@
         Background(lambda p=program, m=marked: each.client().chat(p, 1, m))
         for program, marked in zip(programs, marks, strict=True)
     ]
-    assert [_text(made.result()) for made in calls] == [_expected(marked, 16) for marked in marks]
+    answers = [_text(made.result(PASSED_OVER_LIMIT_S)) for made in calls]
+    assert answers == [_expected(marked, 16) for marked in marks]
+    each.fleet.upstreams_by_id["engine-1"].thaw()
+    wait_until(lambda: any(each.seen("engine-1", marked) for marked in marks), "a call at engine-1")
 
 
 def test_dead_engine_still_listed() -> None:
