--- a/packages/lagoonfold-ctl/src/lagoonfold_ctl/_main.py
+++ b/packages/lagoonfold-ctl/src/lagoonfold_ctl/_main.py
@@ -23,6 +23,7 @@
 from lagoonfold_ctl._fleet import FleetCommands
 from lagoonfold_ctl._render import describe_change, render_table
 from lagoonfold_ctl._session import EXIT_REFUSED, EXIT_USAGE, CommandError, Session, unwrap
+from lagoonfold_ctl._usage import USAGE, asks_for_overview
 
 _TRUE_WORDS = ("true", "1", "yes")
 _DEFAULT_HISTORY_LIMIT = 20
@@ -108,6 +109,9 @@
 
 def main() -> None:
     """Run the command line of this process."""
+    if asks_for_overview(sys.argv[1:]):
+        print(USAGE, end="")
+        return
     logging.disable(logging.CRITICAL)
     wants_json = any(word in ("--json", "--json=true") for word in sys.argv)
     try:
--- /dev/null
+++ b/packages/lagoonfold-ctl/src/lagoonfold_ctl/_usage.py
@@ -0,0 +1,34 @@
+"""The overview that `lagoonfold` prints when it is asked for help or given nothing to do."""
+
+HELP_WORDS = ("help", "--help", "-h")
+
+USAGE = """\
+lagoonfold operates the configuration and shows the state of the fleet.
+
+  lagoonfold account add ID --rate=PER_S --burst=N [--weight=W]
+  lagoonfold route   add NAME --kind=model|tool|service --target=NAME [--idempotent] [--open]
+  lagoonfold profile add NAME --accounts=ID,ID --routes=NAME,NAME [--max-wait=S] [budgets]
+  lagoonfold key     add ACCOUNT [--profiles=NAME,NAME] [--label=TEXT]
+
+account, route, profile and key take add, change, retire, list and show.
+
+  lagoonfold history [--limit=N]     who changed what, when, from what version
+  lagoonfold status                  the state of every instance
+  lagoonfold explain ID              each decision about a program or a request
+  lagoonfold check FILE              every fault of a settings file
+
+Common options:
+  --kv=HOST:PORT or --settings=FILE  where the configuration is
+  --by=NAME                          who makes a change (else the login name)
+  --json                             print JSON
+  --expect-version=N                 refuse the change if anything changed since version N
+  --change-id=ID                     repeat a change whose outcome is unknown
+
+Exit status: 0 done, 1 refused, 2 not understood; docs/operators/changing-configuration.md has all.
+`lagoonfold account add --help` and the like explain one command.
+"""
+
+
+def asks_for_overview(words: list[str]) -> bool:
+    """Tell whether the words after the program's name ask for nothing but help."""
+    return not words or words[0] in HELP_WORDS
--- a/tests/ctl/test_ctl.py
+++ b/tests/ctl/test_ctl.py
@@ -53,6 +53,15 @@
             process.kill()
 
 
+def test_help_lists_every_command() -> None:
+    """Asked for help, or for nothing, the program prints an overview and succeeds."""
+    for words in ((), ("--help",), ("help",)):
+        status, text, _ = _lagoonfold(*words)
+        assert status == 0
+        names = ("account", "route", "profile", "key", "history", "status", "explain", "check")
+        assert all(f"lagoonfold {name}" in text for name in names), text
+
+
 def test_check_names_five_faults_on_five_lines() -> None:
     """Five faults give five lines and a failing exit status; as JSON, five objects."""
     with tempfile.TemporaryDirectory() as folder:
