--- a/tests/failure/test_ownership.py
+++ b/tests/failure/test_ownership.py
@@ -54,6 +54,33 @@
     assert [turn["request"]["m"] for turn in turns] == marks
 
 
+def test_history_does_not_depend_on_the_way_in() -> None:
+    """A program gives the same history by way of one instance and of another for each call."""
+    each = world()
+    ids = tuple(each.fleet.instances_by_id)
+    histories = [_history_by_way_of(each, ways) for ways in (ids[:1], ids)]
+    assert len(histories[0]) == 4
+    assert histories[0] == histories[1]
+
+
+def _history_by_way_of(each: World, ways: tuple[str, ...]) -> list[tuple]:
+    client = each.client(*ways)
+    program_id = client.create_program(PROFILE)
+    for turn in (1, 2, 4):
+        if turn == 4:
+            persist(lambda: client.tool(program_id, 3, REGISTER, {"point": 17}))
+        persist(lambda t=turn: client.chat(program_id, t, f"point {t}"))
+    return [
+        (turn["turn"], turn["route"], turn["outcome"], turn["request"], _said(turn["answer"]))
+        for turn in client.history(program_id)
+    ]
+
+
+def _said(answer: dict) -> object:
+    """Return what an answer says, without the ids and counts that differ from run to run."""
+    return answer["choices"][0]["message"] if "choices" in answer else answer["echo"]
+
+
 def test_turn_out_of_order_does_not_run() -> None:
     """A call ahead of its turn is refused as not run, at every instance, and never reaches the
     tool."""
