Hear an engine out that keeps to max_tokens

Cause: a model call with max_tokens was cut off at its last token, before the engine's own end: the engine saw a cancelled request, kept no prefix, and its usage was lost. Found with a long program through the real processes: the fourth turn of 2,000 new tokens took 2.73 s, with no cached tokens. Ruled out: the choice of replica (all four turns went to one engine). Now the engine ends the answer; only a chunk that goes over the limit is dropped and ends the call. The former code passed on such a chunk whole.

--- a/packages/lagoonfold-node/src/lagoonfold_node/_execution/_model_call.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_execution/_model_call.py
@@ -64,9 +64,15 @@
         self.completion.resumed_at(former.text(), former.tokens)
         return self.completion
 
-    def is_at_limit(self) -> bool:
-        """Tell whether the answer has as many tokens as the budget allows."""
-        return self.completion.tokens >= self.limit
+    def is_over_limit(self) -> bool:
+        """Tell whether the answer has more tokens than it may: the engine ignored its limit."""
+        return self.completion.tokens > self.limit
+
+    def cut_back(self, mark: tuple[int, int]) -> None:
+        """End the answer at a mark, as an engine that keeps to its limit would."""
+        self.completion.cut_back(mark)
+        self.completion.finish_reason = FINISH_LENGTH
+        self.last_part = DONE_EVENT
 
     def charged_tokens(self) -> int:
         """Return the tokens to be charged so far."""
@@ -154,10 +160,14 @@
     running = generation.running
     while True:
         silence.deadline = trio.current_time() + SILENCE_TIMEOUT_S
+        mark = generation.completion.mark()
         read = await stream.read()
         if isinstance(read, Err):
             return read.err_value
         chunk = read.ok_value
+        if generation.is_over_limit():
+            generation.cut_back(mark)
+            return None
         running.spent = cost_of(running.route, generation.charged_tokens())
         if chunk.is_last:
             generation.last_part = chunk.raw
@@ -166,10 +176,6 @@
         if not running.feed.has_room():
             silence.deadline = math.inf
         await running.feed.write(chunk.raw)
-        if generation.is_at_limit():
-            generation.completion.finish_reason = FINISH_LENGTH
-            generation.last_part = DONE_EVENT
-            return None
 
 
 def _service_usage(generation: _Generation) -> ServiceUsage:
--- a/packages/lagoonfold-node/src/lagoonfold_node/_upstreams/_completion.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_upstreams/_completion.py
@@ -87,6 +87,15 @@
         self.texts.append(text)
         self.tokens += tokens
 
+    def mark(self) -> tuple[int, int]:
+        """Return the place that `cut_back` returns to."""
+        return len(self.texts), self.tokens
+
+    def cut_back(self, mark: tuple[int, int]) -> None:
+        """Drop the text that came since a mark."""
+        text_count, self.tokens = mark
+        del self.texts[text_count:]
+
     def add(self, event: bytes) -> None:
         """Take in the data of one event; raise `StreamError` if it is no chunk."""
         if event == DONE_DATA:
--- a/tests/node/_path.py
+++ b/tests/node/_path.py
@@ -180,6 +180,8 @@
     break_after: int = -1
     silent_after: int = -1
     is_hung: bool = False
+    ignores_limit: bool = False
+    pause_before_end_s: float = 0.0
     status: int = 200
     cancelled: int = 0
     tokens_sent: int = 0
@@ -212,7 +214,8 @@
 
     async def _stream(self, body: dict, exchange: Exchange) -> None:
         await exchange.start(200, (("content-type", "text/event-stream"),))
-        count = min(len(TOKENS), body.get("max_tokens", len(TOKENS)))
+        limit = len(TOKENS) if self.ignores_limit else body.get("max_tokens", len(TOKENS))
+        count = min(len(TOKENS), limit)
         for number in range(body.get("resume_from", 0), count):
             if number == self.break_after:
                 raise OSError("broken by the test")
@@ -224,6 +227,7 @@
             delta = {"choices": [{"index": 0, "delta": {"content": TOKENS[number]}}]}
             await exchange.send(b"data: " + json.dumps(delta).encode() + b"\n\n")
             self.tokens_sent += 1
+        await trio.sleep(self.pause_before_end_s)
         usage = {"prompt_tokens": 10, "completion_tokens": len(TOKENS), "total_tokens": 18}
         reason = "stop" if count == len(TOKENS) else "length"
         last = {"choices": [{"index": 0, "delta": {}, "finish_reason": reason}], "usage": usage}
@@ -375,9 +379,18 @@
         return json.loads(reply.body)["program_id"]
 
     async def chat(
-        self, node: int, program_id: str, turn: int, text: str, *, stream: bool = True, **headers
+        self,
+        node: int,
+        program_id: str,
+        turn: int,
+        text: str,
+        *,
+        stream: bool = True,
+        max_tokens: int | None = None,
+        **headers,
     ) -> HttpResponse:
-        body = {
+        body: dict = {} if max_tokens is None else {"max_tokens": max_tokens}
+        body |= {
             "model": "small",
             "stream": stream,
             "messages": [{"role": "user", "content": text}],
--- a/tests/node/test_path.py
+++ b/tests/node/test_path.py
@@ -380,6 +380,42 @@
     run_fleet(check)
 
 
+def test_engine_that_keeps_to_its_limit_is_heard_out() -> None:
+    """An answer of exactly `max_tokens` is not cut off: the engine ends it, and says its usage."""
+
+    async def check(fleet: PathFleet) -> None:
+        for engine in fleet.engines:
+            engine.pause_before_end_s = 0.05
+        program_id = await fleet.create_program()
+        reply = await fleet.chat(0, program_id, 1, "one", stream=False, max_tokens=3)
+        whole = json.loads(reply.body)
+        assert whole["choices"][0]["message"]["content"] == "".join(TOKENS[:3])
+        assert whole["usage"]["total_tokens"] == 18
+        assert sum(engine.cancelled for engine in fleet.engines) == 0
+
+    run_fleet(check)
+
+
+def test_engine_that_ignores_its_limit_is_cut() -> None:
+    """No token beyond `max_tokens` reaches the caller or the history, streamed or whole."""
+
+    async def check(fleet: PathFleet) -> None:
+        for engine in fleet.engines:
+            engine.ignores_limit = True
+        program_id = await fleet.create_program()
+        for turn, stream in enumerate((True, False), start=1):
+            reply = await fleet.chat(0, program_id, turn, "one", stream=stream, max_tokens=3)
+            assert reply.status == 200
+            said = text_of(reply) if stream else json.loads(reply.body)["choices"][0]["message"]
+            said = said if stream else said["content"]
+            assert "".join(TOKENS[:3]).startswith(said)
+        listed = json.loads((await fleet.send(1, "GET", f"/v1/programs/{program_id}/history")).body)
+        answers = [turn["answer"]["choices"][0] for turn in listed["turns"]]
+        assert {answer["finish_reason"] for answer in answers} == {"length"}
+
+    run_fleet(check)
+
+
 def test_cancel_and_end() -> None:
     """Cancelling stops the running call; an ended program takes no more calls."""
 
