Say when to come back to a call that was cut by a stale configuration

Ruled out: the refusals of new calls, which named a time. The cut refusal was made anew with its kind and detail alone; it now keeps the rest too.

--- a/packages/lagoonfold-node/src/lagoonfold_node/_border/_border.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_border/_border.py
@@ -5,7 +5,7 @@
 """
 
 import re
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import trio
 from result import Err
@@ -155,8 +155,7 @@
         finally:
             self.guard.leave(opened)
         if opened.scope.cancelled_caught and opened.cut is not None:
-            cut = opened.cut
-            return Refusal(kind=cut.kind, detail=cut.detail, ran=Ran.UNKNOWN)
+            return replace(opened.cut, ran=Ran.UNKNOWN)
         return refusal
 
     async def _perform_counted(self, matched: Matched, call: Call) -> Refusal | None:
--- a/tests/node/test_path.py
+++ b/tests/node/test_path.py
@@ -170,6 +170,30 @@
     run_fleet(check)
 
 
+def test_call_cut_by_a_stale_configuration_may_come_back() -> None:
+    """A call that is cut since its key can't be vouched for is told so, and when to repeat it."""
+
+    async def check(fleet: PathFleet) -> None:
+        program_id = await fleet.create_program(1)
+        for engine in fleet.engines:
+            engine.gate = trio.Event()
+        replies = []
+
+        async def ask() -> None:
+            replies.append(await fleet.chat(1, program_id, 1, "one", stream=False))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await wait_for(lambda: sum(len(engine.seen) for engine in fleet.engines) == 1)
+            config = fleet.nodes[1].board.config
+            config.write(replace(config.read(), verified_at_s=-1e9))
+        assert kind_of(replies[0]) is ErrorKind.CONFIG_STALE
+        assert json.loads(replies[0].body)["ran"] == "unknown"
+        assert int(replies[0].header("retry-after")) >= 1
+
+    run_fleet(check)
+
+
 def test_hang_up_cancels_upstream() -> None:
     """A caller that hangs up at the instance of arrival ends the engine's work."""
 
