--- a/tests/settings/test_settings.py
+++ b/tests/settings/test_settings.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 from result import Err, Ok
 
-from lagoonfold.settings import SettingsFault, load_settings, parse_settings
+from lagoonfold.settings import SchedulingSettings, SettingsFault, load_settings, parse_settings
 from tests._run import ROOT
 from tests._suite import load_functions
 
@@ -53,6 +53,13 @@
     assert faults["limits", "max_conections"].value == "5"
 
 
+def test_the_examples_name_the_default_policies() -> None:
+    """An example that lags behind a changed default would put the former one in force."""
+    for name in ("brunner", "corrib"):
+        loaded = load_settings(ROOT / "examples" / f"{name}.ini").unwrap()
+        assert loaded.scheduling == SchedulingSettings()
+
+
 def test_an_unknown_policy_is_named_with_the_known_ones() -> None:
     """A policy that is not in the registry is a fault that lists what is."""
     faults = _faults(_GOOD + "[scheduling]\norder = loudest-first\n")
