Send the silent engine's test its call for certain

The check that one was sent is right and stays; the test now first finds a program whose long prefix is at the engine, so that its next call goes there.

--- a/tests/failure/test_upstreams.py
+++ b/tests/failure/test_upstreams.py
@@ -12,6 +12,8 @@
 CRASH_MARKER = "crash-the-upstream"
 LEAVING_BOUND_S = 3.0
 MAX_TAKEN_DOWN = 2
+MAX_PROGRAMS = 40
+LONG_TEXT = "point " * 2_000
 PASSED_OVER_LIMIT_S = FIRST_BYTE_TIMEOUT_S / 2
 ENGINES = ("engine-1", "engine-2", "engine-3")
 
@@ -62,23 +64,32 @@
 def test_silent_engine_is_passed_over() -> None:
     """Connections to a suspended engine say nothing; calls end elsewhere long before they time out.
 
-    The engine's log, read once it goes on, tells that calls had been sent to it.
+    The program's long prefix is at the engine, so its next call goes there first; the engine's log,
+    read once it goes on, tells so.
     """
     each = world()
-    client = each.client()
-    for _ in range(6):
-        client.chat(client.create_program(PROFILE), 1, mark())
+    program_id, messages = _program_at(each, "engine-1")
     each.fleet.upstreams_by_id["engine-1"].freeze()
-    marks = [mark() for _ in range(6)]
-    programs = [client.create_program(PROFILE) for _ in marks]
-    calls = [
-        Background(lambda p=program, m=marked: each.client().chat(p, 1, m))
-        for program, marked in zip(programs, marks, strict=True)
-    ]
-    answers = [_text(made.result(PASSED_OVER_LIMIT_S)) for made in calls]
-    assert answers == [_expected(marked, 16) for marked in marks]
+    marked = mark()
+    made = Background(lambda: persist(lambda: each.client().chat(program_id, 2, marked)))
+    messages.append({"role": "user", "content": marked})
+    assert _text(made.result(PASSED_OVER_LIMIT_S)) == answer_text(messages, 16)
     each.fleet.upstreams_by_id["engine-1"].thaw()
-    wait_until(lambda: any(each.seen("engine-1", marked) for marked in marks), "a call at engine-1")
+    wait_until(lambda: bool(each.seen("engine-1", marked)), "the call at engine-1")
+
+
+def _program_at(each: World, engine: str) -> tuple[str, list[dict]]:
+    """Start programs until the first call of one has run at an engine; return its messages."""
+    client = each.client()
+    for _ in range(MAX_PROGRAMS):
+        marked = mark()
+        text = f"{marked} {LONG_TEXT}"
+        program_id = client.create_program(PROFILE)
+        said = _text(persist(lambda p=program_id, t=text: client.chat(p, 1, t)))
+        if each.seen(engine, marked):
+            user = {"role": "user", "content": text}
+            return program_id, [user, {"role": "assistant", "content": said}]
+    raise AssertionError(f"no program of {MAX_PROGRAMS} ran at {engine}")
 
 
 def test_dead_engine_still_listed() -> None:
