--- a/packages/lagoonfold-io/src/lagoonfold_io/_http_connection.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_connection.py
@@ -2,7 +2,6 @@
 
 import math
 import os
-import select
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 
@@ -10,6 +9,7 @@
 import trio
 
 from lagoonfold_io._http_messages import READ_SIZE_BYTES, Headers, HttpError, HttpRequest, Sent
+from lagoonfold_io._readiness import is_readable
 
 BREAKS = (trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError, OSError)
 
@@ -130,12 +130,7 @@
 
 def has_input(connection: ClientConnection) -> bool:
     """Tell whether an idle connection is readable, which means closed or out of step."""
-    socket = connection.stream.socket
-    if socket.fileno() < 0:
-        return True
-    poll = select.poll()
-    poll.register(socket.fileno(), select.POLLIN)
-    return bool(poll.poll(0))
+    return connection.stream.socket.fileno() < 0 or is_readable(connection.stream)
 
 
 def encode_request(protocol: h11.Connection, address: str, request: HttpRequest) -> bytes:
--- a/packages/lagoonfold-io/src/lagoonfold_io/_http_reading.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_reading.py
@@ -1,6 +1,5 @@
 """Reads whole requests from a connection, within the server's limits."""
 
-import select
 from collections.abc import Callable
 
 import h11
@@ -8,6 +7,7 @@
 
 from lagoonfold_io._http_faults import BorderFault, FaultError
 from lagoonfold_io._http_messages import READ_SIZE_BYTES, HttpLimits, HttpRequest
+from lagoonfold_io._readiness import is_readable
 
 _CONTINUE = h11.InformationalResponse(status_code=100, headers=[])
 
@@ -66,7 +66,7 @@
 
         A request that has come already is taken, also while the server closes.
         """
-        if self._is_closing() and not _is_readable(self._stream):
+        if self._is_closing() and not is_readable(self._stream):
             return False
         with trio.move_on_after(self._limits.idle_timeout_s) as scope:
             self._idle_scopes.add(scope)
@@ -106,12 +106,6 @@
         raise FaultError(BorderFault.REQUEST_TIMEOUT)
 
 
-def _is_readable(stream: trio.SocketStream) -> bool:
-    poll = select.poll()
-    poll.register(stream.socket.fileno(), select.POLLIN)
-    return bool(poll.poll(0))
-
-
 def _parse(protocol: h11.Connection) -> h11.Event:
     try:
         return protocol.next_event()
