Count the wait for a token from when the owner can lend again

Cause: scripts/demo failed once at: the repeated call after the owner's death was refused as rate-exceeded, to come back in 7 ms. It had waited out the former owner's loans for half a second, which used up the 0.1 s of patience for the first token. Ruled out: the lender, which starts empty by design. Red first: without it the new test fails (tests.rates.test_gate, 8 passed, 1 failed); now 9 passed.

--- a/packages/lagoonfold-node/src/lagoonfold_node/_rates/_gate.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_rates/_gate.py
@@ -104,6 +104,8 @@
     async def _ask_until_given(
         self, account_id: AccountId, gate: _AccountGate, started_s: float
     ) -> Result[None, Refusal]:
+        waits_since_s = started_s
+        was_used_up = False
         while True:
             pause_s = gate.borrower.pause_s(now_s=self._clock())
             if pause_s == 0.0:
@@ -112,7 +114,11 @@
                     return Ok(None)
                 pause_s = max(MIN_PAUSE_S, gate.borrower.pause_s(now_s=self._clock()))
             refusal = _refusal_of(gate)
-            if self._clock() + pause_s - started_s > _patience_s(gate):
+            if _is_used_up(gate) and not was_used_up:
+                # The wait for a token begins when the wait for the owner is over.
+                was_used_up = True
+                waits_since_s = self._clock()
+            if self._clock() + pause_s - waits_since_s > _patience_s(gate):
                 return Err(refusal)
             await trio.sleep(pause_s)
             if gate.borrower.take(now_s=self._clock()):
--- a/tests/rates/test_gate.py
+++ b/tests/rates/test_gate.py
@@ -195,6 +195,15 @@
     _with_fleet(check)
 
 
+def test_first_token_after_a_takeover_is_waited_for() -> None:
+    """The wait for a former owner's loans does not use up the patience for the first token."""
+
+    async def check(fleet: _Fleet) -> None:
+        assert (await fleet.admit(1)).is_ok()
+
+    _with_fleet(check, rate_per_s=8.0, owned_for_s=0.0)
+
+
 def test_retry_after_is_honest() -> None:
     """A caller that comes back when it was told to is admitted."""
 
