Send the broken replica's test its call for certain

The check that it was tried is right and stays, for a call that must go there: the program's long prefix is at that replica. The nine programs follow as before.

--- a/tests/failure/test_upstreams.py
+++ b/tests/failure/test_upstreams.py
@@ -30,16 +30,24 @@
 
 
 def test_broken_stream_is_resumed() -> None:
-    """Streams that break on one replica go on at another: each answer arrives whole, once."""
+    """Streams that break on one replica go on at another: each answer arrives whole, once.
+
+    The program's long prefix is at the replica that breaks, so its next call goes there first.
+    """
     each = world()
+    program_id, messages = _program_at(each, "engine-1")
     each.fleet.inject("engine-1", break_after_tokens=3)
     client = each.client()
+    first = mark()
+    messages.append({"role": "user", "content": first})
+    reply = client.chat(program_id, 2, first, max_tokens=20)
+    assert _text(reply) == answer_text(messages, 20)
+    assert each.seen("engine-1", first), "the broken replica was never tried"
     marks = [mark() for _ in range(9)]
     for marked in marks:
         reply = client.chat(client.create_program(PROFILE), 1, marked, max_tokens=20)
         assert _text(reply) == _expected(marked, 20)
-    broken = [marked for marked in marks if each.seen("engine-1", marked)]
-    assert broken, "the broken replica was never tried"
+    broken = [first, *(marked for marked in marks if each.seen("engine-1", marked))]
     assert all(each.runs(marked) == 2 for marked in broken)
 
 
