Keep what every instance reads of membership small

Now the table names each process once and is compressed (25 KB), the list is asked for by gzip (27 KB), and the allocator's two reads are conditional and made at every renewal. Red then green: test_takeover_while_watches_are_silent waits out its 20 s on the former allocator. The bench's library quantities are now in one module for each matter.

--- /dev/null
+++ b/bench/_record_slopes.py
@@ -0,0 +1,94 @@
+"""What the records of programs cost by the number of programs and of calls."""
+
+import time
+
+from bench._quantities import bytes_held, quantity
+from lagoonfold.records import (
+    CallRequest,
+    Cost,
+    CreateRequest,
+    JournalEntry,
+    Limits,
+    Outcome,
+    ProgramShard,
+    Record,
+    Settled,
+    digest_of_content,
+    encode_entry,
+)
+
+TURN_BYTES = 1_024
+_TURNS_KEPT = 8
+_LIMITS = Limits(10**9, 10**6, 10**9, 1e9)
+
+
+def _run_calls(shard: ProgramShard, program_id: str, turns: int) -> list[Record]:
+    """Run calls of a program through the shard and return their records."""
+    records: list[Record] = []
+    for turn in range(1, turns + 1):
+        body = f"question {turn}".encode().ljust(TURN_BYTES)
+        answer = f"answer {turn}".encode().ljust(TURN_BYTES)
+        request = CallRequest(
+            call_id=f"call-{program_id}-{turn}",
+            program_id=program_id,
+            account_id="account-1",
+            turn=turn,
+            route="chat",
+            is_idempotent=False,
+            content_digest=digest_of_content(body),
+            body=body,
+            reserve=Cost(10, 1, 10),
+        )
+        begun = shard.decide_begin(request, 1.0, executor="run-1").unwrap()
+        for record in begun.records:
+            shard.apply(record)
+        settled = Settled(
+            program_id, request.call_id, Outcome.ANSWERED, 200, "json", answer, Cost(10, 1, 10)
+        )
+        settling = shard.decide_settle(settled).unwrap()
+        for record in settling:
+            shard.apply(record)
+        records.extend((*begun.records, *settling))
+    return records
+
+
+def _create(shard: ProgramShard, program_id: str) -> None:
+    request = CreateRequest(
+        program_id=program_id, account_id="account-1", profile="crews", limits=_LIMITS
+    )
+    for record in shard.decide_create(request, 1.0).unwrap():
+        shard.apply(record)
+
+
+def _shard(programs: int, turns: int) -> ProgramShard:
+    shard = ProgramShard()
+    for number in range(programs):
+        _create(shard, f"program-{number}")
+        _run_calls(shard, f"program-{number}", turns)
+    return shard
+
+
+@quantity("bytes", f"program with {_TURNS_KEPT} turns of 2 KB in memory", (20, 60, 182))
+def shard_memory(programs: int) -> float:
+    """Memory of the programs of one instance."""
+    return bytes_held(lambda: _shard(programs, _TURNS_KEPT))
+
+
+@quantity("us", "call", (50, 200, 500))
+def call_time(calls: int) -> float:
+    """Time to decide, apply and encode so many calls, from begin to settled."""
+    shard = ProgramShard()
+    _create(shard, "program-1")
+    started = time.perf_counter()
+    records = _run_calls(shard, "program-1", calls)
+    encode_entry(JournalEntry("run-1", 1, tuple(records)))
+    return (time.perf_counter() - started) * 1e6
+
+
+@quantity("bytes", "call of 2 KB", (1, 10, 50))
+def journal_size(calls: int) -> float:
+    """Size of a journal entry with the records of so many calls."""
+    shard = ProgramShard()
+    _create(shard, "program-1")
+    records = _run_calls(shard, "program-1", calls)
+    return float(len(encode_entry(JournalEntry("run-1", 1, tuple(records)))))
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -12,15 +12,21 @@
 
 import fire
 
+from bench import (  # noqa: F401
+    _configuration_slopes,
+    _membership_slopes,
+    _rate_slopes,
+    _record_slopes,
+)
 from bench._fit import Slope, measure
 from bench._fleet_slopes import measure_engines, measure_instances
-from bench._library_slopes import QUANTITIES_BY_NAME, REPEATS
+from bench._quantities import QUANTITIES_BY_NAME, REPEATS
 
 PARTS = ("library", "instances", "engines")
 
 
 def measure_library() -> list[Slope]:
-    """Measure every quantity of the library."""
+    """Measure the library's quantities, which the modules imported here register."""
     return [
         measure(
             quantity.name,
--- a/packages/lagoonfold-io/src/lagoonfold_io/_etcd_messages.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_etcd_messages.py
@@ -34,6 +34,7 @@
 
     header: Header = msgspec.field(default_factory=Header)
     kvs: tuple[KeyValue, ...] = ()
+    count: str = "0"
 
 
 class StepResponse(msgspec.Struct, kw_only=True):
--- a/packages/lagoonfold-io/src/lagoonfold_io/_etcd_store.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_etcd_store.py
@@ -31,6 +31,7 @@
 from lagoonfold_io._call_rate import CallRate
 from lagoonfold_io._etcd_messages import (
     ErrorResponse,
+    Header,
     KeepAliveResponse,
     LeaseResponse,
     RangeResponse,
@@ -105,13 +106,35 @@
 
     async def list(self, prefix: str) -> Result[Listing, StoreError]:
         """Read all keys below a prefix, in key order."""
-        fields = {"key": to_base64(prefix), "range_end": to_base64(prefix_end(prefix))}
-        answer = await self._read("range", fields)
+        answer = await self._read("range", _range_of(prefix))
         if isinstance(answer, Err):
             return answer
         found = answer.ok_value
-        entries = tuple(kv.to_entry() for kv in found.kvs)
-        return Ok(Listing(entries=entries, revision=int(found.header.revision)))
+        return Ok(_listing(found, found.header))
+
+    async def list_if_changed(
+        self, prefix: str, known: Listing
+    ) -> Result[Listing | None, StoreError]:
+        """Read all keys below a prefix; return None, without them travelling, if `known` holds.
+
+        A key that was written since has a newer revision; one that was deleted lowers the count.
+        """
+        keys = _range_of(prefix)
+        newer = str(known.revision + 1)
+        fields = {
+            "compare": [{**keys, "target": "MOD", "result": "LESS", "mod_revision": newer}],
+            "success": [{"request_range": {**keys, "count_only": True}}],
+            "failure": [{"request_range": keys}],
+        }
+        answer = await self._call("/v3/kv/txn", fields, TxnResponse)
+        if isinstance(answer, Err):
+            return _not_lost(answer)
+        found = answer.ok_value.responses[0].response_range
+        if not answer.ok_value.succeeded:
+            return Ok(_listing(found, answer.ok_value.header))
+        if int(found.count) == len(known.entries):
+            return Ok(None)
+        return await self.list(prefix)
 
     async def put_if(
         self, key: str, value: bytes, *, expected_revision: int, lease_id: int = NO_LEASE
@@ -170,8 +193,7 @@
             yield _no_events()
             return
         wanted = {
-            "key": to_base64(prefix),
-            "range_end": to_base64(prefix_end(prefix)),
+            **_range_of(prefix),
             "start_revision": str(from_revision),
         }
         request = _post("/v3/watch", {"create_request": wanted})
@@ -224,6 +246,15 @@
     }
 
 
+def _range_of(prefix: str) -> dict:
+    return {"key": to_base64(prefix), "range_end": to_base64(prefix_end(prefix))}
+
+
+def _listing(found: RangeResponse, header: Header) -> Listing:
+    entries = tuple(kv.to_entry() for kv in found.kvs)
+    return Listing(entries=entries, revision=int(header.revision))
+
+
 def _not_lost(failed: Err[StoreError]) -> Err[StoreError]:
     """Return the error of a read, which has no effect that a lost answer could hide."""
     if failed.err_value.kind is StoreErrorKind.LOST_ANSWER:
--- a/packages/lagoonfold-io/src/lagoonfold_io/_instance_list.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_instance_list.py
@@ -1,17 +1,19 @@
 """The instance list port over the platform's `GET /v1/instances`.
 
 The read is conditional: a list that has not changed since the last read costs no body, where the
-platform gives entity tags.
+platform gives entity tags. A list that has changed travels compressed where the platform offers it.
 """
 
 import msgspec
 from result import Err, Ok, Result
 
-from lagoonfold import ListedInstance, StoreError, StoreErrorKind
+from lagoonfold import ListedInstance, StoreError, StoreErrorKind, decompress
 from lagoonfold_io._http_client import HttpClient
 from lagoonfold_io._http_messages import HttpRequest, HttpResponse
 
 DEFAULT_READ_TIMEOUT_S = 2.0
+MAX_LIST_BYTES = 16_000_000
+_CODING = "gzip"
 _STATUS_OK = 200
 _STATUS_NOT_MODIFIED = 304
 
@@ -35,7 +37,8 @@
     async def read(self) -> Result[tuple[ListedInstance, ...], StoreError]:
         """Return all listed instances."""
         condition = () if self._entity_tag is None else (("if-none-match", self._entity_tag),)
-        request = HttpRequest(method="GET", path="/v1/instances", headers=condition)
+        headers = (("accept-encoding", _CODING), *condition)
+        request = HttpRequest(method="GET", path="/v1/instances", headers=headers)
         answer = await self._client.fetch(self._address, request, timeout_s=self._timeout_s)
         if isinstance(answer, Err):
             return _unavailable(answer.err_value.detail)
@@ -47,8 +50,11 @@
         return self._take(response)
 
     def _take(self, response: HttpResponse) -> Result[tuple[ListedInstance, ...], StoreError]:
+        body = _decoded(response)
+        if isinstance(body, Err):
+            return _unavailable(body.err_value)
         try:
-            document = msgspec.json.decode(response.body, type=_Document)
+            document = msgspec.json.decode(body.ok_value, type=_Document)
         except msgspec.DecodeError as error:
             return _unavailable(f"unreadable list: {error}")
         self._last_read = document.instances
@@ -56,5 +62,11 @@
         return Ok(document.instances)
 
 
+def _decoded(response: HttpResponse) -> Result[bytes, str]:
+    if response.header("content-encoding") != _CODING:
+        return Ok(response.body)
+    return decompress(response.body, max_bytes=MAX_LIST_BYTES)
+
+
 def _unavailable(detail: str) -> Err[StoreError]:
     return Err(StoreError(kind=StoreErrorKind.UNAVAILABLE, detail=detail))
--- a/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_allocator.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_allocator.py
@@ -4,15 +4,18 @@
 Every instance tries for the key. Its lease is the instance's own, so the key goes with it.
 """
 
+from dataclasses import dataclass
+
 import trio
 from msgspec.structs import replace
 from result import Err, Ok, Result
 
-from lagoonfold import ABSENT_REVISION, Listing, StoreError, StoreErrorKind, new_id
+from lagoonfold import ABSENT_REVISION, StoreError, StoreErrorKind, new_id
 from lagoonfold.membership import (
+    NO_TABLE,
     Member,
     OwnershipTable,
-    decode_member,
+    TableView,
     decode_table,
     encode_table,
     next_table,
@@ -24,14 +27,22 @@
     OWNERSHIP_KEY,
     OwnershipContext,
 )
+from lagoonfold_node._ownership._registrations import Registrations
 
 _MAX_SETTLE_S = 1.0
 _BALANCE_INTERVAL_S = 1.0
 _REARM_S = 0.5
-_RELIST_INTERVAL_S = 30.0
 _ENTRY_ROLE = "entry"
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Placement:
+    """What a placement depends on: the members, and the revision of the table before it."""
+
+    members: tuple[Member, ...]
+    revision: int
+
+
 class Allocator:
     """Campaigns for the key, and places shards while holding it.
 
@@ -43,6 +54,8 @@
         self._context = context
         self._members_changed = trio.Event()
         self._leaving_ids: frozenset[str] = frozenset()
+        self._registrations = Registrations(context.store)
+        self._settled: _Placement | None = None
 
     async def run(self) -> None:
         """Campaign and place until cancelled."""
@@ -72,23 +85,18 @@
         """Place shards until the key or the lease is lost."""
         self._context.log.info("allocator.elected", instance=self._context.instance_id)
         await trio.sleep(min(_MAX_SETTLE_S, self._context.settings.renew_s))
+        self._registrations = Registrations(self._context.store)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch_members)
             while self._context.has_lease() and await self._campaign():
                 self._members_changed = trio.Event()
+                await self._read_leaving()
                 changed = await self._place()
-                wait_s = _BALANCE_INTERVAL_S if changed else _RELIST_INTERVAL_S
+                wait_s = _BALANCE_INTERVAL_S if changed else self._context.settings.renew_s
                 with trio.move_on_after(wait_s):
-                    await self._wait_for_change()
+                    await self._members_changed.wait()
             nursery.cancel_scope.cancel()
 
-    async def _wait_for_change(self) -> None:
-        """Wait until members or leaving instances have changed, or the key may be lost."""
-        while self._context.has_lease() and not await self._read_leaving():
-            with trio.move_on_after(self._context.settings.renew_s):
-                await self._members_changed.wait()
-                return
-
     async def _watch_members(self) -> None:
         while True:
             async with self._context.store.watch(INSTANCES_PREFIX, from_revision=0) as events:
@@ -106,51 +114,70 @@
         return placed.ok_value
 
     async def _try_place(self) -> Result[bool, StoreError]:
-        store = self._context.store
-        current = await store.get(OWNERSHIP_KEY)
-        if isinstance(current, Err):
-            return current
-        listing = await store.list(INSTANCES_PREFIX)
-        if isinstance(listing, Err):
-            return listing
+        table = await self._read_table()
+        if isinstance(table, Err):
+            return table
+        registered = await self._registrations.read()
+        if isinstance(registered, Err):
+            return registered
         members = tuple(
             replace(member, leaving=member.leaving or member.instance_id in self._leaving_ids)
-            for member in _members_of(listing.ok_value)
+            for member in registered.ok_value
         )
-        table = decode_table(current.ok_value.value)
+        placement = _Placement(members=members, revision=table.ok_value.revision)
+        if placement == self._settled:
+            return Ok(False)
+        after = self._next(table.ok_value.table, members)
+        if after is None:
+            self._settled = placement
+            return Ok(False)
+        return await self._write(after, table.ok_value.revision)
+
+    async def _read_table(self) -> Result[TableView, StoreError]:
+        """Return the newest table, which travels only if the board's is older."""
+        asked_at_s = trio.current_time()
+        view = self._context.table_view()
+        known_revision = ABSENT_REVISION if view is None else view.revision
+        read = await self._context.store.get_if_changed(OWNERSHIP_KEY, known_revision)
+        if isinstance(read, Err):
+            return read
+        entry = read.ok_value
+        if entry is None:
+            return Ok(view or NO_TABLE)
+        table = decode_table(entry.value)
         if isinstance(table, Err):
             detail = table.err_value
             self._context.log.error("ownership.unreadable", detail=detail)
             return Err(StoreError(kind=StoreErrorKind.CONFLICT, detail=detail))
-        after = self._next(table.ok_value, members)
-        if after is None:
-            return Ok(False)
-        written = await store.put_if(
-            OWNERSHIP_KEY, encode_table(after), expected_revision=current.ok_value.revision
+        return Ok(
+            TableView(table=table.ok_value, revision=entry.revision, verified_at_s=asked_at_s)
+        )
+
+    async def _write(self, table: OwnershipTable, revision: int) -> Result[bool, StoreError]:
+        written = await self._context.store.put_if(
+            OWNERSHIP_KEY, encode_table(table), expected_revision=revision
         )
         if isinstance(written, Err):
             return written
         self._context.metrics.count("ownership_writes")
         return Ok(True)
 
-    async def _read_leaving(self) -> bool:
-        """Read which instances are listed as leaving; return whether that has changed.
+    async def _read_leaving(self) -> None:
+        """Read which instances are listed as leaving.
 
         The list lags and may fail to answer, so it only adds to what members say of themselves;
         whether a member is alive is said by its lease alone.
         """
         if self._context.instance_list is None:
-            return False
+            return
         listed = await self._context.instance_list.read()
         if isinstance(listed, Err):
-            return False
-        before = self._leaving_ids
+            return
         self._leaving_ids = frozenset(
             each.instance_id
             for each in listed.ok_value
             if each.leaving and each.role == _ENTRY_ROLE
         )
-        return self._leaving_ids != before
 
     def _next(self, table: OwnershipTable, members: tuple[Member, ...]) -> OwnershipTable | None:
         """Return the next table, or None if nothing changes."""
@@ -161,9 +188,3 @@
         after = next_table(table, members, placed, new_id("writer"))
         unchanged = after.owners == table.owners and after.members == table.members
         return None if unchanged else after
-
-
-def _members_of(listing: Listing) -> tuple[Member, ...]:
-    """Return the registered members; an entry that can't be read is left out."""
-    decoded = (decode_member(entry.value) for entry in listing.entries)
-    return tuple(each.ok_value for each in decoded if isinstance(each, Ok))
--- a/packages/lagoonfold/src/lagoonfold/__init__.py
+++ b/packages/lagoonfold/src/lagoonfold/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from lagoonfold._board import Cell
+from lagoonfold._compression import compress, decompress
 from lagoonfold._errors import ANSWERS_BY_KIND, Answer, ErrorKind, Ran, Refusal
 from lagoonfold._ids import (
     AccountId,
@@ -65,5 +66,7 @@
     "UpstreamId",
     "WatchEvent",
     "WriterId",
+    "compress",
+    "decompress",
     "new_id",
 ]
--- a/packages/lagoonfold/src/lagoonfold/_ports.py
+++ b/packages/lagoonfold/src/lagoonfold/_ports.py
@@ -82,6 +82,11 @@
     async def list(self, prefix: str) -> Result[Listing, StoreError]:
         """Read all keys below a prefix, in key order."""
 
+    async def list_if_changed(
+        self, prefix: str, known: Listing
+    ) -> Result[Listing | None, StoreError]:
+        """Read all keys below a prefix; return None, without them travelling, if `known` holds."""
+
     async def put_if(
         self, key: str, value: bytes, *, expected_revision: int, lease_id: int = NO_LEASE
     ) -> Result[int, StoreError]:
--- a/packages/lagoonfold/src/lagoonfold/membership/__init__.py
+++ b/packages/lagoonfold/src/lagoonfold/membership/__init__.py
@@ -9,20 +9,24 @@
 from lagoonfold.membership._shards import child_program_id, shard_key, shard_of
 from lagoonfold.membership._table import (
     NO_OWNER,
+    NO_TABLE,
     Member,
     OwnershipTable,
     ShardOwner,
     TableView,
+    next_table,
+)
+from lagoonfold.membership._table_codec import (
     decode_member,
     decode_table,
     encode_member,
     encode_table,
-    next_table,
 )
 
 __all__ = [
     "CLOCK_RATE_MARGIN",
     "NO_OWNER",
+    "NO_TABLE",
     "InstanceLease",
     "Member",
     "OwnershipTable",
--- a/packages/lagoonfold/src/lagoonfold/membership/_table.py
+++ b/packages/lagoonfold/src/lagoonfold/membership/_table.py
@@ -7,11 +7,9 @@
 from dataclasses import dataclass
 
 import msgspec
-from result import Err, Ok, Result
 
 from lagoonfold._ids import Epoch, InstanceId, ShardId
-
-FORMAT = 1
+from lagoonfold._ports import ABSENT_REVISION
 
 
 class Member(msgspec.Struct, frozen=True, kw_only=True):
@@ -49,7 +47,6 @@
     writer_id: str = ""
     members: tuple[Member, ...] = ()
     owners: tuple[ShardOwner, ...] = ()
-    format: int = FORMAT
 
     @property
     def shard_count(self) -> int:
@@ -78,6 +75,9 @@
     verified_at_s: float
 
 
+NO_TABLE = TableView(table=OwnershipTable(), revision=ABSENT_REVISION, verified_at_s=float("-inf"))
+
+
 def next_table(
     table: OwnershipTable,
     members: tuple[Member, ...],
@@ -99,39 +99,3 @@
         epoch = Epoch(before.epoch + 1)
         owners.append(ShardOwner(instance_id, run_id, epoch, before.run_id))
     return OwnershipTable(writer_id=writer_id, members=members, owners=tuple(owners))
-
-
-_TABLE_DECODER = msgspec.msgpack.Decoder(OwnershipTable)
-_MEMBER_DECODER = msgspec.msgpack.Decoder(Member)
-_ENCODER = msgspec.msgpack.Encoder()
-
-
-def encode_table(table: OwnershipTable) -> bytes:
-    """Return the table as the value of its key."""
-    return _ENCODER.encode(table)
-
-
-def decode_table(value: bytes) -> Result[OwnershipTable, str]:
-    """Read a table; an empty value is the table before the first placement."""
-    if not value:
-        return Ok(OwnershipTable())
-    try:
-        table = _TABLE_DECODER.decode(value)
-    except msgspec.DecodeError as error:
-        return Err(f"ownership table: {error}")
-    if table.format != FORMAT:
-        return Err(f"ownership table: format {table.format} is not {FORMAT}")
-    return Ok(table)
-
-
-def encode_member(member: Member) -> bytes:
-    """Return a member as the value of its key."""
-    return _ENCODER.encode(member)
-
-
-def decode_member(value: bytes) -> Result[Member, str]:
-    """Read a member."""
-    try:
-        return Ok(_MEMBER_DECODER.decode(value))
-    except msgspec.DecodeError as error:
-        return Err(f"member: {error}")
--- a/standins/instances.py
+++ b/standins/instances.py
@@ -1,9 +1,11 @@
 """Stand-in for the platform's instance list: `python -m standins.instances --port 7001`.
 
 `PUT /v1/instances` replaces the list; `GET /v1/instances` returns the list as it was
-`--lag` seconds ago, with an entity tag, and answers 304 to a read whose tag is still right.
+`--lag` seconds ago, with an entity tag, and answers 304 to a read whose tag is still right. A body
+is compressed by gzip for a reader that accepts it.
 """
 
+import gzip
 import hashlib
 import json
 
@@ -13,6 +15,8 @@
 from lagoonfold_io import Exchange, HttpRequest, HttpResponse
 from standins._server import StandIn, json_response, run_stand_in
 
+_GZIP_LEVEL = 1
+
 
 class InstancesStandIn(StandIn):
     """Keeps each version of the list with the time of its arrival."""
@@ -38,7 +42,12 @@
         if request.header("if-none-match") == tag:
             return HttpResponse(status=304, headers=(("etag", tag),))
         headers = (*listing.headers, ("etag", tag))
-        return HttpResponse(status=200, headers=headers, body=listing.body)
+        if "gzip" not in (request.header("accept-encoding") or ""):
+            return HttpResponse(status=200, headers=headers, body=listing.body)
+        packed = gzip.compress(listing.body, _GZIP_LEVEL, mtime=0)
+        return HttpResponse(
+            status=200, headers=(*headers, ("content-encoding", "gzip")), body=packed
+        )
 
     def _visible(self) -> list:
         limit = trio.current_time() - self._lag_s
--- a/standins/kv.py
+++ b/standins/kv.py
@@ -7,6 +7,7 @@
 """
 
 import base64
+import operator
 import sys
 from collections import Counter
 from collections.abc import Callable
@@ -25,6 +26,7 @@
 _CODE_INVALID = 3
 _CODE_NOT_FOUND = 5
 _CODE_UNAVAILABLE = 14
+_COMPARISONS_BY_RESULT = {"EQUAL": operator.eq, "LESS": operator.lt}
 
 Fields = dict[str, Any]
 
@@ -146,7 +148,8 @@
 
     def _range(self, fields: Fields) -> Fields:
         entries = self.store.range(_decode(fields, "key"), _decode(fields, "range_end"))
-        return {"kvs": [_entry_fields(entry) for entry in entries], "count": str(len(entries))}
+        kvs = [] if fields.get("count_only") else [_entry_fields(entry) for entry in entries]
+        return {"kvs": kvs, "count": str(len(entries))}
 
     def _put(self, fields: Fields) -> Fields:
         value = _decode(fields, "value")
@@ -166,10 +169,13 @@
         return {"succeeded": succeeded, "responses": responses}
 
     def _holds(self, compare: Fields) -> bool:
-        if compare.get("target") != "MOD" or compare.get("result", "EQUAL") != "EQUAL":
-            raise ValueError("only MOD EQUAL comparisons are served")
-        entry = self.store.get(_decode(compare, "key"))
-        return (entry.revision if entry else 0) == int(compare.get("mod_revision", 0))
+        if compare.get("target") != "MOD":
+            raise ValueError("only comparisons of MOD are served")
+        holds = _COMPARISONS_BY_RESULT[compare.get("result", "EQUAL")]
+        wanted = int(compare.get("mod_revision", 0))
+        entries = self.store.range(_decode(compare, "key"), _decode(compare, "range_end"))
+        revisions = [entry.revision for entry in entries] or [0]
+        return all(holds(revision, wanted) for revision in revisions)
 
     def _step(self, step: Fields) -> Fields:
         if "request_put" in step:
--- a/tests/membership/test_placement.py
+++ b/tests/membership/test_placement.py
@@ -2,10 +2,12 @@
 
 from collections import Counter
 
+import msgspec
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from result import Err
 
+from lagoonfold import compress, decompress
 from lagoonfold.membership import (
     InstanceLease,
     OwnershipTable,
@@ -16,6 +18,7 @@
     place_shards,
     shard_of,
 )
+from lagoonfold.membership._table_codec import FORMAT, MAX_TABLE_BYTES
 from tests._suite import load_functions
 from tests.membership._strategies import make_member, member_sets
 
@@ -93,7 +96,17 @@
     data = encode_table(_advance(OwnershipTable(), (make_member(0),)))
     for size in range(1, len(data)):
         assert isinstance(decode_table(data[:size]), Err)
-    assert isinstance(decode_table(encode_table(OwnershipTable(format=9))), Err)
+    content = decompress(data, max_bytes=MAX_TABLE_BYTES).unwrap()
+    fields = msgspec.msgpack.decode(content)
+    assert fields["format"] == FORMAT
+    for damage in ({"format": FORMAT + 7}, {"owners": [[99, 1, 0]]}, {"owners": [[0, 1, -1]]}):
+        damaged = msgspec.msgpack.encode({**fields, **damage})
+        assert isinstance(decode_table(compress(damaged)), Err), damage
+
+
+def test_table_that_expands_too_far_is_an_error() -> None:
+    """A damaged value can't make the reader allocate without bound."""
+    assert isinstance(decode_table(compress(bytes(MAX_TABLE_BYTES + 1))), Err)
 
 
 load_tests = load_functions(globals())
--- a/tests/ownership/test_takeover.py
+++ b/tests/ownership/test_takeover.py
@@ -15,6 +15,7 @@
     StoreErrorKind,
 )
 from lagoonfold.records import Outcome, Replay, match_replay
+from lagoonfold_node._ownership._context import ALLOCATOR_KEY
 from tests._suite import load_functions
 from tests.ownership._fleet import (
     SETTINGS,
@@ -169,6 +170,27 @@
     run_with_fleet(check)
 
 
+def test_takeover_while_watches_are_silent() -> None:
+    """No watch tells of a crash; the allocator's own reads find it, within a few renewals."""
+
+    async def check(fleet: Fleet) -> None:
+        instances = [await fleet.start(index) for index in range(3)]
+        await wait_until(lambda: all(each.board.shards.read() for each in instances))
+        allocator = (await fleet.kv.store.get(ALLOCATOR_KEY)).unwrap().value.decode()
+        fleet.kv.set_faults(mute_watches=True)
+        lost = next(each for each in instances if each.ownership.context.run_id != allocator)
+        instances.remove(lost)
+        lost.scope.cancel()
+        lost_id = lost.ownership.context.instance_id
+        board = instances[0].board
+        await wait_until(
+            lambda: lost_id
+            not in {each.instance_id for each in board.ownership.read().table.owners}
+        )
+
+    run_with_fleet(check)
+
+
 def test_lost_answers_neither_lose_nor_double() -> None:
     """With three in ten answers lost, every turn is recorded once, through checkpoints too."""
 
--- a/tests/platform/test_etcd_store.py
+++ b/tests/platform/test_etcd_store.py
@@ -4,7 +4,7 @@
 import trio.testing
 from result import Err
 
-from lagoonfold import ABSENT_REVISION, StoreErrorKind
+from lagoonfold import ABSENT_REVISION, Listing, StoreErrorKind
 from lagoonfold_io import CallRate, EtcdStore, HttpClient, HttpRequest
 from tests._suite import load_functions
 from tests.platform._kv import KvFixture, run_with_kv
@@ -38,6 +38,34 @@
     run_with_kv(check)
 
 
+def test_list_if_changed() -> None:
+    """A known listing gives None; a key written, deleted or exchanged gives the listing anew."""
+
+    async def check(kv: KvFixture) -> None:
+        (await kv.store.put_if("p/1", b"1", expected_revision=0)).unwrap()
+        known = (await kv.store.list("p/")).unwrap()
+        (await kv.store.put_if("q/1", b"beside", expected_revision=0)).unwrap()
+        assert (await kv.store.list_if_changed("p/", known)).unwrap() is None
+        (await kv.store.put_if("p/2", b"2", expected_revision=0)).unwrap()
+        known = await _changed(kv, known, ["p/1", "p/2"])
+        (await kv.store.delete_range("p/1", "p/2")).unwrap()
+        known = await _changed(kv, known, ["p/2"])
+        (await kv.store.delete_range("p/2", "p/3")).unwrap()
+        (await kv.store.put_if("p/3", b"3", expected_revision=0)).unwrap()
+        known = await _changed(kv, known, ["p/3"])
+        (await kv.store.delete_range("p/3", "p/4")).unwrap()
+        known = await _changed(kv, known, [])
+        assert (await kv.store.list_if_changed("p/", known)).unwrap() is None
+
+    run_with_kv(check)
+
+
+async def _changed(kv: KvFixture, known: Listing, keys: list[str]) -> Listing:
+    listing = (await kv.store.list_if_changed("p/", known)).unwrap()
+    assert listing is not None and [entry.key for entry in listing.entries] == keys
+    return listing
+
+
 def test_list_and_delete_range() -> None:
     """A listing holds the keys of its prefix; a range is deleted without its end."""
 
--- a/tests/platform/test_instance_list.py
+++ b/tests/platform/test_instance_list.py
@@ -1,12 +1,21 @@
 """Tests of the instance list adapter against its stand-in."""
 
+import gzip
 import json
 from collections.abc import Awaitable, Callable
 
 import trio
 from result import Err
 
-from lagoonfold_io import Exchange, HttpClient, HttpInstanceList, HttpRequest, HttpServer
+from lagoonfold_io import (
+    Exchange,
+    HttpClient,
+    HttpInstanceList,
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+)
+from lagoonfold_io._instance_list import MAX_LIST_BYTES
 from standins.instances import InstancesStandIn
 from tests._suite import load_functions
 
@@ -84,6 +93,27 @@
     _with_list(check)
 
 
+def test_a_damaged_body_is_an_error() -> None:
+    """A compressed list that is cut short is unavailable, and so is one that expands too far."""
+    whole = gzip.compress(b'{"instances": []}')
+    bodies = [whole, whole[:-1], gzip.compress(b" " * (MAX_LIST_BYTES + 1))]
+
+    async def handle(_: HttpRequest, exchange: Exchange) -> None:
+        coding = (("content-encoding", "gzip"),)
+        await exchange.respond(HttpResponse(status=200, headers=coding, body=bodies.pop(0)))
+
+    async def run() -> None:
+        async with trio.open_nursery() as nursery:
+            port = await nursery.start(HttpServer(handle).serve, "127.0.0.1", 0)
+            listed = HttpInstanceList(HttpClient(), f"127.0.0.1:{port}")
+            assert (await listed.read()).unwrap() == ()
+            assert isinstance(await listed.read(), Err)
+            assert isinstance(await listed.read(), Err)
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+
+
 def test_an_unreadable_list_is_an_error() -> None:
     """A list that does not decode is an error, and what was read before is not taken for it."""
 
