--- a/models/_ownership_state.py
+++ b/models/_ownership_state.py
@@ -63,7 +63,8 @@
 
     `opened` is the latest epoch under which an instance has opened the shard, `opened_at` the
     number of entries that it knew then; `overwritten` notes that an entry has changed, `sent_late`
-    that an instance acted on an upstream under an earlier epoch.
+    that an instance acted on an upstream under an earlier epoch, `has_copied` that a write was
+    applied of which a copy is still on its way.
     """
 
     owner: int = 0
@@ -81,6 +82,7 @@
     opened_at: int = 0
     overwritten: bool = False
     sent_late: bool = False
+    has_copied: bool = False
 
 
 def with_instance(state: State, index: int, **changes: object) -> State:
--- a/models/ownership.py
+++ b/models/ownership.py
@@ -8,10 +8,12 @@
 
 An append creates the key of its sequence number if it is absent. It travels: the store may apply
 it long after its writer has given up waiting or has died. A writer that gave up asks again with
-the identical write. Entries covered by a checkpoint are deleted, but
-for fences: a former owner's next append goes to the number of its successor's fence, and would
-succeed if that key were gone. A checkpoint replaces only the one that its writer read or wrote,
-and entries are deleted only after it is in place.
+the identical write, so that a copy of it may arrive after the writer has gone on. Whoever carries
+an append, alone or with those of other shards, changes neither its number nor its entry, and
+holds no state of its own: one that is paused is an append that travels. Entries covered by a
+checkpoint are deleted, but for fences: a former owner's next append goes to the number of its
+successor's fence, and would succeed if that key were gone. A checkpoint replaces only the one that
+its writer read or wrote, and entries are deleted only after it is in place.
 """
 
 from collections.abc import Iterator
@@ -51,6 +53,7 @@
     DELETE_FENCES = "fences-deleted-after-a-checkpoint"
     FENCE_PAST_SUCCESSOR = "fence-past-a-later-owner"
     BLIND_CHECKPOINT = "checkpoint-without-compare"
+    CARRIER_NUMBERS = "number-chosen-by-the-carrier"
 
 
 class _Steps:
@@ -73,7 +76,9 @@
         if not state.has_waited:
             yield "lease time passes", self._lapse_former(state)
         for write in state.writes:
-            yield from self._apply(state, write)
+            yield from self._apply(state, write, state._replace(writes=state.writes - {write}))
+            if not state.has_copied:
+                yield from self._apply(state, write, state._replace(has_copied=True))
         for checkpoint in state.checkpoints:
             yield "store checkpoint of", self._store(state, checkpoint)
 
@@ -84,12 +89,15 @@
         lapsed = with_instance(state, former, has_authority=keeps, has_asked=has_asked)
         return lapsed._replace(has_waited=True)
 
-    def _apply(self, state: State, write: Write) -> Iterator[Step]:
-        rest = state._replace(writes=state.writes - {write})
+    def _apply(self, state: State, write: Write, rest: State) -> Iterator[Step]:
+        """Apply a write; `rest` is the state without it, or with a copy still on its way."""
         journal = state.journal
         if write.sequence >= len(journal) and len(journal) == MAX_ENTRIES:
             return
-        if write.sequence == len(journal):
+        at_end = write.sequence == len(journal)
+        if self._fault is Fault.CARRIER_NUMBERS:
+            at_end = write.entry not in journal
+        if at_end:
             answer, after = "done", rest._replace(journal=(*journal, write.entry))
         elif self._is_absent(state, write.sequence):
             answer, after = "done", rest
@@ -273,6 +281,7 @@
         Fault.DELETE_FENCES: "acknowledged_is_durable",
         Fault.FENCE_PAST_SUCCESSOR: "epochs_are_ordered",
         Fault.BLIND_CHECKPOINT: "deleted_is_in_checkpoint",
+        Fault.CARRIER_NUMBERS: "epochs_are_ordered",
     }
 )
 def ownership(fault: Fault | None) -> Protocol:
--- a/packages/lagoonfold-io/src/lagoonfold_io/_etcd_messages.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_etcd_messages.py
@@ -37,10 +37,17 @@
     count: str = "0"
 
 
+class NestedTxnResponse(msgspec.Struct, kw_only=True):
+    """The answer to a transaction within a transaction."""
+
+    succeeded: bool = False
+
+
 class StepResponse(msgspec.Struct, kw_only=True):
-    """The answer to one step of a transaction, of which only reads matter here."""
+    """The answer to one step of a transaction, of which only these parts matter here."""
 
     response_range: RangeResponse = msgspec.field(default_factory=RangeResponse)
+    response_txn: NestedTxnResponse = msgspec.field(default_factory=NestedTxnResponse)
 
 
 class TxnResponse(msgspec.Struct, kw_only=True):
--- a/packages/lagoonfold-io/src/lagoonfold_io/_etcd_store.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_etcd_store.py
@@ -1,8 +1,8 @@
 """The key-value port over a subset of etcd v3's JSON gateway.
 
 A write whose answer was lost is reported as `StoreErrorKind.LOST_ANSWER`: it may have taken
-effect. A failure that says for certain that nothing was written is `UNAVAILABLE`, `CONFLICT`,
-`LEASE_EXPIRED` or `THROTTLED`.
+effect. A failure that says for certain that nothing was written is `UNAVAILABLE`, `REFUSED`,
+`CONFLICT`, `LEASE_EXPIRED` or `THROTTLED`.
 
     store = EtcdStore(HttpClient(), "10.0.0.5:2379", calls_per_s=20)
     entry = (await store.get("ownership")).unwrap()
@@ -24,6 +24,7 @@
     Entry,
     LeaseGrant,
     Listing,
+    NewEntry,
     StoreError,
     StoreErrorKind,
     WatchEvent,
@@ -144,6 +145,25 @@
         step = {"request_put": put}
         return await self._write_if(key, expected_revision, step, urgent=lease_id != NO_LEASE)
 
+    async def create_absent(
+        self, entries: tuple[NewEntry, ...]
+    ) -> Result[frozenset[str], StoreError]:
+        """Create each key that is absent, as one transaction; return the keys that were created."""
+        steps = [_create_step(entry) for entry in entries]
+        answer = await self._call("/v3/kv/txn", {"success": steps}, TxnResponse)
+        if isinstance(answer, Err):
+            return answer
+        responses = answer.ok_value.responses
+        if len(responses) != len(entries):
+            detail = f"{len(responses)} answers to {len(entries)} creations"
+            return _failed(StoreErrorKind.LOST_ANSWER, detail)
+        created = (
+            entry.key
+            for entry, response in zip(entries, responses, strict=True)
+            if response.response_txn.succeeded
+        )
+        return Ok(frozenset(created))
+
     async def delete_if(self, key: str, *, expected_revision: int) -> Result[None, StoreError]:
         """Delete the key if its revision is the expected one."""
         step = {"request_delete_range": {"key": to_base64(key)}}
@@ -255,6 +275,13 @@
     return Listing(entries=entries, revision=int(header.revision))
 
 
+def _create_step(entry: NewEntry) -> dict:
+    """Return a transaction within a transaction, with a comparison of its own."""
+    put = {"key": to_base64(entry.key), "value": to_base64(entry.value)}
+    compare = [_at_revision(entry.key, ABSENT_REVISION)]
+    return {"request_txn": {"compare": compare, "success": [{"request_put": put}]}}
+
+
 def _not_lost(failed: Err[StoreError]) -> Err[StoreError]:
     """Return the error of a read, which has no effect that a lost answer could hide."""
     if failed.err_value.kind is StoreErrorKind.LOST_ANSWER:
@@ -288,7 +315,7 @@
     if body.code == _CODE_NOT_FOUND and "lease" in body.message:
         return StoreError(kind=StoreErrorKind.LEASE_EXPIRED, detail=body.message)
     refused = response.status in _CLIENT_ERRORS
-    kind = StoreErrorKind.UNAVAILABLE if refused else StoreErrorKind.LOST_ANSWER
+    kind = StoreErrorKind.REFUSED if refused else StoreErrorKind.LOST_ANSWER
     return StoreError(kind=kind, detail=body.message)
 
 
--- a/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_appender.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_appender.py
@@ -10,7 +10,14 @@
 import trio
 from result import Err, Ok
 
-from lagoonfold import ABSENT_REVISION, KeyValueStore, ShardId, StoreErrorKind, new_id
+from lagoonfold import (
+    ABSENT_REVISION,
+    KeyValueStore,
+    NewEntry,
+    ShardId,
+    StoreErrorKind,
+    new_id,
+)
 from lagoonfold.records import (
     JournalEntry,
     Record,
@@ -18,6 +25,7 @@
     encode_entry,
     journal_key,
 )
+from lagoonfold_node._ownership._journal_writer import JournalWriter
 
 _FIRST_BACKOFF_S = 0.02
 _MAX_BACKOFF_S = 0.5
@@ -32,27 +40,39 @@
 
 
 class Appender:
-    """The end of one shard's journal, as one owner sees it.
+    """The end of one shard's journal, as one owner sees it; `writer` carries its entries.
 
     `failing_since_s` is when the appends began to fail, None while they succeed.
     """
 
-    def __init__(self, store: KeyValueStore, shard_id: ShardId, epoch: int, next_sequence: int):
+    def __init__(
+        self,
+        store: KeyValueStore,
+        writer: JournalWriter,
+        shard_id: ShardId,
+        epoch: int,
+        next_sequence: int,
+    ) -> None:
         self._store = store
+        self._writer = writer
         self._shard_id = shard_id
         self.epoch = epoch
         self.next_sequence = next_sequence
         self.failing_since_s: float | None = None
         self.bytes_written = 0
 
+    async def wait_turn(self) -> None:
+        """Wait until an entry may leave at once."""
+        await self._writer.wait_turn()
+
     async def append(self, records: tuple[Record, ...]) -> Appended:
         """Append an entry, trying until it is done or a new owner's fence is met."""
         entry = JournalEntry(new_id("writer"), self.epoch, records)
         data = encode_entry(entry)
-        key = journal_key(self._shard_id, self.next_sequence)
+        created = NewEntry(key=journal_key(self._shard_id, self.next_sequence), value=data)
         backoff_s = _FIRST_BACKOFF_S
         while True:
-            appended = await self._try(key, data, entry.writer_id)
+            appended = await self._try(created, entry.writer_id)
             if appended is Appended.DONE:
                 self.next_sequence += 1
                 self.bytes_written += len(data)
@@ -64,14 +84,14 @@
             await trio.sleep(backoff_s)
             backoff_s = min(_MAX_BACKOFF_S, backoff_s * 2)
 
-    async def _try(self, key: str, data: bytes, writer_id: str) -> Appended | None:
+    async def _try(self, entry: NewEntry, writer_id: str) -> Appended | None:
         """Try once; return None if the attempt must be repeated."""
-        written = await self._store.put_if(key, data, expected_revision=ABSENT_REVISION)
+        written = await self._writer.create(entry)
         if isinstance(written, Ok):
             return Appended.DONE
         if written.err_value.kind not in _MAY_HAVE_WRITTEN:
             return None
-        return await self._read_back(key, writer_id)
+        return await self._read_back(entry.key, writer_id)
 
     async def _read_back(self, key: str, writer_id: str) -> Appended | None:
         found = await self._store.get(key)
--- a/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_checkpointer.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_checkpointer.py
@@ -102,8 +102,13 @@
         return failed
 
     async def _trim(self, former: CheckpointHead) -> None:
-        """Delete the journal entries that the checkpoint covers, but for the fences."""
-        start = former.next_sequence
+        """Delete the journal entries that the checkpoint covers, but for the fences.
+
+        The range begins at the last fence that the former checkpoint covers, since a copy of a
+        write that was repeated may have come after its entry was deleted.
+        """
+        covered = (fence for fence in self._head.fences if fence < former.next_sequence)
+        start = max(covered, default=former.next_sequence - 1) + 1
         for fence in (*self._head.fences, self._head.next_sequence):
             if start < fence <= self._head.next_sequence:
                 await self._store.delete_range(
--- a/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_context.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_context.py
@@ -23,8 +23,8 @@
 
     A new owner waits `takeover_wait_s` after its predecessor's lease expired, and up to
     `handover_wait_s` for a live predecessor to release the shard: longer than the predecessor acts
-    on a table that it can no longer verify. Records that arrive within
-    `commit_interval_s` of the last journal entry share the next one.
+    on a table that it can no longer verify. Records that arrive within `commit_interval_s` of the
+    instance's last write to journals share the next one.
     """
 
     shard_count: int = 32
--- a/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_open_shard.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_open_shard.py
@@ -74,7 +74,6 @@
         self._forwarder = Forwarder(context, shard_id)
         self._queue = BatchQueue()
         self._schedule = CheckpointSchedule(context.settings.checkpoint_commits)
-        self._last_commit_at_s = float("-inf")
         self._settled_by_call: dict[str, trio.Event] = {}
         self._inherited_ids = frozenset(state.programs_by_id)
 
@@ -184,7 +183,8 @@
         """Commit what is queued until the shard is gone."""
         async with trio.open_nursery() as nursery:
             while self.status is not ShardStatus.GONE:
-                await self._wait_for_batch()
+                await self._queue.wait()
+                await self._appender.wait_turn()
                 if self._queue:
                     await self._commit_next(nursery)
             nursery.cancel_scope.cancel()
@@ -232,11 +232,6 @@
             if event is not None:
                 event.set()
 
-    async def _wait_for_batch(self) -> None:
-        await self._queue.wait()
-        await trio.sleep_until(self._last_commit_at_s + self._context.settings.commit_interval_s)
-        self._last_commit_at_s = trio.current_time()
-
     async def _commit_next(self, nursery: trio.Nursery) -> None:
         batch = self._queue.send_first()
         plan = None
--- a/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_opener.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_opener.py
@@ -10,6 +10,7 @@
 from lagoonfold_node._ownership._bulk import BulkStore
 from lagoonfold_node._ownership._checkpointer import Checkpointer
 from lagoonfold_node._ownership._context import OwnershipContext
+from lagoonfold_node._ownership._journal_writer import JournalWriter
 from lagoonfold_node._ownership._open_shard import OpenShard
 from lagoonfold_node._ownership._recovery import RecoveredShard, recover_shard
 
@@ -21,10 +22,16 @@
     """Opens one shard for the owner that the table names."""
 
     def __init__(
-        self, context: OwnershipContext, bulk: BulkStore, shard_id: ShardId, owner: ShardOwner
+        self,
+        context: OwnershipContext,
+        bulk: BulkStore,
+        writer: JournalWriter,
+        shard_id: ShardId,
+        owner: ShardOwner,
     ) -> None:
         self._context = context
         self._bulk = bulk
+        self._writer = writer
         self._shard_id = shard_id
         self._owner = owner
         self._started_at_s = trio.current_time()
@@ -63,7 +70,11 @@
     async def _fence(self, shard: RecoveredShard) -> OpenShard | None:
         """Append the fence; return None if the former owner was faster."""
         appender = Appender(
-            self._context.store, self._shard_id, self._owner.epoch, shard.next_sequence
+            self._context.store,
+            self._writer,
+            self._shard_id,
+            self._owner.epoch,
+            shard.next_sequence,
         )
         record = Fenced(self._owner.epoch, self._context.run_id, self._live_run_ids())
         if await appender.append((record,)) is Appended.FENCED:
--- a/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_ownership.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_ownership.py
@@ -17,6 +17,7 @@
 from lagoonfold_node._ownership._context import OwnershipContext
 from lagoonfold_node._ownership._disk_bulk import DiskBulkStore
 from lagoonfold_node._ownership._disk_files import DiskFiles
+from lagoonfold_node._ownership._journal_writer import JournalWriter
 from lagoonfold_node._ownership._lease_keeper import LeaseKeeper
 from lagoonfold_node._ownership._open_shard import OpenShard
 from lagoonfold_node._ownership._shard_keeper import ShardKeeper
@@ -66,7 +67,8 @@
         self._lease_keeper = LeaseKeeper(context)
         self._table_keeper = TableKeeper(context)
         self._allocator = Allocator(context)
-        self._shard_keeper = ShardKeeper(context, self.bulk)
+        self._journal_writer = JournalWriter(context)
+        self._shard_keeper = ShardKeeper(context, self.bulk, self._journal_writer)
 
     async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Run until cancelled."""
@@ -74,6 +76,7 @@
             nursery.start_soon(self._lease_keeper.run)
             nursery.start_soon(self._table_keeper.run)
             nursery.start_soon(self._allocator.run)
+            nursery.start_soon(self._journal_writer.run)
             nursery.start_soon(self._shard_keeper.run)
             nursery.start_soon(self.bulk_keeper.run)
             if self.files is not None:
--- a/packages/lagoonfold/src/lagoonfold/__init__.py
+++ b/packages/lagoonfold/src/lagoonfold/__init__.py
@@ -24,6 +24,7 @@
 )
 from lagoonfold._ports import (
     ABSENT_REVISION,
+    MAX_CREATES_PER_CALL,
     NO_LEASE,
     Entry,
     InstanceList,
@@ -31,6 +32,7 @@
     LeaseGrant,
     ListedInstance,
     Listing,
+    NewEntry,
     StoreError,
     StoreErrorKind,
     WatchEvent,
@@ -39,6 +41,7 @@
 __all__ = [
     "ABSENT_REVISION",
     "ANSWERS_BY_KIND",
+    "MAX_CREATES_PER_CALL",
     "NO_LEASE",
     "AccountId",
     "Answer",
@@ -54,6 +57,7 @@
     "LeaseGrant",
     "ListedInstance",
     "Listing",
+    "NewEntry",
     "ProfileName",
     "ProgramId",
     "Ran",
--- a/packages/lagoonfold/src/lagoonfold/_ports.py
+++ b/packages/lagoonfold/src/lagoonfold/_ports.py
@@ -1,8 +1,9 @@
 """Ports to the platform: what the controllers need of the outside, without saying how.
 
 A store's failed operation says whether it may have taken effect: `StoreErrorKind.UNAVAILABLE`
-means that it did not, `StoreErrorKind.LOST_ANSWER` that it may have. The caller of a lost
-compare-and-swap reads the key back and compares the writer id in the value.
+means that it did not, `StoreErrorKind.LOST_ANSWER` that it may have, and `StoreErrorKind.REFUSED`
+that the service will not take the call as it is. The caller of a lost compare-and-swap reads the
+key back and compares the writer id in the value.
 """
 
 from collections.abc import AsyncIterator
@@ -15,6 +16,7 @@
 
 ABSENT_REVISION = 0
 NO_LEASE = 0
+MAX_CREATES_PER_CALL = 100
 
 
 class StoreErrorKind(Enum):
@@ -23,6 +25,7 @@
     CONFLICT = "conflict"
     LEASE_EXPIRED = "lease-expired"
     LOST_ANSWER = "lost-answer"
+    REFUSED = "refused"
     THROTTLED = "throttled"
     UNAVAILABLE = "unavailable"
 
@@ -68,6 +71,14 @@
     revision: int
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class NewEntry:
+    """A key to create and its value."""
+
+    key: str
+    value: bytes
+
+
 class KeyValueStore(Protocol):
     """The platform's key-value service: single-key compare-and-swap, leases and watches."""
 
@@ -92,6 +103,15 @@
     ) -> Result[int, StoreError]:
         """Write if the key's revision is the expected one; return the new revision."""
 
+    async def create_absent(
+        self, entries: tuple[NewEntry, ...]
+    ) -> Result[frozenset[str], StoreError]:
+        """Create each key that is absent, as one call; return the keys that were created.
+
+        Whether one key is created does not depend on the others. The keys differ, and there are
+        `MAX_CREATES_PER_CALL` at most.
+        """
+
     async def delete_if(self, key: str, *, expected_revision: int) -> Result[None, StoreError]:
         """Delete the key if its revision is the expected one."""
 
--- a/standins/kv.py
+++ b/standins/kv.py
@@ -10,7 +10,8 @@
 import operator
 import sys
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from itertools import chain
 from typing import Any
 
 import fire
@@ -21,6 +22,7 @@
 from standins._kv_faults import Fate, FaultPlan, Faults
 from standins._kv_store import MAX_VALUE_BYTES, KvStore, LeaseNotFoundError, StoredEvent, StoredKey
 
+MAX_TXN_OPERATIONS = 128
 _EXPIRY_STEP_S = 0.05
 _JSON_HEADERS = (("content-type", "application/json"),)
 _CODE_INVALID = 3
@@ -163,6 +165,8 @@
         return {"deleted": str(count)}
 
     def _txn(self, fields: Fields) -> Fields:
+        _check_size(fields, MAX_TXN_OPERATIONS)
+        _check_keys(fields)
         succeeded = all(self._holds(compare) for compare in fields.get("compare", []))
         branch = fields.get("success" if succeeded else "failure", [])
         responses = [self._step(step) for step in branch]
@@ -182,6 +186,8 @@
             return {"response_put": self._put(step["request_put"])}
         if "request_delete_range" in step:
             return {"response_delete_range": self._delete_range(step["request_delete_range"])}
+        if "request_txn" in step:
+            return {"response_txn": self._txn(step["request_txn"])}
         return {"response_range": self._range(step["request_range"])}
 
     def _grant(self, fields: Fields) -> Fields:
@@ -224,7 +230,35 @@
 def _keys_of(fields: Fields) -> list[str]:
     requests = [request for step in fields.get("success", []) for request in step.values()]
     steps = [fields, *fields.get("compare", []), *requests]
-    return [_decode(step, "key").decode(errors="replace") for step in steps]
+    keys = [_decode(step, "key").decode(errors="replace") for step in steps]
+    nested = [_keys_of(request) for request in requests if "compare" in request]
+    return [*keys, *(key for each in nested for key in each)]
+
+
+def _check_size(fields: Fields, limit: int) -> None:
+    """Raise an error if a transaction has more operations than the service takes."""
+    branches = (fields.get("success", []), fields.get("failure", []))
+    size = max(len(fields.get("compare", [])), *map(len, branches))
+    if size > limit:
+        raise ValueError("etcdserver: too many operations in txn request")
+    for step in chain.from_iterable(branches):
+        if "request_txn" in step:
+            _check_size(step["request_txn"], limit - size)
+
+
+def _check_keys(fields: Fields) -> None:
+    """Raise an error if a transaction would put a key twice."""
+    keys = list(_put_keys(fields))
+    if len(keys) != len(set(keys)):
+        raise ValueError("etcdserver: duplicate key given in txn request")
+
+
+def _put_keys(fields: Fields) -> Iterator[str]:
+    for step in fields.get("success", []):
+        if "request_put" in step:
+            yield step["request_put"].get("key", "")
+        elif "request_txn" in step:
+            yield from _put_keys(step["request_txn"])
 
 
 async def _send_line(exchange: Exchange, result: Fields) -> None:
--- /dev/null
+++ b/tests/ownership/test_journal_writer.py
@@ -0,0 +1,225 @@
+"""Tests of calls that carry the journal entries of many shards."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+from unittest.mock import patch
+
+import trio
+import trio.testing
+from result import Ok, Result
+
+from lagoonfold import MAX_CREATES_PER_CALL, InstanceId, NewEntry, ShardId, StoreErrorKind
+from lagoonfold.records import Fenced, journal_key, journal_prefix
+from lagoonfold_node._board import Board
+from lagoonfold_node._metrics import Metrics
+from lagoonfold_node._ownership import OwnershipContext
+from lagoonfold_node._ownership._appender import Appended, Appender
+from lagoonfold_node._ownership._journal_writer import MAX_SHARED_BYTES, JournalWriter
+from standins import kv as kv_standin
+from tests._suite import load_functions
+from tests.ownership._fleet import (
+    SETTINGS,
+    Fleet,
+    create_program,
+    make_turn,
+    read_turns,
+    run_with_fleet,
+    wait_until,
+)
+from tests.platform._kv import KvFixture, run_with_kv
+
+PROGRAM = "prg-1"
+MAX_TURNS = 100
+RECORDS = (Fenced(1, "entry-1/run-1", ()),)
+
+
+class _Journals:
+    """One instance's writer, whose first call begins when all that is asked for is pending."""
+
+    def __init__(self, store: object, *, interval_s: float = 0.0) -> None:
+        self.store = store
+        self.metrics = Metrics()
+        context = OwnershipContext(
+            instance_id=InstanceId("entry-1"),
+            peer_address="127.0.0.1:1",
+            failure_domain="domain-a",
+            store=store,
+            board=Board(),
+            metrics=self.metrics,
+            settings=replace(SETTINGS, commit_interval_s=interval_s),
+        )
+        self.writer = JournalWriter(context)
+
+    async def create(self, entries: list[NewEntry]) -> list[Result]:
+        """Create entries together; return their results."""
+        return await self._together(self.writer.create, entries)
+
+    async def append(self, shard_count: int) -> list[Appended]:
+        """Append the first entries of shards together; return how the appends ended."""
+        ends = [
+            Appender(self.store, self.writer, ShardId(shard), 1, 1) for shard in range(shard_count)
+        ]
+        return await self._together(lambda end: end.append(RECORDS), ends)
+
+    async def _together(self, ask: Callable[..., Awaitable], items: list) -> list:
+        results = [None] * len(items)
+
+        async def take(index: int) -> None:
+            results[index] = await ask(items[index])
+
+        async with trio.open_nursery() as running:
+            async with trio.open_nursery() as nursery:
+                for index in range(len(items)):
+                    nursery.start_soon(take, index)
+                await trio.testing.wait_all_tasks_blocked()
+                running.start_soon(self.writer.run)
+            running.cancel_scope.cancel()
+        return results
+
+
+def _entries(*sizes_bytes: int) -> list[NewEntry]:
+    return [
+        NewEntry(key=f"e/{index:04d}", value=b"v" * size) for index, size in enumerate(sizes_bytes)
+    ]
+
+
+def test_one_fenced_shard_among_others() -> None:
+    """One call creates the absent entries; the shard that has a new owner alone is fenced."""
+
+    async def check(kv: KvFixture) -> None:
+        fence = journal_key(ShardId(1), 1)
+        (await kv.store.put_if(fence, b"successor", expected_revision=0)).unwrap()
+        journals = _Journals(kv.connect())
+        assert await journals.append(3) == [Appended.DONE, Appended.FENCED, Appended.DONE]
+        assert (await kv.store.get(fence)).unwrap().value == b"successor"
+        assert journals.store.counts_by_operation["txn"] == 1
+
+    run_with_kv(check)
+
+
+def test_lost_answer_of_a_shared_call() -> None:
+    """Every shard of the call reads its own entry back, and writes it again if it is absent."""
+
+    async def check(kv: KvFixture) -> None:
+        for fault in ("drop_answer", "silent"):
+            journals = _Journals(kv.connect())
+            kv.set_faults(operations=("txn",), remaining=1, **{fault: 1.0})
+            assert await journals.append(4) == [Appended.DONE] * 4
+            for shard in range(4):
+                listing = await kv.store.list(journal_prefix(ShardId(shard)))
+                assert len(listing.unwrap().entries) == 1
+            assert (journals.store.counts_by_operation["txn"] == 1) == (fault == "drop_answer")
+            assert journals.metrics.counted("store_errors", "lost-answer") == 1
+            (await kv.store.delete_range("shard/", "shard0")).unwrap()
+
+    run_with_kv(check)
+
+
+def test_calls_are_bounded() -> None:
+    """What exceeds a call's entries or bytes, or has a key twice, goes into several."""
+
+    async def check(kv: KvFixture) -> None:
+        for entries, calls in (
+            (_entries(*[10] * (2 * MAX_CREATES_PER_CALL + 1)), 3),
+            (_entries(MAX_SHARED_BYTES + 1, MAX_SHARED_BYTES // 2, MAX_SHARED_BYTES // 2), 2),
+        ):
+            journals = _Journals(kv.connect())
+            assert all(isinstance(result, Ok) for result in await journals.create(entries))
+            assert journals.store.counts_by_operation["txn"] == calls
+            (await kv.store.delete_range("e/", "f/")).unwrap()
+        journals = _Journals(kv.connect())
+        twice = await journals.create([*_entries(1, 1), *_entries(2)])
+        assert journals.metrics.counted("store_errors", "refused") == 0
+        failed = [result.err_value.kind for result in twice if not isinstance(result, Ok)]
+        assert failed == [StoreErrorKind.CONFLICT]
+
+    run_with_kv(check)
+
+
+def test_service_that_refuses_shared_calls() -> None:
+    """Entries are then written one by one, and the refusal is counted."""
+
+    async def check(kv: KvFixture) -> None:
+        journals = _Journals(kv.connect())
+        with patch.object(kv_standin, "MAX_TXN_OPERATIONS", 1):
+            assert await journals.append(3) == [Appended.DONE] * 3
+        assert journals.metrics.counted("store_errors", "refused") == 1
+        assert journals.metrics.counted("journal_calls", "single") == 3
+
+    run_with_kv(check)
+
+
+class _TimedStore:
+    """A store that notes when entries are created."""
+
+    def __init__(self) -> None:
+        self.counts_by_time_s: dict[float, int] = {}
+
+    async def create_absent(self, entries: tuple[NewEntry, ...]) -> Result[frozenset[str], None]:
+        """Note a call of many entries."""
+        self.counts_by_time_s[trio.current_time()] = len(entries)
+        return Ok(frozenset(entry.key for entry in entries))
+
+    async def put_if(self, key: str, value: bytes, *, expected_revision: int) -> Result[int, None]:
+        """Note a call of one entry."""
+        self.counts_by_time_s[trio.current_time()] = 1
+        return Ok(1)
+
+
+def test_entries_share_the_next_call() -> None:
+    """An entry goes out at once; what becomes ready in the interval after it leaves together."""
+
+    async def check() -> None:
+        store = _TimedStore()
+        writer = _Journals(store, interval_s=0.5).writer
+        start_s = trio.current_time()
+
+        async def create(entry: NewEntry, at_s: float) -> None:
+            await trio.sleep(at_s)
+            await writer.wait_turn()
+            await writer.create(entry)
+
+        async with trio.open_nursery() as running:
+            running.start_soon(writer.run)
+            async with trio.open_nursery() as nursery:
+                for index, entry in enumerate(_entries(1, 1, 1, 1)):
+                    nursery.start_soon(create, entry, index * 0.125)
+            running.cancel_scope.cancel()
+        assert store.counts_by_time_s == {start_s: 1, start_s + 0.5: 3}
+
+    trio.run(check, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def test_late_copy_of_a_trimmed_entry() -> None:
+    """A copy that arrives after the checkpoint is no entry, and the next checkpoint drops it."""
+
+    async def check(fleet: Fleet) -> None:
+        instances = [await fleet.start(index) for index in range(2)]
+        owner, shard = await fleet.open_shard(instances, PROGRAM)
+        key = journal_key(shard.shard_id, shard._appender.next_sequence)
+        await create_program(shard, PROGRAM)
+        copy = (await fleet.kv.store.get(key)).unwrap()
+        turn = 0
+
+        async def trim() -> None:
+            nonlocal turn
+            while (await fleet.kv.store.get(key)).unwrap().revision:
+                turn += 1
+                assert turn < MAX_TURNS
+                await make_turn(shard, PROGRAM, turn)
+
+        await trim()
+        (await fleet.kv.store.put_if(key, copy.value, expected_revision=0)).unwrap()
+        with trio.fail_after(20):
+            await trim()
+        (await fleet.kv.store.put_if(key, copy.value, expected_revision=0)).unwrap()
+        owner.scope.cancel()
+        instances.remove(owner)
+        turns = await read_turns(fleet, instances, PROGRAM)
+        assert len(turns) == turn
+        await wait_until(lambda: not shard.may_act())
+
+    run_with_fleet(check)
+
+
+load_tests = load_functions(globals())
