--- a/bench/_owner.py
+++ b/bench/_owner.py
@@ -28,13 +28,17 @@
 
 @asynccontextmanager
 async def start_owner(
-    store: EtcdStore, settings: OwnershipSettings, *, name: str = "entry-1"
+    store: EtcdStore,
+    settings: OwnershipSettings,
+    *,
+    name: str = "entry-1",
+    failure_domain: str = "domain-a",
 ) -> AsyncIterator[Ownership]:
     """Run an instance's ownership part; leaving the block ends it as a crash does."""
     context = OwnershipContext(
         instance_id=InstanceId(name),
         peer_address="127.0.0.1:1",
-        failure_domain="domain-a",
+        failure_domain=failure_domain,
         store=store,
         board=Board(),
         metrics=Metrics(),
