--- /dev/null
+++ b/bench/_prompt_slopes.py
@@ -0,0 +1,63 @@
+"""What the prompt of a turn costs by the length of its program.
+
+A program of 200 turns and 340,000 tokens of 4 bytes has about 6.8 KB a turn.
+"""
+
+import msgspec
+
+from bench._quantities import quantity, timed_us
+from lagoonfold import ProgramId
+from lagoonfold.records import (
+    Cost,
+    Outcome,
+    Turn,
+    check_history,
+    decode_turn,
+    encode_turn,
+    first_link,
+    next_link,
+)
+from lagoonfold_node._execution._prompts import engine_body, history_messages
+from lagoonfold_node._execution._render import COMPLETION
+
+REQUEST_TEXT = "point " * 550
+ANSWER_TEXT = "answer " * 480
+_PROGRAM = ProgramId("program-1")
+_BODY = msgspec.json.encode({"messages": [{"role": "user", "content": REQUEST_TEXT}]})
+_ANSWER = msgspec.json.encode(
+    {"choices": [{"message": {"role": "assistant", "content": ANSWER_TEXT}}]}
+)
+
+
+def _turn(number: int) -> Turn:
+    return Turn(
+        turn=number,
+        call_id=f"call-{number}",
+        route="small",
+        is_idempotent=True,
+        idempotency_key="",
+        content_digest="",
+        body=_BODY,
+        outcome=Outcome.ANSWERED,
+        status=200,
+        content_type=COMPLETION,
+        answer=_ANSWER,
+        used=Cost(1_700, 1, 10),
+    )
+
+
+@quantity("us", "turn of 6.8 KB", (20, 80, 200))
+def prompt_time(turns: int) -> float:
+    """Time to decode and check a history of so many turns and to encode the engine's request."""
+    stored = [encode_turn(_turn(number)) for number in range(1, turns + 1)]
+    last_link = first_link(_PROGRAM)
+    for data in stored:
+        last_link = next_link(last_link, decode_turn(data).unwrap())
+
+    def make_prompt() -> bytes:
+        history = tuple(decode_turn(data).unwrap() for data in stored)
+        checked = check_history(_PROGRAM, history, last_link).unwrap()
+        messages = history_messages(checked)
+        return msgspec.json.encode(engine_body(_BODY, messages, model="small", max_tokens=None))
+
+    return timed_us(make_prompt)
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -15,6 +15,7 @@
 from bench import (  # noqa: F401
     _configuration_slopes,
     _membership_slopes,
+    _prompt_slopes,
     _rate_slopes,
     _record_slopes,
 )
