Tell callers at once when an outcome can't be recorded

Cause: a finished call waited up to 15 s (SETTLE_TIMEOUT_S) for its outcome to become durable, also past its own time limit. Its repeats joined a call that nobody could settle, and intents, creations and reads that were queued when the service went away waited for the outage's end or the caller's 300 s. With a silent service nothing counted as stalled before the first write had failed. A repeat of a recorded call whose record was not durable was refused with `ran: no`, which was false. After the leases an arrival asked for an owner for 20 s, and the rate gate for 2 s, though neither could learn of a new one.

Readers of a finished call are told `platform-unavailable`, `ran: unknown` and when to come back as soon as it is stalled, or 0.1 s past the call's limit; the outcome is recorded behind them. An intent that stalls is refused as not run and settled as such. Cancelling frees at once.

--- a/packages/lagoonfold-node/src/lagoonfold_node/_account_owners.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_account_owners.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from lagoonfold import AccountId, Cell, InstanceId, ShardId
+from lagoonfold import AccountId, Cell, InstanceId, Refusal, ShardId
 from lagoonfold_node._ownership import OpenShard, Shards
 from lagoonfold_node._rates import Lending
 
@@ -32,6 +32,10 @@
         """Return the owning instance, or None while there is none."""
         return self._shards.owner_of(account_id)
 
+    def why_cut_off(self) -> Refusal | None:
+        """Return what is told to those who wait for an owner, if no new one can be learned of."""
+        return self._shards.why_cut_off()
+
     def lending(self, account_id: AccountId) -> Lending | None:
         """Return the right to lend if this instance owns the account and may act now."""
         shard = self._shards.opened_for(account_id)
--- a/packages/lagoonfold-node/src/lagoonfold_node/_border/_forward.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_border/_forward.py
@@ -1,8 +1,9 @@
 """The arrival's side of the path: an operation finds its program's owner and brings the answer.
 
 An owner that is lost, or is changing, is asked again, or the new one is, until the caller's time
-is over. That is safe for every operation: the records at the owner tell a repeat from a first
-time. A streamed answer goes on from what the caller has.
+is over, or until this instance can no longer learn who the owner is. That is safe for every
+operation: the records at the owner tell a repeat from a first time. A streamed answer goes on from
+what the caller has.
 """
 
 from dataclasses import dataclass
@@ -61,6 +62,9 @@
             if sink.has_streamed and sink.delivered().is_done:
                 await sink.finish()
                 return None
+            cut_off = self.shards.why_cut_off()
+            if cut_off is not None:
+                return _with_ran(cut_off, ran)
             if trio.current_time() + RETRY_INTERVAL_S >= give_up_s:
                 return _with_ran(refusal, ran)
             self.metrics.count("retries", "owner-unavailable")
--- a/packages/lagoonfold-node/src/lagoonfold_node/_execution/_calls.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_execution/_calls.py
@@ -6,11 +6,12 @@
 """
 
 import time
+from dataclasses import replace
 
 import trio
 from result import Err, Result
 
-from lagoonfold import CallId, ErrorKind, Refusal
+from lagoonfold import CallId, ErrorKind, Ran, Refusal
 from lagoonfold.records import (
     CallRequest,
     Execute,
@@ -93,8 +94,7 @@
         executor.on_fault("call-failed", error)
         finished = Err(refuse(ErrorKind.INTERNAL, "the call failed", ran=ran_of(running)))
     finally:
-        with trio.CancelScope(shield=True):
-            await settle(executor, running, finished or Err(_stopped(running, False)))
+        await settle(executor, running, finished or Err(_stopped(running, False)))
 
 
 def _stopped(running: RunningCall, is_late: bool) -> Refusal:
@@ -112,7 +112,7 @@
     program = shard.state.programs_by_id[request.program_id]
     read = await shard.read_turn(program, request.turn)
     if isinstance(read, Err):
-        return read.err_value
+        return replace(read.err_value, ran=Ran.UNKNOWN)
     recorded = match_replay(read.ok_value, request)
     if isinstance(recorded, Err):
         return recorded.err_value
@@ -126,14 +126,15 @@
 ) -> Refusal | None:
     """Wait for the same call that is under way, here or at the shard's former owner.
 
-    A call that was stopped may be made anew once it has settled.
+    A call that was stopped may be made anew once it has settled. One whose outcome is not
+    recorded yet has told its readers when to come back.
     """
     running = executor.running_by_call.get(call_id)
-    if running is not None and running.stopped is None:
+    if running is not None and (running.stopped is None or running.feed.is_over):
         return await _read(running, operation, sink)
     await shard.wait_settled(call_id)
     if not shard.may_act():
-        return not_owner(operation.program_id)
+        return replace(not_owner(operation.program_id), ran=Ran.UNKNOWN)
     return await run_call(executor, shard, operation, sink)
 
 
--- a/packages/lagoonfold-node/src/lagoonfold_node/_execution/_ports.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_execution/_ports.py
@@ -39,6 +39,9 @@
     async def read_turn(self, program: Program, turn: int) -> Result[Turn, Refusal]:
         """Return one turn of a program."""
 
+    async def wait_stalled(self) -> Refusal:
+        """Wait until the journal could not be written for a while; return what callers are told."""
+
     async def wait_settled(self, call_id: str) -> None:
         """Wait until a call is no longer under way, or the shard has moved."""
 
@@ -49,5 +52,8 @@
     def owner_of(self, text: str) -> InstanceId | None:
         """Return the owner of a program or account."""
 
+    def why_cut_off(self) -> Refusal | None:
+        """Return what is told to those who wait for an owner, if no new one can be learned of."""
+
     def opened_for(self, text: str) -> OpenShard | None:
         """Return the shard of a program or account if it is open here."""
--- a/packages/lagoonfold-node/src/lagoonfold_node/_execution/_programs.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_execution/_programs.py
@@ -6,7 +6,7 @@
 from result import Err
 
 from lagoonfold import AccountId, ProgramId, Refusal
-from lagoonfold.records import CreateRequest, EndReason, Limits, Program, Turn
+from lagoonfold.records import CreateRequest, EndReason, Limits, Program, Record, Turn
 from lagoonfold_node._execution._operations import (
     CreateProgram,
     EndProgram,
@@ -54,16 +54,26 @@
     )
     if isinstance(decided, Err):
         return decided.err_value
-    committed = await shard.commit(decided.ok_value)
+    wait_durable = shard.submit(decided.ok_value)
+    _free_ended(executor, shard, operation, decided.ok_value)
+    committed = await wait_durable()
     if isinstance(committed, Err):
         return committed.err_value
-    for record in decided.ok_value:
-        executor.note_ended(ProgramId(record.program_id), shard, operation.is_cancelled)
     program = shard.state.programs_by_id.get(program_id)
     await send_whole(sink, OK, JSON, _describe(program, operation.program_id))
     return None
 
 
+def _free_ended(
+    executor, shard: OpenShard, operation: EndProgram, records: tuple[Record, ...]
+) -> None:
+    """Free what ended programs hold; the caller may be refused before the record is durable."""
+    for record in records:
+        program = shard.state.programs_by_id.get(ProgramId(record.program_id))
+        if program is not None and program.end_reason is not None:
+            executor.note_ended(ProgramId(record.program_id), shard, operation.is_cancelled)
+
+
 @performs(ReadProgram)
 async def read(executor, shard: OpenShard, operation: ReadProgram, sink: Sink) -> Refusal | None:
     """Give a program's state and budget."""
--- a/packages/lagoonfold-node/src/lagoonfold_node/_execution/_settle.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_execution/_settle.py
@@ -1,5 +1,7 @@
 """The end of a call: its outcome is made durable, then its readers see it."""
 
+from dataclasses import replace
+
 import trio
 from result import Err, Ok, Result
 
@@ -16,7 +18,8 @@
 from lagoonfold_node._execution._running import RunningCall
 from lagoonfold_node._execution._sink import refuse
 
-SETTLE_TIMEOUT_S = 15.0
+OUTCOME_GRACE_S = 0.1
+LATE_RETRY_S = 1.0
 
 
 def ran_of(running: RunningCall) -> Ran:
@@ -27,43 +30,81 @@
 async def settle(
     executor: Executor, running: RunningCall, finished: Result[Finished, Refusal]
 ) -> None:
-    """Record the outcome, then let the readers see the end."""
+    """Record the outcome, then let the readers see the end.
+
+    Readers are told to come back once the journal is stalled or the call's time is over. The
+    outcome is recorded all the same, and until then a repeat is told so at once.
+    """
     try:
-        with trio.fail_after(SETTLE_TIMEOUT_S):
-            await running.begun.wait()
-            refusal = await _record(executor, running, finished)
-    except trio.TooSlowError:
-        executor.spawn(_record_late, executor, running, finished)
-        refusal = refuse(
-            ErrorKind.PLATFORM_UNAVAILABLE,
-            "the outcome could not be recorded in time",
-            ran=ran_of(running),
-            retry_after_s=1.0,
-        )
-    del executor.running_by_call[running.call_id]
+        with trio.CancelScope(shield=True) as shield:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_release_readers, executor, running, finished, shield)
+                refusal = await _record(executor, running, finished)
+                nursery.cancel_scope.cancel()
+            _end(running, finished, refusal)
+    finally:
+        del executor.running_by_call[running.call_id]
+
+
+def _end(
+    running: RunningCall, finished: Result[Finished, Refusal], refusal: Refusal | None
+) -> None:
+    if running.feed.is_over:
+        return
     if refusal is not None:
         running.feed.refuse(refusal)
     else:
         running.feed.finish(finished.ok_value.answer, finished.ok_value.last_part)
 
 
-async def _record_late(
-    executor: Executor, running: RunningCall, finished: Result[Finished, Refusal]
+async def _release_readers(
+    executor: Executor,
+    running: RunningCall,
+    finished: Result[Finished, Refusal],
+    shield: trio.CancelScope,
 ) -> None:
-    """Record an outcome whose caller was answered before, so that its program can go on."""
-    await running.begun.wait()
-    await _record(executor, running, finished)
+    """Tell the readers that the outcome is pending, if it is not durable in time.
+
+    From then on a stop of the process need not wait for the record.
+    """
+    retry_after_s = LATE_RETRY_S
+    with trio.move_on_at(max(trio.current_time(), running.deadline_s) + OUTCOME_GRACE_S):
+        retry_after_s = (await running.shard.wait_stalled()).retry_after_s
+    shield.shield = False
+    if not running.feed.is_over:
+        refusal = _pending(running, finished, retry_after_s)
+        executor.note(running, "pending", {"decided": refusal.kind.value, "ran": refusal.ran.value})
+        running.feed.refuse(refusal)
+
+
+def _pending(
+    running: RunningCall, finished: Result[Finished, Refusal], retry_after_s: float
+) -> Refusal:
+    """Return what is certain of a call before its outcome is durable.
+
+    An unknown outcome needs no record: whoever owns the shard next says the same.
+    """
+    settled, refusal = _settlement(running, finished)
+    if refusal is not None and settled.outcome is Outcome.UNKNOWN:
+        return refusal
+    return refuse(
+        ErrorKind.PLATFORM_UNAVAILABLE,
+        "the outcome is not recorded yet",
+        ran=Ran.UNKNOWN if refusal is None else refusal.ran,
+        retry_after_s=retry_after_s,
+    )
 
 
 async def _record(
     executor: Executor, running: RunningCall, finished: Result[Finished, Refusal]
 ) -> Refusal | None:
     """Commit the settlement; return what the caller is told if it gets no answer."""
+    await running.begun.wait()
     if running.begin_refusal is not None:
-        refusal = running.begin_refusal
-        return refuse(
-            refusal.kind, refusal.detail, ran=ran_of(running), retry_after_s=refusal.retry_after_s
-        )
+        refusal = replace(running.begin_refusal, ran=ran_of(running))
+        running.feed.refuse(refusal)
+        await _withdraw(running, refusal)
+        return refusal
     settled, refusal = _settlement(running, finished)
     executor.decisions.add(
         "settle",
@@ -80,16 +121,20 @@
         return decided.err_value
     committed = await running.shard.commit(decided.ok_value)
     if isinstance(committed, Err):
-        unrecorded = committed.err_value
-        return refuse(
-            unrecorded.kind,
-            unrecorded.detail,
-            ran=ran_of(running),
-            retry_after_s=unrecorded.retry_after_s,
-        )
+        return replace(committed.err_value, ran=ran_of(running))
     return refusal
 
 
+async def _withdraw(running: RunningCall, refusal: Refusal) -> None:
+    """Settle a call that was not made, if its begin may still become durable."""
+    if refusal.ran is not Ran.NO:
+        return
+    settled = _settled(running, Outcome.NOT_RUN, None, NO_COST)
+    decided = running.shard.state.decide_settle(settled)
+    if isinstance(decided, Ok):
+        await running.shard.commit(decided.ok_value)
+
+
 def _settlement(
     running: RunningCall, finished: Result[Finished, Refusal]
 ) -> tuple[Settled, Refusal | None]:
--- a/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_appender.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_appender.py
@@ -5,6 +5,7 @@
 that a new owner has fenced the journal.
 """
 
+import math
 from enum import Enum
 
 import trio
@@ -27,8 +28,11 @@
 )
 from lagoonfold_node._ownership._journal_writer import JournalWriter
 
+_STALL_POLL_S = 0.25
 _FIRST_BACKOFF_S = 0.02
 _MAX_BACKOFF_S = 0.5
+STALL_LIMIT_S = 1.0
+SILENCE_LIMIT_S = 2.0
 _MAY_HAVE_WRITTEN = (StoreErrorKind.CONFLICT, StoreErrorKind.LOST_ANSWER)
 
 
@@ -40,10 +44,7 @@
 
 
 class Appender:
-    """The end of one shard's journal, as one owner sees it; `writer` carries its entries.
-
-    `failing_since_s` is when the appends began to fail, None while they succeed.
-    """
+    """The end of one shard's journal, as one owner sees it; `writer` carries its entries."""
 
     def __init__(
         self,
@@ -58,8 +59,34 @@
         self._shard_id = shard_id
         self.epoch = epoch
         self.next_sequence = next_sequence
-        self.failing_since_s: float | None = None
         self.bytes_written = 0
+        self._begun_at_s = math.inf
+        self._failing_since_s = math.inf
+
+    def stalls_at_s(self) -> float:
+        """Return from when on the journal counts as stalled; infinity while nothing is appended.
+
+        A service that refuses is known at its first answer, one that is silent is not. A slow one
+        that answers within `SILENCE_LIMIT_S` stalls nothing.
+        """
+        return min(self._failing_since_s + STALL_LIMIT_S, self._begun_at_s + SILENCE_LIMIT_S)
+
+    def is_stalled(self) -> bool:
+        """Tell whether the journal could not be written for a while."""
+        return trio.current_time() >= self.stalls_at_s()
+
+    async def wait_stalled(self) -> None:
+        """Wait until the journal is stalled."""
+        while not self.is_stalled():
+            wait_s = self.stalls_at_s() - trio.current_time()
+            await trio.sleep(min(_STALL_POLL_S, wait_s))
+
+    async def wait_unless_stalled(self, done: trio.Event) -> bool:
+        """Wait for an event; return False if the journal stalls before."""
+        while not done.is_set() and not self.is_stalled():
+            with trio.move_on_after(_STALL_POLL_S):
+                await done.wait()
+        return done.is_set()
 
     async def wait_turn(self) -> None:
         """Wait until an entry may leave at once."""
@@ -71,16 +98,16 @@
         data = encode_entry(entry)
         created = NewEntry(key=journal_key(self._shard_id, self.next_sequence), value=data)
         backoff_s = _FIRST_BACKOFF_S
+        self._begun_at_s = trio.current_time()
         while True:
             appended = await self._try(created, entry.writer_id)
             if appended is Appended.DONE:
                 self.next_sequence += 1
                 self.bytes_written += len(data)
-                self.failing_since_s = None
             if appended is not None:
+                self._begun_at_s = self._failing_since_s = math.inf
                 return appended
-            if self.failing_since_s is None:
-                self.failing_since_s = trio.current_time()
+            self._failing_since_s = min(self._failing_since_s, trio.current_time())
             await trio.sleep(backoff_s)
             backoff_s = min(_MAX_BACKOFF_S, backoff_s * 2)
 
--- a/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_open_shard.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_open_shard.py
@@ -15,7 +15,6 @@
 
 from lagoonfold import ErrorKind, ProgramId, Refusal, ShardId
 from lagoonfold.records import (
-    Begun,
     CheckpointPlan,
     Interrupted,
     Program,
@@ -36,9 +35,9 @@
 from lagoonfold_node._ownership._forwarder import Forwarder
 from lagoonfold_node._ownership._history import HistoryReader
 from lagoonfold_node._ownership._refusals import moved, outage
+from lagoonfold_node._ownership._stalls import are_outcomes, may_outlast_a_stall
 
-STALL_LIMIT_S = 1.0
-
+_STALLED = "the journal cannot be written"
 
 WaitDurable = Callable[[], Awaitable[Result[None, Refusal]]]
 
@@ -96,10 +95,12 @@
 
     def is_stalled(self) -> bool:
         """Tell whether the journal could not be written for a while."""
-        failing_since_s = self._appender.failing_since_s
-        return (
-            failing_since_s is not None and trio.current_time() - failing_since_s >= STALL_LIMIT_S
-        )
+        return self._appender.is_stalled()
+
+    async def wait_stalled(self) -> Refusal:
+        """Wait until the journal is stalled; return what its callers are told."""
+        await self._appender.wait_stalled()
+        return outage(_STALLED)
 
     def was_inherited(self, program_id: ProgramId) -> bool:
         """Tell whether the program is older than this ownership of its shard."""
@@ -110,6 +111,8 @@
 
         A refusal means that the records may or may not become durable. A call whose `Begun` was
         refused must not be sent. `Settled` records reach the shard's new owner if it has moved.
+        While the journal is stalled, outcomes and idempotent calls are waited for as long as it
+        takes, and everything else is refused, though it stays queued.
         """
         return await self.submit(records)()
 
@@ -131,7 +134,11 @@
         if batch is None:
             return Ok(None)
         started_at_s = trio.current_time()
-        await batch.done.wait()
+        if may_outlast_a_stall(records):
+            await batch.done.wait()
+        elif not await self._appender.wait_unless_stalled(batch.done):
+            self._context.metrics.count("stalled_commits")
+            return Err(outage(_STALLED))
         if not batch.is_durable:
             return await self._commit_elsewhere(records)
         self._context.metrics.record("commit", trio.current_time() - started_at_s)
@@ -199,15 +206,13 @@
 
     def _refuse_commit(self, records: tuple[Record, ...]) -> Refusal | None:
         """Return why records may not be queued; the settling of a call always may."""
-        if records and all(isinstance(record, Settled) for record in records):
+        if are_outcomes(records):
             return None
         if not self.may_act():
             return self._why_not_owner()
-        if not self.is_stalled():
+        if not self.is_stalled() or may_outlast_a_stall(records):
             return None
-        if records and all(_is_idempotent_begun(record) for record in records):
-            return None
-        return outage("the journal cannot be written")
+        return outage(_STALLED)
 
     def _why_not_owner(self) -> Refusal:
         owner = self._context.owner(self.shard_id)
@@ -275,15 +280,10 @@
 
     async def _commit_elsewhere(self, records: tuple[Record, ...]) -> Result[None, Refusal]:
         """Take the settling of a call to the new owner; refuse everything else."""
-        if records and all(isinstance(record, Settled) for record in records):
+        if are_outcomes(records):
             return await self._forwarder.settle(records)
         return Err(moved(self.shard_id))
 
 
-def _is_idempotent_begun(record: Record) -> bool:
-    """Tell whether a call may begin in an outage: it is harmless twice, and its end waits."""
-    return isinstance(record, Begun) and record.is_idempotent
-
-
 async def _refused(refusal: Refusal) -> Result[None, Refusal]:
     return Err(refusal)
--- a/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_ownership.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_ownership.py
@@ -9,7 +9,7 @@
 
 import trio
 
-from lagoonfold import InstanceId, ShardId
+from lagoonfold import InstanceId, Refusal, ShardId
 from lagoonfold.membership import shard_of
 from lagoonfold_node._ownership._allocator import Allocator
 from lagoonfold_node._ownership._bulk import BulkStore, CachedBulkStore, KvBulkStore
@@ -20,6 +20,7 @@
 from lagoonfold_node._ownership._journal_writer import JournalWriter
 from lagoonfold_node._ownership._lease_keeper import LeaseKeeper
 from lagoonfold_node._ownership._open_shard import OpenShard
+from lagoonfold_node._ownership._refusals import outage
 from lagoonfold_node._ownership._shard_keeper import ShardKeeper
 from lagoonfold_node._ownership._table_keeper import TableKeeper
 
@@ -45,6 +46,12 @@
             return None
         return InstanceId(owner.instance_id)
 
+    def why_cut_off(self) -> Refusal | None:
+        """Return what is told to those who wait for an owner, if no new one can be learned of."""
+        if self._context.is_table_fresh():
+            return None
+        return outage("the owners of programs and accounts cannot be verified")
+
     def opened(self, shard_id: ShardId) -> OpenShard | None:
         """Return the shard if it is open here."""
         return self._context.board.shards.read().get(shard_id)
--- /dev/null
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_stalls.py
@@ -0,0 +1,23 @@
+"""Which records wait for a stalled journal, and which are refused.
+
+Outcomes must not be lost. An idempotent call may begin in an outage, since it is harmless twice
+and its end waits for the journal.
+"""
+
+from lagoonfold.records import Begun, Record, Settled
+
+
+def are_outcomes(records: tuple[Record, ...]) -> bool:
+    """Tell whether records only settle calls."""
+    return bool(records) and all(isinstance(record, Settled) for record in records)
+
+
+def may_outlast_a_stall(records: tuple[Record, ...]) -> bool:
+    """Tell whether records may wait for as long as the journal is stalled."""
+    return are_outcomes(records) or _are_harmless_begins(records)
+
+
+def _are_harmless_begins(records: tuple[Record, ...]) -> bool:
+    return bool(records) and all(
+        isinstance(record, Begun) and record.is_idempotent for record in records
+    )
--- a/packages/lagoonfold-node/src/lagoonfold_node/_rates/_gate.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_rates/_gate.py
@@ -48,7 +48,8 @@
 
     A call takes a borrowed token if there is one; else the owner is asked at once, and the call
     waits for the answer for up to `PATIENCE_S`, or `TAKEOVER_PATIENCE_S` while the owner
-    changes. Calls that wait share one ask.
+    changes. It does not wait for an owner that this instance can't learn of. Calls that wait share
+    one ask.
 
         (await gate.admit(account_id)).is_ok()
     """
@@ -114,6 +115,9 @@
                     return Ok(None)
                 pause_s = max(MIN_PAUSE_S, gate.borrower.pause_s(now_s=self._clock()))
             refusal = _refusal_of(gate)
+            cut_off = self._owners.why_cut_off()
+            if gate.refusal is not None and cut_off is not None:
+                return Err(cut_off)
             if _is_used_up(gate) and not was_used_up:
                 # The wait for a token begins when the wait for the owner is over.
                 was_used_up = True
--- a/packages/lagoonfold-node/src/lagoonfold_node/_rates/_lenders.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_rates/_lenders.py
@@ -25,6 +25,9 @@
     def owner_of(self, account_id: AccountId) -> InstanceId | None:
         """Return the owning instance, or None while there is none."""
 
+    def why_cut_off(self) -> Refusal | None:
+        """Return what is told to those who wait for an owner, if no new one can be learned of."""
+
     def lending(self, account_id: AccountId) -> Lending | None:
         """Return the right to lend if this instance owns the account and may act now."""
 
--- /dev/null
+++ b/tests/ownership/test_outage.py
@@ -0,0 +1,179 @@
+"""An owner whose key-value service is silent or slow, rather than refusing."""
+
+import math
+from dataclasses import replace
+from unittest import mock
+
+import trio
+import trio.testing
+from result import Err, Ok, Result
+
+from lagoonfold import ErrorKind, NewEntry, ProgramId, Ran, ShardId, StoreError, StoreErrorKind
+from lagoonfold.records import Released
+from lagoonfold_node._ownership import OpenShard, _appender
+from lagoonfold_node._ownership._recovery import recover_shard
+from tests._suite import load_functions
+from tests.ownership._fleet import (
+    SETTINGS,
+    WAIT_LIMIT_S,
+    Fleet,
+    Instance,
+    create_program,
+    make_call,
+    make_turn,
+    read_turns,
+    run_with_fleet,
+    submit_call,
+    wait_until,
+)
+
+PROGRAM = "prg-outage"
+OTHER = "prg-outage-other"
+LONG_LEASE = replace(SETTINGS, lease_s=15.0, renew_s=0.5, shard_count=1)
+SHORT_SILENCE_S = 0.3
+ANSWERS_TOO_LATE_S = 0.8
+SLOW_S = 0.3
+LONG_ENOUGH_S = 60.0
+
+
+async def _check_refused(shard: OpenShard, program_id: str, *, turn: int = 1) -> None:
+    """Check that a call that may run once is refused as not run, with a time to come back."""
+    request = make_call(program_id, turn)
+    execute = shard.state.decide_begin(request, 0.0, executor=shard.executor).unwrap()
+    with trio.fail_after(WAIT_LIMIT_S):
+        refused = await shard.commit(execute.records)
+    assert isinstance(refused, Err)
+    refusal = refused.err_value
+    assert (refusal.kind, refusal.ran) == (ErrorKind.PLATFORM_UNAVAILABLE, Ran.NO)
+    assert refusal.retry_after_s > 0
+
+
+class _Journal:
+    """A service whose every write takes a while, and fails if it is to."""
+
+    def __init__(self, answer_s: float, error: StoreErrorKind | None = None) -> None:
+        self._answer_s = answer_s
+        self._error = error
+
+    async def create(self, entry: NewEntry) -> Result[None, StoreError]:
+        await trio.sleep(self._answer_s)
+        if self._error is not None:
+            return Err(StoreError(kind=self._error, detail=entry.key))
+        return Ok(None)
+
+
+def _stalled_after_s(journal: _Journal, *, appends: int) -> float | None:
+    """Return when appending counts as stalled, None if it ends without."""
+
+    async def run() -> float | None:
+        appender = _appender.Appender(journal, journal, ShardId(0), 1, 1)
+        started_s = trio.current_time()
+        stalled_s = None
+        async with trio.open_nursery() as nursery:
+            nursery.cancel_scope.deadline = started_s + LONG_ENOUGH_S
+
+            async def note() -> None:
+                nonlocal stalled_s
+                await appender.wait_stalled()
+                stalled_s = trio.current_time() - started_s
+                nursery.cancel_scope.cancel()
+
+            nursery.start_soon(note)
+            for _ in range(appends):
+                await appender.append((Released(1),))
+            nursery.cancel_scope.cancel()
+        return stalled_s
+
+    return trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def test_when_a_journal_counts_as_stalled() -> None:
+    """Refusals are known after a second and silence after two; slow answers stall nothing."""
+    refusing = _Journal(0.0, StoreErrorKind.UNAVAILABLE)
+    assert _stalled_after_s(refusing, appends=1) == _appender.STALL_LIMIT_S
+    silent = _Journal(math.inf)
+    assert _stalled_after_s(silent, appends=1) == _appender.SILENCE_LIMIT_S
+    assert _stalled_after_s(_Journal(1.5), appends=20) is None
+
+
+def _check_service_that_gives_no_answer(**faults: object) -> None:
+    """Check an owner through a time in which no call is answered while it is waited for."""
+
+    async def check(fleet: Fleet) -> None:
+        instances = [await fleet.start(0, LONG_LEASE)]
+        _, shard = await fleet.open_shard(instances, PROGRAM)
+        for program_id in (PROGRAM, OTHER):
+            await create_program(shard, program_id)
+        fleet.kv.set_faults(**faults)
+        assert not shard.is_stalled()
+        await _check_refused(shard, PROGRAM)
+        assert shard.is_stalled() and shard.may_act()
+        with trio.fail_after(WAIT_LIMIT_S):
+            told = await shard.wait_stalled()
+        assert told.kind is ErrorKind.PLATFORM_UNAVAILABLE and told.retry_after_s > 0
+        begun = submit_call(shard, OTHER, is_idempotent=True)
+        assert shard.state.programs_by_id[ProgramId(OTHER)].is_running(begun.call_id)
+        fleet.kv.set_faults()
+        await wait_until(lambda: not shard.is_stalled())
+        (await shard.commit(())).unwrap()
+        assert shard.epoch == 1 and shard.may_act()
+        kept = (await recover_shard(fleet.kv.store, ShardId(0))).unwrap()
+        assert {call.program_id for call in kept.state.running_calls()} == {PROGRAM, OTHER}
+
+    with mock.patch.object(_appender, "SILENCE_LIMIT_S", SHORT_SILENCE_S):
+        run_with_fleet(check)
+
+
+def _opened(instances: list[Instance]) -> list[OpenShard]:
+    return [shard for each in instances for shard in each.board.shards.read().values()]
+
+
+def test_silent_service() -> None:
+    """Calls that arrive before the silence is known are refused, and what was queued is kept."""
+    _check_service_that_gives_no_answer(outage="silent")
+
+
+def test_service_whose_answers_come_too_late() -> None:
+    """Writes take effect though their answers come too late: each is there once afterwards."""
+    _check_service_that_gives_no_answer(delay_s=ANSWERS_TOO_LATE_S)
+
+
+def test_slow_service_stalls_nothing() -> None:
+    """With slow answers the lease is kept, and calls are slow but not refused."""
+
+    async def check(fleet: Fleet) -> None:
+        instances = [await fleet.start(0, LONG_LEASE, call_timeout_s=WAIT_LIMIT_S)]
+        owner, shard = await fleet.open_shard(instances, PROGRAM)
+        fleet.kv.set_faults(delay_s=SLOW_S)
+        await create_program(shard, PROGRAM)
+        for turn in (1, 2):
+            await make_turn(shard, PROGRAM, turn)
+        renewed = fleet.kv.service.counts_by_operation["keepalive"]
+        await wait_until(lambda: fleet.kv.service.counts_by_operation["keepalive"] >= renewed + 2)
+        assert shard.may_act() and shard.epoch == 1
+        assert owner.ownership.context.metrics.counted("stalled_commits") == 0
+        assert len(await read_turns(fleet, instances, PROGRAM)) == 2
+
+    run_with_fleet(check)
+
+
+def test_lease_lapses_in_silence_and_returns_by_itself() -> None:
+    """Two instances that lost their leases in the silence own and serve all shards after it."""
+
+    async def check(fleet: Fleet) -> None:
+        instances = [await fleet.start(index) for index in range(2)]
+        _, shard = await fleet.open_shard(instances, PROGRAM)
+        await create_program(shard, PROGRAM)
+        await make_turn(shard, PROGRAM, 1)
+        fleet.kv.set_faults(outage="silent")
+        await wait_until(lambda: not any(each.may_act() for each in _opened(instances)))
+        await _check_refused(shard, PROGRAM, turn=2)
+        fleet.kv.set_faults()
+        _, later = await fleet.open_shard(instances, PROGRAM)
+        await make_turn(later, PROGRAM, 2)
+        assert len(await read_turns(fleet, instances, PROGRAM)) == 2
+
+    run_with_fleet(check)
+
+
+load_tests = load_functions(globals())
--- a/tests/rates/test_gate.py
+++ b/tests/rates/test_gate.py
@@ -60,6 +60,9 @@
     def owner_of(self, account_id: AccountId) -> InstanceId | None:
         return _OWNER
 
+    def why_cut_off(self) -> Refusal | None:
+        return self._fleet.cut_off
+
     def lending(self, account_id: AccountId) -> Lending | None:
         if self._instance_id != _OWNER:
             return None
@@ -78,6 +81,7 @@
         self.nursery = nursery
         self.requests = 0
         self.is_cut = False
+        self.cut_off: Refusal | None = None
         self.delay_s = 0.001
         self.on_unanswered: Callable[[], None] = lambda: None
         self.owned_since_s = trio.current_time() - owned_for_s
@@ -238,4 +242,20 @@
     _with_fleet(check)
 
 
+def test_owner_that_cannot_be_learned_of_is_not_waited_for() -> None:
+    """An instance that is cut off from the table asks the owner once, and tells when to return."""
+
+    async def check(fleet: _Fleet) -> None:
+        fleet.is_cut = True
+        asked = []
+        fleet.on_unanswered = lambda: asked.append(1)
+        fleet.cut_off = Refusal(
+            kind=ErrorKind.PLATFORM_UNAVAILABLE, detail="cut off", retry_after_s=5.0
+        )
+        outcome = await fleet.admit(1)
+        assert outcome.unwrap_err() == fleet.cut_off and len(asked) == 1
+
+    _with_fleet(check)
+
+
 load_tests = load_functions(globals())
