--- a/standins/_faults.py
+++ b/standins/_faults.py
@@ -9,6 +9,7 @@
     {"fail": 2}                answer 500 to the next two requests
     {"slow": 10.0}             take ten times as long
     {"refuse": true}           answer 503 to every request
+    {"hold": true}             let every request wait until the faults are set again
 """
 
 import msgspec
@@ -24,6 +25,7 @@
     fail: int = 0
     slow: float = 1.0
     refuse: bool = False
+    hold: bool = False
 
     def take_failure(self) -> bool:
         """Use up one injected failure; return False when none is left."""
--- a/standins/_server.py
+++ b/standins/_server.py
@@ -12,6 +12,7 @@
 from standins._seen import Seen, SeenLog, SeenState
 
 CRASH_MARKER = b"crash-the-upstream"
+HOLD_STEP_S = 0.01
 JSON_HEADERS = (("content-type", "application/json"),)
 LIMITS = HttpLimits(max_body_bytes=64 * 1024 * 1024, max_connections=20_000, idle_timeout_s=600.0)
 
@@ -59,6 +60,8 @@
             os._exit(1)
         if self.faults.hang:
             await trio.sleep_forever()
+        while self.faults.hold:
+            await trio.sleep(HOLD_STEP_S)
         if self.faults.take_failure():
             seen.state = SeenState.FAILED.value
             await exchange.respond(json_response({"error": "failed"}, status=500))
