--- a/bench/policy/__main__.py
+++ b/bench/policy/__main__.py
@@ -8,12 +8,13 @@
 import fire
 
 from bench.policy._calibrate import find_rate
-from bench.policy._faults_experiment import run_faults
+from bench.policy._faults_experiment import run_faults, run_pace
 from bench.policy._overload_experiment import run_admission
 from bench.policy._points import BASELINE
+from bench.policy._policy import Policy
 from bench.policy._rates_experiment import run_rate_limits
-from bench.policy._scheduler import Policy
 from bench.policy._scheduling_experiments import (
+    run_counted,
     run_order,
     run_pauses,
     run_replica,
@@ -49,6 +50,11 @@
     _show(run_replica(workload, seeds))
 
 
+def counted(workload: str, seeds: int = 3) -> None:
+    """Run the part of decision 2 on counting what was sent since the last load report."""
+    _show(run_counted(workload, seeds))
+
+
 def pauses(workload: str, seeds: int = 2) -> None:
     """Run decision 3."""
     _show(run_pauses(workload, seeds))
@@ -64,6 +70,11 @@
     _show(run_faults(workload, seeds))
 
 
+def pace(workload: str, seeds: int = 3) -> None:
+    """Run the part of decision 6 that concerns slow replicas."""
+    _show(run_pace(workload, seeds))
+
+
 def rates(seeds: int = 3) -> None:
     """Run decision 5."""
     _show(run_rate_limits(seeds))
@@ -75,5 +86,17 @@
 
 
 if __name__ == "__main__":
-    commands = (calibrate, targets, order, replica, pauses, admission, faults, rates, health)
+    commands = (
+        calibrate,
+        targets,
+        order,
+        replica,
+        counted,
+        pauses,
+        admission,
+        faults,
+        pace,
+        rates,
+        health,
+    )
     fire.Fire({command.__name__: command for command in commands})
--- a/bench/policy/_calibrate.py
+++ b/bench/policy/_calibrate.py
@@ -4,8 +4,8 @@
 """
 
 from bench.policy._measure import measure
-from bench.policy._scheduler import Policy
-from bench.policy._simulation import Scenario
+from bench.policy._policy import Policy
+from bench.policy._scenario import Scenario
 from bench.policy._workloads import Workload
 
 STEPS = 8
--- a/bench/policy/_engine.py
+++ b/bench/policy/_engine.py
@@ -6,6 +6,7 @@
 """
 
 import heapq
+import math
 import random
 from collections import OrderedDict
 from collections.abc import Callable
@@ -16,6 +17,7 @@
 
 EVENT_LAG_S = 1.0
 EVENT_LOSS = 0.1
+_ROUNDING = 1e-6
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -38,9 +40,11 @@
     completion_tokens: int
     priority: int
     on_end: Callable[["EngineCall", bool], None]
+    on_moved: Callable[[int], None] = lambda tokens: None
     imported_tokens: int = 0
     computed_tokens: int = 0
     started_s: float = 0.0
+    ends_s: float = math.inf
     is_cancelled: bool = False
 
 
@@ -109,6 +113,33 @@
             call.is_cancelled = True
             call.on_end(call, False)
 
+    def slow_down(self, factor: float) -> None:
+        """Work slower from now on, also on the calls that are running."""
+        now_s, change = self._clock.now_s, factor / self.slowdown
+        self.slowdown = factor
+        self._prefill_free_s = now_s + max(0.0, self._prefill_free_s - now_s) * change
+        for call in self.running.values():
+            call.ends_s = now_s + (call.ends_s - now_s) * change
+            self._clock.at(call.ends_s, self._end, call, call.ends_s)
+
+    def generated(self, call: EngineCall) -> int:
+        """Return the tokens that a call has brought so far."""
+        if call.ends_s == math.inf:
+            return 0
+        left_s = call.ends_s - self._clock.now_s
+        left = left_s * self.size.decode_tokens_per_s / self.slowdown
+        return max(0, call.completion_tokens - math.ceil(left - _ROUNDING))
+
+    def cancel(self, call: EngineCall) -> None:
+        """End a call early; what it had computed is not kept."""
+        call.is_cancelled = True
+        if self.running.pop(id(call), None) is None:
+            self._waiting = [entry for entry in self._waiting if entry[2] is not call]
+            heapq.heapify(self._waiting)
+        else:
+            self.totals.busy_s += self._clock.now_s - call.started_s
+        self._start_waiting()
+
     def free(self, program_id: str) -> None:
         """Drop a program's prefix."""
         tokens = self._cached.pop(program_id, 0)
@@ -136,10 +167,11 @@
         self.totals.prefill_s += prefill_s
         self._prefill_free_s = max(now_s + import_s, self._prefill_free_s) + prefill_s
         decode_s = call.completion_tokens / self.size.decode_tokens_per_s * self.slowdown
-        self._clock.at(self._prefill_free_s + decode_s, self._end, call)
+        call.ends_s = self._prefill_free_s + decode_s
+        self._clock.at(call.ends_s, self._end, call, call.ends_s)
 
-    def _end(self, call: EngineCall) -> None:
-        if call.is_cancelled:
+    def _end(self, call: EngineCall, ends_s: float) -> None:
+        if call.is_cancelled or ends_s != call.ends_s:
             return
         del self.running[id(call)]
         self.totals.busy_s += self._clock.now_s - call.started_s
--- a/bench/policy/_faults_experiment.py
+++ b/bench/policy/_faults_experiment.py
@@ -3,12 +3,27 @@
 from collections.abc import Sequence
 
 from bench.policy._measure import RunMeasures, measure_all, percentile, summarize
-from bench.policy._points import BASELINE, BASELINE_RATE_BY_WORKLOAD, scenarios
+from bench.policy._points import (
+    BASELINE,
+    BASELINE_RATE_BY_WORKLOAD,
+    DEFAULT_RATE_BY_WORKLOAD,
+    scenarios,
+)
+from bench.policy._policy import Policy
 from bench.policy._report import write_report
-from bench.policy._scheduler import Policy
+from bench.policy._scheduling_experiments import FLOOD
 
 FAULT_AT_S = 900.0
 BIN_S = 60.0
+UNEVENNESS = 0.4
+PACE_POLICIES = {
+    "none": Policy(sees_pace=False),
+    "seen": Policy(shares_pace=False, moves_calls=False),
+    "seen, moved": Policy(shares_pace=False),
+    "shared": Policy(moves_calls=False),
+    "shared, moved": Policy(),
+}
+HARM_POLICIES = {label: PACE_POLICIES[label] for label in ("none", "shared, moved")}
 
 
 def run_faults(workload: str, seeds: int) -> dict:
@@ -36,6 +51,41 @@
     return results
 
 
+def run_pace(workload: str, seeds: int) -> dict:
+    """Compare what is done about a slow replica: with one, without one, and under a flood.
+
+    Where paces are uneven, all replicas are well but each has another pace every few seconds.
+    """
+    calm, busy = BASELINE_RATE_BY_WORKLOAD[workload], DEFAULT_RATE_BY_WORKLOAD[workload]
+    slow = {"slow_engine_at_s": FAULT_AT_S}
+    cases = {
+        "slow": {"programs_per_s": calm, **slow},
+        "slow, 85%": {"programs_per_s": busy, **slow},
+        "well": {"programs_per_s": calm},
+        "well, 85%": {"programs_per_s": busy},
+        "uneven": {"programs_per_s": calm, "unevenness": UNEVENNESS},
+        "uneven, 85%": {"programs_per_s": busy, "unevenness": UNEVENNESS},
+        "flood": {"programs_per_s": busy, "surge": FLOOD},
+    }
+    results: dict = {}
+    for case, changes in cases.items():
+        compared = PACE_POLICIES if case.startswith("slow") else HARM_POLICIES
+        for label, policy in compared.items():
+            runs = measure_all(scenarios(workload, policy, seeds=seeds, **changes))
+            summary = summarize(runs)
+            results[f"{case}: {label}"] = {
+                "slowdown p95 by minute after the fault": _after(runs),
+                "slowdown p95": summary["slowdown"]["p95"],
+                "slowdown p99": summary["slowdown"]["p99"],
+                "recomputed": summary["recomputed_share"],
+                "put aside": summary["put_aside"]["mean"],
+                "moved": summary["moved"]["mean"],
+                "unfinished": summary["unfinished"]["mean"],
+            }
+    write_report(f"pace-{workload}", results)
+    return results
+
+
 def _after(runs: Sequence[RunMeasures]) -> list[float]:
     """Return the p95 slowdown of programs that arrive in each minute, from one before the fault."""
     rows = []
--- a/bench/policy/_measure.py
+++ b/bench/policy/_measure.py
@@ -5,8 +5,9 @@
 from dataclasses import asdict, dataclass, field
 from multiprocessing import Pool
 
-from bench.policy._scheduler import Policy
-from bench.policy._simulation import Scenario, Simulation
+from bench.policy._policy import Policy
+from bench.policy._scenario import ProgramOutcome, Scenario
+from bench.policy._simulation import Simulation
 
 PROCESSES = 4
 
@@ -36,23 +37,36 @@
     prefill_share: float = 0.0
     recomputed_share: float = 0.0
     herding: float = 0.0
+    put_aside: int = 0
+    moved: int = 0
     goodput: list[float] = field(default_factory=list)
 
 
 def percentile(values: Sequence[float], percent: float) -> float:
-    """Return a percentile by nearest rank, zero of nothing."""
+    """Return the least value that more than `percent` of them do not exceed, zero of nothing."""
     if not values:
         return 0.0
     ordered = sorted(values)
     return ordered[min(len(ordered) - 1, int(len(ordered) * percent / 100))]
 
 
+def goodput_of(outcomes: Sequence[ProgramOutcome], *, span_s: float) -> list[float]:
+    """Return the service a second of the calls of completed programs, by `GOODPUT_BIN_S`.
+
+    What ends long after the span counts in the last bin.
+    """
+    bins = [0.0] * (int(span_s / GOODPUT_BIN_S) + _BINS_AFTER_SPAN)
+    for outcome in outcomes:
+        for ended_s, served_s in outcome.served_s if outcome.latency_s is not None else ():
+            bins[min(len(bins) - 1, int(ended_s / GOODPUT_BIN_S))] += served_s / GOODPUT_BIN_S
+    return [round(value, 2) for value in bins]
+
+
 def measure(scenario: Scenario) -> RunMeasures:
     """Run a scenario and measure it."""
     simulation = Simulation(scenario).run()
     size = scenario.size
     run = RunMeasures(seed=scenario.seed)
-    bins = [0.0] * (int(scenario.workload.span_s / GOODPUT_BIN_S) + 60)
     for outcome in simulation.outcomes:
         run.programs += 1
         if outcome.latency_s is None:
@@ -60,8 +74,6 @@
             run.lost += outcome.lost_after_turns not in (None, 0)
             run.refused += outcome.lost_after_turns == 0
             continue
-        for ended_s, served_s in outcome.served_s:
-            bins[min(len(bins) - 1, int(ended_s / GOODPUT_BIN_S))] += served_s / GOODPUT_BIN_S
         alone_s = outcome.plan.alone_s(
             prefill_tokens_per_s=size.prefill_tokens_per_s,
             decode_tokens_per_s=size.decode_tokens_per_s,
@@ -77,10 +89,13 @@
                 slowdown=outcome.latency_s / alone_s,
             )
         )
-    run.goodput = [round(value, 2) for value in bins]
+    run.goodput = goodput_of(simulation.outcomes, span_s=scenario.workload.span_s)
     run.occupied_share = statistics.fmean(simulation.occupied_shares)
     run.prefill_share = simulation.prefill_share
     run.recomputed_share = simulation.recomputed_tokens / max(1, simulation.needed_tokens)
+    pacers = [scheduler.pacer for scheduler in simulation.schedulers]
+    run.put_aside = sum(pacer.put_aside for pacer in pacers)
+    run.moved = sum(pacer.moved for pacer in pacers)
     run.herding = statistics.fmean(simulation.imbalances)
     return run
 
@@ -147,12 +162,15 @@
 
 
 GOODPUT_BIN_S = 5.0
+_BINS_AFTER_SPAN = 60
 MEASURED_FROM_S = 300.0
 _COUNTS = (
     "occupied_share",
     "prefill_share",
     "recomputed_share",
     "herding",
+    "put_aside",
+    "moved",
     "refused",
     "lost",
     "unfinished",
--- a/bench/policy/_overload_experiment.py
+++ b/bench/policy/_overload_experiment.py
@@ -5,13 +5,15 @@
 
 from bench.policy._measure import GOODPUT_BIN_S, RunMeasures, measure_all, percentile, summarize
 from bench.policy._points import DEFAULT_RATE_BY_WORKLOAD, scenarios
+from bench.policy._policy import Policy
 from bench.policy._report import plot_lines, write_report
-from bench.policy._scheduler import Policy
 from bench.policy._workloads import Surge
 from lagoonfold.scheduling import ADMISSIONS_BY_NAME
 
 SURGE_FROM_S = 900.0
 SURGE_S = 60.0
+USUAL_FROM_S = 600.0
+JUDGED_BIN_S = 10.0
 FACTORS = (2.0, 5.0)
 CALL_TIMEOUT_S = 120.0
 MAX_WAIT_S = 10.0
@@ -53,7 +55,7 @@
 
 def _summarize(runs: Sequence[RunMeasures]) -> dict:
     goodput = _mean_goodput(runs)
-    before = _mean(goodput, 600.0, SURGE_FROM_S)
+    before = _mean(goodput, USUAL_FROM_S, SURGE_FROM_S)
     during = _mean(goodput, SURGE_FROM_S, SURGE_FROM_S + SURGE_S)
     after = _mean(goodput, SURGE_FROM_S + SURGE_S, SURGE_FROM_S + 3 * SURGE_S)
     summary = summarize(runs)
@@ -62,6 +64,12 @@
         "goodput during": round(during, 2),
         "goodput in the two minutes after": round(after, 2),
         "seconds to recover": _recovery_s(runs),
+        "goodput by 10 s of the overload": _by_judged_bin(goodput, SURGE_FROM_S, SURGE_S),
+        "goodput by 10 s after it": _by_judged_bin(goodput, SURGE_FROM_S + SURGE_S, 2 * SURGE_S),
+        "least 10 s of the overload by seed": [
+            min(_by_judged_bin(run.goodput, SURGE_FROM_S, SURGE_S)) for run in runs
+        ],
+        "10 s before it, least to most by seed": _usual_spread(runs),
         "refused": summary["refused"]["mean"],
         "lost after the first turn": summary["lost"]["mean"],
         "slowdown p95": summary["slowdown"]["p95"],
@@ -72,6 +80,19 @@
     return [statistics.fmean(values) for values in zip(*(run.goodput for run in runs), strict=True)]
 
 
+def _by_judged_bin(goodput: Sequence[float], from_s: float, length_s: float) -> list[float]:
+    """Return the goodput of each `JUDGED_BIN_S` of a time."""
+    count = int(length_s / JUDGED_BIN_S)
+    starts = [from_s + number * JUDGED_BIN_S for number in range(count)]
+    return [round(_mean(goodput, start_s, start_s + JUDGED_BIN_S), 1) for start_s in starts]
+
+
+def _usual_spread(runs: Sequence[RunMeasures]) -> list[list[float]]:
+    """Return the least and the most bin of the five minutes before the overload, by seed."""
+    bins = [_by_judged_bin(run.goodput, USUAL_FROM_S, SURGE_FROM_S - USUAL_FROM_S) for run in runs]
+    return [[min(of_run), max(of_run)] for of_run in bins]
+
+
 def _mean(goodput: Sequence[float], from_s: float, to_s: float) -> float:
     return statistics.fmean(goodput[int(from_s / GOODPUT_BIN_S) : int(to_s / GOODPUT_BIN_S)])
 
--- a/bench/policy/_points.py
+++ b/bench/policy/_points.py
@@ -4,8 +4,8 @@
 default policy, which needs fewer slots for the same programs and so carries more of them.
 """
 
-from bench.policy._scheduler import BASELINE, Policy
-from bench.policy._simulation import Scenario
+from bench.policy._policy import BASELINE, Policy
+from bench.policy._scenario import Scenario
 from bench.policy._workloads import WORKLOADS_BY_NAME, Surge
 
 BASELINE_RATE_BY_WORKLOAD = {"brunner": 0.815, "corrib": 0.703}
--- /dev/null
+++ b/bench/policy/_reported_load.py
@@ -0,0 +1,13 @@
+"""A replica's load as it is reported alone, to see what counting the calls sent since is worth."""
+
+from lagoonfold.scheduling import ReplicaLoad
+
+
+class ReportedLoad(ReplicaLoad):
+    """Counts nothing that is sent from here: the estimate is the last report."""
+
+    def note_sent(self, *, now_s: float, added_tokens: int = 0) -> None:
+        """Count nothing."""
+
+    def note_ended(self, *, now_s: float) -> None:
+        """Count nothing."""
--- a/bench/policy/_scheduler.py
+++ b/bench/policy/_scheduler.py
@@ -8,8 +8,11 @@
 
 from bench.policy._clock import Clock
 from bench.policy._engine import Engine, EngineCall
+from bench.policy._pace import STEP_S, Pacer
+from bench.policy._policy import ModelCall, Policy
+from bench.policy._reported_load import ReportedLoad
 from bench.policy._workloads import ACCOUNT_SHARES
-from lagoonfold import AccountId, CallId, ProgramId, Refusal, UpstreamId
+from lagoonfold import AccountId, CallId, ProgramId, UpstreamId
 from lagoonfold.rates import DemandMeter
 from lagoonfold.resilience import Breaker
 from lagoonfold.scheduling import (
@@ -24,48 +27,13 @@
     PlacementInput,
     QueuedCall,
     ReplicaLoad,
+    RunningPace,
     ServiceMeter,
     priority_of,
     service_s,
 )
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Policy:
-    """The decisions that a run is made with, by their names in the registries."""
-
-    order: str = "fair-least-attained"
-    chooser: str = "memory-bound"
-    cache: str = "keep"
-    admission: str = "always-queue"
-    has_priorities: bool = True
-    has_weights: bool = True
-    allowance: float = 1.0
-    max_wait_s: float = 1e6
-
-
-BASELINE = Policy(order="first-come", chooser="round-robin", has_priorities=False)
-
-
-@dataclass(slots=True, kw_only=True, eq=False)
-class ModelCall:
-    """A call of a program on its way through a scheduler."""
-
-    call_id: str
-    program_id: str
-    account: int
-    prompt_tokens: int
-    completion_tokens: int
-    attained_s: float
-    is_first: bool
-    deadline_s: float
-    imported_tokens: int
-    on_done: Callable[[UpstreamId, int], None]
-    on_refused: Callable[[Refusal], None]
-    on_failed: Callable[[], None]
-    sent_s: float = 0.0
-
-
 @dataclass(slots=True)
 class _Measures:
     ends: DemandMeter = field(default_factory=DemandMeter)
@@ -76,7 +44,12 @@
     """The scheduler of one entry instance, with its own lagging view of the engines."""
 
     def __init__(
-        self, policy: Policy, engines: list[Engine], clock: Clock, rng: random.Random
+        self,
+        policy: Policy,
+        engines: list[Engine],
+        clock: Clock,
+        rng: random.Random,
+        name: str = "",
     ) -> None:
         self.policy = policy
         self.prefixes = CachedPrefixes()
@@ -86,13 +59,17 @@
         self._clock = clock
         self._rng = rng
         self._engines_by_id = {UpstreamId(f"e-{e.number}"): e for e in engines}
+        load_type = ReplicaLoad if policy.counts_sent else ReportedLoad
         self._loads_by_id = {
-            upstream_id: ReplicaLoad(upstream_id, slots=engine.size.slots, lag_s=1.0)
+            upstream_id: load_type(upstream_id, slots=engine.size.slots, lag_s=1.0)
             for upstream_id, engine in self._engines_by_id.items()
         }
         self._breakers_by_id = {upstream_id: Breaker() for upstream_id in self._engines_by_id}
         self._measures = _Measures()
         self._running = 0
+        self.pacer = Pacer(name, list(self._engines_by_id), clock)
+        if policy.sees_pace:
+            clock.after(STEP_S, self._watch_paces)
 
     def note_report(self, number: int, load: tuple[int, int, int]) -> None:
         """Take in a lagging load report."""
@@ -128,13 +105,17 @@
 
     def submit(self, call: ModelCall) -> None:
         """Queue a call or refuse it at once."""
-        now_s = self._clock.now_s
         refused = self._admission.decide(self._admission_input(call))
         if isinstance(refused, Err):
             call.on_refused(refused.err_value)
             return
+        self._push(call)
+        self.pump()
+
+    def _push(self, call: ModelCall) -> None:
+        now_s = self._clock.now_s
         until_s = call.deadline_s
-        if call.is_first:
+        if call.is_first and not call.is_moved:
             until_s = min(until_s, now_s + self.policy.max_wait_s)
         queued = QueuedCall(
             call_id=CallId(call.call_id),
@@ -147,7 +128,6 @@
             item=call,
         )
         self.queue.push(queued, now_s=now_s)
-        self.pump()
 
     def _weight(self, account: int) -> float:
         """Return an account's weight: in proportion to its rate, or equal."""
@@ -169,6 +149,17 @@
             is_first=call.is_first,
         )
 
+    def _watch_paces(self) -> None:
+        """Look at the running calls and move those that would end sooner elsewhere."""
+        moved = self.pacer.step()
+        if self.policy.moves_calls:
+            for watched in moved:
+                self.pacer.moved += 1
+                watched.engine.cancel(watched.call)
+                watched.call.on_moved(watched.engine.generated(watched.call))
+        self._clock.after(STEP_S, self._watch_paces)
+        self.pump()
+
     def pump(self) -> None:
         """Send what waits while there is room, and answer what has waited too long."""
         now_s = self._clock.now_s
@@ -189,6 +180,7 @@
             for upstream_id, load in self._loads_by_id.items()
             if self._chooser.has_room(load)
             and self._breakers_by_id[upstream_id].allows(now_s=now_s)
+            and self.pacer.watch.board.allows(upstream_id, now_s=now_s)
         ]
 
     def _try(self, call: ModelCall, loads: list[ReplicaLoad]) -> bool:
@@ -214,40 +206,67 @@
         call.sent_s = now_s
         engine_call = EngineCall(
             program_id=call.program_id,
-            prompt_tokens=call.prompt_tokens,
-            completion_tokens=call.completion_tokens,
+            prompt_tokens=call.prompt_tokens + call.generated_tokens,
+            completion_tokens=call.completion_tokens - call.generated_tokens,
             priority=priority_of(call.attained_s) if self.policy.has_priorities else 0,
             imported_tokens=call.imported_tokens,
-            on_end=lambda ended, finished: self._note_end(call, chosen, ended, finished),
+            on_end=lambda ended, finished: self._note_end(call, chosen, running, ended, finished),
+            on_moved=lambda tokens: self._note_moved(call, chosen, running, engine_call, tokens),
         )
-        self._engines_by_id[chosen].take(engine_call)
+        engine = self._engines_by_id[chosen]
+        running = self.pacer.start(chosen, engine, engine_call, can_move=not call.is_moved)
+        engine.take(engine_call)
+
+    def _note_moved(
+        self,
+        call: ModelCall,
+        upstream_id: UpstreamId,
+        running: RunningPace,
+        ended: EngineCall,
+        tokens: int,
+    ) -> None:
+        """Queue a call again that was cancelled at a slow replica, with the tokens that it has."""
+        self._running -= 1
+        self._loads_by_id[upstream_id].note_ended(now_s=self._clock.now_s)
+        self.pacer.end(running, is_finished=False)
+        call.generated_tokens += tokens
+        call.computed_tokens += ended.computed_tokens
+        call.is_moved = True
+        self._push(call)
 
     def _note_end(
-        self, call: ModelCall, upstream_id: UpstreamId, ended: EngineCall, is_finished: bool
+        self,
+        call: ModelCall,
+        upstream_id: UpstreamId,
+        running: RunningPace,
+        ended: EngineCall,
+        is_finished: bool,
     ) -> None:
         now_s = self._clock.now_s
         self._running -= 1
         self._loads_by_id[upstream_id].note_ended(now_s=now_s)
+        self.pacer.end(running, is_finished=is_finished)
         if is_finished:
-            self._note_finished(call, upstream_id, ended)
+            call.computed_tokens += ended.computed_tokens
+            self._note_finished(call, upstream_id)
         else:
             self._breakers_by_id[upstream_id].note_failure(now_s=now_s)
             self.prefixes.forget_upstream(upstream_id)
             self._clock.after(0.05, call.on_failed)
         self._clock.after(0.0, self.pump)
 
-    def _note_finished(self, call: ModelCall, upstream_id: UpstreamId, ended: EngineCall) -> None:
+    def _note_finished(self, call: ModelCall, upstream_id: UpstreamId) -> None:
         now_s = self._clock.now_s
         self._breakers_by_id[upstream_id].note_success()
         self._measures.ends.add(now_s=now_s)
         self._measures.call_s.note(now_s - call.sent_s)
         used_s = service_s(
             prompt_tokens=call.prompt_tokens,
-            cached_tokens=call.prompt_tokens - ended.computed_tokens,
+            cached_tokens=call.prompt_tokens - call.computed_tokens,
             completion_tokens=call.completion_tokens,
         )
         weight = self._weight(call.account)
         self.queue.note_service(AccountId(str(call.account)), used_s, weight=weight)
         tokens = call.prompt_tokens + call.completion_tokens
         self.prefixes.note_ran(ProgramId(call.program_id), upstream_id, tokens)
-        call.on_done(upstream_id, ended.computed_tokens)
+        call.on_done(upstream_id, call.computed_tokens)
--- a/bench/policy/_scheduling_experiments.py
+++ b/bench/policy/_scheduling_experiments.py
@@ -11,11 +11,15 @@
     DEFAULT_RATE_BY_WORKLOAD,
     scenarios,
 )
+from bench.policy._policy import Policy
 from bench.policy._report import plot_spreads, write_report
-from bench.policy._scheduler import Policy
 from bench.policy._workloads import Surge
 from lagoonfold.scheduling import CACHE_POLICIES_BY_NAME, CHOOSERS_BY_NAME, ORDERS_BY_NAME
 
+RATES_BY_LOAD = {
+    "85% of baseline": BASELINE_RATE_BY_WORKLOAD,
+    "85% of default": DEFAULT_RATE_BY_WORKLOAD,
+}
 FLOODING_ACCOUNT = 3
 FLOOD = Surge(factor=5.0, from_s=600.0, to_s=1500.0, account=FLOODING_ACCOUNT)
 
@@ -92,15 +96,30 @@
     """The replica choices, each with the default order."""
     policies = {chooser: Policy(chooser=chooser) for chooser in sorted(CHOOSERS_BY_NAME)}
     results = {}
-    for load, rates in (("85% of baseline", BASELINE_RATE_BY_WORKLOAD),) + (
-        ("85% of default", DEFAULT_RATE_BY_WORKLOAD),
-    ):
+    for load, rates in RATES_BY_LOAD.items():
         runs = run_policies(workload, policies, programs_per_s=rates[workload], seeds=seeds)
         results[load] = _report(f"replica-{workload}-{load.split()[-1]}", runs, "latency_s/p95")
     write_report(f"replica-{workload}", results)
     return results
 
 
+def run_counted(workload: str, seeds: int) -> dict:
+    """What counting the calls sent since the last load report is worth, by chooser."""
+    policies = {
+        f"{chooser}, {'counted' if counts_sent else 'reports alone'}": Policy(
+            chooser=chooser, counts_sent=counts_sent
+        )
+        for chooser in ("least-loaded", "near-best-two", "memory-bound")
+        for counts_sent in (True, False)
+    }
+    results = {}
+    for load, rates in RATES_BY_LOAD.items():
+        runs = run_policies(workload, policies, programs_per_s=rates[workload], seeds=seeds)
+        results[load] = {label: summarize(group) for label, group in runs.items()}
+    write_report(f"counted-{workload}", results)
+    return results
+
+
 def run_pauses(workload: str, seeds: int) -> dict:
     """The cache policies at tool pauses, with plenty of memory and with a third of it."""
     policies = {cache: Policy(cache=cache) for cache in sorted(CACHE_POLICIES_BY_NAME)}
--- a/bench/policy/_simulation.py
+++ b/bench/policy/_simulation.py
@@ -1,12 +1,13 @@
 """One run: programs, schedulers and engines in simulated time."""
 
 import random
-from dataclasses import dataclass, field
 
 from bench.policy._clock import Clock
-from bench.policy._engine import Engine, EngineSize, LoadBoard
-from bench.policy._scheduler import ModelCall, Policy, Scheduler
-from bench.policy._workloads import ProgramPlan, Surge, Workload, make_programs
+from bench.policy._engine import Engine, LoadBoard
+from bench.policy._policy import ModelCall
+from bench.policy._scenario import ProgramOutcome, Scenario
+from bench.policy._scheduler import Scheduler
+from bench.policy._workloads import make_programs
 from lagoonfold import ProgramId, Refusal, UpstreamId
 from lagoonfold.scheduling import (
     CACHE_POLICIES_BY_NAME,
@@ -20,36 +21,8 @@
 PAUSE_CHECK_S = 2.0
 CLIENT_TRIES = 3
 WARM_UP_S = 600.0
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Scenario:
-    """What a run is made of; the same scenario and seed give the same run."""
-
-    workload: Workload
-    policy: Policy
-    programs_per_s: float
-    seed: int
-    engine_count: int = 5
-    instance_count: int = 7
-    size: EngineSize = field(default_factory=EngineSize)
-    surge: Surge | None = None
-    lag_s: float = 1.0
-    call_timeout_s: float = 1e6
-    dead_engine_at_s: float | None = None
-    slow_engine_at_s: float | None = None
-
-
-@dataclass(slots=True, kw_only=True)
-class ProgramOutcome:
-    """How a program fared; `latency_s` counts from its arrival, None if it did not finish."""
-
-    plan: ProgramPlan
-    latency_s: float | None = None
-    refusals: int = 0
-    lost_after_turns: int | None = None
-    finished_s: float = 0.0
-    served_s: list[tuple[float, float]] = field(default_factory=list)
+SLOWDOWN = 10.0
+PACE_INTERVAL_S = 2.0
 
 
 class Simulation:
@@ -67,14 +40,19 @@
         self.open_programs = 0
         self._prefill_before_s = 0.0
         self._rng = random.Random(f"run/{scenario.seed}")
+        self._uneven = random.Random(f"uneven/{scenario.seed}")
         self.engines = [
             Engine(number, scenario.size, self.clock, self._rng, self._publish_cache_event)
             for number in range(scenario.engine_count)
         ]
         self.schedulers = [
-            Scheduler(scenario.policy, self.engines, self.clock, self._rng)
-            for _ in range(scenario.instance_count)
+            Scheduler(scenario.policy, self.engines, self.clock, self._rng, f"i-{number}")
+            for number in range(scenario.instance_count)
         ]
+        if scenario.policy.shares_pace:
+            pacers = [scheduler.pacer for scheduler in self.schedulers]
+            for pacer in pacers:
+                pacer.peers = [other for other in pacers if other is not pacer]
         self._pauses_by_kind: dict[str, PauseMeter] = {}
         self._cache_policy = CACHE_POLICIES_BY_NAME[scenario.policy.cache]()
 
@@ -119,12 +97,20 @@
         if self.clock.now_s < self.scenario.workload.span_s:
             self.clock.after(1.0, self._sample)
 
+    def _vary_paces(self) -> None:
+        """Give each engine another pace, around the usual, at an interval."""
+        for engine in self.engines:
+            engine.slow_down(self._uneven.lognormvariate(0.0, self.scenario.unevenness))
+        self.clock.after(PACE_INTERVAL_S, self._vary_paces)
+
     def _inject_faults(self) -> None:
         scenario = self.scenario
+        if scenario.unevenness:
+            self.clock.after(PACE_INTERVAL_S, self._vary_paces)
         if scenario.dead_engine_at_s is not None:
             self.clock.at(scenario.dead_engine_at_s, self.engines[0].die)
         if scenario.slow_engine_at_s is not None:
-            self.clock.at(scenario.slow_engine_at_s, setattr, self.engines[0], "slowdown", 10.0)
+            self.clock.at(scenario.slow_engine_at_s, self.engines[0].slow_down, SLOWDOWN)
 
     def _publish_cache_event(self, *event: object) -> None:
         for scheduler in self.schedulers:
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -28,6 +28,9 @@
 ENGINE_FLAGS = ("--slots=4", "--interval=0.01", "--prefill=4000", "--cache=40000")
 
 
+SLOWDOWN = 10.0
+
+
 def _no_fault(fleet: Fleet, seconds: float) -> None:
     """Leave the fleet as it is."""
 
@@ -42,14 +45,24 @@
     fleet.inject_store()
 
 
-FAULTS_BY_NAME = {"none": _no_fault, "kill": _kill_instance, "outage": _cut_store}
+def _slow_engine(fleet: Fleet, seconds: float) -> None:
+    fleet.inject("engine-1", slow=SLOWDOWN)
+
+
+FAULTS_BY_NAME = {
+    "none": _no_fault,
+    "kill": _kill_instance,
+    "outage": _cut_store,
+    "slow": _slow_engine,
+}
 
 
-def configure(fleet: Fleet) -> dict[str, str]:
+def configure(fleet: Fleet, *, idempotent: bool) -> dict[str, str]:
     """Add the accounts, the route, a profile and keys; return the keys by account."""
     for account in ACCOUNTS:
         fleet.operate("account", "add", account, "--rate=200", "--burst=400")
-    fleet.operate("route", "add", MODEL, "--kind=model", f"--target={MODEL}")
+    fleet.operate("route", "add", MODEL, "--kind=model", f"--target={MODEL}",
+                  f"--idempotent={str(idempotent).lower()}")  # fmt: skip
     names = f"--accounts={','.join(ACCOUNTS)}"
     fleet.operate("profile", "add", PROFILE, names, f"--routes={MODEL}", "--max-wait=30")
     return {account: fleet.operate("key", "add", account)["key"] for account in ACCOUNTS}
@@ -65,16 +78,18 @@
     fault: str = "none",
     fault_at: float = 10.0,
     fault_s: float = 60.0,
+    idempotent: bool = False,
 ) -> None:
     """Run one workload under the named policies; `rate` is in programs a second.
 
-    `fault` is `none`, `kill` (one instance) or `outage` (of the key-value service, `fault_s` long).
+    `fault` is `none`, `kill` (one instance), `outage` (of the key-value service, `fault_s` long) or
+    `slow` (one of the two engines). Calls of `idempotent` routes can be moved off a slow engine.
     """
     settings = f"\n[scheduling]\norder = {order}\nreplica = {replica}\nadmission = {admission}\n"
     with Fleet.start(
         instances=3, engines=2, engine_flags=ENGINE_FLAGS, extra_settings=settings
     ) as fleet:
-        keys_by_account = configure(fleet)
+        keys_by_account = configure(fleet, idempotent=idempotent)
         listens = [handle.listen for handle in fleet.instances_by_id.values()]
         run = Run(listens, keys_by_account, seed)
         arrivals = draw_arrivals(rate, seconds, seed)
@@ -82,6 +97,7 @@
         calls = [_completions_run(fleet, name) for name in ("engine-1", "engine-2")]
     policies = {"order": order, "replica": replica, "admission": admission}
     load = {"rate": rate, "seconds": seconds, "seed": seed, "fault": fault}
+    load["idempotent"] = idempotent
     result = {"commit": commit_id(), "policies": policies, "load": load, **run.summary()}
     print(json.dumps({**result, "calls_by_engine": calls}, indent=1))
 
--- a/packages/lagoonfold-io/src/lagoonfold_io/_http_client.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_client.py
@@ -123,6 +123,13 @@
         protocol = h11.Connection(our_role=h11.CLIENT)
         return Ok(ClientConnection(stream, protocol, opened_at=trio.current_time()))
 
+    async def can_connect(self, address: str) -> bool:
+        """Tell whether a new connection is accepted; nothing is sent on it."""
+        taken = await self._connect(address, fresh=True)
+        if isinstance(taken, Ok):
+            close_now(taken.ok_value)
+        return isinstance(taken, Ok)
+
     def _take_kept(self, address: str) -> ClientConnection | None:
         idle = self._idle_by_address[address]
         now = trio.current_time()
--- a/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_dispatcher.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_dispatcher.py
@@ -17,8 +17,10 @@
 )
 from lagoonfold.settings import SchedulingSettings
 from lagoonfold_node._dispatch._caches import CacheFreer
-from lagoonfold_node._dispatch._lane import NO_UPSTREAM_RETRY_S, Lane, Waiter
+from lagoonfold_node._dispatch._lane import Lane, Waiter
+from lagoonfold_node._dispatch._paces import STEP_S, ReplicaPaces, Tell
 from lagoonfold_node._dispatch._poison import PoisonNotices
+from lagoonfold_node._dispatch._refusals import no_upstream, poisonous
 from lagoonfold_node._dispatch._requests import Outcome, Placement, PlacementRequest
 from lagoonfold_node._dispatch._retries import Retries
 from lagoonfold_node._dispatch._table import UpstreamState, UpstreamTable
@@ -40,11 +42,13 @@
         rng: random.Random,
         *,
         policies: SchedulingSettings = DEFAULT_POLICIES,
+        tell: Tell = lambda message: None,
     ) -> None:
         self.table = table
         self.poison = poison
         self.caches = caches
         self.retries = Retries(metrics, rng)
+        self.paces = ReplicaPaces(table.observer, table, self.retries, metrics, tell)
         self._metrics = metrics
         self._rng = rng
         self._policies = policies
@@ -53,8 +57,12 @@
 
     async def run(self) -> None:
         """Look for room at an interval, until cancelled; ends of calls look at once."""
+        ticks = 0
         while True:
             await trio.sleep(TICK_S)
+            ticks += 1
+            if ticks % round(STEP_S / TICK_S) == 0:
+                self.paces.step()
             self.pump()
 
     def pump(self) -> None:
@@ -78,15 +86,11 @@
         if refusal is not None:
             yield self._refused(refusal)
             return
-        state = await self._wait(request, lane)
-        if state is None:
+        waiter = await self._wait(request, lane)
+        state, placement = waiter.state, waiter.placement
+        if state is None or placement is None:
             yield self._refused(self._refuse_late(request, lane))
             return
-        placement = Placement(
-            upstream_id=state.load.upstream_id,
-            address=state.listed.address,
-            priority=priority_of(request.attained_s),
-        )
         started_s = trio.current_time()
         lane.running += 1
         try:
@@ -108,24 +112,24 @@
     def _refuse_early(self, request: PlacementRequest, lane: Lane) -> Refusal | None:
         now_s = trio.current_time()
         if self.poison.registry.is_poisonous(request.content_digest, now_s=now_s):
-            return _poisonous()
+            return poisonous()
         if request.deadline_s <= now_s:
             return Refusal(kind=ErrorKind.DEADLINE_EXCEEDED, detail="the deadline has passed")
         if not self.table.serving(request.target, is_model=request.is_model):
-            return _no_upstream(request)
+            return no_upstream(request)
         admitted = self._admission.decide(lane.admission_input(request, now_s=now_s))
         return admitted.err_value if isinstance(admitted, Err) else None
 
     def _refuse_late(self, request: PlacementRequest, lane: Lane) -> Refusal:
         now_s = trio.current_time()
         if self.poison.registry.is_poisonous(request.content_digest, now_s=now_s):
-            return _poisonous()
+            return poisonous()
         states = self.table.serving(request.target, is_model=request.is_model)
         if not any(state.breaker.allows(now_s=now_s) for state in states):
-            return _no_upstream(request)
+            return no_upstream(request)
         return lane.refuse_after_wait(now_s=now_s)
 
-    async def _wait(self, request: PlacementRequest, lane: Lane) -> UpstreamState | None:
+    async def _wait(self, request: PlacementRequest, lane: Lane) -> Waiter:
         now_s = trio.current_time()
         waiter = Waiter(request=request)
         call = lane.queued(waiter, now_s=now_s)
@@ -139,7 +143,7 @@
             raise
         lane.queue.remove(call.call_id)
         self._metrics.record("queue_wait", trio.current_time() - now_s)
-        return waiter.state
+        return waiter
 
     def _take_back(self, lane: Lane, call: QueuedCall, waiter: Waiter) -> None:
         """Withdraw a call whose caller went away while it waited."""
@@ -147,6 +151,8 @@
         if waiter.state is None:
             return
         waiter.state.load.note_ended(now_s=trio.current_time())
+        if waiter.placement is not None:
+            self.paces.end(waiter.request, waiter.placement, is_finished=False)
         waiter.state.breaker.note_given_up()
         self._end_digest(waiter.request, waiter.state, is_finished=False)
 
@@ -176,19 +182,38 @@
         state.breaker.note_sent(now_s=now_s)
         self.poison.registry.note_started(request.content_digest, chosen)
         waiter.state = state
+        waiter.placement = Placement(
+            upstream_id=chosen,
+            address=state.listed.address,
+            priority=priority_of(request.attained_s),
+        )
+        self.paces.start(request, waiter.placement, now_s=now_s)
         waiter.placed.set()
         return True
 
     def _candidates(self, request: PlacementRequest, now_s: float) -> list[UpstreamState]:
         serving = self.table.serving(request.target, is_model=request.is_model)
         up = [state for state in serving if state.breaker.allows(now_s=now_s)]
-        fresh = [state for state in up if state.load.upstream_id not in request.avoid]
-        states_by_id = {state.load.upstream_id: state for state in fresh or up}
+        fresh = [state for state in up if state.load.upstream_id not in request.avoid] or up
+        states_by_id = {
+            state.load.upstream_id: state for state in self._paced(request, fresh, now_s)
+        }
         allowed = self.poison.registry.allowed_upstreams(
             request.content_digest, states_by_id, now_s=now_s
         )
         return [state for upstream_id, state in states_by_id.items() if upstream_id in allowed]
 
+    def _paced(
+        self, request: PlacementRequest, states: list[UpstreamState], now_s: float
+    ) -> list[UpstreamState]:
+        """Return the upstreams that are not put aside as slow, or all if all are."""
+        paced = [
+            state
+            for state in states
+            if self.paces.allows(request, state.load.upstream_id, now_s=now_s)
+        ]
+        return paced or states
+
     def _note_end(
         self,
         request: PlacementRequest,
@@ -201,8 +226,13 @@
         outcome = placement.outcome
         lane.running -= 1
         state.load.note_ended(now_s=now_s)
-        if outcome is Outcome.WENT_DOWN:
-            self.poison.blame(request.content_digest, placement.upstream_id)
+        self.paces.end(request, placement, is_finished=outcome is Outcome.FINISHED)
+        if outcome in (Outcome.WENT_DOWN, Outcome.BROKE_OFF):
+            self.poison.blame(
+                request.content_digest,
+                placement.upstream_id,
+                is_confirmed=outcome is Outcome.WENT_DOWN,
+            )
         self._end_digest(request, state, is_finished=outcome is Outcome.FINISHED)
         if outcome is Outcome.FINISHED:
             state.breaker.note_success()
@@ -240,15 +270,3 @@
             now_s=trio.current_time(),
             is_finished=is_finished,
         )
-
-
-def _poisonous() -> Refusal:
-    return Refusal(kind=ErrorKind.POISONOUS, detail="this request has taken down two upstreams")
-
-
-def _no_upstream(request: PlacementRequest) -> Refusal:
-    return Refusal(
-        kind=ErrorKind.UPSTREAM_UNAVAILABLE,
-        detail=f"no upstream serves {request.target}",
-        retry_after_s=NO_UPSTREAM_RETRY_S,
-    )
--- a/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_handlers.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_handlers.py
@@ -3,7 +3,7 @@
 from typing import Protocol
 
 from lagoonfold_node._dispatch._dispatcher import Dispatcher
-from lagoonfold_node._dispatch._messages import PoisonSeen
+from lagoonfold_node._dispatch._messages import PaceSeen, PoisonSeen
 from lagoonfold_node._peers import InboundCall, handles
 
 
@@ -16,3 +16,8 @@
 @handles(PoisonSeen)
 async def _take_notice(node: HasDispatch, call: InboundCall, message: PoisonSeen) -> None:
     node.dispatcher.poison.take(message.notice)
+
+
+@handles(PaceSeen)
+async def _take_pace(node: HasDispatch, call: InboundCall, message: PaceSeen) -> None:
+    node.dispatcher.paces.take(message)
--- a/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_lane.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_lane.py
@@ -15,7 +15,7 @@
     ServiceMeter,
 )
 from lagoonfold.settings import SchedulingSettings
-from lagoonfold_node._dispatch._requests import PlacementRequest
+from lagoonfold_node._dispatch._requests import Placement, PlacementRequest
 from lagoonfold_node._dispatch._table import UpstreamState
 
 INITIAL_CALL_S = 1.0
@@ -30,6 +30,7 @@
     request: PlacementRequest
     placed: trio.Event = field(default_factory=trio.Event)
     state: UpstreamState | None = None
+    placement: Placement | None = None
 
 
 class Lane:
--- a/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_messages.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_messages.py
@@ -1,11 +1,20 @@
 """What dispatchers say to each other."""
 
 from lagoonfold.resilience import PoisonNotice
+from lagoonfold.scheduling import PaceNotice
 from lagoonfold_node._peers import PeerMessage, peer_message
 
 
 @peer_message
 class PoisonSeen(PeerMessage, tag="poison-seen"):
-    """An upstream went down while it ran a request."""
+    """An upstream went down, or broke off, while it ran a request."""
 
     notice: PoisonNotice
+
+
+@peer_message
+class PaceSeen(PeerMessage, tag="pace-seen"):
+    """A replica of a model was found to be slow, or well again."""
+
+    model: str
+    notice: PaceNotice
--- /dev/null
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_paces.py
@@ -0,0 +1,110 @@
+"""The paces of replicas at one instance: calls watched and moved, and the peers told."""
+
+from collections.abc import Callable, Iterable
+
+import trio
+
+from lagoonfold import InstanceId, UpstreamId
+from lagoonfold.scheduling import PaceNotice, PaceWatch, RunningPace
+from lagoonfold_node._dispatch._messages import PaceSeen
+from lagoonfold_node._dispatch._requests import Placement, PlacementRequest
+from lagoonfold_node._dispatch._retries import Retries
+from lagoonfold_node._dispatch._table import UpstreamTable
+from lagoonfold_node._metrics import Metrics
+from lagoonfold_node._peers import PeerBus
+
+STEP_S = 0.5
+
+Tell = Callable[[PaceSeen], None]
+
+
+def teller(bus: PeerBus, peers: Callable[[], Iterable[InstanceId]]) -> Tell:
+    """Return what sends a message to all peers."""
+
+    def tell(message: PaceSeen) -> None:
+        for peer in peers():
+            bus.send(peer, message)
+
+    return tell
+
+
+class ReplicaPaces:
+    """One watch for each model; `step` is called at the interval `STEP_S`."""
+
+    def __init__(
+        self,
+        instance_id: InstanceId,
+        table: UpstreamTable,
+        retries: Retries,
+        metrics: Metrics,
+        tell: Tell,
+    ) -> None:
+        self._instance_id = instance_id
+        self._table = table
+        self._retries = retries
+        self._metrics = metrics
+        self._tell = tell
+        self._watches_by_model: dict[str, PaceWatch] = {}
+        self._placed_by_pace: dict[RunningPace, tuple[PlacementRequest, Placement]] = {}
+
+    def allows(self, request: PlacementRequest, upstream_id: UpstreamId, *, now_s: float) -> bool:
+        """Tell whether a call may go to a replica: not put aside, or to try it."""
+        if not request.is_model:
+            return True
+        return self._watch(request.target).board.allows(upstream_id, now_s=now_s)
+
+    def start(self, request: PlacementRequest, placement: Placement, *, now_s: float) -> None:
+        """Watch a call that is placed."""
+        if not request.is_model:
+            return
+        placement.pace = self._watch(request.target).start(
+            placement.upstream_id,
+            prompt_tokens=request.prompt_tokens,
+            can_move=request.can_move,
+            now_s=now_s,
+        )
+        if placement.pace.is_trial:
+            self._metrics.count("replica_paces", "tried")
+        self._placed_by_pace[placement.pace] = (request, placement)
+
+    def end(self, request: PlacementRequest, placement: Placement, *, is_finished: bool) -> None:
+        """Watch a call no more."""
+        if placement.pace is not None:
+            del self._placed_by_pace[placement.pace]
+            self._watch(request.target).end(placement.pace, is_finished=is_finished)
+
+    def take(self, message: PaceSeen) -> None:
+        """Take in what a peer found out."""
+        watch = self._watch(message.model)
+        watch.board.take(message.notice, now_s=trio.current_time())
+        self._count(message.notice, "told")
+
+    def step(self) -> None:
+        """Judge the replicas by what their calls brought, tell the peers, and move calls."""
+        now_s = trio.current_time()
+        for model, watch in self._watches_by_model.items():
+            serving = self._table.serving(model, is_model=True)
+            replicas = [state.load.upstream_id for state in serving]
+            watch.board.follow(replicas)
+            for notice in watch.step(replicas, now_s=now_s):
+                self._count(notice, "seen")
+                self._tell(PaceSeen(model=model, notice=notice))
+            for running in watch.to_move(now_s=now_s):
+                self._move(*self._placed_by_pace[running])
+
+    def _move(self, request: PlacementRequest, placement: Placement) -> None:
+        """Ask for a call to be moved, once, if the retry budgets bear it."""
+        if placement.moved.is_set():
+            return
+        state = self._table.states_by_id.get(placement.upstream_id)
+        if self._retries.spend_move(request.account_id, state):
+            placement.moved.set()
+
+    def _count(self, notice: PaceNotice, how: str) -> None:
+        verdict = "slow" if notice.aside_s else "well"
+        self._metrics.count("replica_paces", f"{verdict}-{how}")
+
+    def _watch(self, model: str) -> PaceWatch:
+        if model not in self._watches_by_model:
+            self._watches_by_model[model] = PaceWatch(self._instance_id)
+        return self._watches_by_model[model]
--- a/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_poison.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_poison.py
@@ -48,12 +48,16 @@
             self.registry.forget_old(now_s=trio.current_time())
             await trio.sleep(REFRESH_INTERVAL_S)
 
-    def blame(self, digest: str, upstream_id: UpstreamId) -> None:
-        """Note that an upstream went down while it ran the request, and tell the peers."""
+    def blame(self, digest: str, upstream_id: UpstreamId, *, is_confirmed: bool) -> None:
+        """Note that an upstream went down, or at least broke off, while it ran the request.
+
+        The peers are told.
+        """
         notice = PoisonNotice(
             digest=digest,
             upstream_id=upstream_id,
             incident_id=self._incident_of(upstream_id),
+            is_confirmed=is_confirmed,
         )
         self.take(notice)
         for peer in self._peers():
--- /dev/null
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_refusals.py
@@ -0,0 +1,19 @@
+"""Refusals of calls for which there is no upstream."""
+
+from lagoonfold import ErrorKind, Refusal
+from lagoonfold_node._dispatch._lane import NO_UPSTREAM_RETRY_S
+from lagoonfold_node._dispatch._requests import PlacementRequest
+
+
+def poisonous() -> Refusal:
+    """Return the refusal of a request that takes upstreams down."""
+    return Refusal(kind=ErrorKind.POISONOUS, detail="this request has taken down upstreams")
+
+
+def no_upstream(request: PlacementRequest) -> Refusal:
+    """Return the refusal where nothing serves the target."""
+    return Refusal(
+        kind=ErrorKind.UPSTREAM_UNAVAILABLE,
+        detail=f"no upstream serves {request.target}",
+        retry_after_s=NO_UPSTREAM_RETRY_S,
+    )
--- a/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_requests.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_requests.py
@@ -3,7 +3,10 @@
 from dataclasses import dataclass
 from enum import Enum
 
+import trio
+
 from lagoonfold import AccountId, CallId, ProgramId, UpstreamId
+from lagoonfold.scheduling import RunningPace
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -14,6 +17,7 @@
     upstream will run, the same for a repeat. `deadline_s` is on the process's clock;
     `max_wait_s` is how long the profile lets a program's first call queue. `attained_s` is the
     service that the program has had. `avoid` are upstreams that have failed this call already.
+    `can_move` says that the call may be resumed elsewhere while it runs.
     """
 
     call_id: CallId
@@ -29,6 +33,7 @@
     weight: float = 1.0
     max_wait_s: float = 30.0
     avoid: frozenset[UpstreamId] = frozenset()
+    can_move: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -46,13 +51,15 @@
     FINISHED = "finished"
     FAILED = "failed"
     WENT_DOWN = "went-down"
+    BROKE_OFF = "broke-off"
     GIVEN_UP = "given-up"
 
 
 class Placement:
     """An upstream held for one call until the block of `Dispatcher.place` is left.
 
-    The holder says how the call ended; one that says nothing has given it up.
+    The holder says how the call ended; one that says nothing has given it up. A model call's holder
+    keeps `pace` current, and ends its try when `moved` is set.
     """
 
     def __init__(self, *, upstream_id: UpstreamId, address: str, priority: int) -> None:
@@ -61,12 +68,31 @@
         self.priority = priority
         self.outcome = Outcome.GIVEN_UP
         self.usage = ServiceUsage()
+        self.pace: RunningPace | None = None
+        self.moved = trio.Event()
+
+    def note_tokens(self, tokens: int) -> None:
+        """Note how many tokens the answer has by now."""
+        if self.pace is not None:
+            self.pace.tokens = tokens
+
+    def note_held(self) -> None:
+        """Note that readers hold the answer back, so that its pace says nothing."""
+        if self.pace is not None:
+            self.pace.is_held = True
 
     def succeed(self, usage: ServiceUsage | None = None) -> None:
         """Note that the upstream ran the call to its end."""
         self.outcome = Outcome.FINISHED
         self.usage = usage or ServiceUsage()
 
-    def fail(self, *, went_down: bool) -> None:
-        """Note a failure of the upstream; `went_down` if its connection broke or fell silent."""
-        self.outcome = Outcome.WENT_DOWN if went_down else Outcome.FAILED
+    def fail(self, *, went_down: bool, broke_off: bool = False) -> None:
+        """Note a failure of the upstream.
+
+        `went_down` if it answers no probe any more, `broke_off` if it does but the connection
+        broke.
+        """
+        if went_down:
+            self.outcome = Outcome.WENT_DOWN
+        else:
+            self.outcome = Outcome.BROKE_OFF if broke_off else Outcome.FAILED
--- a/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_retries.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_retries.py
@@ -43,5 +43,15 @@
         self._metrics.count("retries", reason)
         return decision
 
+    def spend_move(self, account_id: AccountId, state: UpstreamState | None) -> bool:
+        """Pay for moving a call off an upstream; return whether both budgets bear it."""
+        budgets = [self._budget(account_id), *([state.retries] if state is not None else [])]
+        can_pay = all(budget.can_retry() for budget in budgets)
+        if can_pay:
+            for budget in budgets:
+                budget.spend()
+        self._metrics.count("moves", "moved" if can_pay else "budget")
+        return can_pay
+
     def _budget(self, account_id: AccountId) -> RetryBudget:
         return self._budgets_by_account.setdefault(account_id, RetryBudget())
--- a/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_service.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_service.py
@@ -12,6 +12,7 @@
 from lagoonfold_node._dispatch._caches import CacheFreer
 from lagoonfold_node._dispatch._dispatcher import DEFAULT_POLICIES, Dispatcher
 from lagoonfold_node._dispatch._feeds import UpstreamFeeds
+from lagoonfold_node._dispatch._paces import teller
 from lagoonfold_node._dispatch._poison import PoisonNotices
 from lagoonfold_node._dispatch._table import UpstreamTable
 from lagoonfold_node._metrics import Metrics
@@ -38,13 +39,20 @@
         rng: random.Random | None = None,
         policies: SchedulingSettings = DEFAULT_POLICIES,
     ) -> None:
+        def peers() -> list[InstanceId]:
+            return [peer for peer in board.members.read() if peer != instance_id]
+
         table = UpstreamTable(instance_id)
-        poison = PoisonNotices(
-            bus, store, lambda: [peer for peer in board.members.read() if peer != instance_id]
-        )
+        poison = PoisonNotices(bus, store, peers)
         caches = CacheFreer(table, client, is_gone=is_gone)
         self.dispatcher = Dispatcher(
-            table, poison, caches, metrics, rng or random.Random(), policies=policies
+            table,
+            poison,
+            caches,
+            metrics,
+            rng or random.Random(),
+            policies=policies,
+            tell=teller(bus, peers),
         )
         self._feeds = UpstreamFeeds(table, client, self.dispatcher.pump)
         self._upstreams = board.upstreams
--- a/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_table.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_table.py
@@ -62,6 +62,11 @@
             self._observer, listed_by_id.values(), per_model=self._per_model
         )
 
+    @property
+    def observer(self) -> InstanceId:
+        """The instance whose table this is."""
+        return self._observer
+
     def candidates(self) -> list[UpstreamState]:
         """Return the engines that this instance considers, and observes."""
         return [self.states_by_id[upstream_id] for upstream_id in sorted(self._candidates)]
--- a/packages/lagoonfold-node/src/lagoonfold_node/_execution/_model_call.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_execution/_model_call.py
@@ -38,6 +38,7 @@
     EngineStream,
     UpstreamFailure,
     Usage,
+    moved_off,
     whole_completion,
 )
 
@@ -130,32 +131,38 @@
         priority=placement.priority,
         cache_key=running.program_id,
         resume_from=completion.tokens,
+        moved=placement.moved,
     )
     running.was_sent = True
     async with executor.access.engine.open(call, completion) as opened:
         if isinstance(opened, Err):
             return opened
-        failure = await _relay(generation, opened.ok_value)
+        failure = await _relay(generation, opened.ok_value, placement)
     if failure is not None:
         return Err(failure)
     return Ok(Tried(value=None, usage=_service_usage(generation)))
 
 
-async def _relay(generation: _Generation, stream: EngineStream) -> UpstreamFailure | None:
+async def _relay(
+    generation: _Generation, stream: EngineStream, placement: Placement
+) -> UpstreamFailure | None:
     """Give the events to the readers as they come, all but the last.
 
     One scope keeps the time between two reads; readers that hold the stream back stop it.
     """
     failure: UpstreamFailure | None = None
     with trio.CancelScope() as silence:
-        failure = await _relay_timed(generation, stream, silence)
+        failure = await _relay_timed(generation, stream, placement, silence)
     if silence.cancelled_caught:
         return await stream.explain_silence()
     return failure
 
 
 async def _relay_timed(
-    generation: _Generation, stream: EngineStream, silence: trio.CancelScope
+    generation: _Generation,
+    stream: EngineStream,
+    placement: Placement,
+    silence: trio.CancelScope,
 ) -> UpstreamFailure | None:
     running = generation.running
     while True:
@@ -175,7 +182,11 @@
             return None
         if not running.feed.has_room():
             silence.deadline = math.inf
+            placement.note_held()
         await running.feed.write(chunk.raw)
+        placement.note_tokens(generation.completion.tokens)
+        if placement.moved.is_set() and not generation.completion.tool_calls_by_index:
+            return moved_off()
 
 
 def _service_usage(generation: _Generation) -> ServiceUsage:
--- a/packages/lagoonfold-node/src/lagoonfold_node/_execution/_placing.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_execution/_placing.py
@@ -30,6 +30,7 @@
         is_model=running.route.kind is RouteKind.MODEL,
         is_first=running.operation.turn == 1,
         prompt_tokens=prompt_tokens,
+        can_move=running.route.kind is RouteKind.MODEL and running.route.is_idempotent,
         attained_s=attained_s,
         weight=weight,
         max_wait_s=profile.max_wait_s if profile else DEFAULT_MAX_WAIT_S,
--- a/packages/lagoonfold-node/src/lagoonfold_node/_execution/_tries.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_execution/_tries.py
@@ -66,6 +66,10 @@
             failure = tried.err_value
             _note_failure(placement, failure)
         ran = _worse(ran, failure.ran)
+        if failure.was_moved:
+            task.note("move", _describe_move(placement, attempt))
+            request = _moved(request, placement.upstream_id)
+            continue
         delay_s = _decide_retry(dispatcher, task, placement.upstream_id, failure, attempt)
         task.note("retry", _describe_failure(placement, failure, attempt, delay_s))
         if delay_s is None:
@@ -90,6 +94,7 @@
         "attempt": attempt,
         "target": request.target,
         "priority": placement.priority,
+        "tries_slow_replica": placement.pace is not None and placement.pace.is_trial,
         "prompt_tokens": request.prompt_tokens,
         "attained_s": request.attained_s,
         "weight": request.weight,
@@ -107,15 +112,33 @@
         "failure": failure.detail,
         "ran": failure.ran.value,
         "went_down": failure.went_down,
+        "broke_off": failure.broke_off,
+    }
+
+
+def _moved(request: PlacementRequest, upstream_id: UpstreamId) -> PlacementRequest:
+    """Return the request for the rest of a call: its work has begun, and it is moved once."""
+    avoid = request.avoid | {upstream_id}
+    return replace(request, avoid=avoid, is_first=False, can_move=False)
+
+
+def _describe_move(placement: Placement, attempt: int) -> dict[str, object]:
+    return {
+        "decided": "resume on another replica",
+        "attempt": attempt,
+        "upstream": placement.upstream_id,
+        "tokens": placement.pace.tokens if placement.pace is not None else 0,
     }
 
 
 def _note_failure(placement: Placement, failure: UpstreamFailure) -> None:
     """Tell the dispatcher; an upstream that found fault with the request is well."""
+    if failure.was_moved:
+        return
     if failure.is_refused():
         placement.succeed()
     else:
-        placement.fail(went_down=failure.went_down)
+        placement.fail(went_down=failure.went_down, broke_off=failure.broke_off)
 
 
 def _decide_retry(
--- a/packages/lagoonfold-node/src/lagoonfold_node/_upstreams/_engine.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_upstreams/_engine.py
@@ -7,7 +7,7 @@
 
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from functools import partial
 from http import HTTPStatus
 from typing import Any
@@ -38,14 +38,18 @@
 class UpstreamFailure:
     """A try that brought no whole answer.
 
-    `went_down` says that the upstream broke off or answers no probe, so that the request may have
-    taken it down; `status` is the upstream's HTTP status, or zero.
+    `went_down` says that the upstream answers no probe any more, so that the request may have taken
+    it down; `broke_off` that its connection broke, but a new one is answered. `status` is the
+    upstream's HTTP status, or zero. `was_moved` says that the try was ended here, to go on at a
+    faster replica.
     """
 
     detail: str
     ran: Ran
     went_down: bool = False
     status: int = 0
+    was_moved: bool = False
+    broke_off: bool = False
 
     def is_refused(self) -> bool:
         """Tell whether the upstream is well and found fault with the request."""
@@ -57,7 +61,7 @@
     """A request for a completion; `body` holds the fields of the caller's request.
 
     `priority` is lower first, `cache_key` is the program's id, and `resume_from` is the number of
-    tokens that are there already.
+    tokens that are there already. `moved` ends the wait for the first token.
     """
 
     address: str
@@ -67,6 +71,7 @@
     cache_key: str
     resume_from: int = 0
     first_byte_timeout_s: float = FIRST_BYTE_TIMEOUT_S
+    moved: trio.Event = field(default_factory=trio.Event)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -109,7 +114,7 @@
             try:
                 data = await self._response.read(is_timed=False)
             except HttpStreamError as error:
-                return Err(failure_of(error.error))
+                return Err(await failure_of(error.error, self._probe))
             if not data:
                 return _failed("the stream ended before its last event")
             chunk = self._parse(self._rest + data if self._rest else data)
@@ -141,13 +146,29 @@
     return Err(UpstreamFailure(detail=detail, ran=Ran.UNKNOWN, went_down=went_down))
 
 
-def failure_of(error: HttpError) -> UpstreamFailure:
-    """Return the failure for a request that got no response."""
+def moved_off() -> UpstreamFailure:
+    """Return the failure of a try that was ended to go on at a faster replica."""
+    return UpstreamFailure(detail="moved off a slow replica", ran=Ran.UNKNOWN, was_moved=True)
+
+
+async def _await_move(moved: trio.Event, scope: trio.CancelScope) -> None:
+    await moved.wait()
+    scope.cancel()
+
+
+async def failure_of(error: HttpError, probe: Callable[[], Awaitable[bool]]) -> UpstreamFailure:
+    """Return the failure for a request that got no whole response.
+
+    Where the connection broke, a probe tells an upstream that is gone from one that lives.
+    """
     was_sent = error.sent is not Sent.NOTHING
+    has_broken = was_sent and not error.is_timeout
+    went_down = has_broken and not await probe()
     return UpstreamFailure(
         detail=error.detail,
         ran=Ran.UNKNOWN if was_sent else Ran.NO,
-        went_down=was_sent and not error.is_timeout,
+        went_down=went_down,
+        broke_off=has_broken and not went_down,
     )
 
 
@@ -177,15 +198,19 @@
         opened: Result[ResponseStream, HttpError] | None = None
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch, call.address, nursery.cancel_scope)
+            nursery.start_soon(_await_move, call.moved, nursery.cancel_scope)
             stream = self._client.stream(
                 call.address, request, progress_timeout_s=call.first_byte_timeout_s
             )
             opened = await stack.enter_async_context(stream)
             nursery.cancel_scope.cancel()
+        if opened is None and call.moved.is_set():
+            return Err(moved_off())
         if opened is None:
             return _failed("silent, and answers no probe", went_down=True)
         if isinstance(opened, Err):
-            return Err(failure_of(opened.err_value))
+            probe = partial(self._probe, call.address)
+            return Err(await failure_of(opened.err_value, probe))
         response = opened.ok_value
         if response.head.status != HTTPStatus.OK:
             return await _refused(response)
@@ -216,7 +241,7 @@
         )
         answer = await self._client.fetch(address, request, timeout_s=CONTROL_TIMEOUT_S)
         if isinstance(answer, Err):
-            return Err(failure_of(answer.err_value))
+            return Err(await failure_of(answer.err_value, partial(self._probe, address)))
         return Ok(answer.ok_value.status)
 
 
--- a/packages/lagoonfold-node/src/lagoonfold_node/_upstreams/_service.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_upstreams/_service.py
@@ -5,6 +5,7 @@
 """
 
 from dataclasses import dataclass
+from functools import partial
 from http import HTTPStatus
 
 from result import Err, Ok, Result
@@ -60,7 +61,8 @@
             call.address, request, timeout_s=call.timeout_s, fresh=not call.is_idempotent
         )
         if isinstance(fetched, Err):
-            return Err(failure_of(fetched.err_value))
+            probe = partial(self._client.can_connect, call.address)
+            return Err(await failure_of(fetched.err_value, probe))
         response = fetched.ok_value
         if response.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
             detail = f"status {response.status}"
--- a/packages/lagoonfold/src/lagoonfold/resilience/__init__.py
+++ b/packages/lagoonfold/src/lagoonfold/resilience/__init__.py
@@ -2,7 +2,12 @@
 
 from lagoonfold.resilience._backoff import backoff_s
 from lagoonfold.resilience._breaker import Breaker, BreakerState
-from lagoonfold.resilience._poison import MAX_INCIDENTS_PER_DIGEST, PoisonNotice, PoisonRegistry
+from lagoonfold.resilience._poison import (
+    MAX_BREAKS_PER_DIGEST,
+    MAX_INCIDENTS_PER_DIGEST,
+    PoisonNotice,
+    PoisonRegistry,
+)
 from lagoonfold.resilience._progress import ProgressDeadline
 from lagoonfold.resilience._retry import (
     FailedTry,
@@ -13,6 +18,7 @@
 )
 
 __all__ = [
+    "MAX_BREAKS_PER_DIGEST",
     "MAX_INCIDENTS_PER_DIGEST",
     "Breaker",
     "BreakerState",
--- a/packages/lagoonfold/src/lagoonfold/resilience/_poison.py
+++ b/packages/lagoonfold/src/lagoonfold/resilience/_poison.py
@@ -2,8 +2,10 @@
 
 A request is known by the digest of its content, so a repeat under another id counts as the same.
 An upstream that dies blames each request it was running: the request becomes a suspect. A digest
-blamed for `MAX_INCIDENTS_PER_DIGEST` incidents is refused everywhere. Two rules keep the bound
-and spare the innocent:
+blamed for `MAX_INCIDENTS_PER_DIGEST` incidents is refused everywhere. A connection that breaks
+while its upstream still answers is no incident, but an upstream may be up again so soon that it
+seems never to have gone: `MAX_BREAKS_PER_DIGEST` breaks since the digest last ran to its end refuse
+it too. Two rules keep the bound and spare the innocent:
 
 - until a digest has once run to its end, its copies are exposed to at most as many upstreams as
   it may still take down;
@@ -19,6 +21,7 @@
 from lagoonfold._ids import UpstreamId
 
 MAX_INCIDENTS_PER_DIGEST = 2
+MAX_BREAKS_PER_DIGEST = 8
 _MEMORY_S = 3600.0
 
 
@@ -26,22 +29,36 @@
     """An upstream that went down while it ran a request of this digest.
 
     `incident_id` names the upstream's failure, so that a repeated notice counts once.
+    `is_confirmed` says that the upstream answered no probe afterwards; otherwise it did, and only
+    the connection is known to have broken.
     """
 
     digest: str
     upstream_id: str
     incident_id: str
+    is_confirmed: bool = True
 
 
 @dataclass(slots=True)
 class _DigestRecord:
     seen_s_by_incident: dict[str, float] = field(default_factory=dict)
+    break_seen_s_by_incident: dict[str, float] = field(default_factory=dict)
     running_by_upstream: Counter[UpstreamId] = field(default_factory=Counter)
     finished_s: float | None = None
 
     def fresh_incidents(self, oldest_s: float) -> int:
         return sum(seen_s > oldest_s for seen_s in self.seen_s_by_incident.values())
 
+    def fresh_breaks(self, oldest_s: float) -> int:
+        since_s = oldest_s if self.finished_s is None else max(oldest_s, self.finished_s)
+        return sum(seen_s > since_s for seen_s in self.break_seen_s_by_incident.values())
+
+    def is_poisonous(self, oldest_s: float) -> bool:
+        return (
+            self.fresh_incidents(oldest_s) >= MAX_INCIDENTS_PER_DIGEST
+            or self.fresh_breaks(oldest_s) >= MAX_BREAKS_PER_DIGEST
+        )
+
 
 class PoisonRegistry:
     """What is known here of each digest, merged from own failures and peers' notices."""
@@ -54,15 +71,22 @@
     def note(self, notice: PoisonNotice, *, now_s: float) -> bool:
         """Take in a notice, own or a peer's; return whether it is news."""
         key = (notice.digest, notice.incident_id)
-        if key in self._notices_by_key:
+        known = self._notices_by_key.get(key)
+        if known is not None and (known.is_confirmed or not notice.is_confirmed):
             return False
         self._notices_by_key[key] = notice
-        self._record(notice.digest).seen_s_by_incident[notice.incident_id] = now_s
+        record = self._record(notice.digest)
+        if notice.is_confirmed:
+            record.break_seen_s_by_incident.pop(notice.incident_id, None)
+            record.seen_s_by_incident[notice.incident_id] = now_s
+        else:
+            record.break_seen_s_by_incident[notice.incident_id] = now_s
         return True
 
     def is_poisonous(self, digest: str, *, now_s: float) -> bool:
         """Tell whether the digest has used up its incidents and must be refused."""
-        return self._incidents(digest, now_s) >= MAX_INCIDENTS_PER_DIGEST
+        record = self._records_by_digest.get(digest)
+        return record is not None and record.is_poisonous(now_s - self._memory_s)
 
     def allowed_upstreams(
         self, digest: str, candidates: Iterable[UpstreamId], *, now_s: float
@@ -72,9 +96,9 @@
         None for a poisonous digest. An empty answer for another digest means: wait until one of
         the running copies or another suspect has ended.
         """
-        incidents = self._incidents(digest, now_s)
-        if incidents >= MAX_INCIDENTS_PER_DIGEST:
+        if self.is_poisonous(digest, now_s=now_s):
             return frozenset()
+        incidents = self._incidents(digest, now_s)
         allowed = frozenset(candidates)
         record = self._records_by_digest.get(digest, _DigestRecord())
         if incidents:
@@ -109,7 +133,8 @@
         oldest_s = now_s - self._memory_s
         for digest, record in tuple(self._records_by_digest.items()):
             is_recent = record.finished_s is not None and record.finished_s > oldest_s
-            if not (is_recent or record.running_by_upstream or record.fresh_incidents(oldest_s)):
+            is_blamed = record.fresh_incidents(oldest_s) or record.fresh_breaks(oldest_s)
+            if not (is_recent or record.running_by_upstream or is_blamed):
                 del self._records_by_digest[digest]
         self._notices_by_key = {
             key: notice
--- a/packages/lagoonfold/src/lagoonfold/scheduling/__init__.py
+++ b/packages/lagoonfold/src/lagoonfold/scheduling/__init__.py
@@ -30,6 +30,8 @@
 )
 from lagoonfold.scheduling._load import LoadReport, ReplicaLoad
 from lagoonfold.scheduling._orders import DEFAULT_ORDER, ORDERS_BY_NAME, Order, order
+from lagoonfold.scheduling._pace import MoveInput, PaceBoard, PaceNotice, is_sooner_elsewhere
+from lagoonfold.scheduling._pace_watch import PaceWatch, RunningPace
 from lagoonfold.scheduling._queue import DispatchQueue, QueuedCall
 from lagoonfold.scheduling._service import PauseMeter, ServiceMeter, priority_of, service_s
 
@@ -53,16 +55,22 @@
     "CachedPrefixes",
     "DispatchQueue",
     "LoadReport",
+    "MoveInput",
     "Order",
+    "PaceBoard",
+    "PaceNotice",
+    "PaceWatch",
     "PauseInput",
     "PauseMeter",
     "PlacementInput",
     "QueuedCall",
     "ReplicaChooser",
     "ReplicaLoad",
+    "RunningPace",
     "ServiceMeter",
     "admission",
     "cache_policy",
+    "is_sooner_elsewhere",
     "chooser",
     "order",
     "priority_of",
--- /dev/null
+++ b/packages/lagoonfold/src/lagoonfold/scheduling/_pace_watch.py
@@ -0,0 +1,109 @@
+"""The running calls of one model as their paces are watched, and which of them to move.
+
+watch = PaceWatch("entry-1")
+running = watch.start(upstream_id, prompt_tokens=900, can_move=True, now_s=0.0)
+running.tokens = 12                        # as they are relayed
+notices = watch.step(replicas, now_s=0.5)  # to be told to the peers
+watch.to_move(now_s=0.5)
+watch.end(running, is_finished=True)
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from lagoonfold._ids import UpstreamId
+from lagoonfold.scheduling._pace import MoveInput, PaceBoard, PaceNotice, is_sooner_elsewhere
+
+_KEPT_SHARE = 0.9
+_UNSEEN_ANSWER_TOKENS = 100.0
+_LEAST_LEFT_SHARE = 0.5
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class RunningPace:
+    """A running call: `tokens` are those it has brought, `is_held` that its readers hold it
+    back, until it brings more.
+
+    A call can be moved if running it again does no harm; it is moved once.
+    """
+
+    upstream_id: UpstreamId
+    prompt_tokens: int
+    can_move: bool
+    is_trial: bool
+    tokens: int = 0
+    is_held: bool = False
+    seen_tokens: int = 0
+    seen_s: float | None = None
+
+
+class PaceWatch:
+    """Samples the running calls, judges their replicas, and names the calls to move."""
+
+    def __init__(self, instance_id: str) -> None:
+        self.board = PaceBoard(instance_id)
+        self._running: set[RunningPace] = set()
+        self._answer_tokens = _UNSEEN_ANSWER_TOKENS
+
+    def start(
+        self, upstream_id: UpstreamId, *, prompt_tokens: int, can_move: bool, now_s: float
+    ) -> RunningPace:
+        """Watch a call that is sent to a replica."""
+        running = RunningPace(
+            upstream_id=upstream_id,
+            prompt_tokens=prompt_tokens,
+            can_move=can_move,
+            is_trial=self.board.note_sent(upstream_id, now_s=now_s),
+        )
+        self._running.add(running)
+        return running
+
+    def end(self, running: RunningPace, *, is_finished: bool) -> None:
+        """Watch a call no more."""
+        self._running.discard(running)
+        if running.is_trial:
+            self.board.note_trial_ended(running.upstream_id)
+        if is_finished:
+            kept = _KEPT_SHARE * self._answer_tokens
+            self._answer_tokens = kept + (1 - _KEPT_SHARE) * running.tokens
+
+    def step(self, replicas: Sequence[UpstreamId], *, now_s: float) -> list[PaceNotice]:
+        """Take in what the calls brought since the last step; return what was found out."""
+        for running in self._running:
+            self._sample(running, now_s)
+        return self.board.judge(replicas, now_s=now_s)
+
+    def to_move(self, *, now_s: float) -> list[RunningPace]:
+        """Return the calls on replicas put aside that would end sooner elsewhere."""
+        return [
+            running
+            for running in self._running
+            if running.can_move
+            and self.board.is_aside(running.upstream_id)
+            and not self._may_still_try(running)
+            and is_sooner_elsewhere(self._move_input(running, now_s))
+        ]
+
+    def _may_still_try(self, running: RunningPace) -> bool:
+        return running.is_trial and self.board.is_tried(running.upstream_id)
+
+    def _move_input(self, running: RunningPace, now_s: float) -> MoveInput:
+        board, upstream_id = self.board, running.upstream_id
+        least = self._answer_tokens * _LEAST_LEFT_SHARE
+        return MoveInput(
+            left_tokens=max(least, self._answer_tokens - running.tokens),
+            missing_tokens=running.prompt_tokens + running.tokens,
+            pace_there=board.last_pace(upstream_id),
+            pace_elsewhere=board.usual_elsewhere(upstream_id) or 0.0,
+        )
+
+    def _sample(self, running: RunningPace, now_s: float) -> None:
+        """Note the tokens since the last step; the first of a call only start its time."""
+        if running.seen_s is not None and not running.is_held:
+            tokens = running.tokens - running.seen_tokens
+            seconds = now_s - running.seen_s
+            self.board.note(running.upstream_id, tokens=tokens, seconds=seconds, now_s=now_s)
+        if running.tokens != running.seen_tokens:
+            running.is_held = False
+        running.seen_s = now_s if running.tokens else None
+        running.seen_tokens = running.tokens
--- a/tests/_promises.py
+++ b/tests/_promises.py
@@ -96,7 +96,9 @@
         proofs=(
             f"{_PATH}.test_interrupted_stream_is_resumed",
             f"{_PATH}.test_owner_dies_mid_stream",
+            f"{_PATH}.test_engines_that_break_off_but_live_make_no_poison",
             f"{_UPSTREAMS}.test_broken_stream_is_resumed",
+            f"{_UPSTREAMS}.test_engines_that_break_off_but_live_make_no_poison",
             f"{_UPSTREAMS}.test_crossed_answers_keep_to_their_requests",
             f"{_UPSTREAMS}.test_silent_engine_is_passed_over",
         ),
--- a/tests/failure/test_upstreams.py
+++ b/tests/failure/test_upstreams.py
@@ -53,6 +53,22 @@
     assert all(each.runs(marked) == 2 for marked in broken)
 
 
+def test_engines_that_break_off_but_live_make_no_poison() -> None:
+    """A request whose streams break on every engine is no poison: it is answered when they mend."""
+    each = world()
+    for engine in ENGINES:
+        each.fleet.inject(engine, break_after_tokens=0)
+    text = mark()
+    client = each.client()
+    refused = client.chat(client.create_program(PROFILE), 1, text, stream=False)
+    assert refused.json()["kind"] == "upstream-failed", refused.body.decode()
+    for engine in ENGINES:
+        each.fleet.inject(engine)
+    assert _text(persist(lambda: client.chat(client.create_program(PROFILE), 1, text))) == (
+        _expected(text, 16)
+    )
+
+
 def test_crossed_answers_keep_to_their_requests() -> None:
     """Many programs at once, on replicas of very different speed, get their own answers."""
     each = world()
--- a/tests/node/_path.py
+++ b/tests/node/_path.py
@@ -39,7 +39,13 @@
 from lagoonfold_node._board import Board
 from lagoonfold_node._border import Border, Forwarder, KeyGuard, PlainCalls
 from lagoonfold_node._decisions import DecisionLog
-from lagoonfold_node._dispatch import CacheFreer, Dispatcher, PoisonNotices, UpstreamTable
+from lagoonfold_node._dispatch import (
+    CacheFreer,
+    Dispatcher,
+    PoisonNotices,
+    UpstreamTable,
+    teller,
+)
 from lagoonfold_node._execution import Executor
 from lagoonfold_node._metrics import Metrics
 from lagoonfold_node._ownership._stalls import may_outlast_a_stall
@@ -273,11 +279,17 @@
         self.bus = PeerBus(instance_id, "127.0.0.1:0", fleet.peers.get, self)
         table = UpstreamTable(instance_id)
         self.board.upstreams.subscribe(table.follow)
-        poison = PoisonNotices(
-            self.bus, DownStore(), lambda: [peer for peer in fleet.peers if peer != instance_id]
-        )
+
+        def peers() -> list[str]:
+            return [peer for peer in fleet.peers if peer != instance_id]
+
         self.dispatcher = Dispatcher(
-            table, poison, CacheFreer(table, client), self.metrics, random.Random(1)
+            table,
+            PoisonNotices(self.bus, DownStore(), peers),
+            CacheFreer(table, client),
+            self.metrics,
+            random.Random(1),
+            tell=teller(self.bus, peers),
         )
         access = UpstreamAccess(
             engine=HttpEngine(client), services=HttpService(client), dispatcher=self.dispatcher
--- a/tests/node/test_path.py
+++ b/tests/node/test_path.py
@@ -237,6 +237,57 @@
     run_fleet(check)
 
 
+def test_engines_that_break_off_but_live_make_no_poison() -> None:
+    """However a request's streams break on engines that answer, its repeat is run and answered."""
+
+    async def check(fleet: PathFleet) -> None:
+        program_id = await fleet.create_program()
+        for engine in fleet.engines:
+            engine.break_after = 3
+        broken = await fleet.chat(1, program_id, 1, "one", stream=False)
+        assert kind_of(broken) is ErrorKind.UPSTREAM_FAILED
+        assert sum(len(engine.seen) for engine in fleet.engines) > 2
+        for engine in fleet.engines:
+            engine.break_after = -1
+        program_id = await fleet.create_program()
+        assert text_of(await fleet.chat(1, program_id, 1, "one")) == WHOLE
+
+    run_fleet(check)
+
+
+def test_stream_is_moved_off_a_slow_replica() -> None:
+    """A stream that a replica brings too slowly goes on at another: one answer, whole, once."""
+
+    async def check(fleet: PathFleet) -> None:
+        program_id = await fleet.create_program()
+        paces = fleet.nodes[0].dispatcher.paces
+        for upstream_id in ("u0", "u1"):
+            board = paces._watch("small").board
+            board.note(upstream_id, tokens=500, seconds=10.0, now_s=trio.current_time())
+        for engine in fleet.engines:
+            engine.gate = trio.Event()
+        replies = []
+
+        async def ask() -> None:
+            replies.append(await fleet.chat(1, program_id, 1, "one"))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await wait_for(lambda: any(engine.tokens_sent for engine in fleet.engines))
+            slow, other = sorted(fleet.engines, key=lambda engine: -engine.tokens_sent)
+            other.gate.set()
+        assert text_of(replies[0]) == WHOLE
+        resumed = [json.loads(request.body)["resume_from"] for request in other.seen]
+        assert (len(slow.seen), slow.cancelled, resumed) == (1, 1, [4])
+        metrics = fleet.nodes[0].metrics
+        assert metrics.counted("replica_paces", "slow-seen") == 1
+        await wait_for(lambda: fleet.nodes[1].metrics.counted("replica_paces", "slow-told") == 1)
+        assert metrics.counted("moves", "moved") == 1
+        assert metrics.counted("placements", "failed") == 0
+
+    run_fleet(check)
+
+
 def test_silent_stream_is_found_and_resumed() -> None:
     """A stream that falls silent is given up after the progress deadline and goes on elsewhere."""
 
--- /dev/null
+++ b/tests/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the model that the policies are compared in."""
--- a/tests/resilience/test_resilience.py
+++ b/tests/resilience/test_resilience.py
@@ -1,6 +1,7 @@
 """Retries, breakers, poison and progress."""
 
 import random
+from collections import Counter
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -8,6 +9,7 @@
 
 from lagoonfold import Ran, UpstreamId
 from lagoonfold.resilience import (
+    MAX_BREAKS_PER_DIGEST,
     MAX_INCIDENTS_PER_DIGEST,
     Breaker,
     BreakerState,
@@ -126,11 +128,19 @@
 
 
 def _crash(
-    registry: PoisonRegistry, digest: str, upstream_id: UpstreamId, incident: str, *, now_s: float
+    registry: PoisonRegistry,
+    digest: str,
+    upstream_id: UpstreamId,
+    incident: str,
+    *,
+    now_s: float,
+    seen: bool = True,
 ) -> None:
     while upstream_id in registry._record(digest).running_by_upstream:
         registry.note_ended(digest, upstream_id, now_s=now_s, is_finished=False)
-    notice = PoisonNotice(digest=digest, upstream_id=upstream_id, incident_id=incident)
+    notice = PoisonNotice(
+        digest=digest, upstream_id=upstream_id, incident_id=incident, is_confirmed=seen
+    )
     registry.note(notice, now_s=now_s)
 
 
@@ -156,6 +166,49 @@
     assert registry.is_poisonous("d", now_s=0.0)
 
 
+@settings(derandomize=True, deadline=None, max_examples=200)
+@given(st.lists(st.tuples(st.integers(0, 9), st.integers(0, 4)), min_size=60, max_size=90))
+def test_breaks_are_bounded_apart(trace: list[tuple[int, int]]) -> None:
+    """Of crashes that a probe sees or, mostly, does not: two are seen at most, few more not."""
+    registry = PoisonRegistry()
+    running: set[UpstreamId] = set()
+    ended = Counter()
+    for moment, (chance, index) in enumerate(trace):
+        upstream_id = _UPSTREAMS[index]
+        if upstream_id in running:
+            running.discard(upstream_id)
+            ended[chance == 0] += 1
+            incident = f"{upstream_id}@{moment}"
+            _crash(registry, "d", upstream_id, incident, now_s=moment, seen=chance == 0)
+        elif upstream_id in registry.allowed_upstreams("d", _UPSTREAMS, now_s=moment):
+            registry.note_started("d", upstream_id)
+            running.add(upstream_id)
+    assert ended[True] <= MAX_INCIDENTS_PER_DIGEST
+    assert ended[False] < MAX_BREAKS_PER_DIGEST + MAX_INCIDENTS_PER_DIGEST
+
+
+def test_breaks_make_no_suspect_and_a_finished_run_clears_them() -> None:
+    """Upstreams that live blame nobody; breaks count from the last run to the end."""
+    registry = PoisonRegistry()
+    for number in range(MAX_BREAKS_PER_DIGEST):
+        assert not registry.is_poisonous("d", now_s=1.0)
+        registry.note_started("d", _UPSTREAMS[0])
+        _crash(registry, "d", _UPSTREAMS[0], f"break-{number}", now_s=1.0, seen=False)
+    assert registry.is_poisonous("d", now_s=1.0)
+    registry.note_ended("d", _UPSTREAMS[0], now_s=2.0, is_finished=True)
+    assert registry.allowed_upstreams("d", _UPSTREAMS, now_s=3.0) == frozenset(_UPSTREAMS)
+
+
+def test_confirmed_notice_outweighs_the_break_of_its_incident() -> None:
+    """Of two notices of one incident, in either order, the confirmed one counts."""
+    for order in ((False, True), (True, False)):
+        registry = PoisonRegistry()
+        for number in range(MAX_INCIDENTS_PER_DIGEST):
+            for seen in order:
+                _crash(registry, "d", _UPSTREAMS[number], f"i-{number}", now_s=0.0, seen=seen)
+        assert registry.is_poisonous("d", now_s=0.0)
+
+
 def test_proven_request_spreads_over_all_upstreams() -> None:
     """A request that has run to its end may run on all upstreams at once."""
     registry = PoisonRegistry()
