--- a/bench/_owner.py
+++ b/bench/_owner.py
@@ -19,6 +19,7 @@
 from lagoonfold_node._board import Board
 from lagoonfold_node._metrics import Metrics
 from lagoonfold_node._ownership import OpenShard, Ownership, OwnershipContext, OwnershipSettings
+from lagoonfold_node._peers import PeerBus
 
 ACCOUNT = AccountId("acme")
 LIMITS = Limits(10**9, 10**6, 10**9, 1e12)
@@ -51,6 +52,65 @@
         nursery.cancel_scope.cancel()
 
 
+@asynccontextmanager
+async def start_domain(
+    stores: tuple[EtcdStore, ...], settings: OwnershipSettings
+) -> AsyncIterator[tuple[Ownership, ...]]:
+    """Run an instance for each store in one failure domain; yield when all shards are open."""
+    async with trio.open_nursery() as nursery:
+        owners = tuple(
+            [
+                await _start_member(nursery, store, settings, f"entry-{index}")
+                for index, store in enumerate(stores)
+            ]
+        )
+        while not _is_settled(owners, settings.shard_count):
+            await trio.sleep(0.01)
+        yield owners
+        nursery.cancel_scope.cancel()
+
+
+class _Node:
+    """The peer bus's context."""
+
+    ownership: Ownership
+
+
+async def _start_member(
+    nursery: trio.Nursery, store: EtcdStore, settings: OwnershipSettings, name: str
+) -> Ownership:
+    board = Board()
+
+    def find_address(peer: str) -> str | None:
+        member = board.members.read().get(InstanceId(peer))
+        return None if member is None else member.peer_address
+
+    node = _Node()
+    bus = PeerBus(name, "127.0.0.1:0", find_address, node)
+    port = await nursery.start(bus.serve)
+    context = OwnershipContext(
+        instance_id=InstanceId(name),
+        peer_address=f"127.0.0.1:{port}",
+        failure_domain="domain-a",
+        store=store,
+        board=board,
+        metrics=Metrics(),
+        settings=settings,
+        bus=bus,
+    )
+    node.ownership = Ownership(context)
+    nursery.start_soon(node.ownership.run)
+    return node.ownership
+
+
+def _is_settled(owners: tuple[Ownership, ...], shard_count: int) -> bool:
+    """Tell whether all know each other and have their share of the shards open."""
+    boards = [owner.context.board for owner in owners]
+    if any(len(board.members.read()) < len(owners) for board in boards):
+        return False
+    return all(len(board.shards.read()) == shard_count // len(owners) for board in boards)
+
+
 async def opened_shard(ownership: Ownership, program_id: str) -> OpenShard:
     """Wait until the program's shard is open."""
     while True:
--- a/bench/commit.py
+++ b/bench/commit.py
@@ -1,15 +1,18 @@
 """Group commit: the commit interval against the latency that it adds and the writes it saves.
 
     python -m bench.commit [--rate 13.4] [--seconds 4] [--seeds 3] [--shards 1]
+        [--instances 1] [--by_domain] [--intervals_ms 5,50]
 
-Turns arrive at random at one owner's shards; each commits an intent and an outcome through
-a key-value stand-in of another process that answers in 2 ms. Prints JSON: for each interval the
-latency of one commit, the calls of the service and the journal entries a second, the records in a
-call and the bytes of a turn.
+Turns arrive at random at the shards of the instances of one failure domain, `rate` a second and
+`shards` at each instance; each commits an intent and an outcome through a key-value stand-in of
+another process that answers in 2 ms. Prints JSON: for each interval the latency of one commit, the
+calls of the service and the journal entries a second, the records in a call, the bytes of a turn,
+and the processor time of all instances and the load together.
 """
 
 import random
 import time
+from dataclasses import asdict, dataclass
 
 import fire
 import msgspec
@@ -20,12 +23,11 @@
     create_program,
     make_outcome,
     make_request,
-    opened_shard,
-    start_owner,
+    start_domain,
 )
 from lagoonfold_node._ownership import OpenShard, Ownership, OwnershipSettings
 
-INTERVALS_S = (0.0, 0.005, 0.02, 0.05, 0.1, 0.25, 0.5)
+INTERVALS_MS = (0, 5, 20, 50, 100, 250, 500)
 KV_DELAY_S = 0.002
 _MS = 1_000
 
@@ -33,10 +35,10 @@
 class _Run:
     """One point: an interval and a seed."""
 
-    def __init__(self, ownership: Ownership, rate_per_s: float, seed: int) -> None:
+    def __init__(self, owners: tuple[Ownership, ...], rate_per_s: float, seed: int) -> None:
         self.latencies_s: list[float] = []
         self.turns = 0
-        self._ownership = ownership
+        self._owners = owners
         self._rate_per_s = rate_per_s
         self._random = random.Random(seed)
 
@@ -50,7 +52,8 @@
                 nursery.start_soon(self._turn, f"prg-{self.turns}")
 
     async def _turn(self, program_id: str) -> None:
-        shard = self._ownership.shards.opened_for(program_id)
+        found = (owner.shards.opened_for(program_id) for owner in self._owners)
+        shard = next(shard for shard in found if shard is not None)
         await create_program(shard, program_id)
         request = make_request(program_id, 1)
         execute = shard.state.decide_begin(request, 0.0, executor="bench").unwrap()
@@ -63,45 +66,58 @@
         self.latencies_s.append(time.perf_counter() - started_at_s)
 
 
-async def _measure(
-    interval_s: float, rate_per_s: float, seconds: float, seed: int, shards: int
-) -> dict:
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Load:
+    """What is measured: the rate of turns and the shards are those of one instance."""
+
+    rate_per_s: float
+    seconds: float
+    shards: int
+    instances: int
+    by_domain: bool
+
+
+async def _measure(load: _Load, interval_s: float, seed: int) -> dict:
     settings = OwnershipSettings(
-        shard_count=shards, commit_interval_s=interval_s, checkpoint_commits=1_000_000
+        shard_count=load.shards * load.instances,
+        commit_interval_s=interval_s,
+        commits_by_domain=load.by_domain,
+        checkpoint_commits=1_000_000,
     )
     async with start_kv(delay_s=KV_DELAY_S) as address:
-        store = connect(address)
-        async with start_owner(store, settings) as ownership:
-            opened = await _open_all(ownership, shards)
-            run = _Run(ownership, rate_per_s, seed)
-            bytes_before = sum(shard._appender.bytes_written for shard in opened)
-            calls_before = _count_calls(ownership)
-            await run.drive(seconds)
-            metrics = ownership.context.metrics
-            calls = _count_calls(ownership) - calls_before
-            written = sum(shard._appender.bytes_written for shard in opened) - bytes_before
+        stores = tuple(connect(address) for _ in range(load.instances))
+        async with start_domain(stores, settings) as owners:
+            run = _Run(owners, load.rate_per_s * load.instances, seed)
+            bytes_before = _count_bytes(owners)
+            calls_before = _count_calls(owners)
+            cpu_before_s = time.process_time()
+            await run.drive(load.seconds)
+            cpu_s = time.process_time() - cpu_before_s
+            calls = _count_calls(owners) - calls_before
             return {
                 "p50_ms": _quantile(run.latencies_s, 0.5) * _MS,
                 "p99_ms": _quantile(run.latencies_s, 0.99) * _MS,
-                "calls_per_s": calls / seconds,
-                "entries_per_s": metrics.counted("commits") / seconds,
-                "records_per_call": metrics.counted("committed_records") / calls,
-                "bytes_per_turn": written / run.turns,
+                "calls_per_s": calls / load.seconds,
+                "entries_per_s": _count(owners, "commits") / load.seconds,
+                "records_per_call": _count(owners, "committed_records") / calls,
+                "bytes_per_turn": (_count_bytes(owners) - bytes_before) / run.turns,
+                "cpu_percent": 100 * cpu_s / load.seconds,
             }
 
 
-async def _open_all(ownership: Ownership, count: int) -> list[OpenShard]:
-    """Wait until every shard is open."""
-    await opened_shard(ownership, "prg-1")
-    while len(opened := ownership.context.board.shards.read()) < count:
-        await trio.sleep(0.002)
-    return list(opened.values())
+def _count(owners: tuple[Ownership, ...], name: str, reason: str = "") -> float:
+    return sum(owner.context.metrics.counted(name, reason) for owner in owners)
 
 
-def _count_calls(ownership: Ownership) -> float:
+def _count_calls(owners: tuple[Ownership, ...]) -> float:
     """Return how many calls have carried journal entries."""
-    metrics = ownership.context.metrics
-    return metrics.counted("journal_calls", "shared") + metrics.counted("journal_calls", "single")
+    return _count(owners, "journal_calls", "shared") + _count(owners, "journal_calls", "single")
+
+
+def _count_bytes(owners: tuple[Ownership, ...]) -> int:
+    """Return the bytes of all entries since the shards' fences."""
+    shards = [shard for owner in owners for shard in owner.context.board.shards.read().values()]
+    return sum(shard._appender.bytes_written for shard in shards)
 
 
 def _quantile(values: list[float], share: float) -> float:
@@ -120,17 +136,28 @@
     }
 
 
-async def _run(rate: float, seconds: float, seeds: int, shards: int) -> None:
-    for interval_s in INTERVALS_S:
-        points = [await _measure(interval_s, rate, seconds, seed, shards) for seed in range(seeds)]
-        head = {"interval_ms": interval_s * _MS, "rate_per_s": rate, "shards": shards}
-        line = {**head, **_spread(points)}
+async def _run(load: _Load, seeds: int, intervals_s: tuple[float, ...]) -> None:
+    for interval_s in intervals_s:
+        points = [await _measure(load, interval_s, seed) for seed in range(seeds)]
+        line = {"interval_ms": interval_s * _MS, **asdict(load), **_spread(points)}
         print(msgspec.json.encode(line).decode(), flush=True)
 
 
-def main(rate: float = 13.4, seconds: float = 4.0, seeds: int = 3, shards: int = 1) -> None:
+def main(
+    rate: float = 13.4,
+    seconds: float = 4.0,
+    seeds: int = 3,
+    shards: int = 1,
+    instances: int = 1,
+    by_domain: bool = False,
+    intervals_ms: tuple[float, ...] = INTERVALS_MS,
+) -> None:
     """Measure every interval at `rate` turns a second for `seconds` with each seed."""
-    trio.run(_run, rate, seconds, seeds, shards)
+    load = _Load(
+        rate_per_s=rate, seconds=seconds, shards=shards, instances=instances, by_domain=by_domain
+    )
+    intervals_s = tuple(interval / _MS for interval in intervals_ms)
+    trio.run(_run, load, seeds, intervals_s)
 
 
 if __name__ == "__main__":
--- a/packages/lagoonfold-node/src/lagoonfold_node/_node.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_node.py
@@ -233,6 +233,7 @@
         renew_s=cluster.renew_s,
         takeover_wait_s=cluster.takeover_wait_s,
         commit_interval_s=cluster.commit_interval_s,
+        commits_by_domain=cluster.commit_scope == "failure-domain",
         checkpoint_commits=cluster.checkpoint_commits,
     )
 
--- a/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_context.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_context.py
@@ -24,7 +24,8 @@
     A new owner waits `takeover_wait_s` after its predecessor's lease expired, and up to
     `handover_wait_s` for a live predecessor to release the shard: longer than the predecessor acts
     on a table that it can no longer verify. Records that arrive within `commit_interval_s` of the
-    instance's last write to journals share the next one.
+    last write to journals share the next one: the instance's own, or with `commits_by_domain` the
+    failure domain's.
     """
 
     shard_count: int = 32
@@ -32,6 +33,7 @@
     renew_s: float = 3.0
     takeover_wait_s: float = 1.0
     commit_interval_s: float = 0.005
+    commits_by_domain: bool = False
     checkpoint_commits: int = 256
     keep_ended_s: float = 86_400.0
 
--- a/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_disk_bulk.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_disk_bulk.py
@@ -5,10 +5,9 @@
 part of the name.
 """
 
-import xxhash
 from result import Err, Ok, Result
 
-from lagoonfold import ShardId, StoreError, StoreErrorKind
+from lagoonfold import ShardId, StoreError, StoreErrorKind, rendezvous_weight
 from lagoonfold.membership import Member
 from lagoonfold.records import BulkValue, check_bulk
 from lagoonfold_node._ownership._bulk import BulkStore
@@ -135,7 +134,7 @@
             self._disk_members(),
             key=lambda member: (
                 member.leaving,
-                xxhash.xxh64_intdigest(f"{name}|{member.instance_id}".encode()),
+                rendezvous_weight(name, member.instance_id),
             ),
         )
 
--- a/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_journal_writer.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_journal_writer.py
@@ -1,34 +1,37 @@
-"""Carries new journal entries of all shards of an instance: what is ready together is one call.
+"""Gathers new journal entries of many shards: what is ready together is carried together.
 
 The writer decides nothing and keeps nothing. Each entry is created only if its key is absent,
-whatever happens to the others of its call, and each appender learns of its own entry alone. A
-call whose answer is lost is a lost answer to every entry in it.
+whatever happens to the others, and each appender learns of its own entry alone.
 
-writer = JournalWriter(context)
+writer = JournalWriter(StoreCarrier(context), context.settings.commit_interval_s)
 nursery.start_soon(writer.run)
 await writer.wait_turn()
 created = await writer.create(NewEntry(key=journal_key(shard_id, 7), value=data))
 """
 
 from dataclasses import dataclass, field
+from typing import Protocol
 
 import trio
-from result import Err, Ok, Result
+from result import Ok, Result
 
-from lagoonfold import (
-    ABSENT_REVISION,
-    MAX_CREATES_PER_CALL,
-    NewEntry,
-    StoreError,
-    StoreErrorKind,
-)
-from lagoonfold_node._ownership._context import OwnershipContext
+from lagoonfold import MAX_CREATES_PER_CALL, NewEntry, StoreError
 
 MAX_SHARED_BYTES = 250_000
 
 Created = Result[None, StoreError]
 
 
+class Carrier(Protocol):
+    """A way to the key-value service."""
+
+    async def carry(self, entries: tuple[NewEntry, ...]) -> tuple[Created, ...]:
+        """Create each entry whose key is absent; return an answer to each, in their order.
+
+        `CONFLICT` says that the key is present, `LOST_ANSWER` that the entry may be created later.
+        """
+
+
 @dataclass(slots=True, eq=False)
 class _Creation:
     """An entry on its way; `result` holds once `done` is set."""
@@ -37,36 +40,36 @@
     done: trio.Event = field(default_factory=trio.Event)
     result: Created = Ok(None)
 
-    def finish(self, result: Created) -> None:
-        self.result = result
-        self.done.set()
-
 
 class JournalWriter:
-    """Creates journal entries, at most one call in `commit_interval_s` where one can hold them."""
+    """Gives entries to a carrier, at once if it gave it none within `interval_s`."""
 
-    def __init__(self, context: OwnershipContext) -> None:
-        self._context = context
+    def __init__(self, carrier: Carrier, interval_s: float) -> None:
+        self._carrier = carrier
+        self._interval_s = interval_s
         self._pending: list[_Creation] = []
         self._wake = trio.Event()
-        self._last_sent_at_s = float("-inf")
+        self._due_at_s = float("-inf")
 
     async def wait_turn(self) -> None:
-        """Wait until `commit_interval_s` has passed since the last call."""
-        await trio.sleep_until(self._due_at_s())
-        while self._due_at_s() > trio.current_time():
-            await trio.sleep_until(self._due_at_s())
+        """Wait until an entry may leave at once."""
+        await trio.sleep_until(self._due_at_s)
+        while self._due_at_s > trio.current_time():
+            await trio.sleep_until(self._due_at_s)
 
     async def create(self, entry: NewEntry) -> Created:
-        """Create an entry in the next call; `CONFLICT` says that its key is not absent.
-
-        The entry may be created although the caller was cancelled.
-        """
-        creation = _Creation(entry)
-        self._pending.append(creation)
+        """Create an entry; it may be created although the caller was cancelled."""
+        (created,) = await self.carry((entry,))
+        return created
+
+    async def carry(self, entries: tuple[NewEntry, ...]) -> tuple[Created, ...]:
+        """Create entries, together with what else is ready."""
+        creations = [_Creation(entry) for entry in entries]
+        self._pending += creations
         self._wake.set()
-        await creation.done.wait()
-        return creation.result
+        for creation in creations:
+            await creation.done.wait()
+        return tuple(creation.result for creation in creations)
 
     async def run(self) -> None:
         """Send what is pending until cancelled."""
@@ -75,47 +78,28 @@
                 await self._wake.wait()
                 await self.wait_turn()
                 self._wake = trio.Event()
-                self._last_sent_at_s = trio.current_time()
+                self._due_at_s = trio.current_time() + self._interval_s
                 pending, self._pending = self._pending, []
                 for group in _groups(pending):
                     nursery.start_soon(self._send, group)
 
-    def _due_at_s(self) -> float:
-        return self._last_sent_at_s + self._context.settings.commit_interval_s
-
     async def _send(self, group: list[_Creation]) -> None:
-        if len(group) == 1:
-            await self._send_alone(group[0])
-            return
-        self._context.metrics.count("journal_calls", "shared")
-        created = await self._context.store.create_absent(tuple(each.entry for each in group))
-        if isinstance(created, Ok):
-            for each in group:
-                each.finish(_outcome(each.entry.key, created.ok_value))
-            return
-        self._context.count_store_error(created.err_value)
-        if created.err_value.kind is StoreErrorKind.REFUSED:
-            for each in group:
-                await self._send_alone(each)
-            return
-        for each in group:
-            each.finish(created)
-
-    async def _send_alone(self, creation: _Creation) -> None:
-        self._context.metrics.count("journal_calls", "single")
-        entry = creation.entry
-        written = await self._context.store.put_if(
-            entry.key, entry.value, expected_revision=ABSENT_REVISION
-        )
-        if isinstance(written, Err):
-            self._context.count_store_error(written.err_value)
-        creation.finish(written.map(lambda _: None))
-
-
-def _outcome(key: str, created_keys: frozenset[str]) -> Created:
-    if key in created_keys:
-        return Ok(None)
-    return Err(StoreError(kind=StoreErrorKind.CONFLICT, detail=f"{key} is present"))
+        results = await self._carrier.carry(tuple(creation.entry for creation in group))
+        for creation, result in zip(group, results, strict=True):
+            creation.result = result
+            creation.done.set()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class JournalWriters:
+    """The writer of an owner's fence, from this instance, and that of all its later entries.
+
+    A fence does not go by way of a peer, which may not know yet that this instance is a member
+    and could not answer.
+    """
+
+    fences: JournalWriter
+    entries: JournalWriter
 
 
 def _groups(creations: list[_Creation]) -> list[list[_Creation]]:
--- a/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_opener.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_opener.py
@@ -10,7 +10,7 @@
 from lagoonfold_node._ownership._bulk import BulkStore
 from lagoonfold_node._ownership._checkpointer import Checkpointer
 from lagoonfold_node._ownership._context import OwnershipContext
-from lagoonfold_node._ownership._journal_writer import JournalWriter
+from lagoonfold_node._ownership._journal_writer import JournalWriter, JournalWriters
 from lagoonfold_node._ownership._open_shard import OpenShard
 from lagoonfold_node._ownership._recovery import RecoveredShard, recover_shard
 
@@ -25,13 +25,13 @@
         self,
         context: OwnershipContext,
         bulk: BulkStore,
-        writer: JournalWriter,
+        writers: JournalWriters,
         shard_id: ShardId,
         owner: ShardOwner,
     ) -> None:
         self._context = context
         self._bulk = bulk
-        self._writer = writer
+        self._writers = writers
         self._shard_id = shard_id
         self._owner = owner
         self._started_at_s = trio.current_time()
@@ -69,18 +69,13 @@
 
     async def _fence(self, shard: RecoveredShard) -> OpenShard | None:
         """Append the fence; return None if the former owner was faster."""
-        appender = Appender(
-            self._context.store,
-            self._writer,
-            self._shard_id,
-            self._owner.epoch,
-            shard.next_sequence,
-        )
+        fencer = self._appender(self._writers.fences, shard.next_sequence)
         record = Fenced(self._owner.epoch, self._context.run_id, self._live_run_ids())
-        if await appender.append((record,)) is Appended.FENCED:
+        if await fencer.append((record,)) is Appended.FENCED:
             return None
         shard.state.apply(record)
         fences = (*shard.fences, shard.next_sequence)
+        appender = self._appender(self._writers.entries, fencer.next_sequence)
         checkpointer = Checkpointer(
             self._context.store,
             self._bulk,
@@ -94,6 +89,11 @@
             self._context, self._bulk, self._shard_id, shard.state, appender, checkpointer
         )
 
+    def _appender(self, writer: JournalWriter, next_sequence: int) -> Appender:
+        return Appender(
+            self._context.store, writer, self._shard_id, self._owner.epoch, next_sequence
+        )
+
     def _live_run_ids(self) -> tuple[str, ...]:
         view = self._context.table_view()
         live = frozenset() if view is None else view.table.live_run_ids()
--- a/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_ownership.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_ownership.py
@@ -17,11 +17,13 @@
 from lagoonfold_node._ownership._context import OwnershipContext
 from lagoonfold_node._ownership._disk_bulk import DiskBulkStore
 from lagoonfold_node._ownership._disk_files import DiskFiles
-from lagoonfold_node._ownership._journal_writer import JournalWriter
+from lagoonfold_node._ownership._domain_carrier import DomainCarrier
+from lagoonfold_node._ownership._journal_writer import JournalWriter, JournalWriters
 from lagoonfold_node._ownership._lease_keeper import LeaseKeeper
 from lagoonfold_node._ownership._open_shard import OpenShard
 from lagoonfold_node._ownership._refusals import outage
 from lagoonfold_node._ownership._shard_keeper import ShardKeeper
+from lagoonfold_node._ownership._store_carrier import StoreCarrier
 from lagoonfold_node._ownership._table_keeper import TableKeeper
 
 _POLL_S = 0.05
@@ -74,8 +76,13 @@
         self._lease_keeper = LeaseKeeper(context)
         self._table_keeper = TableKeeper(context)
         self._allocator = Allocator(context)
-        self._journal_writer = JournalWriter(context)
-        self._shard_keeper = ShardKeeper(context, self.bulk, self._journal_writer)
+        interval_s = context.settings.commit_interval_s
+        self.journal_writer = JournalWriter(StoreCarrier(context), interval_s)
+        self._shard_writer = self.journal_writer
+        if context.settings.commits_by_domain:
+            self._shard_writer = JournalWriter(DomainCarrier(context, self.journal_writer), 0.0)
+        writers = JournalWriters(fences=self.journal_writer, entries=self._shard_writer)
+        self._shard_keeper = ShardKeeper(context, self.bulk, writers)
 
     async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Run until cancelled."""
@@ -83,7 +90,9 @@
             nursery.start_soon(self._lease_keeper.run)
             nursery.start_soon(self._table_keeper.run)
             nursery.start_soon(self._allocator.run)
-            nursery.start_soon(self._journal_writer.run)
+            nursery.start_soon(self.journal_writer.run)
+            if self._shard_writer is not self.journal_writer:
+                nursery.start_soon(self._shard_writer.run)
             nursery.start_soon(self._shard_keeper.run)
             nursery.start_soon(self.bulk_keeper.run)
             if self.files is not None:
--- a/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_shard_keeper.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_shard_keeper.py
@@ -12,7 +12,7 @@
 from lagoonfold.membership import ShardOwner
 from lagoonfold_node._ownership._bulk import BulkStore
 from lagoonfold_node._ownership._context import OwnershipContext
-from lagoonfold_node._ownership._journal_writer import JournalWriter
+from lagoonfold_node._ownership._journal_writer import JournalWriters
 from lagoonfold_node._ownership._open_shard import OpenShard, ShardStatus
 from lagoonfold_node._ownership._opener import ShardOpener
 
@@ -23,10 +23,10 @@
 class ShardKeeper:
     """Keeps the set of open shards as the table says."""
 
-    def __init__(self, context: OwnershipContext, bulk: BulkStore, writer: JournalWriter) -> None:
+    def __init__(self, context: OwnershipContext, bulk: BulkStore, writers: JournalWriters) -> None:
         self._context = context
         self._bulk = bulk
-        self._writer = writer
+        self._writers = writers
         self._scopes_by_shard: dict[ShardId, tuple[int, trio.CancelScope]] = {}
         self._changed = trio.Event()
         self._limiter = trio.CapacityLimiter(_MAX_OPENING)
@@ -82,7 +82,7 @@
         shard = None
         with scope:
             async with self._limiter:
-                opener = ShardOpener(self._context, self._bulk, self._writer, shard_id, owner)
+                opener = ShardOpener(self._context, self._bulk, self._writers, shard_id, owner)
                 shard = await opener.open()
         if self._scopes_by_shard.get(shard_id) == (owner.epoch, scope):
             del self._scopes_by_shard[shard_id]
--- /dev/null
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_store_carrier.py
@@ -0,0 +1,42 @@
+"""Carries journal entries to the key-value service from this instance, many by one call."""
+
+from result import Err, Ok
+
+from lagoonfold import ABSENT_REVISION, NewEntry, StoreError, StoreErrorKind
+from lagoonfold_node._ownership._context import OwnershipContext
+from lagoonfold_node._ownership._journal_writer import Created
+
+
+class StoreCarrier:
+    """A call whose answer is lost is a lost answer to every entry in it."""
+
+    def __init__(self, context: OwnershipContext) -> None:
+        self._context = context
+
+    async def carry(self, entries: tuple[NewEntry, ...]) -> tuple[Created, ...]:
+        """Create entries by one call, or one by one where the service refuses that."""
+        if len(entries) == 1:
+            return (await self._create(entries[0]),)
+        self._context.metrics.count("journal_calls", "shared")
+        created = await self._context.store.create_absent(entries)
+        if isinstance(created, Ok):
+            return tuple(_outcome(entry.key, created.ok_value) for entry in entries)
+        self._context.count_store_error(created.err_value)
+        if created.err_value.kind is StoreErrorKind.REFUSED:
+            return tuple([await self._create(entry) for entry in entries])
+        return (created,) * len(entries)
+
+    async def _create(self, entry: NewEntry) -> Created:
+        self._context.metrics.count("journal_calls", "single")
+        written = await self._context.store.put_if(
+            entry.key, entry.value, expected_revision=ABSENT_REVISION
+        )
+        if isinstance(written, Err):
+            self._context.count_store_error(written.err_value)
+        return written.map(lambda _: None)
+
+
+def _outcome(key: str, created_keys: frozenset[str]) -> Created:
+    if key in created_keys:
+        return Ok(None)
+    return Err(StoreError(kind=StoreErrorKind.CONFLICT, detail=f"{key} is present"))
--- a/packages/lagoonfold/src/lagoonfold/__init__.py
+++ b/packages/lagoonfold/src/lagoonfold/__init__.py
@@ -37,6 +37,7 @@
     StoreErrorKind,
     WatchEvent,
 )
+from lagoonfold._rendezvous import rendezvous_weight
 
 __all__ = [
     "ABSENT_REVISION",
@@ -73,4 +74,5 @@
     "compress",
     "decompress",
     "new_id",
+    "rendezvous_weight",
 ]
--- a/packages/lagoonfold/src/lagoonfold/membership/__init__.py
+++ b/packages/lagoonfold/src/lagoonfold/membership/__init__.py
@@ -4,6 +4,7 @@
 owner = table.owner(shard_id)
 """
 
+from lagoonfold.membership._committer import committer_of
 from lagoonfold.membership._lease import CLOCK_RATE_MARGIN, InstanceLease
 from lagoonfold.membership._placement import place_shards
 from lagoonfold.membership._shards import child_program_id, shard_key, shard_of
@@ -33,6 +34,7 @@
     "ShardOwner",
     "TableView",
     "child_program_id",
+    "committer_of",
     "decode_member",
     "decode_table",
     "encode_member",
--- a/packages/lagoonfold/src/lagoonfold/membership/_placement.py
+++ b/packages/lagoonfold/src/lagoonfold/membership/_placement.py
@@ -7,9 +7,8 @@
 
 from collections import Counter
 
-import xxhash
-
 from lagoonfold._ids import InstanceId, ShardId
+from lagoonfold._rendezvous import rendezvous_weight
 from lagoonfold.membership._table import Member, OwnershipTable
 
 DEFAULT_MAX_MOVES = 4
@@ -56,7 +55,7 @@
             shard_id = ShardId(index)
             if shard_id in self.owner_by_shard:
                 continue
-            ranked = sorted(self.members_by_id, key=lambda name: -_weight(shard_id, name))
+            ranked = sorted(self.members_by_id, key=lambda name: -rendezvous_weight(shard_id, name))
             free = [name for name in ranked if self.loads_by_id[name] < room]
             self._assign(shard_id, self._least_loaded_domain(free or ranked))
 
@@ -68,7 +67,7 @@
             if self.loads_by_id[fullest] - self.loads_by_id[emptiest] <= 1:
                 return
             owned = [shard for shard, owner in self.owner_by_shard.items() if owner == fullest]
-            moved = max(owned, key=lambda shard: _weight(shard, emptiest))
+            moved = max(owned, key=lambda shard: rendezvous_weight(shard, emptiest))
             self._count(fullest, -1)
             self._assign(moved, emptiest)
 
@@ -92,7 +91,3 @@
         """Return the shards for each member of a member's failure domain."""
         domain = self.members_by_id[name].failure_domain
         return self.loads_by_domain[domain] / self.sizes_by_domain[domain]
-
-
-def _weight(shard_id: ShardId, name: InstanceId) -> int:
-    return xxhash.xxh64_intdigest(f"{shard_id}|{name}".encode())
--- a/packages/lagoonfold/src/lagoonfold/records/_journal.py
+++ b/packages/lagoonfold/src/lagoonfold/records/_journal.py
@@ -4,6 +4,8 @@
 so that a writer whose answer was lost can read the entry back and tell whether it is its own.
 """
 
+import re
+
 import msgspec
 from result import Err, Ok, Result
 
@@ -14,6 +16,7 @@
 MAX_ENTRY_BYTES = 900_000
 ANSWER_PART_BYTES = 400_000
 _SEQUENCE_DIGITS = 12
+_JOURNAL_KEY = re.compile(rf"shard/[0-9]{{4,}}/journal/[0-9]{{{_SEQUENCE_DIGITS}}}")
 
 
 class JournalEntry(msgspec.Struct, frozen=True, array_like=True):
@@ -53,6 +56,11 @@
     return int(key.rpartition("/")[2])
 
 
+def is_journal_key(key: str) -> bool:
+    """Tell whether a key is that of a journal entry."""
+    return _JOURNAL_KEY.fullmatch(key) is not None
+
+
 def encode_entry(entry: JournalEntry) -> bytes:
     """Return a journal entry as a framed value."""
     return frame(JOURNAL, _ENCODER.encode(entry))
--- a/packages/lagoonfold/src/lagoonfold/scheduling/_candidates.py
+++ b/packages/lagoonfold/src/lagoonfold/scheduling/_candidates.py
@@ -10,10 +10,9 @@
 from collections import defaultdict
 from collections.abc import Iterable
 
-import xxhash
-
 from lagoonfold._ids import InstanceId, UpstreamId
 from lagoonfold._ports import ListedInstance
+from lagoonfold._rendezvous import rendezvous_weight
 
 MAX_REPLICAS_PER_MODEL = 16
 
@@ -32,10 +31,10 @@
                 engines_by_model[model].append(engine)
     candidates: set[UpstreamId] = set()
     for engines in engines_by_model.values():
-        ranked = sorted(engines, key=lambda engine: _weight(observer, engine), reverse=True)
+        ranked = sorted(
+            engines,
+            key=lambda engine: rendezvous_weight(observer, engine.instance_id),
+            reverse=True,
+        )
         candidates.update(UpstreamId(engine.instance_id) for engine in ranked[:per_model])
     return frozenset(candidates)
-
-
-def _weight(observer: InstanceId, engine: ListedInstance) -> int:
-    return xxhash.xxh64_intdigest(f"{observer}|{engine.instance_id}".encode())
--- a/packages/lagoonfold/src/lagoonfold/settings/_models.py
+++ b/packages/lagoonfold/src/lagoonfold/settings/_models.py
@@ -73,6 +73,7 @@
     lease_s: PositiveSeconds = 9.0
     takeover_wait_s: PositiveSeconds = 1.0
     commit_interval_s: Seconds = 0.005
+    commit_scope: Literal["instance", "failure-domain"] = "instance"
     checkpoint_commits: PositiveInt = 256
 
     @property
--- a/tests/ownership/test_journal_writer.py
+++ b/tests/ownership/test_journal_writer.py
@@ -1,7 +1,6 @@
 """Tests of calls that carry the journal entries of many shards."""
 
 from collections.abc import Awaitable, Callable
-from dataclasses import replace
 from unittest.mock import patch
 
 import trio
@@ -15,6 +14,7 @@
 from lagoonfold_node._ownership import OwnershipContext
 from lagoonfold_node._ownership._appender import Appended, Appender
 from lagoonfold_node._ownership._journal_writer import MAX_SHARED_BYTES, JournalWriter
+from lagoonfold_node._ownership._store_carrier import StoreCarrier
 from standins import kv as kv_standin
 from tests._suite import load_functions
 from tests.ownership._fleet import (
@@ -48,9 +48,9 @@
             store=store,
             board=Board(),
             metrics=self.metrics,
-            settings=replace(SETTINGS, commit_interval_s=interval_s),
+            settings=SETTINGS,
         )
-        self.writer = JournalWriter(context)
+        self.writer = JournalWriter(StoreCarrier(context), interval_s)
 
     async def create(self, entries: list[NewEntry]) -> list[Result]:
         """Create entries together; return their results."""
--- a/tests/settings/test_settings.py
+++ b/tests/settings/test_settings.py
@@ -80,6 +80,16 @@
     assert cluster.renew_s == 1.0
 
 
+def test_an_unknown_commit_scope_is_a_fault() -> None:
+    """What is shared is the instance's or the failure domain's, and by default the instance's."""
+    assert parse_settings(_GOOD).unwrap().cluster.commit_scope == "instance"
+    wide = parse_settings(_GOOD + "[cluster]\ncommit_scope = failure-domain\n").unwrap()
+    assert wide.cluster.commit_scope == "failure-domain"
+    assert set(_faults(_GOOD + "[cluster]\ncommit_scope = region\n")) == {
+        ("cluster", "commit_scope")
+    }
+
+
 def test_examples_are_valid() -> None:
     """The example file of each deployment passes the check."""
     for name in ("brunner.ini", "corrib.ini"):
