Prove a silent key-value service, and see two process tests red

Cause: an outage that loses nothing was never seen red: its calls neither ended nor began in the outage, and the owner answered from memory afterwards. Now one call ends in the outage (its tool is held until the service is gone), one arrives in it, and the history is read from the next owner. The same runs with a service that takes connections and answers nothing. A restart in an outage: the caller must be told `config-stale` and when to return, and readiness must name the configuration; before, 401 for a good key passed.

--- a/bench/outage.py
+++ b/bench/outage.py
@@ -14,11 +14,11 @@
 import fire
 import msgspec
 import trio
-from result import Err
+from result import Err, Ok
 
 from bench._kv_process import connect, set_faults, start_kv
 from bench._owner import create_program, make_outcome, make_request, start_owner
-from lagoonfold.records import Execute
+from lagoonfold.records import NO_COST, CallRequest, Execute, Outcome, Settled
 from lagoonfold_node._ownership import OpenShard, Ownership, OwnershipSettings
 
 BEFORE_S = 4.0
@@ -89,6 +89,7 @@
             begun = await wait_begun()
             if isinstance(begun, Err):
                 kind.refusals += 1
+                _withdraw(shard, request)
                 await trio.sleep(begun.err_value.retry_after_s)
                 return False
         await trio.sleep(CALL_S)
@@ -109,6 +110,14 @@
         return None
 
 
+def _withdraw(shard: OpenShard, request: CallRequest) -> None:
+    """Settle a call that was not made, as the executor does, if its begin is still queued."""
+    settled = Settled(request.program_id, request.call_id, Outcome.NOT_RUN, 0, "", b"", NO_COST)
+    decided = shard.state.decide_settle(settled)
+    if isinstance(decided, Ok):
+        shard.submit(decided.ok_value)
+
+
 def _describe(kind: _Kind) -> dict:
     ordered = sorted(kind.latencies_s)
     return {
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -8,8 +8,9 @@
 
     python -m bench.processes --fault=kill --fault_at=10
 
-kills one instance under that load; `--fault=outage --fault_s=60` takes the key-value service away.
-The calls answered and refused in each five seconds are printed as well.
+kills one instance under that load; `--fault=outage --fault_s=60` takes the key-value service away,
+and `--fault=silence` lets it take connections and answer nothing. The calls answered and refused in
+each five seconds are printed as well.
 """
 
 import json
@@ -39,8 +40,8 @@
     fleet.instances_by_id["i2"].process.kill()
 
 
-def _cut_store(fleet: Fleet, seconds: float) -> None:
-    fleet.inject_store(outage="refuse")
+def _cut_store(fleet: Fleet, seconds: float, *, outage: str) -> None:
+    fleet.inject_store(outage=outage)
     time.sleep(seconds)
     fleet.inject_store()
 
@@ -52,7 +53,8 @@
 FAULTS_BY_NAME = {
     "none": _no_fault,
     "kill": _kill_instance,
-    "outage": _cut_store,
+    "outage": partial(_cut_store, outage="refuse"),
+    "silence": partial(_cut_store, outage="silent"),
     "slow": _slow_engine,
 }
 
@@ -82,8 +84,9 @@
 ) -> None:
     """Run one workload under the named policies; `rate` is in programs a second.
 
-    `fault` is `none`, `kill` (one instance), `outage` (of the key-value service, `fault_s` long) or
-    `slow` (one of the two engines). Calls of `idempotent` routes can be moved off a slow engine.
+    `fault` is `none`, `kill` (one instance), `outage` or `silence` (of the key-value service,
+    `fault_s` long) or `slow` (one of the two engines). Calls of `idempotent` routes can be moved
+    off a slow engine.
     """
     settings = f"\n[scheduling]\norder = {order}\nreplica = {replica}\nadmission = {admission}\n"
     with Fleet.start(
--- a/tests/_promises.py
+++ b/tests/_promises.py
@@ -40,6 +40,8 @@
             "tests.ownership.test_takeover",
             "tests.ownership.test_disks",
             f"{_OWNERSHIP}.test_outage_loses_nothing",
+            f"{_OWNERSHIP}.test_silent_service_loses_nothing",
+            "tests.ownership.test_outage",
             f"{_OWNERSHIP}.test_turns_in_order_over_kills_and_lost_answers",
         ),
     ),
@@ -106,7 +108,12 @@
     Promise(
         number=10,
         text="a refusal that says not run is true",
-        proofs=(f"{_MODELS}.test_at_most_once", f"{_DRIFT}.test_shard_follows_the_model", _ONCE),
+        proofs=(
+            f"{_MODELS}.test_at_most_once",
+            f"{_DRIFT}.test_shard_follows_the_model",
+            "tests.node.test_outage",
+            _ONCE,
+        ),
     ),
     Promise(
         number=11,
--- a/tests/failure/test_ownership.py
+++ b/tests/failure/test_ownership.py
@@ -4,6 +4,7 @@
 import json
 import time
 
+from standins.client import Reply
 from standins.fleet import FleetError, call, is_ready, wait_until
 from tests._suite import load_functions
 from tests.failure._probes import config_version, wait_in_force
@@ -22,6 +23,7 @@
 WITHDRAWAL_BOUND_S = 5.0
 RATE_PER_S = 20
 BURST = 20
+_OUTAGE_KINDS = ("platform-unavailable", "config-stale", "owner-unavailable")
 
 
 def test_turns_in_order_over_kills_and_lost_answers() -> None:
@@ -196,45 +198,87 @@
             return False
 
     wait_until(listens, "the operators' port of i3")
-    assert call("GET", handle.operator, "/readyz")[0] == 503
+    status, body = call("GET", handle.operator, "/readyz")
+    assert status == 503 and "configuration" in json.loads(body)["reason"], body
     marked = mark()
-    try:
-        reply = each.client("i3").send("POST", f"/v1/services/{SERVICE}", {"m": marked})
-    except OSError:
-        reply = None
-    assert reply is None or reply.status in (401, 503), reply.status
+    replies = []
+
+    def is_answered() -> bool:
+        try:
+            replies.append(each.client("i3").send("POST", f"/v1/services/{SERVICE}", {"m": marked}))
+        except OSError:
+            return False
+        return True
+
+    wait_until(is_answered, "the callers' port of i3")
+    _check_told_to_return(replies[-1], ("config-stale",), ("no",))
     assert each.runs(marked) == 0
     each.fleet.inject_store()
     each.fleet.wait_ready("i3")
 
 
+def _check_told_to_return(reply: Reply, kinds: tuple[str, ...], ran: tuple[str, ...]) -> None:
+    """Check that a caller is told when to come back, and what became of its request."""
+    problem = reply.json()
+    assert problem["kind"] in kinds and problem["ran"] in ran, problem
+    assert reply.status == 503 and int(reply.headers["retry-after"]) > 0, reply
+
+
 def test_outage_loses_nothing() -> None:
-    """What was accepted before an outage is there after it; in it nothing is said falsely."""
+    """What was accepted before or during an outage is there after it, also at the next owner."""
+    _check_outage("refuse")
+
+
+def test_silent_service_loses_nothing() -> None:
+    """The same while the key-value service takes connections and answers nothing."""
+    _check_outage("silent")
+
+
+def _check_outage(outage: str) -> None:
+    """Check the caller's side of an outage: one call ends in it, one arrives in it.
+
+    The history is read from the next owner, which has nothing but what was recorded.
+    """
     each = world()
-    program_id, _ = each.owned_program()
+    program_id, owner = each.owned_program()
+    idle_id, _ = each.owned_program()
     marks = [mark() for _ in range(3)]
-    client = each.client()
-    first = persist(lambda: client.tool(program_id, 1, REGISTER, {"m": marks[0]}, key=marks[0]))
-    assert first.status == 200
-    each.fleet.inject_store(outage="refuse")
-    reply = client.tool(program_id, 2, REGISTER, {"m": marks[1]}, key=marks[1])
-    if reply.status != 200 and reply.json()["ran"] == "no":
-        assert each.runs(marks[1]) == 0
+    client = each.client(*each.others(owner))
+
+    def make(turn: int) -> Reply:
+        body = {"m": marks[turn - 1]}
+        return client.tool(program_id, turn, REGISTER, body, key=marks[turn - 1])
+
+    answers = [persist(lambda: make(1))]
+    each.fleet.inject("tool-1", hold=True)
+    begun = Background(lambda: make(2))
+    wait_until(lambda: each.runs(marks[1]) == 1, "turn 2 at the tool")
+    each.fleet.inject_store(outage=outage)
+    each.fleet.inject("tool-1")
+    arrived = mark()
+    refused = client.tool(idle_id, 1, REGISTER, {"m": arrived}, key=arrived)
+    _check_told_to_return(refused, _OUTAGE_KINDS, ("no", "unknown"))
+    _check_told_to_return(begun.result(), _OUTAGE_KINDS, ("unknown",))
+    assert each.runs(arrived) == 0
     each.fleet.inject_store()
     for instance_id in each.running():
         each.fleet.wait_ready(instance_id)
-    client = each.client()
 
-    def repeated() -> bool:
-        again = client.tool(program_id, 2, REGISTER, {"m": marks[1]}, key=marks[1])
-        return again.status == 200 or again.json()["kind"] == "outcome-unknown"
+    def is_settled() -> bool:
+        answers[1:] = [make(2)]
+        return answers[1].status == 200 or answers[1].json()["kind"] == "outcome-unknown"
 
-    wait_until(repeated, "turn 2 settled after the outage", 30.0)
-    assert each.runs(marks[0]) == 1
-    assert each.runs(marks[1]) <= 1
-    third = persist(lambda: client.tool(program_id, 3, REGISTER, {"m": marks[2]}))
-    assert third.status == 200
-    assert [turn["request"]["m"] for turn in client.history(program_id)] == marks
+    wait_until(is_settled, "turn 2 settled after the outage", 30.0)
+    answers.append(persist(lambda: make(3)))
+    owner = each.owner_of(program_id)
+    each.fleet.instances_by_id[owner].process.kill()
+    each.wait_taken_over(program_id, owner)
+    turns = each.client(*each.others(owner)).history(program_id)
+    assert [turn["request"]["m"] for turn in turns] == marks
+    assert [each.runs(marked) for marked in marks] == [1, 1, 1]
+    for turn, answer in zip(turns, answers, strict=True):
+        assert answer.status != 200 or turn["answer"] == answer.json(), (turn, answer)
+    assert [answers[0].status, answers[2].status] == [200, 200]
 
 
 def test_withdrawn_key_cuts_stream_and_connection() -> None:
