--- a/bench/policy/_faults_experiment.py
+++ b/bench/policy/_faults_experiment.py
@@ -23,6 +23,7 @@
     "shared": Policy(moves_calls=False),
     "shared, moved": Policy(),
 }
+HARM_CASES = frozenset({"well", "well, 85%", "uneven", "uneven, 85%", "flood", "flood, slow"})
 HARM_POLICIES = {label: PACE_POLICIES[label] for label in ("none", "shared, moved")}
 
 
@@ -66,10 +67,11 @@
         "uneven": {"programs_per_s": calm, "unevenness": UNEVENNESS},
         "uneven, 85%": {"programs_per_s": busy, "unevenness": UNEVENNESS},
         "flood": {"programs_per_s": busy, "surge": FLOOD},
+        "flood, slow": {"programs_per_s": busy, "surge": FLOOD, **slow},
     }
     results: dict = {}
     for case, changes in cases.items():
-        compared = PACE_POLICIES if case.startswith("slow") else HARM_POLICIES
+        compared = HARM_POLICIES if case in HARM_CASES else PACE_POLICIES
         for label, policy in compared.items():
             runs = measure_all(scenarios(workload, policy, seeds=seeds, **changes))
             summary = summarize(runs)
