--- a/tests/failure/test_ownership.py
+++ b/tests/failure/test_ownership.py
@@ -219,9 +219,9 @@
 
 def _check_told_to_return(reply: Reply, kinds: tuple[str, ...], ran: tuple[str, ...]) -> None:
     """Check that a caller is told when to come back, and what became of its request."""
+    assert reply.status == 503 and int(reply.headers["retry-after"]) > 0, reply
     problem = reply.json()
     assert problem["kind"] in kinds and problem["ran"] in ran, problem
-    assert reply.status == 503 and int(reply.headers["retry-after"]) > 0, reply
 
 
 def test_outage_loses_nothing() -> None:
