--- a/bench/_fleet_slopes.py
+++ b/bench/_fleet_slopes.py
@@ -10,7 +10,6 @@
 from collections import defaultdict
 from dataclasses import dataclass, field
 
-import standins.fleet
 from bench._fit import Point, Slope, fit
 from bench._sockets import read_bytes_by_peer
 from bench._usage import read_usage
@@ -143,10 +142,10 @@
 
 def measure_instances() -> list[Slope]:
     """Measure idle fleets of growing numbers of instances before one engine."""
-    standins.fleet.FAILURE_DOMAINS = (_DOMAIN,)
     watchers: dict[int, Idle] = {}
     for count in INSTANCE_COUNTS:
-        with Fleet.start(instances=count, engines=1, lease_s=LEASE_S) as fleet:
+        options = {"instances": count, "engines": 1, "failure_domains": (_DOMAIN,)}
+        with Fleet.start(lease_s=LEASE_S, **options) as fleet:
             watchers[count] = _measure_idle(fleet)
             _measure_changes(fleet, watchers[count], "change_s")
             fleet.inject_store(mute_watches=True)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -79,6 +79,8 @@
     tools: int = 1
     shards: int = 8
     lease_s: float = 3.0
+    failure_domains: tuple[str, ...] = FAILURE_DOMAINS
+    commit_scope: str = "instance"
     withdrawal_bound_s: float = 5.0
     outage_grace_s: float = 0.0
     engine_flags: tuple[str, ...] = ()
@@ -205,7 +207,8 @@
         return handle
 
     def _new_instance(self, instance_id: str) -> InstanceHandle:
-        domain = FAILURE_DOMAINS[len(self.instances_by_id) % len(FAILURE_DOMAINS)]
+        domains = self.options.failure_domains
+        domain = domains[len(self.instances_by_id) % len(domains)]
         listen, peer, operator = (f"127.0.0.1:{free_port()}" for _ in range(3))
         settings = self.folder / f"{instance_id}.ini"
         handle = InstanceHandle(instance_id, domain, listen, peer, operator, settings, None)
@@ -228,6 +231,7 @@
 [cluster]
 shards = {options.shards}
 lease_s = {options.lease_s}
+commit_scope = {options.commit_scope}
 
 [keys]
 withdrawal_bound_s = {options.withdrawal_bound_s}
