Ask h11 and the clock once for a token

Now h11 is not asked where it said that it needs input, or where it has no more than a chunk's line end left; the deadline moves in steps of 0.1 s, so a silent stream is found after 2.0 to 2.1 s; what a call has cost is worked out when its try ends. Red first on a scratch copy: with the wrong bound for the line end, or without the check for a chunk's end, test_body_is_whole_however_it_is_cut fails.

--- a/packages/lagoonfold-io/src/lagoonfold_io/_http_connection.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_connection.py
@@ -11,17 +11,26 @@
 from lagoonfold_io._http_messages import READ_SIZE_BYTES, Headers, HttpError, HttpRequest, Sent
 from lagoonfold_io._readiness import is_readable
 
+SMALL_INPUT_BYTES = 4_096
+CHUNK_END_BYTES = 2
+
 BREAKS = (trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError, OSError)
 
 
 @dataclass(slots=True, eq=False)
 class ClientConnection:
-    """An open connection with its protocol state."""
+    """An open connection with its protocol state.
+
+    `input_bytes` is the size of the latest input. `needs_input` says that the protocol has no
+    event left in what it was given, so that it need not be asked.
+    """
 
     stream: trio.SocketStream
     protocol: h11.Connection
     opened_at: float
     idle_since: float = 0.0
+    input_bytes: int = 0
+    needs_input: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -69,48 +78,64 @@
                 if parts:
                     break
                 event = await next_event(self._connection, timeout_s)
-            if isinstance(event, h11.Data):
+            if type(event) is h11.Data:
                 parts.append(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 self._complete = True
-        return b"".join(parts)
+        return bytes(parts[0]) if len(parts) == 1 else b"".join(parts)
 
     def is_complete(self) -> bool:
         """Tell whether the whole body has been read."""
         return self._complete
 
 
-async def _receive(connection: ClientConnection, timeout_s: float) -> bytes:
-    """Return the next input; the timeout costs nothing where there is none."""
-    socket = connection.stream.socket
+async def _receive(connection: ClientConnection, timeout_s: float) -> None:
+    """Give the protocol the next input; the timeout costs nothing where there is none."""
+    fileno = connection.stream.socket.fileno()
+    if fileno < 0:
+        raise trio.ClosedResourceError
     if timeout_s == math.inf:
-        await trio.lowlevel.wait_readable(socket)
+        await trio.lowlevel.wait_readable(fileno)
     else:
         with trio.fail_after(timeout_s):
-            await trio.lowlevel.wait_readable(socket)
-    return os.read(socket.fileno(), READ_SIZE_BYTES)
+            await trio.lowlevel.wait_readable(fileno)
+    data = os.read(fileno, READ_SIZE_BYTES)
+    connection.protocol.receive_data(data)
+    connection.input_bytes = len(data)
+    connection.needs_input = False
+
+
+def _next_parsed(connection: ClientConnection) -> h11.Event | None:
+    """Return the next event in the input so far, or None where more input is needed."""
+    if connection.needs_input:
+        return None
+    protocol = connection.protocol
+    event = protocol.next_event()
+    if event is h11.NEED_DATA:
+        connection.needs_input = True
+        return None
+    if type(event) is h11.Data and event.chunk_end and connection.input_bytes <= SMALL_INPUT_BYTES:
+        connection.needs_input = len(protocol.trailing_data[0]) <= CHUNK_END_BYTES
+    return event
 
 
 def _ready_event(connection: ClientConnection) -> h11.Event | None:
     """Return the next protocol event that needs no further input, or None."""
-    if connection.protocol.their_state is not h11.SEND_BODY:
+    if connection.needs_input or connection.protocol.their_state is not h11.SEND_BODY:
         return None
     try:
-        event = connection.protocol.next_event()
+        event = _next_parsed(connection)
     except h11.ProtocolError:
         # The connection's state is kept: the next read meets the same error.
         return None
-    return None if event is h11.NEED_DATA or event is h11.PAUSED else event
+    return None if event is h11.PAUSED else event
 
 
 async def next_event(connection: ClientConnection, timeout_s: float) -> h11.Event:
     """Return the next protocol event, reading as needed; raise `StreamError` when it fails."""
     try:
-        while True:
-            event = connection.protocol.next_event()
-            if event is not h11.NEED_DATA:
-                break
-            connection.protocol.receive_data(await _receive(connection, timeout_s))
+        while (event := _next_parsed(connection)) is None:
+            await _receive(connection, timeout_s)
     except trio.TooSlowError as error:
         detail = f"no progress for {timeout_s:g} s"
         raise StreamError(HttpError(detail=detail, sent=Sent.MAYBE, is_timeout=True)) from error
@@ -118,7 +143,7 @@
         raise StreamError(
             HttpError(detail=f"connection broke: {error}", sent=Sent.MAYBE)
         ) from error
-    if isinstance(event, h11.ConnectionClosed):
+    if type(event) is h11.ConnectionClosed:
         raise StreamError(HttpError(detail="connection closed", sent=Sent.MAYBE))
     return event
 
--- a/packages/lagoonfold-node/src/lagoonfold_node/_execution/_feed.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_execution/_feed.py
@@ -120,13 +120,23 @@
         """Add a part, after waiting for a reader to be near enough."""
         while not self.has_room():
             await self.changed.wait()
+        self.add(part)
+
+    def add(self, part: bytes) -> None:
+        """Add a part at once, where there is room."""
         self.parts.append(part)
-        taken = [reader.take(part) for reader in self._readers]
-        if not all(taken):
+        is_taken = True
+        for reader in self._readers:
+            is_taken = reader.take(part) and is_taken
+        if not is_taken:
             self.signal()
 
     def has_room(self) -> bool:
         """Tell whether a reader is near enough for a part to be added at once."""
+        part_count = len(self.parts)
+        for reader in self._readers:
+            if reader.index >= part_count:
+                return True
         return self._unread_bytes() <= READ_AHEAD_BYTES
 
     def _unread_bytes(self) -> int:
--- a/packages/lagoonfold-node/src/lagoonfold_node/_execution/_model_call.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_execution/_model_call.py
@@ -42,6 +42,7 @@
     whole_completion,
 )
 
+SILENCE_STEP_S = 0.1
 OK = 200
 FINISH_STOP = "stop"
 FINISH_LENGTH = "length"
@@ -49,7 +50,10 @@
 
 @dataclass(slots=True, kw_only=True)
 class _Generation:
-    """A call's answer over all its tries; `limit` is the most tokens that it may have."""
+    """A call's answer over all its tries; `limit` is the most tokens that it may have.
+
+    `has_chunks` says that an engine has generated something, which is charged.
+    """
 
     running: RunningCall
     body: dict
@@ -57,6 +61,7 @@
     limit: int
     completion: Completion = field(default_factory=Completion)
     last_part: bytes = b""
+    has_chunks: bool = False
 
     def next_completion(self) -> Completion:
         """Return the completion that the next try adds to what is there."""
@@ -151,8 +156,13 @@
     One scope keeps the time between two reads; readers that hold the stream back stop it.
     """
     failure: UpstreamFailure | None = None
-    with trio.CancelScope() as silence:
-        failure = await _relay_timed(generation, stream, placement, silence)
+    running = generation.running
+    try:
+        with trio.CancelScope() as silence:
+            failure = await _relay_timed(generation, stream, placement, silence)
+    finally:
+        if generation.has_chunks:
+            running.spent = cost_of(running.route, generation.charged_tokens())
     if silence.cancelled_caught:
         return await stream.explain_silence()
     return failure
@@ -166,7 +176,7 @@
 ) -> UpstreamFailure | None:
     running = generation.running
     while True:
-        silence.deadline = trio.current_time() + SILENCE_TIMEOUT_S
+        _extend(silence)
         mark = generation.completion.mark()
         read = await stream.read()
         if isinstance(read, Err):
@@ -175,20 +185,29 @@
         if generation.is_over_limit():
             generation.cut_back(mark)
             return None
-        running.spent = cost_of(running.route, generation.charged_tokens())
+        generation.has_chunks = True
         if chunk.is_last:
             generation.last_part = chunk.raw
             await stream.drain()
             return None
-        if not running.feed.has_room():
+        if running.feed.has_room():
+            running.feed.add(chunk.raw)
+        else:
             silence.deadline = math.inf
             placement.note_held()
-        await running.feed.write(chunk.raw)
+            await running.feed.write(chunk.raw)
         placement.note_tokens(generation.completion.tokens)
         if placement.moved.is_set() and not generation.completion.tool_calls_by_index:
             return moved_off()
 
 
+def _extend(silence: trio.CancelScope) -> None:
+    """Move the end of a silence on, in steps, since each move is kept in the clock's heap."""
+    earliest = trio.current_time() + SILENCE_TIMEOUT_S
+    if not earliest <= silence.deadline < math.inf:
+        silence.deadline = earliest + SILENCE_STEP_S
+
+
 def _service_usage(generation: _Generation) -> ServiceUsage:
     usage = generation.completion.usage
     return ServiceUsage(
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -1,8 +1,11 @@
 """Tests of the HTTP client and server against each other."""
 
+import socket
 from collections.abc import Awaitable, Callable
 
 import trio
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from result import Err
 
 from lagoonfold_io import (
@@ -69,6 +72,49 @@
     _with_server(check)
 
 
+@settings(derandomize=True, deadline=None, max_examples=60)
+@given(
+    parts=st.lists(st.binary(min_size=1, max_size=40), max_size=6),
+    cuts=st.sets(st.integers(1, 300)),
+    is_chunked=st.booleans(),
+)
+def test_body_is_whole_however_it_is_cut(parts, cuts, is_chunked) -> None:
+    """A body arrives whole, and its end is seen, wherever the network cuts it."""
+    body = b"".join(parts)
+    if is_chunked:
+        chunks = b"".join(b"%x\r\n%b\r\n" % (len(part), part) for part in parts)
+        wire = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n" + chunks + b"0\r\n\r\n"
+    else:
+        wire = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%b" % (len(body), body)
+    ends = sorted({cut for cut in cuts if cut < len(wire)} | {len(wire)})
+
+    async def answer(stream: trio.SocketStream) -> None:
+        stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, True)
+        for _ in range(2):
+            await stream.receive_some()
+            start = 0
+            for end in ends:
+                await stream.send_all(wire[start:end])
+                await trio.sleep(0)
+                await trio.sleep(0)
+                start = end
+
+    async def run() -> None:
+        async with trio.open_nursery() as nursery:
+            listeners = await nursery.start(trio.serve_tcp, answer, 0)
+            port = listeners[0].socket.getsockname()[1]
+            client = HttpClient()
+            with trio.fail_after(10):
+                for _ in range(2):
+                    request = HttpRequest(method="GET", path="/")
+                    fetched = await client.fetch(f"127.0.0.1:{port}", request)
+                    assert fetched.unwrap().body == body
+            client.close()
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+
+
 def test_part_larger_than_the_socket_arrives_whole() -> None:
     """A part that the socket does not take at once is drained, and nothing of it is lost."""
 
