Give up a peer's stream that lost a part

Cause, found by reading: the offset of a part was sent but never checked. A bus that gives a peer up drops what it has queued for it, and a full queue drops too; a peer that was only paused then got the later parts of its streams, and its callers an answer with a hole. Such a stream is now lost, so the arrival asks the owner again with what the caller has. The end's size is checked in the same way.

--- a/packages/lagoonfold-node/src/lagoonfold_node/_peers/_calls.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_peers/_calls.py
@@ -118,6 +118,7 @@
         self._answers: deque[PeerMessage] = deque()
         self._ready = trio.Event()
         self._lost = ""
+        self._received = 0
         self._taken = 0
         self._granted = STREAM_WINDOW_BYTES
         self._target: PartTarget | None = None
@@ -166,8 +167,16 @@
             self._send(StreamCredit(limit=self._granted))
 
     def deliver(self, message: PeerMessage) -> None:
-        """Take an answer off the wire."""
-        if isinstance(message, StreamPart) and self._pass(message.data):
+        """Take an answer off the wire; a stream that lost a part before it is given up."""
+        if isinstance(message, StreamPart):
+            if message.offset != self._received:
+                self.fail(f"a part is missing after {self._received} bytes")
+                return
+            self._received += len(message.data)
+            if self._pass(message.data):
+                return
+        elif isinstance(message, StreamEnd) and message.size != self._received:
+            self.fail(f"the end is missing after {self._received} bytes")
             return
         self._answers.append(message)
         self._signal()
--- a/tests/node/test_relay.py
+++ b/tests/node/test_relay.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from lagoonfold_node._execution._feed import READ_AHEAD_BYTES, Answer, AnswerFeed, FeedReader
-from lagoonfold_node._peers import OutboundStream, StreamEnd, StreamPart
+from lagoonfold_node._peers import OutboundStream, PeerLostError, StreamEnd, StreamPart
 from tests._suite import load_functions
 
 _ANSWER = Answer(status=200, content_type="text/plain", body=b"")
@@ -100,4 +100,23 @@
     assert b"".join(target.taken) == bytes(range(count))
 
 
+def test_stream_with_a_missing_part_is_lost() -> None:
+    """A stream ends as lost where a part, or its end, did not arrive; nothing follows the gap."""
+    part = StreamPart(offset=0, data=b"first")
+    for late in (StreamPart(offset=9, data=b"third"), StreamEnd(size=9)):
+
+        async def run(late: StreamPart | StreamEnd) -> None:
+            stream = OutboundStream("two", "call", lambda message: True)
+            stream.deliver(part)
+            stream.deliver(late)
+            assert await stream.receive() == part
+            try:
+                await stream.receive()
+            except PeerLostError:
+                return
+            raise AssertionError("the gap went unnoticed")
+
+        trio.run(run, late)
+
+
 load_tests = load_functions(globals())
