--- a/bench/processes.py
+++ b/bench/processes.py
@@ -9,8 +9,8 @@
     python -m bench.processes --fault=kill --fault_at=10
 
 kills one instance under that load; `--fault=outage --fault_s=60` takes the key-value service away,
-and `--fault=silence` lets it take connections and answer nothing. The calls answered and refused in
-each five seconds are printed as well.
+`--fault=silence` lets it take connections and answer nothing, and `--fault=slow-store` makes every
+answer 1.5 s late. The calls answered and refused in each five seconds are printed as well.
 """
 
 import json
@@ -26,6 +26,7 @@
 from lagoonfold.scheduling import DEFAULT_ADMISSION, DEFAULT_CHOOSER, DEFAULT_ORDER
 from standins.fleet import MODEL, Fleet
 
+STORE_DELAY_S = 1.5
 ENGINE_FLAGS = ("--slots=4", "--interval=0.01", "--prefill=4000", "--cache=40000")
 
 
@@ -40,8 +41,8 @@
     fleet.instances_by_id["i2"].process.kill()
 
 
-def _cut_store(fleet: Fleet, seconds: float, *, outage: str) -> None:
-    fleet.inject_store(outage=outage)
+def _break_store(fleet: Fleet, seconds: float, **faults: object) -> None:
+    fleet.inject_store(**faults)
     time.sleep(seconds)
     fleet.inject_store()
 
@@ -53,8 +54,9 @@
 FAULTS_BY_NAME = {
     "none": _no_fault,
     "kill": _kill_instance,
-    "outage": partial(_cut_store, outage="refuse"),
-    "silence": partial(_cut_store, outage="silent"),
+    "outage": partial(_break_store, outage="refuse"),
+    "silence": partial(_break_store, outage="silent"),
+    "slow-store": partial(_break_store, delay_s=STORE_DELAY_S),
     "slow": _slow_engine,
 }
 
@@ -84,9 +86,9 @@
 ) -> None:
     """Run one workload under the named policies; `rate` is in programs a second.
 
-    `fault` is `none`, `kill` (one instance), `outage` or `silence` (of the key-value service,
-    `fault_s` long) or `slow` (one of the two engines). Calls of `idempotent` routes can be moved
-    off a slow engine.
+    `fault` is `none`, `kill` (one instance), `outage`, `silence` or `slow-store` (of the key-value
+    service, `fault_s` long) or `slow` (one of the two engines). Calls of `idempotent` routes can be
+    moved off a slow engine.
     """
     settings = f"\n[scheduling]\norder = {order}\nreplica = {replica}\nadmission = {admission}\n"
     with Fleet.start(
