--- /dev/null
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_etcd_errors.py
@@ -0,0 +1,46 @@
+"""What a failed call of the key-value service says about its effect."""
+
+import msgspec
+from result import Err
+
+from lagoonfold import StoreError, StoreErrorKind
+from lagoonfold_io._etcd_messages import ErrorResponse
+from lagoonfold_io._http_messages import HttpError, HttpResponse, Sent
+
+_CODE_NOT_FOUND = 5
+_CLIENT_ERRORS = range(400, 500)
+_STATUS_TOO_MANY_REQUESTS = 429
+
+
+def not_lost(failed: Err[StoreError]) -> Err[StoreError]:
+    """Return the error of a read, which has no effect that a lost answer could hide."""
+    if failed.err_value.kind is StoreErrorKind.LOST_ANSWER:
+        return failed_call(StoreErrorKind.UNAVAILABLE, failed.err_value.detail)
+    return failed
+
+
+def failed_call(kind: StoreErrorKind, detail: str) -> Err[StoreError]:
+    """Return the failure of a call."""
+    return Err(StoreError(kind=kind, detail=detail))
+
+
+def transport_error(error: HttpError) -> StoreError:
+    """Return what a failed exchange says: only if nothing was sent, nothing was written."""
+    nothing_sent = error.sent is Sent.NOTHING
+    kind = StoreErrorKind.UNAVAILABLE if nothing_sent else StoreErrorKind.LOST_ANSWER
+    return StoreError(kind=kind, detail=error.detail)
+
+
+def status_error(response: HttpResponse) -> StoreError:
+    """Return what a status says; a server's error may come after the write took effect."""
+    try:
+        body = msgspec.json.decode(response.body, type=ErrorResponse)
+    except msgspec.DecodeError:
+        body = ErrorResponse(message=f"status {response.status}")
+    if response.status == _STATUS_TOO_MANY_REQUESTS:
+        return StoreError(kind=StoreErrorKind.THROTTLED, detail=body.message)
+    if body.code == _CODE_NOT_FOUND and "lease" in body.message:
+        return StoreError(kind=StoreErrorKind.LEASE_EXPIRED, detail=body.message)
+    refused = response.status in _CLIENT_ERRORS
+    kind = StoreErrorKind.REFUSED if refused else StoreErrorKind.LOST_ANSWER
+    return StoreError(kind=kind, detail=body.message)
--- a/packages/lagoonfold-io/src/lagoonfold_io/_etcd_store.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_etcd_store.py
@@ -30,29 +30,24 @@
     WatchEvent,
 )
 from lagoonfold_io._call_rate import CallRate
+from lagoonfold_io._etcd_errors import failed_call, not_lost, status_error, transport_error
 from lagoonfold_io._etcd_messages import (
-    ErrorResponse,
     Header,
     KeepAliveResponse,
     LeaseResponse,
     RangeResponse,
     TxnResponse,
-    prefix_end,
     to_base64,
 )
+from lagoonfold_io._etcd_requests import at_revision, create_step, post, range_of
 from lagoonfold_io._etcd_watch import read_events
 from lagoonfold_io._http_client import HttpClient
-from lagoonfold_io._http_messages import HttpError, HttpRequest, HttpResponse, Sent
 
 DEFAULT_CALL_TIMEOUT_S = 2.0
 DEFAULT_WATCH_SILENCE_S = 60.0
-_CODE_NOT_FOUND = 5
-_CLIENT_ERRORS = range(400, 500)
 _STATUS_OK = 200
-_STATUS_TOO_MANY_REQUESTS = 429
 
 T = TypeVar("T")
-_JSON_HEADERS = (("content-type", "application/json"),)
 
 
 class EtcdStore:
@@ -94,12 +89,12 @@
     ) -> Result[Entry | None, StoreError]:
         """Read one key; return None, without its value travelling, if its revision is known."""
         fields = {
-            "compare": [_at_revision(key, known_revision)],
+            "compare": [at_revision(key, known_revision)],
             "failure": [{"request_range": {"key": to_base64(key)}}],
         }
         answer = await self._call("/v3/kv/txn", fields, TxnResponse)
         if isinstance(answer, Err):
-            return _not_lost(answer)
+            return not_lost(answer)
         if answer.ok_value.succeeded:
             return Ok(None)
         kvs = answer.ok_value.responses[0].response_range.kvs
@@ -107,7 +102,7 @@
 
     async def list(self, prefix: str) -> Result[Listing, StoreError]:
         """Read all keys below a prefix, in key order."""
-        answer = await self._read("range", _range_of(prefix))
+        answer = await self._read("range", range_of(prefix))
         if isinstance(answer, Err):
             return answer
         found = answer.ok_value
@@ -120,7 +115,7 @@
 
         A key that was written since has a newer revision; one that was deleted lowers the count.
         """
-        keys = _range_of(prefix)
+        keys = range_of(prefix)
         newer = str(known.revision + 1)
         fields = {
             "compare": [{**keys, "target": "MOD", "result": "LESS", "mod_revision": newer}],
@@ -129,7 +124,7 @@
         }
         answer = await self._call("/v3/kv/txn", fields, TxnResponse)
         if isinstance(answer, Err):
-            return _not_lost(answer)
+            return not_lost(answer)
         found = answer.ok_value.responses[0].response_range
         if not answer.ok_value.succeeded:
             return Ok(_listing(found, answer.ok_value.header))
@@ -149,14 +144,14 @@
         self, entries: tuple[NewEntry, ...]
     ) -> Result[frozenset[str], StoreError]:
         """Create each key that is absent, as one transaction; return the keys that were created."""
-        steps = [_create_step(entry) for entry in entries]
+        steps = [create_step(entry) for entry in entries]
         answer = await self._call("/v3/kv/txn", {"success": steps}, TxnResponse)
         if isinstance(answer, Err):
             return answer
         responses = answer.ok_value.responses
         if len(responses) != len(entries):
             detail = f"{len(responses)} answers to {len(entries)} creations"
-            return _failed(StoreErrorKind.LOST_ANSWER, detail)
+            return failed_call(StoreErrorKind.LOST_ANSWER, detail)
         created = (
             entry.key
             for entry, response in zip(entries, responses, strict=True)
@@ -192,7 +187,7 @@
             return answer
         ttl_s = float(int(answer.ok_value.result.TTL))
         if ttl_s <= 0:
-            return _failed(StoreErrorKind.LEASE_EXPIRED, f"lease {lease_id} is gone")
+            return failed_call(StoreErrorKind.LEASE_EXPIRED, f"lease {lease_id} is gone")
         return Ok(ttl_s)
 
     async def revoke_lease(self, lease_id: int) -> Result[None, StoreError]:
@@ -213,10 +208,10 @@
             yield _no_events()
             return
         wanted = {
-            **_range_of(prefix),
+            **range_of(prefix),
             "start_revision": str(from_revision),
         }
-        request = _post("/v3/watch", {"create_request": wanted})
+        request = post("/v3/watch", {"create_request": wanted})
         async with self._client.stream(
             self._address, request, progress_timeout_s=self._watch_silence_s, fresh=True
         ) as opened:
@@ -225,49 +220,36 @@
 
     async def _read(self, name: str, fields: dict) -> Result[RangeResponse, StoreError]:
         answer = await self._call(f"/v3/kv/{name}", fields, RangeResponse)
-        return _not_lost(answer) if isinstance(answer, Err) else answer
+        return not_lost(answer) if isinstance(answer, Err) else answer
 
     async def _write_if(
         self, key: str, expected_revision: int, step: dict, *, urgent: bool
     ) -> Result[int, StoreError]:
-        fields = {"compare": [_at_revision(key, expected_revision)], "success": [step]}
+        fields = {"compare": [at_revision(key, expected_revision)], "success": [step]}
         answer = await self._call("/v3/kv/txn", fields, TxnResponse, urgent=urgent)
         if isinstance(answer, Err):
             return answer
         if not answer.ok_value.succeeded:
-            return _failed(StoreErrorKind.CONFLICT, f"{key} is not at {expected_revision}")
+            return failed_call(StoreErrorKind.CONFLICT, f"{key} is not at {expected_revision}")
         return Ok(int(answer.ok_value.header.revision))
 
     async def _call(
         self, path: str, fields: dict, answer_type: type[T], *, urgent: bool = False
     ) -> Result[T, StoreError]:
         if not await self._rate.admit(path.rpartition("/")[2], urgent=urgent):
-            return _failed(StoreErrorKind.THROTTLED, "the instance's call rate is used up")
+            return failed_call(StoreErrorKind.THROTTLED, "the instance's call rate is used up")
         answer = await self._client.fetch(
-            self._address, _post(path, fields), timeout_s=self._call_timeout_s
+            self._address, post(path, fields), timeout_s=self._call_timeout_s
         )
         if isinstance(answer, Err):
-            return Err(_transport_error(answer.err_value))
+            return Err(transport_error(answer.err_value))
         response = answer.ok_value
         if response.status != _STATUS_OK:
-            return Err(_status_error(response))
+            return Err(status_error(response))
         try:
             return Ok(msgspec.json.decode(response.body, type=answer_type))
         except msgspec.DecodeError as error:
-            return _failed(StoreErrorKind.LOST_ANSWER, f"unreadable answer: {error}")
-
-
-def _at_revision(key: str, revision: int) -> dict:
-    return {
-        "key": to_base64(key),
-        "target": "MOD",
-        "result": "EQUAL",
-        "mod_revision": str(revision),
-    }
-
-
-def _range_of(prefix: str) -> dict:
-    return {"key": to_base64(prefix), "range_end": to_base64(prefix_end(prefix))}
+            return failed_call(StoreErrorKind.LOST_ANSWER, f"unreadable answer: {error}")
 
 
 def _listing(found: RangeResponse, header: Header) -> Listing:
@@ -275,50 +257,6 @@
     return Listing(entries=entries, revision=int(header.revision))
 
 
-def _create_step(entry: NewEntry) -> dict:
-    """Return a transaction within a transaction, with a comparison of its own."""
-    put = {"key": to_base64(entry.key), "value": to_base64(entry.value)}
-    compare = [_at_revision(entry.key, ABSENT_REVISION)]
-    return {"request_txn": {"compare": compare, "success": [{"request_put": put}]}}
-
-
-def _not_lost(failed: Err[StoreError]) -> Err[StoreError]:
-    """Return the error of a read, which has no effect that a lost answer could hide."""
-    if failed.err_value.kind is StoreErrorKind.LOST_ANSWER:
-        return _failed(StoreErrorKind.UNAVAILABLE, failed.err_value.detail)
-    return failed
-
-
-def _post(path: str, fields: dict) -> HttpRequest:
-    body = msgspec.json.encode(fields)
-    return HttpRequest(method="POST", path=path, headers=_JSON_HEADERS, body=body)
-
-
-def _failed(kind: StoreErrorKind, detail: str) -> Err[StoreError]:
-    return Err(StoreError(kind=kind, detail=detail))
-
-
-def _transport_error(error: HttpError) -> StoreError:
-    nothing_sent = error.sent is Sent.NOTHING
-    kind = StoreErrorKind.UNAVAILABLE if nothing_sent else StoreErrorKind.LOST_ANSWER
-    return StoreError(kind=kind, detail=error.detail)
-
-
-def _status_error(response: HttpResponse) -> StoreError:
-    """Return what a status says; a server's error may come after the write took effect."""
-    try:
-        body = msgspec.json.decode(response.body, type=ErrorResponse)
-    except msgspec.DecodeError:
-        body = ErrorResponse(message=f"status {response.status}")
-    if response.status == _STATUS_TOO_MANY_REQUESTS:
-        return StoreError(kind=StoreErrorKind.THROTTLED, detail=body.message)
-    if body.code == _CODE_NOT_FOUND and "lease" in body.message:
-        return StoreError(kind=StoreErrorKind.LEASE_EXPIRED, detail=body.message)
-    refused = response.status in _CLIENT_ERRORS
-    kind = StoreErrorKind.REFUSED if refused else StoreErrorKind.LOST_ANSWER
-    return StoreError(kind=kind, detail=body.message)
-
-
 async def _no_events() -> AsyncIterator[WatchEvent]:
     for event in ():
         yield event
