--- a/bench/processes.py
+++ b/bench/processes.py
@@ -82,6 +82,7 @@
     fault: str = "none",
     fault_at: float = 10.0,
     fault_s: float = 60.0,
+    lease: float = 3.0,
     idempotent: bool = False,
 ) -> None:
     """Run one workload under the named policies; `rate` is in programs a second.
@@ -92,7 +93,7 @@
     """
     settings = f"\n[scheduling]\norder = {order}\nreplica = {replica}\nadmission = {admission}\n"
     with Fleet.start(
-        instances=3, engines=2, engine_flags=ENGINE_FLAGS, extra_settings=settings
+        instances=3, engines=2, lease_s=lease, engine_flags=ENGINE_FLAGS, extra_settings=settings
     ) as fleet:
         keys_by_account = configure(fleet, idempotent=idempotent)
         listens = [handle.listen for handle in fleet.instances_by_id.values()]
@@ -101,7 +102,7 @@
         trio.run(run.run, arrivals, partial(FAULTS_BY_NAME[fault], fleet, fault_s), fault_at)
         calls = [_completions_run(fleet, name) for name in ("engine-1", "engine-2")]
     policies = {"order": order, "replica": replica, "admission": admission}
-    load = {"rate": rate, "seconds": seconds, "seed": seed, "fault": fault}
+    load = {"rate": rate, "seconds": seconds, "seed": seed, "lease_s": lease, "fault": fault}
     load["idempotent"] = idempotent
     result = {"commit": commit_id(), "policies": policies, "load": load, **run.summary()}
     print(json.dumps({**result, "calls_by_engine": calls}, indent=1))
--- a/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_lease_keeper.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_lease_keeper.py
@@ -24,12 +24,13 @@
         """Keep the lease until cancelled."""
         settings = self._context.settings
         while True:
+            asked_at_s = trio.current_time()
             kept = await self._step()
             if isinstance(kept, Err):
                 self._context.count_store_error(kept.err_value)
                 await trio.sleep(min(_RETRY_S, settings.renew_s))
             else:
-                await self._wait_for_renewal()
+                await self._wait_for_renewal(asked_at_s + settings.renew_s)
 
     async def revoke(self) -> None:
         """End the lease at once, so that others need not wait for it to expire."""
@@ -38,13 +39,16 @@
         if lease is not None:
             await self._context.store.revoke_lease(lease.lease_id)
 
-    async def _wait_for_renewal(self) -> None:
-        """Wait until the renewal is due, or the registration must change."""
-        deadline = trio.current_time() + self._context.settings.renew_s
+    async def _wait_for_renewal(self, due_at_s: float) -> None:
+        """Wait until the renewal is due, or the registration must change.
+
+        The lease counts from when it was asked for, so the renewal does too: a slow answer does not
+        put the next one off.
+        """
         changed = trio.Event()
         cancel = self._context.board.stopping.subscribe(lambda _: changed.set())
         try:
-            with trio.move_on_at(deadline):
+            with trio.move_on_at(due_at_s):
                 await changed.wait()
         finally:
             cancel()
--- a/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_table_keeper.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_table_keeper.py
@@ -81,8 +81,9 @@
 
     async def _poll(self) -> None:
         while True:
+            due_at_s = trio.current_time() + self._context.settings.renew_s
             await self.verify()
-            await trio.sleep(self._context.settings.renew_s)
+            await trio.sleep_until(due_at_s)
 
     async def _watch(self) -> None:
         while True:
--- a/tests/ownership/test_outage.py
+++ b/tests/ownership/test_outage.py
@@ -1,6 +1,8 @@
 """An owner whose key-value service is silent or slow, rather than refusing."""
 
 import math
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from dataclasses import replace
 from unittest import mock
 
@@ -8,10 +10,25 @@
 import trio.testing
 from result import Err, Ok, Result
 
-from lagoonfold import ErrorKind, NewEntry, ProgramId, Ran, ShardId, StoreError, StoreErrorKind
+from lagoonfold import (
+    Entry,
+    ErrorKind,
+    InstanceId,
+    LeaseGrant,
+    NewEntry,
+    ProgramId,
+    Ran,
+    ShardId,
+    StoreError,
+    StoreErrorKind,
+)
 from lagoonfold.records import Released
-from lagoonfold_node._ownership import OpenShard, _appender
+from lagoonfold_node._board import Board
+from lagoonfold_node._metrics import Metrics
+from lagoonfold_node._ownership import OpenShard, OwnershipContext, _appender
+from lagoonfold_node._ownership._lease_keeper import LeaseKeeper
 from lagoonfold_node._ownership._recovery import recover_shard
+from lagoonfold_node._ownership._table_keeper import TableKeeper
 from tests._suite import load_functions
 from tests.ownership._fleet import (
     SETTINGS,
@@ -33,6 +50,8 @@
 SHORT_SILENCE_S = 0.3
 ANSWERS_TOO_LATE_S = 0.8
 SLOW_S = 0.3
+SLOW_LEASE = replace(SETTINGS, lease_s=4.0, renew_s=2.0)
+SAMPLE_S = 0.05
 LONG_ENOUGH_S = 60.0
 
 
@@ -96,6 +115,66 @@
     assert _stalled_after_s(_Journal(1.5), appends=20) is None
 
 
+class _SlowStore:
+    """A service that does what it is asked, each time after `answer_s`."""
+
+    def __init__(self, answer_s: float) -> None:
+        self._answer_s = answer_s
+
+    async def grant_lease(self, ttl_s: float) -> Result[LeaseGrant, StoreError]:
+        await trio.sleep(self._answer_s)
+        return Ok(LeaseGrant(lease_id=1, ttl_s=ttl_s))
+
+    async def renew_lease(self, lease_id: int) -> Result[float, StoreError]:
+        await trio.sleep(self._answer_s)
+        return Ok(SLOW_LEASE.lease_s)
+
+    async def get(self, key: str) -> Result[Entry, StoreError]:
+        await trio.sleep(self._answer_s)
+        return Ok(Entry(key=key, value=b"", revision=0))
+
+    async def get_if_changed(self, key: str, known: int) -> Result[None, StoreError]:
+        await trio.sleep(self._answer_s)
+        return Ok(None)
+
+    async def put_if(self, key: str, value: bytes, **_: object) -> Result[int, StoreError]:
+        await trio.sleep(self._answer_s)
+        return Ok(1)
+
+    @asynccontextmanager
+    async def watch(self, prefix: str, **_: object) -> AsyncIterator[AsyncIterator]:
+        await trio.sleep_forever()
+        yield
+
+
+def test_slow_answers_let_no_lease_lapse() -> None:
+    """Lease and table are asked for again by the time of the question, not of its answer."""
+
+    async def run() -> None:
+        context = OwnershipContext(
+            instance_id=InstanceId("entry-1"),
+            peer_address="127.0.0.1:1",
+            failure_domain="domain-a",
+            store=_SlowStore(1.5),
+            board=Board(),
+            metrics=Metrics(),
+            settings=SLOW_LEASE,
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(LeaseKeeper(context).run)
+            nursery.start_soon(TableKeeper(context).run)
+            with trio.fail_after(LONG_ENOUGH_S):
+                while not (context.has_lease() and context.is_table_fresh()):
+                    await trio.sleep(SAMPLE_S)
+            with trio.move_on_after(LONG_ENOUGH_S):
+                while True:
+                    assert context.has_lease() and context.is_table_fresh()
+                    await trio.sleep(SAMPLE_S)
+            nursery.cancel_scope.cancel()
+
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
 def _check_service_that_gives_no_answer(**faults: object) -> None:
     """Check an owner through a time in which no call is answered while it is waited for."""
 
