Find connections between instances that have gone silent in either direction

Cause, found by bringing it about with processes (a loopback forwarder between the instances' peer ports that drops what open connections carry): two silences were never found. - Each direction has its own connection.

Now a probe says how many before it had no answer, so that the called end dials anew; a request that ends unheard is followed by a probe; whoever dials anew withdraws that peer's calls, which are then joined, resumed or replayed (a gap in a stream was mended beside this); an answer whose head is missing ends the try. Ways weighed: docs/design/path.md. Ruled out: numbered repeats, TCP keep-alive.

Red on a scratch copy, then green (`python -m tests._run tests.failure.test_connections tests.node.test_peers`): no dialling anew at the called end (silent connections: stream cut after 20 s; test_answers_that_get_lost_are_found); giving up after 2 s off (silent connections: no answer in 40 s); no probe after a request that ended unheard (test_silence_is_found_by_short_requests). With probes off the cut connections stayed green, since nng dials anew by itself and no message was on its way; that test is not counted as a proof of the probes.

Also: the test of a withdrawn key asked each instance once, right after one of them had taken the withdrawal in, and failed once under load; each instance has the promise's bound now.

--- a/packages/lagoonfold-node/src/lagoonfold_node/_border/_forward.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_border/_forward.py
@@ -82,6 +82,7 @@
         self, owner: InstanceId, operation: ProgramOperation, sink: CallerSink
     ) -> Refusal | None:
         """Give the owner's answer to the caller as it comes."""
+        has_head = False
         async with self.bus.stream(owner, operation) as stream:
             while True:
                 try:
@@ -89,9 +90,12 @@
                 except PeerLostError as error:
                     return _lost(owner, str(error))
                 match message:
+                    case StreamPart() | StreamEnd() if not has_head:
+                        return _lost(owner, "the head of the answer was lost")
                     case StreamPart(data=data):
                         await sink.send(data)
                     case StreamHead(status=status, content_type=content_type):
+                        has_head = True
                         await sink.start(status, content_type)
                         stream.pass_parts_to(sink)
                     case StreamEnd():
--- a/packages/lagoonfold-node/src/lagoonfold_node/_peers/_bus.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_peers/_bus.py
@@ -2,7 +2,9 @@
 
 A call that makes no progress is probed. The called instance names the calls that it does not
 know, so a message lost on the way is found within seconds. A peer that answers nothing is given
-up, its connection is closed, and the next message goes out on a new connection.
+up, its connection is closed, and the next message goes out on a new connection. A peer that
+hears no answers is dialled anew too. Its calls may have lost a part then, so they are withdrawn,
+and it learns so from the answer to its probe.
 
     bus = PeerBus("entry-1", "127.0.0.1:7001", find_address, node)
     await nursery.start(bus.serve)
@@ -33,6 +35,7 @@
     StreamCredit,
 )
 from lagoonfold_node._peers._registry import HANDLERS_BY_TYPE
+from lagoonfold_node._peers._silence import AnswerWatch, ProbeRecord
 
 PROBE_AFTER_S = 0.5
 PROBE_INTERVAL_S = 0.25
@@ -58,6 +61,7 @@
         self.incarnation = new_id("run")
         self.bytes_sent = 0
         self.bytes_received = 0
+        self.redials = 0
         self._listen_address = listen_address
         self._find_address = find_address
         self._context = context
@@ -66,6 +70,8 @@
         self._outboxes_by_peer: dict[str, Outbox] = {}
         self._inbound_by_call: dict[tuple[str, str], InboundCall] = {}
         self._outbound_by_call: dict[str, OutboundStream] = {}
+        self._probes = ProbeRecord()
+        self._answers = AnswerWatch()
         self._nursery: trio.Nursery | None = None
 
     async def serve(self, *, task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED) -> None:
@@ -74,7 +80,7 @@
         try:
             async with trio.open_nursery() as nursery:
                 self._nursery = nursery
-                nursery.start_soon(self._probe_silent_calls)
+                nursery.start_soon(self._probe_silent_peers)
                 task_status.started(inbox.port)
                 while True:
                     for data in await inbox.receive():
@@ -111,6 +117,7 @@
                 if isinstance(answer, CallRefused):
                     return Err(answer.to_refusal())
                 return Ok(answer)
+        self._probes.note_unheard(instance_id, stream.heard_at)
         return Err(unavailable(instance_id, f"no answer within {timeout_s:g} s"))
 
     @asynccontextmanager
@@ -173,6 +180,7 @@
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
             self._on_fault("peer-message-invalid", error)
             return
+        self._probes.note_heard(frame.sender)
         if isinstance(message, ProbeCalls):
             self._answer_probe(frame, message)
         elif isinstance(message, ProbeAnswer):
@@ -222,41 +230,64 @@
         finally:
             del self._inbound_by_call[key]
 
-    async def _probe_silent_calls(self) -> None:
+    async def _probe_silent_peers(self) -> None:
         while True:
             await trio.sleep(PROBE_INTERVAL_S)
             now = trio.current_time()
-            silent_by_peer: dict[str, list[OutboundStream]] = {}
-            for stream in self._outbound_by_call.values():
-                if now - stream.heard_at >= PROBE_AFTER_S:
-                    silent_by_peer.setdefault(stream.peer, []).append(stream)
-            for peer, streams in silent_by_peer.items():
-                self._probe(peer, streams, now)
-
-    def _probe(self, peer: str, streams: list[OutboundStream], now: float) -> None:
-        if min(now - stream.heard_at for stream in streams) >= SILENCE_LIMIT_S:
-            self._give_up(peer, f"no sign of {peer} for {SILENCE_LIMIT_S:g} s")
-            return
-        call_ids = tuple(stream.call_id for stream in streams)
-        self._send(peer, new_id("probe"), False, ProbeCalls(call_ids=call_ids))
+            for peer, heard_at_s in self._silent_since(now).items():
+                if now - heard_at_s >= SILENCE_LIMIT_S:
+                    self._give_up(peer, f"no sign of {peer} for {SILENCE_LIMIT_S:g} s")
+                else:
+                    self._probe(peer, now)
+
+    def _silent_since(self, now: float) -> dict[str, float]:
+        """Return the peers to probe, with when each was heard or a silent call was begun."""
+        since_by_peer: dict[str, float] = {}
+        calls = ((stream.peer, stream.heard_at) for stream in self._outbound_by_call.values())
+        for peer, heard_at_s in (*self._probes.unheard(), *calls):
+            if now - heard_at_s >= PROBE_AFTER_S:
+                since_by_peer[peer] = max(heard_at_s, since_by_peer.get(peer, heard_at_s))
+        return since_by_peer
+
+    def _probe(self, peer: str, now: float) -> None:
+        call_ids = tuple(
+            stream.call_id
+            for stream in self._outbound_by_call.values()
+            if stream.peer == peer and now - stream.heard_at >= PROBE_AFTER_S
+        )
+        probe = ProbeCalls(call_ids=call_ids, unanswered=self._probes.note_probe(peer))
+        self._send(peer, new_id("probe"), False, probe)
 
     def _give_up(self, peer: str, reason: str) -> None:
-        outbox = self._outboxes_by_peer.get(peer)
-        if outbox is not None:
-            outbox.reconnect()
+        self._probes.note_heard(peer)
+        self._redial(peer)
         for stream in self._outbound_by_call.values():
             if stream.peer == peer:
                 stream.fail(reason)
 
+    def _redial(self, peer: str) -> None:
+        """Dial a peer anew and withdraw its calls, whose answers may have been lost."""
+        outbox = self._outboxes_by_peer.get(peer)
+        if outbox is not None:
+            self.redials += 1
+            outbox.reconnect()
+        for call in self._inbound_by_call.values():
+            if call.sender == peer:
+                call.withdraw()
+
     def _answer_probe(self, frame: Frame, message: ProbeCalls) -> None:
+        if self._answers.is_silent(frame.sender, message.unanswered, trio.current_time()):
+            self._redial(frame.sender)
         unknown = tuple(
-            call_id
-            for call_id in message.call_ids
-            if (frame.sender, call_id) not in self._inbound_by_call
+            call_id for call_id in message.call_ids if not self._is_known(frame.sender, call_id)
         )
         answer = ProbeAnswer(unknown_call_ids=unknown)
         self._send(frame.sender, frame.call_id, True, answer)
 
+    def _is_known(self, peer: str, call_id: str) -> bool:
+        call = self._inbound_by_call.get((peer, call_id))
+        return call is not None and not call.was_withdrawn
+
     def _take_probe_answer(self, frame: Frame, message: ProbeAnswer) -> None:
         now = trio.current_time()
         for stream in self._outbound_by_call.values():
--- a/packages/lagoonfold-node/src/lagoonfold_node/_peers/_messages.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_peers/_messages.py
@@ -117,9 +117,13 @@
 
 @peer_message
 class ProbeCalls(PeerMessage, tag="probe-calls"):
-    """Asks whether the calls that have made no progress are still known to the receiver."""
+    """Asks whether the calls that have made no progress are still known to the receiver.
+
+    `unanswered` is how many probes before this one got no answer, in a row.
+    """
 
     call_ids: tuple[str, ...]
+    unanswered: int = 0
 
 
 @peer_message
--- a/packages/lagoonfold-node/src/lagoonfold_node/_status.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_status.py
@@ -56,5 +56,6 @@
         "requests": node.border.active,
         "calls": len(node.executor.running_by_call),
         "peer_bytes": {"sent": node.bus.bytes_sent, "received": node.bus.bytes_received},
+        "peer_redials": node.bus.redials,
         "store_calls": dict(node.store.counts_by_operation),
     }
--- a/tests/failure/_probes.py
+++ b/tests/failure/_probes.py
@@ -19,6 +19,11 @@
     return _status(each, instance_id)["calls"]
 
 
+def ownership_revision(each: World, instance_id: str) -> int:
+    """Return the revision of the ownership table that an instance has read."""
+    return _status(each, instance_id)["ownership_revision"]
+
+
 def wait_in_force(each: World) -> None:
     """Wait until every instance serves the configuration as it is now."""
     newest = max(entry["version"] for entry in each.fleet.operate("history"))
@@ -56,6 +61,29 @@
     return [each["inputs"]["decided"] for each in decisions if each["kind"] == "placement"]
 
 
+def holders(each: World, program_id: str) -> list[str]:
+    """Return the engines that hold a prefix of a program."""
+    return [
+        name
+        for name in each.live_upstreams()
+        if each.fleet.entries_by_id[name]["role"] == "engine"
+        and program_id
+        in call("GET", each.fleet.entries_by_id[name]["address"], "/v1/cache")[1].decode()
+    ]
+
+
+def stored(each: World, key: str) -> list[dict]:
+    """Return the entry of a key in the key-value service, as a list of one or none."""
+    body = {"key": b64encode(key.encode()).decode()}
+    return json.loads(call("POST", each.fleet.store_address, "/v3/kv/range", body)[1])["kvs"]
+
+
+def allocator(each: World) -> str:
+    """Return the instance that places shards."""
+    wait_until(lambda: stored(each, "allocator"), "an allocator")
+    return _value(stored(each, "allocator")[0]).decode().partition("/")[0]
+
+
 def _status(each: World, instance_id: str) -> dict:
     address = each.fleet.instances_by_id[instance_id].operator
     return json.loads(call("GET", address, "/v1/status")[1])
