Tell callers that ran out of time when to come back

Cause: the border's own refusal named no time, though a non-idempotent call of a program runs on and its repeat gets the outcome. Left out for plain services, whose calls may neither be recorded nor repeated. test_caller_out_of_time_is_told_to_come_back: red without the change (no Retry-After).

--- a/packages/lagoonfold-node/src/lagoonfold_node/_border/_border.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_border/_border.py
@@ -34,6 +34,7 @@
 from lagoonfold_node._rates import RateGate
 
 OWNER_ANSWER_S = 0.25
+OVERDUE_RETRY_S = 1.0
 
 _INTERNAL = Refusal(
     kind=ErrorKind.INTERNAL, detail="the request failed here; it is logged", ran=Ran.UNKNOWN
@@ -168,13 +169,15 @@
         return await self._within_deadline(matched, call)
 
     async def _within_deadline(self, matched: Matched, call: Call) -> Refusal | None:
-        # The owner's own deadline comes first: it knows whether the call ran.
+        # The owner's own deadline comes first: it knows whether the call ran. A program's call runs
+        # on or is recorded, so its repeat is safe; a plain service's may be neither.
         with trio.move_on_after(call.timeout_s + OWNER_ANSWER_S):
             return await matched.entry.perform(self, call)
         return Refusal(
             kind=ErrorKind.DEADLINE_EXCEEDED,
             detail=f"not answered within {call.timeout_s:g} s",
             ran=Ran.UNKNOWN,
+            retry_after_s=0.0 if matched.entry.may_be_open else OVERDUE_RETRY_S,
         )
 
     def _count(self, refusal: Refusal, request: HttpRequest, request_id: str) -> None:
--- a/tests/node/test_outage.py
+++ b/tests/node/test_outage.py
@@ -184,6 +184,23 @@
     run_fleet(check)
 
 
+def test_caller_out_of_time_is_told_to_come_back() -> None:
+    """A call that runs on behind its caller's time limit is there for the repeat."""
+
+    async def check(fleet: PathFleet) -> None:
+        program_id = await fleet.create_program()
+        fleet.tool.gate = trio.Event()
+        reply = await fleet.tool_call(1, program_id, 1, lagoonfold_timeout="0.2")
+        problem = json.loads(reply.body)
+        assert (problem["kind"], problem["ran"]) == ("deadline-exceeded", "unknown"), problem
+        assert reply.header("retry-after") == "1"
+        fleet.tool.gate.set()
+        assert json.loads((await fleet.tool_call(0, program_id, 1)).body) == {"run": 1}
+        assert len(fleet.tool.seen) <= 1
+
+    run_fleet(check)
+
+
 def test_owner_that_cannot_be_learned_of_is_not_waited_for() -> None:
     """With the owner's lease lapsed and the arrival cut off too, the caller is told at once."""
 
