Move no more calls off a slow replica than there is room for, and weigh counting calls sent

A call that was moved while the other replicas were full would wait, and could be refused at its deadline though the slow replica would have ended it. So no more are moved than the others have free slots, and a call that the retry budget keeps is counted once.

Seen red: test_no_more_calls_are_moved_than_there_is_room_for without the bound.

--- a/bench/policy/_pace.py
+++ b/bench/policy/_pace.py
@@ -5,7 +5,7 @@
 from bench.policy._clock import Clock
 from bench.policy._engine import Engine, EngineCall
 from lagoonfold import UpstreamId
-from lagoonfold.scheduling import PaceNotice, PaceWatch, RunningPace
+from lagoonfold.scheduling import PaceNotice, PaceWatch, ReplicaLoad, RunningPace
 
 STEP_S = 0.5
 PEER_DELAY_S = 0.02
@@ -53,7 +53,7 @@
             running.tokens = watched.call.completion_tokens
         self.watch.end(running, is_finished=is_finished)
 
-    def step(self) -> list[WatchedCall]:
+    def step(self, loads: list[ReplicaLoad]) -> list[WatchedCall]:
         """Sample and judge; tell the peers, and return the calls to be moved."""
         for watched in self._calls_by_running.values():
             watched.running.tokens = watched.engine.generated(watched.call)
@@ -62,7 +62,7 @@
             self.put_aside += notice.aside_s > 0
             for peer in self.peers:
                 self._clock.after(PEER_DELAY_S, peer.take, notice)
-        return [self._calls_by_running[running] for running in self.watch.to_move(now_s=now_s)]
+        return [self._calls_by_running[running] for running in self.watch.to_move(loads)]
 
     def take(self, notice: PaceNotice) -> None:
         """Take in a peer's notice."""
--- a/bench/policy/_scheduler.py
+++ b/bench/policy/_scheduler.py
@@ -151,7 +151,7 @@
 
     def _watch_paces(self) -> None:
         """Look at the running calls and move those that would end sooner elsewhere."""
-        moved = self.pacer.step()
+        moved = self.pacer.step(list(self._loads_by_id.values()))
         if self.policy.moves_calls:
             for watched in moved:
                 self.pacer.moved += 1
--- a/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_paces.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_paces.py
@@ -89,13 +89,13 @@
             for notice in watch.step(replicas, now_s=now_s):
                 self._count(notice, "seen")
                 self._tell(PaceSeen(model=model, notice=notice))
-            for running in watch.to_move(now_s=now_s):
-                self._move(*self._placed_by_pace[running])
+            open_loads = [state.load for state in serving if state.breaker.allows(now_s=now_s)]
+            for running in watch.to_move(open_loads):
+                self._move(running, *self._placed_by_pace[running])
 
-    def _move(self, request: PlacementRequest, placement: Placement) -> None:
-        """Ask for a call to be moved, once, if the retry budgets bear it."""
-        if placement.moved.is_set():
-            return
+    def _move(self, running: RunningPace, request: PlacementRequest, placement: Placement) -> None:
+        """Ask for a call to be moved if the retry budgets bear it; it is asked once."""
+        running.can_move = False
         state = self._table.states_by_id.get(placement.upstream_id)
         if self._retries.spend_move(request.account_id, state):
             placement.moved.set()
--- a/packages/lagoonfold/src/lagoonfold/scheduling/_pace_watch.py
+++ b/packages/lagoonfold/src/lagoonfold/scheduling/_pace_watch.py
@@ -4,7 +4,7 @@
 running = watch.start(upstream_id, prompt_tokens=900, can_move=True, now_s=0.0)
 running.tokens = 12                        # as they are relayed
 notices = watch.step(replicas, now_s=0.5)  # to be told to the peers
-watch.to_move(now_s=0.5)
+watch.to_move(loads)
 watch.end(running, is_finished=True)
 """
 
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 
 from lagoonfold._ids import UpstreamId
+from lagoonfold.scheduling._load import ReplicaLoad
 from lagoonfold.scheduling._pace import MoveInput, PaceBoard, PaceNotice, is_sooner_elsewhere
 
 _KEPT_SHARE = 0.9
@@ -42,7 +43,7 @@
 
     def __init__(self, instance_id: str) -> None:
         self.board = PaceBoard(instance_id)
-        self._running: set[RunningPace] = set()
+        self._running: dict[RunningPace, None] = {}
         self._answer_tokens = _UNSEEN_ANSWER_TOKENS
 
     def start(
@@ -55,12 +56,12 @@
             can_move=can_move,
             is_trial=self.board.note_sent(upstream_id, now_s=now_s),
         )
-        self._running.add(running)
+        self._running[running] = None
         return running
 
     def end(self, running: RunningPace, *, is_finished: bool) -> None:
         """Watch a call no more."""
-        self._running.discard(running)
+        del self._running[running]
         if running.is_trial:
             self.board.note_trial_ended(running.upstream_id)
         if is_finished:
@@ -73,21 +74,30 @@
             self._sample(running, now_s)
         return self.board.judge(replicas, now_s=now_s)
 
-    def to_move(self, *, now_s: float) -> list[RunningPace]:
-        """Return the calls on replicas put aside that would end sooner elsewhere."""
-        return [
+    def to_move(self, loads: Sequence[ReplicaLoad]) -> list[RunningPace]:
+        """Return the calls on replicas put aside that would end sooner elsewhere.
+
+        They are no more than there are free slots on the replicas that are not put aside.
+        """
+        free = sum(
+            max(0, load.slots - load.estimate())
+            for load in loads
+            if not self.board.is_aside(load.upstream_id)
+        )
+        sooner = [
             running
             for running in self._running
             if running.can_move
             and self.board.is_aside(running.upstream_id)
             and not self._may_still_try(running)
-            and is_sooner_elsewhere(self._move_input(running, now_s))
+            and is_sooner_elsewhere(self._move_input(running))
         ]
+        return sooner[:free]
 
     def _may_still_try(self, running: RunningPace) -> bool:
         return running.is_trial and self.board.is_tried(running.upstream_id)
 
-    def _move_input(self, running: RunningPace, now_s: float) -> MoveInput:
+    def _move_input(self, running: RunningPace) -> MoveInput:
         board, upstream_id = self.board, running.upstream_id
         least = self._answer_tokens * _LEAST_LEFT_SHARE
         return MoveInput(
--- a/tests/scheduling/test_paces.py
+++ b/tests/scheduling/test_paces.py
@@ -5,7 +5,14 @@
 from hypothesis import strategies as st
 
 from lagoonfold import UpstreamId
-from lagoonfold.scheduling import MoveInput, PaceBoard, PaceNotice, PaceWatch, is_sooner_elsewhere
+from lagoonfold.scheduling import (
+    MoveInput,
+    PaceBoard,
+    PaceNotice,
+    PaceWatch,
+    ReplicaLoad,
+    is_sooner_elsewhere,
+)
 from lagoonfold_node._dispatch._messages import PaceSeen
 from tests._suite import load_functions
 from tests.scheduling.test_dispatcher import _dispatcher, _hold, _request, _run
@@ -89,7 +96,7 @@
     for moment in range(1, 8):
         held.is_held = True
         assert not watch.step(REPLICAS, now_s=float(moment))
-    assert not unbegun.tokens and not watch.to_move(now_s=8.0)
+    assert not unbegun.tokens and not watch.to_move([_load(1)])
 
 
 def test_call_is_moved_only_where_it_ends_sooner() -> None:
@@ -100,6 +107,26 @@
     assert not is_sooner_elsewhere(long)
 
 
+def test_no_more_calls_are_moved_than_there_is_room_for() -> None:
+    """Slots that are taken, or at the slow replica itself, take none of its calls."""
+    watch = PaceWatch("a")
+    watch.board = _board()
+    for _ in range(4):
+        watch.start(SLOW, prompt_tokens=10, can_move=True, now_s=0.0)
+    watch.board.take(PaceNotice(upstream_id=SLOW, trier="z", aside_s=10.0, pace=5.0), now_s=5.0)
+    assert not watch.to_move([_load(0)])
+    assert not watch.to_move([_load(0), _load(1, slots=3, sent=3)])
+    assert len(watch.to_move([_load(0), _load(1, slots=3, sent=1)])) == 2
+    assert len(watch.to_move([_load(0), _load(1), _load(2)])) == 4
+
+
+def _load(number: int, *, slots: int = 9, sent: int = 0) -> ReplicaLoad:
+    load = ReplicaLoad(REPLICAS[number], slots=slots, lag_s=1.0)
+    for _ in range(sent):
+        load.note_sent(now_s=0.0)
+    return load
+
+
 def test_dispatcher_moves_calls_off_a_slow_replica() -> None:
     """Told of a slow replica, it asks the calls there to move, and sends no other there."""
 
