--- a/bench/commit.py
+++ b/bench/commit.py
@@ -44,13 +44,17 @@
 
     async def drive(self, seconds: float) -> None:
         """Start turns at random times; wait for all."""
-        ends_at_s = trio.current_time() + seconds
+        next_at_s = trio.current_time()
+        ends_at_s = next_at_s + seconds
         async with trio.open_nursery() as nursery:
-            while trio.current_time() < ends_at_s:
-                await trio.sleep(self._random.expovariate(self._rate_per_s))
+            while (next_at_s := self._next_after(next_at_s)) < ends_at_s:
+                await trio.sleep_until(next_at_s)
                 self.turns += 1
                 nursery.start_soon(self._turn, f"prg-{self.turns}")
 
+    def _next_after(self, at_s: float) -> float:
+        return at_s + self._random.expovariate(self._rate_per_s)
+
     async def _turn(self, program_id: str) -> None:
         found = (owner.shards.opened_for(program_id) for owner in self._owners)
         shard = next(shard for shard in found if shard is not None)
@@ -97,6 +101,7 @@
             return {
                 "p50_ms": _quantile(run.latencies_s, 0.5) * _MS,
                 "p99_ms": _quantile(run.latencies_s, 0.99) * _MS,
+                "turns_per_s": run.turns / load.seconds,
                 "calls_per_s": calls / load.seconds,
                 "entries_per_s": _count(owners, "commits") / load.seconds,
                 "records_per_call": _count(owners, "committed_records") / calls,
