Bring about lost owners, a replaced engine and conflicting orders, and free what expires

The keeper of shards now tells of each expiry, like of an end by the caller. An engine that starts again at its address counts its events from zero, and they were ignored up to the old number; an answer that names a lower number than was asked for now starts the reading anew. What is believed of its cache stays: dropping it would lose sight of prefixes that were made there after the restart.

--- a/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_feeds.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_feeds.py
@@ -44,6 +44,9 @@
     Many engines are polled less often, so that the polls stay under `MAX_REQUESTS_PER_S`; what was
     sent to an engine since its last report is counted meanwhile.
 
+    An engine that names a lower number than it was asked for has started again, at the same
+    address: its events are read from their new start.
+
     A poll that fails leaves what is known as it was; whether an engine is up is learnt from
     calls, not from polls.
     """
@@ -104,6 +107,10 @@
             answer = msgspec.json.decode(body, type=_EventsBody)
         except msgspec.DecodeError:
             return
+        if answer.next < state.next_event:
+            state.next_event = 0
+            self._table.prefixes.note_restart(upstream_id)
+            return
         state.next_event = answer.next
         for event in answer.events:
             self._table.prefixes.note_event(upstream_id, _event_of(event))
--- a/packages/lagoonfold-node/src/lagoonfold_node/_node.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_node.py
@@ -126,6 +126,7 @@
                 instance_list=self.instance_list,
                 data_dir=settings.instance.data_dir,
                 operator_address=settings.instance.operator,
+                on_expired=self._free,
                 incarnation=self.bus.incarnation,
             )
         )
--- a/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_context.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_context.py
@@ -1,12 +1,21 @@
 """What the ownership controllers share: the store, the board, and this process's identity."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
 import trio
 
-from lagoonfold import InstanceId, InstanceList, KeyValueStore, ShardId, StoreError, new_id
+from lagoonfold import (
+    InstanceId,
+    InstanceList,
+    KeyValueStore,
+    ProgramId,
+    ShardId,
+    StoreError,
+    new_id,
+)
 from lagoonfold.membership import Member, ShardOwner, TableView
 from lagoonfold_node._board import Board
 from lagoonfold_node._logs import EventLog
@@ -49,7 +58,10 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class OwnershipContext:
-    """The controllers' surroundings; `bus` and `instance_list` are None where there are none."""
+    """The controllers' surroundings; `bus` and `instance_list` are None where there are none.
+
+    `on_expired` is told of each program that ran out of time, with its shard.
+    """
 
     instance_id: InstanceId
     peer_address: str
@@ -62,6 +74,7 @@
     instance_list: InstanceList | None = None
     data_dir: Path | None = None
     operator_address: str = ""
+    on_expired: Callable[[ProgramId, Any], None] = lambda program_id, shard: None
     incarnation: str = field(default_factory=_new_incarnation)
     log: EventLog = field(default_factory=lambda: EventLog("ownership"))
 
--- a/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_shard_keeper.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_shard_keeper.py
@@ -7,9 +7,11 @@
 from collections.abc import Mapping
 
 import trio
+from result import Err
 
-from lagoonfold import ShardId
+from lagoonfold import ProgramId, ShardId
 from lagoonfold.membership import ShardOwner
+from lagoonfold.records import Ended, Record
 from lagoonfold_node._ownership._bulk import BulkStore
 from lagoonfold_node._ownership._context import OwnershipContext
 from lagoonfold_node._ownership._journal_writer import JournalWriters
@@ -125,4 +127,13 @@
                     time.time(), self._context.settings.keep_ended_s
                 )
                 if records and shard.may_act():
-                    await shard.commit(records)
+                    await self._commit_expired(shard, records)
+
+    async def _commit_expired(self, shard: OpenShard, records: tuple[Record, ...]) -> None:
+        """Make the ends of programs durable, then let go of what they hold elsewhere."""
+        committed = await shard.commit(records)
+        if isinstance(committed, Err):
+            return
+        for record in records:
+            if isinstance(record, Ended):
+                self._context.on_expired(ProgramId(record.program_id), shard)
--- a/packages/lagoonfold/src/lagoonfold/scheduling/_cached_prefixes.py
+++ b/packages/lagoonfold/src/lagoonfold/scheduling/_cached_prefixes.py
@@ -62,6 +62,13 @@
         else:
             self._drop(event.program_id, upstream_id)
 
+    def note_restart(self, upstream_id: UpstreamId) -> None:
+        """Take a replica's events from the start of their numbers again.
+
+        What is believed of it stays, since calls may have run there after it started again.
+        """
+        self._sequence_by_upstream.pop(upstream_id, None)
+
     def forget_program(self, program_id: ProgramId) -> tuple[UpstreamId, ...]:
         """Drop a program that is gone; return the replicas that are to free its cache."""
         return tuple(sorted(self._tokens_by_program.pop(program_id, {})))
--- a/standins/_engine_cache.py
+++ b/standins/_engine_cache.py
@@ -65,6 +65,10 @@
         """Return the visible events after a sequence number."""
         return [e for e in self._events if e.seq > seq and e.visible_at_s <= now_s]
 
+    def position(self, after: int) -> int:
+        """Return where a reader stands; a number that was never given is of an earlier start."""
+        return min(after, self._seq)
+
     def _note(self, kind: str, cache_key: str, tokens: int, now_s: float) -> None:
         self._seq += 1
         if self._drop_every and self._seq % self._drop_every == 0:
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -73,7 +73,7 @@
             {"seq": e.seq, "kind": e.kind, "cache_key": e.cache_key, "tokens": e.tokens}
             for e in events
         ]
-        return {"events": listed, "next": events[-1].seq if events else after}
+        return {"events": listed, "next": events[-1].seq if events else self._cache.position(after)}
 
     def _visible_load(self) -> dict:
         now = trio.current_time()
--- a/tests/_promises.py
+++ b/tests/_promises.py
@@ -7,6 +7,8 @@
 _OWNERSHIP = "tests.failure.test_ownership"
 _ONCE = "tests.failure.test_at_most_once"
 _UPSTREAMS = "tests.failure.test_upstreams"
+_LOSSES = "tests.failure.test_losses"
+_CONNECTIONS = "tests.failure.test_connections"
 _SHARD = "tests.records.test_program_shard"
 _DRIFT = "tests.models.test_code_follows_models"
 
@@ -28,6 +30,7 @@
             _SHARD,
             f"{_OWNERSHIP}.test_turns_in_order_over_kills_and_lost_answers",
             f"{_OWNERSHIP}.test_turn_out_of_order_does_not_run",
+            f"{_LOSSES}.test_two_owners_lost_at_once",
         ),
     ),
     Promise(
@@ -57,7 +60,12 @@
     Promise(
         number=4,
         text="no engine memory is held for programs that are gone",
-        proofs=(f"{_UPSTREAMS}.test_cache_of_an_ended_program_is_freed",),
+        proofs=(
+            f"{_UPSTREAMS}.test_cache_of_an_ended_program_is_freed",
+            f"{_LOSSES}.test_engine_replaced_at_its_address",
+            "tests.ownership.test_takeover.test_program_that_expires_under_a_new_owner_is_let_go",
+            "tests.scheduling.test_feeds",
+        ),
     ),
     Promise(
         number=5,
@@ -103,6 +111,9 @@
             f"{_UPSTREAMS}.test_engines_that_break_off_but_live_make_no_poison",
             f"{_UPSTREAMS}.test_crossed_answers_keep_to_their_requests",
             f"{_UPSTREAMS}.test_silent_engine_is_passed_over",
+            f"{_UPSTREAMS}.test_dead_engine_still_listed",
+            "tests.node.test_peers",
+            _CONNECTIONS,
         ),
     ),
     Promise(
@@ -113,6 +124,7 @@
             f"{_DRIFT}.test_shard_follows_the_model",
             "tests.node.test_outage",
             _ONCE,
+            f"{_UPSTREAMS}.test_order_under_an_old_fencing_number_is_refused",
         ),
     ),
     Promise(
@@ -124,6 +136,8 @@
             f"{_DRIFT}.test_shard_follows_the_model",
             _SHARD,
             _ONCE,
+            _CONNECTIONS,
+            f"{_LOSSES}.test_two_owners_lost_at_once",
         ),
     ),
     Promise(
--- a/tests/failure/test_upstreams.py
+++ b/tests/failure/test_upstreams.py
@@ -1,21 +1,21 @@
 """Upstreams that break, stall, leave, or are taken down by a request."""
 
-import time
+import json
 
+from lagoonfold.membership import shard_of
 from lagoonfold_node._upstreams._engine import FIRST_BYTE_TIMEOUT_S
 from standins._engine_text import answer_text
-from standins.client import Reply
 from standins.fleet import MODEL, call, wait_until
 from tests._suite import load_functions
-from tests.failure._probes import placements, wait_in_force, wait_listed
-from tests.failure._world import PROFILE, REGISTER, SERVICE, Background, World, mark, persist, world
+from tests.failure._probes import holders, placements, wait_in_force, wait_listed
+from tests.failure._programs import program_at, text_of
+from tests.failure._world import PROFILE, REGISTER, SERVICE, Background, mark, persist, world
 
+NEWER_FENCING = 1_000_000
 CRASH_MARKER = "crash-the-upstream"
 LEAVING_BOUND_S = 3.0
 MAX_TAKEN_DOWN = 2
-PROGRAM_AT_TIMEOUT_S = 60.0
 SLOWNESS_BY_ENGINE = {"engine-1": 20.0, "engine-2": 8.0, "engine-3": 1.0}
-LONG_TEXT = "point " * 2_000
 PASSED_OVER_LIMIT_S = FIRST_BYTE_TIMEOUT_S / 2
 ENGINES = ("engine-1", "engine-2", "engine-3")
 
@@ -24,31 +24,24 @@
     return answer_text([{"role": "user", "content": text}], count)
 
 
-def _text(reply: Reply) -> str:
-    """Return the text of a whole answer."""
-    assert reply.status == 200, f"{reply.status} {reply.body.decode()}"
-    assert reply.is_whole(), reply.body.decode()[-300:]
-    return reply.text()
-
-
 def test_broken_stream_is_resumed() -> None:
     """Streams that break on one replica go on at another: each answer arrives whole, once.
 
     The program's long prefix is at the replica that breaks, so its next call goes there first.
     """
     each = world()
-    program_id, messages = _program_at(each, "engine-1")
+    program_id, messages = program_at(each, "engine-1")
     each.fleet.inject("engine-1", break_after_tokens=3)
     client = each.client()
     first = mark()
     messages.append({"role": "user", "content": first})
     reply = client.chat(program_id, 2, first, max_tokens=20)
-    assert _text(reply) == answer_text(messages, 20)
+    assert text_of(reply) == answer_text(messages, 20)
     assert each.seen("engine-1", first), "the broken replica was never tried"
     marks = [mark() for _ in range(9)]
     for marked in marks:
         reply = client.chat(client.create_program(PROFILE), 1, marked, max_tokens=20)
-        assert _text(reply) == _expected(marked, 20)
+        assert text_of(reply) == _expected(marked, 20)
     broken = [first, *(marked for marked in marks if each.seen("engine-1", marked))]
     assert all(each.runs(marked) == 2 for marked in broken)
 
@@ -64,7 +57,7 @@
     assert refused.json()["kind"] == "upstream-failed", refused.body.decode()
     for engine in ENGINES:
         each.fleet.inject(engine)
-    assert _text(persist(lambda: client.chat(client.create_program(PROFILE), 1, text))) == (
+    assert text_of(persist(lambda: client.chat(client.create_program(PROFILE), 1, text))) == (
         _expected(text, 16)
     )
 
@@ -82,7 +75,7 @@
         for client, program, marked in zip(clients, programs, marks, strict=True)
     ]
     replies = [made.result() for made in calls]
-    assert [_text(reply) for reply in replies] == [_expected(marked, 16) for marked in marks]
+    assert [text_of(reply) for reply in replies] == [_expected(marked, 16) for marked in marks]
     used = {engine for engine in ENGINES for marked in marks if each.seen(engine, marked)}
     assert len(used) > 1, "all programs ran at one replica"
     for client, program, marked in zip(clients, programs, marks, strict=True):
@@ -97,49 +90,34 @@
     read once it goes on, tells so.
     """
     each = world()
-    program_id, messages = _program_at(each, "engine-1")
+    program_id, messages = program_at(each, "engine-1")
     each.fleet.upstreams_by_id["engine-1"].freeze()
     marked = mark()
     made = Background(lambda: persist(lambda: each.client().chat(program_id, 2, marked)))
     messages.append({"role": "user", "content": marked})
-    assert _text(made.result(PASSED_OVER_LIMIT_S)) == answer_text(messages, 16)
+    assert text_of(made.result(PASSED_OVER_LIMIT_S)) == answer_text(messages, 16)
     each.fleet.upstreams_by_id["engine-1"].thaw()
     wait_until(lambda: bool(each.seen("engine-1", marked)), "the call at engine-1")
 
 
-def _program_at(each: World, engine: str) -> tuple[str, list[dict]]:
-    """Start programs until the first call of one has run at an engine; return its messages."""
-    client = each.client()
-    deadline_s = time.monotonic() + PROGRAM_AT_TIMEOUT_S
-    while time.monotonic() < deadline_s:
-        marked = mark()
-        text = f"{marked} {LONG_TEXT}"
-        program_id = client.create_program(PROFILE)
-        said = _text(persist(lambda p=program_id, t=text: client.chat(p, 1, t)))
-        if each.seen(engine, marked):
-            user = {"role": "user", "content": text}
-            return program_id, [user, {"role": "assistant", "content": said}]
-    raise AssertionError(f"no program ran at {engine} within {PROGRAM_AT_TIMEOUT_S:g} s")
-
-
 def test_dead_engine_still_listed() -> None:
     """The instance list lags: an engine that is gone is listed, and calls still end well.
 
     The program's long prefix is at the engine, so its next call goes there first.
     """
     each = world()
-    program_id, messages = _program_at(each, "engine-2")
+    program_id, messages = program_at(each, "engine-2")
     each.fleet.upstreams_by_id["engine-2"].kill()
     marked = mark()
     messages.append({"role": "user", "content": marked})
     client = each.client()
-    assert _text(client.chat(program_id, 2, marked)) == answer_text(messages, 16)
+    assert text_of(client.chat(program_id, 2, marked)) == answer_text(messages, 16)
     tried = placements(each, program_id)
     assert tried[-2] == "engine-2" and tried[-1] != "engine-2", tried
     for _ in range(5):
         marked = mark()
         reply = client.chat(client.create_program(PROFILE), 1, marked)
-        assert _text(reply) == _expected(marked, 16)
+        assert text_of(reply) == _expected(marked, 16)
 
 
 def test_leaving_engine_gets_nothing_new() -> None:
@@ -148,17 +126,17 @@
     Not even of a program whose long prefix is there, so that its next call would go there.
     """
     each = world()
-    program_id, messages = _program_at(each, "engine-1")
+    program_id, messages = program_at(each, "engine-1")
     each.fleet.entries_by_id["engine-1"]["leaving"] = True
     each.fleet.publish_list()
     wait_listed(each, LEAVING_BOUND_S)
     client = each.client()
     marks = [mark() for _ in range(10)]
     messages.append({"role": "user", "content": marks[0]})
-    assert _text(client.chat(program_id, 2, marks[0])) == answer_text(messages, 16)
+    assert text_of(client.chat(program_id, 2, marks[0])) == answer_text(messages, 16)
     for marked in marks[1:]:
         reply = client.chat(client.create_program(PROFILE), 1, marked)
-        assert _text(reply) == _expected(marked, 16)
+        assert text_of(reply) == _expected(marked, 16)
     assert not any(each.seen("engine-1", marked) for marked in marks)
 
 
@@ -176,7 +154,7 @@
     marked = mark()
     client = each.client()
     reply = client.chat(client.create_program(PROFILE), 1, marked)
-    assert _text(reply) == _expected(marked, 16)
+    assert text_of(reply) == _expected(marked, 16)
 
 
 def test_cache_of_an_ended_program_is_freed() -> None:
@@ -185,20 +163,12 @@
     program_id, owner = each.owned_program()
     assert each.client(owner).chat(program_id, 1, mark()).status == 200
 
-    def held() -> bool:
-        return any(_holds(each, engine, program_id) for engine in ENGINES)
-
-    wait_until(held, "a cached prefix")
+    wait_until(lambda: holders(each, program_id), "a cached prefix")
     each.fleet.instances_by_id[owner].process.kill()
     each.wait_taken_over(program_id, owner)
     client = each.client(*each.others(owner))
     assert persist(lambda: client.end(program_id)).status == 200
-    wait_until(lambda: not held(), "the cache freed", 30.0)
-
-
-def _holds(each: World, engine: str, program_id: str) -> bool:
-    address = each.fleet.entries_by_id[engine]["address"]
-    return program_id in call("GET", address, "/v1/cache")[1].decode()
+    wait_until(lambda: not holders(each, program_id), "the cache freed", 30.0)
 
 
 def test_hung_tool_ends_at_its_deadline() -> None:
@@ -222,6 +192,31 @@
     assert client.tool(program_id, 2, REGISTER, {"m": mark()}).status == 200
 
 
+def test_order_under_an_old_fencing_number_is_refused() -> None:
+    """An engine that has seen a newer owner's order takes none, at whichever instance it enters.
+
+    The conflict is told as one, with what is certain: the order was not carried out.
+    """
+    each = world()
+    scope = shard_of("engine-1", each.fleet.options.shards)
+    marked = mark()
+    newer = {"kind": "set-version", "name": marked, "fencing": f"{scope}:{NEWER_FENCING}"}
+    engine = each.fleet.entries_by_id["engine-1"]["address"]
+    order = {"upstream": "engine-1", "kind": "set-version", "name": marked}
+    operators = [handle.operator for handle in each.fleet.instances_by_id.values()]
+    try:
+        assert call("POST", operators[0], "/v1/orders", order)[0] == 200
+        assert call("POST", engine, "/v1/orders", newer)[0] == 200
+        for operator in operators:
+            status, body = call("POST", operator, "/v1/orders", order)
+            problem = json.loads(body)
+            assert (status, problem["kind"], problem["ran"]) == (409, "version-conflict", "no")
+        states = [seen["state"] for seen in each.seen("engine-1", marked)]
+        assert states == ["answered"] * 2 + ["failed"] * len(operators)
+    finally:
+        each.fleet.upstreams_by_id["engine-1"].kill()
+
+
 def test_no_upstream_saw_a_key() -> None:
     """No request that any upstream saw, here or in earlier tests, carries a caller's key."""
     each = world()
--- a/tests/fuzz/_strategies.py
+++ b/tests/fuzz/_strategies.py
@@ -1,5 +1,7 @@
 """Requests that range from nearly right to nonsense."""
 
+import json
+
 from hypothesis import strategies as st
 
 _TEXT = st.text(st.characters(codec="latin-1", exclude_characters="\r\n\0"), max_size=40)
@@ -62,11 +64,28 @@
     return headers
 
 
+_ORDER_FIELDS = {
+    "upstream": ["engine-1", "tool-1", "none", "", "prg-1.2", 7, None],
+    "kind": ["load-model", "load-adapter", "set-version", "set-role", "dance", "", 7],
+    "name": ["small-2", "", "x" * 5_000, "\ud800", 7, None],
+    "fencing": ["1:1"],
+}
+
+
+def orders() -> st.SearchStrategy[bytes]:
+    """Return bodies of orders: right, lacking a field or with one too many, or nonsense."""
+    values = {name: st.sampled_from(given) for name, given in _ORDER_FIELDS.items()}
+    names = ("upstream", "kind", "name")
+    right = st.fixed_dictionaries({name: values[name] for name in names})
+    odd = st.fixed_dictionaries({}, optional=values)
+    return (right | odd | _JSON).map(lambda body: json.dumps(body).encode()) | st.binary(
+        max_size=40
+    )
+
+
 @st.composite
 def requests(draw: st.DrawFn, key: str) -> bytes:
     """Draw the bytes of a request; some are cut or have a few bytes changed."""
-    import json
-
     body = draw(st.binary(max_size=60) | _JSON.map(lambda v: json.dumps(v).encode()))
     headers = draw(_headers(key))
     length = draw(st.sampled_from([str(len(body))] * 6 + ["-1", "x", str(len(body) + 5)]))
--- a/tests/fuzz/test_border.py
+++ b/tests/fuzz/test_border.py
@@ -1,7 +1,10 @@
 """Malformed requests to the callers' and the operators' port of a running instance."""
 
 import errno
+import http.client
+import json
 import socket
+from contextlib import closing
 
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
@@ -9,7 +12,7 @@
 from standins.fleet import call, is_ready, wait_until
 from tests._suite import load_functions
 from tests.failure._world import world
-from tests.fuzz._strategies import requests
+from tests.fuzz._strategies import orders, requests
 
 ANSWER_TIMEOUT_S = 5.0
 _SETTINGS = settings(
@@ -18,6 +21,7 @@
     deadline=None,
     suppress_health_check=[HealthCheck.too_slow, HealthCheck.filter_too_much],
 )
+_ORDER_STATUSES = {200, 400, 404}
 _KNOWN_STATUSES = {*range(200, 206), *range(400, 500), 503, 504}
 
 
@@ -83,6 +87,27 @@
     _check_unharmed(handle.operator, handle.process.output())
 
 
+def test_orders() -> None:
+    """Every order is carried out or refused, and whichever it was is said."""
+    each = world()
+    handle = each.fleet.instances_by_id["i2"]
+
+    @_SETTINGS
+    @given(orders())
+    def run(body: bytes) -> None:
+        connection = http.client.HTTPConnection(handle.operator, timeout=ANSWER_TIMEOUT_S)
+        with closing(connection):
+            connection.request("POST", "/v1/orders", body)
+            response = connection.getresponse()
+            status, answer = response.status, response.read()
+        told = json.loads(answer)
+        assert status in _ORDER_STATUSES, (body, answer)
+        assert status == 200 or told["ran"] == "no", (body, answer)
+
+    run()
+    _check_unharmed(handle.operator, handle.process.output())
+
+
 def test_peer_port() -> None:
     """Bytes that are no peer message are dropped, and the instance goes on."""
     each = world()
--- a/tests/node/test_peers.py
+++ b/tests/node/test_peers.py
@@ -41,6 +41,11 @@
     parts: int
 
 
+@peer_message
+class _Tear(PeerMessage, tag="test-tear"):
+    """Asks for a stream without its second part."""
+
+
 @dataclass
 class _Peer:
     poured: int = 0
@@ -65,6 +70,13 @@
     call.reply(StreamEnd(size=call.offset))
 
 
+@handles(_Tear)
+async def _tear(peer: _Peer, call: InboundCall, message: _Tear) -> None:
+    call.reply(StreamPart(offset=0, data=PART))
+    call.reply(StreamPart(offset=2 * len(PART), data=PART))
+    call.reply(StreamEnd(size=3 * len(PART)))
+
+
 def _with_buses(check: Callable[[PeerBus, PeerBus, _Peer], Awaitable[None]]) -> None:
     """Run two buses, `one` and `two`, that know each other; `_Peer` is the context of `two`."""
 
@@ -208,6 +220,22 @@
     _with_buses(check)
 
 
+def test_stream_that_lost_a_part_is_given_up() -> None:
+    """What comes after a lost part is not taken for what comes next."""
+
+    async def check(one: PeerBus, two: PeerBus, peer: _Peer) -> None:
+        async with one.stream("two", _Tear()) as stream:
+            assert (await stream.receive()).data == PART
+            try:
+                await stream.receive()
+            except PeerLostError as error:
+                assert "is missing" in str(error)
+            else:
+                raise AssertionError("a part was skipped")
+
+    _with_buses(check)
+
+
 def test_probes_that_arrive_together_prove_nothing() -> None:
     """An instance that was held up takes its late answers for late, not for lost."""
     watch = AnswerWatch()
--- a/tests/ownership/_fleet.py
+++ b/tests/ownership/_fleet.py
@@ -109,6 +109,7 @@
         *,
         data_dir: Path | None = None,
         instance_list: InstanceList | None = None,
+        on_expired: Callable[[ProgramId, OpenShard], None] = lambda program_id, shard: None,
         **store_options: float,
     ) -> Instance:
         """Start an instance; `store_options` are those of its way to the stand-in."""
@@ -134,6 +135,7 @@
             bus=bus,
             data_dir=data_dir,
             instance_list=instance_list,
+            on_expired=on_expired,
         )
         node.ownership = Ownership(context)
         instance = Instance(node.ownership, store)
@@ -190,10 +192,10 @@
             await trio.sleep(0.01)
 
 
-async def create_program(shard: OpenShard, program_id: str) -> None:
+async def create_program(shard: OpenShard, program_id: str, limits: Limits = LIMITS) -> None:
     """Create a program of the account `acme`."""
     request = CreateRequest(
-        program_id=ProgramId(program_id), account_id="acme", profile="field", limits=LIMITS
+        program_id=ProgramId(program_id), account_id="acme", profile="field", limits=limits
     )
     records = shard.state.decide_create(request, 0.0).unwrap()
     (await shard.commit(records)).unwrap()
--- a/tests/ownership/test_takeover.py
+++ b/tests/ownership/test_takeover.py
@@ -1,6 +1,8 @@
 """Tests of ownership under crashes, partitions, planned stops and lost answers."""
 
+import math
 from dataclasses import replace
+from unittest import mock
 
 import msgspec
 import trio
@@ -15,9 +17,11 @@
     StoreErrorKind,
 )
 from lagoonfold.records import Outcome, Replay, match_replay
+from lagoonfold_node._ownership import OpenShard, _shard_keeper
 from lagoonfold_node._ownership._context import ALLOCATOR_KEY
 from tests._suite import load_functions
 from tests.ownership._fleet import (
+    LIMITS,
     SETTINGS,
     Fleet,
     answered,
@@ -303,4 +307,26 @@
     run_with_fleet(check)
 
 
+def test_program_that_expires_under_a_new_owner_is_let_go() -> None:
+    """The new owner is told of a program's end by time, and that it knows it by inheritance."""
+
+    async def check(fleet: Fleet) -> None:
+        expired = []
+
+        def note(program_id: ProgramId, shard: OpenShard) -> None:
+            expired.append((program_id, shard.was_inherited(program_id)))
+
+        with mock.patch.object(_shard_keeper, "_EXPIRY_INTERVAL_S", math.inf):
+            first = await fleet.start(1)
+            _, shard = await fleet.open_shard([first], PROGRAM)
+        await create_program(shard, PROGRAM, msgspec.structs.replace(LIMITS, wall_s=1.0))
+        first.scope.cancel()
+        with mock.patch.object(_shard_keeper, "_EXPIRY_INTERVAL_S", 0.05):
+            await fleet.start(2, on_expired=note)
+            await wait_until(lambda: bool(expired))
+        assert expired == [(PROGRAM, True)]
+
+    run_with_fleet(check)
+
+
 load_tests = load_functions(globals())
