--- a/tests/failure/test_ownership.py
+++ b/tests/failure/test_ownership.py
@@ -4,6 +4,7 @@
 import json
 import time
 
+from lagoonfold.config import digest_of
 from standins.client import Reply
 from standins.fleet import FleetError, call, is_ready, wait_until
 from tests._suite import load_functions
@@ -317,8 +318,6 @@
 
 
 def _is_digest_of(shown: dict, key: str) -> bool:
-    from lagoonfold.config import digest_of
-
     return shown.get("digest") == digest_of(key)
 
 
--- a/tests/ownership/test_journal_writer.py
+++ b/tests/ownership/test_journal_writer.py
@@ -28,8 +28,6 @@
 )
 from tests.platform._kv import KvFixture, run_with_kv
 
-PATIENT_CALL_S = 20.0
-
 PROGRAM = "prg-1"
 MAX_TURNS = 100
 RECORDS = (Fenced(1, "entry-1/run-1", ()),)
@@ -73,7 +71,7 @@
             async with trio.open_nursery() as nursery:
                 for index in range(len(items)):
                     nursery.start_soon(take, index)
-                await trio.testing.wait_all_tasks_blocked()
+                    await trio.testing.wait_all_tasks_blocked()
                 running.start_soon(self.writer.run)
             running.cancel_scope.cancel()
         return results
@@ -125,7 +123,7 @@
             (_entries(*[10] * (2 * MAX_CREATES_PER_CALL + 1)), 3),
             (_entries(MAX_SHARED_BYTES + 1, MAX_SHARED_BYTES // 2, MAX_SHARED_BYTES // 2), 2),
         ):
-            journals = _Journals(kv.connect(call_timeout_s=PATIENT_CALL_S))
+            journals = _Journals(kv.connect())
             assert all(isinstance(result, Ok) for result in await journals.create(entries))
             refused = journals.metrics.counted("store_errors", "refused")
             made = dict(journals.store.counts_by_operation)
