--- a/packages/lagoonfold-io/src/lagoonfold_io/_http_exchange.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_exchange.py
@@ -89,28 +89,40 @@
             if not self._unsent:
                 return
             with trio.fail_after(self._limits.write_timeout_s):
-                while self._unsent:
-                    await trio.lowlevel.wait_writable(self._stream.socket)
-                    self._write_unsent()
+                await self._write_rest()
         except (trio.TooSlowError, *BREAKS) as error:
             raise ClientGoneError from error
 
+    async def _write_rest(self) -> None:
+        """Write what is unsent without copying it each time; a cancelled write keeps the rest."""
+        left = memoryview(self._unsent)
+        try:
+            while left:
+                await trio.lowlevel.wait_writable(self._stream.socket)
+                left = left[self._write_now(left) :]
+        finally:
+            self._unsent = bytes(left)
+
     async def finish(self) -> None:
         """End a streamed response."""
         await self._write(self._protocol.send(h11.EndOfMessage()))
         self.finished = True
 
     def _write_unsent(self) -> None:
-        """Write what the socket takes without a wait."""
+        """Write what the socket takes of the unsent bytes without a wait."""
+        self._unsent = self._unsent[self._write_now(self._unsent) :]
+
+    def _write_now(self, data: bytes | memoryview) -> int:
+        """Write what the socket takes without a wait; return the number of bytes taken."""
         fileno = self._stream.socket.fileno()
         if fileno < 0:
             raise trio.ClosedResourceError
-        if not self._unsent:
-            return
+        if not data:
+            return 0
         try:
-            self._unsent = self._unsent[os.write(fileno, self._unsent) :]
+            return os.write(fileno, data)
         except BlockingIOError:
-            return
+            return 0
 
     def abort(self) -> None:
         """Give a streamed response up: its connection is closed without the response's end."""
