Part the dispatcher's candidates and ends from its queue

No change of behaviour; tests.scheduling, tests.node.test_path and tests.failure.test_upstreams: 55 passed.

--- /dev/null
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_candidates.py
@@ -0,0 +1,43 @@
+"""Which upstreams may get a call: those that serve it, are well, and may run its content."""
+
+from lagoonfold_node._dispatch._paces import ReplicaPaces
+from lagoonfold_node._dispatch._poison import PoisonNotices
+from lagoonfold_node._dispatch._requests import PlacementRequest
+from lagoonfold_node._dispatch._table import UpstreamState, UpstreamTable
+
+
+class Candidates:
+    """Finds the upstreams among which the chooser chooses."""
+
+    def __init__(self, table: UpstreamTable, poison: PoisonNotices, paces: ReplicaPaces) -> None:
+        self._table = table
+        self._poison = poison
+        self._paces = paces
+
+    def find(self, request: PlacementRequest, now_s: float) -> list[UpstreamState]:
+        """Return the upstreams that may get a call now.
+
+        Those that the call avoids, and those that are put aside as slow, stand back while there is
+        another.
+        """
+        serving = self._table.serving(request.target, is_model=request.is_model)
+        up = [state for state in serving if state.breaker.allows(now_s=now_s)]
+        fresh = [state for state in up if state.load.upstream_id not in request.avoid] or up
+        states_by_id = {
+            state.load.upstream_id: state for state in self._paced(request, fresh, now_s)
+        }
+        allowed = self._poison.registry.allowed_upstreams(
+            request.content_digest, states_by_id, now_s=now_s
+        )
+        return [state for upstream_id, state in states_by_id.items() if upstream_id in allowed]
+
+    def _paced(
+        self, request: PlacementRequest, states: list[UpstreamState], now_s: float
+    ) -> list[UpstreamState]:
+        """Return the upstreams that are not put aside as slow, or all if all are."""
+        paced = [
+            state
+            for state in states
+            if self._paces.allows(request, state.load.upstream_id, now_s=now_s)
+        ]
+        return paced or states
--- a/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_dispatcher.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_dispatcher.py
@@ -1,4 +1,4 @@
-"""Places calls on upstreams: admission, the queue, the choice, and what is learnt from each end."""
+"""Places calls on upstreams: admission, the queue and the choice."""
 
 import random
 from collections.abc import AsyncIterator
@@ -13,17 +13,18 @@
     PlacementInput,
     QueuedCall,
     priority_of,
-    service_s,
 )
 from lagoonfold.settings import SchedulingSettings
 from lagoonfold_node._dispatch._caches import CacheFreer
+from lagoonfold_node._dispatch._candidates import Candidates
+from lagoonfold_node._dispatch._ends import CallEnds
 from lagoonfold_node._dispatch._lane import Lane, Waiter
 from lagoonfold_node._dispatch._paces import STEP_S, ReplicaPaces, Tell
 from lagoonfold_node._dispatch._poison import PoisonNotices
 from lagoonfold_node._dispatch._refusals import no_upstream, poisonous
 from lagoonfold_node._dispatch._requests import Outcome, Placement, PlacementRequest
 from lagoonfold_node._dispatch._retries import Retries
-from lagoonfold_node._dispatch._table import UpstreamState, UpstreamTable
+from lagoonfold_node._dispatch._table import UpstreamTable
 from lagoonfold_node._metrics import Metrics
 
 TICK_S = 0.05
@@ -49,6 +50,8 @@
         self.caches = caches
         self.retries = Retries(metrics, rng)
         self.paces = ReplicaPaces(table.observer, table, self.retries, metrics, tell)
+        self._candidates = Candidates(table, poison, self.paces)
+        self._ends = CallEnds(table, poison, self.paces, metrics)
         self._metrics = metrics
         self._rng = rng
         self._policies = policies
@@ -96,7 +99,9 @@
         try:
             yield Ok(placement)
         finally:
-            self._note_end(request, lane, state, placement, trio.current_time() - started_s)
+            duration_s = trio.current_time() - started_s
+            self._ends.note_end(request, lane, state, placement, duration_s)
+            self._pump_lane(lane, trio.current_time())
         if placement.outcome is Outcome.WENT_DOWN:
             await self.poison.keep(request.content_digest)
 
@@ -148,13 +153,8 @@
     def _take_back(self, lane: Lane, call: QueuedCall, waiter: Waiter) -> None:
         """Withdraw a call whose caller went away while it waited."""
         lane.queue.remove(call.call_id)
-        if waiter.state is None:
-            return
-        waiter.state.load.note_ended(now_s=trio.current_time())
-        if waiter.placement is not None:
-            self.paces.end(waiter.request, waiter.placement, is_finished=False)
-        waiter.state.breaker.note_given_up()
-        self._end_digest(waiter.request, waiter.state, is_finished=False)
+        if waiter.state is not None:
+            self._ends.note_withdrawn(waiter.request, waiter.state, waiter.placement)
 
     def _pump_lane(self, lane: Lane, now_s: float) -> None:
         lane.queue.expire(now_s=now_s)
@@ -171,7 +171,7 @@
             cached_by_upstream=self.table.prefixes.tokens_by_upstream(request.program_id),
             call_s=lane.call_s.mean_s,
         )
-        loads = [state.load for state in self._candidates(request, now_s)]
+        loads = [state.load for state in self._candidates.find(request, now_s)]
         chosen = lane.chooser.choose(wanted, loads, self._rng)
         if chosen is None:
             return False
@@ -190,83 +190,3 @@
         self.paces.start(request, waiter.placement, now_s=now_s)
         waiter.placed.set()
         return True
-
-    def _candidates(self, request: PlacementRequest, now_s: float) -> list[UpstreamState]:
-        serving = self.table.serving(request.target, is_model=request.is_model)
-        up = [state for state in serving if state.breaker.allows(now_s=now_s)]
-        fresh = [state for state in up if state.load.upstream_id not in request.avoid] or up
-        states_by_id = {
-            state.load.upstream_id: state for state in self._paced(request, fresh, now_s)
-        }
-        allowed = self.poison.registry.allowed_upstreams(
-            request.content_digest, states_by_id, now_s=now_s
-        )
-        return [state for upstream_id, state in states_by_id.items() if upstream_id in allowed]
-
-    def _paced(
-        self, request: PlacementRequest, states: list[UpstreamState], now_s: float
-    ) -> list[UpstreamState]:
-        """Return the upstreams that are not put aside as slow, or all if all are."""
-        paced = [
-            state
-            for state in states
-            if self.paces.allows(request, state.load.upstream_id, now_s=now_s)
-        ]
-        return paced or states
-
-    def _note_end(
-        self,
-        request: PlacementRequest,
-        lane: Lane,
-        state: UpstreamState,
-        placement: Placement,
-        duration_s: float,
-    ) -> None:
-        now_s = trio.current_time()
-        outcome = placement.outcome
-        lane.running -= 1
-        state.load.note_ended(now_s=now_s)
-        self.paces.end(request, placement, is_finished=outcome is Outcome.FINISHED)
-        if outcome in (Outcome.WENT_DOWN, Outcome.BROKE_OFF):
-            self.poison.blame(
-                request.content_digest,
-                placement.upstream_id,
-                is_confirmed=outcome is Outcome.WENT_DOWN,
-            )
-        self._end_digest(request, state, is_finished=outcome is Outcome.FINISHED)
-        if outcome is Outcome.FINISHED:
-            state.breaker.note_success()
-            lane.ends.add(now_s=now_s)
-            lane.call_s.note(duration_s)
-            self._charge(request, lane, placement)
-        elif outcome is Outcome.GIVEN_UP:
-            state.breaker.note_given_up()
-        else:
-            state.breaker.note_failure(now_s=now_s)
-        self._metrics.count("placements", outcome.value)
-        self._pump_lane(lane, now_s)
-
-    def _charge(self, request: PlacementRequest, lane: Lane, placement: Placement) -> None:
-        usage = placement.usage
-        used_s = service_s(
-            prompt_tokens=usage.prompt_tokens,
-            cached_tokens=usage.cached_tokens,
-            completion_tokens=usage.completion_tokens,
-        )
-        lane.queue.note_service(request.account_id, used_s, weight=request.weight)
-        if request.is_model:
-            tokens = usage.prompt_tokens + usage.completion_tokens
-            self.table.prefixes.note_ran(request.program_id, placement.upstream_id, tokens)
-            recomputed = usage.prompt_tokens - usage.cached_tokens
-            self._metrics.count("prefill_tokens", "computed", recomputed)
-            self._metrics.count("prefill_tokens", "cached", usage.cached_tokens)
-
-    def _end_digest(
-        self, request: PlacementRequest, state: UpstreamState, *, is_finished: bool
-    ) -> None:
-        self.poison.registry.note_ended(
-            request.content_digest,
-            state.load.upstream_id,
-            now_s=trio.current_time(),
-            is_finished=is_finished,
-        )
--- /dev/null
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_ends.py
@@ -0,0 +1,90 @@
+"""What is learnt from the end of a call: load, pace, breaker, poison, and the account's share."""
+
+import trio
+
+from lagoonfold.scheduling import service_s
+from lagoonfold_node._dispatch._lane import Lane
+from lagoonfold_node._dispatch._paces import ReplicaPaces
+from lagoonfold_node._dispatch._poison import PoisonNotices
+from lagoonfold_node._dispatch._requests import Outcome, Placement, PlacementRequest
+from lagoonfold_node._dispatch._table import UpstreamState, UpstreamTable
+from lagoonfold_node._metrics import Metrics
+
+
+class CallEnds:
+    """Notes the ends of calls where later choices look for them."""
+
+    def __init__(
+        self, table: UpstreamTable, poison: PoisonNotices, paces: ReplicaPaces, metrics: Metrics
+    ) -> None:
+        self._table = table
+        self._poison = poison
+        self._paces = paces
+        self._metrics = metrics
+
+    def note_end(
+        self,
+        request: PlacementRequest,
+        lane: Lane,
+        state: UpstreamState,
+        placement: Placement,
+        duration_s: float,
+    ) -> None:
+        """Take note of how a placed call ended after so many seconds."""
+        now_s = trio.current_time()
+        outcome = placement.outcome
+        lane.running -= 1
+        state.load.note_ended(now_s=now_s)
+        self._paces.end(request, placement, is_finished=outcome is Outcome.FINISHED)
+        if outcome in (Outcome.WENT_DOWN, Outcome.BROKE_OFF):
+            self._poison.blame(
+                request.content_digest,
+                placement.upstream_id,
+                is_confirmed=outcome is Outcome.WENT_DOWN,
+            )
+        self._end_digest(request, state, is_finished=outcome is Outcome.FINISHED)
+        if outcome is Outcome.FINISHED:
+            state.breaker.note_success()
+            lane.ends.add(now_s=now_s)
+            lane.call_s.note(duration_s)
+            self._charge(request, lane, placement)
+        elif outcome is Outcome.GIVEN_UP:
+            state.breaker.note_given_up()
+        else:
+            state.breaker.note_failure(now_s=now_s)
+        self._metrics.count("placements", outcome.value)
+
+    def _charge(self, request: PlacementRequest, lane: Lane, placement: Placement) -> None:
+        usage = placement.usage
+        used_s = service_s(
+            prompt_tokens=usage.prompt_tokens,
+            cached_tokens=usage.cached_tokens,
+            completion_tokens=usage.completion_tokens,
+        )
+        lane.queue.note_service(request.account_id, used_s, weight=request.weight)
+        if request.is_model:
+            tokens = usage.prompt_tokens + usage.completion_tokens
+            self._table.prefixes.note_ran(request.program_id, placement.upstream_id, tokens)
+            recomputed = usage.prompt_tokens - usage.cached_tokens
+            self._metrics.count("prefill_tokens", "computed", recomputed)
+            self._metrics.count("prefill_tokens", "cached", usage.cached_tokens)
+
+    def note_withdrawn(
+        self, request: PlacementRequest, state: UpstreamState, placement: Placement | None
+    ) -> None:
+        """Take note that a caller went away before its placed call began."""
+        state.load.note_ended(now_s=trio.current_time())
+        if placement is not None:
+            self._paces.end(request, placement, is_finished=False)
+        state.breaker.note_given_up()
+        self._end_digest(request, state, is_finished=False)
+
+    def _end_digest(
+        self, request: PlacementRequest, state: UpstreamState, *, is_finished: bool
+    ) -> None:
+        self._poison.registry.note_ended(
+            request.content_digest,
+            state.load.upstream_id,
+            now_s=trio.current_time(),
+            is_finished=is_finished,
+        )
