Take ports for stand-ins below those of outgoing connections

Found by reading: a fleet's ports came from the range of outgoing connections, so while an instance was down another process could take its port, and its successor ended at its start. Ports are now chosen below that range, none twice. An answer that is not HTTP counts as not ready.

--- a/bench/_kv_process.py
+++ b/bench/_kv_process.py
@@ -1,6 +1,5 @@
 """A key-value stand-in as a process of its own, for a bench."""
 
-import socket
 import subprocess
 import sys
 from collections.abc import AsyncIterator
@@ -11,17 +10,11 @@
 from result import Ok
 
 from lagoonfold_io import EtcdStore, HttpClient, HttpRequest
+from standins._ports import free_port
 
 _START_LIMIT_S = 10.0
 
 
-def free_port() -> int:
-    """Return a port that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 @asynccontextmanager
 async def start_kv(*, delay_s: float = 0.0) -> AsyncIterator[str]:
     """Run a stand-in whose every answer takes `delay_s` longer; yield its address."""
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -7,9 +7,9 @@
 Every process is a child of this one and is ended by its process id when the fleet closes.
 """
 
+import http.client
 import json
 import shutil
-import socket
 import subprocess
 import sys
 import tempfile
@@ -19,6 +19,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from standins._ports import free_port
 from standins._process import Process
 
 START_TIMEOUT_S = 60.0
@@ -33,13 +34,6 @@
     """A fleet did not reach a state in time, or a command failed."""
 
 
-def free_port() -> int:
-    """Return a loopback port that is free at this moment."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 def call(
     method: str, address: str, path: str, body: object = None, timeout_s: float = 10.0
 ) -> tuple[int, bytes]:
@@ -66,7 +60,7 @@
     """Tell whether a process answers 200 on a path."""
     try:
         return call("GET", address, path, timeout_s=1.0)[0] == 200
-    except OSError:
+    except (OSError, http.client.HTTPException):
         return False
 
 
--- a/tests/ctl/test_ctl.py
+++ b/tests/ctl/test_ctl.py
@@ -10,8 +10,9 @@
 from pathlib import Path
 
 from lagoonfold.membership import Member, encode_member
+from standins._ports import free_port
 from standins._process import Process
-from standins.fleet import call, free_port, is_ready, wait_until
+from standins.fleet import call, is_ready, wait_until
 from tests._run import ROOT
 from tests._suite import load_functions
 
--- a/tests/node/test_config_controller.py
+++ b/tests/node/test_config_controller.py
@@ -13,7 +13,7 @@
 from lagoonfold_node._config_controller import ConfigController
 from lagoonfold_node._metrics import Metrics
 from lagoonfold_node._peers import PeerBus
-from standins.fleet import free_port
+from standins._ports import free_port
 from tests._suite import load_functions
 from tests.config._memory_store import MemoryStore
 
