--- a/packages/lagoonfold-io/src/lagoonfold_io/_call_rate.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_call_rate.py
@@ -24,8 +24,7 @@
 
     async def admit(self, operation: str, *, urgent: bool = False) -> bool:
         """Wait for a call's turn; return False at once if the wait would be too long."""
-        self._fill(trio.current_time())
-        wait_s = max(0.0, (1.0 - self._level) / self._calls_per_s)
+        wait_s = self.wait_s()
         if not urgent and wait_s > self._max_wait_s:
             self.counts_by_operation["throttled"] += 1
             return False
@@ -35,6 +34,11 @@
             await trio.sleep(wait_s)
         return True
 
+    def wait_s(self) -> float:
+        """Return how long a call that is admitted now would have to wait, in seconds."""
+        self._fill(trio.current_time())
+        return max(0.0, (1.0 - self._level) / self._calls_per_s)
+
     def _fill(self, now_s: float) -> None:
         last_s = now_s if self._filled_at_s is None else self._filled_at_s
         self._level = min(self._burst, self._level + (now_s - last_s) * self._calls_per_s)
--- a/packages/lagoonfold-io/src/lagoonfold_io/_etcd_store.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_etcd_store.py
@@ -16,6 +16,7 @@
 from typing import TypeVar
 
 import msgspec
+import trio
 from result import Err, Ok, Result
 
 from lagoonfold import (
@@ -140,6 +141,10 @@
         step = {"request_put": put}
         return await self._write_if(key, expected_revision, step, urgent=lease_id != NO_LEASE)
 
+    async def wait_for_room(self) -> None:
+        """Wait until a call would not have to wait for the rate of calls; it is not reserved."""
+        await trio.sleep(self._rate.wait_s())
+
     async def create_absent(
         self, entries: tuple[NewEntry, ...]
     ) -> Result[frozenset[str], StoreError]:
--- a/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_domain_carrier.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_domain_carrier.py
@@ -51,6 +51,9 @@
         self._own = own
         self._avoided_until_s_by_id: dict[InstanceId, float] = {}
 
+    async def wait_for_room(self) -> None:
+        """Wait for nothing: the committer, or the own carrier's writer, gathers entries."""
+
     async def carry(self, entries: tuple[NewEntry, ...]) -> tuple[Created, ...]:
         """Create entries through the committer; large ones, and all without one, from here."""
         committer = self._committer()
--- a/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_journal_writer.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_journal_writer.py
@@ -25,6 +25,9 @@
 class Carrier(Protocol):
     """A way to the key-value service."""
 
+    async def wait_for_room(self) -> None:
+        """Wait until entries would not have to wait for the rate of calls."""
+
     async def carry(self, entries: tuple[NewEntry, ...]) -> tuple[Created, ...]:
         """Create each entry whose key is absent; return an answer to each, in their order.
 
@@ -42,7 +45,10 @@
 
 
 class JournalWriter:
-    """Gives entries to a carrier, at once if it gave it none within `interval_s`."""
+    """Gives entries to a carrier, at once if it gave it none within `interval_s`.
+
+    While the rate of calls is used up, entries gather here instead of behind one another in calls.
+    """
 
     def __init__(self, carrier: Carrier, interval_s: float) -> None:
         self._carrier = carrier
@@ -77,6 +83,7 @@
             while True:
                 await self._wake.wait()
                 await self.wait_turn()
+                await self._carrier.wait_for_room()
                 self._wake = trio.Event()
                 self._due_at_s = trio.current_time() + self._interval_s
                 pending, self._pending = self._pending, []
--- a/packages/lagoonfold/src/lagoonfold/_ports.py
+++ b/packages/lagoonfold/src/lagoonfold/_ports.py
@@ -103,6 +103,9 @@
     ) -> Result[int, StoreError]:
         """Write if the key's revision is the expected one; return the new revision."""
 
+    async def wait_for_room(self) -> None:
+        """Wait until a call would not have to wait for the rate of calls; it is not reserved."""
+
     async def create_absent(
         self, entries: tuple[NewEntry, ...]
     ) -> Result[frozenset[str], StoreError]:
--- a/tests/ownership/test_journal_writer.py
+++ b/tests/ownership/test_journal_writer.py
@@ -9,6 +9,7 @@
 
 from lagoonfold import MAX_CREATES_PER_CALL, InstanceId, NewEntry, ShardId, StoreErrorKind
 from lagoonfold.records import Fenced, journal_key, journal_prefix
+from lagoonfold_io import CallRate
 from lagoonfold_node._board import Board
 from lagoonfold_node._metrics import Metrics
 from lagoonfold_node._ownership import OwnershipContext
@@ -29,6 +30,7 @@
 from tests.platform._kv import KvFixture, run_with_kv
 
 PROGRAM = "prg-1"
+CALLS_PER_S = 10.0
 MAX_TURNS = 100
 RECORDS = (Fenced(1, "entry-1/run-1", ()),)
 
@@ -157,6 +159,9 @@
     def __init__(self) -> None:
         self.counts_by_time_s: dict[float, int] = {}
 
+    async def wait_for_room(self) -> None:
+        """Wait for nothing."""
+
     async def create_absent(self, entries: tuple[NewEntry, ...]) -> Result[frozenset[str], None]:
         """Note a call of many entries."""
         self.counts_by_time_s[trio.current_time()] = len(entries)
@@ -224,4 +229,47 @@
     run_with_fleet(check)
 
 
+class _RatedStore:
+    """A store whose calls wait for their turn at a rate."""
+
+    def __init__(self) -> None:
+        self._rate = CallRate(CALLS_PER_S)
+        self.wait_for_room = lambda: trio.sleep(self._rate.wait_s())
+
+    async def create_absent(self, entries: tuple[NewEntry, ...]) -> Result[frozenset[str], None]:
+        """Make a call of many entries."""
+        assert await self._rate.admit("txn"), "the rate of calls is used up"
+        return Ok(frozenset(entry.key for entry in entries))
+
+    async def put_if(self, key: str, value: bytes, *, expected_revision: int) -> Result[int, None]:
+        """Make a call of one entry."""
+        assert await self._rate.admit("txn"), "the rate of calls is used up"
+        return Ok(1)
+
+
+def test_entries_beyond_the_rate_of_calls_share_them() -> None:
+    """Five entries for each call that the rate allows wait for two calls at most, for ever."""
+
+    async def check() -> None:
+        writer = _Journals(_RatedStore(), interval_s=0.005).writer
+        waits_s: list[float] = []
+
+        async def create(entry: NewEntry) -> None:
+            asked_at_s = trio.current_time()
+            (await writer.create(entry)).unwrap()
+            waits_s.append(trio.current_time() - asked_at_s)
+
+        async with trio.open_nursery() as running:
+            running.start_soon(writer.run)
+            async with trio.open_nursery() as nursery:
+                for entry in _entries(*[10] * 200):
+                    nursery.start_soon(create, entry)
+                    await trio.sleep(1 / CALLS_PER_S / 5)
+            running.cancel_scope.cancel()
+        assert len(waits_s) == 200
+        assert max(waits_s) <= 2 / CALLS_PER_S + 0.005, max(waits_s)
+
+    trio.run(check, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
 load_tests = load_functions(globals())
