Let the allocator read the table through the table's keeper

The allocator had its own conditional read and decoding of the ownership table beside TableKeeper.verify, which does the same and puts the table on the board. It now calls that and places by the board's table; the write still fails where a newer one is there. An unreadable table is logged by the keeper alone. The registrations that are known are kept over elections, since what has changed is told by their revision.

--- a/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_allocator.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_allocator.py
@@ -10,13 +10,11 @@
 from msgspec.structs import replace
 from result import Err, Ok, Result
 
-from lagoonfold import ABSENT_REVISION, StoreError, StoreErrorKind, new_id
+from lagoonfold import ABSENT_REVISION, StoreError, new_id
 from lagoonfold.membership import (
-    NO_TABLE,
     Member,
     OwnershipTable,
     TableView,
-    decode_table,
     encode_table,
     next_table,
     place_shards,
@@ -28,6 +26,7 @@
     OwnershipContext,
 )
 from lagoonfold_node._ownership._registrations import Registrations
+from lagoonfold_node._ownership._table_keeper import TableKeeper
 
 _MAX_SETTLE_S = 1.0
 _BALANCE_INTERVAL_S = 1.0
@@ -50,8 +49,9 @@
     that lost their leases in the same outage can register again.
     """
 
-    def __init__(self, context: OwnershipContext) -> None:
+    def __init__(self, context: OwnershipContext, table_keeper: TableKeeper) -> None:
         self._context = context
+        self._table_keeper = table_keeper
         self._members_changed = trio.Event()
         self._leaving_ids: frozenset[str] = frozenset()
         self._registrations = Registrations(context.store)
@@ -85,7 +85,6 @@
         """Place shards until the key or the lease is lost."""
         self._context.log.info("allocator.elected", instance=self._context.instance_id)
         await trio.sleep(min(_MAX_SETTLE_S, self._context.settings.renew_s))
-        self._registrations = Registrations(self._context.store)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch_members)
             while self._context.has_lease() and await self._campaign():
@@ -107,16 +106,18 @@
 
     async def _place(self) -> bool:
         """Write a new table if the placement changes; return whether it did or may have."""
-        placed = await self._try_place()
+        await self._table_keeper.verify()
+        view = self._context.table_view()
+        if view is None:
+            return True
+        placed = await self._try_place(view)
         if isinstance(placed, Err):
             self._context.count_store_error(placed.err_value)
             return True
         return placed.ok_value
 
-    async def _try_place(self) -> Result[bool, StoreError]:
-        table = await self._read_table()
-        if isinstance(table, Err):
-            return table
+    async def _try_place(self, view: TableView) -> Result[bool, StoreError]:
+        """Place by the board's table; the write fails if a newer one is there."""
         registered = await self._registrations.read()
         if isinstance(registered, Err):
             return registered
@@ -124,38 +125,15 @@
             replace(member, leaving=member.leaving or member.instance_id in self._leaving_ids)
             for member in registered.ok_value
         )
-        placement = _Placement(members=members, revision=table.ok_value.revision)
+        placement = _Placement(members=members, revision=view.revision)
         if placement == self._settled:
             return Ok(False)
-        after = self._next(table.ok_value.table, members)
+        after = self._next(view.table, members)
         if after is None:
             self._settled = placement
             return Ok(False)
-        return await self._write(after, table.ok_value.revision)
-
-    async def _read_table(self) -> Result[TableView, StoreError]:
-        """Return the newest table, which travels only if the board's is older."""
-        asked_at_s = trio.current_time()
-        view = self._context.table_view()
-        known_revision = ABSENT_REVISION if view is None else view.revision
-        read = await self._context.store.get_if_changed(OWNERSHIP_KEY, known_revision)
-        if isinstance(read, Err):
-            return read
-        entry = read.ok_value
-        if entry is None:
-            return Ok(view or NO_TABLE)
-        table = decode_table(entry.value)
-        if isinstance(table, Err):
-            detail = table.err_value
-            self._context.log.error("ownership.unreadable", detail=detail)
-            return Err(StoreError(kind=StoreErrorKind.CONFLICT, detail=detail))
-        return Ok(
-            TableView(table=table.ok_value, revision=entry.revision, verified_at_s=asked_at_s)
-        )
-
-    async def _write(self, table: OwnershipTable, revision: int) -> Result[bool, StoreError]:
         written = await self._context.store.put_if(
-            OWNERSHIP_KEY, encode_table(table), expected_revision=revision
+            OWNERSHIP_KEY, encode_table(after), expected_revision=view.revision
         )
         if isinstance(written, Err):
             return written
--- a/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_ownership.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_ownership.py
@@ -75,7 +75,7 @@
         self.bulk_keeper = BulkKeeper(context, disks)
         self._lease_keeper = LeaseKeeper(context)
         self._table_keeper = TableKeeper(context)
-        self._allocator = Allocator(context)
+        self._allocator = Allocator(context, self._table_keeper)
         interval_s = context.settings.commit_interval_s
         self.journal_writer = JournalWriter(StoreCarrier(context), interval_s)
         self._shard_writer = self.journal_writer
--- a/packages/lagoonfold/src/lagoonfold/membership/__init__.py
+++ b/packages/lagoonfold/src/lagoonfold/membership/__init__.py
@@ -10,7 +10,6 @@
 from lagoonfold.membership._shards import child_program_id, shard_key, shard_of
 from lagoonfold.membership._table import (
     NO_OWNER,
-    NO_TABLE,
     Member,
     OwnershipTable,
     ShardOwner,
@@ -27,7 +26,6 @@
 __all__ = [
     "CLOCK_RATE_MARGIN",
     "NO_OWNER",
-    "NO_TABLE",
     "InstanceLease",
     "Member",
     "OwnershipTable",
--- a/packages/lagoonfold/src/lagoonfold/membership/_table.py
+++ b/packages/lagoonfold/src/lagoonfold/membership/_table.py
@@ -9,7 +9,6 @@
 import msgspec
 
 from lagoonfold._ids import Epoch, InstanceId, ShardId
-from lagoonfold._ports import ABSENT_REVISION
 
 
 class Member(msgspec.Struct, frozen=True, kw_only=True):
@@ -75,9 +74,6 @@
     verified_at_s: float
 
 
-NO_TABLE = TableView(table=OwnershipTable(), revision=ABSENT_REVISION, verified_at_s=float("-inf"))
-
-
 def next_table(
     table: OwnershipTable,
     members: tuple[Member, ...],
