Keep the passing on of parts in one place

FeedReader and OutboundStream each kept the same three fields and the same steps for giving a part to a target while their reader waits. PartPassing now does so for both.

--- a/packages/lagoonfold-node/src/lagoonfold_node/_execution/_feed.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_execution/_feed.py
@@ -14,7 +14,7 @@
 import trio
 
 from lagoonfold import Refusal
-from lagoonfold_node._peers import PartTarget
+from lagoonfold_node._peers import PartPassing, PartTarget
 
 READ_AHEAD_BYTES = 131_072
 
@@ -31,13 +31,11 @@
 class FeedReader:
     """One reader's place in a feed."""
 
-    __slots__ = ("_feed", "_is_behind", "_is_waiting", "_target", "index")
+    __slots__ = ("_feed", "_passing", "index")
 
     def __init__(self, feed: "AnswerFeed") -> None:
         self._feed = feed
-        self._target: PartTarget | None = None
-        self._is_waiting = False
-        self._is_behind = False
+        self._passing = PartPassing()
         self.index = 0
 
     def skip_parts(self) -> None:
@@ -48,38 +46,28 @@
         """Return all parts that are ready, waiting for the first; empty at the end."""
         feed = self._feed
         while True:
-            if self._is_behind:
-                await self._target.drain()
-                self._is_behind = False
+            await self._passing.catch_up()
             if self.index < len(feed.parts) or feed.is_over:
                 break
-            await self._wait()
+            await self._passing.wait(feed.changed)
         parts = feed.parts[self.index :]
         self.index = len(feed.parts)
         feed.signal()
         return b"".join(parts)
 
-    async def _wait(self) -> None:
-        self._is_waiting = True
-        try:
-            await self._feed.changed.wait()
-        finally:
-            self._is_waiting = False
-
     def pass_parts_to(self, target: PartTarget) -> None:
         """Give parts that come while `read` waits to a target, with no task in between."""
-        self._target = target
+        self._passing.pass_parts_to(target)
 
     def take(self, part: bytes) -> bool:
         """Take the newest part if this reader waits for it; False if it must be woken."""
         if self.index == sys.maxsize:
             return True
         is_next = self.index == len(self._feed.parts) - 1
-        if self._target is None or self._is_behind or not (self._is_waiting and is_next):
+        if not (is_next and self._passing.is_open()):
             return False
         self.index += 1
-        self._is_behind = not self._target.write(part)
-        return not self._is_behind
+        return self._passing.give(part)
 
 
 class AnswerFeed:
--- a/packages/lagoonfold-node/src/lagoonfold_node/_peers/__init__.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_peers/__init__.py
@@ -4,7 +4,6 @@
 from lagoonfold_node._peers._calls import (
     InboundCall,
     OutboundStream,
-    PartTarget,
     PeerLostError,
 )
 from lagoonfold_node._peers._messages import (
@@ -16,6 +15,7 @@
     StreamPart,
     peer_message,
 )
+from lagoonfold_node._peers._passing import PartPassing, PartTarget
 from lagoonfold_node._peers._registry import HANDLERS_BY_TYPE, handles
 
 __all__ = [
@@ -24,6 +24,7 @@
     "CallRefused",
     "InboundCall",
     "OutboundStream",
+    "PartPassing",
     "PartTarget",
     "PeerBus",
     "PeerLostError",
--- a/packages/lagoonfold-node/src/lagoonfold_node/_peers/_calls.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_peers/_calls.py
@@ -6,7 +6,6 @@
 
 from collections import deque
 from collections.abc import Callable
-from typing import Protocol
 
 import trio
 
@@ -17,6 +16,7 @@
     StreamEnd,
     StreamPart,
 )
+from lagoonfold_node._peers._passing import PartPassing, PartTarget
 
 STREAM_WINDOW_BYTES = 131_072
 CREDIT_TIMEOUT_S = 60.0
@@ -24,16 +24,6 @@
 Send = Callable[[PeerMessage], bool]
 
 
-class PartTarget(Protocol):
-    """Takes the parts of a stream without a wait, until it asks for one."""
-
-    def write(self, data: bytes) -> bool:
-        """Take a part; False when `drain` must be awaited before the next one."""
-
-    async def drain(self) -> None:
-        """Wait until the parts that were written have left."""
-
-
 class InboundCall:
     """The called end: answers one message of a peer.
 
@@ -121,13 +111,11 @@
         self._received = 0
         self._taken = 0
         self._granted = STREAM_WINDOW_BYTES
-        self._target: PartTarget | None = None
-        self._is_waiting = False
-        self._is_behind = False
+        self._passing = PartPassing()
 
     def pass_parts_to(self, target: PartTarget) -> None:
         """Give parts that come while `receive` waits to a target, with no task in between."""
-        self._target = target
+        self._passing.pass_parts_to(target)
 
     @property
     def is_lost(self) -> bool:
@@ -137,14 +125,12 @@
     async def receive(self) -> PeerMessage:
         """Return the next answer; raise `PeerLostError` when none will come."""
         while True:
-            if self._is_behind:
-                await self._target.drain()
-                self._is_behind = False
+            await self._passing.catch_up()
             if self._answers:
                 break
             if self._lost:
                 raise PeerLostError(self._lost)
-            await self._wait()
+            await self._passing.wait(self._ready)
         answer = self._answers.popleft()
         if isinstance(answer, StreamPart):
             self._count(len(answer.data))
@@ -152,13 +138,6 @@
             self.is_complete = True
         return answer
 
-    async def _wait(self) -> None:
-        self._is_waiting = True
-        try:
-            await self._ready.wait()
-        finally:
-            self._is_waiting = False
-
     def _count(self, size: int) -> None:
         """Grant more credit when half of the window has been taken."""
         self._taken += size
@@ -183,12 +162,10 @@
 
     def _pass(self, data: bytes) -> bool:
         """Give a part to the target if it is the next one; tell whether it was taken."""
-        is_next = self._is_waiting and not self._is_behind and not self._answers
-        if self._target is None or not is_next or self._lost:
+        if not self._passing.is_open() or self._answers or self._lost:
             return False
         self._count(len(data))
-        if not self._target.write(data):
-            self._is_behind = True
+        if not self._passing.give(data):
             self._signal()
         return True
 
