Tell peers of poison and of paces by one piece

PoisonNotices had its own loop over the peers beside teller, which sends any message to all of them; it now takes that.

--- a/packages/lagoonfold-node/src/lagoonfold_node/_border/_caller_sink.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_border/_caller_sink.py
@@ -57,9 +57,8 @@
 
     async def send(self, data: bytes) -> None:
         """Take a part."""
-        self._parts.append(data)
-        if self._content_type == EVENT_STREAM:
-            await self._exchange.send(data)
+        if not self.write(data):
+            await self.drain()
 
     def write(self, data: bytes) -> bool:
         """Take a part without a wait; False when `drain` must be awaited before the next one."""
--- a/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/__init__.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/__init__.py
@@ -14,12 +14,12 @@
 from lagoonfold_node._dispatch._dispatcher import Dispatcher
 from lagoonfold_node._dispatch._feeds import UpstreamFeeds
 from lagoonfold_node._dispatch._handlers import HasDispatch
-from lagoonfold_node._dispatch._paces import teller
 from lagoonfold_node._dispatch._poison import PoisonNotices
 from lagoonfold_node._dispatch._requests import Placement, PlacementRequest, ServiceUsage
 from lagoonfold_node._dispatch._retries import Retries
 from lagoonfold_node._dispatch._service import DispatchService
 from lagoonfold_node._dispatch._table import UpstreamState, UpstreamTable
+from lagoonfold_node._dispatch._telling import teller
 
 __all__ = [
     "CacheFreer",
--- a/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_dispatcher.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_dispatcher.py
@@ -19,12 +19,13 @@
 from lagoonfold_node._dispatch._candidates import Candidates
 from lagoonfold_node._dispatch._ends import CallEnds
 from lagoonfold_node._dispatch._lane import Lane, Waiter
-from lagoonfold_node._dispatch._paces import STEP_S, ReplicaPaces, Tell
+from lagoonfold_node._dispatch._paces import STEP_S, ReplicaPaces
 from lagoonfold_node._dispatch._poison import PoisonNotices
 from lagoonfold_node._dispatch._refusals import no_upstream, poisonous
 from lagoonfold_node._dispatch._requests import Outcome, Placement, PlacementRequest
 from lagoonfold_node._dispatch._retries import Retries
 from lagoonfold_node._dispatch._table import UpstreamTable
+from lagoonfold_node._dispatch._telling import Tell
 from lagoonfold_node._metrics import Metrics
 
 TICK_S = 0.05
--- a/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_paces.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_paces.py
@@ -1,7 +1,5 @@
 """The paces of replicas at one instance: calls watched and moved, and the peers told."""
 
-from collections.abc import Callable, Iterable
-
 import trio
 
 from lagoonfold import InstanceId, UpstreamId
@@ -10,23 +8,11 @@
 from lagoonfold_node._dispatch._requests import Placement, PlacementRequest
 from lagoonfold_node._dispatch._retries import Retries
 from lagoonfold_node._dispatch._table import UpstreamTable
+from lagoonfold_node._dispatch._telling import Tell
 from lagoonfold_node._metrics import Metrics
-from lagoonfold_node._peers import PeerBus
 
 STEP_S = 0.5
 
-Tell = Callable[[PaceSeen], None]
-
-
-def teller(bus: PeerBus, peers: Callable[[], Iterable[InstanceId]]) -> Tell:
-    """Return what sends a message to all peers."""
-
-    def tell(message: PaceSeen) -> None:
-        for peer in peers():
-            bus.send(peer, message)
-
-    return tell
-
 
 class ReplicaPaces:
     """One watch for each model; `step` is called at the interval `STEP_S`."""
--- a/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_poison.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_poison.py
@@ -1,16 +1,15 @@
 """Notices of poisonous requests: to all peers at once, and in the key-value service to last."""
 
 import secrets
-from collections.abc import Callable, Iterable
 
 import msgspec
 import trio
 from result import Err, Ok
 
-from lagoonfold import InstanceId, KeyValueStore, StoreErrorKind, UpstreamId
+from lagoonfold import KeyValueStore, StoreErrorKind, UpstreamId
 from lagoonfold.resilience import PoisonNotice, PoisonRegistry
 from lagoonfold_node._dispatch._messages import PoisonSeen
-from lagoonfold_node._peers import PeerBus
+from lagoonfold_node._dispatch._telling import Tell
 
 KEY_PREFIX = "poison/"
 KEPT_S = 3600.0
@@ -29,16 +28,10 @@
     under `poison/` is for instances that start later and for peers that a message did not reach.
     """
 
-    def __init__(
-        self,
-        bus: PeerBus,
-        store: KeyValueStore,
-        peers: Callable[[], Iterable[InstanceId]],
-    ) -> None:
+    def __init__(self, store: KeyValueStore, tell: Tell) -> None:
         self.registry = PoisonRegistry(memory_s=KEPT_S)
-        self._bus = bus
         self._store = store
-        self._peers = peers
+        self._tell = tell
         self._incident_by_upstream: dict[UpstreamId, tuple[float, str]] = {}
 
     async def run(self) -> None:
@@ -60,8 +53,7 @@
             is_confirmed=is_confirmed,
         )
         self.take(notice)
-        for peer in self._peers():
-            self._bus.send(peer, PoisonSeen(notice=notice))
+        self._tell(PoisonSeen(notice=notice))
 
     def take(self, notice: PoisonNotice) -> None:
         """Take in an own or a peer's notice."""
--- a/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_service.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_service.py
@@ -12,9 +12,9 @@
 from lagoonfold_node._dispatch._caches import CacheFreer
 from lagoonfold_node._dispatch._dispatcher import DEFAULT_POLICIES, Dispatcher
 from lagoonfold_node._dispatch._feeds import UpstreamFeeds
-from lagoonfold_node._dispatch._paces import teller
 from lagoonfold_node._dispatch._poison import PoisonNotices
 from lagoonfold_node._dispatch._table import UpstreamTable
+from lagoonfold_node._dispatch._telling import teller
 from lagoonfold_node._metrics import Metrics
 from lagoonfold_node._peers import PeerBus
 
@@ -43,7 +43,8 @@
             return [peer for peer in board.members.read() if peer != instance_id]
 
         table = UpstreamTable(instance_id)
-        poison = PoisonNotices(bus, store, peers)
+        tell = teller(bus, peers)
+        poison = PoisonNotices(store, tell)
         caches = CacheFreer(table, client, is_gone=is_gone)
         self.dispatcher = Dispatcher(
             table,
@@ -52,7 +53,7 @@
             metrics,
             rng or random.Random(),
             policies=policies,
-            tell=teller(bus, peers),
+            tell=tell,
         )
         self._feeds = UpstreamFeeds(table, client, self.dispatcher.pump)
         self._upstreams = board.upstreams
--- a/tests/node/_path.py
+++ b/tests/node/_path.py
@@ -283,13 +283,14 @@
         def peers() -> list[str]:
             return [peer for peer in fleet.peers if peer != instance_id]
 
+        tell = teller(self.bus, peers)
         self.dispatcher = Dispatcher(
             table,
-            PoisonNotices(self.bus, DownStore(), peers),
+            PoisonNotices(DownStore(), tell),
             CacheFreer(table, client),
             self.metrics,
             random.Random(1),
-            tell=teller(self.bus, peers),
+            tell=tell,
         )
         access = UpstreamAccess(
             engine=HttpEngine(client), services=HttpService(client), dispatcher=self.dispatcher
--- a/tests/scheduling/test_dispatcher.py
+++ b/tests/scheduling/test_dispatcher.py
@@ -42,7 +42,7 @@
     table.follow({UpstreamId(f"e-{n}"): _listed(n) for n in range(count)})
     for state in table.states_by_id.values():
         state.load.note_report(LoadReport(running=0, waiting=0, slots=slots), now_s=0.0)
-    poison = PoisonNotices(bus=None, store=_StoreDown(), peers=lambda: ())
+    poison = PoisonNotices(store=_StoreDown(), tell=lambda message: None)
     caches = CacheFreer(table, HttpClient())
     return Dispatcher(table, poison, caches, Metrics(), random.Random(1))
 
