Hold an upstream and its placement as one

A waiting call carried both as fields that are set together, and each was asked for None by itself. No change of behaviour; tests.scheduling.test_dispatcher, test_paces and tests.node.test_path passed.

--- a/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_dispatcher.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_dispatcher.py
@@ -18,7 +18,7 @@
 from lagoonfold_node._dispatch._caches import CacheFreer
 from lagoonfold_node._dispatch._candidates import Candidates
 from lagoonfold_node._dispatch._ends import CallEnds
-from lagoonfold_node._dispatch._lane import Lane, Waiter
+from lagoonfold_node._dispatch._lane import Held, Lane, Waiter
 from lagoonfold_node._dispatch._paces import STEP_S, ReplicaPaces
 from lagoonfold_node._dispatch._poison import PoisonNotices
 from lagoonfold_node._dispatch._refusals import no_upstream, poisonous
@@ -90,20 +90,19 @@
         if refusal is not None:
             yield self._refused(refusal)
             return
-        waiter = await self._wait(request, lane)
-        state, placement = waiter.state, waiter.placement
-        if state is None or placement is None:
+        held = await self._wait(request, lane)
+        if held is None:
             yield self._refused(self._refuse_late(request, lane))
             return
         started_s = trio.current_time()
         lane.running += 1
         try:
-            yield Ok(placement)
+            yield Ok(held.placement)
         finally:
             duration_s = trio.current_time() - started_s
-            self._ends.note_end(request, lane, state, placement, duration_s)
+            self._ends.note_end(request, lane, held, duration_s)
             self._pump_lane(lane, trio.current_time())
-        if placement.outcome is Outcome.WENT_DOWN:
+        if held.placement.outcome is Outcome.WENT_DOWN:
             await self.poison.keep(request.content_digest)
 
     def _lane(self, target: tuple[bool, str]) -> Lane:
@@ -135,7 +134,7 @@
             return no_upstream(request)
         return lane.refuse_after_wait(now_s=now_s)
 
-    async def _wait(self, request: PlacementRequest, lane: Lane) -> Waiter:
+    async def _wait(self, request: PlacementRequest, lane: Lane) -> Held | None:
         now_s = trio.current_time()
         waiter = Waiter(request=request)
         call = lane.queued(waiter, now_s=now_s)
@@ -149,13 +148,13 @@
             raise
         lane.queue.remove(call.call_id)
         self._metrics.record("queue_wait", trio.current_time() - now_s)
-        return waiter
+        return waiter.held
 
     def _take_back(self, lane: Lane, call: QueuedCall, waiter: Waiter) -> None:
         """Withdraw a call whose caller went away while it waited."""
         lane.queue.remove(call.call_id)
-        if waiter.state is not None:
-            self._ends.note_withdrawn(waiter.request, waiter.state, waiter.placement)
+        if waiter.held is not None:
+            self._ends.note_withdrawn(waiter.request, waiter.held)
 
     def _pump_lane(self, lane: Lane, now_s: float) -> None:
         lane.queue.expire(now_s=now_s)
@@ -182,12 +181,12 @@
         state.load.note_sent(now_s=now_s, added_tokens=added)
         state.breaker.note_sent(now_s=now_s)
         self.poison.registry.note_started(request.content_digest, chosen)
-        waiter.state = state
-        waiter.placement = Placement(
+        placement = Placement(
             upstream_id=chosen,
             address=state.listed.address,
             priority=priority_of(request.attained_s),
         )
-        self.paces.start(request, waiter.placement, now_s=now_s)
+        self.paces.start(request, placement, now_s=now_s)
+        waiter.held = Held(state=state, placement=placement)
         waiter.placed.set()
         return True
--- a/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_ends.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_ends.py
@@ -3,7 +3,7 @@
 import trio
 
 from lagoonfold.scheduling import service_s
-from lagoonfold_node._dispatch._lane import Lane
+from lagoonfold_node._dispatch._lane import Held, Lane
 from lagoonfold_node._dispatch._paces import ReplicaPaces
 from lagoonfold_node._dispatch._poison import PoisonNotices
 from lagoonfold_node._dispatch._requests import Outcome, Placement, PlacementRequest
@@ -23,15 +23,11 @@
         self._metrics = metrics
 
     def note_end(
-        self,
-        request: PlacementRequest,
-        lane: Lane,
-        state: UpstreamState,
-        placement: Placement,
-        duration_s: float,
+        self, request: PlacementRequest, lane: Lane, held: Held, duration_s: float
     ) -> None:
         """Take note of how a placed call ended after so many seconds."""
         now_s = trio.current_time()
+        state, placement = held.state, held.placement
         outcome = placement.outcome
         lane.running -= 1
         state.load.note_ended(now_s=now_s)
@@ -69,15 +65,12 @@
             self._metrics.count("prefill_tokens", "computed", recomputed)
             self._metrics.count("prefill_tokens", "cached", usage.cached_tokens)
 
-    def note_withdrawn(
-        self, request: PlacementRequest, state: UpstreamState, placement: Placement | None
-    ) -> None:
+    def note_withdrawn(self, request: PlacementRequest, held: Held) -> None:
         """Take note that a caller went away before its placed call began."""
-        state.load.note_ended(now_s=trio.current_time())
-        if placement is not None:
-            self._paces.end(request, placement, is_finished=False)
-        state.breaker.note_given_up()
-        self._end_digest(request, state, is_finished=False)
+        held.state.load.note_ended(now_s=trio.current_time())
+        self._paces.end(request, held.placement, is_finished=False)
+        held.state.breaker.note_given_up()
+        self._end_digest(request, held.state, is_finished=False)
 
     def _end_digest(
         self, request: PlacementRequest, state: UpstreamState, *, is_finished: bool
--- a/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_lane.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_lane.py
@@ -23,14 +23,21 @@
 MIN_RETRY_AFTER_S = 0.1
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Held:
+    """An upstream that is held for a call, and the placement by which the call's end is told."""
+
+    state: UpstreamState
+    placement: Placement
+
+
 @dataclass(slots=True, eq=False)
 class Waiter:
     """A waiting call and, once it is placed, the upstream that is held for it."""
 
     request: PlacementRequest
     placed: trio.Event = field(default_factory=trio.Event)
-    state: UpstreamState | None = None
-    placement: Placement | None = None
+    held: Held | None = None
 
 
 class Lane:
