Share what the path's and the bus's tests repeat

Nine tests made a call in the background and waited until it was under way by the same lines, seven closed the engines' gates, four expected a lost stream. under_way, close_gates and _expect_lost now do so; the assertions are the same. tests.node.test_peers, test_path and test_outage: 45 passed.

--- a/tests/node/_path.py
+++ b/tests/node/_path.py
@@ -9,7 +9,8 @@
 
 import json
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
 from dataclasses import dataclass, field, replace
 from functools import partial
 
@@ -345,6 +346,11 @@
         self.client = HttpClient()
         self.scopes_by_node: dict[str, trio.CancelScope] = {}
 
+    def close_gates(self) -> None:
+        """Let the engines stop after their first tokens until their gates are opened."""
+        for engine in self.engines:
+            engine.gate = trio.Event()
+
     def note_fault(self, event: str, error: BaseException) -> None:
         self.faults.append((event, error))
 
@@ -475,6 +481,25 @@
         await trio.sleep(0.005)
 
 
+@asynccontextmanager
+async def under_way(
+    ask: Callable[[], Awaitable[HttpResponse]], is_under_way: Callable[[], bool]
+) -> AsyncIterator[list[HttpResponse]]:
+    """Make a call in the background and enter the block once it is under way.
+
+    The reply is in the list when the block has been left.
+    """
+    replies: list[HttpResponse] = []
+
+    async def take() -> None:
+        replies.append(await ask())
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(take)
+        await wait_for(is_under_way)
+        yield replies
+
+
 def run_fleet(check: Callable[[PathFleet], Awaitable[None]]) -> None:
     """Run a check against a small fleet."""
 
--- a/tests/node/test_outage.py
+++ b/tests/node/test_outage.py
@@ -17,6 +17,7 @@
     make_configuration,
     run_fleet,
     text_of,
+    under_way,
     wait_for,
 )
 
@@ -108,14 +109,10 @@
     async def check(fleet: PathFleet) -> None:
         program_id = await fleet.create_program()
         fleet.tool.gate = trio.Event()
-        replies = []
-
-        async def ask() -> None:
-            replies.append(await fleet.tool_call(1, program_id, 1))
-
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(ask)
-            await wait_for(lambda: len(fleet.tool.seen) == 1)
+        async with under_way(
+            lambda: fleet.tool_call(1, program_id, 1),
+            lambda: len(fleet.tool.seen) == 1,
+        ) as replies:
             fleet.shard.lose_service()
             fleet.tool.gate.set()
         _check_pending(replies[0])
@@ -135,14 +132,10 @@
     async def check(fleet: PathFleet) -> None:
         program_id = await fleet.create_program()
         fleet.shard.is_held = True
-        replies = []
-
-        async def ask() -> None:
-            replies.append(await fleet.tool_call(1, program_id, 1))
-
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(ask)
-            await wait_for(lambda: fleet.shard.state.running_calls() != ())
+        async with under_way(
+            lambda: fleet.tool_call(1, program_id, 1),
+            lambda: fleet.shard.state.running_calls() != (),
+        ) as replies:
             fleet.shard.is_stalled = True
         problem = json.loads(replies[0].body)
         assert (problem["kind"], problem["ran"]) == ("platform-unavailable", "no")
@@ -166,14 +159,10 @@
             changed = {**routes, "register": register}
             node.configure(replace(make_configuration(), routes_by_name=changed))
         fleet.tool.is_hung = True
-        replies = []
-
-        async def ask() -> None:
-            replies.append(await fleet.tool_call(1, program_id, 1))
-
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(ask)
-            await wait_for(lambda: len(fleet.tool.seen) == 1)
+        async with under_way(
+            lambda: fleet.tool_call(1, program_id, 1),
+            lambda: len(fleet.tool.seen) == 1,
+        ) as replies:
             fleet.shard.is_held = True
         for reply in (replies[0], await fleet.tool_call(0, program_id, 1)):
             assert kind_of(reply) is ErrorKind.OUTCOME_UNKNOWN, reply
@@ -224,16 +213,11 @@
 
     async def check(fleet: PathFleet) -> None:
         program_id = await fleet.create_program()
-        for engine in fleet.engines:
-            engine.gate = trio.Event()
-        replies = []
-
-        async def ask() -> None:
-            replies.append(await fleet.chat(1, program_id, 1, "one", stream=False))
-
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(ask)
-            await wait_for(lambda: sum(engine.tokens_sent for engine in fleet.engines) == 4)
+        fleet.close_gates()
+        async with under_way(
+            lambda: fleet.chat(1, program_id, 1, "one", stream=False),
+            lambda: sum(engine.tokens_sent for engine in fleet.engines) == 4,
+        ) as replies:
             fleet.shard.lose_service()
             cancelled = await fleet.send(1, "DELETE", f"/v1/programs/{program_id}")
             assert kind_of(cancelled) is ErrorKind.PLATFORM_UNAVAILABLE
--- a/tests/node/test_path.py
+++ b/tests/node/test_path.py
@@ -18,6 +18,7 @@
     make_configuration,
     run_fleet,
     text_of,
+    under_way,
     wait_for,
 )
 
@@ -136,8 +137,7 @@
 
     async def check(fleet: PathFleet) -> None:
         program_id = await fleet.create_program(1)
-        for engine in fleet.engines:
-            engine.gate = trio.Event()
+        fleet.close_gates()
         request = HttpRequest(
             method="POST",
             path="/v1/chat/completions",
@@ -173,16 +173,11 @@
 
     async def check(fleet: PathFleet) -> None:
         program_id = await fleet.create_program(1)
-        for engine in fleet.engines:
-            engine.gate = trio.Event()
-        replies = []
-
-        async def ask() -> None:
-            replies.append(await fleet.chat(1, program_id, 1, "one", stream=False))
-
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(ask)
-            await wait_for(lambda: sum(len(engine.seen) for engine in fleet.engines) == 1)
+        fleet.close_gates()
+        async with under_way(
+            lambda: fleet.chat(1, program_id, 1, "one", stream=False),
+            lambda: sum(len(engine.seen) for engine in fleet.engines) == 1,
+        ) as replies:
             config = fleet.nodes[1].board.config
             config.write(replace(config.read(), verified_at_s=-1e9))
         assert kind_of(replies[0]) is ErrorKind.CONFIG_STALE
@@ -197,8 +192,7 @@
 
     async def check(fleet: PathFleet) -> None:
         program_id = await fleet.create_program()
-        for engine in fleet.engines:
-            engine.gate = trio.Event()
+        fleet.close_gates()
         for node in (0, 1):
             with trio.move_on_after(30) as scope:
                 async with trio.open_nursery() as nursery:
@@ -264,16 +258,11 @@
         for upstream_id in ("u0", "u1"):
             board = paces._watch("small").board
             board.note(upstream_id, tokens=500, seconds=10.0, now_s=trio.current_time())
-        for engine in fleet.engines:
-            engine.gate = trio.Event()
-        replies = []
-
-        async def ask() -> None:
-            replies.append(await fleet.chat(1, program_id, 1, "one"))
-
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(ask)
-            await wait_for(lambda: any(engine.tokens_sent for engine in fleet.engines))
+        fleet.close_gates()
+        async with under_way(
+            lambda: fleet.chat(1, program_id, 1, "one"),
+            lambda: any(engine.tokens_sent for engine in fleet.engines),
+        ) as replies:
             slow, other = sorted(fleet.engines, key=lambda engine: -engine.tokens_sent)
             other.gate.set()
         assert text_of(replies[0]) == WHOLE
@@ -314,16 +303,11 @@
 
     async def check(fleet: PathFleet) -> None:
         program_id = await fleet.create_program()
-        for engine in fleet.engines:
-            engine.gate = trio.Event()
-        replies = []
-
-        async def ask() -> None:
-            replies.append(await fleet.chat(1, program_id, 1, "one"))
-
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(ask)
-            await wait_for(lambda: sum(e.tokens_sent for e in fleet.engines) == 4)
+        fleet.close_gates()
+        async with under_way(
+            lambda: fleet.chat(1, program_id, 1, "one"),
+            lambda: sum(e.tokens_sent for e in fleet.engines) == 4,
+        ) as replies:
             await trio.sleep(0.05)
             fleet.kill_owner()
             for engine in fleet.engines:
@@ -340,14 +324,10 @@
     async def check(fleet: PathFleet) -> None:
         program_id = await fleet.create_program()
         fleet.tool.gate = trio.Event()
-        replies = []
-
-        async def ask() -> None:
-            replies.append(await fleet.tool_call(1, program_id, 1))
-
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(ask)
-            await wait_for(lambda: len(fleet.tool.seen) == 1)
+        async with under_way(
+            lambda: fleet.tool_call(1, program_id, 1),
+            lambda: len(fleet.tool.seen) == 1,
+        ) as replies:
             fleet.kill_owner()
             fleet.take_over()
             fleet.tool.gate = None
@@ -474,16 +454,11 @@
 
     async def check(fleet: PathFleet) -> None:
         program_id = await fleet.create_program()
-        for engine in fleet.engines:
-            engine.gate = trio.Event()
-        replies = []
-
-        async def ask() -> None:
-            replies.append(await fleet.chat(1, program_id, 1, "one", stream=False))
-
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(ask)
-            await wait_for(lambda: sum(e.tokens_sent for e in fleet.engines) == 4)
+        fleet.close_gates()
+        async with under_way(
+            lambda: fleet.chat(1, program_id, 1, "one", stream=False),
+            lambda: sum(e.tokens_sent for e in fleet.engines) == 4,
+        ) as replies:
             cancelled = await fleet.send(1, "DELETE", f"/v1/programs/{program_id}")
             assert json.loads(cancelled.body)["state"] == "cancelled"
         assert kind_of(replies[0]) is ErrorKind.CANCELLED
--- a/tests/node/test_peers.py
+++ b/tests/node/test_peers.py
@@ -12,6 +12,7 @@
 from lagoonfold import ErrorKind
 from lagoonfold_node._peers import (
     InboundCall,
+    OutboundStream,
     PeerBus,
     PeerLostError,
     PeerMessage,
@@ -153,18 +154,23 @@
     _with_buses(check)
 
 
+async def _expect_lost(stream: OutboundStream, reason: str) -> None:
+    """Expect that the stream's next answer never comes, for a reason."""
+    try:
+        answer = await stream.receive()
+    except PeerLostError as error:
+        assert reason in str(error)
+        return
+    raise AssertionError(f"the call was answered by {answer}")
+
+
 def test_call_lost_on_the_way_is_found() -> None:
     """A peer that never got the call says so when probed."""
 
     async def check(one: PeerBus, two: PeerBus, peer: _Peer) -> None:
         two._take_call = lambda frame, message: None  # type: ignore[method-assign]
         async with one.stream("two", _Ask(text="x")) as stream:
-            try:
-                await stream.receive()
-            except PeerLostError as error:
-                assert "does not know" in str(error)
-            else:
-                raise AssertionError("the call was answered")
+            await _expect_lost(stream, "does not know")
 
     _with_buses(check)
 
@@ -175,12 +181,7 @@
     async def check(one: PeerBus, two: PeerBus, peer: _Peer) -> None:
         two._take = lambda data: None  # type: ignore[method-assign]
         async with one.stream("two", _Ask(text="hang")) as stream:
-            try:
-                await stream.receive()
-            except PeerLostError as error:
-                assert "no sign of two" in str(error)
-            else:
-                raise AssertionError("the call was answered")
+            await _expect_lost(stream, "no sign of two")
 
     _with_buses(check)
 
@@ -194,12 +195,7 @@
         outbox.put = lambda data: True  # type: ignore[method-assign]
         outbox.reconnect = lambda: delattr(outbox, "put")  # type: ignore[method-assign]
         async with one.stream("two", _Ask(text="hang")) as stream:
-            try:
-                await stream.receive()
-            except PeerLostError as error:
-                assert "does not know" in str(error)
-            else:
-                raise AssertionError("the call was answered")
+            await _expect_lost(stream, "does not know")
         await peer.cancelled.wait()
         assert (await one.request("two", _Ask(text="y"), 5)).is_ok()
 
@@ -226,12 +222,7 @@
     async def check(one: PeerBus, two: PeerBus, peer: _Peer) -> None:
         async with one.stream("two", _Tear()) as stream:
             assert (await stream.receive()).data == PART
-            try:
-                await stream.receive()
-            except PeerLostError as error:
-                assert "is missing" in str(error)
-            else:
-                raise AssertionError("a part was skipped")
+            await _expect_lost(stream, "is missing")
 
     _with_buses(check)
 
