Name the tests of each promise on its page

The page told the kind of each proof and pointed to tests/_promises.py. It now names them, and tests.test_docs compares the two lists (red with one name left out, then green).

--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -2,9 +2,12 @@
 
 import re
 
+from tests._promises import PROMISES
 from tests._run import ROOT
 from tests._suite import load_functions
 
+_TESTS_ROW = re.compile(r"^\| (\d+) \| (`[a-z].*`) \|$", re.MULTILINE)
+_NAME = re.compile(r"`([^`]+)`")
 _LINK = re.compile(r"\]\(([^)#:]+)(?:#[^)]*)?\)")
 
 
@@ -19,4 +22,14 @@
     assert not broken, broken
 
 
+def test_page_of_promises_names_their_tests() -> None:
+    """The row of each promise names exactly the tests that `scripts/prove` runs for it."""
+    page = (ROOT / "docs" / "PROMISES.md").read_text()
+    rows = dict(_TESTS_ROW.findall(page))
+    assert set(rows) == {str(promise.number) for promise in PROMISES}
+    for promise in PROMISES:
+        named = _NAME.findall(rows[str(promise.number)])
+        assert [f"tests.{name}" for name in named] == list(promise.proofs), promise.number
+
+
 load_tests = load_functions(globals())
