--- a/bench/_owner.py
+++ b/bench/_owner.py
@@ -16,8 +16,8 @@
     digest_of_content,
 )
 from lagoonfold_io import EtcdStore
+from lagoonfold_io.observe import Metrics
 from lagoonfold_node._board import Board
-from lagoonfold_node._metrics import Metrics
 from lagoonfold_node._ownership import OpenShard, Ownership, OwnershipContext, OwnershipSettings
 from lagoonfold_node._peers import PeerBus
 
--- /dev/null
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_budget_owner.py
@@ -0,0 +1,183 @@
+"""Decides on the turns of the programs that are asked of this instance.
+
+Reads `live`. Any instance that is asked can own a program: its record in the store keeps owners
+that don't know of each other apart (see `lagoonfold.budgets`). The first charge may wait only where
+nobody else can have owned the program before: after the first start of the whole system, while the
+same instances have been live ever since, as seen from both the owner and the asker.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+import trio
+from result import Err
+
+from lagoonfold import TransactionalStore
+from lagoonfold.budgets import ProgramLedger
+from lagoonfold_gateway._board import GatewayBoard, LiveView
+from lagoonfold_gateway._charges import BUDGET_PREFIX, ChargeWriter
+from lagoonfold_gateway._clock import now_s
+from lagoonfold_gateway._messages import (
+    BudgetSpent,
+    Done,
+    Message,
+    NotNow,
+    TurnAsk,
+    TurnCover,
+    TurnCredit,
+    TurnEnd,
+)
+from lagoonfold_gateway._peers import PeerBus
+from lagoonfold_io.observe import EventLog
+
+SETTLED_S = 5.0  # after the first start all instances have found each other
+MAX_CHARGES_PER_ASK = 3  # owners that change each other's record come to rest after one round
+SWEEP_S = 5.0  # how often programs whose retention is over are looked for
+MAX_REMOVED_PER_SWEEP = 32  # one transaction
+
+_log = EventLog("budgets")
+
+
+@dataclass(slots=True)
+class _Owned:
+    ledger: ProgramLedger
+    lock: trio.Lock
+    retention_s: float
+    used_s: float
+
+
+class BudgetOwner:
+    """The ledgers of the programs that this instance was asked about."""
+
+    def __init__(
+        self,
+        board: GatewayBoard,
+        bus: PeerBus,
+        store: TransactionalStore,
+        writer_id: str,
+        *,
+        is_first_start: bool,
+    ) -> None:
+        self._board = board
+        self._store = store
+        self._is_first_start = is_first_start
+        self._started_s = now_s()
+        self._owned_by_program: dict[str, _Owned] = {}
+        self._live: frozenset[str] = frozenset()
+        self.writer = ChargeWriter(store, writer_id)
+        bus.handles(TurnAsk)(self._ask)
+        bus.handles(TurnCover)(self._cover)
+        bus.handles(TurnEnd)(self._end)
+        board.live.subscribe(self._settle_lost)
+
+    async def give_back(self) -> None:
+        """Charge each program only what it has used, as at a planned stop."""
+        async with trio.open_nursery() as nursery:
+            for program, owned in self._owned_by_program.items():
+                level = owned.ledger.charge_returned()
+                if level < owned.ledger.charged:
+                    nursery.start_soon(self.writer.charge, program, owned.ledger, level)
+
+    async def sweep(self) -> None:
+        """Remove the records of programs whose retention is over, until cancelled."""
+        while True:
+            await trio.sleep(SWEEP_S)
+            now = now_s()
+            due = [
+                (program, owned)
+                for program, owned in self._owned_by_program.items()
+                if not owned.ledger.running_turns and now - owned.used_s > owned.retention_s
+            ][:MAX_REMOVED_PER_SWEEP]
+            await self._remove(due)
+
+    async def _remove(self, due: list[tuple[str, _Owned]]) -> None:
+        keys = tuple(
+            BUDGET_PREFIX + program for program, owned in due if owned.ledger.revision is not None
+        )
+        if keys:
+            removed = await self._store.commit(removes=keys)
+            if isinstance(removed, Err):
+                _log.warning("budget.not_removed", count=len(keys), reason=removed.err_value.detail)
+                return
+        for program, _ in due:
+            del self._owned_by_program[program]
+
+    async def _ask(self, ask: Message) -> Message:
+        assert isinstance(ask, TurnAsk)
+        owned = self._owned_by_program.get(ask.program)
+        if owned is None:
+            free = ask.most if self._is_first_owner(ask.live) else 0
+            owned = _Owned(
+                ProgramLedger(budget=ask.budget, free=free), trio.Lock(), ask.retention_s, now_s()
+            )
+            self._owned_by_program[ask.program] = owned
+            if not free:
+                _log.info("budget.taken_over", program=ask.program, budget=ask.budget)
+        owned.used_s = now_s()
+        ledger = owned.ledger
+        if ledger.revision is None and not ledger.free:
+            loaded = await self._charge(ask.program, owned, ask.most)
+            if loaded is not None:
+                return loaded
+        if not ledger.admit(ask.turn_id, most=ask.most, front=ask.front):
+            _log.info(
+                "budget.spent",
+                program=ask.program,
+                spent=ledger.spent,
+                running=ledger.running_turns,
+                most=ask.most,
+                budget=ledger.budget,
+            )
+            return BudgetSpent(spent=ledger.spent, budget=ledger.budget)
+        return TurnCredit(credit=ledger.credit(ask.turn_id))
+
+    async def _charge(self, program: str, owned: _Owned, most: int) -> NotNow | None:
+        """Bring a program's record under this owner; return why that is not possible now."""
+        ledger = owned.ledger
+        async with owned.lock:
+            for _ in range(MAX_CHARGES_PER_ASK):
+                if ledger.revision is not None:
+                    return None
+                level = min(ledger.budget, most + ledger.block(most))
+                charged = await self.writer.charge(program, ledger, level)
+                if isinstance(charged, Err):
+                    return NotNow(reason=charged.err_value.detail)
+        return None if ledger.revision is not None else NotNow(reason="record keeps changing")
+
+    async def _cover(self, cover: Message) -> Message:
+        assert isinstance(cover, TurnCover)
+        owned = self._owned_by_program.get(cover.program)
+        if owned is None or not owned.ledger.is_running(cover.turn_id):
+            return NotNow(reason="turn is not known here")
+        ledger = owned.ledger
+        async with owned.lock:
+            for _ in range(MAX_CHARGES_PER_ASK):
+                if ledger.is_covered(cover.turn_id):
+                    break
+                level = ledger.charge_needed()
+                if ledger.revision is not None and level <= ledger.charged:
+                    break
+                charged = await self.writer.charge(cover.program, ledger, level)
+                if isinstance(charged, Err):
+                    return NotNow(reason=charged.err_value.detail)
+        return TurnCredit(credit=ledger.credit(cover.turn_id))
+
+    async def _end(self, end: Message) -> Message:
+        assert isinstance(end, TurnEnd)
+        owned = self._owned_by_program.get(end.program)
+        if owned is not None:
+            owned.used_s = now_s()
+            owned.ledger.settle(end.turn_id, handed=end.handed)
+        return Done()
+
+    def _is_first_owner(self, live: Iterable[str]) -> bool:
+        view = self._board.live.read()
+        is_unchanged = view.since_s <= self._started_s + SETTLED_S
+        return self._is_first_start and is_unchanged and tuple(live) == view.ids
+
+    def _settle_lost(self, view: LiveView) -> None:
+        """Count the running turns of an instance that is gone as having produced their most."""
+        for front in self._live - set(view.ids):
+            for owned in self._owned_by_program.values():
+                owned.ledger.settle_lost(front)
+        self._live = frozenset(view.ids)
--- /dev/null
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_call.py
@@ -0,0 +1,153 @@
+"""A forwarded request as its headers describe it."""
+
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from lagoonfold.forwarding import PromptPart
+from lagoonfold_gateway._dialect import HeaderNames
+from lagoonfold_io import Headers, HttpRequest
+
+MILLISECONDS_PER_S = 1_000
+MAX_DEADLINE_S = 3_600.0  # longer waits are cut to an hour, so that no header keeps a task for ever
+
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ProgramTurn:
+    """The program that a request belongs to; tokens are zero where the request names none."""
+
+    program: str
+    line: str
+    time_left_s: float | None
+    budget_tokens: int
+    most_tokens: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ForwardedCall:
+    """A request with what its headers say; `deadline_s` is how long the caller waits."""
+
+    request: HttpRequest
+    request_id: str
+    host: str
+    key: str | None
+    deadline_s: float | None
+    turn: ProgramTurn | None
+    parts: tuple[PromptPart, ...]
+    last_event: int | None
+
+
+def read_call(request: HttpRequest, names: HeaderNames) -> Result[ForwardedCall, str]:
+    """Read the headers of a request; an error says which header cannot be read."""
+    value_by_name = dict(request.headers)
+    try:
+        deadline_ms = _number(value_by_name, names.deadline_ms)
+        call = ForwardedCall(
+            request=request,
+            request_id=value_by_name.get(names.request_id, ""),
+            host=value_by_name.get("host", ""),
+            key=value_by_name.get(names.key),
+            deadline_s=None if deadline_ms is None else _seconds(deadline_ms),
+            turn=_read_turn(value_by_name, names),
+            parts=_read_parts(value_by_name.get(names.prompt_parts, ""), names.prompt_parts),
+            last_event=_integer(value_by_name, names.last_event),
+        )
+    except _HeaderError as error:
+        return Err(str(error))
+    return Ok(call)
+
+
+class _HeaderError(Exception):
+    pass
+
+
+def _read_turn(value_by_name: dict[str, str], names: HeaderNames) -> ProgramTurn | None:
+    program = value_by_name.get(names.program)
+    if program is None:
+        return None
+    left_ms = _number(value_by_name, names.program_deadline_ms)
+    counts = value_by_name.get(names.token_counts, "0,0").split(",")
+    if len(counts) != 2 or not all(count.strip().isdigit() for count in counts):
+        raise _HeaderError(f"header {names.token_counts!r} is not two counts")
+    return ProgramTurn(
+        program=program,
+        line=value_by_name.get(names.line, ""),
+        time_left_s=None if left_ms is None else left_ms / MILLISECONDS_PER_S,
+        budget_tokens=_integer(value_by_name, names.budget_tokens) or 0,
+        most_tokens=int(counts[1]),
+    )
+
+
+def _read_parts(text: str, name: str) -> tuple[PromptPart, ...]:
+    parts: list[PromptPart] = []
+    for entry in filter(None, (entry.strip() for entry in text.split(","))):
+        part_id, _, tokens = entry.rpartition(":")
+        if not part_id or not tokens.isdigit():
+            raise _HeaderError(f"header {name!r} has {entry!r} in place of id:tokens")
+        parts.append(PromptPart(part_id, int(tokens)))
+    return tuple(parts)
+
+
+def _number(value_by_name: dict[str, str], name: str) -> float | None:
+    text = value_by_name.get(name)
+    if text is None:
+        return None
+    try:
+        number = float(text)
+    except ValueError:
+        raise _HeaderError(f"header {name!r} is not a number: {text!r}") from None
+    if not 0 <= number < float("inf"):
+        raise _HeaderError(f"header {name!r} is out of range: {text!r}")
+    return number
+
+
+def _integer(value_by_name: dict[str, str], name: str) -> int | None:
+    text = value_by_name.get(name)
+    if text is None:
+        return None
+    if not (text.isascii() and text.isdigit()):
+        raise _HeaderError(f"header {name!r} is not a count: {text!r}")
+    return int(text)
+
+
+def _seconds(milliseconds: float) -> float:
+    return min(MAX_DEADLINE_S, milliseconds / MILLISECONDS_PER_S)
+
+
+def headers_to_forward(call: ForwardedCall, names: HeaderNames) -> Headers:
+    """Return the caller's headers without those of its connection and those of the system."""
+    dropped = HOP_BY_HOP | names.reserved | _named_by_connection(call.request.headers)
+    dropped |= {names.key, names.account, names.deadline_ms, names.expected_replica, names.urgency}
+    dropped -= {"host"}
+    return tuple((name, value) for name, value in call.request.headers if name not in dropped)
+
+
+def headers_to_return(headers: Headers) -> Headers:
+    """Return an upstream's headers without those of its connection."""
+    dropped = HOP_BY_HOP | _named_by_connection(headers)
+    return tuple((name, value) for name, value in headers if name not in dropped)
+
+
+def _named_by_connection(headers: Headers) -> frozenset[str]:
+    return frozenset(
+        token.strip().lower()
+        for name, value in headers
+        if name == "connection"
+        for token in value.split(",")
+    )
--- /dev/null
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_charges.py
@@ -0,0 +1,129 @@
+"""Writes the charges of programs' budgets to the store, many in one transaction.
+
+One transaction is under way at a time; what comes up meanwhile goes with the next. A program whose
+record another owner has changed gets that record and is tried again by who asked.
+"""
+
+import time
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+import msgspec
+import trio
+from result import Err, Ok, Result
+
+from lagoonfold import MAX_ENTRIES_PER_COMMIT, Check, Entry, Put, StoreError, TransactionalStore
+from lagoonfold._ports import ABSENT_REVISION
+from lagoonfold.budgets import BudgetRecord, ProgramLedger
+from lagoonfold_io.observe import EventLog
+
+BUDGET_PREFIX = "lagoonfold/budgets/"
+
+_log = EventLog("budgets")
+
+
+@dataclass(slots=True)
+class _Charge:
+    program: str
+    ledger: ProgramLedger
+    level: int
+    done: trio.Event = field(default_factory=trio.Event)
+    outcome: Result[bool, StoreError] = Ok(False)
+
+
+class ChargeWriter:
+    """The way of charges to the store; `run` does the work."""
+
+    def __init__(self, store: TransactionalStore, writer_id: str) -> None:
+        self._store = store
+        self._writer_id = writer_id
+        self._waiting_by_program: OrderedDict[str, _Charge] = OrderedDict()
+        self._wake = trio.Event()
+
+    async def charge(
+        self, program: str, ledger: ProgramLedger, level: int
+    ) -> Result[bool, StoreError]:
+        """Charge a program up to a level; False where its record was changed by another owner.
+
+        The ledger is told of the record in either case.
+        """
+        charge = self._waiting_by_program.get(program)
+        if charge is None:
+            charge = self._waiting_by_program[program] = _Charge(program, ledger, level)
+        charge.level = max(charge.level, level)
+        self._wake.set()
+        await charge.done.wait()
+        return charge.outcome
+
+    async def run(self) -> None:
+        """Write what waits, until cancelled."""
+        while True:
+            await self._wake.wait()
+            self._wake = trio.Event()
+            while self._waiting_by_program:
+                await self._write_next()
+
+    async def _write_next(self) -> None:
+        count = min(MAX_ENTRIES_PER_COMMIT, len(self._waiting_by_program))
+        charges = [self._waiting_by_program.popitem(last=False)[1] for _ in range(count)]
+        checks = tuple(
+            Check(key=BUDGET_PREFIX + charge.program, revision=charge.ledger.revision or 0)
+            for charge in charges
+        )
+        puts = tuple(
+            Put(key=BUDGET_PREFIX + charge.program, value=self._encode(charge))
+            for charge in charges
+        )
+        written = await self._store.commit(checks=checks, puts=puts)
+        if isinstance(written, Err):
+            _log.warning("budget.not_charged", programs=count, reason=written.err_value.detail)
+            self._finish(charges, written)
+            return
+        if written.ok_value.revision is not None:
+            for charge in charges:
+                charge.ledger.note_charged(charge.level, written.ok_value.revision)
+            self._finish(charges, Ok(True))
+            return
+        self._take_conflict(charges, written.ok_value.conflicting)
+
+    def _take_conflict(self, charges: list[_Charge], entries: tuple[Entry, ...]) -> None:
+        """Tell the ledgers of their records; charges that were not in conflict go again."""
+        entry_by_key = {entry.key: entry for entry in entries}
+        for charge in charges:
+            entry = entry_by_key.get(BUDGET_PREFIX + charge.program)
+            revision = entry.revision if entry is not None else ABSENT_REVISION
+            if revision == (charge.ledger.revision or 0):
+                self._waiting_by_program.setdefault(charge.program, charge)
+                continue
+            record = _decode(entry)
+            charge.ledger.note_record(record, revision, own_writer=self._writer_id)
+            _log.info(
+                "budget.record_changed",
+                program=charge.program,
+                revision=revision,
+                charged=charge.ledger.charged,
+                own=record is not None and record.writer == self._writer_id,
+            )
+            self._finish([charge], Ok(False))
+
+    def _encode(self, charge: _Charge) -> bytes:
+        record = BudgetRecord(
+            writer=self._writer_id, charged=charge.level, written_at_s=int(time.time())
+        )
+        return msgspec.json.encode(record)
+
+    @staticmethod
+    def _finish(charges: list[_Charge], outcome: Result[bool, StoreError]) -> None:
+        for charge in charges:
+            charge.outcome = outcome
+            charge.done.set()
+
+
+def _decode(entry: Entry | None) -> BudgetRecord | None:
+    if entry is None or entry.revision == ABSENT_REVISION:
+        return None
+    try:
+        return msgspec.json.decode(entry.value, type=BudgetRecord)
+    except msgspec.MsgspecError as error:
+        _log.error("budget.record_unreadable", key=entry.key, reason=str(error))
+        return BudgetRecord(writer="", charged=2**62, written_at_s=0)
--- /dev/null
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_config_controller.py
@@ -0,0 +1,69 @@
+"""Keeps the newest configuration in force.
+
+Writes `config`. Versions only grow in the life of a process: an older document, as a stale read or
+a late change may bring, is ignored.
+"""
+
+from collections.abc import Callable
+
+from result import Err
+
+from lagoonfold import Entry, Listing, TransactionalStore, WatchEvent
+from lagoonfold._ports import ABSENT_REVISION
+from lagoonfold.forwarding import RouteTable
+from lagoonfold_gateway._board import ConfigView, GatewayBoard
+from lagoonfold_gateway._clock import now_s
+from lagoonfold_gateway._dialect import Dialect
+from lagoonfold_gateway._store_watch import StoreWatch
+from lagoonfold_io.observe import EventLog
+
+_log = EventLog("config")
+
+
+class ConfigController:
+    """Follows the configuration's key; other keys below its prefix go to `on_other`."""
+
+    def __init__(
+        self,
+        dialect: Dialect,
+        board: GatewayBoard,
+        store: TransactionalStore,
+        on_other: Callable[[WatchEvent], None] = lambda event: None,
+    ) -> None:
+        self._dialect = dialect
+        self._board = board
+        self._on_other = on_other
+        self.watch = StoreWatch(
+            store, dialect.config_prefix, on_listing=self._take_listing, on_event=self._take_event
+        )
+
+    def _take_listing(self, listing: Listing) -> None:
+        for entry in listing.entries:
+            self._take_event(WatchEvent(entry=entry, revision=entry.revision))
+
+    def _take_event(self, event: WatchEvent) -> None:
+        if event.entry.key != self._dialect.config_key:
+            self._on_other(event)
+        elif event.entry.revision == ABSENT_REVISION:
+            _log.warning("config.removed", revision=event.revision, kept=True)
+        else:
+            self._take(event.entry)
+
+    def _take(self, entry: Entry) -> None:
+        decoded = self._dialect.decode_config(entry.value)
+        if isinstance(decoded, Err):
+            _log.error("config.unreadable", revision=entry.revision, reason=decoded.err_value)
+            return
+        config = decoded.ok_value
+        before = self._board.config.read()
+        if before is not None and config.version <= before.config.version:
+            _log.debug("config.not_newer", version=config.version, have=before.config.version)
+            return
+        self._board.config.write(ConfigView(config, RouteTable(config.routes), now_s()))
+        _log.info(
+            "config.applied",
+            version=config.version,
+            revision=entry.revision,
+            routes=len(config.routes),
+            services=len(config.services_by_name),
+        )
--- /dev/null
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_context.py
@@ -0,0 +1,34 @@
+"""What the parts of forwarding share in one instance."""
+
+import random
+from dataclasses import dataclass, field
+
+import trio
+
+from lagoonfold.forwarding import LoadBook, Placer, PromptMemory
+from lagoonfold_gateway._board import GatewayBoard
+from lagoonfold_gateway._budget_desk import BudgetDesk
+from lagoonfold_gateway._dialect import Dialect
+from lagoonfold_gateway._loans import Loans
+from lagoonfold_gateway._usual_times import UsualTimes
+from lagoonfold_io import HttpClient
+from lagoonfold_io.observe import Metrics
+
+
+@dataclass(slots=True, kw_only=True)
+class ForwardContext:
+    """Board, books and the ways to others; `nursery` outlives every request."""
+
+    dialect: Dialect
+    board: GatewayBoard
+    loads: LoadBook
+    memory: PromptMemory
+    placer: Placer
+    client: HttpClient
+    loans: Loans
+    budgets: BudgetDesk
+    metrics: Metrics
+    usual: UsualTimes
+    rng: random.Random
+    nursery: trio.Nursery
+    under_way: set[object] = field(default_factory=set)
--- /dev/null
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_dialect.py
@@ -0,0 +1,78 @@
+"""What a deployment calls the headers of a request and the entries of its store.
+
+The gateway knows what each header and entry means; a `Dialect` says what it is named and how it is
+written. `OWN_DIALECT` is the product's own, for deployments without one.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+from result import Err, Ok, Result
+
+from lagoonfold.forwarding import ForwardConfig, Replica
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HeaderNames:
+    """Names of headers, in lower case, by what they hold.
+
+    `reserved` are headers that only the system may set; those of a caller are not forwarded.
+    """
+
+    key: str = "x-api-key"
+    request_id: str = "x-request-id"
+    deadline_ms: str = "x-deadline-ms"
+    program: str = "x-program-id"
+    line: str = "x-line-id"
+    program_deadline_ms: str = "x-program-deadline-ms"
+    budget_tokens: str = "x-token-budget"
+    token_counts: str = "x-tokens"
+    prompt_parts: str = "x-prompt-parts"
+    last_event: str = "last-event-id"
+    account: str = "x-account"
+    expected_replica: str = "x-expect-replica"
+    urgency: str = "x-urgency"
+    signature: str = "x-signature"
+    not_run: str = "x-not-run"
+    replica_load: str = "x-replica-load"
+    reserved: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Dialect:
+    """Names and codecs of one deployment; a decoder returns a reason where it cannot decode."""
+
+    headers: HeaderNames
+    config_key: str
+    replica_prefix: str
+    decode_config: Callable[[bytes], Result[ForwardConfig, str]]
+    decode_replica: Callable[[str, bytes], Result[Replica, str]]
+    config_prefix: str
+
+
+def _decode_own_config(data: bytes) -> Result[ForwardConfig, str]:
+    try:
+        return Ok(msgspec.json.decode(data, type=ForwardConfig))
+    except msgspec.MsgspecError as error:
+        return Err(str(error))
+
+
+def _decode_own_replica(replica_id: str, data: bytes) -> Result[Replica, str]:
+    try:
+        replica = msgspec.json.decode(data, type=Replica)
+    except msgspec.MsgspecError as error:
+        return Err(str(error))
+    if replica.replica_id != replica_id:
+        return Err(f"entry of {replica_id!r} names {replica.replica_id!r}")
+    return Ok(replica)
+
+
+OWN_DIALECT = Dialect(
+    headers=HeaderNames(),
+    config_key="gateway/config",
+    config_prefix="gateway/config",
+    replica_prefix="gateway/replicas/",
+    decode_config=_decode_own_config,
+    decode_replica=_decode_own_replica,
+)
--- /dev/null
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_dispatch.py
@@ -0,0 +1,105 @@
+"""Gives a request a replica, or lets it wait until one has room.
+
+Reads `replicas`. A request waits in the line of its service; the first in line takes the next place
+that becomes free. What would not get one in its time is refused at once.
+"""
+
+from collections import defaultdict
+
+import trio
+from result import Err, Ok, Result
+
+from lagoonfold import ErrorKind, Refusal
+from lagoonfold.forwarding import (
+    LoadBook,
+    Placement,
+    PlacementRequest,
+    Placer,
+    ReplicaDirectory,
+    WaitingLine,
+)
+from lagoonfold_gateway._board import GatewayBoard
+from lagoonfold_gateway._clock import now_s
+
+RECHECK_S = 0.02  # loads told by peers and pauses of replicas change without a call here
+NO_REPLICA_WAIT_S = 1.0  # a replacement is listed within a second, or it takes much longer
+RETRY_AFTER_S = 0.2  # about the time in which some of the waiting requests have been served
+
+
+class Dispatcher:
+    """The waiting lines of all services at one instance."""
+
+    def __init__(self, board: GatewayBoard, placer: Placer, loads: LoadBook) -> None:
+        self._board = board
+        self._placer = placer
+        self._loads = loads
+        self._line_by_service: dict[str, WaitingLine[object]] = defaultdict(WaitingLine)
+        self._changed = trio.Event()
+        board.replicas.subscribe(self._note_change)
+
+    def waiting(self, service: str) -> int:
+        """Return how many requests wait for the service here."""
+        return len(self._line_by_service[service])
+
+    async def place(
+        self,
+        service: str,
+        request: PlacementRequest,
+        *,
+        rank: int,
+        wanted_s: float,
+        due_s: float,
+    ) -> Result[Placement, Refusal]:
+        """Return a replica for a request, which counts as sent there until `release`."""
+        line = self._line_by_service[service]
+        token = object()
+        is_waiting = False
+        unlisted_until_s = now_s() + NO_REPLICA_WAIT_S
+        try:
+            while True:
+                replicas = self._board.replicas.read().of_service(service)
+                if line.head() in (None, token):
+                    placement = self._placer.choose(replicas, request, now_s=now_s())
+                    if placement is not None:
+                        self._loads.note_sent(placement.replica.replica_id)
+                        return Ok(placement)
+                if not replicas and now_s() >= unlisted_until_s:
+                    return Err(_no_replica(service))
+                if not is_waiting:
+                    is_waiting = line.join(
+                        token, rank=rank, wanted_s=wanted_s, due_s=due_s, now_s=now_s()
+                    )
+                    if not is_waiting:
+                        return Err(_no_room(service, len(line)))
+                with trio.move_on_after(RECHECK_S):
+                    await self._changed.wait()
+        finally:
+            if is_waiting:
+                line.leave(token)
+                self._note_change()
+
+    def release(self, service: str, replica_id: str) -> None:
+        """Count the end of a request, however it ended."""
+        self._loads.note_done(replica_id)
+        self._line_by_service[service].note_freed(now_s=now_s())
+        self._note_change()
+
+    def _note_change(self, directory: ReplicaDirectory | None = None) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
+
+
+def _no_replica(service: str) -> Refusal:
+    return Refusal(
+        kind=ErrorKind.UPSTREAM_UNAVAILABLE,
+        detail=f"service {service!r} has no replica",
+        retry_after_s=RETRY_AFTER_S,
+    )
+
+
+def _no_room(service: str, waiting: int) -> Refusal:
+    return Refusal(
+        kind=ErrorKind.QUEUE_FULL,
+        detail=f"{waiting} requests wait for service {service!r}",
+        retry_after_s=RETRY_AFTER_S,
+    )
--- /dev/null
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_forwarder.py
@@ -0,0 +1,256 @@
+"""Takes a request from its arrival to its final answer.
+
+Reads `config` and `replicas`. The order is: route, key, budget, rate, replica. Every refusal before
+the first byte has left for a replica says "not run"; after that none does. The final answer comes
+at the route's timeout or the caller's deadline at the latest.
+"""
+
+import math
+
+import trio
+from result import Err, Ok, Result
+
+from lagoonfold import ANSWERS_BY_KIND, ErrorKind, Ran, Refusal
+from lagoonfold.forwarding import ClientAccount, ForwardRoute, TryRecord
+from lagoonfold_gateway._board import ConfigView
+from lagoonfold_gateway._call import ForwardedCall, read_call
+from lagoonfold_gateway._call_counts import CallCounts
+from lagoonfold_gateway._clock import now_s
+from lagoonfold_gateway._context import ForwardContext
+from lagoonfold_gateway._dispatch import Dispatcher
+from lagoonfold_gateway._journey import Journey
+from lagoonfold_gateway._loans import RateClaim
+from lagoonfold_gateway._tries import Tries
+from lagoonfold_io import Exchange, HttpRequest, HttpResponse
+from lagoonfold_io.observe import EventLog
+
+RATE_PATIENCE = 0.4  # of a request's time; the rest is needed to serve it
+RANK_OF_CALL = 0  # a program fails with a call that is refused twice
+RANK_OF_TURN = 1  # a turn is tried again several times
+NO_CONFIG_RETRY_S = 0.3  # an instance that has just started has its configuration by then
+MAX_DEADLINE_S = 3_600.0  # of a request without a deadline on a route without a timeout
+
+_log = EventLog("requests")
+
+
+class Forwarder:
+    """Serves the forwarded requests of one instance."""
+
+    def __init__(self, context: ForwardContext, dispatcher: Dispatcher) -> None:
+        self._context = context
+        self._tries = Tries(context, dispatcher)
+        self._attained = CallCounts()
+        self.active = 0
+
+    async def handle(self, request: HttpRequest, exchange: Exchange) -> None:
+        """Serve one request; the handler of the border's HTTP server."""
+        self.active += 1
+        try:
+            await self._handle(request, exchange)
+        finally:
+            self.active -= 1
+
+    async def _handle(self, request: HttpRequest, exchange: Exchange) -> None:
+        arrived_s = now_s()
+        admitted = self._admit(request, arrived_s)
+        if isinstance(admitted, Err):
+            await self._refuse(admitted.err_value, request, exchange)
+            return
+        journey = admitted.ok_value
+        try:
+            with trio.move_on_after(journey.give_up_s - now_s()) as time:
+                await self._serve(journey, exchange)
+            if time.cancelled_caught:
+                await self._end_late(journey, exchange)
+        except BaseException:
+            journey.outcome = "caller-left" if journey.outcome == "unfinished" else journey.outcome
+            raise
+        finally:
+            self._settle(journey)
+            self._report(journey)
+
+    def _admit(self, request: HttpRequest, arrived_s: float) -> Result[Journey, Refusal]:
+        """Find the route and the account of a request."""
+        view = self._context.board.config.read()
+        if view is None:
+            return Err(
+                Refusal(
+                    kind=ErrorKind.CONFIG_STALE,
+                    detail="no configuration has been read yet",
+                    retry_after_s=NO_CONFIG_RETRY_S,
+                )
+            )
+        read = read_call(request, self._context.dialect.headers)
+        if isinstance(read, Err):
+            return Err(Refusal(kind=ErrorKind.MALFORMED, detail=read.err_value))
+        call = read.ok_value
+        route = view.routes.find(call.host, request.path)
+        if route is None:
+            detail = f"no route for host {call.host!r} and path {request.path!r}"
+            return Err(Refusal(kind=ErrorKind.NOT_FOUND, detail=detail))
+        account = _account_of(call, route, view)
+        if isinstance(account, Err):
+            return account
+        return Ok(_journey(call, route, account.ok_value, view, arrived_s))
+
+    async def _serve(self, journey: Journey, exchange: Exchange) -> None:
+        refused = await self._take_budget_and_rate(journey)
+        if refused is None:
+            refused = await self._tries.run(journey, exchange)
+        if refused is None:
+            journey.outcome = "answered"
+            return
+        await self._answer(refused, journey, exchange)
+
+    async def _take_budget_and_rate(self, journey: Journey) -> Refusal | None:
+        """Take what the request costs; a turn that the budget does not hold costs no rate."""
+        started = await self._take_budget(journey)
+        if started is not None or journey.account is None:
+            return started
+        claim = self._rate_claim(journey)
+        taken = await self._context.loans.take(journey.account, claim, self._context.nursery)
+        return taken.err_value if isinstance(taken, Err) else None
+
+    def _rate_claim(self, journey: Journey) -> RateClaim:
+        turn = journey.call.turn
+        attained = self._attained.add(turn.program) if turn is not None else 0
+        is_turn = journey.route.is_program_turn
+        patience_s = RATE_PATIENCE * (journey.give_up_s - journey.arrived_s)
+        return RateClaim(
+            rank=RANK_OF_TURN if is_turn else RANK_OF_CALL,
+            attained=attained,
+            due_s=journey.arrived_s + patience_s,
+        )
+
+    async def _take_budget(self, journey: Journey) -> Refusal | None:
+        turn = journey.call.turn
+        if turn is None or not journey.route.is_program_turn or not turn.budget_tokens:
+            return None
+        service = journey.route.targets[0].service
+        view = self._context.board.config.read()
+        plan = view.config.services_by_name.get(service) if view is not None else None
+        started = await self._context.budgets.start_turn(
+            program=turn.program,
+            turn_id=journey.call.request_id,
+            budget=turn.budget_tokens,
+            most=turn.most_tokens,
+            tokens_per_event=plan.tokens_per_event if plan is not None else 1,
+            retention_s=journey.route.retention_s,
+        )
+        if isinstance(started, Err):
+            return started.err_value
+        journey.hold = started.ok_value
+        return None
+
+    async def _end_late(self, journey: Journey, exchange: Exchange) -> None:
+        """Give the final answer of a request whose time is over."""
+        if exchange.started:
+            journey.outcome = "cut-at-timeout"
+            exchange.abort()
+            return
+        if journey.record.has_not_run:
+            detail = "no replica had room in time"
+            await self._answer(Refusal(kind=ErrorKind.QUEUE_FULL, detail=detail), journey, exchange)
+            return
+        detail = "no answer in time"
+        await self._answer(
+            Refusal(kind=ErrorKind.DEADLINE_EXCEEDED, detail=detail, ran=Ran.UNKNOWN),
+            journey,
+            exchange,
+        )
+
+    async def _answer(self, refusal: Refusal, journey: Journey, exchange: Exchange) -> None:
+        journey.outcome = refusal.kind.value
+        journey.tries.append(refusal.detail)
+        journey.status = ANSWERS_BY_KIND[refusal.kind].status
+        self._context.metrics.count("refusals", refusal.kind.value)
+        if exchange.started:
+            exchange.abort()
+            return
+        await exchange.respond(refusal_response(refusal))
+
+    async def _refuse(self, refusal: Refusal, request: HttpRequest, exchange: Exchange) -> None:
+        """Answer a request that was not admitted."""
+        self._context.metrics.count("refusals", refusal.kind.value)
+        view = self._context.board.config.read()
+        _log.info(
+            "request.refused",
+            request_id=request.header(self._context.dialect.headers.request_id),
+            kind=refusal.kind.value,
+            detail=refusal.detail,
+            config_version=view.config.version if view is not None else None,
+        )
+        await exchange.respond(refusal_response(refusal))
+
+    def _settle(self, journey: Journey) -> None:
+        if journey.hold is not None:
+            journey.hold.is_over = True
+            self._context.nursery.start_soon(self._context.budgets.end_turn, journey.hold)
+
+    def _report(self, journey: Journey) -> None:
+        """Log how a request went, and count it."""
+        took_s = now_s() - journey.arrived_s
+        turn = journey.call.turn
+        hold = journey.hold
+        first_s = journey.first_byte_s
+        self._context.metrics.count("requests", journey.outcome)
+        self._context.metrics.record(f"{journey.route.kind.name.lower()}_requests", took_s)
+        _log.info(
+            "request.done",
+            request_id=journey.call.request_id,
+            program=turn.program if turn is not None else None,
+            route=journey.route.name,
+            account=journey.account.name if journey.account is not None else None,
+            config_version=journey.config_version,
+            outcome=journey.outcome,
+            status=journey.status,
+            took_s=round(took_s, 4),
+            first_byte_s=None if first_s is None else round(first_s - journey.arrived_s, 4),
+            limit_s=round(journey.give_up_s - journey.arrived_s, 3),
+            tries=journey.tries,
+            owner=hold.owner if hold is not None else None,
+            handed=hold.tally.handed if hold is not None else None,
+            credit=hold.tally.credit if hold is not None else None,
+        )
+
+
+def refusal_response(refusal: Refusal) -> HttpResponse:
+    """Return the answer to a refused request."""
+    headers = [("content-type", "text/plain")]
+    if refusal.retry_after_s > 0:
+        headers.append(("retry-after", f"{refusal.retry_after_s:.3f}"))
+    body = f"{refusal.kind.value}: {refusal.detail}\n".encode()
+    status = ANSWERS_BY_KIND[refusal.kind].status
+    return HttpResponse(status=status, headers=tuple(headers), body=body)
+
+
+def _account_of(
+    call: ForwardedCall, route: ForwardRoute, view: ConfigView
+) -> Result[ClientAccount | None, Refusal]:
+    accounts_by_key = view.config.accounts_by_key
+    if accounts_by_key is None or route.is_open:
+        return Ok(None)
+    account = accounts_by_key.get(call.key) if call.key is not None else None
+    if account is None:
+        return Err(Refusal(kind=ErrorKind.UNAUTHENTICATED, detail="the key is not known"))
+    return Ok(account)
+
+
+def _journey(
+    call: ForwardedCall,
+    route: ForwardRoute,
+    account: ClientAccount | None,
+    view: ConfigView,
+    arrived_s: float,
+) -> Journey:
+    deadline_s = call.deadline_s if call.deadline_s is not None else math.inf
+    limit_s = min(MAX_DEADLINE_S, deadline_s, route.timeout_s)
+    return Journey(
+        call=call,
+        route=route,
+        account=account,
+        config_version=view.config.version,
+        arrived_s=arrived_s,
+        give_up_s=arrived_s + limit_s,
+        record=TryRecord(may_repeat=route.may_repeat, max_upstreams=route.max_upstreams),
+    )
--- /dev/null
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_journey.py
@@ -0,0 +1,43 @@
+"""The state of one forwarded request, from its arrival to its last byte."""
+
+from dataclasses import dataclass, field
+
+from lagoonfold.forwarding import ClientAccount, ForwardRoute, TryRecord
+from lagoonfold_gateway._budget_desk import TurnHold
+from lagoonfold_gateway._call import ForwardedCall
+
+
+@dataclass(slots=True, kw_only=True)
+class Journey:
+    """What has been decided about a request, as it is logged at its end; times on the own clock.
+
+    `give_up_s` is when it gets its final answer at the latest.
+    """
+
+    call: ForwardedCall
+    route: ForwardRoute
+    account: ClientAccount | None
+    config_version: int
+    arrived_s: float
+    give_up_s: float
+    record: TryRecord
+    hold: TurnHold | None = None
+    first_byte_s: float | None = None
+    tries: list[str] = field(default_factory=list)
+    outcome: str = "unfinished"
+    status: int = 0
+
+    @property
+    def rank(self) -> int:
+        """The request's rank; the account's goes before the route's."""
+        if self.account is not None and self.account.rank is not None:
+            return self.account.rank
+        return self.route.rank
+
+    @property
+    def wanted_s(self) -> float:
+        """When the request's program should be done; its own objective where it has none."""
+        turn = self.call.turn
+        if turn is None or turn.time_left_s is None:
+            return self.arrived_s + self.route.objective_s
+        return self.arrived_s + turn.time_left_s
--- /dev/null
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_loans.py
@@ -0,0 +1,241 @@
+"""Keeps client accounts to their rate over all instances.
+
+Reads `config` and `live`. The account's owner, by rendezvous over the live instances, lends its
+tokens; each instance takes them for the calls that arrive there. An owner that may be cut off from
+the others lends nothing, since another may have taken the account over; a new owner waits until the
+former one's loans have expired. See `lagoonfold.rates` for the bound.
+"""
+
+from dataclasses import dataclass, field
+
+import trio
+from result import Err, Ok, Result
+
+from lagoonfold import ErrorKind, Refusal
+from lagoonfold.forwarding import ClientAccount, WaitingLine
+from lagoonfold.rates import Ask, Borrower, Lender, RateLimit, Shortage
+from lagoonfold_gateway._board import ConfigView, GatewayBoard, LiveView
+from lagoonfold_gateway._clock import now_s
+from lagoonfold_gateway._members import Members
+from lagoonfold_gateway._messages import Done, LoanAsk, LoanGiven, LoanRefused, Message, NotNow
+from lagoonfold_gateway._peers import PeerBus
+from lagoonfold_io.observe import EventLog
+
+ASK_TIMEOUT_S = 0.15  # some hundred times the way to a peer
+PAUSE_S = 0.02  # between asks while there is nothing to lend
+MAX_PAUSE_S = 0.1  # as above, for accounts of a low rate
+MIN_RETRY_AFTER_S = 0.05  # less than a caller's way there and back makes no sense
+REPORT_S = 0.2  # how often unused tokens are given back
+SETTLED_S = 5.0  # after the first start all instances have found each other
+
+_log = EventLog("loans")
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RateClaim:
+    """A call's place among those of its account that wait for a token.
+
+    The lower rank goes first, then the program that has had fewer calls so far, so that one that
+    loops does not take the rate of the others. A call waits until `due_s` at most.
+    """
+
+    rank: int
+    attained: int
+    due_s: float
+
+
+@dataclass(slots=True)
+class _Desk:
+    borrower: Borrower = field(default_factory=Borrower)
+    line: WaitingLine[trio.Event] = field(default_factory=WaitingLine)
+    is_asking: bool = False
+    is_unowned: bool = False
+    retry_after_s: float = 0.05
+
+    def hand_out(self, *, now_s: float) -> None:
+        """Give the tokens that are there to the first in line."""
+        while (head := self.line.head()) is not None and self.borrower.take(now_s=now_s):
+            self.line.note_freed(now_s=now_s)
+            self.line.leave(head)
+            head.set()
+
+
+class Loans:
+    """Lends the rates of the accounts that this instance owns, and borrows for its own calls."""
+
+    def __init__(
+        self, board: GatewayBoard, bus: PeerBus, members: Members, *, is_first_start: bool
+    ) -> None:
+        self._board = board
+        self._bus = bus
+        self._members = members
+        self._is_first_start = is_first_start
+        self._started_s = now_s()
+        self._epoch = 0
+        self._lender_by_account: dict[str, Lender] = {}
+        self._desk_by_account: dict[str, _Desk] = {}
+        bus.handles(LoanAsk)(self._lend)
+        board.config.subscribe(self._change_limits)
+        board.live.subscribe(self._drop_lost)
+
+    async def take(
+        self, account: ClientAccount, claim: RateClaim, nursery: trio.Nursery
+    ) -> Result[None, Refusal]:
+        """Take one token for a call that is about to be forwarded, waiting for it if need be."""
+        if account.limit is None:
+            return Ok(None)
+        desk = self._desk_by_account.setdefault(account.name, _Desk())
+        desk.borrower.note_arrival(now_s=now_s())
+        if not len(desk.line) and desk.borrower.take(now_s=now_s()):
+            if desk.borrower.should_renew(now_s=now_s()):
+                self._start_asking(account.name, desk, nursery)
+            return Ok(None)
+        return await self._wait(account.name, desk, claim, nursery)
+
+    async def _wait(
+        self, account: str, desk: _Desk, claim: RateClaim, nursery: trio.Nursery
+    ) -> Result[None, Refusal]:
+        """Wait in the account's line for a token."""
+        granted = trio.Event()
+        is_in_line = desk.line.join(
+            granted,
+            rank=claim.rank,
+            wanted_s=claim.attained,
+            due_s=claim.due_s,
+            now_s=now_s(),
+        )
+        if not is_in_line:
+            return Err(_over_rate(account, desk.retry_after_s))
+        self._start_asking(account, desk, nursery)
+        try:
+            with trio.move_on_after(claim.due_s - now_s()):
+                await granted.wait()
+        finally:
+            desk.line.leave(granted)
+        if granted.is_set():
+            return Ok(None)
+        return Err(
+            _no_owner(account) if desk.is_unowned else _over_rate(account, desk.retry_after_s)
+        )
+
+    def _start_asking(self, account: str, desk: _Desk, nursery: trio.Nursery) -> None:
+        if not desk.is_asking:
+            desk.is_asking = True
+            nursery.start_soon(self._keep_asking, account, desk)
+
+    async def _keep_asking(self, account: str, desk: _Desk) -> None:
+        """Ask for loans until nobody waits, and hand the tokens out in the order of the line."""
+        try:
+            while True:
+                shortage = await self._ask(account, desk, needed=max(1, len(desk.line)))
+                desk.hand_out(now_s=now_s())
+                if not len(desk.line):
+                    return
+                if shortage is not None:
+                    desk.is_unowned = shortage.is_takeover
+                    desk.retry_after_s = max(MIN_RETRY_AFTER_S, shortage.retry_after_s)
+                    await trio.sleep(min(MAX_PAUSE_S, max(PAUSE_S, shortage.retry_after_s)))
+        finally:
+            desk.is_asking = False
+
+    async def report(self) -> None:
+        """Give unused tokens back, until cancelled."""
+        while True:
+            await trio.sleep(REPORT_S)
+            for account, desk in tuple(self._desk_by_account.items()):
+                if desk.borrower.has_news(now_s=now_s()):
+                    await self._report(account, desk)
+
+    async def _report(self, account: str, desk: _Desk) -> None:
+        reports = desk.borrower.report(now_s=now_s())
+        ask = Ask(number=0, needed=0, wanted=0, reports=reports)
+        message = LoanAsk(account=account, borrower=self._bus.own_id, ask=ask)
+        owner = self._members.owners_of(account)[0]
+        await self._bus.call(owner, message, timeout_s=ASK_TIMEOUT_S)
+
+    async def _ask(self, account: str, desk: _Desk, *, needed: int) -> Shortage | None:
+        """Ask the owner for a loan; return why there is none, or None if there is one."""
+        ask = desk.borrower.ask(now_s=now_s(), needed=needed)
+        owner = self._members.owners_of(account)[0]
+        message = LoanAsk(account=account, borrower=self._bus.own_id, ask=ask)
+        answer = await self._bus.call(owner, message, timeout_s=ASK_TIMEOUT_S)
+        if isinstance(answer, Ok) and isinstance(answer.ok_value, LoanGiven):
+            desk.borrower.receive(ask, answer.ok_value.loan, now_s=now_s())
+            return None
+        if isinstance(answer, Ok) and isinstance(answer.ok_value, LoanRefused):
+            desk.borrower.note_shortage(ask, answer.ok_value.shortage, now_s=now_s())
+            return answer.ok_value.shortage
+        desk.borrower.give_up(ask)
+        return Shortage(retry_after_s=PAUSE_S, is_takeover=True)
+
+    async def _lend(self, message: Message) -> Message:
+        assert isinstance(message, LoanAsk)
+        if not self._members.owns(message.account) or self._members.is_isolated():
+            self._lender_by_account.pop(message.account, None)
+            return NotNow(reason="not the owner")
+        lender = self._lender(message.account)
+        if lender is None:
+            return NotNow(reason="no such account")
+        if message.ask.wanted < 1:
+            lender.report(message.borrower, message.ask.reports, now_s=now_s())
+            return Done()
+        lent = lender.lend(message.borrower, message.ask, now_s=now_s())
+        if isinstance(lent, Err):
+            return LoanRefused(shortage=lent.err_value)
+        return LoanGiven(loan=lent.ok_value)
+
+    def _lender(self, account: str) -> Lender | None:
+        lender = self._lender_by_account.get(account)
+        if lender is not None:
+            return lender
+        limit = _limits_by_account(self._board.config.read()).get(account)
+        if limit is None:
+            return None
+        self._epoch += 1
+        is_new = self._is_first_start and self._has_not_changed_owner()
+        lender = Lender(limit=limit, epoch=self._epoch, now_s=now_s(), is_new=is_new)
+        self._lender_by_account[account] = lender
+        _log.info("rate.owned", account=account, is_new=is_new, rate_per_s=limit.rate_per_s)
+        return lender
+
+    def _has_not_changed_owner(self) -> bool:
+        """Tell whether the same instances have been live since the start settled."""
+        return self._board.live.read().since_s <= self._started_s + SETTLED_S
+
+    def _drop_lost(self, live: LiveView) -> None:
+        """Forget the accounts that another instance owns now, which knows nothing of these loans."""
+        for account in tuple(self._lender_by_account):
+            if not self._members.owns(account):
+                del self._lender_by_account[account]
+                _log.info("rate.handed_over", account=account, live=len(live.ids))
+
+    def _change_limits(self, view: ConfigView | None) -> None:
+        limits = _limits_by_account(view)
+        for account, lender in tuple(self._lender_by_account.items()):
+            if account in limits:
+                limit = limits[account]
+                lender.change_limit(limit, now_s=now_s())
+                _log.debug("rate.limit", account=account, limit=limit.rate_per_s, burst=limit.burst)
+            else:
+                del self._lender_by_account[account]
+
+
+def _limits_by_account(view: ConfigView | None) -> dict[str, RateLimit]:
+    accounts = (view.config.accounts_by_key or {}).values() if view is not None else ()
+    return {account.name: account.limit for account in accounts if account.limit is not None}
+
+
+def _over_rate(account: str, retry_after_s: float) -> Refusal:
+    return Refusal(
+        kind=ErrorKind.RATE_EXCEEDED,
+        detail=f"client account {account!r} is over its rate",
+        retry_after_s=retry_after_s,
+    )
+
+
+def _no_owner(account: str) -> Refusal:
+    return Refusal(
+        kind=ErrorKind.OWNER_UNAVAILABLE,
+        detail=f"no instance can lend of the rate of client account {account!r} now",
+        retry_after_s=0.2,
+    )
--- /dev/null
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_members.py
@@ -0,0 +1,206 @@
+"""Which instances there are and which of them live.
+
+Reads `stopping`; writes `live`. Instances find each other by entries in the store, each under its
+instance's lease; whether one lives is known from its heartbeats, so an outage of the store takes
+nobody out. An instance that refuses connections has ended; one that is not heard for `SILENT_S` is
+taken as gone until it is heard again.
+"""
+
+import msgspec
+import trio
+from result import Err
+
+from lagoonfold import Listing, Put, TransactionalStore, WatchEvent, rendezvous_weight
+from lagoonfold._ports import ABSENT_REVISION
+from lagoonfold_gateway._board import GatewayBoard, LiveView
+from lagoonfold_gateway._clock import now_s
+from lagoonfold_gateway._messages import Heartbeat
+from lagoonfold_gateway._peer_link import PeerFault
+from lagoonfold_gateway._peers import PeerBus
+from lagoonfold_gateway._settings import InstanceSection
+from lagoonfold_gateway._store_watch import StoreWatch
+from lagoonfold_io.observe import EventLog
+
+MEMBER_PREFIX = "lagoonfold/members/"
+LEASE_TTL_S = 10.0  # a renewal costs a tenth of a call; entries of dead instances harm little
+RENEW_S = 3.0  # a third of the lease, so that one renewal may fail
+RETRY_S = 0.5  # after a failed call to the store
+SILENT_S = 1.0  # four heartbeats
+CHECK_S = 0.1  # how often silence is looked for
+STORE_CONTACT_S = 2.0 * RENEW_S  # the store was reached in this time: not cut off from everything
+
+_log = EventLog("members")
+
+
+class MemberEntry(msgspec.Struct, frozen=True, kw_only=True):
+    """An instance's entry in the store."""
+
+    address: str
+    failure_domain: str
+    start_id: str
+
+
+class Members:
+    """The other instances, and the order in which instances own a subject."""
+
+    def __init__(
+        self,
+        instance: InstanceSection,
+        start_id: str,
+        board: GatewayBoard,
+        bus: PeerBus,
+        store: TransactionalStore,
+    ) -> None:
+        self._id = instance.id
+        self._entry = MemberEntry(
+            address=instance.peers, failure_domain=instance.failure_domain, start_id=start_id
+        )
+        self._board = board
+        self._bus = bus
+        self._store = store
+        self._entry_by_id: dict[str, MemberEntry] = {}
+        self._heard_s_by_id: dict[str, float] = {}
+        self._leaving: set[str] = set()
+        self._lease_id: int | None = None
+        self._store_contact_s = now_s()
+        self.watch = StoreWatch(
+            store, MEMBER_PREFIX, on_listing=self._take_listing, on_event=self._take_event
+        )
+        bus.on_fault = self.note_fault
+        board.live.write(LiveView((self._id,), now_s()))
+
+    def owners_of(self, subject: str) -> list[str]:
+        """Return the live instances in the order in which they own a subject."""
+        ids = self._board.live.read().ids
+        return sorted(ids, key=lambda name: rendezvous_weight(subject, name), reverse=True)
+
+    def owns(self, subject: str) -> bool:
+        """Tell whether this instance comes first for a subject."""
+        return self.owners_of(subject)[0] == self._id
+
+    def is_isolated(self) -> bool:
+        """Tell whether this instance may be cut off from all the others.
+
+        It hears less than half of the instances that are known and has not reached the store: then
+        others may have taken over what it owns.
+        """
+        if now_s() - self._store_contact_s < STORE_CONTACT_S:
+            return False
+        known = len(self._entry_by_id.keys() | {self._id})
+        return 2 * len(self._board.live.read().ids) < known
+
+    def domain_of(self, instance: str) -> str | None:
+        """Return an instance's failure domain."""
+        entry = self._entry_by_id.get(instance)
+        return entry.failure_domain if entry is not None else None
+
+    def note_heartbeat(self, beat: Heartbeat) -> None:
+        """Take in that an instance lives or leaves."""
+        if beat.is_leaving:
+            self._leaving.add(beat.instance)
+            self._heard_s_by_id.pop(beat.instance, None)
+        else:
+            self._leaving.discard(beat.instance)
+            self._heard_s_by_id[beat.instance] = now_s()
+        self._write_live()
+
+    def note_fault(self, peer: str, fault: PeerFault) -> None:
+        """Take in that a message did not reach a peer; a refused connection means its end."""
+        if fault is PeerFault.REFUSED and self._heard_s_by_id.pop(peer, None) is not None:
+            _log.info("member.refuses", member=peer)
+            self._write_live()
+
+    async def keep_registered(self) -> None:
+        """Keep this instance's entry in the store until cancelled."""
+        while True:
+            is_kept = await self._renew() if self._lease_id is not None else await self._register()
+            if is_kept:
+                self._store_contact_s = now_s()
+            await trio.sleep(RENEW_S if is_kept else RETRY_S)
+
+    async def check_silence(self) -> None:
+        """Take out instances that have fallen silent, until cancelled."""
+        while True:
+            await trio.sleep(CHECK_S)
+            self._write_live()
+
+    async def leave(self) -> None:
+        """Remove this instance's entry from the store."""
+        if self._lease_id is not None:
+            await self._store.end_lease(self._lease_id)
+
+    async def _register(self) -> bool:
+        granted = await self._store.grant_lease(LEASE_TTL_S)
+        if isinstance(granted, Err):
+            return False
+        lease_id = granted.ok_value.lease_id
+        entry = Put(
+            key=MEMBER_PREFIX + self._id,
+            value=msgspec.json.encode(self._entry),
+            lease_id=lease_id,
+        )
+        put = await self._store.commit(puts=(entry,))
+        if isinstance(put, Err):
+            _log.warning("member.not_registered", reason=put.err_value.detail)
+            return False
+        self._lease_id = lease_id
+        _log.info("member.registered", lease=lease_id)
+        return True
+
+    async def _renew(self) -> bool:
+        assert self._lease_id is not None
+        renewed = await self._store.renew_lease(self._lease_id)
+        if isinstance(renewed, Err):
+            _log.warning("member.lease_not_renewed", reason=renewed.err_value.detail)
+            if renewed.err_value.kind.value == "lease-expired":
+                self._lease_id = None
+            return False
+        return True
+
+    def _take_listing(self, listing: Listing) -> None:
+        self._entry_by_id = {}
+        for entry in listing.entries:
+            self._put_entry(entry.key, entry.value)
+        self._link()
+
+    def _take_event(self, event: WatchEvent) -> None:
+        if event.entry.revision == ABSENT_REVISION:
+            self._drop_unless_heard(event.entry.key[len(MEMBER_PREFIX) :])
+        else:
+            self._put_entry(event.entry.key, event.entry.value)
+        self._link()
+
+    def _put_entry(self, key: str, value: bytes) -> None:
+        name = key[len(MEMBER_PREFIX) :]
+        try:
+            entry = msgspec.json.decode(value, type=MemberEntry)
+        except msgspec.MsgspecError as error:
+            _log.warning("member.entry_unreadable", member=name, reason=str(error))
+            return
+        if name != self._id:
+            self._entry_by_id[name] = entry
+
+    def _drop_unless_heard(self, name: str) -> None:
+        """Forget an instance whose entry is gone; one that is heard will write it again."""
+        if name not in self._heard_s_by_id:
+            self._entry_by_id.pop(name, None)
+
+    def _link(self) -> None:
+        self._bus.set_peers({name: entry.address for name, entry in self._entry_by_id.items()})
+
+    def _write_live(self) -> None:
+        oldest_s = now_s() - SILENT_S
+        for name, heard_s in tuple(self._heard_s_by_id.items()):
+            if heard_s < oldest_s:
+                del self._heard_s_by_id[name]
+        ids = [self._id] if not self._board.stopping.read() else []
+        ids += [name for name in self._heard_s_by_id if name not in self._leaving]
+        live = tuple(sorted(ids)) or (self._id,)
+        before = self._board.live.read()
+        if live == before.ids:
+            return
+        self._board.live.write(LiveView(live, now_s()))
+        gone = sorted(set(before.ids) - set(live))
+        _log.info(
+            "members.changed", live=len(live), gone=gone, come=sorted(set(live) - {*before.ids})
+        )
--- /dev/null
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_messages.py
@@ -0,0 +1,118 @@
+"""What instances say to each other."""
+
+import msgspec
+
+from lagoonfold.rates import Ask, Loan, Shortage
+
+
+class Heartbeat(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """That an instance lives, what it has under way and what it has seen.
+
+    `sent_by_replica` counts requests under way by replica id, `paces` are slow replicas' paces;
+    the revisions are those of the store up to which this instance has followed its views.
+    """
+
+    instance: str
+    start_id: str
+    is_leaving: bool
+    sent_by_replica: dict[str, int]
+    paces: dict[str, float]
+    config_revision: int
+    replica_revision: int
+
+
+class TurnAsk(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """May this turn start? `most` is what it may produce at most, in tokens.
+
+    `live` are the instances that the asker hears; an owner that hears others may not be the only
+    one that is asked.
+    """
+
+    program: str
+    turn_id: str
+    front: str
+    budget: int
+    most: int
+    retention_s: float
+    live: tuple[str, ...]
+
+
+class TurnCover(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """Cover what a running turn may still produce."""
+
+    program: str
+    turn_id: str
+
+
+class TurnEnd(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """A turn has ended; `handed` tokens of it went out to the caller."""
+
+    program: str
+    turn_id: str
+    handed: int
+
+
+class TurnCredit(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """The tokens that a turn may hand out in all, so far."""
+
+    credit: int
+
+
+class BudgetSpent(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """The program's budget does not hold the turn."""
+
+    spent: int
+    budget: int
+
+
+class NotNow(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """The owner cannot decide now, and why."""
+
+    reason: str
+
+
+class LoanAsk(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """A borrower's ask for an account's rate; without a wish it only reports."""
+
+    account: str
+    borrower: str
+    ask: Ask
+
+
+class LoanGiven(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """A loan of an account's rate."""
+
+    loan: Loan
+
+
+class LoanRefused(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """Nothing can be lent now."""
+
+    shortage: Shortage
+
+
+class Done(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """The message was taken in."""
+
+
+Message = (
+    Heartbeat
+    | TurnAsk
+    | TurnCover
+    | TurnEnd
+    | TurnCredit
+    | BudgetSpent
+    | NotNow
+    | LoanAsk
+    | LoanGiven
+    | LoanRefused
+    | Done
+)
+
+
+class Envelope(msgspec.Struct, frozen=True, array_like=True):
+    """A message with the number of the call that it belongs to; an answer bears the same number."""
+
+    number: int
+    is_answer: bool
+    message: Message
--- /dev/null
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_peers.py
@@ -0,0 +1,119 @@
+"""The bus between instances: links to peers, and handlers of their messages.
+
+A handler is entered by `@bus.handles(Type)`; it returns the answer, or None for a message that was
+posted. A message to this instance itself takes the same way without a connection.
+"""
+
+from collections.abc import Awaitable, Callable
+
+import trio
+from result import Err, Ok, Result
+
+from lagoonfold_gateway._messages import Done, Envelope, Heartbeat, Message
+from lagoonfold_gateway._peer_link import BREAKS, FrameReader, PeerFault, PeerLink, encode_frame
+from lagoonfold_io import end_silence
+from lagoonfold_io.observe import EventLog
+
+SILENCE_LIMIT_S = 2.0  # of an accepted connection whose peer is gone without a word
+
+Handler = Callable[[Message], Awaitable[Message]]
+
+_log = EventLog("peers")
+
+
+class PeerBus:
+    """Sends messages to peers by id and serves those that they send."""
+
+    def __init__(self, own_id: str, nursery: trio.Nursery) -> None:
+        self.own_id = own_id
+        self._nursery = nursery
+        self._links_by_id: dict[str, PeerLink] = {}
+        self._handlers_by_type: dict[type, Handler] = {}
+        self.on_fault: Callable[[str, PeerFault], None] = lambda peer, fault: None
+
+    def handles(self, message_type: type) -> Callable[[Handler], Handler]:
+        """Enter a handler for a type of message."""
+
+        def enter(handler: Handler) -> Handler:
+            self._handlers_by_type[message_type] = handler
+            return handler
+
+        return enter
+
+    def set_peers(self, address_by_id: dict[str, str]) -> None:
+        """Keep links to exactly these peers."""
+        for peer, link in tuple(self._links_by_id.items()):
+            if address_by_id.get(peer) != link.address:
+                link.close()
+                del self._links_by_id[peer]
+        for peer, address in address_by_id.items():
+            if peer not in self._links_by_id:
+                self._links_by_id[peer] = PeerLink(address, self._nursery)
+
+    @property
+    def peer_ids(self) -> tuple[str, ...]:
+        """The ids of all peers that are linked."""
+        return tuple(self._links_by_id)
+
+    async def call(
+        self, peer: str, message: Message, *, timeout_s: float
+    ) -> Result[Message, PeerFault]:
+        """Send a message to a peer, or to this instance, and return the answer."""
+        if peer == self.own_id:
+            with trio.move_on_after(timeout_s):
+                return Ok(await self._handle(message))
+            return Err(PeerFault.TIMEOUT)
+        link = self._links_by_id.get(peer)
+        if link is None:
+            return Err(PeerFault.UNREACHED)
+        answer = await link.call(message, timeout_s=timeout_s)
+        if isinstance(answer, Err):
+            self.on_fault(peer, answer.err_value)
+        return answer
+
+    async def post(self, peer: str, message: Heartbeat) -> None:
+        """Send a message that has no answer; a fault is told to `on_fault`."""
+        link = self._links_by_id.get(peer)
+        if link is None:
+            return
+        posted = await link.post(message)
+        if isinstance(posted, Err):
+            self.on_fault(peer, posted.err_value)
+
+    async def serve(
+        self, address: str, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Accept connections of peers until cancelled."""
+        host, _, port = address.rpartition(":")
+        listeners = await trio.open_tcp_listeners(int(port), host=host)
+        task_status.started()
+        await trio.serve_listeners(self._serve_peer, listeners, handler_nursery=self._nursery)
+
+    async def _serve_peer(self, stream: trio.SocketStream) -> None:
+        reader = FrameReader(stream)
+        lock = trio.Lock()
+        try:
+            end_silence(stream.socket, SILENCE_LIMIT_S)
+            async with trio.open_nursery() as calls:
+                while (envelope := await reader.read()) is not None:
+                    calls.start_soon(self._serve_call, stream, lock, envelope)
+                calls.cancel_scope.cancel()
+        except* BREAKS as errors:
+            _log.debug("peer.connection_broke", reason=str(errors.exceptions[0]))
+        finally:
+            stream.socket.close()
+
+    async def _serve_call(
+        self, stream: trio.SocketStream, lock: trio.Lock, envelope: Envelope
+    ) -> None:
+        answer = await self._handle(envelope.message)
+        if envelope.number:
+            async with lock:
+                await stream.send_all(encode_frame(Envelope(envelope.number, True, answer)))
+
+    async def _handle(self, message: Message) -> Message:
+        handler = self._handlers_by_type.get(type(message))
+        if handler is None:
+            _log.warning("peer.message_unknown", type=type(message).__name__)
+            return Done()
+        return await handler(message)
--- /dev/null
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_replica_controller.py
@@ -0,0 +1,117 @@
+"""Follows the replicas' entries in the store.
+
+Writes `replicas`. An entry that cannot be read names no replica to use, and takes a replica out
+that it named before.
+"""
+
+import trio
+from result import Err
+
+from lagoonfold import Entry, Listing, TransactionalStore, WatchEvent
+from lagoonfold._ports import ABSENT_REVISION
+from lagoonfold.forwarding import LoadBook, Replica
+from lagoonfold_gateway._board import GatewayBoard
+from lagoonfold_gateway._clock import now_s
+from lagoonfold_gateway._dialect import Dialect
+from lagoonfold_gateway._store_watch import StoreWatch, entry_name
+from lagoonfold_io import HttpClient
+from lagoonfold_io.observe import EventLog
+
+CHECK_S = 0.1  # how often held removals are looked at
+
+_log = EventLog("replicas")
+
+
+class ReplicaController:
+    """Keeps the directory of replicas, and drops connections and evidence of those that leave."""
+
+    def __init__(
+        self,
+        dialect: Dialect,
+        board: GatewayBoard,
+        store: TransactionalStore,
+        loads: LoadBook,
+        client: HttpClient,
+    ) -> None:
+        self._dialect = dialect
+        self._board = board
+        self._loads = loads
+        self._client = client
+        self.watch = StoreWatch(
+            store,
+            dialect.replica_prefix,
+            on_listing=self._take_listing,
+            on_event=self._take_event,
+            on_return=self._begin_grace,
+        )
+
+    async def expire(self) -> None:
+        """Remove entries whose grace is over, until cancelled."""
+        directory = self._board.replicas.read()
+        while True:
+            await trio.sleep(CHECK_S)
+            if directory.expire(now_s=now_s()):
+                _log.info("replicas.lapsed", left=len(directory.all()))
+                self._tell()
+
+    def _begin_grace(self) -> None:
+        self._board.replicas.read().begin_grace(now_s=now_s())
+
+    def _take_listing(self, listing: Listing) -> None:
+        replica_by_id: dict[str, Replica] = {}
+        for entry in listing.entries:
+            replica = self._decode(entry)
+            if replica is not None:
+                replica_by_id[replica.replica_id] = replica
+                self._note_change(replica)
+        self._board.replicas.read().replace_all(replica_by_id, now_s=now_s())
+        _log.info("replicas.listed", replicas=len(replica_by_id), revision=listing.revision)
+        self._tell()
+
+    def _take_event(self, event: WatchEvent) -> None:
+        directory = self._board.replicas.read()
+        replica_id = entry_name(event.entry, self._dialect.replica_prefix)
+        if event.entry.revision == ABSENT_REVISION:
+            known = directory.get(replica_id)
+            directory.remove(replica_id, now_s=now_s())
+            is_held = directory.get(replica_id) is not None
+            _log.info("replica.gone", replica=replica_id, revision=event.revision, held=is_held)
+            if known is not None and not is_held:
+                self._client.forget(known.address)
+            self._tell()
+            return
+        replica = self._decode(event.entry)
+        if replica is None:
+            directory.remove(replica_id, now_s=now_s())
+        else:
+            self._note_change(replica)
+            directory.put(replica)
+        self._tell()
+
+    def _note_change(self, replica: Replica) -> None:
+        """Log what has changed, and forget what was known of an earlier start."""
+        known = self._board.replicas.read().get(replica.replica_id)
+        if known == replica:
+            return
+        if known is None or known.started != replica.started or known.address != replica.address:
+            self._loads.forget(replica.replica_id)
+            self._client.forget(replica.address)
+        _log.info(
+            "replica.listed",
+            replica=replica.replica_id,
+            service=replica.service,
+            address=replica.address,
+            draining=replica.is_draining,
+            started=replica.started,
+        )
+
+    def _decode(self, entry: Entry) -> Replica | None:
+        replica_id = entry_name(entry, self._dialect.replica_prefix)
+        decoded = self._dialect.decode_replica(replica_id, entry.value)
+        if isinstance(decoded, Err):
+            _log.warning("replica.entry_unreadable", replica=replica_id, reason=decoded.err_value)
+            return None
+        return decoded.ok_value
+
+    def _tell(self) -> None:
+        self._board.replicas.write(self._board.replicas.read())
--- /dev/null
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_service_port.py
@@ -0,0 +1,44 @@
+"""The small HTTP ports beside the border: readiness for the balancer, and metrics."""
+
+from collections.abc import Callable
+
+import trio
+
+from lagoonfold_io import Exchange, HttpRequest, HttpResponse, HttpServer
+from lagoonfold_io.observe import Metrics
+
+TEXT = (("content-type", "text/plain; version=0.0.4"),)
+
+
+async def serve_readiness(
+    address: str,
+    is_ready: Callable[[], bool],
+    *,
+    task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Answer every request with 200 while the instance is ready, with 503 otherwise."""
+
+    async def handle(request: HttpRequest, exchange: Exchange) -> None:
+        await exchange.respond(HttpResponse(status=200 if is_ready() else 503))
+
+    await _serve(address, handle, task_status)
+
+
+async def serve_metrics(
+    address: str,
+    metrics: Metrics,
+    *,
+    task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Answer every request with the counters and latencies as text."""
+
+    async def handle(request: HttpRequest, exchange: Exchange) -> None:
+        body = metrics.render().encode()
+        await exchange.respond(HttpResponse(status=200, headers=TEXT, body=body))
+
+    await _serve(address, handle, task_status)
+
+
+async def _serve(address: str, handle: Callable, task_status: trio.TaskStatus[int]) -> None:
+    host, _, port = address.rpartition(":")
+    await HttpServer(handle).serve(host, int(port), task_status=task_status)
--- /dev/null
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_store_watch.py
@@ -0,0 +1,115 @@
+"""Follows the entries below a prefix of the store: a listing, then changes by long poll.
+
+A poll that fails is tried again with a growing pause; lost history means a new listing. After the
+store has been out of reach, `on_return` is called before the first changes are handed on, since
+entries may have lapsed meanwhile that will be written again.
+"""
+
+from collections.abc import Callable
+
+import trio
+from result import Err
+
+from lagoonfold import Entry, Listing, StoreError, StoreErrorKind, TransactionalStore, WatchEvent
+from lagoonfold_gateway._clock import now_s
+from lagoonfold_io.observe import EventLog
+
+POLL_WAIT_S = 25.0  # a long poll costs one call; the platform allows 30 s
+FIRST_PAUSE_S = 0.05  # after a failed call; doubles with each further one
+MAX_PAUSE_S = 0.5  # so that the return of the store is noticed within half a second
+OUT_OF_REACH_S = 1.0  # shorter failures than this cannot have let an entry lapse
+
+_log = EventLog("store")
+
+
+class StoreWatch:
+    """One prefix that is followed for as long as `run` is."""
+
+    def __init__(
+        self,
+        store: TransactionalStore,
+        prefix: str,
+        *,
+        on_listing: Callable[[Listing], None],
+        on_event: Callable[[WatchEvent], None],
+        on_return: Callable[[], None] = lambda: None,
+    ) -> None:
+        self._store = store
+        self._prefix = prefix
+        self._on_listing = on_listing
+        self._on_event = on_event
+        self._on_return = on_return
+        self._revision: int | None = None
+        self.seen_revision = 0
+        self._first_failure_s = 0.0
+        self._failures = 0
+        self._scope: trio.CancelScope | None = None
+
+    @property
+    def revision(self) -> int:
+        """The revision up to which changes have been taken in, zero before the first listing.
+
+        `seen_revision` is that of the latest change that was seen, which may be much older.
+        """
+        return self._revision or 0
+
+    def poll_anew(self) -> None:
+        """Give the poll under way up and start another, on another connection if need be."""
+        if self._scope is not None:
+            self._scope.cancel()
+
+    async def run(self) -> None:
+        """Follow the prefix until cancelled."""
+        while True:
+            with trio.CancelScope() as self._scope:
+                await self._step()
+            self._scope = None
+
+    async def _step(self) -> None:
+        if self._revision is None:
+            listed = await self._store.read_all(self._prefix)
+            if isinstance(listed, Err):
+                await self._note_failure(listed.err_value)
+                return
+            self._note_success()
+            self._revision = listed.ok_value.revision
+            for entry in listed.ok_value.entries:
+                self.seen_revision = max(self.seen_revision, entry.revision)
+            self._on_listing(listed.ok_value)
+            return
+        polled = await self._store.poll(
+            self._prefix, after_revision=self._revision, wait_s=POLL_WAIT_S
+        )
+        if isinstance(polled, Err):
+            await self._note_failure(polled.err_value)
+            return
+        self._note_success()
+        for event in polled.ok_value.events:
+            self.seen_revision = max(self.seen_revision, event.revision)
+            self._on_event(event)
+        self._revision = max(self._revision, polled.ok_value.revision)
+
+    async def _note_failure(self, error: StoreError) -> None:
+        if error.kind is StoreErrorKind.HISTORY_LOST:
+            _log.info("watch.history_lost", prefix=self._prefix, revision=self._revision)
+            self._revision = None
+            return
+        if self._failures == 0:
+            self._first_failure_s = now_s()
+            _log.warning("store.lost", prefix=self._prefix, reason=error.detail)
+        pause_s = min(MAX_PAUSE_S, FIRST_PAUSE_S * 2 ** min(self._failures, 8))
+        self._failures += 1
+        await trio.sleep(pause_s)
+
+    def _note_success(self) -> None:
+        if self._failures:
+            away_s = now_s() - self._first_failure_s
+            _log.info("store.regained", prefix=self._prefix, away_s=round(away_s, 3))
+            if away_s > OUT_OF_REACH_S:
+                self._on_return()
+        self._failures = 0
+
+
+def entry_name(entry: Entry, prefix: str) -> str:
+    """Return what follows the prefix in an entry's key."""
+    return entry.key[len(prefix) :]
--- /dev/null
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_tries.py
@@ -0,0 +1,176 @@
+"""The tries of a forwarded request: place, send, relay, and what follows a failure."""
+
+from result import Err, Ok, Result
+
+from lagoonfold import ErrorKind, Ran, Refusal
+from lagoonfold.forwarding import (
+    EventFilter,
+    NextStep,
+    Placement,
+    PlacementRequest,
+    RouteKind,
+    TryEnd,
+    pick_service,
+)
+from lagoonfold_gateway._clock import now_s
+from lagoonfold_gateway._context import ForwardContext
+from lagoonfold_gateway._dispatch import Dispatcher
+from lagoonfold_gateway._journey import Journey
+from lagoonfold_gateway._relay import StreamState, relay_plain, relay_stream
+from lagoonfold_gateway._upstream_try import (
+    TryFailure,
+    build_request,
+    resume_from,
+    try_upstream,
+)
+from lagoonfold_io import Exchange
+
+SUCCESS_BELOW = 300
+
+
+class Tries:
+    """Runs the tries of requests at one instance."""
+
+    def __init__(self, context: ForwardContext, dispatcher: Dispatcher) -> None:
+        self._context = context
+        self._dispatcher = dispatcher
+
+    async def run(self, journey: Journey, exchange: Exchange) -> Refusal | None:
+        """Try until the request is answered; return the refusal to answer with otherwise."""
+        service = pick_service(journey.route.targets, self._context.rng)
+        state = StreamState(EventFilter(journey.call.last_event))
+        only: str | None = None
+        avoid: set[str] = set()
+        while True:
+            placed = await self._place(service, journey, avoid, only)
+            if isinstance(placed, Err):
+                return self._refusal_of(placed.err_value, journey)
+            placement = placed.ok_value
+            replica_id = placement.replica.replica_id
+            ended = await self._try(service, placement, state, journey, exchange)
+            if isinstance(ended, Ok):
+                return None
+            failure, step = ended.err_value
+            if step is NextStep.FAIL:
+                return _lost(failure)
+            only = None
+            if step is NextStep.SAME_OR_GONE:
+                only = self._listed(replica_id)
+            elif failure.end is not TryEnd.FULL:
+                avoid.add(replica_id)
+
+    async def _place(
+        self, service: str, journey: Journey, avoid: set[str], only: str | None
+    ) -> Result[Placement, Refusal]:
+        replicas = self._context.board.replicas.read().of_service(service)
+        if only is not None:
+            avoid = {replica.replica_id for replica in replicas if replica.replica_id != only}
+        elif all(replica.replica_id in avoid for replica in replicas):
+            avoid = set()
+        request = PlacementRequest(
+            usual_s=self._context.usual.get(journey.route.name, "answer"),
+            parts=journey.call.parts,
+            avoid=frozenset(avoid),
+        )
+        return await self._dispatcher.place(
+            service,
+            request,
+            rank=journey.rank,
+            wanted_s=journey.wanted_s,
+            due_s=journey.give_up_s,
+        )
+
+    async def _try(
+        self,
+        service: str,
+        placement: Placement,
+        state: StreamState,
+        journey: Journey,
+        exchange: Exchange,
+    ) -> Result[None, tuple[TryFailure, NextStep]]:
+        """Make one try at a replica that counts the request as sent; release it in any case."""
+        replica_id = placement.replica.replica_id
+        ran_before = replica_id in journey.record.may_have_run
+        journey.record.note_sent(replica_id)
+        began_s = now_s()
+        try:
+            ended = await self._send(placement, state, journey, exchange)
+        finally:
+            self._dispatcher.release(service, replica_id)
+            journey.tries.append(
+                f"{replica_id} load={placement.requests} pace={placement.pace:.2f}"
+                f" uncached={placement.uncached_tokens} took={now_s() - began_s:.3f}"
+            )
+        if isinstance(ended, Ok):
+            self._note_answer(journey, placement, began_s)
+            return Ok(None)
+        failure = ended.err_value
+        journey.tries[-1] += f" {failure.end.value}: {failure.reason}"
+        self._context.metrics.count("tries_failed", failure.end.value)
+        self._note_failure(replica_id, failure)
+        step = journey.record.note_end(replica_id, failure.end, ran_before=ran_before)
+        if step is not NextStep.FAIL and state.is_started and not journey.route.can_resume:
+            step = NextStep.FAIL
+        return Err((failure, step))
+
+    async def _send(
+        self, placement: Placement, state: StreamState, journey: Journey, exchange: Exchange
+    ) -> Result[None, TryFailure]:
+        request = build_request(journey, placement, self._context)
+        if state.is_started and state.events.last_id is not None:
+            name = self._context.dialect.headers.last_event
+            request = resume_from(request, name, state.events.last_id)
+        fresh = journey.record.losses > 0
+        async with try_upstream(
+            journey, placement, request, self._context, fresh=fresh
+        ) as answered:
+            if isinstance(answered, Err):
+                return answered
+            response = answered.ok_value
+            is_success = response.head.status < SUCCESS_BELOW
+            if journey.route.kind is RouteKind.STREAM and is_success:
+                return await relay_stream(
+                    response, state, journey, placement, exchange, self._context
+                )
+            if state.is_started:
+                reason = f"status {response.head.status} to a resumed stream"
+                return Err(TryFailure(end=TryEnd.LOST, reason=reason))
+            return await relay_plain(response, journey, exchange)
+
+    def _note_answer(self, journey: Journey, placement: Placement, began_s: float) -> None:
+        context = self._context
+        replica = placement.replica
+        context.loads.note_answer(replica.replica_id)
+        context.memory.note(replica.replica_id, replica.started, journey.call.parts)
+        took_s = now_s() - began_s
+        ratio = context.usual.note(journey.route.name, "answer", took_s)
+        if journey.route.kind is not RouteKind.STREAM:
+            context.loads.note_pace(replica.replica_id, ratio, now_s=now_s())
+
+    def _note_failure(self, replica_id: str, failure: TryFailure) -> None:
+        loads = self._context.loads
+        if failure.end is TryEnd.FULL:
+            loads.note_full(replica_id, now_s=now_s())
+        elif failure.end is TryEnd.LOST:
+            loads.note_lost(replica_id, now_s=now_s())
+        else:
+            loads.note_unreached(replica_id, now_s=now_s())
+
+    def _listed(self, replica_id: str) -> str | None:
+        """Return the replica's id while it may take requests."""
+        replica = self._context.board.replicas.read().get(replica_id)
+        return replica_id if replica is not None and not replica.is_draining else None
+
+    def _refusal_of(self, refusal: Refusal, journey: Journey) -> Refusal:
+        """Return a refusal to place, without a promise where the request may have run."""
+        if journey.record.has_not_run:
+            return refusal
+        return Refusal(kind=ErrorKind.UPSTREAM_FAILED, detail=refusal.detail, ran=Ran.UNKNOWN)
+
+
+def _lost(failure: TryFailure) -> Refusal:
+    return Refusal(
+        kind=ErrorKind.OUTCOME_UNKNOWN,
+        detail=f"the answer was lost: {failure.reason}",
+        ran=Ran.UNKNOWN,
+    )
--- a/packages/lagoonfold-io/src/lagoonfold_io/__init__.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/__init__.py
@@ -2,6 +2,7 @@
 
 from lagoonfold_io._call_rate import CallRate
 from lagoonfold_io._config_log import ConfigLog, LogState
+from lagoonfold_io._dialing import end_silence, open_stream
 from lagoonfold_io._etcd_store import EtcdStore
 from lagoonfold_io._http_client import HttpClient
 from lagoonfold_io._http_connection import ResponseHead, ResponseStream, StreamError
@@ -14,6 +15,7 @@
     HttpRequest,
     HttpResponse,
     Sent,
+    find_header,
 )
 from lagoonfold_io._http_server import HttpServer
 from lagoonfold_io._instance_list import HttpInstanceList
@@ -38,4 +40,7 @@
     "ResponseStream",
     "Sent",
     "StreamError",
+    "end_silence",
+    "find_header",
+    "open_stream",
 ]
--- /dev/null
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_dialing.py
@@ -0,0 +1,36 @@
+"""Opens TCP connections that find out by themselves when the other end has gone silent."""
+
+import math
+import socket
+
+import trio
+
+MILLISECONDS_PER_S = 1_000
+PROBES = 2  # keep-alive probes without an answer that end a connection
+
+
+async def open_stream(address: str, *, silence_limit_s: float) -> trio.SocketStream:
+    """Connect to `host:port`; the connection breaks after that silence, idle or not.
+
+    Raises `OSError` where the connection cannot be made.
+    """
+    host, _, port = address.rpartition(":")
+    sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        end_silence(sock, silence_limit_s)
+        await sock.connect((host, int(port)))
+    except BaseException:
+        sock.close()
+        raise
+    return trio.SocketStream(sock)
+
+
+def end_silence(sock: trio.socket.SocketType, silence_limit_s: float) -> None:
+    """Break a connection whose other end acknowledges nothing for that long."""
+    probe_s = max(1, math.ceil(silence_limit_s / (PROBES + 1)))
+    limit_ms = int(silence_limit_s * MILLISECONDS_PER_S)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, probe_s)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, probe_s)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_ms)
--- a/packages/lagoonfold-io/src/lagoonfold_io/_http_client.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_client.py
@@ -8,7 +8,8 @@
     response = await client.fetch("127.0.0.1:8080", HttpRequest(method="GET", path="/livez"))
 """
 
-from collections import defaultdict
+import re
+from collections import Counter, defaultdict
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -16,6 +17,7 @@
 import trio
 from result import Err, Ok, Result
 
+from lagoonfold_io._dialing import open_stream
 from lagoonfold_io._http_connection import (
     BREAKS,
     ClientConnection,
@@ -25,21 +27,44 @@
     close_now,
     encode_request,
     has_input,
+    has_surplus,
     next_event,
 )
-from lagoonfold_io._http_messages import HttpError, HttpRequest, HttpResponse, Sent
+from lagoonfold_io._http_messages import (
+    Headers,
+    HttpError,
+    HttpRequest,
+    HttpResponse,
+    Sent,
+    find_header,
+)
 
 DEFAULT_CONNECT_TIMEOUT_S = 1.0
 DEFAULT_PROGRESS_TIMEOUT_S = 30.0
 MAX_KEPT_PER_ADDRESS = 64
 MAX_KEPT_IDLE_S = 20.0
+MAX_OPEN_PER_ADDRESS = 1_000
+KEEP_ALIVE_MARGIN_S = 0.5  # a server's idle timeout is in whole seconds and runs at its end
+DEFAULT_SILENCE_LIMIT_S = 2.0  # of unacknowledged data; keep-alive probes find the rest as fast
+
+_KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
 
 
 class HttpClient:
     """A pool of connections; one instance serves one trio loop."""
 
-    def __init__(self, *, connect_timeout_s: float = DEFAULT_CONNECT_TIMEOUT_S) -> None:
+    def __init__(
+        self,
+        *,
+        connect_timeout_s: float = DEFAULT_CONNECT_TIMEOUT_S,
+        silence_limit_s: float = DEFAULT_SILENCE_LIMIT_S,
+        max_per_address: int = MAX_OPEN_PER_ADDRESS,
+    ) -> None:
         self._connect_timeout_s = connect_timeout_s
+        self._silence_limit_s = silence_limit_s
+        self.max_per_address = max_per_address
+        self.opened = 0
+        self._busy_by_address: Counter[str] = Counter()
         self._idle_by_address: dict[str, list[ClientConnection]] = defaultdict(list)
         self.bytes_sent = 0
         self.bytes_received = 0
@@ -88,38 +113,61 @@
         *,
         progress_timeout_s: float = DEFAULT_PROGRESS_TIMEOUT_S,
         fresh: bool = False,
+        max_idle_s: float = MAX_KEPT_IDLE_S,
     ) -> AsyncIterator[Result[ResponseStream, HttpError]]:
         """Send a request and yield its response for reading.
 
         Leaving the block before the body is complete closes the connection, which cancels the
-        request on the server.
+        request on the server. A connection that has been idle for longer than `max_idle_s` is not
+        used.
         """
-        taken = await self._connect(address, fresh)
-        if isinstance(taken, Err):
-            yield taken
-            return
-        connection = taken.ok_value
+        self._busy_by_address[address] += 1
+        try:
+            taken = await self._connect(address, fresh, max_idle_s)
+            if isinstance(taken, Err):
+                yield taken
+                return
+            async with self._exchange(
+                taken.ok_value, address, request, progress_timeout_s
+            ) as opened:
+                yield opened
+        finally:
+            self._busy_by_address[address] -= 1
+
+    @asynccontextmanager
+    async def _exchange(
+        self, connection: ClientConnection, address: str, request: HttpRequest, timeout_s: float
+    ) -> AsyncIterator[Result[ResponseStream, HttpError]]:
+        """Send on a connection, which is then kept, dropped with its elders, or only closed."""
         opened: Result[ResponseStream, HttpError] | None = None
         try:
-            opened = await self._start(connection, address, request, progress_timeout_s)
+            opened = await self._start(connection, address, request, timeout_s)
             yield opened
         finally:
             if isinstance(opened, Ok) and opened.ok_value.is_complete():
-                await self._keep(address, connection)
+                self._keep(address, connection, opened.ok_value.head.headers)
+            elif isinstance(opened, Err) or (opened and opened.ok_value.is_broken()):
+                self._drop(address, connection)
             else:
-                await self._drop(address, connection)
+                close_now(connection)
 
-    async def _connect(self, address: str, fresh: bool) -> Result[ClientConnection, HttpError]:
-        kept = None if fresh else self._take_kept(address)
+    async def _connect(
+        self, address: str, fresh: bool, max_idle_s: float = MAX_KEPT_IDLE_S
+    ) -> Result[ClientConnection, HttpError]:
+        kept = None if fresh else self._take_kept(address, max_idle_s)
         if kept is not None:
             return Ok(kept)
-        host, _, port = address.rpartition(":")
+        self._make_room(address)
+        if self._busy_by_address[address] > self.max_per_address:
+            detail = f"{self.max_per_address} connections to {address} are in use"
+            return Err(HttpError(detail=detail, sent=Sent.NOTHING))
         try:
             with trio.fail_after(self._connect_timeout_s):
-                stream = await trio.open_tcp_stream(host, int(port))
+                stream = await open_stream(address, silence_limit_s=self._silence_limit_s)
         except (OSError, trio.TooSlowError) as error:
             detail = f"cannot connect to {address}: {error or 'timeout'}"
             return Err(HttpError(detail=detail, sent=Sent.NOTHING))
+        self.opened += 1
         protocol = h11.Connection(our_role=h11.CLIENT)
         return Ok(ClientConnection(stream, protocol, opened_at=trio.current_time()))
 
@@ -130,16 +178,24 @@
             close_now(taken.ok_value)
         return isinstance(taken, Ok)
 
-    def _take_kept(self, address: str) -> ClientConnection | None:
+    def _take_kept(self, address: str, max_idle_s: float) -> ClientConnection | None:
         idle = self._idle_by_address[address]
         now = trio.current_time()
         while idle:
             connection = idle.pop()
-            if now - connection.idle_since <= MAX_KEPT_IDLE_S and not has_input(connection):
+            limit_s = min(max_idle_s, connection.idle_limit_s)
+            if now - connection.idle_since <= limit_s and not has_input(connection):
+                connection.was_kept = True
                 return connection
             close_now(connection)
         return None
 
+    def _make_room(self, address: str) -> None:
+        """Close idle connections that would exceed the limit together with a new one."""
+        idle = self._idle_by_address[address]
+        while idle and self._busy_by_address[address] + len(idle) > self.max_per_address:
+            close_now(idle.pop(0))
+
     async def _start(
         self, connection: ClientConnection, address: str, request: HttpRequest, timeout_s: float
     ) -> Result[ResponseStream, HttpError]:
@@ -159,18 +215,20 @@
         head = ResponseHead(status=event.status_code, headers=headers)
         return Ok(ResponseStream(head=head, _connection=connection, _progress_timeout_s=timeout_s))
 
-    async def _keep(self, address: str, connection: ClientConnection) -> None:
+    def _keep(self, address: str, connection: ClientConnection, headers: Headers) -> None:
         idle = self._idle_by_address[address]
         reusable = connection.protocol.our_state is h11.DONE
         reusable = reusable and connection.protocol.their_state is h11.DONE
-        if not reusable or len(idle) >= MAX_KEPT_PER_ADDRESS:
-            await trio.aclose_forcefully(connection.stream)
+        reusable = reusable and not has_surplus(connection) and not has_input(connection)
+        connection.idle_limit_s = _idle_limit_s(headers)
+        if not reusable or len(idle) >= MAX_KEPT_PER_ADDRESS or connection.idle_limit_s <= 0:
+            close_now(connection)
             return
         connection.protocol.start_next_cycle()
         connection.idle_since = trio.current_time()
         idle.append(connection)
 
-    async def _drop(self, address: str, connection: ClientConnection) -> None:
+    def _drop(self, address: str, connection: ClientConnection) -> None:
         """Close a connection that failed, and the kept ones that are older than it."""
         idle = self._idle_by_address[address]
         elders = [kept for kept in idle if kept.opened_at <= connection.opened_at]
@@ -179,8 +237,20 @@
             close_now(elder)
         close_now(connection)
 
+    def forget(self, address: str) -> None:
+        """Close the kept connections to an address that is not to be used any more."""
+        for connection in self._idle_by_address.pop(address, ()):
+            close_now(connection)
+
     def close(self) -> None:
         """Close all kept connections."""
         for idle in self._idle_by_address.values():
             while idle:
                 close_now(idle.pop())
+
+
+def _idle_limit_s(headers: Headers) -> float:
+    """Return how long the server keeps the connection when idle, as its headers say."""
+    keep_alive = find_header(headers, "keep-alive")
+    found = _KEEP_ALIVE_TIMEOUT.search(keep_alive) if keep_alive else None
+    return int(found[1]) - KEEP_ALIVE_MARGIN_S if found else MAX_KEPT_IDLE_S
--- a/packages/lagoonfold-io/src/lagoonfold_io/_http_connection.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_connection.py
@@ -8,7 +8,15 @@
 import h11
 import trio
 
-from lagoonfold_io._http_messages import READ_SIZE_BYTES, Headers, HttpError, HttpRequest, Sent
+from lagoonfold_io._http_messages import (
+    READ_SIZE_BYTES,
+    Headers,
+    HttpError,
+    HttpRequest,
+    Sent,
+    encode_headers,
+    find_header,
+)
 from lagoonfold_io._readiness import is_readable
 
 SMALL_INPUT_BYTES = 4_096
@@ -22,7 +30,8 @@
     """An open connection with its protocol state.
 
     `input_bytes` is the size of the latest input. `needs_input` says that the protocol has no
-    event left in what it was given, so that it need not be asked.
+    event left in what it was given, so that it need not be asked. `idle_limit_s` is how long the
+    server keeps the connection when idle, and `was_kept` says that it carried a request before.
     """
 
     stream: trio.SocketStream
@@ -31,6 +40,8 @@
     idle_since: float = 0.0
     input_bytes: int = 0
     needs_input: bool = False
+    idle_limit_s: float = math.inf
+    was_kept: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -57,6 +68,7 @@
     _connection: ClientConnection
     _progress_timeout_s: float
     _complete: bool = field(default=False)
+    _broke: bool = field(default=False)
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives; each wait is limited by the progress timeout."""
@@ -77,17 +89,28 @@
             if event is None:
                 if parts:
                     break
-                event = await next_event(self._connection, timeout_s)
+                event = await self._next_event(timeout_s)
             if type(event) is h11.Data:
                 parts.append(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 self._complete = True
         return bytes(parts[0]) if len(parts) == 1 else b"".join(parts)
 
+    async def _next_event(self, timeout_s: float) -> h11.Event:
+        try:
+            return await next_event(self._connection, timeout_s)
+        except StreamError:
+            self._broke = True
+            raise
+
     def is_complete(self) -> bool:
         """Tell whether the whole body has been read."""
         return self._complete
 
+    def is_broken(self) -> bool:
+        """Tell whether the connection failed while the body was being read."""
+        return self._broke
+
 
 async def _receive(connection: ClientConnection, timeout_s: float) -> None:
     """Give the protocol the next input; the timeout costs nothing where there is none."""
@@ -153,6 +176,11 @@
     connection.stream.socket.close()
 
 
+def has_surplus(connection: ClientConnection) -> bool:
+    """Tell whether bytes have arrived after the end of the response."""
+    return bool(connection.protocol.trailing_data[0])
+
+
 def has_input(connection: ClientConnection) -> bool:
     """Tell whether an idle connection is readable, which means closed or out of step."""
     return connection.stream.socket.fileno() < 0 or is_readable(connection.stream)
@@ -160,11 +188,19 @@
 
 def encode_request(protocol: h11.Connection, address: str, request: HttpRequest) -> bytes:
     """Return a whole request as it goes over the wire."""
-    target = f"{request.path}?{request.query}" if request.query else request.path
-    headers = [("host", address), *request.headers]
+    target = request.target or request.path
+    if request.query and not request.target:
+        target = f"{request.path}?{request.query}"
+    headers = list(request.headers)
+    if find_header(request.headers, "host") is None:
+        headers.insert(0, ("host", address))
     if request.body or request.method in ("POST", "PUT"):
         headers.append(("content-length", str(len(request.body))))
-    head = h11.Request(method=request.method, target=target, headers=headers)
+    head = h11.Request(
+        method=request.method,
+        target=target.encode("latin-1"),
+        headers=encode_headers(tuple(headers)),
+    )
     parts = [protocol.send(head)]
     if request.body:
         parts.append(protocol.send(h11.Data(data=request.body)))
--- a/packages/lagoonfold-io/src/lagoonfold_io/_http_exchange.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_exchange.py
@@ -6,7 +6,7 @@
 import h11
 import trio
 
-from lagoonfold_io._http_messages import Headers, HttpLimits, HttpResponse
+from lagoonfold_io._http_messages import Headers, HttpLimits, HttpResponse, encode_headers
 
 BREAKS = (trio.BrokenResourceError, trio.ClosedResourceError, OSError)
 _STREAM_HEADERS = ("transfer-encoding", "chunked")
@@ -45,7 +45,7 @@
         """
         length = ("content-length", str(len(response.body)))
         headers = [*response.headers, length, *self._closing_headers()]
-        head = h11.Response(status_code=response.status, headers=headers)
+        head = h11.Response(status_code=response.status, headers=encode_headers(tuple(headers)))
         parts = [self._protocol.send(head)]
         if response.body and not self._is_head:
             parts.append(self._protocol.send(h11.Data(data=response.body)))
@@ -57,7 +57,7 @@
     async def start(self, status: int, headers: Headers) -> None:
         """Send the head of a streamed response."""
         all_headers = [*headers, _STREAM_HEADERS, *self._closing_headers()]
-        head = h11.Response(status_code=status, headers=all_headers)
+        head = h11.Response(status_code=status, headers=encode_headers(tuple(all_headers)))
         self.started = True
         await self._write(self._protocol.send(head))
 
--- a/packages/lagoonfold-io/src/lagoonfold_io/_http_messages.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_messages.py
@@ -31,11 +31,15 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class HttpRequest:
-    """A whole request; header names are in lower case."""
+    """A whole request; header names are in lower case.
+
+    `target` is path and query as they were received, where that matters to who forwards it.
+    """
 
     method: str
     path: str
     query: str = ""
+    target: str = ""
     headers: Headers = ()
     body: bytes = b""
 
@@ -71,3 +75,8 @@
     detail: str
     sent: Sent
     is_timeout: bool = False
+
+
+def encode_headers(headers: Headers) -> list[tuple[str, bytes]]:
+    """Return headers for the wire; values may hold any byte, as received."""
+    return [(name, value.encode("latin-1")) for name, value in headers]
--- a/packages/lagoonfold-io/src/lagoonfold_io/_http_reading.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_reading.py
@@ -23,16 +23,20 @@
         self,
         stream: trio.SocketStream,
         protocol: h11.Connection,
-        limits: HttpLimits,
+        limits: Callable[[], HttpLimits],
         idle_scopes: set[trio.CancelScope],
         is_closing: Callable[[], bool],
     ) -> None:
         self._stream = stream
         self._protocol = protocol
-        self._limits = limits
+        self._current_limits = limits
         self._idle_scopes = idle_scopes
         self._is_closing = is_closing
 
+    @property
+    def _limits(self) -> HttpLimits:
+        return self._current_limits()
+
     async def read(self) -> HttpRequest | None:
         """Return the next request, None at the end of the connection; raise `FaultError`."""
         head = await self._read_head()
@@ -44,9 +48,15 @@
             error.is_head = head.method == b"HEAD"
             raise
         headers = tuple((name.decode(), value.decode("latin-1")) for name, value in head.headers)
-        path, _, query = head.target.decode("latin-1").partition("?")
+        target = head.target.decode("latin-1")
+        path, _, query = target.partition("?")
         return HttpRequest(
-            method=head.method.decode(), path=path, query=query, headers=headers, body=body
+            method=head.method.decode(),
+            path=path,
+            query=query,
+            target=target,
+            headers=headers,
+            body=body,
         )
 
     async def _read_head(self) -> h11.Request | None:
--- a/packages/lagoonfold-io/src/lagoonfold_io/_http_server.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_server.py
@@ -65,6 +65,10 @@
                     self._serve_connection, listeners, handler_nursery=connections
                 )
 
+    def set_limits(self, limits: HttpLimits) -> None:
+        """Put other limits in force: for new connections, and for the next wait of open ones."""
+        self._limits = limits
+
     def announce_close(self) -> None:
         """Tell clients with each response that its connection closes; go on accepting."""
         self._is_leaving = True
@@ -98,7 +102,7 @@
 
     async def _serve_requests(self, stream: trio.SocketStream, protocol: h11.Connection) -> None:
         reader = RequestReader(
-            stream, protocol, self._limits, self._idle_scopes, lambda: self._closing
+            stream, protocol, lambda: self._limits, self._idle_scopes, lambda: self._closing
         )
         while True:
             try:
--- a/packages/lagoonfold-node/src/lagoonfold_node/_logs.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/observe/_logs.py
@@ -8,11 +8,13 @@
 
 import logging
 import sys
+import time
 from typing import TextIO
 
 import msgspec
 
 from lagoonfold.config import redact
+from lagoonfold_io.observe._line_writer import LineWriter
 
 _ROOT = "lagoonfold"
 
@@ -64,3 +66,38 @@
     logger.handlers[:] = [handler]
     logger.setLevel(level.upper())
     logger.propagate = False
+
+
+class BoundedHandler(logging.Handler):
+    """Writes records as JSON lines through a `LineWriter`, each with the instance's id."""
+
+    def __init__(self, writer: LineWriter, instance: str) -> None:
+        super().__init__()
+        self._writer = writer
+        self._instance = instance
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one record, or count it as left out."""
+        event = record.getMessage()
+        if not self._writer.may_write(event, now_s=time.monotonic()):
+            return
+        line: dict[str, object] = {
+            "at": round(record.created, 3),
+            "instance": self._instance,
+            "level": record.levelname.lower(),
+            "event": event,
+        }
+        line.update(getattr(record, "fields", {}))
+        if left_out := self._writer.left_out(event):
+            line["left_out"] = left_out
+        if record.exc_info:
+            line["error"] = logging.Formatter().formatException(record.exc_info)
+        self._writer.write(event, msgspec.json.encode(line, enc_hook=str))
+
+
+def log_to_standard_output(level: str, instance: str) -> None:
+    """Send the logs of this process to standard output, bounded and without ever blocking."""
+    logger = logging.getLogger(_ROOT)
+    logger.handlers[:] = [BoundedHandler(LineWriter(sys.stdout.fileno()), instance)]
+    logger.setLevel(level.upper())
+    logger.propagate = False
--- a/packages/lagoonfold-node/src/lagoonfold_node/_app.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_app.py
@@ -12,7 +12,7 @@
 from result import Err
 
 from lagoonfold.settings import Settings, load_settings
-from lagoonfold_node._logs import configure_logging
+from lagoonfold_io.observe import configure_logging
 from lagoonfold_node._node import Node
 
 EXIT_SETTINGS = 2
--- a/packages/lagoonfold-node/src/lagoonfold_node/_border/_border.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_border/_border.py
@@ -20,6 +20,7 @@
     HttpResponse,
     HttpServer,
 )
+from lagoonfold_io.observe import EventLog, Metrics
 from lagoonfold_node._board import Board
 from lagoonfold_node._border._caller_sink import CallerSink
 from lagoonfold_node._border._endpoints import Matched, find_endpoint
@@ -28,8 +29,6 @@
 from lagoonfold_node._border._plain_calls import PlainCalls
 from lagoonfold_node._border._requests import read_timeout_s
 from lagoonfold_node._decisions import DecisionLog
-from lagoonfold_node._logs import EventLog
-from lagoonfold_node._metrics import Metrics
 from lagoonfold_node._problems import problem_response, refusal_of_fault
 from lagoonfold_node._rates import RateGate
 
--- a/packages/lagoonfold-node/src/lagoonfold_node/_border/_forward.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_border/_forward.py
@@ -12,6 +12,7 @@
 import trio
 
 from lagoonfold import ErrorKind, InstanceId, Ran, Refusal
+from lagoonfold_io.observe import Metrics
 from lagoonfold_node._border._caller_sink import CallerSink
 from lagoonfold_node._execution import (
     PERFORMERS_BY_TYPE,
@@ -22,7 +23,6 @@
     Shards,
     not_owner,
 )
-from lagoonfold_node._metrics import Metrics
 from lagoonfold_node._peers import (
     CallRefused,
     InboundCall,
--- a/packages/lagoonfold-node/src/lagoonfold_node/_config_controller/_controller.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_config_controller/_controller.py
@@ -22,14 +22,13 @@
     watcher_group,
 )
 from lagoonfold_io import ConfigLog
+from lagoonfold_io.observe import EventLog, Metrics
 from lagoonfold_node._board import Member
 from lagoonfold_node._config_controller._messages import (
     ConfigChanged,
     ConfigVerified,
     VerifyConfig,
 )
-from lagoonfold_node._logs import EventLog
-from lagoonfold_node._metrics import Metrics
 from lagoonfold_node._peers import PeerBus
 
 VERIFICATIONS_PER_BOUND = 4
--- a/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_dispatcher.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_dispatcher.py
@@ -15,6 +15,7 @@
     priority_of,
 )
 from lagoonfold.settings import SchedulingSettings
+from lagoonfold_io.observe import Metrics
 from lagoonfold_node._dispatch._caches import CacheFreer
 from lagoonfold_node._dispatch._candidates import Candidates
 from lagoonfold_node._dispatch._ends import CallEnds
@@ -26,7 +27,6 @@
 from lagoonfold_node._dispatch._retries import Retries
 from lagoonfold_node._dispatch._table import UpstreamTable
 from lagoonfold_node._dispatch._telling import Tell
-from lagoonfold_node._metrics import Metrics
 
 TICK_S = 0.05
 DEFAULT_POLICIES = SchedulingSettings()
--- a/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_ends.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_ends.py
@@ -3,12 +3,12 @@
 import trio
 
 from lagoonfold.scheduling import service_s
+from lagoonfold_io.observe import Metrics
 from lagoonfold_node._dispatch._lane import Held, Lane
 from lagoonfold_node._dispatch._paces import ReplicaPaces
 from lagoonfold_node._dispatch._poison import PoisonNotices
 from lagoonfold_node._dispatch._requests import Outcome, Placement, PlacementRequest
 from lagoonfold_node._dispatch._table import UpstreamState, UpstreamTable
-from lagoonfold_node._metrics import Metrics
 
 
 class CallEnds:
--- a/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_paces.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_paces.py
@@ -4,12 +4,12 @@
 
 from lagoonfold import InstanceId, UpstreamId
 from lagoonfold.scheduling import PaceNotice, PaceWatch, RunningPace
+from lagoonfold_io.observe import Metrics
 from lagoonfold_node._dispatch._messages import PaceSeen
 from lagoonfold_node._dispatch._requests import Placement, PlacementRequest
 from lagoonfold_node._dispatch._retries import Retries
 from lagoonfold_node._dispatch._table import UpstreamTable
 from lagoonfold_node._dispatch._telling import Tell
-from lagoonfold_node._metrics import Metrics
 
 STEP_S = 0.5
 
--- a/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_retries.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_retries.py
@@ -7,8 +7,8 @@
 
 from lagoonfold import AccountId
 from lagoonfold.resilience import FailedTry, RetryAfter, RetryBudget, RetryStop, decide_retry
+from lagoonfold_io.observe import Metrics
 from lagoonfold_node._dispatch._table import UpstreamState
-from lagoonfold_node._metrics import Metrics
 
 
 class Retries:
--- a/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_service.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_dispatch/_service.py
@@ -8,6 +8,7 @@
 from lagoonfold import InstanceId, KeyValueStore, ProgramId
 from lagoonfold.settings import SchedulingSettings
 from lagoonfold_io import HttpClient
+from lagoonfold_io.observe import Metrics
 from lagoonfold_node._board import Board
 from lagoonfold_node._dispatch._caches import CacheFreer
 from lagoonfold_node._dispatch._dispatcher import DEFAULT_POLICIES, Dispatcher
@@ -15,7 +16,6 @@
 from lagoonfold_node._dispatch._poison import PoisonNotices
 from lagoonfold_node._dispatch._table import UpstreamTable
 from lagoonfold_node._dispatch._telling import teller
-from lagoonfold_node._metrics import Metrics
 from lagoonfold_node._peers import PeerBus
 
 
--- a/packages/lagoonfold-node/src/lagoonfold_node/_node.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_node.py
@@ -10,6 +10,7 @@
 from lagoonfold import InstanceId, ProgramId
 from lagoonfold.settings import Settings
 from lagoonfold_io import EtcdStore, HttpClient, HttpInstanceList, HttpLimits
+from lagoonfold_io.observe import EventLog, Metrics
 from lagoonfold_node._account_owners import ShardAccountOwners
 from lagoonfold_node._board import Board
 from lagoonfold_node._border import Border, Forwarder, KeyGuard, PlainCalls
@@ -17,8 +18,6 @@
 from lagoonfold_node._decisions import DecisionLog
 from lagoonfold_node._dispatch import Dispatcher, DispatchService
 from lagoonfold_node._execution import Executor, OpenShard
-from lagoonfold_node._logs import EventLog
-from lagoonfold_node._metrics import Metrics
 from lagoonfold_node._operator import OperatorPort
 from lagoonfold_node._orders import Orders
 from lagoonfold_node._ownership import Ownership, OwnershipContext, OwnershipSettings
--- a/packages/lagoonfold-node/src/lagoonfold_node/_operator/_server.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_operator/_server.py
@@ -9,8 +9,8 @@
 
 from lagoonfold import ErrorKind, Refusal, new_id
 from lagoonfold_io import Exchange, HttpLimits, HttpRequest, HttpResponse, HttpServer
+from lagoonfold_io.observe import Metrics
 from lagoonfold_node._decisions import DecisionLog
-from lagoonfold_node._metrics import Metrics
 from lagoonfold_node._problems import problem_response
 
 JSON_HEADERS = (("content-type", "application/json"),)
--- a/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_context.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_context.py
@@ -17,9 +17,8 @@
     new_id,
 )
 from lagoonfold.membership import Member, ShardOwner, TableView
+from lagoonfold_io.observe import EventLog, Metrics
 from lagoonfold_node._board import Board
-from lagoonfold_node._logs import EventLog
-from lagoonfold_node._metrics import Metrics
 
 INSTANCES_PREFIX = "instances/"
 ALLOCATOR_KEY = "allocator"
--- a/packages/lagoonfold/src/lagoonfold/_ports.py
+++ b/packages/lagoonfold/src/lagoonfold/_ports.py
@@ -17,12 +17,14 @@
 ABSENT_REVISION = 0
 NO_LEASE = 0
 MAX_CREATES_PER_CALL = 100
+MAX_ENTRIES_PER_COMMIT = 32
 
 
 class StoreErrorKind(Enum):
     """Why an operation of the key-value service failed."""
 
     CONFLICT = "conflict"
+    HISTORY_LOST = "history-lost"
     LEASE_EXPIRED = "lease-expired"
     LOST_ANSWER = "lost-answer"
     REFUSED = "refused"
@@ -136,6 +138,72 @@
         """Iterate over the changes below a prefix; the iteration ends when the watch is lost."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Changes:
+    """The changes below a prefix after a revision, and the revision to go on from."""
+
+    events: tuple[WatchEvent, ...]
+    revision: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Check:
+    """A key's expected revision, `ABSENT_REVISION` if the key must not exist."""
+
+    key: str
+    revision: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Put:
+    """A key to write, and the lease under which it lives."""
+
+    key: str
+    value: bytes
+    lease_id: int = NO_LEASE
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Commit:
+    """The end of a transaction: its revision, or the checked entries if a check did not hold."""
+
+    revision: int | None
+    conflicting: tuple[Entry, ...] = ()
+
+
+class TransactionalStore(Protocol):
+    """A key-value service with transactions over several keys and a watch by long poll."""
+
+    async def read_all(self, prefix: str) -> Result[Listing, StoreError]:
+        """Read all entries below a prefix; the revision is one to watch from."""
+
+    async def poll(
+        self, prefix: str, *, after_revision: int, wait_s: float
+    ) -> Result[Changes, StoreError]:
+        """Return the changes below a prefix after a revision, waiting for the first.
+
+        `StoreErrorKind.HISTORY_LOST` means that changes were missed and all must be read anew.
+        """
+
+    async def commit(
+        self,
+        *,
+        checks: tuple[Check, ...] = (),
+        puts: tuple[Put, ...] = (),
+        removes: tuple[str, ...] = (),
+    ) -> Result[Commit, StoreError]:
+        """Write all or nothing, if all checks hold; `MAX_ENTRIES_PER_COMMIT` entries at most."""
+
+    async def grant_lease(self, ttl_s: float) -> Result[LeaseGrant, StoreError]:
+        """Create a lease; keys written under it are deleted when it expires."""
+
+    async def renew_lease(self, lease_id: int) -> Result[float, StoreError]:
+        """Renew a lease and return its time to live in seconds."""
+
+    async def end_lease(self, lease_id: int) -> Result[None, StoreError]:
+        """End a lease at once and delete its keys."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ListedInstance:
     """An entry of the platform's instance list, which lags behind the truth.
--- /dev/null
+++ b/packages/lagoonfold/src/lagoonfold/budgets/_ledger.py
@@ -0,0 +1,143 @@
+"""The budget of a program, kept by one owner at a time and charged in blocks to the store.
+
+A program's record in the store says how many tokens have been charged to it. An owner charges a
+block by compare-and-swap before tokens of that block go out, so whatever is lost with an owner has
+been charged already, and two owners that do not know of each other draw on different blocks. The
+owner under which a program began may hand out `free` tokens, the most of one turn, before its first
+charge; no other owner may. So all owners together never hand out more than the budget and that one
+turn, through any losses.
+
+A turn is admitted while what has been spent and what all running turns may still produce leave
+room for its most. It then gets a credit of tokens that it may hand out; with little of it left it
+asks for more, which the owner covers with a charge.
+
+    ledger = ProgramLedger(budget=2_000, free=300)
+    ledger.admit("t1", most=300)        # True
+    ledger.credit("t1")                 # 300
+    ledger.settle("t1", handed=80)
+"""
+
+from dataclasses import dataclass
+
+import msgspec
+
+BLOCK_TURNS = 4  # turns that one charge covers; most programs then need one charge
+
+
+class BudgetRecord(msgspec.Struct, frozen=True, array_like=True):
+    """A program's record in the store: its last writer, the tokens charged, when (Unix seconds)."""
+
+    writer: str
+    charged: int
+    written_at_s: int
+
+
+@dataclass(slots=True)
+class _RunningTurn:
+    most: int
+    credit: int
+    front: str
+
+
+class ProgramLedger:
+    """One program's budget at its owner."""
+
+    def __init__(self, *, budget: int, free: int = 0) -> None:
+        self.budget = budget
+        self.charged = 0
+        self.revision: int | None = None
+        self.free = free
+        self._own_charged = 0
+        self._handed = 0
+        self._turns_by_id: dict[str, _RunningTurn] = {}
+
+    @property
+    def spent_by_others(self) -> int:
+        """Tokens charged by other owners, which count as spent."""
+        return self.charged - self._own_charged
+
+    @property
+    def spent(self) -> int:
+        """Tokens that count as spent, without those of running turns."""
+        return self.spent_by_others + self._handed
+
+    def block(self, most: int) -> int:
+        """Return how many tokens are charged ahead, for turns of this size."""
+        return BLOCK_TURNS * most
+
+    def is_running(self, turn_id: str) -> bool:
+        """Tell whether a turn is under way."""
+        return turn_id in self._turns_by_id
+
+    def is_covered(self, turn_id: str) -> bool:
+        """Tell whether the turn's credit reaches its most, or can without another charge."""
+        turn = self._turns_by_id.get(turn_id)
+        return turn is None or self.credit(turn_id) >= turn.most
+
+    @property
+    def running_turns(self) -> int:
+        """How many turns are under way."""
+        return len(self._turns_by_id)
+
+    def admit(self, turn_id: str, *, most: int, front: str = "") -> bool:
+        """Admit a turn that may produce `most` tokens; False where the budget does not hold it."""
+        if turn_id in self._turns_by_id:
+            return True
+        promised = sum(turn.most for turn in self._turns_by_id.values())
+        if self.spent + promised + most > self.budget:
+            return False
+        self._turns_by_id[turn_id] = _RunningTurn(most, 0, front)
+        return True
+
+    def credit(self, turn_id: str) -> int:
+        """Raise the turn's credit as far as what is charged allows, and return it."""
+        turn = self._turns_by_id.get(turn_id)
+        if turn is None:
+            return 0
+        lent = sum(other.credit for other in self._turns_by_id.values())
+        unlent = self._own_charged + self.free - self._handed - lent
+        turn.credit += max(0, min(turn.most - turn.credit, unlent))
+        return turn.credit
+
+    def settle(self, turn_id: str, *, handed: int) -> None:
+        """Take in the end of a turn and what of it went out to the caller."""
+        if self._turns_by_id.pop(turn_id, None) is not None:
+            self._handed += handed
+
+    def settle_lost(self, front: str) -> None:
+        """Count the turns of an instance that is gone as having produced their most."""
+        for turn_id, turn in tuple(self._turns_by_id.items()):
+            if turn.front == front:
+                self.settle(turn_id, handed=turn.most)
+
+    def charge_needed(self) -> int:
+        """Return the level to charge so that all running turns are covered; it includes a block."""
+        promised = sum(turn.most for turn in self._turns_by_id.values())
+        most = max((turn.most for turn in self._turns_by_id.values()), default=0)
+        own = self._handed + promised + self.block(most)
+        return self.spent_by_others + max(
+            self._own_charged, min(own, self.budget - self.spent_by_others)
+        )
+
+    def charge_returned(self) -> int:
+        """Return the level that gives back what this owner charged and will not use."""
+        promised = sum(turn.most for turn in self._turns_by_id.values())
+        return self.spent_by_others + min(self._own_charged, self._handed + promised)
+
+    def note_charged(self, level: int, revision: int) -> None:
+        """Take in that this owner's charge is in the store."""
+        self._own_charged += level - self.charged
+        self.charged = level
+        self.revision = revision
+
+    def note_record(self, record: BudgetRecord | None, revision: int, *, own_writer: str) -> None:
+        """Take in the record as it is in the store, None where there is none.
+
+        A charge of this owner whose answer was lost shows as a record of its own writer id.
+        """
+        self.revision = revision
+        if record is None:
+            return
+        if record.writer == own_writer:
+            self._own_charged += record.charged - self.charged
+        self.charged = record.charged
--- /dev/null
+++ b/packages/lagoonfold/src/lagoonfold/forwarding/_placement.py
@@ -0,0 +1,129 @@
+"""Which replica a request goes to.
+
+Each candidate has a cost in seconds: the usual time of the route times the replica's pace, more
+where it has to wait for a slot, and the time to read the part of the prompt that is not cached
+there. The cheapest one is taken. A replica has room while it has fewer requests than
+`ROOM_PER_SLOT` times its slots; with no room anywhere the request waits in the instance, where it
+can be overtaken by a more urgent one.
+"""
+
+import random
+from collections import OrderedDict
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass
+
+from lagoonfold.forwarding._loads import LoadBook
+from lagoonfold.forwarding._replicas import Replica
+
+ROOM_PER_SLOT = 1.25  # a short queue at the replica hides the time between two requests
+PREFILL_TOKENS_PER_S = 120_000.0  # lower of the rates in the sheets; errs towards cached replicas
+SHARING_COST = 0.3  # slowdown of a request in a full batch, as a share of its usual time
+FAR_COST_S = 0.002  # two ways between failure domains
+CHOICE_NOISE = 0.05  # keeps instances with the same picture from choosing the same replica
+MAX_REMEMBERED_PARTS = 4_096  # about a minute of prompts of one instance
+
+
+@dataclass(frozen=True, slots=True)
+class PromptPart:
+    """A part of a prompt: its id and its length in tokens."""
+
+    part_id: str
+    tokens: int
+
+
+class PromptMemory:
+    """Which replica has last read which part of a prompt, by this instance's own requests."""
+
+    def __init__(self) -> None:
+        self._replicas_by_part: OrderedDict[str, dict[str, int]] = OrderedDict()
+
+    def note(self, replica_id: str, started: int, parts: Iterable[PromptPart]) -> None:
+        """Remember that a replica has read these parts since its start."""
+        for part in parts:
+            holders = self._replicas_by_part.setdefault(part.part_id, {})
+            holders[replica_id] = started
+            self._replicas_by_part.move_to_end(part.part_id)
+        while len(self._replicas_by_part) > MAX_REMEMBERED_PARTS:
+            self._replicas_by_part.popitem(last=False)
+
+    def uncached_tokens(self, replica: Replica, parts: Iterable[PromptPart]) -> int:
+        """Return the tokens behind the first part that the replica has not read."""
+        missing = 0
+        for part in parts:
+            holders = self._replicas_by_part.get(part.part_id, {})
+            if missing or holders.get(replica.replica_id) != replica.started:
+                missing += part.tokens
+        return missing
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PlacementRequest:
+    """What the choice depends on: the usual time of the route, and the prompt if there is one."""
+
+    usual_s: float
+    parts: tuple[PromptPart, ...] = ()
+    avoid: Collection[str] = ()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Placement:
+    """The chosen replica with the figures that decided."""
+
+    replica: Replica
+    cost_s: float
+    requests: int
+    pace: float
+    uncached_tokens: int
+
+
+class Placer:
+    """Chooses replicas for one instance."""
+
+    def __init__(
+        self, loads: LoadBook, memory: PromptMemory, own_domain: str, rng: random.Random
+    ) -> None:
+        self._loads = loads
+        self._memory = memory
+        self._own_domain = own_domain
+        self._rng = rng
+
+    def choose(
+        self, replicas: Iterable[Replica], request: PlacementRequest, *, now_s: float
+    ) -> Placement | None:
+        """Return the cheapest replica with room, None where there is none."""
+        best: Placement | None = None
+        for replica in replicas:
+            if replica.replica_id in request.avoid or not self._has_room(replica, now_s):
+                continue
+            placement = self._weigh(replica, request, now_s)
+            if best is None or placement.cost_s < best.cost_s:
+                best = placement
+        return best
+
+    def has_free_slot(self, replicas: Iterable[Replica], *, now_s: float) -> bool:
+        """Tell whether a sound replica has a slot that nothing uses or waits for."""
+        return any(
+            self._loads.requests_at(replica.replica_id, now_s=now_s) < replica.slots
+            for replica in replicas
+            if not self._loads.is_aside(replica.replica_id, now_s=now_s)
+        )
+
+    def _has_room(self, replica: Replica, now_s: float) -> bool:
+        if self._loads.is_aside(replica.replica_id, now_s=now_s):
+            return False
+        requests = self._loads.requests_at(replica.replica_id, now_s=now_s)
+        return requests < replica.slots * ROOM_PER_SLOT
+
+    def _weigh(self, replica: Replica, request: PlacementRequest, now_s: float) -> Placement:
+        requests = self._loads.requests_at(replica.replica_id, now_s=now_s)
+        pace = self._loads.pace(replica.replica_id, now_s=now_s)
+        uncached = self._memory.uncached_tokens(replica, request.parts)
+        share = requests / max(1, replica.slots)
+        queued = max(0.0, requests + 1 - replica.slots) / max(1, replica.slots)
+        cost_s = request.usual_s * pace * (1 + SHARING_COST * min(1.0, share) + queued)
+        cost_s += uncached / PREFILL_TOKENS_PER_S
+        cost_s += 0.0 if replica.failure_domain == self._own_domain else FAR_COST_S
+        cost_s *= 1 + CHOICE_NOISE * self._rng.random()
+        return Placement(
+            replica=replica, cost_s=cost_s, requests=requests, pace=pace, uncached_tokens=uncached
+        )
--- /dev/null
+++ b/packages/lagoonfold/src/lagoonfold/forwarding/_routing.py
@@ -0,0 +1,38 @@
+"""Which route a request takes and which service of the route serves it."""
+
+import random
+from collections import defaultdict
+from collections.abc import Iterable
+
+from lagoonfold.forwarding._documents import ForwardRoute, WeightedService
+
+
+class RouteTable:
+    """The routes of one version of the configuration, found by host and longest prefix.
+
+    table = RouteTable(config.routes)
+    route = table.find("api.example", "/drafts/42")
+    """
+
+    def __init__(self, routes: Iterable[ForwardRoute]) -> None:
+        self._routes_by_host: dict[str, list[ForwardRoute]] = defaultdict(list)
+        for route in routes:
+            self._routes_by_host[route.host].append(route)
+        for by_host in self._routes_by_host.values():
+            by_host.sort(key=lambda route: len(route.prefix), reverse=True)
+
+    def find(self, host: str, path: str) -> ForwardRoute | None:
+        """Return the route of the longest matching prefix; the host may carry a port."""
+        name = host.rsplit(":", 1)[0].lower()
+        for route in self._routes_by_host.get(name, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+
+def pick_service(targets: tuple[WeightedService, ...], rng: random.Random) -> str:
+    """Return one of a route's services at random, in proportion to their weights."""
+    if len(targets) == 1:
+        return targets[0].service
+    weights = [target.weight for target in targets]
+    return rng.choices(targets, weights=weights)[0].service
--- /dev/null
+++ b/packages/lagoonfold/src/lagoonfold/forwarding/_tries.py
@@ -0,0 +1,70 @@
+"""What may be done after a try of a forwarded request has failed.
+
+A request that may run only once is sent on only while it is certain that no upstream has begun
+it; a status that promises "not run" is given only then. A request that may be repeated goes to at
+most `max_upstreams` upstreams that ran it; upstreams that did not run it do not count, and a lost
+answer may be asked for again at the upstream that lost it.
+"""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+MAX_REPEATS_OF_LOST = 2  # per request; a third loss in a row is a fault of the request or the path
+
+
+class TryEnd(Enum):
+    """How a try ended."""
+
+    ANSWERED = "answered"
+    FULL = "full"
+    MISDIRECTED = "misdirected"
+    UNREACHED = "unreached"
+    LOST = "lost"
+
+    @property
+    def is_not_run(self) -> bool:
+        """Tell whether the upstream certainly has not begun the request."""
+        return self in (TryEnd.FULL, TryEnd.MISDIRECTED, TryEnd.UNREACHED)
+
+
+class NextStep(Enum):
+    """What follows a failed try."""
+
+    ELSEWHERE = "elsewhere"
+    SAME_OR_GONE = "same-or-gone"
+    FAIL = "fail"
+
+
+@dataclass(slots=True, kw_only=True)
+class TryRecord:
+    """The tries of one request: where it may have run, and how often an answer was lost."""
+
+    may_repeat: bool
+    max_upstreams: int
+    may_have_run: set[str] = field(default_factory=set)
+    losses: int = 0
+
+    @property
+    def has_not_run(self) -> bool:
+        """Tell whether no upstream can have begun the request; a try under way counts as begun."""
+        return not self.may_have_run
+
+    def note_sent(self, upstream_id: str) -> None:
+        """Count the request as possibly run, from before its first byte leaves."""
+        self.may_have_run.add(upstream_id)
+
+    def note_end(self, upstream_id: str, end: TryEnd, *, ran_before: bool) -> NextStep:
+        """Take in the end of a try and return what may follow.
+
+        `ran_before` says that an earlier try may have run at the same upstream.
+        """
+        if end.is_not_run:
+            if not ran_before:
+                self.may_have_run.discard(upstream_id)
+            return NextStep.ELSEWHERE
+        self.losses += 1
+        if not self.may_repeat or self.losses > MAX_REPEATS_OF_LOST:
+            return NextStep.FAIL
+        if len(self.may_have_run) < self.max_upstreams:
+            return NextStep.ELSEWHERE
+        return NextStep.SAME_OR_GONE
--- a/tests/node/_path.py
+++ b/tests/node/_path.py
@@ -37,6 +37,7 @@
 )
 from lagoonfold.records import ProgramShard, Settled
 from lagoonfold_io import Exchange, HttpClient, HttpLimits, HttpRequest, HttpResponse, HttpServer
+from lagoonfold_io.observe import Metrics
 from lagoonfold_node._board import Board
 from lagoonfold_node._border import Border, Forwarder, KeyGuard, PlainCalls
 from lagoonfold_node._decisions import DecisionLog
@@ -48,7 +49,6 @@
     teller,
 )
 from lagoonfold_node._execution import Executor
-from lagoonfold_node._metrics import Metrics
 from lagoonfold_node._ownership._stalls import may_outlast_a_stall
 from lagoonfold_node._peers import PeerBus
 from lagoonfold_node._upstreams import HttpEngine, HttpService, UpstreamAccess
--- a/tests/node/test_config_controller.py
+++ b/tests/node/test_config_controller.py
@@ -9,9 +9,9 @@
 from lagoonfold import Cell
 from lagoonfold.config import Account, ConfigView, Proposal, PutAccount
 from lagoonfold_io import ConfigLog
+from lagoonfold_io.observe import Metrics
 from lagoonfold_node._board import Member
 from lagoonfold_node._config_controller import ConfigController
-from lagoonfold_node._metrics import Metrics
 from lagoonfold_node._peers import PeerBus
 from standins._ports import free_port
 from tests._suite import load_functions
--- a/tests/ownership/_fleet.py
+++ b/tests/ownership/_fleet.py
@@ -20,8 +20,8 @@
     Turn,
     digest_of_content,
 )
+from lagoonfold_io.observe import Metrics
 from lagoonfold_node._board import Board
-from lagoonfold_node._metrics import Metrics
 from lagoonfold_node._ownership import (
     OpenShard,
     Ownership,
--- a/tests/ownership/test_journal_writer.py
+++ b/tests/ownership/test_journal_writer.py
@@ -10,8 +10,8 @@
 from lagoonfold import MAX_CREATES_PER_CALL, InstanceId, NewEntry, ShardId, StoreErrorKind
 from lagoonfold.records import Fenced, journal_key, journal_prefix
 from lagoonfold_io import CallRate
+from lagoonfold_io.observe import Metrics
 from lagoonfold_node._board import Board
-from lagoonfold_node._metrics import Metrics
 from lagoonfold_node._ownership import OwnershipContext
 from lagoonfold_node._ownership._appender import Appended, Appender
 from lagoonfold_node._ownership._journal_writer import MAX_SHARED_BYTES, JournalWriter
--- a/tests/ownership/test_outage.py
+++ b/tests/ownership/test_outage.py
@@ -23,8 +23,8 @@
     StoreErrorKind,
 )
 from lagoonfold.records import Released
+from lagoonfold_io.observe import Metrics
 from lagoonfold_node._board import Board
-from lagoonfold_node._metrics import Metrics
 from lagoonfold_node._ownership import OpenShard, OwnershipContext, _appender
 from lagoonfold_node._ownership._lease_keeper import LeaseKeeper
 from lagoonfold_node._ownership._recovery import recover_shard
--- a/tests/scheduling/test_dispatcher.py
+++ b/tests/scheduling/test_dispatcher.py
@@ -19,6 +19,7 @@
 )
 from lagoonfold.scheduling import LoadReport
 from lagoonfold_io import HttpClient
+from lagoonfold_io.observe import Metrics
 from lagoonfold_node._dispatch import (
     CacheFreer,
     Dispatcher,
@@ -26,7 +27,6 @@
     PoisonNotices,
     UpstreamTable,
 )
-from lagoonfold_node._metrics import Metrics
 from tests._suite import load_functions
 
 
