List anew after a watch was cut

Ruled out: failing calls (one failure was logged for each prefix).

Change: after any failed poll the prefix is listed, then watched from there.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_store_watch.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_store_watch.py
@@ -1,7 +1,7 @@
 """Follows the entries below a prefix of the store: a listing, then changes by long poll.
 
-A poll that fails is tried again with a growing pause; lost history means a new listing. After the
-store has been out of reach, `on_return` is called before the first changes are handed on, since
+A poll that fails is followed by a new listing, after a pause that grows: a poll that goes on from
+an old revision may wait for long before it says that changes were missed. After the store has been out of reach, `on_return` is called before the first changes are handed on, since
 entries may have lapsed meanwhile that will be written again.
 """
 
@@ -47,15 +47,15 @@
 
     @property
     def revision(self) -> int:
-        """The revision up to which changes have been taken in, zero before the first listing.
+        """The revision up to which changes have been taken in, zero while it is not known.
 
         `seen_revision` is that of the latest change that was seen, which may be much older.
         """
         return self._revision or 0
 
     def poll_anew(self) -> None:
-        """Give the poll under way up and start another, on another connection if need be."""
-        if self._scope is not None:
+        """Give a poll under way up and list anew."""
+        if self._scope is not None and self._revision is not None:
             self._scope.cancel()
 
     async def run(self) -> None:
@@ -63,6 +63,9 @@
         while True:
             with trio.CancelScope() as self._scope:
                 await self._step()
+            if self._scope.cancelled_caught:
+                _log.warning("watch.silent", prefix=self._prefix, revision=self._revision)
+                self._revision = None
             self._scope = None
 
     async def _step(self) -> None:
@@ -90,13 +93,18 @@
         self._revision = max(self._revision, polled.ok_value.revision)
 
     async def _note_failure(self, error: StoreError) -> None:
+        position, self._revision = self._revision, None
         if error.kind is StoreErrorKind.HISTORY_LOST:
-            _log.info("watch.history_lost", prefix=self._prefix, revision=self._revision)
-            self._revision = None
+            _log.info("watch.history_lost", prefix=self._prefix, revision=position)
             return
         if self._failures == 0:
             self._first_failure_s = now_s()
-            _log.warning("store.lost", prefix=self._prefix, reason=error.detail)
+        _log.warning(
+            "store.call_failed",
+            prefix=self._prefix,
+            failures=self._failures + 1,
+            reason=error.detail,
+        )
         pause_s = min(MAX_PAUSE_S, FIRST_PAUSE_S * 2 ** min(self._failures, 8))
         self._failures += 1
         await trio.sleep(pause_s)
