--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_app.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_app.py
@@ -85,8 +85,7 @@
         )
         first = instance.is_first_start
         self.loans = Loans(self.board, self.bus, self.members, is_first_start=first)
-        writer_id = f"{instance.id}/{self.start_id}"
-        self.budgets = BudgetOwner(self.board, self.bus, store, writer_id, is_first_start=first)
+        self.budgets = BudgetOwner(self.board, self.bus, store, self.members, is_first_start=first)
         self.forwarder = self._make_forwarder(dialect, nursery)
         self.border = HttpServer(self.forwarder.handle, on_handler_error=self._note_error)
         self.board.config.subscribe(self._apply_limits)
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_budget_desk.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_budget_desk.py
@@ -5,6 +5,7 @@
 it.
 """
 
+from collections import OrderedDict
 from dataclasses import dataclass
 
 import trio
@@ -17,6 +18,7 @@
 from lagoonfold_gateway._messages import (
     BudgetSpent,
     Message,
+    OwnedBy,
     TurnAsk,
     TurnCover,
     TurnCredit,
@@ -30,7 +32,8 @@
 END_TIMEOUT_S = 0.5  # for each try to report a turn's end
 MAX_END_TRIES = 4  # what is not reported counts at its most
 RETRY_PAUSE_S = 0.1  # between asks while no owner can decide
-MAX_OWNERS_ASKED = 3  # each costs a timeout; more are not lost at once
+MAX_REMEMBERED_OWNERS = 4_096  # programs under way at one instance, with room
+MAX_OWNERS_ASKED = 4  # each costs a timeout; more are not lost at once
 
 _log = EventLog("budgets")
 
@@ -53,6 +56,7 @@
         self._board = board
         self._bus = bus
         self._members = members
+        self._owner_by_program: OrderedDict[str, str] = OrderedDict()
 
     async def start_turn(
         self,
@@ -75,7 +79,11 @@
             live=self._board.live.read().ids,
         )
         reason = "no owner"
-        for owner in self._members.owners_of(program)[:MAX_OWNERS_ASKED]:
+        owners = self._owners(program)
+        for _ in range(MAX_OWNERS_ASKED):
+            if not owners:
+                break
+            owner = owners.pop(0)
             answer = await self._bus.call(owner, ask, timeout_s=ASK_TIMEOUT_S)
             if isinstance(answer, Err):
                 reason = f"{owner}: {answer.err_value.value}"
@@ -83,6 +91,7 @@
                 continue
             message = answer.ok_value
             if isinstance(message, TurnCredit):
+                self._remember(program, owner)
                 tally = TurnTally(
                     most=most, credit=message.credit, tokens_per_event=tokens_per_event
                 )
@@ -90,20 +99,41 @@
                 return Ok(hold)
             if isinstance(message, BudgetSpent):
                 return Err(_spent(program, message))
+            if isinstance(message, OwnedBy):
+                owners.insert(0, message.instance)
+                continue
             reason = getattr(message, "reason", type(message).__name__)
             break
         return Err(_undecided(program, reason))
 
+    def _owners(self, program: str) -> list[str]:
+        """Return whom to ask: the owner that decided last while it lives, then by rendezvous."""
+        owners = self._members.owners_of(program)
+        last = self._owner_by_program.get(program)
+        if last in owners:
+            owners.remove(last)
+            owners.insert(0, last)
+        return owners
+
+    def _remember(self, program: str, owner: str) -> None:
+        self._owner_by_program[program] = owner
+        self._owner_by_program.move_to_end(program)
+        while len(self._owner_by_program) > MAX_REMEMBERED_OWNERS:
+            self._owner_by_program.popitem(last=False)
+
     async def cover(self, hold: TurnHold) -> None:
-        """Raise the turn's credit until its most is covered or the turn is over."""
-        while hold.tally.credit < hold.tally.most and not hold.is_over:
-            message: Message = TurnCover(program=hold.program, turn_id=hold.turn_id)
+        """Raise the turn's credit by a step, unless the turn ends first."""
+        before = hold.tally.credit
+        message: Message = TurnCover(
+            program=hold.program, turn_id=hold.turn_id, most=hold.tally.most
+        )
+        while hold.tally.credit == before and not hold.is_over:
             answer = await self._bus.call(hold.owner, message, timeout_s=COVER_TIMEOUT_S)
             if isinstance(answer, Ok) and isinstance(answer.ok_value, TurnCredit):
-                hold.tally.credit = max(hold.tally.credit, answer.ok_value.credit)
-                continue
-            _log.info("budget.not_covered", program=hold.program, owner=hold.owner)
-            await trio.sleep(RETRY_PAUSE_S)
+                hold.tally.credit = max(before, answer.ok_value.credit)
+            if hold.tally.credit == before and not hold.is_over:
+                _log.info("budget.not_covered", program=hold.program, owner=hold.owner)
+                await trio.sleep(RETRY_PAUSE_S)
 
     async def end_turn(self, hold: TurnHold) -> None:
         """Tell the owner what of a turn went out."""
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_budget_owner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_budget_owner.py
@@ -17,11 +17,13 @@
 from lagoonfold_gateway._board import GatewayBoard, LiveView
 from lagoonfold_gateway._charges import BUDGET_PREFIX, ChargeWriter
 from lagoonfold_gateway._clock import now_s
+from lagoonfold_gateway._members import Members
 from lagoonfold_gateway._messages import (
     BudgetSpent,
     Done,
     Message,
     NotNow,
+    OwnedBy,
     TurnAsk,
     TurnCover,
     TurnCredit,
@@ -54,17 +56,18 @@
         board: GatewayBoard,
         bus: PeerBus,
         store: TransactionalStore,
-        writer_id: str,
+        members: Members,
         *,
         is_first_start: bool,
     ) -> None:
         self._board = board
+        self._members = members
         self._store = store
         self._is_first_start = is_first_start
         self._started_s = now_s()
         self._owned_by_program: dict[str, _Owned] = {}
         self._live: frozenset[str] = frozenset()
-        self.writer = ChargeWriter(store, writer_id)
+        self.writer = ChargeWriter(store, members.writer_id)
         bus.handles(TurnAsk)(self._ask)
         bus.handles(TurnCover)(self._cover)
         bus.handles(TurnEnd)(self._end)
@@ -116,33 +119,40 @@
         owned.used_s = now_s()
         ledger = owned.ledger
         if ledger.revision is None and not ledger.free:
-            loaded = await self._charge(ask.program, owned, ask.most)
-            if loaded is not None:
-                return loaded
+            undecided = await self._take_over(ask, owned)
+            if undecided is not None:
+                return undecided
         if not ledger.admit(ask.turn_id, most=ask.most, front=ask.front):
             _log.info(
                 "budget.spent",
                 program=ask.program,
                 spent=ledger.spent,
+                by_others=ledger.spent_by_others,
                 running=ledger.running_turns,
                 most=ask.most,
                 budget=ledger.budget,
             )
             return BudgetSpent(spent=ledger.spent, budget=ledger.budget)
-        return TurnCredit(credit=ledger.credit(ask.turn_id))
+        return TurnCredit(credit=ledger.raise_credit(ask.turn_id))
 
-    async def _charge(self, program: str, owned: _Owned, most: int) -> NotNow | None:
-        """Bring a program's record under this owner; return why that is not possible now."""
+    async def _take_over(self, ask: TurnAsk, owned: _Owned) -> NotNow | OwnedBy | None:
+        """Bring a program's record under this owner; return why that is not to be done now."""
         ledger = owned.ledger
         async with owned.lock:
+            if ledger.revision is not None:
+                return None
             for _ in range(MAX_CHARGES_PER_ASK):
-                if ledger.revision is not None:
-                    return None
-                level = min(ledger.budget, most + ledger.block(most))
-                charged = await self.writer.charge(program, ledger, level)
+                level = ledger.charge_needed(ask.most)
+                charged = await self.writer.charge(ask.program, ledger, level)
                 if isinstance(charged, Err):
                     return NotNow(reason=charged.err_value.detail)
-        return None if ledger.revision is not None else NotNow(reason="record keeps changing")
+                if charged.ok_value:
+                    return None
+                owner = self._members.live_writer(ledger.last_writer)
+                if owner is not None:
+                    self._owned_by_program.pop(ask.program, None)
+                    return OwnedBy(instance=owner)
+        return NotNow(reason="record keeps changing")
 
     async def _cover(self, cover: Message) -> Message:
         assert isinstance(cover, TurnCover)
@@ -150,17 +160,17 @@
         if owned is None or not owned.ledger.is_running(cover.turn_id):
             return NotNow(reason="turn is not known here")
         ledger = owned.ledger
+        before = ledger.credit(cover.turn_id)
         async with owned.lock:
             for _ in range(MAX_CHARGES_PER_ASK):
-                if ledger.is_covered(cover.turn_id):
-                    break
-                level = ledger.charge_needed()
-                if ledger.revision is not None and level <= ledger.charged:
+                credit = ledger.raise_credit(cover.turn_id)
+                level = ledger.charge_needed(cover.most)
+                if credit > before or (ledger.revision is not None and level <= ledger.charged):
                     break
                 charged = await self.writer.charge(cover.program, ledger, level)
                 if isinstance(charged, Err):
                     return NotNow(reason=charged.err_value.detail)
-        return TurnCredit(credit=ledger.credit(cover.turn_id))
+        return TurnCredit(credit=ledger.raise_credit(cover.turn_id) if credit <= before else credit)
 
     async def _end(self, end: Message) -> Message:
         assert isinstance(end, TurnEnd)
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_forwarder.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_forwarder.py
@@ -12,21 +12,17 @@
 
 from lagoonfold import ANSWERS_BY_KIND, ErrorKind, Ran, Refusal
 from lagoonfold.forwarding import ClientAccount, ForwardRoute, TryRecord
+from lagoonfold.rates import ProgramBook, RateClaim
 from lagoonfold_gateway._board import ConfigView
 from lagoonfold_gateway._call import ForwardedCall, read_call
-from lagoonfold_gateway._call_counts import CallCounts
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._context import ForwardContext
 from lagoonfold_gateway._dispatch import Dispatcher
 from lagoonfold_gateway._journey import Journey
-from lagoonfold_gateway._loans import RateClaim
 from lagoonfold_gateway._tries import Tries
 from lagoonfold_io import Exchange, HttpRequest, HttpResponse
 from lagoonfold_io.observe import EventLog
 
-RATE_PATIENCE = 0.4  # of a request's time; the rest is needed to serve it
-RANK_OF_CALL = 0  # a program fails with a call that is refused twice
-RANK_OF_TURN = 1  # a turn is tried again several times
 NO_CONFIG_RETRY_S = 0.3  # an instance that has just started has its configuration by then
 MAX_DEADLINE_S = 3_600.0  # of a request without a deadline on a route without a timeout
 
@@ -39,7 +35,7 @@
     def __init__(self, context: ForwardContext, dispatcher: Dispatcher) -> None:
         self._context = context
         self._tries = Tries(context, dispatcher)
-        self._attained = CallCounts()
+        self._programs = ProgramBook()
         self.active = 0
 
     async def handle(self, request: HttpRequest, exchange: Exchange) -> None:
@@ -113,13 +109,12 @@
 
     def _rate_claim(self, journey: Journey) -> RateClaim:
         turn = journey.call.turn
-        attained = self._attained.add(turn.program) if turn is not None else 0
-        is_turn = journey.route.is_program_turn
-        patience_s = RATE_PATIENCE * (journey.give_up_s - journey.arrived_s)
-        return RateClaim(
-            rank=RANK_OF_TURN if is_turn else RANK_OF_CALL,
-            attained=attained,
-            due_s=journey.arrived_s + patience_s,
+        return self._programs.claim(
+            turn.program if turn is not None else journey.call.request_id,
+            is_turn=journey.route.is_program_turn,
+            objective_s=journey.route.objective_s,
+            limit_s=journey.give_up_s - journey.arrived_s,
+            now_s=now_s(),
         )
 
     async def _take_budget(self, journey: Journey) -> Refusal | None:
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_loans.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_loans.py
@@ -13,7 +13,7 @@
 
 from lagoonfold import ErrorKind, Refusal
 from lagoonfold.forwarding import ClientAccount, WaitingLine
-from lagoonfold.rates import Ask, Borrower, Lender, RateLimit, Shortage
+from lagoonfold.rates import RANK_AHEAD, Ask, Borrower, Lender, RateClaim, RateLimit, Shortage
 from lagoonfold_gateway._board import ConfigView, GatewayBoard, LiveView
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._members import Members
@@ -31,19 +31,6 @@
 _log = EventLog("loans")
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class RateClaim:
-    """A call's place among those of its account that wait for a token.
-
-    The lower rank goes first, then the program that has had fewer calls so far, so that one that
-    loops does not take the rate of the others. A call waits until `due_s` at most.
-    """
-
-    rank: int
-    attained: int
-    due_s: float
-
-
 @dataclass(slots=True)
 class _Desk:
     borrower: Borrower = field(default_factory=Borrower)
@@ -100,7 +87,7 @@
         is_in_line = desk.line.join(
             granted,
             rank=claim.rank,
-            wanted_s=claim.attained,
+            wanted_s=claim.began_s,
             due_s=claim.due_s,
             now_s=now_s(),
         )
@@ -127,7 +114,7 @@
         """Ask for loans until nobody waits, and hand the tokens out in the order of the line."""
         try:
             while True:
-                shortage = await self._ask(account, desk, needed=max(1, len(desk.line)))
+                shortage = await self._ask(account, desk)
                 desk.hand_out(now_s=now_s())
                 if not len(desk.line):
                     return
@@ -153,9 +140,12 @@
         owner = self._members.owners_of(account)[0]
         await self._bus.call(owner, message, timeout_s=ASK_TIMEOUT_S)
 
-    async def _ask(self, account: str, desk: _Desk, *, needed: int) -> Shortage | None:
+    async def _ask(self, account: str, desk: _Desk) -> Shortage | None:
         """Ask the owner for a loan; return why there is none, or None if there is one."""
-        ask = desk.borrower.ask(now_s=now_s(), needed=needed)
+        head_rank = desk.line.head_rank()
+        rank = RANK_AHEAD if head_rank is None else head_rank
+        needed = max(1, desk.line.count_of_rank(rank))
+        ask = desk.borrower.ask(now_s=now_s(), needed=needed, rank=rank)
         owner = self._members.owners_of(account)[0]
         message = LoanAsk(account=account, borrower=self._bus.own_id, ask=ask)
         answer = await self._bus.call(owner, message, timeout_s=ASK_TIMEOUT_S)
@@ -203,7 +193,7 @@
         return self._board.live.read().since_s <= self._started_s + SETTLED_S
 
     def _drop_lost(self, live: LiveView) -> None:
-        """Forget the accounts that another instance owns now, which knows nothing of these loans."""
+        """Forget the accounts that another instance owns now: it does not know these loans."""
         for account in tuple(self._lender_by_account):
             if not self._members.owns(account):
                 del self._lender_by_account[account]
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_members.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_members.py
@@ -52,6 +52,7 @@
         store: TransactionalStore,
     ) -> None:
         self._id = instance.id
+        self.writer_id = f"{instance.id}/{start_id}"
         self._entry = MemberEntry(
             address=instance.peers, failure_domain=instance.failure_domain, start_id=start_id
         )
@@ -60,6 +61,7 @@
         self._store = store
         self._entry_by_id: dict[str, MemberEntry] = {}
         self._heard_s_by_id: dict[str, float] = {}
+        self._writer_by_id: dict[str, str] = {}
         self._leaving: set[str] = set()
         self._lease_id: int | None = None
         self._store_contact_s = now_s()
@@ -78,6 +80,12 @@
         """Tell whether this instance comes first for a subject."""
         return self.owners_of(subject)[0] == self._id
 
+    def live_writer(self, writer_id: str) -> str | None:
+        """Return the instance of a writer if it lives and has not started anew since."""
+        instance = writer_id.partition("/")[0]
+        is_live = instance in self._board.live.read().ids and instance != self._id
+        return instance if is_live and self._writer_by_id.get(instance) == writer_id else None
+
     def is_isolated(self) -> bool:
         """Tell whether this instance may be cut off from all the others.
 
@@ -102,6 +110,7 @@
         else:
             self._leaving.discard(beat.instance)
             self._heard_s_by_id[beat.instance] = now_s()
+            self._writer_by_id[beat.instance] = f"{beat.instance}/{beat.start_id}"
         self._write_live()
 
     def note_fault(self, peer: str, fault: PeerFault) -> None:
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_messages.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_messages.py
@@ -38,10 +38,11 @@
 
 
 class TurnCover(msgspec.Struct, frozen=True, tag=True, array_like=True):
-    """Cover what a running turn may still produce."""
+    """Raise the credit of a running turn, which may produce `most` tokens in all."""
 
     program: str
     turn_id: str
+    most: int
 
 
 class TurnEnd(msgspec.Struct, frozen=True, tag=True, array_like=True):
@@ -65,6 +66,12 @@
     budget: int
 
 
+class OwnedBy(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """Another live instance owns the program."""
+
+    instance: str
+
+
 class NotNow(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """The owner cannot decide now, and why."""
 
@@ -102,6 +109,7 @@
     | TurnEnd
     | TurnCredit
     | BudgetSpent
+    | OwnedBy
     | NotNow
     | LoanAsk
     | LoanGiven
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_relay.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_relay.py
@@ -11,6 +11,7 @@
 from result import Err, Ok, Result
 
 from lagoonfold.forwarding import Event, EventError, EventFilter, Placement, TryEnd
+from lagoonfold_gateway._budget_desk import TurnHold
 from lagoonfold_gateway._call import headers_to_return
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._context import ForwardContext
@@ -91,7 +92,7 @@
     if hold is not None:
         if hold.tally.is_low and not state.is_covering:
             state.is_covering = True
-            context.nursery.start_soon(context.budgets.cover, hold)
+            context.nursery.start_soon(_cover, hold, state, context)
         while not hold.tally.hand_out():
             await trio.sleep(CREDIT_POLL_S)
     if not state.is_started:
@@ -99,6 +100,11 @@
     await exchange.send(event.data)
 
 
+async def _cover(hold: TurnHold, state: StreamState, context: ForwardContext) -> None:
+    await context.budgets.cover(hold)
+    state.is_covering = False
+
+
 async def _start(
     status: int, headers: Headers, state: StreamState, journey: Journey, exchange: Exchange
 ) -> None:
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_store_watch.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_store_watch.py
@@ -1,8 +1,9 @@
 """Follows the entries below a prefix of the store: a listing, then changes by long poll.
 
 A poll that fails is followed by a new listing, after a pause that grows: a poll that goes on from
-an old revision may wait for long before it says that changes were missed. After the store has been out of reach, `on_return` is called before the first changes are handed on, since
-entries may have lapsed meanwhile that will be written again.
+an old revision may wait for long before it says that changes were missed. After the store has been
+out of reach, `on_return` is called before the first changes are handed on, since entries may have
+lapsed meanwhile that will be written again.
 """
 
 from collections.abc import Callable
--- a/packages/lagoonfold/src/lagoonfold/budgets/_ledger.py
+++ b/packages/lagoonfold/src/lagoonfold/budgets/_ledger.py
@@ -9,19 +9,21 @@
 
 A turn is admitted while what has been spent and what all running turns may still produce leave
 room for its most. It then gets a credit of tokens that it may hand out; with little of it left it
-asks for more, which the owner covers with a charge.
+asks for more. Credit and charges grow in steps, since what is charged and not used is lost with the
+owner, and a turn usually produces far less than its most.
 
     ledger = ProgramLedger(budget=2_000, free=300)
     ledger.admit("t1", most=300)        # True
-    ledger.credit("t1")                 # 300
+    ledger.raise_credit("t1")           # 150
     ledger.settle("t1", handed=80)
 """
 
+import math
 from dataclasses import dataclass
 
 import msgspec
 
-BLOCK_TURNS = 4  # turns that one charge covers; most programs then need one charge
+CREDIT_STEPS = 2  # a turn's most is lent in this many parts; most turns need one
 
 
 class BudgetRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -46,6 +48,7 @@
         self.budget = budget
         self.charged = 0
         self.revision: int | None = None
+        self.last_writer = ""
         self.free = free
         self._own_charged = 0
         self._handed = 0
@@ -61,19 +64,10 @@
         """Tokens that count as spent, without those of running turns."""
         return self.spent_by_others + self._handed
 
-    def block(self, most: int) -> int:
-        """Return how many tokens are charged ahead, for turns of this size."""
-        return BLOCK_TURNS * most
-
     def is_running(self, turn_id: str) -> bool:
         """Tell whether a turn is under way."""
         return turn_id in self._turns_by_id
 
-    def is_covered(self, turn_id: str) -> bool:
-        """Tell whether the turn's credit reaches its most, or can without another charge."""
-        turn = self._turns_by_id.get(turn_id)
-        return turn is None or self.credit(turn_id) >= turn.most
-
     @property
     def running_turns(self) -> int:
         """How many turns are under way."""
@@ -90,15 +84,23 @@
         return True
 
     def credit(self, turn_id: str) -> int:
-        """Raise the turn's credit as far as what is charged allows, and return it."""
+        """Return the turn's credit, zero where it is not under way."""
+        turn = self._turns_by_id.get(turn_id)
+        return turn.credit if turn is not None else 0
+
+    def raise_credit(self, turn_id: str) -> int:
+        """Raise the turn's credit by a step, as far as what is charged allows, and return it."""
         turn = self._turns_by_id.get(turn_id)
         if turn is None:
             return 0
-        lent = sum(other.credit for other in self._turns_by_id.values())
-        unlent = self._own_charged + self.free - self._handed - lent
-        turn.credit += max(0, min(turn.most - turn.credit, unlent))
+        step = math.ceil(turn.most / CREDIT_STEPS)
+        turn.credit += max(0, min(step, turn.most - turn.credit, self._unlent()))
         return turn.credit
 
+    def _unlent(self) -> int:
+        lent = sum(turn.credit for turn in self._turns_by_id.values())
+        return self._own_charged + self.free - self._handed - lent
+
     def settle(self, turn_id: str, *, handed: int) -> None:
         """Take in the end of a turn and what of it went out to the caller."""
         if self._turns_by_id.pop(turn_id, None) is not None:
@@ -110,19 +112,19 @@
             if turn.front == front:
                 self.settle(turn_id, handed=turn.most)
 
-    def charge_needed(self) -> int:
-        """Return the level to charge so that all running turns are covered; it includes a block."""
-        promised = sum(turn.most for turn in self._turns_by_id.values())
-        most = max((turn.most for turn in self._turns_by_id.values()), default=0)
-        own = self._handed + promised + self.block(most)
+    def charge_needed(self, most: int) -> int:
+        """Return the level to charge so that a turn of this size and those that wait get credit."""
+        lent = sum(turn.credit for turn in self._turns_by_id.values())
+        waiting = sum(turn.most - turn.credit for turn in self._turns_by_id.values())
+        own = self._handed + lent + max(most, math.ceil(waiting / CREDIT_STEPS))
         return self.spent_by_others + max(
             self._own_charged, min(own, self.budget - self.spent_by_others)
         )
 
     def charge_returned(self) -> int:
         """Return the level that gives back what this owner charged and will not use."""
-        promised = sum(turn.most for turn in self._turns_by_id.values())
-        return self.spent_by_others + min(self._own_charged, self._handed + promised)
+        lent = sum(turn.credit for turn in self._turns_by_id.values())
+        return self.spent_by_others + min(self._own_charged, self._handed + lent)
 
     def note_charged(self, level: int, revision: int) -> None:
         """Take in that this owner's charge is in the store."""
@@ -138,6 +140,7 @@
         self.revision = revision
         if record is None:
             return
+        self.last_writer = record.writer
         if record.writer == own_writer:
             self._own_charged += record.charged - self.charged
         self.charged = record.charged
--- a/packages/lagoonfold/src/lagoonfold/forwarding/_waiting.py
+++ b/packages/lagoonfold/src/lagoonfold/forwarding/_waiting.py
@@ -64,6 +64,14 @@
         """Return the first in line, None where nobody waits."""
         return self._heap[0].item if self._heap else None
 
+    def head_rank(self) -> int | None:
+        """Return the rank of the first in line, None where nobody waits."""
+        return self._heap[0].rank if self._heap else None
+
+    def count_of_rank(self, rank: int) -> int:
+        """Return how many requests of a rank wait."""
+        return sum(waiter.rank == rank for waiter in self._heap)
+
     def leave(self, item: T) -> None:
         """Take a request out of the line, wherever it stands."""
         self._heap = [waiter for waiter in self._heap if waiter.item is not item]
--- a/packages/lagoonfold/src/lagoonfold/rates/__init__.py
+++ b/packages/lagoonfold/src/lagoonfold/rates/__init__.py
@@ -14,20 +14,24 @@
 """
 
 from lagoonfold.rates._borrower import Borrower
+from lagoonfold.rates._claims import ProgramBook, RateClaim
 from lagoonfold.rates._demand import DemandMeter
 from lagoonfold.rates._lender import Lender
-from lagoonfold.rates._messages import Ask, Loan, LoanReport, RateLimit, Shortage
+from lagoonfold.rates._messages import RANK_AHEAD, Ask, Loan, LoanReport, RateLimit, Shortage
 from lagoonfold.rates._terms import LOAN_TTL_S, MAX_CLOCK_DRIFT, held_s
 
 __all__ = [
     "LOAN_TTL_S",
     "MAX_CLOCK_DRIFT",
+    "RANK_AHEAD",
     "Ask",
     "Borrower",
     "DemandMeter",
     "Lender",
     "Loan",
     "LoanReport",
+    "ProgramBook",
+    "RateClaim",
     "RateLimit",
     "Shortage",
     "held_s",
--- a/packages/lagoonfold/src/lagoonfold/rates/_borrower.py
+++ b/packages/lagoonfold/src/lagoonfold/rates/_borrower.py
@@ -68,7 +68,7 @@
         expected = self._demand.rate_per_s(now_s=now_s) * _AHEAD_S
         return expected >= 1 and self.available(now_s=now_s) < expected * _RENEW_SHARE
 
-    def ask(self, *, now_s: float, needed: int) -> Ask:
+    def ask(self, *, now_s: float, needed: int, rank: int = 0) -> Ask:
         """Return the ask to send now, with reports of all loans held."""
         expected = math.ceil(self._demand.rate_per_s(now_s=now_s) * _AHEAD_S)
         number = self._next_ask
@@ -79,6 +79,7 @@
             needed=needed,
             wanted=max(needed, expected),
             reports=self.report(now_s=now_s),
+            rank=rank,
         )
 
     def report(self, *, now_s: float) -> tuple[LoanReport, ...]:
--- a/packages/lagoonfold/src/lagoonfold/rates/_lender.py
+++ b/packages/lagoonfold/src/lagoonfold/rates/_lender.py
@@ -9,11 +9,14 @@
 
 from result import Err, Ok, Result
 
-from lagoonfold.rates._messages import Ask, Loan, LoanReport, RateLimit, Shortage
+from lagoonfold.rates._messages import RANK_NEW, Ask, Loan, LoanReport, RateLimit, Shortage
 from lagoonfold.rates._terms import LOAN_TTL_S, held_s
 
 _MAX_SHARE_OF_LEVEL = 0.25
 _ROUNDING_TOKENS = 1e-6
+_RESERVE_OF_BURST = 0.3  # kept for programs that have begun, against those that would begin
+_RESERVE_OF_BURST = 0.3  # kept for programs that have begun, against those that would begin
+_KEPT_FOR_RANK_S = 0.1  # a borrower whose calls wait asks again within this time
 
 
 @dataclass(slots=True)
@@ -49,6 +52,7 @@
         self._level = limit.burst if is_new else 0.0
         self._counts_from_s = now_s if is_new else now_s + held_s(ttl_s)
         self._counted_s = now_s
+        self._kept_until_s_by_rank: dict[int, float] = {}
 
     @property
     def level(self) -> float:
@@ -70,7 +74,11 @@
         """Take in the borrower's reports, then lend what is there."""
         self.report(borrower, ask.reports, now_s=now_s)
         if self._whole_tokens() < 1 or ask.wanted < 1:
+            self._kept_until_s_by_rank[ask.rank] = now_s + _KEPT_FOR_RANK_S
             return Err(self._shortage(now_s))
+        if self._is_kept_for_others(ask.rank, now_s) or self._is_reserved(ask):
+            return Err(self._shortage(now_s))
+        self._kept_until_s_by_rank.pop(ask.rank, None)
         size = self._size_of(ask)
         loan = Loan(
             loan_id=f"{self._epoch}.{self._next_number}",
@@ -104,6 +112,20 @@
             self._level += unspent
         self._cap_level()
 
+    def _is_kept_for_others(self, rank: int, now_s: float) -> bool:
+        """Tell whether more urgent calls found nothing just now and will ask again."""
+        kept = self._kept_until_s_by_rank.items()
+        return any(other < rank and until_s > now_s for other, until_s in kept)
+
+    def _is_reserved(self, ask: Ask) -> bool:
+        """Tell whether the tokens that are left are for programs that have begun.
+
+        An account whose limit would never leave enough above the reserve is not held back.
+        """
+        reserve = _RESERVE_OF_BURST * self._limit.burst
+        can_exceed = self._limit.burst - reserve >= 1
+        return ask.rank >= RANK_NEW and can_exceed and self._level - 1 < reserve
+
     def _size_of(self, ask: Ask) -> int:
         share = int(self._level * _MAX_SHARE_OF_LEVEL)
         size = max(ask.needed, min(ask.wanted, share))
--- a/packages/lagoonfold/src/lagoonfold/rates/_messages.py
+++ b/packages/lagoonfold/src/lagoonfold/rates/_messages.py
@@ -2,6 +2,12 @@
 
 import msgspec
 
+RANK_CALL = 0  # a call of a program that has begun: the program fails with it
+RANK_TURN = 1  # a turn of a program that has begun
+RANK_NEW = 2  # the first turn of a program
+RANK_LOOPING = 3  # a program that has made far more calls than others do
+RANK_AHEAD = 9  # an ask ahead of need: any call that waits elsewhere goes first
+
 
 class RateLimit(msgspec.Struct, frozen=True, kw_only=True):
     """An account's limit over all instances: tokens a second and tokens at once."""
@@ -26,12 +32,14 @@
     """A request for a loan, numbered by the borrower.
 
     `needed` calls are waiting now; `wanted` adds the demand expected within a loan's life.
+    `rank` is that of the first waiting call, `RANK_AHEAD` where none waits.
     """
 
     number: int
     needed: int
     wanted: int
     reports: tuple[LoanReport, ...] = ()
+    rank: int = 0
 
 
 class Loan(msgspec.Struct, frozen=True, kw_only=True):
