--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_forwarder.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_forwarder.py
@@ -112,7 +112,6 @@
         return self._programs.claim(
             turn.program if turn is not None else journey.call.request_id,
             is_turn=journey.route.is_program_turn,
-            objective_s=journey.route.objective_s,
             limit_s=journey.give_up_s - journey.arrived_s,
             now_s=now_s(),
         )
--- a/packages/lagoonfold/src/lagoonfold/rates/_lender.py
+++ b/packages/lagoonfold/src/lagoonfold/rates/_lender.py
@@ -9,13 +9,11 @@
 
 from result import Err, Ok, Result
 
-from lagoonfold.rates._messages import RANK_NEW, Ask, Loan, LoanReport, RateLimit, Shortage
+from lagoonfold.rates._messages import Ask, Loan, LoanReport, RateLimit, Shortage
 from lagoonfold.rates._terms import LOAN_TTL_S, held_s
 
 _MAX_SHARE_OF_LEVEL = 0.25
 _ROUNDING_TOKENS = 1e-6
-_RESERVE_OF_BURST = 0.3  # kept for programs that have begun, against those that would begin
-_RESERVE_OF_BURST = 0.3  # kept for programs that have begun, against those that would begin
 _KEPT_FOR_RANK_S = 0.1  # a borrower whose calls wait asks again within this time
 
 
@@ -76,7 +74,7 @@
         if self._whole_tokens() < 1 or ask.wanted < 1:
             self._kept_until_s_by_rank[ask.rank] = now_s + _KEPT_FOR_RANK_S
             return Err(self._shortage(now_s))
-        if self._is_kept_for_others(ask.rank, now_s) or self._is_reserved(ask):
+        if self._is_kept_for_others(ask.rank, now_s):
             return Err(self._shortage(now_s))
         self._kept_until_s_by_rank.pop(ask.rank, None)
         size = self._size_of(ask)
@@ -117,15 +115,6 @@
         kept = self._kept_until_s_by_rank.items()
         return any(other < rank and until_s > now_s for other, until_s in kept)
 
-    def _is_reserved(self, ask: Ask) -> bool:
-        """Tell whether the tokens that are left are for programs that have begun.
-
-        An account whose limit would never leave enough above the reserve is not held back.
-        """
-        reserve = _RESERVE_OF_BURST * self._limit.burst
-        can_exceed = self._limit.burst - reserve >= 1
-        return ask.rank >= RANK_NEW and can_exceed and self._level - 1 < reserve
-
     def _size_of(self, ask: Ask) -> int:
         share = int(self._level * _MAX_SHARE_OF_LEVEL)
         size = max(ask.needed, min(ask.wanted, share))
--- a/packages/lagoonfold/src/lagoonfold/rates/_messages.py
+++ b/packages/lagoonfold/src/lagoonfold/rates/_messages.py
@@ -2,10 +2,8 @@
 
 import msgspec
 
-RANK_CALL = 0  # a call of a program that has begun: the program fails with it
-RANK_TURN = 1  # a turn of a program that has begun
-RANK_NEW = 2  # the first turn of a program
-RANK_LOOPING = 3  # a program that has made far more calls than others do
+RANK_CALL = 0  # a call of a tool: the program fails with it
+RANK_TURN = 1  # a turn, which its program repeats
 RANK_AHEAD = 9  # an ask ahead of need: any call that waits elsewhere goes first
 
 
