Ask another owner where one cannot charge, and shorten the pause of a new lender

Change: heartbeats say whether an instance reaches the store, and owners that do come first; an owner that cannot charge is passed over, also in the middle of a turn; failed charges are followed by a growing pause; loans last 0.25 s and the pause counts from the change of owner; a token is given back where the budget refuses the turn.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_budget_desk.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_budget_desk.py
@@ -6,8 +6,9 @@
 """
 
 from collections import OrderedDict
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+import msgspec
 import trio
 from result import Err, Ok, Result
 
@@ -24,6 +25,7 @@
     TurnCredit,
     TurnEnd,
 )
+from lagoonfold_gateway._peer_link import PeerFault
 from lagoonfold_gateway._peers import PeerBus
 from lagoonfold_io.observe import EventLog
 
@@ -40,14 +42,22 @@
 
 @dataclass(slots=True, kw_only=True)
 class TurnHold:
-    """A turn that was admitted: its owner and what it may hand out."""
+    """A turn that was admitted: the ask, its owner, and what it may hand out.
 
-    program: str
-    turn_id: str
+    `former` are earlier owners with the credit that each gave.
+    """
+
+    ask: TurnAsk
     owner: str
     tally: TurnTally
+    former: list[tuple[str, int]] = field(default_factory=list)
     is_over: bool = False
 
+    @property
+    def former_credit(self) -> int:
+        """The tokens that former owners have lent."""
+        return sum(credit for _, credit in self.former)
+
 
 class BudgetDesk:
     """The asking side of budgets."""
@@ -78,37 +88,36 @@
             retention_s=retention_s,
             live=self._board.live.read().ids,
         )
+        granted = await self._ask(ask, self._owners(program))
+        if isinstance(granted, Err):
+            return granted
+        owner, credit = granted.ok_value
+        tally = TurnTally(most=most, credit=credit, tokens_per_event=tokens_per_event)
+        return Ok(TurnHold(ask=ask, owner=owner, tally=tally))
+
+    async def _ask(self, ask: TurnAsk, owners: list[str]) -> Result[tuple[str, int], Refusal]:
+        """Ask owners in turn; return who admitted the turn, and its credit."""
         reason = "no owner"
-        owners = self._owners(program)
         for _ in range(MAX_OWNERS_ASKED):
             if not owners:
                 break
             owner = owners.pop(0)
             answer = await self._bus.call(owner, ask, timeout_s=ASK_TIMEOUT_S)
-            if isinstance(answer, Err):
-                reason = f"{owner}: {answer.err_value.value}"
-                _log.info("budget.owner_passed_over", program=program, owner=owner, reason=reason)
-                continue
-            message = answer.ok_value
-            if isinstance(message, TurnCredit):
-                self._remember(program, owner)
-                tally = TurnTally(
-                    most=most, credit=message.credit, tokens_per_event=tokens_per_event
-                )
-                hold = TurnHold(program=program, turn_id=turn_id, owner=owner, tally=tally)
-                return Ok(hold)
-            if isinstance(message, BudgetSpent):
-                return Err(_spent(program, message))
-            if isinstance(message, OwnedBy):
-                owners.insert(0, message.instance)
+            if isinstance(answer, Ok) and isinstance(answer.ok_value, TurnCredit):
+                self._remember(ask.program, owner)
+                return Ok((owner, answer.ok_value.credit))
+            if isinstance(answer, Ok) and isinstance(answer.ok_value, BudgetSpent):
+                return Err(_spent(ask.program, answer.ok_value))
+            if isinstance(answer, Ok) and isinstance(answer.ok_value, OwnedBy):
+                owners.insert(0, answer.ok_value.instance)
                 continue
-            reason = getattr(message, "reason", type(message).__name__)
-            break
-        return Err(_undecided(program, reason))
+            reason = f"{owner}: {_reason(answer)}"
+            _log.info("budget.owner_passed_over", program=ask.program, reason=reason)
+        return Err(_undecided(ask.program, reason))
 
     def _owners(self, program: str) -> list[str]:
         """Return whom to ask: the owner that decided last while it lives, then by rendezvous."""
-        owners = self._members.owners_of(program)
+        owners = self._members.charging_owners_of(program)
         last = self._owner_by_program.get(program)
         if last in owners:
             owners.remove(last)
@@ -125,31 +134,53 @@
         """Raise the turn's credit by a step, unless the turn ends first."""
         before = hold.tally.credit
         message: Message = TurnCover(
-            program=hold.program, turn_id=hold.turn_id, most=hold.tally.most
+            program=hold.ask.program, turn_id=hold.ask.turn_id, most=hold.ask.most
         )
         while hold.tally.credit == before and not hold.is_over:
             answer = await self._bus.call(hold.owner, message, timeout_s=COVER_TIMEOUT_S)
             if isinstance(answer, Ok) and isinstance(answer.ok_value, TurnCredit):
-                hold.tally.credit = max(before, answer.ok_value.credit)
+                credit = hold.former_credit + answer.ok_value.credit
+                hold.tally.credit = max(before, credit)
             if hold.tally.credit == before and not hold.is_over:
-                _log.info("budget.not_covered", program=hold.program, owner=hold.owner)
-                await trio.sleep(RETRY_PAUSE_S)
+                await self._move(hold, _reason(answer))
+
+    async def _move(self, hold: TurnHold, reason: str) -> None:
+        """Ask another owner for the rest of a turn that its owner cannot cover."""
+        _log.info("budget.not_covered", program=hold.ask.program, owner=hold.owner, reason=reason)
+        known = {hold.owner, *(owner for owner, _ in hold.former)}
+        others = [owner for owner in self._owners(hold.ask.program) if owner not in known]
+        rest = msgspec.structs.replace(hold.ask, most=hold.tally.most - hold.tally.credit)
+        moved = await self._ask(rest, others)
+        if isinstance(moved, Err):
+            await trio.sleep(RETRY_PAUSE_S)
+            return
+        hold.former.append((hold.owner, hold.tally.credit - hold.former_credit))
+        hold.owner, credit = moved.ok_value
+        hold.ask = rest
+        hold.tally.credit += credit
 
     async def end_turn(self, hold: TurnHold) -> None:
-        """Tell the owner what of a turn went out."""
-        message = TurnEnd(program=hold.program, turn_id=hold.turn_id, handed=hold.tally.handed)
+        """Tell each owner what of the turn went out under its credit."""
+        handed = hold.tally.handed
+        for owner, credit in hold.former:
+            await self._end_at(owner, hold, min(handed, credit))
+            handed -= min(handed, credit)
+        await self._end_at(hold.owner, hold, handed)
+
+    async def _end_at(self, owner: str, hold: TurnHold, handed: int) -> None:
+        message = TurnEnd(program=hold.ask.program, turn_id=hold.ask.turn_id, handed=handed)
         for _ in range(MAX_END_TRIES):
-            answer = await self._bus.call(hold.owner, message, timeout_s=END_TIMEOUT_S)
+            answer = await self._bus.call(owner, message, timeout_s=END_TIMEOUT_S)
             if isinstance(answer, Ok):
                 return
             await trio.sleep(RETRY_PAUSE_S)
-        _log.warning(
-            "budget.end_not_told",
-            program=hold.program,
-            owner=hold.owner,
-            handed=hold.tally.handed,
-            most=hold.tally.most,
-        )
+        _log.warning("budget.end_not_told", program=hold.ask.program, owner=owner, handed=handed)
+
+
+def _reason(answer: Result[Message, PeerFault]) -> str:
+    if isinstance(answer, Err):
+        return answer.err_value.value
+    return getattr(answer.ok_value, "reason", type(answer.ok_value).__name__)
 
 
 def _spent(program: str, message: BudgetSpent) -> Refusal:
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_charges.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_charges.py
@@ -12,11 +12,23 @@
 import trio
 from result import Err, Ok, Result
 
-from lagoonfold import MAX_ENTRIES_PER_COMMIT, Check, Entry, Put, StoreError, TransactionalStore
+from lagoonfold import (
+    MAX_ENTRIES_PER_COMMIT,
+    Check,
+    Commit,
+    Entry,
+    Put,
+    StoreError,
+    TransactionalStore,
+)
 from lagoonfold._ports import ABSENT_REVISION
 from lagoonfold.budgets import BudgetRecord, ProgramLedger
+from lagoonfold_gateway._clock import now_s
 from lagoonfold_io.observe import EventLog
 
+FIRST_PAUSE_S = 0.05  # after a failed call; doubles with each further one
+MAX_PAUSE_S = 0.5  # so that the return of the store is noticed within half a second
+MAX_DOUBLINGS = 8
 BUDGET_PREFIX = "lagoonfold/budgets/"
 
 _log = EventLog("budgets")
@@ -39,6 +51,9 @@
         self._writer_id = writer_id
         self._waiting_by_program: OrderedDict[str, _Charge] = OrderedDict()
         self._wake = trio.Event()
+        self._failures = 0
+        self._retry_s = 0.0
+        self._last_error: StoreError | None = None
 
     async def charge(
         self, program: str, ledger: ProgramLedger, level: int
@@ -74,18 +89,36 @@
             Put(key=BUDGET_PREFIX + charge.program, value=self._encode(charge))
             for charge in charges
         )
-        written = await self._store.commit(checks=checks, puts=puts)
+        written = await self._commit(checks, puts)
         if isinstance(written, Err):
             _log.warning("budget.not_charged", programs=count, reason=written.err_value.detail)
             self._finish(charges, written)
             return
-        if written.ok_value.revision is not None:
+        revision = written.ok_value.revision
+        _log.debug("budget.charged", programs=count, revision=revision)
+        if revision is not None:
             for charge in charges:
-                charge.ledger.note_charged(charge.level, written.ok_value.revision)
+                charge.ledger.note_charged(charge.level, revision)
             self._finish(charges, Ok(True))
             return
         self._take_conflict(charges, written.ok_value.conflicting)
 
+    async def _commit(
+        self, checks: tuple[Check, ...], puts: tuple[Put, ...]
+    ) -> Result[Commit, StoreError]:
+        """Write, unless the store has just failed: then fail at once, so that others are asked."""
+        if now_s() < self._retry_s and self._last_error is not None:
+            return Err(self._last_error)
+        written = await self._store.commit(checks=checks, puts=puts)
+        if isinstance(written, Err):
+            pause_s = min(MAX_PAUSE_S, FIRST_PAUSE_S * 2**self._failures)
+            self._failures = min(self._failures + 1, MAX_DOUBLINGS)
+            self._retry_s = now_s() + pause_s
+            self._last_error = written.err_value
+        else:
+            self._failures = 0
+        return written
+
     def _take_conflict(self, charges: list[_Charge], entries: tuple[Entry, ...]) -> None:
         """Tell the ledgers of their records; charges that were not in conflict go again."""
         entry_by_key = {entry.key: entry for entry in entries}
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_forwarder.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_forwarder.py
@@ -1,6 +1,6 @@
 """Takes a request from its arrival to its final answer.
 
-Reads `config` and `replicas`. The order is: route, key, budget, rate, replica. Every refusal before
+Reads `config` and `replicas`. The order is: route, key, rate, budget, replica. Every refusal before
 the first byte has left for a replica says "not run"; after that none does. The final answer comes
 at the route's timeout or the caller's deadline at the latest.
 """
@@ -90,7 +90,7 @@
         return Ok(_journey(call, route, account.ok_value, view, arrived_s))
 
     async def _serve(self, journey: Journey, exchange: Exchange) -> None:
-        refused = await self._take_budget_and_rate(journey)
+        refused = await self._take_rate_and_budget(journey)
         if refused is None:
             refused = await self._tries.run(journey, exchange)
         if refused is None:
@@ -98,14 +98,20 @@
             return
         await self._answer(refused, journey, exchange)
 
-    async def _take_budget_and_rate(self, journey: Journey) -> Refusal | None:
+    async def _take_rate_and_budget(self, journey: Journey) -> Refusal | None:
         """Take what the request costs; a turn that the budget does not hold costs no rate."""
-        started = await self._take_budget(journey)
-        if started is not None or journey.account is None:
-            return started
-        claim = self._rate_claim(journey)
-        taken = await self._context.loans.take(journey.account, claim, self._context.nursery)
-        return taken.err_value if isinstance(taken, Err) else None
+        account = journey.account
+        if account is not None:
+            began_s = now_s()
+            claim = self._rate_claim(journey)
+            taken = await self._context.loans.take(account, claim, self._context.nursery)
+            journey.rate_wait_s = now_s() - began_s
+            if isinstance(taken, Err):
+                return taken.err_value
+        refused = await self._take_budget(journey)
+        if refused is not None and account is not None:
+            self._context.loans.give_back(account)
+        return refused
 
     def _rate_claim(self, journey: Journey) -> RateClaim:
         turn = journey.call.turn
@@ -200,6 +206,8 @@
             status=journey.status,
             took_s=round(took_s, 4),
             first_byte_s=None if first_s is None else round(first_s - journey.arrived_s, 4),
+            rate_wait_s=round(journey.rate_wait_s, 4),
+            place_wait_s=round(journey.place_wait_s, 4),
             limit_s=round(journey.give_up_s - journey.arrived_s, 3),
             tries=journey.tries,
             owner=hold.owner if hold is not None else None,
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_heartbeats.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_heartbeats.py
@@ -46,6 +46,7 @@
         async with trio.open_nursery() as nursery:
             sending: set[str] = set()
             while True:
+                self._members.note_own_store(not self._config_watch.is_failing)
                 beat = self._beat()
                 for peer in self._bus.peer_ids:
                     if peer not in sending:
@@ -77,6 +78,7 @@
             paces=self._loads.slow_paces(now_s=now_s()),
             config_revision=self._config_watch.seen_revision,
             replica_revision=self._replica_watch.seen_revision,
+            has_store=not self._config_watch.is_failing,
         )
 
     async def _take(self, beat: Message) -> Message:
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_journey.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_journey.py
@@ -22,6 +22,8 @@
     give_up_s: float
     record: TryRecord
     hold: TurnHold | None = None
+    rate_wait_s: float = 0.0
+    place_wait_s: float = 0.0
     first_byte_s: float | None = None
     tries: list[str] = field(default_factory=list)
     outcome: str = "unfinished"
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_loans.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_loans.py
@@ -25,6 +25,7 @@
 PAUSE_S = 0.02  # between asks while there is nothing to lend
 MAX_PAUSE_S = 0.1  # as above, for accounts of a low rate
 MIN_RETRY_AFTER_S = 0.05  # less than a caller's way there and back makes no sense
+LOAN_S = 0.25  # a new owner waits as long; a busy borrower asks as often
 REPORT_S = 0.2  # how often unused tokens are given back
 SETTLED_S = 5.0  # after the first start all instances have found each other
 
@@ -79,6 +80,12 @@
             return Ok(None)
         return await self._wait(account.name, desk, claim, nursery)
 
+    def give_back(self, account: ClientAccount) -> None:
+        """Return the token of a call that was refused before it was forwarded."""
+        desk = self._desk_by_account.get(account.name)
+        if desk is not None:
+            desk.borrower.give_back(now_s=now_s())
+
     async def _wait(
         self, account: str, desk: _Desk, claim: RateClaim, nursery: trio.Nursery
     ) -> Result[None, Refusal]:
@@ -183,7 +190,8 @@
             return None
         self._epoch += 1
         is_new = self._is_first_start and self._has_not_changed_owner()
-        lender = Lender(limit=limit, epoch=self._epoch, now_s=now_s(), is_new=is_new)
+        owned_s = now_s() if is_new else self._board.live.read().since_s
+        lender = Lender(limit=limit, epoch=self._epoch, now_s=owned_s, ttl_s=LOAN_S, is_new=is_new)
         self._lender_by_account[account] = lender
         _log.info("rate.owned", account=account, is_new=is_new, rate_per_s=limit.rate_per_s)
         return lender
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_members.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_members.py
@@ -63,6 +63,7 @@
         self._heard_s_by_id: dict[str, float] = {}
         self._writer_by_id: dict[str, str] = {}
         self._leaving: set[str] = set()
+        self._without_store: set[str] = set()
         self._lease_id: int | None = None
         self._store_contact_s = now_s()
         self.watch = StoreWatch(
@@ -76,6 +77,11 @@
         ids = self._board.live.read().ids
         return sorted(ids, key=lambda name: rendezvous_weight(subject, name), reverse=True)
 
+    def charging_owners_of(self, subject: str) -> list[str]:
+        """Return the live instances in the order of ownership, those that reach the store first."""
+        owners = self.owners_of(subject)
+        return sorted(owners, key=lambda name: name in self._without_store)
+
     def owns(self, subject: str) -> bool:
         """Tell whether this instance comes first for a subject."""
         return self.owners_of(subject)[0] == self._id
@@ -102,8 +108,19 @@
         entry = self._entry_by_id.get(instance)
         return entry.failure_domain if entry is not None else None
 
+    def note_own_store(self, has_store: bool) -> None:
+        """Take in whether this instance reaches the store."""
+        self._note_store(self._id, has_store)
+
+    def _note_store(self, name: str, has_store: bool) -> None:
+        if has_store:
+            self._without_store.discard(name)
+        else:
+            self._without_store.add(name)
+
     def note_heartbeat(self, beat: Heartbeat) -> None:
         """Take in that an instance lives or leaves."""
+        self._note_store(beat.instance, beat.has_store)
         if beat.is_leaving:
             self._leaving.add(beat.instance)
             self._heard_s_by_id.pop(beat.instance, None)
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_messages.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_messages.py
@@ -10,6 +10,7 @@
 
     `sent_by_replica` counts requests under way by replica id, `paces` are slow replicas' paces;
     the revisions are those of the store up to which this instance has followed its views.
+    `has_store` says whether it reaches the store.
     """
 
     instance: str
@@ -19,6 +20,7 @@
     paces: dict[str, float]
     config_revision: int
     replica_revision: int
+    has_store: bool
 
 
 class TurnAsk(msgspec.Struct, frozen=True, tag=True, array_like=True):
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_store_watch.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_store_watch.py
@@ -54,6 +54,11 @@
         """
         return self._revision or 0
 
+    @property
+    def is_failing(self) -> bool:
+        """Tell whether the latest call to the store has failed."""
+        return self._failures > 0
+
     def poll_anew(self) -> None:
         """Give a poll under way up and list anew."""
         if self._scope is not None and self._revision is not None:
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_tries.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_tries.py
@@ -42,7 +42,9 @@
         only: str | None = None
         avoid: set[str] = set()
         while True:
+            began_s = now_s()
             placed = await self._place(service, journey, avoid, only)
+            journey.place_wait_s += now_s() - began_s
             if isinstance(placed, Err):
                 return self._refusal_of(placed.err_value, journey)
             placement = placed.ok_value
--- a/packages/lagoonfold/src/lagoonfold/rates/_borrower.py
+++ b/packages/lagoonfold/src/lagoonfold/rates/_borrower.py
@@ -56,6 +56,16 @@
         loan.used_s = now_s
         return True
 
+    def give_back(self, *, now_s: float) -> None:
+        """Take a token back whose call was not forwarded, if its loan can still be used."""
+        usable = [
+            loan
+            for loan in self._loans_by_id.values()
+            if loan.spent > loan.reported and now_s < loan.expires_s
+        ]
+        if usable:
+            min(usable, key=lambda held: held.expires_s).spent -= 1
+
     def available(self, *, now_s: float) -> int:
         """Return the tokens that could be taken now."""
         loans = self._loans_by_id.values()
