Test the gateway against replicas, owners and a store that fail

Found by the tests and mended: a turn that follows the one before within some ms was told 402 although the budget held it (the end was not told to the owner yet): the owner now waits up to 0.1 s while only turns under way stand against it; an instance that was lost within 5 s of the first start did not end the time in which owners need no first charge; one lost answer of the store refused a turn.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_board.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_board.py
@@ -25,10 +25,15 @@
 
 @dataclass(frozen=True, slots=True)
 class LiveView:
-    """The instances that take part now, by id, and since when this has not changed."""
+    """The instances that take part now, by id, and since when this has not changed.
+
+    `is_unbroken` says that none has been lost since this instance started, and none has come after
+    all should have found each other: then nobody else can have owned what this instance owns.
+    """
 
     ids: tuple[str, ...]
     since_s: float
+    is_unbroken: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_budget_owner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_budget_owner.py
@@ -12,7 +12,7 @@
 import trio
 from result import Err
 
-from lagoonfold import TransactionalStore
+from lagoonfold import StoreErrorKind, TransactionalStore
 from lagoonfold.budgets import ProgramLedger
 from lagoonfold_gateway._board import GatewayBoard, LiveView
 from lagoonfold_gateway._charges import BUDGET_PREFIX, ChargeWriter
@@ -32,7 +32,8 @@
 from lagoonfold_gateway._peers import PeerBus
 from lagoonfold_io.observe import EventLog
 
-SETTLED_S = 5.0  # after the first start all instances have found each other
+SETTLE_WAIT_S = 0.1  # a turn's end is told to the owner some ms after its caller has it
+SETTLE_POLL_S = 0.005
 MAX_CHARGES_PER_ASK = 3  # owners that change each other's record come to rest after one round
 SWEEP_S = 5.0  # how often programs whose retention is over are looked for
 MAX_REMOVED_PER_SWEEP = 32  # one transaction
@@ -64,7 +65,6 @@
         self._members = members
         self._store = store
         self._is_first_start = is_first_start
-        self._started_s = now_s()
         self._owned_by_program: dict[str, _Owned] = {}
         self._live: frozenset[str] = frozenset()
         self.writer = ChargeWriter(store, members.writer_id)
@@ -122,7 +122,7 @@
             undecided = await self._take_over(ask, owned)
             if undecided is not None:
                 return undecided
-        if not ledger.admit(ask.turn_id, most=ask.most, front=ask.front):
+        if not await self._admit(ask, ledger):
             _log.info(
                 "budget.spent",
                 program=ask.program,
@@ -135,6 +135,15 @@
             return BudgetSpent(spent=ledger.spent, budget=ledger.budget)
         return TurnCredit(credit=ledger.raise_credit(ask.turn_id))
 
+    async def _admit(self, ask: TurnAsk, ledger: ProgramLedger) -> bool:
+        """Admit a turn; wait a moment where only the turns under way stand against it."""
+        until_s = now_s() + SETTLE_WAIT_S
+        while not ledger.admit(ask.turn_id, most=ask.most, front=ask.front):
+            if not ledger.fits_without_running(ask.most) or now_s() > until_s:
+                return False
+            await trio.sleep(SETTLE_POLL_S)
+        return True
+
     async def _take_over(self, ask: TurnAsk, owned: _Owned) -> NotNow | OwnedBy | None:
         """Bring a program's record under this owner; return why that is not to be done now."""
         ledger = owned.ledger
@@ -145,6 +154,9 @@
                 level = ledger.charge_needed(ask.most)
                 charged = await self.writer.charge(ask.program, ledger, level)
                 if isinstance(charged, Err):
+                    if charged.err_value.kind is StoreErrorKind.LOST_ANSWER:
+                        # The next charge finds out whether this one was made.
+                        continue
                     return NotNow(reason=charged.err_value.detail)
                 if charged.ok_value:
                     return None
@@ -182,8 +194,7 @@
 
     def _is_first_owner(self, live: Iterable[str]) -> bool:
         view = self._board.live.read()
-        is_unchanged = view.since_s <= self._started_s + SETTLED_S
-        return self._is_first_start and is_unchanged and tuple(live) == view.ids
+        return self._is_first_start and view.is_unbroken and tuple(live) == view.ids
 
     def _settle_lost(self, view: LiveView) -> None:
         """Count the running turns of an instance that is gone as having produced their most."""
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_charges.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_charges.py
@@ -26,7 +26,7 @@
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_io.observe import EventLog
 
-FIRST_PAUSE_S = 0.05  # after a failed call; doubles with each further one
+FIRST_PAUSE_S = 0.05  # after two failed calls in a row; doubles with each further one
 MAX_PAUSE_S = 0.5  # so that the return of the store is noticed within half a second
 MAX_DOUBLINGS = 8
 BUDGET_PREFIX = "lagoonfold/budgets/"
@@ -111,7 +111,7 @@
             return Err(self._last_error)
         written = await self._store.commit(checks=checks, puts=puts)
         if isinstance(written, Err):
-            pause_s = min(MAX_PAUSE_S, FIRST_PAUSE_S * 2**self._failures)
+            pause_s = min(MAX_PAUSE_S, FIRST_PAUSE_S * 2**self._failures) if self._failures else 0.0
             self._failures = min(self._failures + 1, MAX_DOUBLINGS)
             self._retry_s = now_s() + pause_s
             self._last_error = written.err_value
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_loans.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_loans.py
@@ -27,7 +27,6 @@
 MIN_RETRY_AFTER_S = 0.05  # less than a caller's way there and back makes no sense
 LOAN_S = 0.25  # a new owner waits as long; a busy borrower asks as often
 REPORT_S = 0.2  # how often unused tokens are given back
-SETTLED_S = 5.0  # after the first start all instances have found each other
 
 _log = EventLog("loans")
 
@@ -58,7 +57,6 @@
         self._bus = bus
         self._members = members
         self._is_first_start = is_first_start
-        self._started_s = now_s()
         self._epoch = 0
         self._lender_by_account: dict[str, Lender] = {}
         self._desk_by_account: dict[str, _Desk] = {}
@@ -189,17 +187,13 @@
         if limit is None:
             return None
         self._epoch += 1
-        is_new = self._is_first_start and self._has_not_changed_owner()
+        is_new = self._is_first_start and self._board.live.read().is_unbroken
         owned_s = now_s() if is_new else self._board.live.read().since_s
         lender = Lender(limit=limit, epoch=self._epoch, now_s=owned_s, ttl_s=LOAN_S, is_new=is_new)
         self._lender_by_account[account] = lender
         _log.info("rate.owned", account=account, is_new=is_new, rate_per_s=limit.rate_per_s)
         return lender
 
-    def _has_not_changed_owner(self) -> bool:
-        """Tell whether the same instances have been live since the start settled."""
-        return self._board.live.read().since_s <= self._started_s + SETTLED_S
-
     def _drop_lost(self, live: LiveView) -> None:
         """Forget the accounts that another instance owns now: it does not know these loans."""
         for account in tuple(self._lender_by_account):
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_members.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_members.py
@@ -25,6 +25,7 @@
 LEASE_TTL_S = 10.0  # a renewal costs a tenth of a call; entries of dead instances harm little
 RENEW_S = 3.0  # a third of the lease, so that one renewal may fail
 RETRY_S = 0.5  # after a failed call to the store
+SETTLED_S = 5.0  # after the first start of the system all instances have found each other
 SILENT_S = 1.0  # four heartbeats
 CHECK_S = 0.1  # how often silence is looked for
 STORE_CONTACT_S = 2.0 * RENEW_S  # the store was reached in this time: not cut off from everything
@@ -65,6 +66,7 @@
         self._leaving: set[str] = set()
         self._without_store: set[str] = set()
         self._lease_id: int | None = None
+        self._started_s = now_s()
         self._store_contact_s = now_s()
         self.watch = StoreWatch(
             store, MEMBER_PREFIX, on_listing=self._take_listing, on_event=self._take_event
@@ -225,7 +227,9 @@
         before = self._board.live.read()
         if live == before.ids:
             return
-        self._board.live.write(LiveView(live, now_s()))
+        is_late = now_s() - self._started_s > SETTLED_S
+        is_unbroken = before.is_unbroken and set(before.ids) <= set(live) and not is_late
+        self._board.live.write(LiveView(live, now_s(), is_unbroken))
         gone = sorted(set(before.ids) - set(live))
         _log.info(
             "members.changed", live=len(live), gone=gone, come=sorted(set(live) - {*before.ids})
--- a/packages/lagoonfold/src/lagoonfold/budgets/_ledger.py
+++ b/packages/lagoonfold/src/lagoonfold/budgets/_ledger.py
@@ -83,6 +83,10 @@
         self._turns_by_id[turn_id] = _RunningTurn(most, 0, front)
         return True
 
+    def fits_without_running(self, most: int) -> bool:
+        """Tell whether a turn would be admitted if none were under way."""
+        return self.spent + most <= self.budget
+
     def credit(self, turn_id: str) -> int:
         """Return the turn's credit, zero where it is not under way."""
         turn = self._turns_by_id.get(turn_id)
--- /dev/null
+++ b/standins/replica.py
@@ -0,0 +1,99 @@
+"""A replica that does as it is told: answers, streams, refuses, loses answers, breaks off.
+
+It speaks the product's own names of headers and counts each request that it runs.
+"""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+import trio
+
+from lagoonfold_gateway import OWN_DIALECT
+from lagoonfold_io import Exchange, HttpRequest, HttpResponse, HttpServer
+
+NAMES = OWN_DIALECT.headers
+EVENTS = 5
+
+
+@dataclass(slots=True)
+class Behaviour:
+    """What the replica does with the requests that it gets; times in seconds.
+
+    `refusals` requests are refused as not run; then `losses` are run without an answer. A stream
+    breaks off in the middle of the event after `break_after` events, once.
+    """
+
+    refusals: int = 0
+    losses: int = 0
+    break_after: int | None = None
+    answer_after_s: float = 0.0
+    event_pause_s: float = 0.0
+    wrong_id: bool = False
+
+
+@dataclass(slots=True)
+class Replica:
+    """One replica with what it has seen."""
+
+    replica_id: str
+    behaviour: Behaviour = field(default_factory=Behaviour)
+    runs_by_request: Counter[str] = field(default_factory=Counter)
+    requests: list[HttpRequest] = field(default_factory=list)
+    abandoned: int = 0
+    address: str = ""
+
+    async def serve(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Serve until cancelled."""
+        server = HttpServer(self._handle)
+        async with trio.open_nursery() as nursery:
+            port = await nursery.start(server.serve, "127.0.0.1", 0)
+            self.address = f"127.0.0.1:{port}"
+            task_status.started()
+
+    async def _handle(self, request: HttpRequest, exchange: Exchange) -> None:
+        if request.header(NAMES.expected_replica) not in (None, self.replica_id):
+            await exchange.respond(HttpResponse(status=421))
+            return
+        if self.behaviour.refusals:
+            self.behaviour.refusals -= 1
+            headers = ((NAMES.not_run, "1"),)
+            await exchange.respond(HttpResponse(status=503, headers=headers))
+            return
+        self.requests.append(request)
+        self.runs_by_request[request.header(NAMES.request_id) or ""] += 1
+        try:
+            await self._run(request, exchange)
+        except trio.Cancelled:
+            self.abandoned += 1
+            raise
+
+    async def _run(self, request: HttpRequest, exchange: Exchange) -> None:
+        await trio.sleep(self.behaviour.answer_after_s)
+        if self.behaviour.losses:
+            self.behaviour.losses -= 1
+            exchange.abort()
+            return
+        request_id = request.header(NAMES.request_id) or ""
+        echoed = "another" if self.behaviour.wrong_id else request_id
+        headers = ((NAMES.request_id, echoed), (NAMES.signature, self.replica_id))
+        if request.path.startswith("/turns/"):
+            await self._stream(request, exchange, headers)
+        else:
+            body = b"echo:" + request.body
+            await exchange.respond(HttpResponse(status=200, headers=headers, body=body))
+
+    async def _stream(
+        self, request: HttpRequest, exchange: Exchange, headers: tuple[tuple[str, str], ...]
+    ) -> None:
+        await exchange.start(200, headers)
+        first = int(request.header(NAMES.last_event) or 0) + 1
+        for number in range(first, EVENTS + 1):
+            await trio.sleep(self.behaviour.event_pause_s)
+            event = b"id: %d\ndata: part %d\n\n" % (number, number)
+            if self.behaviour.break_after == number - 1:
+                self.behaviour.break_after = None
+                await exchange.send(event[:6])
+                exchange.abort()
+                return
+            await exchange.send(event)
+        await exchange.finish()
--- /dev/null
+++ b/tests/gateway/_fleet.py
@@ -0,0 +1,224 @@
+"""Gateways, replicas and a store in one loop, for tests of what callers and replicas see."""
+
+from collections.abc import Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+import msgspec
+import trio
+
+from lagoonfold.forwarding import (
+    CallerLimits,
+    ClientAccount,
+    ForwardConfig,
+    ForwardRoute,
+    ForwardService,
+    RouteKind,
+    WeightedService,
+)
+from lagoonfold.forwarding import Replica as ListedReplica
+from lagoonfold.rates import RateLimit
+from lagoonfold_gateway import OWN_DIALECT, Gateway, GatewaySettings
+from lagoonfold_gateway._settings import InstanceSection, StoreSection, TimesSection
+from lagoonfold_io import HttpClient, HttpRequest, HttpResponse
+from standins._ports import free_port
+from standins.replica import NAMES, Replica
+from standins.transactional_store import MemoryStore
+
+HOST = "api.example"
+KEY = "key-1"
+WAIT_S = 10.0
+
+
+def make_config(
+    *, version: int = 1, timeout_s: float = 2.0, limit: RateLimit | None = None, **route: object
+) -> ForwardConfig:
+    """Return a configuration with a plain, an at-most-once, a stream and an open route."""
+
+    def make_route(name: str, prefix: str, kind: RouteKind, **more: object) -> ForwardRoute:
+        options = {"max_upstreams": 2, "timeout_s": timeout_s, **more, **route}
+        return ForwardRoute(
+            name=name,
+            host=HOST,
+            prefix=prefix,
+            kind=kind,
+            targets=(WeightedService(service="models", weight=1),),
+            objective_s=0.5,
+            **options,
+        )
+
+    routes = (
+        make_route("read", "/read/", RouteKind.IDEMPOTENT),
+        make_route("write", "/write/", RouteKind.AT_MOST_ONCE),
+        make_route("turns", "/turns/", RouteKind.STREAM, can_resume=True, is_program_turn=True),
+        make_route("open", "/open/", RouteKind.IDEMPOTENT, is_open=True),
+    )
+    return ForwardConfig(
+        version=version,
+        routes=routes,
+        services_by_name={
+            "models": ForwardService(name="models", max_connections=100, tokens_per_event=10)
+        },
+        accounts_by_key={KEY: ClientAccount(name="acme", limit=limit)},
+        limits=CallerLimits(idle_timeout_s=5.0),
+    )
+
+
+@dataclass(slots=True)
+class Fleet:
+    """What a test works with; `client` keeps its connections as callers do."""
+
+    store: MemoryStore
+    nursery: trio.Nursery
+    replica_by_id: dict[str, Replica] = field(default_factory=dict)
+    gateways: list[Gateway] = field(default_factory=list)
+    scope_by_gateway: dict[str, trio.CancelScope] = field(default_factory=dict)
+    client: HttpClient = field(default_factory=HttpClient)
+    _requests: int = 0
+
+    def put_config(self, config: ForwardConfig) -> None:
+        """Put a configuration in force, as the operator does."""
+        self.store.put(OWN_DIALECT.config_key, msgspec.json.encode(config))
+
+    def list_replica(self, replica: Replica, *, is_draining: bool = False) -> None:
+        """List a replica in the store."""
+        listed = ListedReplica(
+            replica_id=replica.replica_id,
+            service="models",
+            address=replica.address,
+            failure_domain="zone-a",
+            slots=4,
+            is_draining=is_draining,
+        )
+        key = OWN_DIALECT.replica_prefix + replica.replica_id
+        self.store.put(key, msgspec.json.encode(listed))
+
+    def unlist_replica(self, replica_id: str) -> None:
+        """Remove a replica's entry."""
+        self.store.remove(OWN_DIALECT.replica_prefix + replica_id)
+
+    async def add_replica(self, replica_id: str) -> Replica:
+        """Start and list a replica."""
+        replica = self.replica_by_id[replica_id] = Replica(replica_id)
+        await self.nursery.start(replica.serve)
+        self.list_replica(replica)
+        return replica
+
+    async def add_gateway(self, name: str, *, is_first_start: bool = True) -> Gateway:
+        """Start a gateway in a scope of its own, so that it can be killed."""
+        front, readiness, peers = (free_port() for _ in range(3))
+        settings = GatewaySettings(
+            instance=InstanceSection(
+                id=name,
+                failure_domain="zone-a",
+                listen=f"127.0.0.1:{front}",
+                readiness=f"127.0.0.1:{readiness}",
+                peers=f"127.0.0.1:{peers}",
+                is_first_start=is_first_start,
+            ),
+            store=StoreSection(address="127.0.0.1:1"),
+            times=TimesSection(stop_s=5.0, balancer_notice_s=0.1),
+        )
+        gateway: Gateway = await self.nursery.start(self._run_gateway, settings)
+        self.gateways.append(gateway)
+        return gateway
+
+    async def _run_gateway(
+        self, settings: GatewaySettings, *, task_status: trio.TaskStatus[Gateway]
+    ) -> None:
+        async with trio.open_nursery() as nursery:
+            self.scope_by_gateway[settings.instance.id] = nursery.cancel_scope
+            gateway = Gateway(settings, OWN_DIALECT, self.store, nursery, lambda event: None)
+            await gateway.start(nursery)
+            task_status.started(gateway)
+
+    def kill(self, gateway: Gateway) -> None:
+        """End a gateway without a word."""
+        self.scope_by_gateway[gateway.settings.instance.id].cancel()
+        self.gateways.remove(gateway)
+
+    def next_id(self) -> str:
+        """Return the id of a new request."""
+        self._requests += 1
+        return f"request-{self._requests}"
+
+    async def send(
+        self,
+        gateway: Gateway,
+        path: str,
+        *,
+        method: str = "POST",
+        body: bytes = b"",
+        key: str | None = KEY,
+        deadline_ms: int = 5_000,
+        headers: tuple[tuple[str, str], ...] = (),
+        request_id: str | None = None,
+    ) -> HttpResponse:
+        """Send a request on a new connection and return the answer."""
+        own = [
+            ("host", HOST),
+            (NAMES.request_id, request_id or self.next_id()),
+            (NAMES.deadline_ms, str(deadline_ms)),
+        ]
+        if key is not None:
+            own.append((NAMES.key, key))
+        request = HttpRequest(method=method, path=path, headers=(*own, *headers), body=body)
+        address = gateway.settings.instance.listen
+        return (await self.client.fetch(address, request, timeout_s=WAIT_S, fresh=True)).unwrap()
+
+    async def turn(
+        self, gateway: Gateway, program: str, *, budget: int, most: int = 100
+    ) -> HttpResponse:
+        """Send a turn of a program."""
+        headers = (
+            (NAMES.program, program),
+            (NAMES.line, program),
+            (NAMES.budget_tokens, str(budget)),
+            (NAMES.token_counts, f"10,{most}"),
+        )
+        return await self.send(gateway, "/turns/x", headers=headers)
+
+
+async def until(is_true: Callable[[], bool]) -> None:
+    """Wait for a state."""
+    with trio.fail_after(WAIT_S):
+        while not is_true():
+            await trio.sleep(0.01)
+
+
+def knows_all(fleet: Fleet) -> bool:
+    """Tell whether every gateway has the configuration, the replicas and the other gateways."""
+    return all(
+        gateway.board.config.read() is not None
+        and len(gateway.board.replicas.read().all()) == len(fleet.replica_by_id)
+        and len(gateway.board.live.read().ids) == len(fleet.gateways)
+        for gateway in fleet.gateways
+    )
+
+
+@asynccontextmanager
+async def run_fleet(*, gateways: int = 1, replicas: int = 2, config: ForwardConfig | None = None):
+    """Run gateways and replicas that know each other."""
+    async with trio.open_nursery() as nursery:
+        fleet = Fleet(MemoryStore(), nursery)
+        fleet.put_config(config or make_config())
+        for number in range(replicas):
+            await fleet.add_replica(f"r{number + 1}")
+        for number in range(gateways):
+            await fleet.add_gateway(f"g{number + 1}")
+        await until(lambda: knows_all(fleet))
+        yield fleet
+        nursery.cancel_scope.cancel()
+
+
+def with_fleet(check: Callable[[Fleet], Awaitable[None]], **options: object) -> None:
+    """Run a check against a fleet."""
+
+    async def run() -> None:
+        async with run_fleet(**options) as fleet:
+            await check(fleet)
+
+    trio.run(run)
+
+
+__all__ = ["Fleet", "knows_all", "make_config", "run_fleet", "until", "with_fleet"]
--- /dev/null
+++ b/tests/gateway/test_budgets.py
@@ -0,0 +1,127 @@
+"""Budgets of programs over several instances that die and a store that fails."""
+
+import msgspec
+
+from lagoonfold.budgets import BudgetRecord
+from lagoonfold_gateway import Gateway
+from lagoonfold_gateway._charges import BUDGET_PREFIX
+from standins.replica import EVENTS
+from tests._suite import load_functions
+from tests.gateway._fleet import Fleet, until, with_fleet
+
+TOKENS_PER_TURN = EVENTS * 10
+BUDGET = 400
+MOST = 100
+
+
+async def _run_until_refused(fleet: Fleet, gateways: list[Gateway], program: str) -> int:
+    """Send turns through the gateways by turns until one is refused; return those that ran."""
+    for number in range(2 * BUDGET // TOKENS_PER_TURN):
+        gateway = gateways[number % len(gateways)]
+        answer = await fleet.turn(gateway, program, budget=BUDGET, most=MOST)
+        if answer.status == 402:
+            return number
+        assert answer.status == 200, answer
+    raise AssertionError("the program was not stopped")
+
+
+def _runs(fleet: Fleet) -> int:
+    return sum(len(replica.requests) for replica in fleet.replica_by_id.values())
+
+
+def test_program_that_loops_is_stopped_at_its_budget() -> None:
+    """Turns through several instances share one budget, and the last one is not run."""
+
+    async def check(fleet: Fleet) -> None:
+        ran = await _run_until_refused(fleet, fleet.gateways, "loop")
+        assert ran * TOKENS_PER_TURN <= BUDGET
+        assert BUDGET - ran * TOKENS_PER_TURN < MOST
+        assert _runs(fleet) == ran
+
+    with_fleet(check, gateways=3)
+
+
+def test_budget_holds_when_every_instance_has_lost_its_memory() -> None:
+    """What went out before all instances died counts afterwards, but for one turn at most."""
+
+    async def check(fleet: Fleet) -> None:
+        before = await _run_until_refused(fleet, fleet.gateways, "loop")
+        for gateway in tuple(fleet.gateways):
+            fleet.kill(gateway)
+        again = await fleet.add_gateway("again", is_first_start=False)
+        await until(again.is_ready)
+        after = 0
+        while (await fleet.turn(again, "loop", budget=BUDGET, most=MOST)).status == 200:
+            after += 1
+        assert (before + after) * TOKENS_PER_TURN <= BUDGET + MOST
+
+    with_fleet(check, gateways=2)
+
+
+def test_charge_whose_answer_was_lost_is_counted_once() -> None:
+    """A charge that is in the store although its answer was lost costs the program nothing."""
+
+    async def check(fleet: Fleet) -> None:
+        for gateway in tuple(fleet.gateways):
+            fleet.kill(gateway)
+        gateway = await fleet.add_gateway("again", is_first_start=False)
+        await until(gateway.is_ready)
+        fleet.store.answers_to_lose = 1
+        assert (await fleet.turn(gateway, "p", budget=BUDGET, most=MOST)).status in (200, 503)
+        ran = await _run_until_refused(fleet, [gateway], "p")
+        assert ran >= BUDGET // TOKENS_PER_TURN - 3
+
+    with_fleet(check)
+
+
+def test_new_owner_sends_the_asker_to_the_live_one() -> None:
+    """An instance that joins does not take over programs that another one owns."""
+
+    async def check(fleet: Fleet) -> None:
+        first = fleet.gateways[0]
+        fleet.kill(fleet.gateways[1])
+        await until(lambda: first.board.live.read().ids == ("g1",))
+        programs = [f"p{number}" for number in range(12)]
+        for program in programs:
+            assert (await fleet.turn(first, program, budget=BUDGET, most=MOST)).status == 200
+        joined = await fleet.add_gateway("g3", is_first_start=False)
+        await until(lambda: len(first.board.live.read().ids) == 2 and joined.is_ready())
+        for program in programs:
+            assert (await fleet.turn(joined, program, budget=BUDGET, most=MOST)).status == 200
+            record = msgspec.json.decode(
+                fleet.store.value(BUDGET_PREFIX + program) or b"", type=BudgetRecord
+            )
+            assert record.writer.startswith("g1/"), record
+
+    with_fleet(check, gateways=2)
+
+
+def test_programs_go_on_while_the_store_is_down() -> None:
+    """The first turns of a program need no store where nobody else can have owned it."""
+
+    async def check(fleet: Fleet) -> None:
+        fleet.store.is_down = True
+        fleet.store.cut_watches()
+        for _ in range(2):
+            answer = await fleet.turn(fleet.gateways[0], "p", budget=BUDGET, most=MOST)
+            assert answer.status == 200
+
+    with_fleet(check, gateways=2)
+
+
+def test_turns_that_are_refused_have_not_run() -> None:
+    """Without store and memory a turn is refused as not run, with when to come back."""
+
+    async def check(fleet: Fleet) -> None:
+        fleet.kill(fleet.gateways[0])
+        gateway = await fleet.add_gateway("again", is_first_start=False)
+        await until(gateway.is_ready)
+        fleet.store.is_down = True
+        answer = await fleet.turn(gateway, "p", budget=BUDGET, most=MOST)
+        assert answer.status == 503 and answer.header("retry-after")
+        assert _runs(fleet) == 0
+
+    with_fleet(check)
+
+
+load_tests = load_functions(globals())
--- /dev/null
+++ b/tests/gateway/test_forwarding.py
@@ -0,0 +1,192 @@
+"""What callers and replicas see of forwarded requests, with replicas that fail."""
+
+import trio
+
+from lagoonfold_gateway import OWN_DIALECT
+from standins.replica import EVENTS
+from tests._suite import load_functions
+from tests.gateway._fleet import HOST, KEY, Fleet, make_config, until, with_fleet
+
+NAMES = OWN_DIALECT.headers
+WHOLE_STREAM = b"".join(b"id: %d\ndata: part %d\n\n" % (n, n) for n in range(1, EVENTS + 1))
+
+
+def test_request_passes_through_with_the_system_s_own_headers() -> None:
+    """A replica gets the body, the account and what is left of the time, but not the key."""
+
+    async def check(fleet: Fleet) -> None:
+        forged = ((NAMES.account, "other"), (NAMES.expected_replica, "r9"), ("x-own", "kept"))
+        answer = await fleet.send(
+            fleet.gateways[0], "/read/a?b=c", body=b"body", headers=forged, deadline_ms=900
+        )
+        assert (answer.status, answer.body) == (200, b"echo:body")
+        (replica,) = [replica for replica in fleet.replica_by_id.values() if replica.requests]
+        (seen,) = replica.requests
+        assert seen.target == "/read/a?b=c"
+        assert seen.header("host") == HOST
+        assert seen.header(NAMES.account) == "acme"
+        assert seen.header(NAMES.expected_replica) == replica.replica_id
+        assert seen.header(NAMES.key) is None
+        assert seen.header("x-own") == "kept"
+        assert 0 < int(seen.header(NAMES.deadline_ms) or 0) <= 900
+
+    with_fleet(check)
+
+
+def test_requests_that_are_not_admitted() -> None:
+    """An unknown route, an unknown key and a header that cannot be read get their own answers."""
+
+    async def check(fleet: Fleet) -> None:
+        gateway = fleet.gateways[0]
+        assert (await fleet.send(gateway, "/nowhere/")).status == 404
+        assert (await fleet.send(gateway, "/read/a", key="unknown")).status == 401
+        assert (await fleet.send(gateway, "/read/a", key=None)).status == 401
+        assert (await fleet.send(gateway, "/open/a", key=None)).status == 200
+        bad = ((NAMES.prompt_parts, "no-tokens"),)
+        assert (await fleet.send(gateway, "/read/a", headers=bad)).status == 400
+
+    with_fleet(check)
+
+
+def test_instance_without_configuration_refuses_and_is_not_ready() -> None:
+    """Before the first configuration the answer is 503 with when to come back."""
+
+    async def check(fleet: Fleet) -> None:
+        fleet.store.is_down = True
+        fleet.store.cut_watches()
+        gateway = await fleet.add_gateway("late")
+        answer = await fleet.send(gateway, "/read/a")
+        assert answer.status == 503 and float(answer.header("retry-after") or 0) > 0
+        assert not gateway.is_ready()
+
+    with_fleet(check)
+
+
+def test_stream_passes_event_by_event() -> None:
+    """The caller gets all events of a stream, from the one after its last."""
+
+    async def check(fleet: Fleet) -> None:
+        gateway = fleet.gateways[0]
+        assert (await fleet.send(gateway, "/turns/a")).body == WHOLE_STREAM
+        rest = await fleet.send(gateway, "/turns/a", headers=((NAMES.last_event, "3"),))
+        assert rest.body == WHOLE_STREAM[WHOLE_STREAM.index(b"id: 4") :]
+
+    with_fleet(check)
+
+
+def test_broken_stream_goes_on_within_one_answer() -> None:
+    """A replica that breaks off in the middle of an event costs the caller nothing."""
+
+    async def check(fleet: Fleet) -> None:
+        for replica in fleet.replica_by_id.values():
+            replica.behaviour.break_after = 2
+        answer = await fleet.send(fleet.gateways[0], "/turns/a")
+        assert answer.body == WHOLE_STREAM
+
+    with_fleet(check)
+
+
+def test_lost_answer_is_not_asked_for_again() -> None:
+    """A request that may run once runs once, and its lost answer is no promise."""
+
+    async def check(fleet: Fleet) -> None:
+        for replica in fleet.replica_by_id.values():
+            replica.behaviour.losses = 1
+        answer = await fleet.send(fleet.gateways[0], "/write/a", request_id="once")
+        assert answer.status == 502
+        runs = [replica.runs_by_request["once"] for replica in fleet.replica_by_id.values()]
+        assert sum(runs) == 1
+
+    with_fleet(check)
+
+
+def test_request_that_was_not_run_goes_elsewhere() -> None:
+    """A replica's word that it has not run a request lets it go to another one."""
+
+    async def check(fleet: Fleet) -> None:
+        fleet.replica_by_id["r1"].behaviour.refusals = 1
+        fleet.replica_by_id["r2"].behaviour.refusals = 1
+        answer = await fleet.send(fleet.gateways[0], "/write/a", request_id="once")
+        assert answer.status == 200
+        runs = [replica.runs_by_request["once"] for replica in fleet.replica_by_id.values()]
+        assert sum(runs) == 1
+
+    with_fleet(check)
+
+
+def test_lost_answer_of_a_repeatable_request_is_asked_for_again() -> None:
+    """A request that may be repeated is answered although an answer was lost."""
+
+    async def check(fleet: Fleet) -> None:
+        for replica in fleet.replica_by_id.values():
+            replica.behaviour.losses = 1
+        assert (await fleet.send(fleet.gateways[0], "/read/a")).status == 200
+
+    with_fleet(check, config=make_config(max_upstreams=3))
+
+
+def test_answer_to_another_request_is_not_passed_on() -> None:
+    """An answer that bears another request's id reaches no caller."""
+
+    async def check(fleet: Fleet) -> None:
+        for replica in fleet.replica_by_id.values():
+            replica.behaviour.wrong_id = True
+        assert (await fleet.send(fleet.gateways[0], "/write/a")).status == 502
+
+    with_fleet(check)
+
+
+def test_timeout_after_the_request_was_sent() -> None:
+    """The final answer comes at the route's timeout, without a promise; the work is cancelled."""
+
+    async def check(fleet: Fleet) -> None:
+        for replica in fleet.replica_by_id.values():
+            replica.behaviour.answer_after_s = 60.0
+        answer = await fleet.send(fleet.gateways[0], "/write/a")
+        assert answer.status == 504
+        await until(lambda: sum(r.abandoned for r in fleet.replica_by_id.values()) == 1)
+
+    with_fleet(check, config=make_config(timeout_s=0.3))
+
+
+def test_refusal_without_a_replica_is_a_promise() -> None:
+    """Without any replica the answer is 503 with when to come back."""
+
+    async def check(fleet: Fleet) -> None:
+        answer = await fleet.send(fleet.gateways[0], "/write/a")
+        assert answer.status == 503 and answer.header("retry-after")
+
+    with_fleet(check, replicas=0, config=make_config(timeout_s=5.0))
+
+
+def test_caller_that_leaves_cancels_its_request() -> None:
+    """The replica's connection is closed when the caller's is."""
+
+    async def check(fleet: Fleet) -> None:
+        for replica in fleet.replica_by_id.values():
+            replica.behaviour.answer_after_s = 60.0
+        with trio.move_on_after(0.3):
+            await fleet.send(fleet.gateways[0], "/read/a")
+        await until(lambda: sum(r.abandoned for r in fleet.replica_by_id.values()) == 1)
+
+    with_fleet(check, config=make_config(timeout_s=30.0))
+
+
+def test_withdrawn_key_and_new_route_take_effect() -> None:
+    """A newer configuration is in force; an older one that comes late is ignored."""
+
+    async def check(fleet: Fleet) -> None:
+        gateway = fleet.gateways[0]
+        newer = make_config(version=3)
+        newer.accounts_by_key.clear()
+        fleet.put_config(newer)
+        await until(lambda: gateway.board.config.read().config.version == 3)
+        assert (await fleet.send(gateway, "/read/a", key=KEY)).status == 401
+        fleet.put_config(make_config(version=2))
+        await until(lambda: gateway.configs.watch.revision == fleet.store.revision)
+        assert (await fleet.send(gateway, "/read/a", key=KEY)).status == 401
+
+    with_fleet(check)
+
+
+load_tests = load_functions(globals())
--- /dev/null
+++ b/tests/gateway/test_rates.py
@@ -0,0 +1,63 @@
+"""Rates of client accounts over several instances."""
+
+import trio
+
+from lagoonfold.rates import RateLimit
+from tests._suite import load_functions
+from tests.gateway._fleet import Fleet, make_config, until, with_fleet
+
+BURST = 10
+
+
+def test_rate_holds_over_all_instances() -> None:
+    """Instances together let through no more than the burst when the rate is next to nothing."""
+
+    async def check(fleet: Fleet) -> None:
+        statuses: list[int] = []
+
+        async def send(number: int) -> None:
+            gateway = fleet.gateways[number % len(fleet.gateways)]
+            statuses.append((await fleet.send(gateway, "/read/a")).status)
+
+        async with trio.open_nursery() as nursery:
+            for number in range(3 * BURST):
+                nursery.start_soon(send, number)
+        ran = sum(len(replica.requests) for replica in fleet.replica_by_id.values())
+        assert statuses.count(200) == ran <= BURST
+        assert statuses.count(200) >= BURST - 3, statuses
+        assert set(statuses) == {200, 429}
+
+    limit = RateLimit(rate_per_s=0.001, burst=BURST)
+    with_fleet(check, gateways=3, config=make_config(limit=limit))
+
+
+def test_rate_goes_on_after_the_owner_has_died() -> None:
+    """Another instance lends the account's rate when its owner is gone."""
+
+    async def check(fleet: Fleet) -> None:
+        owner = next(g for g in fleet.gateways if g.members.owns("acme"))
+        fleet.kill(owner)
+        survivor = fleet.gateways[0]
+        await until(lambda: len(survivor.board.live.read().ids) == len(fleet.gateways))
+        assert (await fleet.send(survivor, "/read/a")).status == 200
+
+    limit = RateLimit(rate_per_s=50, burst=50)
+    with_fleet(check, gateways=3, config=make_config(limit=limit))
+
+
+def test_lowered_limit_is_in_force() -> None:
+    """A limit that is lowered while traffic runs binds what is lent from then on."""
+
+    async def check(fleet: Fleet) -> None:
+        gateway = fleet.gateways[0]
+        assert (await fleet.send(gateway, "/read/a")).status == 200
+        fleet.put_config(make_config(version=2, limit=RateLimit(rate_per_s=0.001, burst=1)))
+        await until(lambda: gateway.board.config.read().config.version == 2)
+        statuses = [(await fleet.send(gateway, "/read/a")).status for _ in range(6)]
+        assert statuses.count(200) <= 2 and 429 in statuses, statuses
+
+    limit = RateLimit(rate_per_s=100, burst=100)
+    with_fleet(check, config=make_config(limit=limit))
+
+
+load_tests = load_functions(globals())
--- /dev/null
+++ b/tests/gateway/test_views.py
@@ -0,0 +1,119 @@
+"""Views of configuration and replicas through faults of the store."""
+
+import trio
+
+from lagoonfold.forwarding import ReplicaDirectory
+from tests._suite import load_functions
+from tests.gateway._fleet import Fleet, make_config, until, with_fleet
+
+
+def test_change_made_while_a_watch_was_silent_is_found_when_it_is_cut() -> None:
+    """History that is gone does not leave an instance with an old configuration."""
+
+    async def check(fleet: Fleet) -> None:
+        fleet.store.are_watches_silent = True
+        fleet.put_config(make_config(version=2))
+        fleet.store.are_watches_silent = False
+        fleet.store.cut_watches(forget_history=True)
+        await until(lambda: fleet.gateways[0].board.config.read().config.version == 2)
+
+    with_fleet(check)
+
+
+def test_peer_that_has_seen_more_ends_a_silent_watch() -> None:
+    """An instance whose watch hears nothing learns of it from a peer's heartbeat."""
+
+    async def check(fleet: Fleet) -> None:
+        deaf, hearing = fleet.gateways
+        fleet.store.are_watches_silent = True
+        fleet.put_config(make_config(version=2))
+        hearing.configs.watch.poll_anew()
+        await until(lambda: deaf.board.config.read().config.version == 2)
+
+    with_fleet(check, gateways=2)
+
+
+def test_draining_and_removed_replicas_get_no_new_requests() -> None:
+    """A replica that drains or is gone is left at once."""
+
+    async def check(fleet: Fleet) -> None:
+        gateway = fleet.gateways[0]
+        directory = gateway.board.replicas.read()
+        fleet.list_replica(fleet.replica_by_id["r1"], is_draining=True)
+        await until(lambda: len(directory.of_service("models")) == 1)
+        for _ in range(5):
+            assert (await fleet.send(gateway, "/read/a")).status == 200
+        assert not fleet.replica_by_id["r1"].requests
+        fleet.unlist_replica("r2")
+        await until(lambda: not directory.of_service("models"))
+
+    with_fleet(check)
+
+
+def test_unreadable_entry_names_no_replica() -> None:
+    """An entry of another writer takes out the replica that it named, and no other."""
+
+    async def check(fleet: Fleet) -> None:
+        directory = fleet.gateways[0].board.replicas.read()
+        fleet.store.put("gateway/replicas/r1", b"\xff not an entry")
+        fleet.store.put("gateway/replicas/odd", b"{}")
+        await until(lambda: len(directory.of_service("models")) == 1)
+        assert directory.get("r2") is not None
+
+    with_fleet(check)
+
+
+def test_entries_that_lapse_in_an_outage_are_kept_for_their_return() -> None:
+    """A replica whose entry is gone right after an outage is used until its grace is over."""
+
+    async def check(fleet: Fleet) -> None:
+        gateway = fleet.gateways[0]
+        directory: ReplicaDirectory = gateway.board.replicas.read()
+        fleet.store.is_down = True
+        fleet.store.cut_watches()
+        fleet.unlist_replica("r1")
+        await trio.sleep(1.5)  # an outage is one that lasts for longer than OUT_OF_REACH_S
+        fleet.store.is_down = False
+        await until(lambda: not gateway.replicas.watch.is_failing)
+        assert directory.get("r1") is not None
+        await until(lambda: directory.get("r1") is None)
+
+    with_fleet(check)
+
+
+def test_instance_leaves_and_is_seen_to_be_gone() -> None:
+    """A stopped instance is taken out by its word, a killed one by its silence."""
+
+    async def check(fleet: Fleet) -> None:
+        first, second, third = fleet.gateways
+        await second.stop()
+        await until(lambda: "g2" not in first.board.live.read().ids)
+        fleet.kill(third)
+        await until(lambda: first.board.live.read().ids == ("g1",))
+
+    with_fleet(check, gateways=3)
+
+
+def test_stop_ends_what_is_under_way() -> None:
+    """A stop announces itself and waits for the requests that have come."""
+
+    async def check(fleet: Fleet) -> None:
+        gateway = fleet.gateways[0]
+        for replica in fleet.replica_by_id.values():
+            replica.behaviour.answer_after_s = 0.5
+        statuses: list[int] = []
+
+        async def send() -> None:
+            statuses.append((await fleet.send(gateway, "/write/a")).status)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send)
+            await until(lambda: gateway.forwarder.active == 1)
+            await gateway.stop()
+        assert statuses == [200]
+        assert not gateway.is_ready()
+
+    with_fleet(check)
+
+
+load_tests = load_functions(globals())
--- /dev/null
+++ b/tests/on_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of on platform."""
