--- /dev/null
+++ b/tests/on_platform/test_documents.py
@@ -0,0 +1,111 @@
+"""Documents of the platform as the product's types."""
+
+import json
+
+from lagoonfold.forwarding import RouteKind
+from lagoonfold_platform.documents import decode_config, decode_replica
+from tests._suite import load_functions
+
+CONFIG = {
+    "Version": 7,
+    "Routes": [
+        {
+            "Name": "r1",
+            "Host": "A.example",
+            "PathPrefix": "/a/",
+            "RouteType": "stream",
+            "TimeoutMs": 4000,
+            "TargetLatencyMs": 250,
+            "Priority": 1,
+            "TrafficSplit": [{"Service": "m", "Weight": 90}, {"Service": "n", "Weight": 10}],
+            "MaxAttempts": 1,
+            "SessionAffinity": True,
+            "AllowResume": True,
+            "GapTargetMs": 150,
+            "Unknown": 1,
+        },
+        {
+            "Name": "r2",
+            "Host": "a.example",
+            "PathPrefix": "/b/",
+            "RouteType": "non_idempotent",
+            "TimeoutMs": 1500,
+            "TargetLatencyMs": 250,
+            "Service": "n",
+            "AuthExempt": True,
+        },
+    ],
+    "Services": [
+        {"Name": "m", "MaxConns": 150, "Engine": {"TokensPerEvent": 10}},
+        {"Name": "n", "MaxConns": 100},
+    ],
+    "Limits": {
+        "MaxHeaderBytes": 16384,
+        "MaxBodyBytes": 1000,
+        "HeaderTimeoutMs": 3000,
+        "IdleTimeoutMs": 15000,
+    },
+    "Tenants": [
+        {"Name": "t1", "ApiKeys": ["k1", "k2"], "Priority": 1, "RatePerS": 77, "Burst": 70},
+        {"Name": "t2", "ApiKeys": ["k3"]},
+    ],
+}
+ENTRY = {
+    "Service": "m",
+    "Address": "10.0.0.9:8080",
+    "Zone": "zone-a",
+    "Slots": 12,
+    "State": "ready",
+    "ColdRemainingMs": 500,
+    "born": 1700000000000,
+}
+
+
+def test_configuration() -> None:
+    """Routes, services, accounts and limits are read; times become seconds."""
+    config = decode_config(json.dumps(CONFIG).encode()).unwrap()
+    stream, write = config.routes
+    assert config.version == 7
+    assert (stream.host, stream.kind, stream.timeout_s) == ("a.example", RouteKind.STREAM, 4.0)
+    assert stream.may_repeat and stream.is_program_turn and stream.max_pause_s == 0.15
+    assert [target.weight for target in stream.targets] == [90, 10]
+    assert write.kind is RouteKind.AT_MOST_ONCE and write.is_open and not write.may_repeat
+    assert config.services_by_name["m"].tokens_per_event == 10
+    assert config.limits.max_body_bytes == 1000
+    account = config.accounts_by_key["k2"]
+    assert (account.name, account.rank, account.limit.rate_per_s) == ("t1", 1, 77)
+    assert config.accounts_by_key["k3"].limit is None
+
+
+def test_configuration_without_keys_or_that_cannot_be_read() -> None:
+    """Without accounts no key is asked for; a document at fault says why."""
+    bare = {key: value for key, value in CONFIG.items() if key != "Tenants"}
+    assert decode_config(json.dumps(bare).encode()).unwrap().accounts_by_key is None
+    assert "cannot be read" in decode_config(b"{").err_value
+    odd = json.loads(json.dumps(CONFIG))
+    odd["Routes"][0]["RouteType"] = "unheard-of"
+    assert decode_config(json.dumps(odd).encode()).is_err()
+    odd["Routes"][0]["RouteType"] = "stream"
+    del odd["Routes"][0]["TrafficSplit"]
+    assert "names no service" in decode_config(json.dumps(odd).encode()).err_value
+
+
+def test_replica_entry() -> None:
+    """An entry becomes a replica; its start tells two lives under one id apart."""
+    replica = decode_replica("i-1", json.dumps(ENTRY).encode()).unwrap()
+    assert (replica.replica_id, replica.service, replica.slots) == ("i-1", "m", 12)
+    assert not replica.is_draining and replica.started == 1700000000000
+    draining = decode_replica("i-1", json.dumps(ENTRY | {"State": "draining"}).encode()).unwrap()
+    assert draining.is_draining
+
+
+def test_entries_of_another_writer_name_nothing() -> None:
+    """Missing fields, other types, unknown states and bytes that cannot be read are refused."""
+    for odd in ({"State": "resting"}, {"Slots": "many"}, {"Address": None}):
+        assert decode_replica("i-1", json.dumps(ENTRY | odd).encode()).is_err()
+    missing = {key: value for key, value in ENTRY.items() if key != "Zone"}
+    assert decode_replica("i-1", json.dumps(missing).encode()).is_err()
+    assert decode_replica("i-1", b"\xff").is_err()
+
+
+load_tests = load_functions(globals())
--- /dev/null
+++ b/tests/on_platform/test_folder.py
@@ -0,0 +1,74 @@
+"""The platform's names stay in one small folder, and the folder hides nothing."""
+
+import platform
+import re
+import subprocess
+import sys
+import tomllib
+from pathlib import Path
+
+from tests._suite import load_functions
+from tests.on_platform import PLATFORM, ROOT
+
+# Names of fields, headers and calls of the platform that are no words of the product.
+NAMES = re.compile(
+    r"\b(Attempt-Id|attempt-id|Server-Seal|server-seal|Not-Executed|not-executed|Replica-Load"
+    r"|Expect-Replica|Urgency-Class|urgency-class|Program-Deadline-Ms|Prompt-Prefix|Token-Count"
+    r"|PathPrefix|TimeoutMs|MaxAttempts|TrafficSplit|AuthExempt|ApiKeys|RatePerS|RouteType"
+    r"|StoreRevision|ExpectedRev|Tombstone|kv-txn|kv-watch|kv-range|kv-keep|ColdRemainingMs"
+    r"|NodeName|PortRange|Bootstrap|QuotaWindowS)\b"
+)
+CODE = ("packages", "standins", "bench", "models", "examples", "scripts")
+
+
+def _lines(paths: list[Path]) -> int:
+    return sum(len(path.read_text().splitlines()) for path in paths)
+
+
+def _sources(folder: Path) -> list[Path]:
+    return [path for path in folder.rglob("*.py") if "build" not in path.parts]
+
+
+def test_names_of_the_platform_stay_in_their_folder() -> None:
+    """No code outside `platform/` and `deploy/` bears a name of the platform."""
+    found = [
+        f"{path.relative_to(ROOT)}: {match[0]}"
+        for folder in CODE
+        for path in _sources(ROOT / folder)
+        if (match := NAMES.search(path.read_text()))
+    ]
+    assert not found, found
+
+
+def test_folder_is_small() -> None:
+    """What translates is below a tenth of the packages' code."""
+    translation = _sources(PLATFORM / "lagoonfold_platform") + [PLATFORM / "start.py"]
+    assert _lines(translation) * 10 < _lines(_sources(ROOT / "packages"))
+
+
+def test_folder_does_not_hide_the_module_of_its_name() -> None:
+    """Python's own `platform` is found from the root of the repository."""
+    assert not (PLATFORM / "__init__.py").exists()
+    assert Path(platform.__file__).parent != PLATFORM
+    code = "import platform; print(platform.python_version())"
+    run = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True)
+    assert run.returncode == 0, run.stderr
+
+
+def test_deploy_file_names_what_exists() -> None:
+    """Each role starts a program of the repository, and the table of shapes is empty."""
+    deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
+    assert (ROOT / deploy["build"]).exists()
+    for role in deploy["roles"].values():
+        assert (ROOT / role["run"].split()[1]).exists()
+        assert "template" not in role or (ROOT / role["template"]).exists()
+    assert not (ROOT / "deploy" / "wire.toml").exists()
+
+
+def test_requirements_of_the_platform_are_those_of_the_lock() -> None:
+    """What is built for the platform has the versions that the tests run with."""
+    locked = set((ROOT / "requirements.lock").read_text().split())
+    assert set((ROOT / "deploy" / "requirements.lock").read_text().split()) <= locked
+
+
+load_tests = load_functions(globals())
--- /dev/null
+++ b/tests/on_platform/test_processes.py
@@ -0,0 +1,178 @@
+"""The roles as processes, started and stopped as the platform does."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import trio
+from store_standin import StoreStandIn
+
+from lagoonfold_io import Exchange, HttpClient, HttpRequest, HttpResponse, HttpServer
+from lagoonfold_platform.headers import HEADERS
+from standins._ports import free_port
+from tests._suite import load_functions
+from tests.on_platform import PLATFORM, ROOT
+from tests.on_platform.test_documents import CONFIG, ENTRY
+
+WAIT_S = 15.0
+START = PLATFORM / "start.py"
+VARIABLE = "LAGOONFOLD_NODE_FILE"
+
+
+def render_template(address_by_name: dict[str, str]) -> str:
+    """Return the settings of the template with the platform's fields filled in."""
+    text = (ROOT / "deploy" / "gateway.ini").read_text()
+    for name, value in address_by_name.items():
+        text = text.replace("{{" + name + "}}", value)
+    assert "{{" not in text, text
+    return text
+
+
+async def _slow_answer(request: HttpRequest, exchange: Exchange) -> None:
+    await trio.sleep(1.0)
+    headers = ((HEADERS.signature, "seal"),)
+    await exchange.respond(HttpResponse(status=200, headers=headers, body=b"whole"))
+
+
+async def _poll_ready(client: HttpClient, address: str, expected: int) -> None:
+    with trio.fail_after(WAIT_S):
+        while True:
+            answer = await client.fetch(address, HttpRequest(method="GET", path="/"))
+            if answer.is_ok() and answer.ok_value.status == expected:
+                return
+            await trio.sleep(0.05)
+
+
+def _with_gateway(
+    check: Callable[[subprocess.Popen, HttpClient, str, str], Awaitable[None]],
+) -> list[dict]:
+    """Run a gateway before a replica and a store; return the lines that it logged."""
+
+    async def run(log: Path, settings: Path) -> None:
+        async with trio.open_nursery() as nursery:
+            store = StoreStandIn()
+            await nursery.start(store.serve)
+            port = await nursery.start(HttpServer(_slow_answer).serve, "127.0.0.1", 0)
+            config = json.loads(json.dumps(CONFIG))
+            store.put("op/config", json.dumps(config).encode())
+            entry = ENTRY | {"Service": "n", "Address": f"127.0.0.1:{port}"}
+            store.put("servers/i-1", json.dumps(entry).encode())
+            front, readiness = f"127.0.0.1:{free_port()}", f"127.0.0.1:{free_port()}"
+            fields = {
+                "NodeName": "front-1",
+                "Zone": "zone-a",
+                "Ip": "127.0.0.1",
+                "Listen.Front": front,
+                "Listen.Readiness": readiness,
+                "PortRange.0": str(free_port()),
+                "PortRange.1": str(free_port()),
+                "Bootstrap": "true",
+                "Provider.Address": store.address,
+                "Bounds.GraceS": "8",
+            }
+            settings.write_text(render_template(fields))
+            process = subprocess.Popen(
+                [sys.executable, str(START), "gateway"],
+                cwd=ROOT,
+                env=os.environ | {VARIABLE: str(settings)},
+                stdout=log.open("w"),
+            )
+            client = HttpClient()
+            try:
+                await _poll_ready(client, readiness, 200)
+                await check(process, client, front, readiness)
+            finally:
+                process.kill()
+                process.wait()
+            nursery.cancel_scope.cancel()
+
+    with tempfile.TemporaryDirectory() as folder:
+        log = Path(folder) / "log"
+        trio.run(run, log, Path(folder) / "settings.ini")
+        return [json.loads(line) for line in log.read_text().splitlines()]
+
+
+def _request() -> HttpRequest:
+    headers = (("host", "a.example"), (HEADERS.request_id, "id-1"), (HEADERS.deadline_ms, "3000"))
+    return HttpRequest(method="POST", path="/b/x", headers=headers, body=b"x")
+
+
+def test_planned_stop_cuts_no_request() -> None:
+    """After SIGTERM the instance is not ready, ends what is under way, and exits by itself."""
+
+    async def check(
+        process: subprocess.Popen, client: HttpClient, front: str, readiness: str
+    ) -> None:
+        answers: list[HttpResponse] = []
+
+        async def send() -> None:
+            answers.append((await client.fetch(front, _request())).unwrap())
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send)
+            await trio.sleep(0.3)
+            process.send_signal(signal.SIGTERM)
+            await _poll_ready(client, readiness, 503)
+        assert (answers[0].status, answers[0].body) == (200, b"whole")
+        with trio.fail_after(WAIT_S):
+            while process.poll() is None:
+                await trio.sleep(0.05)
+        assert process.returncode == 0
+
+    lines = _with_gateway(check)
+    events = [line["event"] for line in lines]
+    assert "gateway.started" in events and events[-1] == "gateway.stopped"
+    (done,) = [line for line in lines if line["event"] == "request.done"]
+    assert done["request_id"] == "id-1" and done["outcome"] == "answered"
+    assert all(line["instance"] == "front-1" and "at" in line for line in lines)
+
+
+def test_changed_settings_cut_no_request() -> None:
+    """A request under way goes on over SIGHUP."""
+
+    async def check(
+        process: subprocess.Popen, client: HttpClient, front: str, readiness: str
+    ) -> None:
+        answers: list[HttpResponse] = []
+
+        async def send() -> None:
+            answers.append((await client.fetch(front, _request())).unwrap())
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send)
+            await trio.sleep(0.3)
+            process.send_signal(signal.SIGHUP)
+        assert answers[0].status == 200
+        assert process.poll() is None
+
+    lines = _with_gateway(check)
+    assert "settings.reloaded" in [line["event"] for line in lines]
+
+
+def test_storage_role_waits_and_stops() -> None:
+    """The role on machines with a disk starts, outlives SIGHUP and ends at SIGTERM."""
+    process = subprocess.Popen(
+        [sys.executable, str(START), "storage"], cwd=ROOT, stdout=subprocess.PIPE, text=True
+    )
+    assert process.stdout is not None
+    with process.stdout as output:
+        assert json.loads(output.readline())["event"] == "storage.started"
+        process.send_signal(signal.SIGHUP)
+        assert json.loads(output.readline())["event"] == "storage.reloaded"
+        process.send_signal(signal.SIGTERM)
+        assert json.loads(output.readline())["event"] == "storage.stopped"
+    assert process.wait(timeout=WAIT_S) == 0
+
+
+def test_unknown_role_is_named() -> None:
+    """A role that does not exist is refused with its name."""
+    run = subprocess.run([sys.executable, str(START), "x"], capture_output=True, text=True)
+    assert run.returncode == 2 and "'x'" in run.stderr
+
+
+load_tests = load_functions(globals())
--- /dev/null
+++ b/tests/on_platform/test_store.py
@@ -0,0 +1,119 @@
+"""The client of the platform's store against a stand-in."""
+
+from collections.abc import Awaitable, Callable
+
+import trio
+from store_standin import StoreStandIn
+
+from lagoonfold import Check, Entry, Put, StoreErrorKind, WatchEvent
+from lagoonfold_platform.retirement import answer_retirement
+from lagoonfold_platform.store import PlatformStore
+from tests._suite import load_functions
+
+
+def _with_store(check: Callable[[StoreStandIn, PlatformStore], Awaitable[None]]) -> None:
+    async def run() -> None:
+        async with trio.open_nursery() as nursery:
+            standin = StoreStandIn()
+            await nursery.start(standin.serve)
+            await check(standin, PlatformStore(standin.address))
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+
+
+def test_listing_has_all_pages() -> None:
+    """Entries of several pages come together, with the first page's revision."""
+
+    async def check(standin: StoreStandIn, store: PlatformStore) -> None:
+        for name in "abcde":
+            standin.put(f"x/{name}", name.encode())
+        standin.put("y/other", b"")
+        listing = (await store.read_all("x/")).unwrap()
+        assert [entry.value for entry in listing.entries] == [b"a", b"b", b"c", b"d", b"e"]
+        assert listing.revision == standin.revision
+
+    _with_store(check)
+
+
+def test_changes_and_removals_are_told() -> None:
+    """A poll returns changes in order, and waits where there are none."""
+
+    async def check(standin: StoreStandIn, store: PlatformStore) -> None:
+        start = standin.revision
+        standin.put("x/a", b"1")
+        standin.remove("x/a")
+        changes = (await store.poll("x/", after_revision=start, wait_s=5)).unwrap()
+        assert [event.entry.revision for event in changes.events] == [start + 1, 0]
+        assert changes.events[1].revision == start + 2
+        none = (await store.poll("x/", after_revision=standin.revision, wait_s=0.05)).unwrap()
+        assert none.events == ()
+
+    _with_store(check)
+
+
+def test_lost_history_and_failures_have_their_kinds() -> None:
+    """Each status of the store says what may have happened."""
+
+    async def check(standin: StoreStandIn, store: PlatformStore) -> None:
+        standin.oldest = 100
+        lost = await store.poll("x/", after_revision=5, wait_s=1)
+        assert lost.err_value.kind is StoreErrorKind.HISTORY_LOST
+        kinds = {
+            503: StoreErrorKind.UNAVAILABLE,
+            429: StoreErrorKind.THROTTLED,
+            403: StoreErrorKind.REFUSED,
+            500: StoreErrorKind.LOST_ANSWER,
+        }
+        for status, kind in kinds.items():
+            standin.statuses.append(status)
+            assert (await store.read_all("x/")).err_value.kind is kind
+        assert (await store.renew_lease(5)).err_value.kind is StoreErrorKind.LEASE_EXPIRED
+        assert (await store.renew_lease(77)).is_ok()
+        away = PlatformStore("127.0.0.1:1")
+        assert (await away.read_all("x/")).err_value.kind is StoreErrorKind.UNAVAILABLE
+
+    _with_store(check)
+
+
+def test_commit_writes_all_or_tells_of_the_conflict() -> None:
+    """A check that does not hold returns the checked entries as they are."""
+
+    async def check(standin: StoreStandIn, store: PlatformStore) -> None:
+        puts = (Put(key="x/a", value=b"1"), Put(key="x/b", value=b"2"))
+        first = (await store.commit(checks=(Check(key="x/a", revision=0),), puts=puts)).unwrap()
+        assert first.revision == standin.revision
+        again = (await store.commit(checks=(Check(key="x/a", revision=0),), puts=puts)).unwrap()
+        assert again.revision is None
+        (entry,) = again.conflicting
+        assert (entry.key, entry.value) == ("x/a", b"1") and entry.revision > 0
+
+    _with_store(check)
+
+
+def test_commit_whose_answer_is_cut_may_have_been_made() -> None:
+    """The write stands, and the error says that it may."""
+
+    async def check(standin: StoreStandIn, store: PlatformStore) -> None:
+        standin.cuts = 1
+        lost = await store.commit(puts=(Put(key="x/a", value=b"1"),))
+        assert lost.err_value.kind is StoreErrorKind.LOST_ANSWER
+        assert standin.value("x/a") == b"1"
+
+    _with_store(check)
+
+
+def test_retirement_is_answered_through_failures() -> None:
+    """A machine that is to be emptied is reported as empty, as soon as the store takes it."""
+
+    async def check(standin: StoreStandIn, store: PlatformStore) -> None:
+        standin.statuses += [503]
+        entry = Entry(key="op/retire/storage-1", value=b"{}", revision=5)
+        async with trio.open_nursery() as nursery:
+            answer_retirement(WatchEvent(entry=entry, revision=5), store, nursery)
+        assert standin.value("status/retire/storage-1") == b'{"State":"complete"}'
+
+    _with_store(check)
+
+
+load_tests = load_functions(globals())
