--- a/models/__init__.py
+++ b/models/__init__.py
@@ -4,7 +4,14 @@
 checks all of them and prints the number of states, the invariants and the mutants.
 """
 
-from models import at_most_once, configuration_log, configuration_views, ownership, rate_loans
+from models import (
+    at_most_once,
+    budget_charges,
+    configuration_log,
+    configuration_views,
+    ownership,
+    rate_loans,
+)
 from models._specification import (
     SPECIFICATIONS_BY_NAME,
     Finding,
@@ -18,6 +25,7 @@
     "Finding",
     "Specification",
     "at_most_once",
+    "budget_charges",
     "check_faulty",
     "check_sound",
     "configuration_log",
