Let only a program's first owner hand out tokens before a charge

While the store turned some machines away, a turn was moved from owner to owner, and each one that had started with the system gave the most of one turn without a charge. Ruled out: the count of tokens at the relay (the tests of the tally hold), the record (the model holds with one free turn, and breaks with one for each owner).

Change: an owner gives tokens before its first charge only if it is the first by rendezvous. test_only_one_owner_gives_tokens_before_its_first_charge was red before (more than the most of one turn went out) and is green now.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_budget_owner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_budget_owner.py
@@ -1,12 +1,11 @@
 """Decides on the turns of the programs that are asked of this instance.
 
 Reads `live`. Any instance that is asked can own a program: its record in the store keeps owners
-that don't know of each other apart (see `lagoonfold.budgets`). The first charge may wait only where
-nobody else can have owned the program before: after the first start of the whole system, while the
-same instances have been live ever since, as seen from both the owner and the asker.
+that don't know of each other apart (see `lagoonfold.budgets`). The first charge may wait only at the
+first owner by rendezvous, where nobody else can have owned the program before: after the first
+start of the whole system, while no instance was lost, as seen from both the owner and the asker.
 """
 
-from collections.abc import Iterable
 from dataclasses import dataclass
 
 import trio
@@ -109,7 +108,7 @@
         assert isinstance(ask, TurnAsk)
         owned = self._owned_by_program.get(ask.program)
         if owned is None:
-            free = ask.most if self._is_first_owner(ask.live) else 0
+            free = ask.most if self._is_first_owner(ask) else 0
             owned = _Owned(
                 ProgramLedger(budget=ask.budget, free=free), trio.Lock(), ask.retention_s, now_s()
             )
@@ -192,9 +191,11 @@
             owned.ledger.settle(end.turn_id, handed=end.handed)
         return Done()
 
-    def _is_first_owner(self, live: Iterable[str]) -> bool:
+    def _is_first_owner(self, ask: TurnAsk) -> bool:
+        """Tell whether nobody else can have owned the program, or can while this owner lives."""
         view = self._board.live.read()
-        return self._is_first_start and view.is_unbroken and tuple(live) == view.ids
+        is_same_view = view.is_unbroken and ask.live == view.ids
+        return self._is_first_start and is_same_view and self._members.owns(ask.program)
 
     def _settle_lost(self, view: LiveView) -> None:
         """Count the running turns of an instance that is gone as having produced their most."""
--- a/tests/gateway/test_budgets.py
+++ b/tests/gateway/test_budgets.py
@@ -7,7 +7,7 @@
 from lagoonfold_gateway._charges import BUDGET_PREFIX
 from standins.replica import EVENTS
 from tests._suite import load_functions
-from tests.gateway._fleet import Fleet, until, with_fleet
+from tests.gateway._fleet import Fleet, make_config, until, with_fleet
 
 TOKENS_PER_TURN = EVENTS * 10
 BUDGET = 400
@@ -109,6 +109,23 @@
     with_fleet(check, gateways=2)
 
 
+def test_only_one_owner_gives_tokens_before_its_first_charge() -> None:
+    """Without the store all owners together hand out the most of one turn, whoever is asked."""
+
+    async def check(fleet: Fleet) -> None:
+        fleet.store.is_down = True
+        fleet.store.cut_watches()
+        await until(lambda: all(g.configs.watch.is_failing for g in fleet.gateways))
+        handed = 0
+        for number in range(12):
+            gateway = fleet.gateways[number % len(fleet.gateways)]
+            answer = await fleet.turn(gateway, "p", budget=BUDGET, most=MOST)
+            handed += 10 * answer.body.count(b"id: ")
+        assert 0 < handed <= MOST
+
+    with_fleet(check, gateways=3, config=make_config(timeout_s=0.5))
+
+
 def test_turns_that_are_refused_have_not_run() -> None:
     """Without store and memory a turn is refused as not run, with when to come back."""
 
