--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_budget_owner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_budget_owner.py
@@ -1,8 +1,8 @@
 """Decides on the turns of the programs that are asked of this instance.
 
 Reads `live`. Any instance that is asked can own a program: its record in the store keeps owners
-that don't know of each other apart (see `lagoonfold.budgets`). The first charge may wait only at the
-first owner by rendezvous, where nobody else can have owned the program before: after the first
+that don't know of each other apart (see `lagoonfold.budgets`). The first charge may wait only at
+the first owner by rendezvous, where nobody else can have owned the program before: after the first
 start of the whole system, while no instance was lost, as seen from both the owner and the asker.
 """
 
