Refuse requests that crash replicas, and greet found instances at once

Cause: nothing in the gateway kept a request from reaching replica after replica that it crashed; after a restart instances waited for the next heartbeat to know each other.

Change: a lost answer whose replica accepts no connection blames the request; two crashes without a run to its end refuse it everywhere (the registry of lagoonfold.resilience, with two options). Instances that are found hear a heartbeat at once.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_app.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_app.py
@@ -22,6 +22,7 @@
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._config_controller import ConfigController
 from lagoonfold_gateway._context import ForwardContext
+from lagoonfold_gateway._crash_watch import CrashWatch
 from lagoonfold_gateway._dialect import Dialect
 from lagoonfold_gateway._dispatch import Dispatcher
 from lagoonfold_gateway._forwarder import Forwarder
@@ -70,6 +71,7 @@
             connect_timeout_s=CONNECT_TIMEOUT_S, silence_limit_s=SILENCE_LIMIT_S
         )
         self.loads = LoadBook()
+        self.crashes = CrashWatch(self.client)
         self.bus = PeerBus(instance.id, nursery)
         self.members = Members(instance, self.start_id, self.board, self.bus, store)
         self.configs = ConfigController(dialect, self.board, store, on_other)
@@ -80,6 +82,7 @@
             self.bus,
             self.members,
             self.loads,
+            self.crashes,
             self.configs.watch,
             self.replicas.watch,
         )
@@ -101,6 +104,7 @@
             memory=memory,
             placer=placer,
             client=self.client,
+            crashes=self.crashes,
             loans=self.loans,
             budgets=BudgetDesk(self.board, self.bus, self.members),
             metrics=self.metrics,
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_context.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_context.py
@@ -8,6 +8,7 @@
 from lagoonfold.forwarding import LoadBook, Placer, PromptMemory
 from lagoonfold_gateway._board import GatewayBoard
 from lagoonfold_gateway._budget_desk import BudgetDesk
+from lagoonfold_gateway._crash_watch import CrashWatch
 from lagoonfold_gateway._dialect import Dialect
 from lagoonfold_gateway._loans import Loans
 from lagoonfold_gateway._usual_times import UsualTimes
@@ -25,6 +26,7 @@
     memory: PromptMemory
     placer: Placer
     client: HttpClient
+    crashes: CrashWatch
     loans: Loans
     budgets: BudgetDesk
     metrics: Metrics
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_forwarder.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_forwarder.py
@@ -17,6 +17,7 @@
 from lagoonfold_gateway._call import ForwardedCall, read_call
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._context import ForwardContext
+from lagoonfold_gateway._crash_watch import digest_of_call
 from lagoonfold_gateway._dispatch import Dispatcher
 from lagoonfold_gateway._journey import Journey
 from lagoonfold_gateway._tries import Tries
@@ -87,7 +88,11 @@
         account = _account_of(call, route, view)
         if isinstance(account, Err):
             return account
-        return Ok(_journey(call, route, account.ok_value, view, arrived_s))
+        journey = _journey(call, route, account.ok_value, view, arrived_s)
+        if self._context.crashes.is_refused(journey.digest):
+            detail = f"request {call.request_id!r} has crashed the replicas that ran it"
+            return Err(Refusal(kind=ErrorKind.POISONOUS, detail=detail))
+        return Ok(journey)
 
     async def _serve(self, journey: Journey, exchange: Exchange) -> None:
         refused = await self._take_rate_and_budget(journey)
@@ -255,4 +260,5 @@
         arrived_s=arrived_s,
         give_up_s=arrived_s + limit_s,
         record=TryRecord(may_repeat=route.may_repeat, max_upstreams=route.max_upstreams),
+        digest=digest_of_call(call, account.name if account is not None else ""),
     )
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_heartbeats.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_heartbeats.py
@@ -9,6 +9,7 @@
 from lagoonfold.forwarding import LoadBook
 from lagoonfold_gateway._board import GatewayBoard
 from lagoonfold_gateway._clock import now_s
+from lagoonfold_gateway._crash_watch import CrashWatch
 from lagoonfold_gateway._members import Members
 from lagoonfold_gateway._messages import Done, Heartbeat, Message
 from lagoonfold_gateway._peers import PeerBus
@@ -28,6 +29,7 @@
         bus: PeerBus,
         members: Members,
         loads: LoadBook,
+        crashes: CrashWatch,
         config_watch: StoreWatch,
         replica_watch: StoreWatch,
     ) -> None:
@@ -36,6 +38,7 @@
         self._bus = bus
         self._members = members
         self._loads = loads
+        self._crashes = crashes
         self._config_watch = config_watch
         self._replica_watch = replica_watch
         self._ahead_s_by_watch: dict[StoreWatch, float] = {}
@@ -51,7 +54,9 @@
                 for peer in self._bus.peer_ids:
                     if peer not in sending:
                         nursery.start_soon(self._send, peer, beat, sending)
-                await trio.sleep(HEARTBEAT_S)
+                with trio.move_on_after(HEARTBEAT_S):
+                    await self._members.linked.wait()
+                    self._members.linked = trio.Event()
 
     async def tell_all(self) -> None:
         """Send one heartbeat to each peer, as at a stop."""
@@ -79,12 +84,14 @@
             config_revision=self._config_watch.seen_revision,
             replica_revision=self._replica_watch.seen_revision,
             has_store=not self._config_watch.is_failing,
+            notices=self._crashes.to_tell(),
         )
 
     async def _take(self, beat: Message) -> Message:
         assert isinstance(beat, Heartbeat)
         now = now_s()
         self._members.note_heartbeat(beat)
+        self._crashes.take(beat.notices)
         self._loads.note_peer(beat.instance, beat.sent_by_replica, now_s=now)
         for name, pace in beat.paces.items():
             self._loads.note_peer_pace(name, pace, now_s=now)
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_journey.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_journey.py
@@ -21,6 +21,7 @@
     arrived_s: float
     give_up_s: float
     record: TryRecord
+    digest: str
     hold: TurnHold | None = None
     rate_wait_s: float = 0.0
     place_wait_s: float = 0.0
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_members.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_members.py
@@ -42,7 +42,10 @@
 
 
 class Members:
-    """The other instances, and the order in which instances own a subject."""
+    """The other instances, and the order in which instances own a subject.
+
+    `linked` is set when instances have been found, so that they hear of this one at once.
+    """
 
     def __init__(
         self,
@@ -64,6 +67,7 @@
         self._heard_s_by_id: dict[str, float] = {}
         self._writer_by_id: dict[str, str] = {}
         self._leaving: set[str] = set()
+        self.linked = trio.Event()
         self._without_store: set[str] = set()
         self._lease_id: int | None = None
         self._started_s = now_s()
@@ -214,6 +218,7 @@
             self._entry_by_id.pop(name, None)
 
     def _link(self) -> None:
+        self.linked.set()
         self._bus.set_peers({name: entry.address for name, entry in self._entry_by_id.items()})
 
     def _write_live(self) -> None:
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_messages.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_messages.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from lagoonfold.rates import Ask, Loan, Shortage
+from lagoonfold.resilience import PoisonNotice
 
 
 class Heartbeat(msgspec.Struct, frozen=True, tag=True, array_like=True):
@@ -10,7 +11,7 @@
 
     `sent_by_replica` counts requests under way by replica id, `paces` are slow replicas' paces;
     the revisions are those of the store up to which this instance has followed its views.
-    `has_store` says whether it reaches the store.
+    `has_store` says whether it reaches the store; `notices` are of requests that crashed replicas.
     """
 
     instance: str
@@ -21,6 +22,7 @@
     config_revision: int
     replica_revision: int
     has_store: bool
+    notices: tuple[PoisonNotice, ...] = ()
 
 
 class TurnAsk(msgspec.Struct, frozen=True, tag=True, array_like=True):
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_tries.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_tries.py
@@ -8,6 +8,7 @@
     NextStep,
     Placement,
     PlacementRequest,
+    Replica,
     RouteKind,
     TryEnd,
     pick_service,
@@ -109,7 +110,7 @@
         failure = ended.err_value
         journey.tries[-1] += f" {failure.end.value}: {failure.reason}"
         self._context.metrics.count("tries_failed", failure.end.value)
-        self._note_failure(replica_id, failure)
+        self._note_failure(journey, placement.replica, failure)
         step = journey.record.note_end(replica_id, failure.end, ran_before=ran_before)
         if step is not NextStep.FAIL and state.is_started and not journey.route.can_resume:
             step = NextStep.FAIL
@@ -143,18 +144,26 @@
         context = self._context
         replica = placement.replica
         context.loads.note_answer(replica.replica_id)
+        context.crashes.note_end(journey.digest, replica)
         context.memory.note(replica.replica_id, replica.started, journey.call.parts)
         took_s = now_s() - began_s
         ratio = context.usual.note(journey.route.name, "answer", took_s)
         if journey.route.kind is not RouteKind.STREAM:
             context.loads.note_pace(replica.replica_id, ratio, now_s=now_s())
 
-    def _note_failure(self, replica_id: str, failure: TryFailure) -> None:
+    def _note_failure(self, journey: Journey, replica: Replica, failure: TryFailure) -> None:
         loads = self._context.loads
+        replica_id = replica.replica_id
         if failure.end is TryEnd.FULL:
             loads.note_full(replica_id, now_s=now_s())
         elif failure.end is TryEnd.LOST:
             loads.note_lost(replica_id, now_s=now_s())
+            self._context.nursery.start_soon(
+                self._context.crashes.note_lost,
+                journey.digest,
+                replica,
+                journey.call.request_id,
+            )
         else:
             loads.note_unreached(replica_id, now_s=now_s())
 
--- a/packages/lagoonfold/src/lagoonfold/resilience/_poison.py
+++ b/packages/lagoonfold/src/lagoonfold/resilience/_poison.py
@@ -46,25 +46,38 @@
     running_by_upstream: Counter[UpstreamId] = field(default_factory=Counter)
     finished_s: float | None = None
 
-    def fresh_incidents(self, oldest_s: float) -> int:
-        return sum(seen_s > oldest_s for seen_s in self.seen_s_by_incident.values())
+    def fresh_incidents(self, oldest_s: float, *, is_cleared_by_end: bool = False) -> int:
+        since_s = oldest_s
+        if is_cleared_by_end and self.finished_s is not None:
+            since_s = max(oldest_s, self.finished_s)
+        return sum(seen_s > since_s for seen_s in self.seen_s_by_incident.values())
 
     def fresh_breaks(self, oldest_s: float) -> int:
         since_s = oldest_s if self.finished_s is None else max(oldest_s, self.finished_s)
         return sum(seen_s > since_s for seen_s in self.break_seen_s_by_incident.values())
 
-    def is_poisonous(self, oldest_s: float) -> bool:
-        return (
-            self.fresh_incidents(oldest_s) >= MAX_INCIDENTS_PER_DIGEST
-            or self.fresh_breaks(oldest_s) >= MAX_BREAKS_PER_DIGEST
-        )
+    def is_poisonous(self, oldest_s: float, *, max_incidents: int, is_cleared_by_end: bool) -> bool:
+        incidents = self.fresh_incidents(oldest_s, is_cleared_by_end=is_cleared_by_end)
+        return incidents >= max_incidents or self.fresh_breaks(oldest_s) >= MAX_BREAKS_PER_DIGEST
 
 
 class PoisonRegistry:
-    """What is known here of each digest, merged from own failures and peers' notices."""
+    """What is known here of each digest, merged from own failures and peers' notices.
+
+    `is_cleared_by_end` forgets the incidents of a digest that has run to its end since, as where
+    the same request comes from many callers and upstreams also fail by themselves.
+    """
 
-    def __init__(self, *, memory_s: float = _MEMORY_S) -> None:
+    def __init__(
+        self,
+        *,
+        memory_s: float = _MEMORY_S,
+        max_incidents: int = MAX_INCIDENTS_PER_DIGEST,
+        is_cleared_by_end: bool = False,
+    ) -> None:
         self._memory_s = memory_s
+        self._max_incidents = max_incidents
+        self._is_cleared_by_end = is_cleared_by_end
         self._records_by_digest: dict[str, _DigestRecord] = {}
         self._notices_by_key: dict[tuple[str, str], PoisonNotice] = {}
 
@@ -83,10 +96,18 @@
             record.break_seen_s_by_incident[notice.incident_id] = now_s
         return True
 
+    def knows(self, digest: str) -> bool:
+        """Tell whether anything is noted of the digest."""
+        return digest in self._records_by_digest
+
     def is_poisonous(self, digest: str, *, now_s: float) -> bool:
         """Tell whether the digest has used up its incidents and must be refused."""
         record = self._records_by_digest.get(digest)
-        return record is not None and record.is_poisonous(now_s - self._memory_s)
+        return record is not None and record.is_poisonous(
+            now_s - self._memory_s,
+            max_incidents=self._max_incidents,
+            is_cleared_by_end=self._is_cleared_by_end,
+        )
 
     def allowed_upstreams(
         self, digest: str, candidates: Iterable[UpstreamId], *, now_s: float
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -20,7 +20,8 @@
     """What the replica does with the requests that it gets; times in seconds.
 
     `refusals` requests are refused as not run; then `losses` are run without an answer. A stream
-    breaks off in the middle of the event after `break_after` events, once.
+    breaks off in the middle of the event after `break_after` events, once. A request whose body is
+    `crashes_on` ends the replica.
     """
 
     refusals: int = 0
@@ -29,6 +30,7 @@
     answer_after_s: float = 0.0
     event_pause_s: float = 0.0
     wrong_id: bool = False
+    crashes_on: bytes | None = None
 
 
 @dataclass(slots=True)
@@ -41,11 +43,13 @@
     requests: list[HttpRequest] = field(default_factory=list)
     abandoned: int = 0
     address: str = ""
+    _scope: trio.CancelScope = field(default_factory=trio.CancelScope)
 
     async def serve(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Serve until cancelled."""
         server = HttpServer(self._handle)
         async with trio.open_nursery() as nursery:
+            self._scope = nursery.cancel_scope
             port = await nursery.start(server.serve, "127.0.0.1", 0)
             self.address = f"127.0.0.1:{port}"
             task_status.started()
@@ -68,6 +72,8 @@
             raise
 
     async def _run(self, request: HttpRequest, exchange: Exchange) -> None:
+        if self.behaviour.crashes_on is not None and request.body == self.behaviour.crashes_on:
+            self._scope.cancel()
         await trio.sleep(self.behaviour.answer_after_s)
         if self.behaviour.losses:
             self.behaviour.losses -= 1
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -172,6 +172,28 @@
     with_fleet(check, config=make_config(timeout_s=30.0))
 
 
+def test_request_that_crashes_replicas_is_refused_everywhere() -> None:
+    """After two crashes no instance sends it on, while other requests go on."""
+
+    async def check(fleet: Fleet) -> None:
+        for replica in fleet.replica_by_id.values():
+            replica.behaviour.crashes_on = b"bad"
+        first, second = fleet.gateways
+        for gateway in (first, second):
+            answer = await fleet.send(gateway, "/write/a", body=b"bad")
+            assert answer.status == 502
+        crashed = sum(len(replica.requests) for replica in fleet.replica_by_id.values())
+        with trio.fail_after(10):
+            while (await fleet.send(first, "/write/a", body=b"bad")).status != 422:
+                await trio.sleep(0.05)
+            while (await fleet.send(second, "/write/a", body=b"bad")).status != 422:
+                await trio.sleep(0.05)
+        assert (await fleet.send(first, "/write/a", body=b"good")).status == 200
+        assert crashed == 2
+
+    with_fleet(check, gateways=2, replicas=5)
+
+
 def test_withdrawn_key_and_new_route_take_effect() -> None:
     """A newer configuration is in force; an older one that comes late is ignored."""
 
