Remove bulk files on instances' disks

Cause: entry instances have no disk and no instance is set aside; what lasts lives in the platform's store. The journalled path already kept its bulk values there where fewer than two disks answered.

--- a/packages/lagoonfold-node/src/lagoonfold_node/_node.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_node.py
@@ -123,7 +123,6 @@
                 settings=_ownership_settings(settings),
                 bus=self.bus,
                 instance_list=self.instance_list,
-                data_dir=settings.instance.data_dir,
                 operator_address=settings.instance.operator,
                 on_expired=self._free,
                 incarnation=self.bus.incarnation,
--- a/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_bulk.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_bulk.py
@@ -35,7 +35,7 @@
 
 
 class KvBulkStore:
-    """Keeps bulk values in the key-value service, for deployments without disks.
+    """Keeps bulk values in the key-value service.
 
     A value that is too large for one key lies under several, `<key>/<part>`, and is complete once
     the key itself, written last, says how many there are.
--- a/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_context.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_context.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from pathlib import Path
 from typing import Any
 
 import trio
@@ -71,7 +70,6 @@
     settings: OwnershipSettings = OwnershipSettings()
     bus: Any = None
     instance_list: InstanceList | None = None
-    data_dir: Path | None = None
     operator_address: str = ""
     on_expired: Callable[[ProgramId, Any], None] = lambda program_id, shard: None
     incarnation: str = field(default_factory=_new_incarnation)
@@ -86,7 +84,6 @@
             address=self.peer_address,
             failure_domain=self.failure_domain,
             leaving=self.board.stopping.read(),
-            has_disk=self.data_dir is not None,
             operator_address=self.operator_address,
         )
 
--- a/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_ownership.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_ownership.py
@@ -13,10 +13,7 @@
 from lagoonfold.membership import shard_of
 from lagoonfold_node._ownership._allocator import Allocator
 from lagoonfold_node._ownership._bulk import BulkStore, CachedBulkStore, KvBulkStore
-from lagoonfold_node._ownership._bulk_keeper import BulkKeeper
 from lagoonfold_node._ownership._context import OwnershipContext
-from lagoonfold_node._ownership._disk_bulk import DiskBulkStore
-from lagoonfold_node._ownership._disk_files import DiskFiles
 from lagoonfold_node._ownership._domain_carrier import DomainCarrier
 from lagoonfold_node._ownership._journal_writer import JournalWriter, JournalWriters
 from lagoonfold_node._ownership._lease_keeper import LeaseKeeper
@@ -69,10 +66,7 @@
     def __init__(self, context: OwnershipContext, *, bulk: BulkStore | None = None) -> None:
         self.context = context
         self.shards = Shards(context)
-        self.files = DiskFiles(context.data_dir) if context.data_dir is not None else None
-        disks = DiskBulkStore(context, self.files, KvBulkStore(context.store))
-        self.bulk = CachedBulkStore(bulk or disks)
-        self.bulk_keeper = BulkKeeper(context, disks)
+        self.bulk = CachedBulkStore(bulk or KvBulkStore(context.store))
         self._lease_keeper = LeaseKeeper(context)
         self._table_keeper = TableKeeper(context)
         self._allocator = Allocator(context, self._table_keeper)
@@ -94,9 +88,6 @@
             if self._shard_writer is not self.journal_writer:
                 nursery.start_soon(self._shard_writer.run)
             nursery.start_soon(self._shard_keeper.run)
-            nursery.start_soon(self.bulk_keeper.run)
-            if self.files is not None:
-                nursery.start_soon(self.files.run)
             task_status.started()
 
     async def hand_over(self, *, timeout_s: float) -> None:
--- a/packages/lagoonfold/src/lagoonfold/membership/_table.py
+++ b/packages/lagoonfold/src/lagoonfold/membership/_table.py
@@ -19,7 +19,6 @@
     address: str
     failure_domain: str
     leaving: bool = False
-    has_disk: bool = False
     operator_address: str = ""
 
     @property
