--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/__init__.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/__init__.py
@@ -1,7 +1,8 @@
 """The gateway: forwards requests of agent programs to replicas, over any number of instances."""
 
-from lagoonfold_gateway._app import Gateway, run_gateway
+from lagoonfold_gateway._app import run_gateway
 from lagoonfold_gateway._dialect import OWN_DIALECT, Dialect, HeaderNames
+from lagoonfold_gateway._gateway import Gateway
 from lagoonfold_gateway._settings import GatewaySettings, parse_settings
 
 __all__ = [
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_app.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_app.py
@@ -1,11 +1,6 @@
-"""A gateway instance: its parts, its start, its reload and its stop.
-
-A stop announces itself to the balancer and the peers, goes on serving while the balancer may still
-send, ends idle connections, waits for what is under way, and gives back unused budget.
-"""
+"""Runs a gateway as a process: settings, signals, reload."""
 
 import os
-import random
 import signal
 import sys
 from collections.abc import Callable
@@ -14,36 +9,13 @@
 import trio
 from result import Err
 
-from lagoonfold import TransactionalStore, WatchEvent, new_id
-from lagoonfold.forwarding import LoadBook, Placer, PromptMemory
-from lagoonfold_gateway._board import ConfigView, GatewayBoard
-from lagoonfold_gateway._budget_desk import BudgetDesk
-from lagoonfold_gateway._budget_owner import BudgetOwner
-from lagoonfold_gateway._clock import now_s
-from lagoonfold_gateway._config_controller import ConfigController
-from lagoonfold_gateway._context import ForwardContext
-from lagoonfold_gateway._crash_watch import CrashWatch
+from lagoonfold import TransactionalStore, WatchEvent
 from lagoonfold_gateway._dialect import Dialect
-from lagoonfold_gateway._dispatch import Dispatcher
-from lagoonfold_gateway._forwarder import Forwarder
-from lagoonfold_gateway._heartbeats import Heartbeats
-from lagoonfold_gateway._loans import Loans
-from lagoonfold_gateway._members import Members
-from lagoonfold_gateway._peers import PeerBus
-from lagoonfold_gateway._replica_controller import ReplicaController
-from lagoonfold_gateway._service_port import serve_metrics, serve_readiness
+from lagoonfold_gateway._gateway import Gateway
 from lagoonfold_gateway._settings import GatewaySettings, parse_settings
-from lagoonfold_gateway._usual_times import UsualTimes
-from lagoonfold_io import HttpClient, HttpLimits, HttpServer
-from lagoonfold_io.observe import EventLog, Metrics, log_to_standard_output
+from lagoonfold_io.observe import EventLog, log_to_standard_output
 
 EXIT_SETTINGS = 2
-SILENCE_LIMIT_S = 1.0  # replicas and instances are some ms apart
-CONNECT_TIMEOUT_S = 0.5  # as above; an opening packet that was dropped is sent again after seconds
-MAX_CALLER_CONNECTIONS = 2_000
-INSTANCES_SHARING_UPSTREAMS = 10  # connections to a replica are shared by that many at least
-IDLE_POLL_S = 0.05
-STOP_RESERVE_S = 0.7  # of the time for a stop, left for giving back and leaving
 
 MakeStore = Callable[[str], TransactionalStore]
 OnOtherEvent = Callable[[WatchEvent, TransactionalStore, trio.Nursery], None]
@@ -51,146 +23,6 @@
 _log = EventLog("gateway")
 
 
-class Gateway:
-    """One instance with everything that runs in it."""
-
-    def __init__(
-        self,
-        settings: GatewaySettings,
-        dialect: Dialect,
-        store: TransactionalStore,
-        nursery: trio.Nursery,
-        on_other: Callable[[WatchEvent], None],
-    ) -> None:
-        instance = settings.instance
-        self.settings = settings
-        self.start_id = new_id("start")
-        self.board = GatewayBoard()
-        self.metrics = Metrics()
-        self.client = HttpClient(
-            connect_timeout_s=CONNECT_TIMEOUT_S, silence_limit_s=SILENCE_LIMIT_S
-        )
-        self.loads = LoadBook()
-        self.crashes = CrashWatch(self.client)
-        self.bus = PeerBus(instance.id, nursery)
-        self.members = Members(instance, self.start_id, self.board, self.bus, store)
-        self.configs = ConfigController(dialect, self.board, store, on_other)
-        self.replicas = ReplicaController(dialect, self.board, store, self.loads, self.client)
-        self.heartbeats = Heartbeats(
-            self.start_id,
-            self.board,
-            self.bus,
-            self.members,
-            self.loads,
-            self.crashes,
-            self.configs.watch,
-            self.replicas.watch,
-        )
-        first = instance.is_first_start
-        self.loans = Loans(self.board, self.bus, self.members, is_first_start=first)
-        self.budgets = BudgetOwner(self.board, self.bus, store, self.members, is_first_start=first)
-        self.forwarder = self._make_forwarder(dialect, nursery)
-        self.border = HttpServer(self.forwarder.handle, on_handler_error=self._note_error)
-        self.board.config.subscribe(self._apply_limits)
-
-    def _make_forwarder(self, dialect: Dialect, nursery: trio.Nursery) -> Forwarder:
-        rng = random.Random()
-        memory = PromptMemory()
-        placer = Placer(self.loads, memory, self.settings.instance.failure_domain, rng)
-        context = ForwardContext(
-            dialect=dialect,
-            board=self.board,
-            loads=self.loads,
-            memory=memory,
-            placer=placer,
-            client=self.client,
-            crashes=self.crashes,
-            loans=self.loans,
-            budgets=BudgetDesk(self.board, self.bus, self.members),
-            metrics=self.metrics,
-            usual=UsualTimes(),
-            rng=rng,
-            nursery=nursery,
-        )
-        return Forwarder(context, Dispatcher(self.board, placer, self.loads))
-
-    def is_ready(self) -> bool:
-        """Tell whether the balancer should send new connections here."""
-        return (
-            self.board.config.read() is not None
-            and not self.board.stopping.read()
-            and not self.members.is_isolated()
-        )
-
-    async def start(self, nursery: trio.Nursery) -> None:
-        """Listen, and start every task of the instance."""
-        instance = self.settings.instance
-        await nursery.start(self.bus.serve, instance.peers)
-        host, port = _split(instance.listen)
-        await nursery.start(self.border.serve, host, port)
-        await nursery.start(serve_readiness, instance.readiness, self.is_ready)
-        if instance.metrics is not None:
-            await nursery.start(serve_metrics, instance.metrics, self.metrics)
-        tasks = (
-            self.configs.watch.run,
-            self.replicas.watch.run,
-            self.members.watch.run,
-            self.members.keep_registered,
-            self.members.check_silence,
-            self.heartbeats.run,
-            self.replicas.expire,
-            self.loans.report,
-            self.budgets.writer.run,
-            self.budgets.sweep,
-        )
-        for task in tasks:
-            nursery.start_soon(task)
-        _log.info("gateway.started", start_id=self.start_id, listen=instance.listen)
-
-    async def stop(self) -> None:
-        """Leave without cutting a request."""
-        times = self.settings.times
-        began_s = now_s()
-        _log.info("gateway.stopping", active=self.forwarder.active)
-        self.board.stopping.write(True)
-        self.border.announce_close()
-        await self.heartbeats.tell_all()
-        with trio.move_on_after(times.stop_s - STOP_RESERVE_S) as time:
-            await trio.sleep(times.balancer_notice_s)
-            self.border.close_idle()
-            while self.forwarder.active:
-                await trio.sleep(IDLE_POLL_S)
-        if time.cancelled_caught:
-            _log.warning("gateway.stop_cuts", active=self.forwarder.active)
-        with trio.move_on_after(max(0.1, times.stop_s - STOP_RESERVE_S / 2 - now_s() + began_s)):
-            await self.budgets.give_back()
-            await self.members.leave()
-        self.client.close()
-        _log.info("gateway.stopped", took_s=round(now_s() - began_s, 3))
-
-    def _apply_limits(self, view: ConfigView | None) -> None:
-        if view is None:
-            return
-        limits = view.config.limits
-        self.border.set_limits(
-            HttpLimits(
-                max_header_bytes=limits.max_header_bytes,
-                max_body_bytes=limits.max_body_bytes,
-                max_connections=MAX_CALLER_CONNECTIONS,
-                header_timeout_s=limits.header_timeout_s,
-                idle_timeout_s=limits.idle_timeout_s,
-            )
-        )
-        services = view.config.services_by_name.values()
-        caps = [service.max_connections for service in services]
-        if caps:
-            self.client.max_per_address = max(2, min(caps) // INSTANCES_SHARING_UPSTREAMS)
-
-    def _note_error(self, error: BaseException) -> None:
-        self.metrics.count("handler_errors", type(error).__name__)
-        _log.error("request.handler_failed", error)
-
-
 def run_gateway(
     settings_path: str, dialect: Dialect, make_store: MakeStore, on_other: OnOtherEvent
 ) -> int:
@@ -244,8 +76,3 @@
     log_to_standard_output(loaded.ok_value.log.level, current.instance.id)
     needs_restart = loaded.ok_value.instance != current.instance
     _log.info("settings.reloaded", needs_restart=needs_restart, pid=os.getpid())
-
-
-def _split(address: str) -> tuple[str, int]:
-    host, _, port = address.rpartition(":")
-    return host, int(port)
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_budget_owner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_budget_owner.py
@@ -146,6 +146,7 @@
     async def _take_over(self, ask: TurnAsk, owned: _Owned) -> NotNow | OwnedBy | None:
         """Bring a program's record under this owner; return why that is not to be done now."""
         ledger = owned.ledger
+        reason = "record keeps changing"
         async with owned.lock:
             if ledger.revision is not None:
                 return None
@@ -153,17 +154,18 @@
                 level = ledger.charge_needed(ask.most)
                 charged = await self.writer.charge(ask.program, ledger, level)
                 if isinstance(charged, Err):
+                    reason = charged.err_value.detail
                     if charged.err_value.kind is StoreErrorKind.LOST_ANSWER:
                         # The next charge finds out whether this one was made.
                         continue
-                    return NotNow(reason=charged.err_value.detail)
+                    return NotNow(reason=reason)
                 if charged.ok_value:
                     return None
                 owner = self._members.live_writer(ledger.last_writer)
                 if owner is not None:
                     self._owned_by_program.pop(ask.program, None)
                     return OwnedBy(instance=owner)
-        return NotNow(reason="record keeps changing")
+        return NotNow(reason=reason)
 
     async def _cover(self, cover: Message) -> Message:
         assert isinstance(cover, TurnCover)
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_charges.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_charges.py
@@ -13,6 +13,7 @@
 from result import Err, Ok, Result
 
 from lagoonfold import (
+    ABSENT_REVISION,
     MAX_ENTRIES_PER_COMMIT,
     Check,
     Commit,
@@ -21,7 +22,6 @@
     StoreError,
     TransactionalStore,
 )
-from lagoonfold._ports import ABSENT_REVISION
 from lagoonfold.budgets import BudgetRecord, ProgramLedger
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_io.observe import EventLog
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_config_controller.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_config_controller.py
@@ -8,8 +8,7 @@
 
 from result import Err
 
-from lagoonfold import Entry, Listing, TransactionalStore, WatchEvent
-from lagoonfold._ports import ABSENT_REVISION
+from lagoonfold import ABSENT_REVISION, Entry, Listing, TransactionalStore, WatchEvent
 from lagoonfold.forwarding import RouteTable
 from lagoonfold_gateway._board import ConfigView, GatewayBoard
 from lagoonfold_gateway._clock import now_s
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_context.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_context.py
@@ -1,7 +1,7 @@
 """What the parts of forwarding share in one instance."""
 
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import trio
 
@@ -33,4 +33,3 @@
     usual: UsualTimes
     rng: random.Random
     nursery: trio.Nursery
-    under_way: set[object] = field(default_factory=set)
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_dispatch.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_dispatch.py
@@ -37,10 +37,6 @@
         self._changed = trio.Event()
         board.replicas.subscribe(self._note_change)
 
-    def waiting(self, service: str) -> int:
-        """Return how many requests wait for the service here."""
-        return len(self._line_by_service[service])
-
     async def place(
         self,
         service: str,
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_forwarder.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_forwarder.py
@@ -5,28 +5,21 @@
 at the route's timeout or the caller's deadline at the latest.
 """
 
-import math
-
 import trio
-from result import Err, Ok, Result
+from result import Err
 
 from lagoonfold import ANSWERS_BY_KIND, ErrorKind, Ran, Refusal
-from lagoonfold.forwarding import ClientAccount, ForwardRoute, TryRecord
 from lagoonfold.rates import ProgramBook, RateClaim
-from lagoonfold_gateway._board import ConfigView
-from lagoonfold_gateway._call import ForwardedCall, read_call
+from lagoonfold_gateway._admission import admit
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._context import ForwardContext
-from lagoonfold_gateway._crash_watch import digest_of_call
 from lagoonfold_gateway._dispatch import Dispatcher
 from lagoonfold_gateway._journey import Journey
+from lagoonfold_gateway._refusals import refusal_response
 from lagoonfold_gateway._tries import Tries
-from lagoonfold_io import Exchange, HttpRequest, HttpResponse
+from lagoonfold_io import Exchange, HttpRequest
 from lagoonfold_io.observe import EventLog
 
-NO_CONFIG_RETRY_S = 0.3  # an instance that has just started has its configuration by then
-MAX_DEADLINE_S = 3_600.0  # of a request without a deadline on a route without a timeout
-
 _log = EventLog("requests")
 
 
@@ -49,7 +42,7 @@
 
     async def _handle(self, request: HttpRequest, exchange: Exchange) -> None:
         arrived_s = now_s()
-        admitted = self._admit(request, arrived_s)
+        admitted = admit(request, self._context, arrived_s=arrived_s)
         if isinstance(admitted, Err):
             await self._refuse(admitted.err_value, request, exchange)
             return
@@ -66,34 +59,6 @@
             self._settle(journey)
             self._report(journey)
 
-    def _admit(self, request: HttpRequest, arrived_s: float) -> Result[Journey, Refusal]:
-        """Find the route and the account of a request."""
-        view = self._context.board.config.read()
-        if view is None:
-            return Err(
-                Refusal(
-                    kind=ErrorKind.CONFIG_STALE,
-                    detail="no configuration has been read yet",
-                    retry_after_s=NO_CONFIG_RETRY_S,
-                )
-            )
-        read = read_call(request, self._context.dialect.headers)
-        if isinstance(read, Err):
-            return Err(Refusal(kind=ErrorKind.MALFORMED, detail=read.err_value))
-        call = read.ok_value
-        route = view.routes.find(call.host, request.path)
-        if route is None:
-            detail = f"no route for host {call.host!r} and path {request.path!r}"
-            return Err(Refusal(kind=ErrorKind.NOT_FOUND, detail=detail))
-        account = _account_of(call, route, view)
-        if isinstance(account, Err):
-            return account
-        journey = _journey(call, route, account.ok_value, view, arrived_s)
-        if self._context.crashes.is_refused(journey.digest):
-            detail = f"request {call.request_id!r} has crashed the replicas that ran it"
-            return Err(Refusal(kind=ErrorKind.POISONOUS, detail=detail))
-        return Ok(journey)
-
     async def _serve(self, journey: Journey, exchange: Exchange) -> None:
         refused = await self._take_rate_and_budget(journey)
         if refused is None:
@@ -219,46 +184,3 @@
             handed=hold.tally.handed if hold is not None else None,
             credit=hold.tally.credit if hold is not None else None,
         )
-
-
-def refusal_response(refusal: Refusal) -> HttpResponse:
-    """Return the answer to a refused request."""
-    headers = [("content-type", "text/plain")]
-    if refusal.retry_after_s > 0:
-        headers.append(("retry-after", f"{refusal.retry_after_s:.3f}"))
-    body = f"{refusal.kind.value}: {refusal.detail}\n".encode()
-    status = ANSWERS_BY_KIND[refusal.kind].status
-    return HttpResponse(status=status, headers=tuple(headers), body=body)
-
-
-def _account_of(
-    call: ForwardedCall, route: ForwardRoute, view: ConfigView
-) -> Result[ClientAccount | None, Refusal]:
-    accounts_by_key = view.config.accounts_by_key
-    if accounts_by_key is None or route.is_open:
-        return Ok(None)
-    account = accounts_by_key.get(call.key) if call.key is not None else None
-    if account is None:
-        return Err(Refusal(kind=ErrorKind.UNAUTHENTICATED, detail="the key is not known"))
-    return Ok(account)
-
-
-def _journey(
-    call: ForwardedCall,
-    route: ForwardRoute,
-    account: ClientAccount | None,
-    view: ConfigView,
-    arrived_s: float,
-) -> Journey:
-    deadline_s = call.deadline_s if call.deadline_s is not None else math.inf
-    limit_s = min(MAX_DEADLINE_S, deadline_s, route.timeout_s)
-    return Journey(
-        call=call,
-        route=route,
-        account=account,
-        config_version=view.config.version,
-        arrived_s=arrived_s,
-        give_up_s=arrived_s + limit_s,
-        record=TryRecord(may_repeat=route.may_repeat, max_upstreams=route.max_upstreams),
-        digest=digest_of_call(call, account.name if account is not None else ""),
-    )
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_members.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_members.py
@@ -10,8 +10,15 @@
 import trio
 from result import Err
 
-from lagoonfold import Listing, Put, TransactionalStore, WatchEvent, rendezvous_weight
-from lagoonfold._ports import ABSENT_REVISION
+from lagoonfold import (
+    ABSENT_REVISION,
+    Listing,
+    Put,
+    StoreErrorKind,
+    TransactionalStore,
+    WatchEvent,
+    rendezvous_weight,
+)
 from lagoonfold_gateway._board import GatewayBoard, LiveView
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._messages import Heartbeat
@@ -109,11 +116,6 @@
         known = len(self._entry_by_id.keys() | {self._id})
         return 2 * len(self._board.live.read().ids) < known
 
-    def domain_of(self, instance: str) -> str | None:
-        """Return an instance's failure domain."""
-        entry = self._entry_by_id.get(instance)
-        return entry.failure_domain if entry is not None else None
-
     def note_own_store(self, has_store: bool) -> None:
         """Take in whether this instance reaches the store."""
         self._note_store(self._id, has_store)
@@ -184,7 +186,7 @@
         renewed = await self._store.renew_lease(self._lease_id)
         if isinstance(renewed, Err):
             _log.warning("member.lease_not_renewed", reason=renewed.err_value.detail)
-            if renewed.err_value.kind.value == "lease-expired":
+            if renewed.err_value.kind is StoreErrorKind.LEASE_EXPIRED:
                 self._lease_id = None
             return False
         return True
--- /dev/null
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_refusals.py
@@ -0,0 +1,14 @@
+"""The answers to requests that are refused."""
+
+from lagoonfold import ANSWERS_BY_KIND, Refusal
+from lagoonfold_io import HttpResponse
+
+
+def refusal_response(refusal: Refusal) -> HttpResponse:
+    """Return the answer to a refused request."""
+    headers = [("content-type", "text/plain")]
+    if refusal.retry_after_s > 0:
+        headers.append(("retry-after", f"{refusal.retry_after_s:.3f}"))
+    body = f"{refusal.kind.value}: {refusal.detail}\n".encode()
+    status = ANSWERS_BY_KIND[refusal.kind].status
+    return HttpResponse(status=status, headers=tuple(headers), body=body)
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_relay.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_relay.py
@@ -20,7 +20,6 @@
 from lagoonfold_io import Exchange, Headers, HttpResponse, ResponseStream, StreamError
 
 CREDIT_POLL_S = 0.01  # while events wait for the turn's credit
-SUCCESS_BELOW = 300
 
 
 @dataclass(slots=True)
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_replica_controller.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_replica_controller.py
@@ -7,8 +7,7 @@
 import trio
 from result import Err
 
-from lagoonfold import Entry, Listing, TransactionalStore, WatchEvent
-from lagoonfold._ports import ABSENT_REVISION
+from lagoonfold import ABSENT_REVISION, Entry, Listing, TransactionalStore, WatchEvent
 from lagoonfold.forwarding import LoadBook, Replica
 from lagoonfold_gateway._board import GatewayBoard
 from lagoonfold_gateway._clock import now_s
--- a/packages/lagoonfold/src/lagoonfold/forwarding/_documents.py
+++ b/packages/lagoonfold/src/lagoonfold/forwarding/_documents.py
@@ -44,7 +44,6 @@
     can_resume: bool = False
     is_program_turn: bool = False
     retention_s: float = 60.0
-    max_pause_s: float | None = None
 
     @property
     def may_repeat(self) -> bool:
--- a/packages/lagoonfold/src/lagoonfold/forwarding/_placement.py
+++ b/packages/lagoonfold/src/lagoonfold/forwarding/_placement.py
@@ -100,14 +100,6 @@
                 best = placement
         return best
 
-    def has_free_slot(self, replicas: Iterable[Replica], *, now_s: float) -> bool:
-        """Tell whether a sound replica has a slot that nothing uses or waits for."""
-        return any(
-            self._loads.requests_at(replica.replica_id, now_s=now_s) < replica.slots
-            for replica in replicas
-            if not self._loads.is_aside(replica.replica_id, now_s=now_s)
-        )
-
     def _has_room(self, replica: Replica, now_s: float) -> bool:
         if self._loads.is_aside(replica.replica_id, now_s=now_s):
             return False
--- a/packages/lagoonfold/src/lagoonfold/forwarding/_replicas.py
+++ b/packages/lagoonfold/src/lagoonfold/forwarding/_replicas.py
@@ -21,7 +21,6 @@
     slots: int
     is_draining: bool = False
     started: int = 0
-    cold_s: float = 0.0
 
 
 class ReplicaDirectory:
@@ -65,10 +64,6 @@
             self._drop(replica_id)
         return bool(due)
 
-    def next_expiry_s(self) -> float:
-        """Return when the next held removal is due, infinity where none is."""
-        return min(self._remove_at_s_by_id.values(), default=float("inf"))
-
     def get(self, replica_id: str) -> Replica | None:
         """Return a listed replica, draining or not."""
         return self._by_id.get(replica_id)
--- a/tests/on_platform/test_documents.py
+++ b/tests/on_platform/test_documents.py
@@ -67,7 +67,7 @@
     stream, write = config.routes
     assert config.version == 7
     assert (stream.host, stream.kind, stream.timeout_s) == ("a.example", RouteKind.STREAM, 4.0)
-    assert stream.may_repeat and stream.is_program_turn and stream.max_pause_s == 0.15
+    assert stream.may_repeat and stream.is_program_turn and stream.max_upstreams == 1
     assert [target.weight for target in stream.targets] == [90, 10]
     assert write.kind is RouteKind.AT_MOST_ONCE and write.is_open and not write.may_repeat
     assert config.services_by_name["m"].tokens_per_event == 10
--- a/tests/on_platform/test_processes.py
+++ b/tests/on_platform/test_processes.py
@@ -102,23 +102,30 @@
     return HttpRequest(method="POST", path="/b/x", headers=headers, body=b"x")
 
 
+async def _signal_during_request(
+    process: subprocess.Popen, number: int, client: HttpClient, front: str
+) -> None:
+    """Send a signal while a request is under way; the answer must come whole."""
+    async with trio.open_nursery() as nursery:
+
+        async def send() -> None:
+            answer = (await client.fetch(front, _request())).unwrap()
+            assert (answer.status, answer.body) == (200, b"whole")
+
+        nursery.start_soon(send)
+        await trio.sleep(0.3)
+        process.send_signal(number)
+
+
 def test_planned_stop_cuts_no_request() -> None:
     """After SIGTERM the instance is not ready, ends what is under way, and exits by itself."""
 
     async def check(
         process: subprocess.Popen, client: HttpClient, front: str, readiness: str
     ) -> None:
-        answers: list[HttpResponse] = []
-
-        async def send() -> None:
-            answers.append((await client.fetch(front, _request())).unwrap())
-
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(send)
-            await trio.sleep(0.3)
-            process.send_signal(signal.SIGTERM)
+            nursery.start_soon(_signal_during_request, process, signal.SIGTERM, client, front)
             await _poll_ready(client, readiness, 503)
-        assert (answers[0].status, answers[0].body) == (200, b"whole")
         with trio.fail_after(WAIT_S):
             while process.poll() is None:
                 await trio.sleep(0.05)
@@ -138,16 +145,7 @@
     async def check(
         process: subprocess.Popen, client: HttpClient, front: str, readiness: str
     ) -> None:
-        answers: list[HttpResponse] = []
-
-        async def send() -> None:
-            answers.append((await client.fetch(front, _request())).unwrap())
-
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(send)
-            await trio.sleep(0.3)
-            process.send_signal(signal.SIGHUP)
-        assert answers[0].status == 200
+        await _signal_during_request(process, signal.SIGHUP, client, front)
         assert process.poll() is None
 
     lines = _with_gateway(check)
