Ask instances whose heartbeat is late last, and take silent ones out sooner

Cause: an owner that lost power was asked for a second, with 0.8 s for each ask. Change: silence of 0.75 s in place of 1 s takes an instance out; for budgets, one that is 0.45 s late comes last.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_members.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_members.py
@@ -33,7 +33,8 @@
 RENEW_S = 3.0  # a third of the lease, so that one renewal may fail
 RETRY_S = 0.5  # after a failed call to the store
 SETTLED_S = 5.0  # after the first start of the system all instances have found each other
-SILENT_S = 1.0  # four heartbeats
+SILENT_S = 0.75  # three heartbeats
+LATE_S = 0.45  # a heartbeat is missing: others are asked first where any instance can decide
 CHECK_S = 0.1  # how often silence is looked for
 STORE_CONTACT_S = 2.0 * RENEW_S  # the store was reached in this time: not cut off from everything
 
@@ -91,9 +92,17 @@
         return sorted(ids, key=lambda name: rendezvous_weight(subject, name), reverse=True)
 
     def charging_owners_of(self, subject: str) -> list[str]:
-        """Return the live instances in the order of ownership, those that reach the store first."""
-        owners = self.owners_of(subject)
-        return sorted(owners, key=lambda name: name in self._without_store)
+        """Return the live instances in the order of ownership.
+
+        Those that do not reach the store come last, and those whose heartbeat is late before them.
+        """
+        latest_s = now_s() - LATE_S
+
+        def trouble(name: str) -> tuple[bool, bool]:
+            is_late = name != self._id and self._heard_s_by_id.get(name, 0.0) < latest_s
+            return name in self._without_store, is_late
+
+        return sorted(self.owners_of(subject), key=trouble)
 
     def owns(self, subject: str) -> bool:
         """Tell whether this instance comes first for a subject."""
