Let another owner take over a turn that its owner cannot charge

A turn whose owner the store turned away was moved to another instance, which sent the asker back, since the record's writer was alive; the owner's credit then counted twice, and the asking went round some 800 times a second. Ruled out: the writer's pause (it held; the calls were those of the other instances).

Change: an ask names the owners that cannot charge; who is asked takes over from them, and an asker follows no word that leads back to one.

Connections to a replica are shared by the live instances, and a used-up share is no longer taken for an unreachable replica.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_budget_desk.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_budget_desk.py
@@ -87,6 +87,7 @@
             most=most,
             retention_s=retention_s,
             live=self._board.live.read().ids,
+            unable=self._members.without_store(),
         )
         granted = await self._ask(ask, self._owners(program))
         if isinstance(granted, Err):
@@ -109,20 +110,22 @@
             if isinstance(answer, Ok) and isinstance(answer.ok_value, BudgetSpent):
                 return Err(_spent(ask.program, answer.ok_value))
             if isinstance(answer, Ok) and isinstance(answer.ok_value, OwnedBy):
-                owners.insert(0, answer.ok_value.instance)
+                if answer.ok_value.instance not in ask.unable:
+                    owners.insert(0, answer.ok_value.instance)
                 continue
             reason = f"{owner}: {_reason(answer)}"
             _log.info("budget.owner_passed_over", program=ask.program, reason=reason)
         return Err(_undecided(ask.program, reason))
 
     def _owners(self, program: str) -> list[str]:
-        """Return whom to ask: the owner that decided last while it lives, then by rendezvous."""
+        """Return whom to ask: the owner that decided last while it can, then by rendezvous."""
         owners = self._members.charging_owners_of(program)
         last = self._owner_by_program.get(program)
         if last in owners:
             owners.remove(last)
             owners.insert(0, last)
-        return owners
+        unable = self._members.without_store()
+        return sorted(owners, key=lambda name: name in unable)
 
     def _remember(self, program: str, owner: str) -> None:
         self._owner_by_program[program] = owner
@@ -149,9 +152,11 @@
         _log.info("budget.not_covered", program=hold.ask.program, owner=hold.owner, reason=reason)
         known = {hold.owner, *(owner for owner, _ in hold.former)}
         others = [owner for owner in self._owners(hold.ask.program) if owner not in known]
-        rest = msgspec.structs.replace(hold.ask, most=hold.tally.most - hold.tally.credit)
+        rest = msgspec.structs.replace(
+            hold.ask, most=hold.tally.most - hold.tally.credit, unable=tuple(sorted(known))
+        )
         moved = await self._ask(rest, others)
-        if isinstance(moved, Err):
+        if isinstance(moved, Err) or moved.ok_value[0] in known:
             await trio.sleep(RETRY_PAUSE_S)
             return
         hold.former.append((hold.owner, hold.tally.credit - hold.former_credit))
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_budget_owner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_budget_owner.py
@@ -162,7 +162,7 @@
                 if charged.ok_value:
                     return None
                 owner = self._members.live_writer(ledger.last_writer)
-                if owner is not None:
+                if owner is not None and owner not in ask.unable:
                     self._owned_by_program.pop(ask.program, None)
                     return OwnedBy(instance=owner)
         return NotNow(reason=reason)
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
@@ -4,6 +4,7 @@
 send, ends idle connections, waits for what is under way, and gives back unused budget.
 """
 
+import math
 import random
 from collections.abc import Callable
 
@@ -35,7 +36,9 @@
 SILENCE_LIMIT_S = 1.0  # replicas and instances are some ms apart
 CONNECT_TIMEOUT_S = 0.5  # as above; an opening packet that was dropped is sent again after seconds
 MAX_CALLER_CONNECTIONS = 2_000
-INSTANCES_SHARING_UPSTREAMS = 10  # connections to a replica are shared by that many at least
+MIN_INSTANCES_SHARING = 10  # connections to a replica are shared by that many at least
+SHARING_MARGIN = 1.3  # for instances that start before this one hears of them
+MIN_PER_REPLICA = 2
 IDLE_POLL_S = 0.05
 STOP_RESERVE_S = 0.7  # of the time for a stop, left for giving back and leaving
 
@@ -83,6 +86,7 @@
         self.forwarder = self._make_forwarder(dialect, nursery)
         self.border = HttpServer(self.forwarder.handle, on_handler_error=self._note_error)
         self.board.config.subscribe(self._apply_limits)
+        self.board.live.subscribe(lambda view: self._share_connections())
 
     def _make_forwarder(self, dialect: Dialect, nursery: trio.Nursery) -> Forwarder:
         rng = random.Random()
@@ -172,10 +176,17 @@
                 idle_timeout_s=limits.idle_timeout_s,
             )
         )
-        services = view.config.services_by_name.values()
-        caps = [service.max_connections for service in services]
-        if caps:
-            self.client.max_per_address = max(2, min(caps) // INSTANCES_SHARING_UPSTREAMS)
+        self._share_connections()
+
+    def _share_connections(self) -> None:
+        """Take this instance's share of the connections that a replica accepts in all."""
+        view = self.board.config.read()
+        services = view.config.services_by_name.values() if view is not None else ()
+        most = min((service.max_connections for service in services), default=None)
+        if most is not None:
+            live = len(self.board.live.read().ids)
+            sharing = max(MIN_INSTANCES_SHARING, math.ceil(SHARING_MARGIN * live))
+            self.client.max_per_address = max(MIN_PER_REPLICA, most // sharing)
 
     def _note_error(self, error: BaseException) -> None:
         self.metrics.count("handler_errors", type(error).__name__)
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_members.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_members.py
@@ -104,6 +104,10 @@
 
         return sorted(self.owners_of(subject), key=trouble)
 
+    def without_store(self) -> tuple[str, ...]:
+        """Return the instances that do not reach the store."""
+        return tuple(sorted(self._without_store))
+
     def owns(self, subject: str) -> bool:
         """Tell whether this instance comes first for a subject."""
         return self.owners_of(subject)[0] == self._id
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_messages.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_messages.py
@@ -29,7 +29,8 @@
     """May this turn start? `most` is what it may produce at most, in tokens.
 
     `live` are the instances that the asker hears; an owner that hears others may not be the only
-    one that is asked.
+    one that is asked. `unable` are owners that cannot charge now: who is asked takes over from
+    them.
     """
 
     program: str
@@ -39,6 +40,7 @@
     most: int
     retention_s: float
     live: tuple[str, ...]
+    unable: tuple[str, ...] = ()
 
 
 class TurnCover(msgspec.Struct, frozen=True, tag=True, array_like=True):
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_upstream_try.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_upstream_try.py
@@ -97,6 +97,8 @@
 
 def _failure_of(error: HttpError) -> TryFailure:
     end = TryEnd.UNREACHED if error.sent is Sent.NOTHING else TryEnd.LOST
+    if error.is_own_limit:
+        end = TryEnd.FULL
     return TryFailure(end=end, reason=error.detail)
 
 
--- a/packages/lagoonfold-io/src/lagoonfold_io/_http_client.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_client.py
@@ -160,7 +160,7 @@
         self._make_room(address)
         if self._busy_by_address[address] > self.max_per_address:
             detail = f"{self.max_per_address} connections to {address} are in use"
-            return Err(HttpError(detail=detail, sent=Sent.NOTHING))
+            return Err(HttpError(detail=detail, sent=Sent.NOTHING, is_own_limit=True))
         try:
             with trio.fail_after(self._connect_timeout_s):
                 stream = await open_stream(address, silence_limit_s=self._silence_limit_s)
--- a/packages/lagoonfold-io/src/lagoonfold_io/_http_messages.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_messages.py
@@ -70,11 +70,15 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class HttpError:
-    """A request that got no whole response; `is_timeout` if nothing broke but time ran out."""
+    """A request that got no whole response; `is_timeout` if nothing broke but time ran out.
+
+    `is_own_limit` says that the client's own number of connections was used up.
+    """
 
     detail: str
     sent: Sent
     is_timeout: bool = False
+    is_own_limit: bool = False
 
 
 def encode_headers(headers: Headers) -> list[tuple[str, bytes]]:
--- a/standins/transactional_store.py
+++ b/standins/transactional_store.py
@@ -4,7 +4,9 @@
 silence. One object serves the gateways of one test.
 """
 
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from typing import Any
 
 import trio
 from result import Err, Ok, Result
@@ -189,3 +191,24 @@
         self._history.append(WatchEvent(entry=entry, revision=self.revision))
         self._changed.set()
         self._changed = trio.Event()
+
+
+class StoreView:
+    """One gateway's way to a store, which can be cut without the others noticing."""
+
+    def __init__(self, store: MemoryStore) -> None:
+        self.is_cut = False
+        self.calls = 0
+        self._store = store
+
+    def __getattr__(self, name: str) -> Callable[..., Awaitable[Result[Any, StoreError]]]:
+        """Pass a call on, or refuse it while this way is cut."""
+
+        async def call(*arguments: object, **options: object) -> Result[Any, StoreError]:
+            self.calls += 1
+            if self.is_cut:
+                await trio.lowlevel.checkpoint()
+                return Err(DOWN)
+            return await getattr(self._store, name)(*arguments, **options)
+
+        return call
--- a/tests/gateway/_fleet.py
+++ b/tests/gateway/_fleet.py
@@ -23,7 +23,7 @@
 from lagoonfold_io import HttpClient, HttpRequest, HttpResponse
 from standins._ports import free_port
 from standins.replica import NAMES, Replica
-from standins.transactional_store import MemoryStore
+from standins.transactional_store import MemoryStore, StoreView
 
 HOST = "api.example"
 KEY = "key-1"
@@ -73,6 +73,7 @@
     replica_by_id: dict[str, Replica] = field(default_factory=dict)
     gateways: list[Gateway] = field(default_factory=list)
     scope_by_gateway: dict[str, trio.CancelScope] = field(default_factory=dict)
+    view_by_gateway: dict[str, StoreView] = field(default_factory=dict)
     client: HttpClient = field(default_factory=HttpClient)
     _requests: int = 0
 
@@ -128,7 +129,8 @@
     ) -> None:
         async with trio.open_nursery() as nursery:
             self.scope_by_gateway[settings.instance.id] = nursery.cancel_scope
-            gateway = Gateway(settings, OWN_DIALECT, self.store, nursery, lambda event: None)
+            view = self.view_by_gateway[settings.instance.id] = StoreView(self.store)
+            gateway = Gateway(settings, OWN_DIALECT, view, nursery, lambda event: None)
             await gateway.start(nursery)
             task_status.started(gateway)
 
--- a/tests/gateway/test_budgets.py
+++ b/tests/gateway/test_budgets.py
@@ -126,6 +126,25 @@
     with_fleet(check, gateways=3, config=make_config(timeout_s=0.5))
 
 
+def test_owner_that_cannot_charge_gives_way_to_one_that_can() -> None:
+    """A turn whose owner is cut from the store goes on under another, and the budget holds."""
+
+    async def check(fleet: Fleet) -> None:
+        first = fleet.gateways[0]
+        fleet.kill(fleet.gateways[1])
+        await until(lambda: first.board.live.read().ids == ("g1",))
+        assert (await fleet.turn(first, "p", budget=BUDGET, most=MOST)).status == 200
+        second = await fleet.add_gateway("g3", is_first_start=False)
+        await until(lambda: len(first.board.live.read().ids) == 2 and second.is_ready())
+        fleet.view_by_gateway["g1"].is_cut = True
+        ran = 1 + await _run_until_refused(fleet, [first, second], "p")
+        assert ran >= 4
+        assert ran * TOKENS_PER_TURN <= BUDGET + MOST
+        assert fleet.view_by_gateway["g1"].calls + fleet.view_by_gateway["g3"].calls < 100
+
+    with_fleet(check, gateways=2)
+
+
 def test_turns_that_are_refused_have_not_run() -> None:
     """Without store and memory a turn is refused as not run, with when to come back."""
 
