Remove a program's record only while it is this owner's

Cause: by reading. An owner that had not been asked for a program's retention removed the record, also where another owner had charged it since; a third owner would then have started with the whole budget. Change: the removal compares revisions; records of others are only forgotten. test_records_are_removed_after_their_time_but_not_another_owner_s was red before. Left: records of owners that died are not removed by anybody.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_budget_owner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_budget_owner.py
@@ -11,7 +11,7 @@
 import trio
 from result import Err
 
-from lagoonfold import StoreErrorKind, TransactionalStore
+from lagoonfold import Check, Entry, StoreErrorKind, TransactionalStore
 from lagoonfold.budgets import ProgramLedger
 from lagoonfold_gateway._board import GatewayBoard, LiveView
 from lagoonfold_gateway._charges import BUDGET_PREFIX, ChargeWriter
@@ -35,7 +35,7 @@
 SETTLE_POLL_S = 0.005
 MAX_CHARGES_PER_ASK = 3  # owners that change each other's record come to rest after one round
 SWEEP_S = 5.0  # how often programs whose retention is over are looked for
-MAX_REMOVED_PER_SWEEP = 32  # one transaction
+MAX_REMOVED_PER_SWEEP = 16  # one transaction, with a check and a removal for each
 
 _log = EventLog("budgets")
 
@@ -93,16 +93,31 @@
             await self._remove(due)
 
     async def _remove(self, due: list[tuple[str, _Owned]]) -> None:
-        keys = tuple(
-            BUDGET_PREFIX + program for program, owned in due if owned.ledger.revision is not None
+        """Remove records that are still this owner's; those of others are only forgotten."""
+        recorded = [(program, owned.ledger.revision) for program, owned in due]
+        checks = tuple(
+            Check(key=BUDGET_PREFIX + program, revision=revision)
+            for program, revision in recorded
+            if revision
         )
-        if keys:
-            removed = await self._store.commit(removes=keys)
+        if checks:
+            keys = tuple(check.key for check in checks)
+            removed = await self._store.commit(checks=checks, removes=keys)
             if isinstance(removed, Err):
                 _log.warning("budget.not_removed", count=len(keys), reason=removed.err_value.detail)
                 return
+            if removed.ok_value.revision is None:
+                self._forget_changed(checks, removed.ok_value.conflicting)
+                return
         for program, _ in due:
-            del self._owned_by_program[program]
+            self._owned_by_program.pop(program, None)
+
+    def _forget_changed(self, checks: tuple[Check, ...], entries: tuple[Entry, ...]) -> None:
+        """Forget the programs whose records another owner has changed."""
+        revision_by_key = {entry.key: entry.revision for entry in entries}
+        for check in checks:
+            if revision_by_key.get(check.key) != check.revision:
+                self._owned_by_program.pop(check.key[len(BUDGET_PREFIX) :], None)
 
     async def _ask(self, ask: Message) -> Message:
         assert isinstance(ask, TurnAsk)
--- a/tests/gateway/test_budgets.py
+++ b/tests/gateway/test_budgets.py
@@ -145,6 +145,23 @@
     with_fleet(check, gateways=2)
 
 
+def test_records_are_removed_after_their_time_but_not_another_owner_s() -> None:
+    """An owner removes the record of a program that is over, unless another one charged it."""
+
+    async def check(fleet: Fleet) -> None:
+        fleet.kill(fleet.gateways[0])
+        gateway = await fleet.add_gateway("again", is_first_start=False)
+        await until(gateway.is_ready)
+        for program in ("mine", "taken"):
+            assert (await fleet.turn(gateway, program, budget=BUDGET, most=MOST)).status == 200
+        other = BudgetRecord(writer="other/start", charged=200, written_at_s=0)
+        fleet.store.put(BUDGET_PREFIX + "taken", msgspec.json.encode(other))
+        await until(lambda: fleet.store.value(BUDGET_PREFIX + "mine") is None)
+        assert fleet.store.value(BUDGET_PREFIX + "taken") == msgspec.json.encode(other)
+
+    with_fleet(check, config=make_config(retention_s=0.5))
+
+
 def test_turns_that_are_refused_have_not_run() -> None:
     """Without store and memory a turn is refused as not run, with when to come back."""
 
