--- a/packages/lagoonfold-ctl/src/lagoonfold_ctl/_main.py
+++ b/packages/lagoonfold-ctl/src/lagoonfold_ctl/_main.py
@@ -7,6 +7,7 @@
 
 import logging
 import sys
+from pathlib import Path
 
 import fire
 from fire.decorators import SetParseFn
@@ -23,6 +24,7 @@
 from lagoonfold_ctl._fleet import FleetCommands
 from lagoonfold_ctl._render import describe_change, render_table
 from lagoonfold_ctl._session import EXIT_REFUSED, EXIT_USAGE, CommandError, Session, unwrap
+from lagoonfold_ctl._story import describe_line, read_story
 from lagoonfold_ctl._usage import USAGE, asks_for_overview
 
 _TRUE_WORDS = ("true", "1", "yes")
@@ -83,6 +85,23 @@
         """Show each decision about a program, a call or a refused request, with its inputs."""
         FleetCommands(self._session).explain(id, operators)
 
+    @command
+    def story(self, id: str, *files: str) -> None:
+        """Show what log files say of a request or a program, over all instances."""
+        if not files:
+            raise CommandError("story ID FILE...: name the log files", EXIT_USAGE)
+        try:
+            story = read_story(id, [Path(file) for file in files])
+        except OSError as error:
+            raise CommandError(f"{error.filename}: {error.strerror}", EXIT_USAGE) from error
+        if not story.lines:
+            raise CommandError(f"{id}: not in these files", EXIT_REFUSED)
+        rows = [describe_line(line, story.lines[0]["at"]) for line in story.lines]
+        text = render_table(rows)
+        if story.unreadable:
+            text += f"\n{story.unreadable} lines could not be read"
+        self._session.show(rows, text)
+
     @command
     def check(self, file: str) -> None:
         """Check a settings file and name every fault in it."""
--- a/packages/lagoonfold-ctl/src/lagoonfold_ctl/_usage.py
+++ b/packages/lagoonfold-ctl/src/lagoonfold_ctl/_usage.py
@@ -15,6 +15,7 @@
   lagoonfold history [--limit=N]     who changed what, when, from what version
   lagoonfold status                  the state of every instance
   lagoonfold explain ID              each decision about a program or a request
+  lagoonfold story ID FILE...        what log files say of a request or a program
   lagoonfold check FILE              every fault of a settings file
 
 Common options:
