--- a/tests/on_platform/test_folder.py
+++ b/tests/on_platform/test_folder.py
@@ -63,6 +63,9 @@
         assert (ROOT / role["run"].split()[1]).exists()
         assert "template" not in role or (ROOT / role["template"]).exists()
     assert not (ROOT / "deploy" / "wire.toml").exists()
+    port = deploy["roles"]["gateway"]["metrics"].partition("/")[0]
+    settings = (ROOT / deploy["roles"]["gateway"]["template"]).read_text()
+    assert f"metrics = {{{{Ip}}}}:{port}\n" in settings
 
 
 def test_requirements_of_the_platform_are_those_of_the_lock() -> None:
--- a/tests/on_platform/test_processes.py
+++ b/tests/on_platform/test_processes.py
@@ -21,6 +21,7 @@
 
 WAIT_S = 15.0
 START = PLATFORM / "start.py"
+METRICS_PORT = 9464
 VARIABLE = "LAGOONFOLD_NODE_FILE"
 
 
@@ -70,12 +71,13 @@
                 "Listen.Front": front,
                 "Listen.Readiness": readiness,
                 "PortRange.0": str(free_port()),
-                "PortRange.1": str(free_port()),
                 "Bootstrap": "true",
                 "Provider.Address": store.address,
                 "Bounds.GraceS": "8",
             }
-            settings.write_text(render_template(fields))
+            # The fixed port of the template may be taken on the machine that runs the test.
+            text = render_template(fields).replace(f":{METRICS_PORT}", f":{free_port()}")
+            settings.write_text(text)
             process = subprocess.Popen(
                 [sys.executable, str(START), "gateway"],
                 cwd=ROOT,
