--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_dispatch.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_dispatch.py
@@ -63,7 +63,7 @@
                     return Err(_no_replica(service))
                 if not is_waiting:
                     is_waiting = line.join(
-                        token, rank=rank, wanted_s=wanted_s, due_s=due_s, now_s=now_s()
+                        token, rank=rank, order=wanted_s, due_s=due_s, now_s=now_s()
                     )
                     if not is_waiting:
                         return Err(_no_room(service, len(line)))
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_loans.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_loans.py
@@ -92,7 +92,7 @@
         is_in_line = desk.line.join(
             granted,
             rank=claim.rank,
-            wanted_s=claim.calls_before,
+            order=claim.calls_before,
             due_s=claim.due_s,
             now_s=now_s(),
         )
--- a/packages/lagoonfold/src/lagoonfold/forwarding/_waiting.py
+++ b/packages/lagoonfold/src/lagoonfold/forwarding/_waiting.py
@@ -1,8 +1,8 @@
-"""Requests that wait in an instance for room at the replicas of a service.
+"""Requests that wait in line: for room at the replicas of a service, or for an account's rate.
 
-The more urgent goes first: by rank, then by the time by which its program or, without one, the
-request itself should be done. A request that cannot be served in its time is told so at once: when
-those before it would take, at the rate at which places have become free, longer than it has.
+The lower rank goes first, among equals the lower `order`: the time by which a program should be
+done, or the calls that it has had. A request that cannot be served in its time is told so at once:
+when those before it would take, at the rate at which places have become free, longer than it has.
 """
 
 import heapq
@@ -13,7 +13,7 @@
 
 T = TypeVar("T")
 
-MAX_WAITING = 256  # per service and instance; far beyond what is served within a deadline
+MAX_WAITING = 256  # in one line; far beyond what is served within a deadline
 RATE_SPAN_S = 1.0  # span over which freed places are counted
 MIN_PLACES_FOR_RATE = 3  # fewer freed places give no rate to refuse by
 
@@ -21,13 +21,13 @@
 @dataclass(order=True, slots=True)
 class _Waiter(Generic[T]):
     rank: int
-    wanted_s: float
+    order: float
     number: int
     item: T = field(compare=False)
 
 
 class WaitingLine(Generic[T]):
-    """The waiting requests of one service at one instance."""
+    """The waiting requests of one service, or one account, at one instance."""
 
     def __init__(self) -> None:
         self._heap: list[_Waiter[T]] = []
@@ -41,23 +41,23 @@
         """Count a place that has become free."""
         self._freed_s.append(now_s)
 
-    def expected_wait_s(self, rank: int, wanted_s: float, *, now_s: float) -> float | None:
+    def expected_wait_s(self, rank: int, order: float, *, now_s: float) -> float | None:
         """Return how long a newcomer would wait, None where the rate is not known."""
         recent = sum(at_s > now_s - RATE_SPAN_S for at_s in self._freed_s)
         if recent < MIN_PLACES_FOR_RATE:
             return None
-        place = (rank, wanted_s)
-        before = sum((waiter.rank, waiter.wanted_s) <= place for waiter in self._heap)
+        place = (rank, order)
+        before = sum((waiter.rank, waiter.order) <= place for waiter in self._heap)
         return before * RATE_SPAN_S / recent
 
-    def join(self, item: T, *, rank: int, wanted_s: float, due_s: float, now_s: float) -> bool:
+    def join(self, item: T, *, rank: int, order: float, due_s: float, now_s: float) -> bool:
         """Let a request wait; return False where it would wait past `due_s` or the line is full."""
         if len(self._heap) >= MAX_WAITING:
             return False
-        expected_s = self.expected_wait_s(rank, wanted_s, now_s=now_s)
+        expected_s = self.expected_wait_s(rank, order, now_s=now_s)
         if expected_s is not None and now_s + expected_s > due_s:
             return False
-        heapq.heappush(self._heap, _Waiter(rank, wanted_s, next(self._numbers), item))
+        heapq.heappush(self._heap, _Waiter(rank, order, next(self._numbers), item))
         return True
 
     def head(self) -> T | None:
--- a/tests/forwarding/test_decisions.py
+++ b/tests/forwarding/test_decisions.py
@@ -221,9 +221,9 @@
     for at_s in (0.0, 0.25, 0.5, 0.75):
         line.note_freed(now_s=at_s)
     for name, rank, wanted_s in (("late", 1, 3.0), ("soon", 1, 2.0), ("urgent", 0, 9.0)):
-        assert line.join(name, rank=rank, wanted_s=wanted_s, due_s=2.0, now_s=0.8)
+        assert line.join(name, rank=rank, order=wanted_s, due_s=2.0, now_s=0.8)
     assert line.head() == "urgent"
-    assert not line.join("hopeless", rank=1, wanted_s=2.5, due_s=1.2, now_s=0.8)
+    assert not line.join("hopeless", rank=1, order=2.5, due_s=1.2, now_s=0.8)
     line.leave("urgent")
     assert line.head() == "soon"
 
