Keep to the number of upstreams also after a refused repeat

Cause: by reading. A request whose answer was lost, and that its replica then refused as not run, could go to another replica beyond its route's number. Change: where to go next depends on how many may have run it, however the last try ended. The property test kept the first replica for good and so did not see it; it now follows each step and was red before.

--- a/packages/lagoonfold/src/lagoonfold/forwarding/_tries.py
+++ b/packages/lagoonfold/src/lagoonfold/forwarding/_tries.py
@@ -61,10 +61,13 @@
         if end.is_not_run:
             if not ran_before:
                 self.may_have_run.discard(upstream_id)
-            return NextStep.ELSEWHERE
+            return self._where_next()
         self.losses += 1
         if not self.may_repeat or self.losses > MAX_REPEATS_OF_LOST:
             return NextStep.FAIL
-        if len(self.may_have_run) < self.max_upstreams:
-            return NextStep.ELSEWHERE
-        return NextStep.SAME_OR_GONE
+        return self._where_next()
+
+    def _where_next(self) -> NextStep:
+        """Return whether another upstream may get the request, or only those that had it."""
+        is_used_up = len(self.may_have_run) >= self.max_upstreams
+        return NextStep.SAME_OR_GONE if is_used_up else NextStep.ELSEWHERE
--- a/tests/forwarding/test_decisions.py
+++ b/tests/forwarding/test_decisions.py
@@ -136,7 +136,7 @@
         step = record.note_end(target, end, ran_before=ran_before)
         if step is NextStep.FAIL:
             return
-        only = target if step is NextStep.SAME_OR_GONE else only
+        only = target if step is NextStep.SAME_OR_GONE else None
         assert len(record.may_have_run) <= max_upstreams
 
 
