Wait at a stop for requests that are still arriving

SIGTERM came at 7.000 s, idle connections were ended 2.5 s later at 9.500; a request sent at 9.485 was still arriving, no request counted as under way, and the process ended 40 ms later, with the request at its replica. Ruled out: the end of idle connections (it spares one that has sent a byte).

Change: the stop waits until no connection is open; after idle ones are ended each carries a request. test_stop_waits_for_a_request_that_is_still_arriving was red before.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
@@ -153,7 +153,7 @@
         with trio.move_on_after(times.stop_s - STOP_RESERVE_S) as time:
             await trio.sleep(times.balancer_notice_s)
             self.border.close_idle()
-            while self.forwarder.active:
+            while self.border.connections:
                 await trio.sleep(IDLE_POLL_S)
         if time.cancelled_caught:
             _log.warning("gateway.stop_cuts", active=self.forwarder.active)
--- a/packages/lagoonfold-io/src/lagoonfold_io/_http_server.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_server.py
@@ -65,6 +65,16 @@
                     self._serve_connection, listeners, handler_nursery=connections
                 )
 
+    @property
+    def connections(self) -> int:
+        """How many connections are open; after `close_idle` each carries a request."""
+        return self._connections
+
+    @property
+    def is_closing(self) -> bool:
+        """Tell whether idle connections have been ended."""
+        return self._closing
+
     def set_limits(self, limits: HttpLimits) -> None:
         """Put other limits in force: for new connections, and for the next wait of open ones."""
         self._limits = limits
--- a/tests/gateway/test_views.py
+++ b/tests/gateway/test_views.py
@@ -116,4 +116,33 @@
     with_fleet(check)
 
 
+def test_stop_waits_for_a_request_that_is_still_arriving() -> None:
+    """A request of which a part has come when idle connections are ended gets its answer."""
+
+    async def check(fleet: Fleet) -> None:
+        gateway = fleet.gateways[0]
+        host, _, port = gateway.settings.instance.listen.rpartition(":")
+        stream = await trio.open_tcp_stream(host, int(port))
+        head = "POST /open/a HTTP/1.1\r\nHost: api.example\r\nContent-Length: 4\r\n\r\nbo"
+        await stream.send_all(head.encode())
+        has_stopped = trio.Event()
+
+        async def stop() -> None:
+            await gateway.stop()
+            has_stopped.set()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stop)
+            await until(lambda: gateway.border.is_closing)
+            await trio.sleep(0.2)
+            assert not has_stopped.is_set()
+            await stream.send_all(b"dy")
+            answer = b""
+            while data := await stream.receive_some():
+                answer += data
+        assert answer.startswith(b"HTTP/1.1 200") and answer.endswith(b"echo:body")
+
+    with_fleet(check)
+
+
 load_tests = load_functions(globals())
