Commit an account's rate to whole programs, and put late ones behind

Change: the account's owner commits rate to programs whose need it holds in their time; their calls go first, and loans to others leave what those need within a loan's life. Requests of late programs go behind at the replicas. A turn that no owner can charge in an outage is told to come back in 1.2 s.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_budget_desk.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_budget_desk.py
@@ -19,6 +19,7 @@
 from lagoonfold_gateway._messages import (
     BudgetSpent,
     Message,
+    NotNow,
     OwnedBy,
     TurnAsk,
     TurnCover,
@@ -33,6 +34,8 @@
 COVER_TIMEOUT_S = 2.0  # a charge in a slow store
 END_TIMEOUT_S = 0.5  # for each try to report a turn's end
 MAX_END_TRIES = 4  # what is not reported counts at its most
+RETRY_AFTER_S = 0.25  # a new owner is known by then
+OUTAGE_RETRY_AFTER_S = 1.2  # outages of the store last seconds; callers repeat a turn a few times
 RETRY_PAUSE_S = 0.1  # between asks while no owner can decide
 MAX_REMEMBERED_OWNERS = 4_096  # programs under way at one instance, with room
 MAX_OWNERS_ASKED = 4  # each costs a timeout; more are not lost at once
@@ -99,6 +102,7 @@
     async def _ask(self, ask: TurnAsk, owners: list[str]) -> Result[tuple[str, int], Refusal]:
         """Ask owners in turn; return who admitted the turn, and its credit."""
         reason = "no owner"
+        retry_after_s = OUTAGE_RETRY_AFTER_S
         for _ in range(MAX_OWNERS_ASKED):
             if not owners:
                 break
@@ -113,9 +117,11 @@
                 if answer.ok_value.instance not in ask.unable:
                     owners.insert(0, answer.ok_value.instance)
                 continue
+            if not _is_unable(answer):
+                retry_after_s = RETRY_AFTER_S
             reason = f"{owner}: {_reason(answer)}"
             _log.info("budget.owner_passed_over", program=ask.program, reason=reason)
-        return Err(_undecided(ask.program, reason))
+        return Err(_undecided(ask.program, reason, retry_after_s))
 
     def _owners(self, program: str) -> list[str]:
         """Return whom to ask: the owner that decided last while it can, then by rendezvous."""
@@ -188,6 +194,11 @@
     return getattr(answer.ok_value, "reason", type(answer.ok_value).__name__)
 
 
+def _is_unable(answer: Result[Message, PeerFault]) -> bool:
+    """Tell whether an owner answered that it cannot decide, as it does without the store."""
+    return isinstance(answer, Ok) and isinstance(answer.ok_value, NotNow)
+
+
 def _spent(program: str, message: BudgetSpent) -> Refusal:
     return Refusal(
         kind=ErrorKind.BUDGET_EXHAUSTED,
@@ -195,9 +206,9 @@
     )
 
 
-def _undecided(program: str, reason: str) -> Refusal:
+def _undecided(program: str, reason: str, retry_after_s: float) -> Refusal:
     return Refusal(
         kind=ErrorKind.OWNER_UNAVAILABLE,
         detail=f"the budget of program {program!r} cannot be decided now: {reason}",
-        retry_after_s=0.25,
+        retry_after_s=retry_after_s,
     )
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_charges.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_charges.py
@@ -41,6 +41,14 @@
     level: int
     done: trio.Event = field(default_factory=trio.Event)
     outcome: Result[bool, StoreError] = Ok(False)
+    joined: list["_Charge"] = field(default_factory=list)
+
+    def finish(self, outcome: Result[bool, StoreError]) -> None:
+        """Answer those who wait for this charge and for those that it took in."""
+        self.outcome = outcome
+        self.done.set()
+        for charge in self.joined:
+            charge.finish(outcome)
 
 
 class ChargeWriter:
@@ -126,7 +134,7 @@
             entry = entry_by_key.get(BUDGET_PREFIX + charge.program)
             revision = entry.revision if entry is not None else ABSENT_REVISION
             if revision == (charge.ledger.revision or 0):
-                self._waiting_by_program.setdefault(charge.program, charge)
+                self._put_back(charge)
                 continue
             record = _decode(entry)
             charge.ledger.note_record(record, revision, own_writer=self._writer_id)
@@ -137,7 +145,14 @@
                 charged=charge.ledger.charged,
                 own=record is not None and record.writer == self._writer_id,
             )
-            self._finish([charge], Ok(False))
+            charge.finish(Ok(False))
+
+    def _put_back(self, charge: _Charge) -> None:
+        """Let a charge go again, together with one of its program that has come since."""
+        newer = self._waiting_by_program.setdefault(charge.program, charge)
+        if newer is not charge:
+            newer.level = max(newer.level, charge.level)
+            newer.joined.append(charge)
 
     def _encode(self, charge: _Charge) -> bytes:
         record = BudgetRecord(
@@ -148,8 +163,7 @@
     @staticmethod
     def _finish(charges: list[_Charge], outcome: Result[bool, StoreError]) -> None:
         for charge in charges:
-            charge.outcome = outcome
-            charge.done.set()
+            charge.finish(outcome)
 
 
 def _decode(entry: Entry | None) -> BudgetRecord | None:
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_forwarder.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_forwarder.py
@@ -9,7 +9,7 @@
 from result import Err
 
 from lagoonfold import ANSWERS_BY_KIND, ErrorKind, Ran, Refusal
-from lagoonfold.rates import ProgramBook, RateClaim
+from lagoonfold.rates import ProgramCall
 from lagoonfold_gateway._admission import admit
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._context import ForwardContext
@@ -29,7 +29,6 @@
     def __init__(self, context: ForwardContext, dispatcher: Dispatcher) -> None:
         self._context = context
         self._tries = Tries(context, dispatcher)
-        self._programs = ProgramBook()
         self.active = 0
 
     async def handle(self, request: HttpRequest, exchange: Exchange) -> None:
@@ -73,25 +72,18 @@
         account = journey.account
         if account is not None:
             began_s = now_s()
-            claim = self._rate_claim(journey)
-            taken = await self._context.loans.take(account, claim, self._context.nursery)
+            call = _program_call(journey)
+            taken = await self._context.loans.take(account, call, self._context.nursery)
             journey.rate_wait_s = now_s() - began_s
             if isinstance(taken, Err):
                 return taken.err_value
         refused = await self._take_budget(journey)
         if refused is not None and account is not None:
             self._context.loans.give_back(account)
+            if refused.kind is ErrorKind.BUDGET_EXHAUSTED:
+                self._context.loans.note_spent(call.program_id)
         return refused
 
-    def _rate_claim(self, journey: Journey) -> RateClaim:
-        turn = journey.call.turn
-        return self._programs.claim(
-            turn.program if turn is not None else journey.call.request_id,
-            is_turn=journey.route.is_program_turn,
-            limit_s=journey.give_up_s - journey.arrived_s,
-            now_s=now_s(),
-        )
-
     async def _take_budget(self, journey: Journey) -> Refusal | None:
         turn = journey.call.turn
         if turn is None or not journey.route.is_program_turn or not turn.budget_tokens:
@@ -179,8 +171,19 @@
             rate_wait_s=round(journey.rate_wait_s, 4),
             place_wait_s=round(journey.place_wait_s, 4),
             limit_s=round(journey.give_up_s - journey.arrived_s, 3),
+            program_left_s=turn.time_left_s if turn is not None else None,
             tries=journey.tries,
             owner=hold.owner if hold is not None else None,
             handed=hold.tally.handed if hold is not None else None,
             credit=hold.tally.credit if hold is not None else None,
         )
+
+
+def _program_call(journey: Journey) -> ProgramCall:
+    turn = journey.call.turn
+    return ProgramCall(
+        program_id=turn.program if turn is not None else journey.call.request_id,
+        is_turn=journey.route.is_program_turn,
+        limit_s=journey.give_up_s - journey.arrived_s,
+        time_left_s=turn.time_left_s if turn is not None else None,
+    )
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_loans.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_loans.py
@@ -4,16 +4,34 @@
 tokens; each instance takes them for the calls that arrive there. An owner that may be cut off from
 the others lends nothing, since another may have taken the account over; a new owner waits until the
 former one's loans have expired. See `lagoonfold.rates` for the bound.
+
+With its asks an instance names the programs of its calls; the owner says which of them the rate
+holds in their time, and those go first.
 """
 
 from dataclasses import dataclass, field
 
+import msgspec
 import trio
 from result import Err, Ok, Result
 
 from lagoonfold import ErrorKind, Refusal
 from lagoonfold.forwarding import ClientAccount, WaitingLine
-from lagoonfold.rates import RANK_AHEAD, Ask, Borrower, Lender, RateClaim, RateLimit, Shortage
+from lagoonfold.rates import (
+    RANK_AHEAD,
+    RANK_TURN,
+    RANK_UNCOMMITTED,
+    Ask,
+    Borrower,
+    Commitments,
+    Lender,
+    ProgramBook,
+    ProgramCall,
+    ProgramNeed,
+    RateClaim,
+    RateLimit,
+    Shortage,
+)
 from lagoonfold_gateway._board import ConfigView, GatewayBoard, LiveView
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._members import Members
@@ -27,15 +45,26 @@
 MIN_RETRY_AFTER_S = 0.05  # less than a caller's way there and back makes no sense
 LOAN_S = 0.25  # a new owner waits as long; a busy borrower asks as often
 REPORT_S = 0.2  # how often unused tokens are given back
+MAX_PROGRAMS_ASKED = 32  # in one ask, some 40 bytes each; the rest go with the next
 
 _log = EventLog("loans")
 
 
+@dataclass(frozen=True, slots=True, eq=False)
+class _Waiting:
+    call: ProgramCall
+    granted: trio.Event = field(default_factory=trio.Event)
+
+
 @dataclass(slots=True)
 class _Desk:
+    """What an instance holds of an account; `asked_programs` are not committed to yet."""
+
     borrower: Borrower = field(default_factory=Borrower)
-    line: WaitingLine[trio.Event] = field(default_factory=WaitingLine)
+    line: WaitingLine[_Waiting] = field(default_factory=WaitingLine)
+    asked_programs: dict[str, None] = field(default_factory=dict)
     is_asking: bool = False
+    has_news: trio.Event = field(default_factory=trio.Event)
     is_unowned: bool = False
     retry_after_s: float = 0.05
 
@@ -44,7 +73,22 @@
         while (head := self.line.head()) is not None and self.borrower.take(now_s=now_s):
             self.line.note_freed(now_s=now_s)
             self.line.leave(head)
-            head.set()
+            head.granted.set()
+
+
+@dataclass(frozen=True, slots=True)
+class _OwnedAccount:
+    limit: RateLimit
+    lender: Lender
+    commitments: Commitments = field(default_factory=Commitments)
+
+    def commit(self, needs: tuple[ProgramNeed, ...], *, now_s: float) -> tuple[str, ...]:
+        """Commit rate to programs where there is enough; return those that have it."""
+        return tuple(
+            need.program
+            for need in needs
+            if self.commitments.commit(need, self.limit, level=self.lender.level, now_s=now_s)
+        )
 
 
 class Loans:
@@ -58,25 +102,32 @@
         self._members = members
         self._is_first_start = is_first_start
         self._epoch = 0
-        self._lender_by_account: dict[str, Lender] = {}
+        self._programs = ProgramBook()
+        self._owned_by_account: dict[str, _OwnedAccount] = {}
         self._desk_by_account: dict[str, _Desk] = {}
         bus.handles(LoanAsk)(self._lend)
         board.config.subscribe(self._change_limits)
         board.live.subscribe(self._drop_lost)
 
     async def take(
-        self, account: ClientAccount, claim: RateClaim, nursery: trio.Nursery
+        self, account: ClientAccount, call: ProgramCall, nursery: trio.Nursery
     ) -> Result[None, Refusal]:
         """Take one token for a call that is about to be forwarded, waiting for it if need be."""
         if account.limit is None:
             return Ok(None)
         desk = self._desk_by_account.setdefault(account.name, _Desk())
         desk.borrower.note_arrival(now_s=now_s())
+        claim = self._programs.claim(call, now_s=now_s())
+        self._ask_for_program(desk, call.program_id)
         if not len(desk.line) and desk.borrower.take(now_s=now_s()):
             if desk.borrower.should_renew(now_s=now_s()):
                 self._start_asking(account.name, desk, nursery)
-            return Ok(None)
-        return await self._wait(account.name, desk, claim, nursery)
+            taken: Result[None, Refusal] = Ok(None)
+        else:
+            taken = await self._wait(account.name, desk, call, claim, nursery)
+        if isinstance(taken, Ok):
+            self._programs.note_taken(call.program_id)
+        return taken
 
     def give_back(self, account: ClientAccount) -> None:
         """Return the token of a call that was refused before it was forwarded."""
@@ -84,27 +135,32 @@
         if desk is not None:
             desk.borrower.give_back(now_s=now_s())
 
+    def note_spent(self, program_id: str) -> None:
+        """Take in that a program's budget did not hold one of its turns."""
+        self._programs.note_spent(program_id)
+
     async def _wait(
-        self, account: str, desk: _Desk, claim: RateClaim, nursery: trio.Nursery
+        self,
+        account: str,
+        desk: _Desk,
+        call: ProgramCall,
+        claim: RateClaim,
+        nursery: trio.Nursery,
     ) -> Result[None, Refusal]:
         """Wait in the account's line for a token."""
-        granted = trio.Event()
+        waiting = _Waiting(call)
         is_in_line = desk.line.join(
-            granted,
-            rank=claim.rank,
-            order=claim.calls_before,
-            due_s=claim.due_s,
-            now_s=now_s(),
+            waiting, rank=claim.rank, order=claim.order, due_s=claim.due_s, now_s=now_s()
         )
         if not is_in_line:
             return Err(_over_rate(account, desk.retry_after_s))
         self._start_asking(account, desk, nursery)
         try:
             with trio.move_on_after(claim.due_s - now_s()):
-                await granted.wait()
+                await waiting.granted.wait()
         finally:
-            desk.line.leave(granted)
-        if granted.is_set():
+            desk.line.leave(waiting)
+        if waiting.granted.is_set():
             return Ok(None)
         return Err(
             _no_owner(account) if desk.is_unowned else _over_rate(account, desk.retry_after_s)
@@ -126,7 +182,9 @@
                 if shortage is not None:
                     desk.is_unowned = shortage.is_takeover
                     desk.retry_after_s = max(MIN_RETRY_AFTER_S, shortage.retry_after_s)
-                    await trio.sleep(min(MAX_PAUSE_S, max(PAUSE_S, shortage.retry_after_s)))
+                    pause_s = min(MAX_PAUSE_S, max(PAUSE_S, shortage.retry_after_s))
+                    with trio.move_on_after(pause_s):
+                        await desk.has_news.wait()
         finally:
             desk.is_asking = False
 
@@ -150,10 +208,14 @@
         head_rank = desk.line.head_rank()
         rank = RANK_AHEAD if head_rank is None else head_rank
         needed = max(1, desk.line.count_of_rank(rank))
-        ask = desk.borrower.ask(now_s=now_s(), needed=needed, rank=rank)
+        desk.has_news = trio.Event()
+        programs = self._needs(desk)
+        ask = desk.borrower.ask(now_s=now_s(), needed=needed, rank=rank, programs=programs)
         owner = self._members.owners_of(account)[0]
         message = LoanAsk(account=account, borrower=self._bus.own_id, ask=ask)
         answer = await self._bus.call(owner, message, timeout_s=ASK_TIMEOUT_S)
+        if isinstance(answer, Ok) and isinstance(answer.ok_value, LoanGiven | LoanRefused):
+            self._take_in_committed(desk, answer.ok_value.committed)
         if isinstance(answer, Ok) and isinstance(answer.ok_value, LoanGiven):
             desk.borrower.receive(ask, answer.ok_value.loan, now_s=now_s())
             return None
@@ -163,26 +225,72 @@
         desk.borrower.give_up(ask)
         return Shortage(retry_after_s=PAUSE_S, is_takeover=True)
 
+    def _ask_for_program(self, desk: _Desk, program_id: str) -> None:
+        """Have rate asked for a program at once, if none is committed to it."""
+        if program_id in desk.asked_programs:
+            return
+        if self._programs.need(program_id, now_s=now_s()) is not None:
+            desk.asked_programs[program_id] = None
+            desk.has_news.set()
+
+    def _needs(self, desk: _Desk) -> tuple[ProgramNeed, ...]:
+        """Return what the programs that no rate is committed to need; forget those without hope."""
+        needs: list[ProgramNeed] = []
+        for program_id in tuple(desk.asked_programs)[:MAX_PROGRAMS_ASKED]:
+            need = self._programs.need(program_id, now_s=now_s())
+            del desk.asked_programs[program_id]
+            if need is not None:
+                desk.asked_programs[program_id] = None  # behind those that were not asked this time
+                needs.append(need)
+        return tuple(needs)
+
+    def _take_in_committed(self, desk: _Desk, committed: tuple[str, ...]) -> None:
+        """Move the waiting calls of programs that rate is now committed to."""
+        for program_id in committed:
+            self._programs.commit(program_id)
+            desk.asked_programs.pop(program_id, None)
+        if not committed:
+            return
+        for waiting in desk.line.items():
+            if waiting.call.program_id in committed:
+                claim = self._programs.claim(waiting.call, now_s=now_s())
+                desk.line.move(waiting, rank=claim.rank)
+
     async def _lend(self, message: Message) -> Message:
         assert isinstance(message, LoanAsk)
         if not self._members.owns(message.account) or self._members.is_isolated():
-            self._lender_by_account.pop(message.account, None)
+            self._owned_by_account.pop(message.account, None)
             return NotNow(reason="not the owner")
-        lender = self._lender(message.account)
-        if lender is None:
+        owned = self._owned(message.account)
+        if owned is None:
             return NotNow(reason="no such account")
-        if message.ask.wanted < 1:
-            lender.report(message.borrower, message.ask.reports, now_s=now_s())
+        ask = message.ask
+        owned.lender.report(message.borrower, ask.reports, now_s=now_s())
+        if ask.wanted < 1:
             return Done()
-        lent = lender.lend(message.borrower, message.ask, now_s=now_s())
+        committed = owned.commit(ask.programs, now_s=now_s())
+        if ask.programs:
+            _log.info(
+                "rate.programs_asked",
+                account=message.account,
+                borrower=message.borrower,
+                programs=[need.program for need in ask.programs],
+                committed=committed,
+                level=round(owned.lender.level, 1),
+                calls_committed=round(owned.commitments.calls_within(1.0, now_s=now_s()), 1),
+            )
+        if committed and ask.rank == RANK_UNCOMMITTED:
+            ask = msgspec.structs.replace(ask, rank=RANK_TURN)
+        reserved = owned.commitments.reserved(owned.limit, now_s=now_s())
+        lent = owned.lender.lend(message.borrower, ask, now_s=now_s(), reserved=reserved)
         if isinstance(lent, Err):
-            return LoanRefused(shortage=lent.err_value)
-        return LoanGiven(loan=lent.ok_value)
+            return LoanRefused(shortage=lent.err_value, committed=committed)
+        return LoanGiven(loan=lent.ok_value, committed=committed)
 
-    def _lender(self, account: str) -> Lender | None:
-        lender = self._lender_by_account.get(account)
-        if lender is not None:
-            return lender
+    def _owned(self, account: str) -> _OwnedAccount | None:
+        owned = self._owned_by_account.get(account)
+        if owned is not None:
+            return owned
         limit = _limits_by_account(self._board.config.read()).get(account)
         if limit is None:
             return None
@@ -190,26 +298,35 @@
         is_new = self._is_first_start and self._board.live.read().is_unbroken
         owned_s = now_s() if is_new else self._board.live.read().since_s
         lender = Lender(limit=limit, epoch=self._epoch, now_s=owned_s, ttl_s=LOAN_S, is_new=is_new)
-        self._lender_by_account[account] = lender
+        owned = _OwnedAccount(limit, lender)
+        self._owned_by_account[account] = owned
         _log.info("rate.owned", account=account, is_new=is_new, rate_per_s=limit.rate_per_s)
-        return lender
+        return owned
 
     def _drop_lost(self, live: LiveView) -> None:
         """Forget the accounts that another instance owns now: it does not know these loans."""
-        for account in tuple(self._lender_by_account):
+        for account in tuple(self._owned_by_account):
             if not self._members.owns(account):
-                del self._lender_by_account[account]
+                del self._owned_by_account[account]
                 _log.info("rate.handed_over", account=account, live=len(live.ids))
 
     def _change_limits(self, view: ConfigView | None) -> None:
         limits = _limits_by_account(view)
-        for account, lender in tuple(self._lender_by_account.items()):
-            if account in limits:
-                limit = limits[account]
-                lender.change_limit(limit, now_s=now_s())
-                _log.debug("rate.limit", account=account, limit=limit.rate_per_s, burst=limit.burst)
-            else:
-                del self._lender_by_account[account]
+        for account, owned in tuple(self._owned_by_account.items()):
+            limit = limits.get(account)
+            if limit is None:
+                del self._owned_by_account[account]
+            elif limit != owned.limit:
+                owned.lender.change_limit(limit, now_s=now_s())
+                changed = _OwnedAccount(limit, owned.lender, owned.commitments)
+                self._owned_by_account[account] = changed
+                _log.info(
+                    "rate.limit_changed",
+                    account=account,
+                    rate_per_s=limit.rate_per_s,
+                    burst=limit.burst,
+                    config_version=view.config.version if view is not None else None,
+                )
 
 
 def _limits_by_account(view: ConfigView | None) -> dict[str, RateLimit]:
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_messages.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_messages.py
@@ -93,15 +93,17 @@
 
 
 class LoanGiven(msgspec.Struct, frozen=True, tag=True, array_like=True):
-    """A loan of an account's rate."""
+    """A loan of an account's rate; `committed` are the asked programs that rate is committed to."""
 
     loan: Loan
+    committed: tuple[str, ...] = ()
 
 
 class LoanRefused(msgspec.Struct, frozen=True, tag=True, array_like=True):
-    """Nothing can be lent now."""
+    """Nothing can be lent now; `committed` as for a loan."""
 
     shortage: Shortage
+    committed: tuple[str, ...] = ()
 
 
 class Done(msgspec.Struct, frozen=True, tag=True, array_like=True):
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_tries.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_tries.py
@@ -12,6 +12,7 @@
     RouteKind,
     TryEnd,
     pick_service,
+    rank_in_line,
 )
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._context import ForwardContext
@@ -78,7 +79,7 @@
         return await self._dispatcher.place(
             service,
             request,
-            rank=journey.rank,
+            rank=rank_in_line(journey.rank, wanted_s=journey.wanted_s, now_s=now_s()),
             wanted_s=journey.wanted_s,
             due_s=journey.give_up_s,
         )
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_upstream_try.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_upstream_try.py
@@ -10,7 +10,7 @@
 
 from result import Err, Ok, Result
 
-from lagoonfold.forwarding import Placement, TryEnd
+from lagoonfold.forwarding import Placement, TryEnd, engine_urgency
 from lagoonfold_gateway._call import MILLISECONDS_PER_S, headers_to_forward
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._context import ForwardContext
@@ -20,8 +20,6 @@
 MISDIRECTED = 421
 PROMISES = (408, 429, 503)  # say "not run" to a caller, so they need the replica's own mark
 MAX_IDLE_ONCE_S = 1.0  # an older connection may be closed by its server while a request is sent
-URGENCY_OF_RANK_0 = 3  # requests of a higher rank are less urgent, in steps of one
-MAX_URGENCY = 9
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -43,7 +41,7 @@
     if journey.account is not None:
         headers.append((names.account, journey.account.name))
     if journey.route.is_program_turn:
-        urgency = min(MAX_URGENCY, URGENCY_OF_RANK_0 + journey.rank)
+        urgency = engine_urgency(journey.rank, wanted_s=journey.wanted_s, now_s=now_s())
         headers.append((names.urgency, str(urgency)))
     return HttpRequest(
         method=call.request.method,
--- a/packages/lagoonfold/src/lagoonfold/forwarding/__init__.py
+++ b/packages/lagoonfold/src/lagoonfold/forwarding/__init__.py
@@ -13,6 +13,7 @@
     WeightedService,
 )
 from lagoonfold.forwarding._events import Event, EventError, EventFilter
+from lagoonfold.forwarding._lateness import engine_urgency, rank_in_line
 from lagoonfold.forwarding._loads import LoadBook
 from lagoonfold.forwarding._placement import (
     Placement,
@@ -50,5 +51,7 @@
     "TryRecord",
     "WaitingLine",
     "WeightedService",
+    "engine_urgency",
     "pick_service",
+    "rank_in_line",
 ]
--- a/packages/lagoonfold/src/lagoonfold/forwarding/_waiting.py
+++ b/packages/lagoonfold/src/lagoonfold/forwarding/_waiting.py
@@ -1,7 +1,7 @@
 """Requests that wait in line: for room at the replicas of a service, or for an account's rate.
 
 The lower rank goes first, among equals the lower `order`: the time by which a program should be
-done, or the calls that it has had. A request that cannot be served in its time is told so at once:
+done. A request that cannot be served in its time is told so at once:
 when those before it would take, at the rate at which places have become free, longer than it has.
 """
 
@@ -60,6 +60,17 @@
         heapq.heappush(self._heap, _Waiter(rank, order, next(self._numbers), item))
         return True
 
+    def items(self) -> tuple[T, ...]:
+        """Return all that wait, in no particular order."""
+        return tuple(waiter.item for waiter in self._heap)
+
+    def move(self, item: T, *, rank: int) -> None:
+        """Give a waiting request another rank; it keeps its order among those of that rank."""
+        for waiter in self._heap:
+            if waiter.item is item:
+                waiter.rank = rank
+        heapq.heapify(self._heap)
+
     def head(self) -> T | None:
         """Return the first in line, None where nobody waits."""
         return self._heap[0].item if self._heap else None
--- a/packages/lagoonfold/src/lagoonfold/rates/__init__.py
+++ b/packages/lagoonfold/src/lagoonfold/rates/__init__.py
@@ -14,23 +14,41 @@
 """
 
 from lagoonfold.rates._borrower import Borrower
-from lagoonfold.rates._claims import ProgramBook, RateClaim
+from lagoonfold.rates._claims import ProgramBook, ProgramCall, RateClaim
+from lagoonfold.rates._commitments import Commitments
 from lagoonfold.rates._demand import DemandMeter
 from lagoonfold.rates._lender import Lender
-from lagoonfold.rates._messages import RANK_AHEAD, Ask, Loan, LoanReport, RateLimit, Shortage
+from lagoonfold.rates._messages import (
+    RANK_AHEAD,
+    RANK_CALL,
+    RANK_TURN,
+    RANK_UNCOMMITTED,
+    Ask,
+    Loan,
+    LoanReport,
+    ProgramNeed,
+    RateLimit,
+    Shortage,
+)
 from lagoonfold.rates._terms import LOAN_TTL_S, MAX_CLOCK_DRIFT, held_s
 
 __all__ = [
     "LOAN_TTL_S",
     "MAX_CLOCK_DRIFT",
     "RANK_AHEAD",
+    "RANK_CALL",
+    "RANK_TURN",
+    "RANK_UNCOMMITTED",
     "Ask",
     "Borrower",
+    "Commitments",
     "DemandMeter",
     "Lender",
     "Loan",
     "LoanReport",
     "ProgramBook",
+    "ProgramCall",
+    "ProgramNeed",
     "RateClaim",
     "RateLimit",
     "Shortage",
--- a/packages/lagoonfold/src/lagoonfold/rates/_borrower.py
+++ b/packages/lagoonfold/src/lagoonfold/rates/_borrower.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from lagoonfold.rates._demand import DemandMeter
-from lagoonfold.rates._messages import Ask, Loan, LoanReport, Shortage
+from lagoonfold.rates._messages import Ask, Loan, LoanReport, ProgramNeed, Shortage
 
 _AHEAD_S = 0.25
 _RENEW_SHARE = 0.25
@@ -78,7 +78,14 @@
         expected = self._demand.rate_per_s(now_s=now_s) * _AHEAD_S
         return expected >= 1 and self.available(now_s=now_s) < expected * _RENEW_SHARE
 
-    def ask(self, *, now_s: float, needed: int, rank: int = 0) -> Ask:
+    def ask(
+        self,
+        *,
+        now_s: float,
+        needed: int,
+        rank: int = 0,
+        programs: tuple[ProgramNeed, ...] = (),
+    ) -> Ask:
         """Return the ask to send now, with reports of all loans held."""
         expected = math.ceil(self._demand.rate_per_s(now_s=now_s) * _AHEAD_S)
         number = self._next_ask
@@ -90,6 +97,7 @@
             wanted=max(needed, expected),
             reports=self.report(now_s=now_s),
             rank=rank,
+            programs=programs,
         )
 
     def report(self, *, now_s: float) -> tuple[LoanReport, ...]:
--- a/packages/lagoonfold/src/lagoonfold/rates/_lender.py
+++ b/packages/lagoonfold/src/lagoonfold/rates/_lender.py
@@ -9,7 +9,7 @@
 
 from result import Err, Ok, Result
 
-from lagoonfold.rates._messages import Ask, Loan, LoanReport, RateLimit, Shortage
+from lagoonfold.rates._messages import RANK_UNCOMMITTED, Ask, Loan, LoanReport, RateLimit, Shortage
 from lagoonfold.rates._terms import LOAN_TTL_S, held_s
 
 _MAX_SHARE_OF_LEVEL = 0.25
@@ -68,16 +68,24 @@
         self._limit = limit
         self._cap_level()
 
-    def lend(self, borrower: str, ask: Ask, *, now_s: float) -> Result[Loan, Shortage]:
-        """Take in the borrower's reports, then lend what is there."""
+    def lend(
+        self, borrower: str, ask: Ask, *, now_s: float, reserved: float = 0.0
+    ) -> Result[Loan, Shortage]:
+        """Take in the borrower's reports, then lend what is there.
+
+        `reserved` tokens are kept from calls of programs that no rate is committed to, and from
+        asks ahead of need.
+        """
         self.report(borrower, ask.reports, now_s=now_s)
-        if self._whole_tokens() < 1 or ask.wanted < 1:
+        kept = reserved if ask.rank >= RANK_UNCOMMITTED else 0.0
+        lendable = int(self._level - kept + _ROUNDING_TOKENS)
+        if lendable < 1 or ask.wanted < 1:
             self._kept_until_s_by_rank[ask.rank] = now_s + _KEPT_FOR_RANK_S
-            return Err(self._shortage(now_s))
+            return Err(self._shortage(kept, now_s))
         if self._is_kept_for_others(ask.rank, now_s):
-            return Err(self._shortage(now_s))
+            return Err(self._shortage(kept, now_s))
         self._kept_until_s_by_rank.pop(ask.rank, None)
-        size = self._size_of(ask)
+        size = self._size_of(ask, lendable)
         loan = Loan(
             loan_id=f"{self._epoch}.{self._next_number}",
             size=size,
@@ -115,16 +123,13 @@
         kept = self._kept_until_s_by_rank.items()
         return any(other < rank and until_s > now_s for other, until_s in kept)
 
-    def _size_of(self, ask: Ask) -> int:
+    def _size_of(self, ask: Ask, lendable: int) -> int:
         share = int(self._level * _MAX_SHARE_OF_LEVEL)
         size = max(ask.needed, min(ask.wanted, share))
-        return max(1, min(size, self._whole_tokens()))
-
-    def _whole_tokens(self) -> int:
-        return int(self._level + _ROUNDING_TOKENS)
+        return max(1, min(size, lendable))
 
-    def _shortage(self, now_s: float) -> Shortage:
-        missing = max(0.0, 1 - self._level)
+    def _shortage(self, kept: float, now_s: float) -> Shortage:
+        missing = max(0.0, 1 + kept - self._level)
         refill_s = missing / self._limit.rate_per_s if self._limit.rate_per_s > 0 else 3600.0
         held_back_s = max(0.0, self._counts_from_s - now_s)
         return Shortage(
--- a/packages/lagoonfold/src/lagoonfold/rates/_messages.py
+++ b/packages/lagoonfold/src/lagoonfold/rates/_messages.py
@@ -4,6 +4,7 @@
 
 RANK_CALL = 0  # a call of a tool: the program fails with it
 RANK_TURN = 1  # a turn, which its program repeats
+RANK_UNCOMMITTED = 2  # a call of a program that the account's rate does not hold in time
 RANK_AHEAD = 9  # an ask ahead of need: any call that waits elsewhere goes first
 
 
@@ -26,11 +27,20 @@
     is_closed: bool
 
 
+class ProgramNeed(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """What a program still needs of its account's rate to be done in `time_left_s` seconds."""
+
+    program: str
+    calls_left: int
+    time_left_s: float
+
+
 class Ask(msgspec.Struct, frozen=True, kw_only=True):
     """A request for a loan, numbered by the borrower.
 
     `needed` calls are waiting now; `wanted` adds the demand expected within a loan's life.
-    `rank` is that of the first waiting call, `RANK_AHEAD` where none waits.
+    `rank` is that of the first waiting call, `RANK_AHEAD` where none waits. `programs` are those
+    that the owner has not committed rate to.
     """
 
     number: int
@@ -38,6 +48,7 @@
     wanted: int
     reports: tuple[LoanReport, ...] = ()
     rank: int = 0
+    programs: tuple[ProgramNeed, ...] = ()
 
 
 class Loan(msgspec.Struct, frozen=True, kw_only=True):
--- a/tests/gateway/test_budgets.py
+++ b/tests/gateway/test_budgets.py
@@ -4,6 +4,7 @@
 
 from lagoonfold.budgets import BudgetRecord
 from lagoonfold_gateway import Gateway
+from lagoonfold_gateway._budget_desk import OUTAGE_RETRY_AFTER_S
 from lagoonfold_gateway._charges import BUDGET_PREFIX
 from standins.replica import EVENTS
 from tests._suite import load_functions
@@ -172,6 +173,7 @@
         fleet.store.is_down = True
         answer = await fleet.turn(gateway, "p", budget=BUDGET, most=MOST)
         assert answer.status == 503 and answer.header("retry-after")
+        assert float(answer.header("retry-after")) == OUTAGE_RETRY_AFTER_S
         assert _runs(fleet) == 0
 
     with_fleet(check)
--- /dev/null
+++ b/tests/gateway/test_charges.py
@@ -0,0 +1,70 @@
+"""Charges that share a transaction with one that is in conflict."""
+
+import msgspec
+import trio
+import trio.testing
+from result import Ok, Result
+
+from lagoonfold import Commit
+from lagoonfold.budgets import BudgetRecord, ProgramLedger
+from lagoonfold_gateway._charges import BUDGET_PREFIX, ChargeWriter
+from standins.transactional_store import MemoryStore
+from tests._suite import load_functions
+
+PATIENCE_S = 5.0
+
+
+class _HeldStore:
+    """A store whose first commit waits until the test lets it go."""
+
+    def __init__(self, store: MemoryStore) -> None:
+        self._store = store
+        self.is_asked = trio.Event()
+        self.may_answer = trio.Event()
+
+    async def commit(self, **options: object) -> Result[Commit, object]:
+        """Commit once the test allows it."""
+        self.is_asked.set()
+        await self.may_answer.wait()
+        return await self._store.commit(**options)
+
+
+def _ledger() -> ProgramLedger:
+    return ProgramLedger(budget=1_000)
+
+
+def test_newer_charge_does_not_leave_an_older_one_waiting() -> None:
+    """A charge that goes again joins one of its program that came meanwhile; both are answered."""
+
+    async def check() -> None:
+        store = MemoryStore()
+        taken = BudgetRecord(writer="other", charged=1, written_at_s=1)
+        store.put(BUDGET_PREFIX + "taken", msgspec.json.encode(taken))
+        held = _HeldStore(store)
+        writer = ChargeWriter(held, "me")
+        outcomes: list[tuple[int, Result[bool, object]]] = []
+        ledger = _ledger()
+
+        async def charge(program: str, own: ProgramLedger, level: int) -> None:
+            outcomes.append((level, await writer.charge(program, own, level)))
+
+        with trio.fail_after(PATIENCE_S):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(charge, "taken", _ledger(), 5)
+                nursery.start_soon(charge, "p", ledger, 10)
+                await trio.testing.wait_all_tasks_blocked()
+                nursery.start_soon(writer.run)
+                await held.is_asked.wait()
+                nursery.start_soon(charge, "p", ledger, 30)
+                await trio.testing.wait_all_tasks_blocked()
+                held.may_answer.set()
+                while len(outcomes) < 3:
+                    await trio.sleep(0.01)
+                nursery.cancel_scope.cancel()
+        assert dict(outcomes) == {5: Ok(False), 10: Ok(True), 30: Ok(True)}
+        assert ledger.charged == 30
+
+    trio.run(check)
+
+
+load_tests = load_functions(globals())
--- a/tests/gateway/test_rates.py
+++ b/tests/gateway/test_rates.py
@@ -60,4 +60,35 @@
     with_fleet(check, config=make_config(limit=limit))
 
 
+def test_program_that_has_begun_is_finished_through_any_instance() -> None:
+    """Load: one program of six turns while twenty others begin each second, at a rate of eight."""
+
+    async def check(fleet: Fleet) -> None:
+        began_s = trio.current_time()
+        failed: list[int] = []
+
+        async def run_first() -> None:
+            for number in range(6):
+                gateway = fleet.gateways[number % len(fleet.gateways)]
+                left_s = began_s + 3.0 - trio.current_time()
+                answer = await fleet.turn(gateway, "first", budget=10_000, time_left_s=left_s)
+                if answer.status != 200:
+                    failed.append(number)
+
+        async def run_other(number: int) -> None:
+            gateway = fleet.gateways[number % len(fleet.gateways)]
+            await fleet.turn(gateway, f"other-{number}", budget=10_000, time_left_s=3.0)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(run_first)
+            await trio.sleep(0.05)
+            for number in range(100):
+                nursery.start_soon(run_other, number)
+                await trio.sleep(0.05)
+        assert not failed, failed
+
+    limit = RateLimit(rate_per_s=8, burst=8)
+    with_fleet(check, gateways=3, config=make_config(limit=limit, timeout_s=5.0))
+
+
 load_tests = load_functions(globals())
