Keep instances that are heard as peers when their store entries lapse

Their entries lapse; a deletion event kept an instance that was heard, but the next listing replaced all entries, so peers stopped sending it heartbeats.

Change: a listing drops what is not heard; a lapsed instance is forgotten when it falls silent, refuses or leaves.

Test red first: cut_id not in third.bus.peer_ids.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_members.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_members.py
@@ -75,6 +75,7 @@
         self._heard_s_by_id: dict[str, float] = {}
         self._writer_by_id: dict[str, str] = {}
         self._leaving: set[str] = set()
+        self._lapsed: set[str] = set()  # without an entry in the store, but heard
         self.linked = trio.Event()
         self._without_store: set[str] = set()
         self._lease_id: int | None = None
@@ -145,6 +146,7 @@
         if beat.is_leaving:
             self._leaving.add(beat.instance)
             self._heard_s_by_id.pop(beat.instance, None)
+            self._drop_lapsed(beat.instance)
         else:
             self._leaving.discard(beat.instance)
             self._heard_s_by_id[beat.instance] = now_s()
@@ -155,6 +157,7 @@
         """Take in that a message did not reach a peer; a refused connection means its end."""
         if fault is PeerFault.REFUSED and self._heard_s_by_id.pop(peer, None) is not None:
             _log.info("member.refuses", member=peer)
+            self._drop_lapsed(peer)
             self._write_live()
 
     async def keep_registered(self) -> None:
@@ -205,7 +208,8 @@
         return True
 
     def _take_listing(self, listing: Listing) -> None:
-        self._entry_by_id = {}
+        for name in tuple(self._entry_by_id):
+            self._drop_unless_heard(name)
         for entry in listing.entries:
             self._put_entry(entry.key, entry.value)
         self._link()
@@ -226,11 +230,23 @@
             return
         if name != self._id:
             self._entry_by_id[name] = entry
+            self._lapsed.discard(name)
 
     def _drop_unless_heard(self, name: str) -> None:
-        """Forget an instance whose entry is gone; one that is heard will write it again."""
-        if name not in self._heard_s_by_id:
+        """Forget an instance whose entry is gone, at once or when it falls silent.
+
+        The store may turn an instance away while all others hear it.
+        """
+        if name in self._heard_s_by_id:
+            self._lapsed.add(name)
+        else:
+            self._entry_by_id.pop(name, None)
+
+    def _drop_lapsed(self, name: str) -> None:
+        if name in self._lapsed:
+            self._lapsed.discard(name)
             self._entry_by_id.pop(name, None)
+            self._link()
 
     def _link(self) -> None:
         self.linked.set()
@@ -241,6 +257,7 @@
         for name, heard_s in tuple(self._heard_s_by_id.items()):
             if heard_s < oldest_s:
                 del self._heard_s_by_id[name]
+                self._drop_lapsed(name)
         ids = [self._id] if not self._board.stopping.read() else []
         ids += [name for name in self._heard_s_by_id if name not in self._leaving]
         live = tuple(sorted(ids)) or (self._id,)
--- a/packages/lagoonfold/src/lagoonfold/forwarding/_placement.py
+++ b/packages/lagoonfold/src/lagoonfold/forwarding/_placement.py
@@ -5,6 +5,10 @@
 there. The cheapest one is taken. A replica has room while it has fewer requests than
 `ROOM_PER_SLOT` times its slots; with no room anywhere the request waits in the instance, where it
 can be overtaken by a more urgent one.
+
+A program's turns arrive at several instances, and an instance knows only what it has forwarded
+itself. Where it knows of no replica that has read a session's prompt, it takes the session's home
+replica to have it, which all instances choose alike by rendezvous hashing.
 """
 
 import random
@@ -12,6 +16,7 @@
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 
+from lagoonfold._rendezvous import rendezvous_weight
 from lagoonfold.forwarding._loads import LoadBook
 from lagoonfold.forwarding._replicas import Replica
 
@@ -20,6 +25,8 @@
 SHARING_COST = 0.3  # slowdown of a request in a full batch, as a share of its usual time
 FAR_COST_S = 0.002  # two ways between failure domains
 CHOICE_NOISE = 0.05  # keeps instances with the same picture from choosing the same replica
+HOME_TOKENS = 400  # what a new session's home is preferred by: 3 ms, less than one request's cost
+SESSION_PART = 1  # the first part that is not shared by all sessions of a route
 MAX_REMEMBERED_PARTS = 4_096  # about a minute of prompts of one instance
 
 
@@ -46,6 +53,10 @@
         while len(self._replicas_by_part) > MAX_REMEMBERED_PARTS:
             self._replicas_by_part.popitem(last=False)
 
+    def knows(self, part: PromptPart) -> bool:
+        """Tell whether this instance has forwarded a request with that part."""
+        return part.part_id in self._replicas_by_part
+
     def uncached_tokens(self, replica: Replica, parts: Iterable[PromptPart]) -> int:
         """Return the tokens behind the first part that the replica has not read."""
         missing = 0
@@ -92,24 +103,44 @@
     ) -> Placement | None:
         """Return the cheapest replica with room, None where there is none."""
         best: Placement | None = None
+        replicas = tuple(replicas)
+        home = self._home(replicas, request.parts)
         for replica in replicas:
             if replica.replica_id in request.avoid or not self._has_room(replica, now_s):
                 continue
-            placement = self._weigh(replica, request, now_s)
+            placement = self._weigh(replica, request, now_s, is_home=replica.replica_id == home)
             if best is None or placement.cost_s < best.cost_s:
                 best = placement
         return best
 
+    def _home(self, replicas: tuple[Replica, ...], parts: tuple[PromptPart, ...]) -> str | None:
+        """Return the home of a session that this instance has not seen yet."""
+        if not replicas or len(parts) <= SESSION_PART or self._memory.knows(parts[SESSION_PART]):
+            return None
+        session = parts[SESSION_PART].part_id
+        ids = (replica.replica_id for replica in replicas)
+        return max(ids, key=lambda replica_id: rendezvous_weight(session, replica_id))
+
+    def _uncached(self, replica: Replica, parts: tuple[PromptPart, ...], *, is_home: bool) -> int:
+        """Return the tokens of a prompt that a replica probably has to read."""
+        uncached = self._memory.uncached_tokens(replica, parts)
+        if not is_home:
+            return uncached
+        has_begun = len(parts) > SESSION_PART + 1
+        return parts[-1].tokens if has_begun else max(0, uncached - HOME_TOKENS)
+
     def _has_room(self, replica: Replica, now_s: float) -> bool:
         if self._loads.is_aside(replica.replica_id, now_s=now_s):
             return False
         requests = self._loads.requests_at(replica.replica_id, now_s=now_s)
         return requests < replica.slots * ROOM_PER_SLOT
 
-    def _weigh(self, replica: Replica, request: PlacementRequest, now_s: float) -> Placement:
+    def _weigh(
+        self, replica: Replica, request: PlacementRequest, now_s: float, *, is_home: bool
+    ) -> Placement:
         requests = self._loads.requests_at(replica.replica_id, now_s=now_s)
         pace = self._loads.pace(replica.replica_id, now_s=now_s)
-        uncached = self._memory.uncached_tokens(replica, request.parts)
+        uncached = self._uncached(replica, request.parts, is_home=is_home)
         share = requests / max(1, replica.slots)
         queued = max(0.0, requests + 1 - replica.slots) / max(1, replica.slots)
         cost_s = request.usual_s * pace * (1 + SHARING_COST * min(1.0, share) + queued)
--- a/tests/forwarding/test_decisions.py
+++ b/tests/forwarding/test_decisions.py
@@ -215,6 +215,39 @@
     assert loads.is_aside("r1", now_s=5.1)
 
 
+def test_instances_that_have_not_seen_a_session_choose_the_same_replica() -> None:
+    """Load: a session's turns arrive at five instances; its prompt is read at one replica."""
+    replicas = tuple(_replica(f"r{number}") for number in range(5))
+    parts = (PromptPart("shared", 500), PromptPart("session", 650), PromptPart("turn-2", 300))
+    request = PlacementRequest(usual_s=0.2, parts=parts)
+    placers = [
+        Placer(LoadBook(), PromptMemory(), "zone-a", random.Random(seed)) for seed in range(5)
+    ]
+    chosen = {placer.choose(replicas, request, now_s=0.0).replica.replica_id for placer in placers}
+    assert len(chosen) == 1
+    others = [
+        placers[0].choose(
+            replicas,
+            PlacementRequest(usual_s=0.2, parts=(parts[0], PromptPart(f"s{n}", 650), parts[2])),
+            now_s=0.0,
+        )
+        for n in range(40)
+    ]
+    assert len({placement.replica.replica_id for placement in others}) == len(replicas)
+
+
+def test_busy_home_gives_way_to_an_idle_replica() -> None:
+    """Load: a session's home has a full batch; reading the prompt again elsewhere is cheaper."""
+    replicas = tuple(_replica(f"r{number}") for number in range(3))
+    parts = (PromptPart("shared", 500), PromptPart("session", 650), PromptPart("turn-2", 300))
+    request = PlacementRequest(usual_s=0.2, parts=parts)
+    loads = LoadBook()
+    home = _placer(loads).choose(replicas, request, now_s=0.0).replica
+    for _ in range(home.slots):
+        loads.note_sent(home.replica_id)
+    assert _placer(loads).choose(replicas, request, now_s=0.0).replica != home
+
+
 def test_urgent_requests_go_first_and_hopeless_ones_are_refused() -> None:
     """Load: a full service that frees four places a second, and callers with half a second."""
     line: WaitingLine[str] = WaitingLine()
--- a/tests/gateway/test_views.py
+++ b/tests/gateway/test_views.py
@@ -3,6 +3,7 @@
 import trio
 
 from lagoonfold.forwarding import ReplicaDirectory
+from lagoonfold_gateway._members import MEMBER_PREFIX
 from tests._suite import load_functions
 from tests.gateway._fleet import Fleet, make_config, until, with_fleet
 
@@ -94,6 +95,31 @@
     with_fleet(check, gateways=3)
 
 
+def test_instance_whose_entry_has_lapsed_goes_on_being_heard() -> None:
+    """An instance that the store turns away lapses there; peers that list anew go on with it."""
+
+    async def check(fleet: Fleet) -> None:
+        first, cut, third = fleet.gateways
+        cut_id = cut.settings.instance.id
+        fleet.view_by_gateway[cut_id].is_cut = True
+        fleet.store.remove(MEMBER_PREFIX + cut_id)
+        fleet.store.cut_watches(forget_history=True)
+        listed = [gateway.members.watch.revision for gateway in (first, third)]
+        fleet.store.put(MEMBER_PREFIX + "other", b"unreadable")
+        await until(
+            lambda: all(
+                gateway.members.watch.revision > before
+                for gateway, before in zip((first, third), listed, strict=True)
+            )
+        )
+        assert cut_id in first.bus.peer_ids and cut_id in third.bus.peer_ids
+        assert not cut.members.is_isolated()
+        fleet.kill(cut)
+        await until(lambda: cut_id not in first.bus.peer_ids and cut_id not in third.bus.peer_ids)
+
+    with_fleet(check, gateways=3)
+
+
 def test_stop_ends_what_is_under_way() -> None:
     """A stop announces itself and waits for the requests that have come."""
 
