--- a/packages/lagoonfold-io/src/lagoonfold_io/__init__.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/__init__.py
@@ -1,9 +1,14 @@
-"""HTTP and platform adapters shared by the daemon, the command line and the test programs."""
+"""HTTP and platform adapters shared by the daemons, the command line and the test programs.
+
+The adapters of the daemon's own key-value service are imported when they are first used: the
+gateway has none of them, and each tenth of a second of its start is felt by callers after a loss of
+power.
+"""
+
+import importlib
+from typing import TYPE_CHECKING
 
-from lagoonfold_io._call_rate import CallRate
-from lagoonfold_io._config_log import ConfigLog, LogState
 from lagoonfold_io._dialing import end_silence, open_stream
-from lagoonfold_io._etcd_store import EtcdStore
 from lagoonfold_io._http_client import HttpClient
 from lagoonfold_io._http_connection import ResponseHead, ResponseStream, StreamError
 from lagoonfold_io._http_exchange import ClientGoneError, Exchange
@@ -18,7 +23,20 @@
     find_header,
 )
 from lagoonfold_io._http_server import HttpServer
-from lagoonfold_io._instance_list import HttpInstanceList
+
+if TYPE_CHECKING:
+    from lagoonfold_io._call_rate import CallRate
+    from lagoonfold_io._config_log import ConfigLog, LogState
+    from lagoonfold_io._etcd_store import EtcdStore
+    from lagoonfold_io._instance_list import HttpInstanceList
+
+_MODULE_BY_LATE_NAME = {
+    "CallRate": "_call_rate",
+    "ConfigLog": "_config_log",
+    "LogState": "_config_log",
+    "EtcdStore": "_etcd_store",
+    "HttpInstanceList": "_instance_list",
+}
 
 __all__ = [
     "BorderFault",
@@ -44,3 +62,11 @@
     "find_header",
     "open_stream",
 ]
+
+
+def __getattr__(name: str) -> object:
+    """Import an adapter of the daemon's key-value service."""
+    module = _MODULE_BY_LATE_NAME.get(name)
+    if module is None:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    return getattr(importlib.import_module(f"{__name__}.{module}"), name)
--- a/packages/lagoonfold-io/src/lagoonfold_io/observe/_logs.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/observe/_logs.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from lagoonfold.config import redact
+from lagoonfold import redact
 from lagoonfold_io.observe._line_writer import LineWriter
 
 _ROOT = "lagoonfold"
--- a/packages/lagoonfold/src/lagoonfold/__init__.py
+++ b/packages/lagoonfold/src/lagoonfold/__init__.py
@@ -43,6 +43,7 @@
     TransactionalStore,
     WatchEvent,
 )
+from lagoonfold._redaction import redact
 from lagoonfold._rendezvous import rendezvous_weight
 
 __all__ = [
@@ -86,5 +87,6 @@
     "compress",
     "decompress",
     "new_id",
+    "redact",
     "rendezvous_weight",
 ]
--- a/packages/lagoonfold/src/lagoonfold/config/__init__.py
+++ b/packages/lagoonfold/src/lagoonfold/config/__init__.py
@@ -3,6 +3,7 @@
 configuration = apply_change(EMPTY_CONFIGURATION, PutAccount(account=a, replaces=False))
 """
 
+from lagoonfold._redaction import redact
 from lagoonfold.config._change_types import (
     Change,
     PutAccount,
@@ -27,7 +28,7 @@
     Route,
     RouteKind,
 )
-from lagoonfold.config._keys import SECRET_PREFIX, digest_of, generate_secret, redact
+from lagoonfold.config._keys import SECRET_PREFIX, digest_of, generate_secret
 from lagoonfold.config._log import (
     HEAD_KEY,
     MAX_RECENT_CHANGES,
--- a/packages/lagoonfold/src/lagoonfold/config/_keys.py
+++ b/packages/lagoonfold/src/lagoonfold/config/_keys.py
@@ -5,13 +5,10 @@
 """
 
 import hashlib
-import re
 import secrets
 
 from lagoonfold._ids import KeyDigest
-
-SECRET_PREFIX = "lfk_"
-SECRET_PATTERN = re.compile(SECRET_PREFIX + r"[A-Za-z0-9_-]{43}")
+from lagoonfold._redaction import SECRET_PREFIX
 
 _SECRET_BYTES = 32
 
@@ -27,8 +24,3 @@
     A plain hash suffices because the key is random: there is nothing to guess from a dictionary.
     """
     return KeyDigest(hashlib.sha256(secret.encode("utf-8", "surrogateescape")).hexdigest())
-
-
-def redact(text: str) -> str:
-    """Return the text with every key replaced, for logs and error messages."""
-    return SECRET_PATTERN.sub(SECRET_PREFIX + "[redacted]", text)
--- a/tests/on_platform/test_folder.py
+++ b/tests/on_platform/test_folder.py
@@ -60,7 +60,10 @@
     deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
     assert (ROOT / deploy["build"]).exists()
     for role in deploy["roles"].values():
-        assert (ROOT / role["run"].split()[1]).exists()
+        program, *arguments = role["run"].split()
+        assert program == "python3"
+        script = next(argument for argument in arguments if not argument.startswith("-"))
+        assert (ROOT / script).exists()
         assert "template" not in role or (ROOT / role["template"]).exists()
     assert not (ROOT / "deploy" / "wire.toml").exists()
     port = deploy["roles"]["gateway"]["metrics"].partition("/")[0]
