Bound what one program's objective holds, and name the storage role in its log

Change: a commitment lasts 60 s at most; such an ask gets a token for each program taken in; the storage role reads its name, and says so where it cannot.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_loans.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_loans.py
@@ -280,7 +280,9 @@
                 calls_committed=round(owned.commitments.calls_within(1.0, now_s=now_s()), 1),
             )
         if committed and ask.rank == RANK_UNCOMMITTED:
-            ask = msgspec.structs.replace(ask, rank=RANK_TURN)
+            # The asker waits for these programs' calls too, and knows only now that they go first.
+            count = len(committed)
+            ask = msgspec.structs.replace(ask, rank=RANK_TURN, needed=count, wanted=count)
         reserved = owned.commitments.reserved(owned.limit, now_s=now_s())
         lent = owned.lender.lend(message.borrower, ask, now_s=now_s(), reserved=reserved)
         if isinstance(lent, Err):
--- a/packages/lagoonfold/src/lagoonfold/rates/_commitments.py
+++ b/packages/lagoonfold/src/lagoonfold/rates/_commitments.py
@@ -13,6 +13,9 @@
 COMMITTED_SHARE = 0.75  # of the tokens to come; programs run faster than their objective asks
 RESERVE_S = 0.25  # what committed programs need for so long is kept from others: a loan's life
 MAX_RESERVE = 0.3  # share of the burst that may be kept
+MAX_COMMITMENT_S = (
+    60.0  # several times the programs' times; an objective that is absurd holds no more
+)
 FULL_LEVEL = 0.9  # share of the burst at which the committed programs leave tokens unused
 
 
@@ -49,8 +52,9 @@
         is_full = level >= FULL_LEVEL * limit.burst
         if committed + (0.0 if is_full else need.calls_left) > to_come:
             return False
-        until_s = now_s + need.time_left_s
-        self._commitment_by_program[need.program] = _Commitment(need.calls_left, now_s, until_s)
+        span_s = min(need.time_left_s, MAX_COMMITMENT_S)
+        calls = need.calls_left * span_s / need.time_left_s
+        self._commitment_by_program[need.program] = _Commitment(calls, now_s, now_s + span_s)
         return True
 
     def calls_within(self, span_s: float, *, now_s: float) -> float:
--- a/tests/on_platform/test_processes.py
+++ b/tests/on_platform/test_processes.py
@@ -154,19 +154,51 @@
     assert "settings.reloaded" in [line["event"] for line in lines]
 
 
-def test_storage_role_waits_and_stops() -> None:
-    """The role on machines with a disk starts, outlives SIGHUP and ends at SIGTERM."""
+def _storage_lines(settings: Path) -> list[dict[str, str]]:
+    """Run the storage role through a SIGHUP and a SIGTERM; return what it logged."""
     process = subprocess.Popen(
-        [sys.executable, str(START), "storage"], cwd=ROOT, stdout=subprocess.PIPE, text=True
+        [sys.executable, str(START), "storage"],
+        cwd=ROOT,
+        env=os.environ | {VARIABLE: str(settings)},
+        stdout=subprocess.PIPE,
+        text=True,
     )
     assert process.stdout is not None
+    lines: list[dict[str, str]] = []
     with process.stdout as output:
-        assert json.loads(output.readline())["event"] == "storage.started"
-        process.send_signal(signal.SIGHUP)
-        assert json.loads(output.readline())["event"] == "storage.reloaded"
-        process.send_signal(signal.SIGTERM)
-        assert json.loads(output.readline())["event"] == "storage.stopped"
+        for expected, number in (
+            ("storage.started", signal.SIGHUP),
+            ("storage.reloaded", signal.SIGTERM),
+            ("storage.stopped", None),
+        ):
+            while not lines or lines[-1]["event"] != expected:
+                lines.append(json.loads(output.readline()))
+            if number is not None:
+                process.send_signal(number)
     assert process.wait(timeout=WAIT_S) == 0
+    return lines
+
+
+def test_storage_role_waits_and_stops() -> None:
+    """The role on machines with a disk starts, outlives SIGHUP and ends at SIGTERM."""
+    with tempfile.TemporaryDirectory() as folder:
+        settings = Path(folder) / "node.json"
+        settings.write_text('{"NodeName": "storage-1"}')
+        lines = _storage_lines(settings)
+    assert [line["event"] for line in lines] == [
+        "storage.started",
+        "storage.reloaded",
+        "storage.stopped",
+    ]
+    assert all(line["instance"] == "storage-1" for line in lines)
+
+
+def test_storage_role_without_a_name_says_so_and_goes_on() -> None:
+    """Settings that cannot be read are told once; the role has no other use for them."""
+    with tempfile.TemporaryDirectory() as folder:
+        lines = _storage_lines(Path(folder) / "missing.json")
+    assert lines[0]["event"] == "settings.unreadable"
+    assert "missing.json" in lines[0]["path"]
 
 
 def test_unknown_role_is_named() -> None:
--- a/tests/rates/test_claims.py
+++ b/tests/rates/test_claims.py
@@ -14,6 +14,7 @@
     RateClaim,
     RateLimit,
 )
+from lagoonfold.rates._commitments import MAX_COMMITMENT_S
 from tests._suite import load_functions
 from tests.rates._program_load import Outcome, ProgramLoad
 
@@ -111,6 +112,17 @@
     assert commitments.commit(short, limit, level=0.0, now_s=0.0)
 
 
+def test_absurd_objective_holds_no_rate_for_hours() -> None:
+    """A program that may take a day is weighed like any other, and forgotten like any other."""
+    limit = RateLimit(rate_per_s=20.0, burst=20)
+    commitments = Commitments()
+    day_s = 86_400.0
+    need = ProgramNeed(program="day", calls_left=int(6 * day_s), time_left_s=day_s)
+    assert commitments.commit(need, limit, level=0.0, now_s=0.0)
+    assert abs(commitments.calls_within(1.0, now_s=0.0) - 6.0) < 1e-6
+    assert commitments.calls_within(1.0, now_s=MAX_COMMITMENT_S) == 0
+
+
 def test_lender_keeps_tokens_for_more_urgent_calls_elsewhere() -> None:
     """Load: one token a second, turns at one instance and a tool's call at another."""
     lender = _lender(rate_per_s=1.0, burst=1)
