--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_budget_owner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_budget_owner.py
@@ -32,7 +32,7 @@
 from lagoonfold_io.observe import EventLog
 
 SETTLE_WAIT_S = 0.1  # a turn's end is told to the owner some ms after its caller has it
-SETTLE_POLL_S = 0.005
+SETTLE_POLL_S = 0.005  # a few looks within the usual delay of a turn's end
 MAX_CHARGES_PER_ASK = 3  # owners that change each other's record come to rest after one round
 SWEEP_S = 5.0  # how often programs whose retention is over are looked for
 MAX_REMOVED_PER_SWEEP = 16  # one transaction, with a check and a removal for each
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_charges.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_charges.py
@@ -28,7 +28,7 @@
 
 FIRST_PAUSE_S = 0.05  # after two failed calls in a row; doubles with each further one
 MAX_PAUSE_S = 0.5  # so that the return of the store is noticed within half a second
-MAX_DOUBLINGS = 8
+MAX_DOUBLINGS = 8  # the first pause times 2**8 is far beyond the longest
 BUDGET_PREFIX = "lagoonfold/budgets/"
 
 _log = EventLog("budgets")
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
@@ -26,6 +26,7 @@
 from lagoonfold_gateway._loans import Loans
 from lagoonfold_gateway._members import Members
 from lagoonfold_gateway._peers import PeerBus
+from lagoonfold_gateway._rate_owner import RateOwner
 from lagoonfold_gateway._replica_controller import ReplicaController
 from lagoonfold_gateway._service_port import serve_metrics, serve_readiness
 from lagoonfold_gateway._settings import GatewaySettings
@@ -35,11 +36,11 @@
 
 SILENCE_LIMIT_S = 1.0  # replicas and instances are some ms apart
 CONNECT_TIMEOUT_S = 0.5  # as above; an opening packet that was dropped is sent again after seconds
-MAX_CALLER_CONNECTIONS = 2_000
+MAX_CALLER_CONNECTIONS = 2_000  # half of the descriptors of the smallest instances
 MIN_INSTANCES_SHARING = 10  # connections to a replica are shared by that many at least
 SHARING_MARGIN = 1.3  # for instances that start before this one hears of them
-MIN_PER_REPLICA = 2
-IDLE_POLL_S = 0.05
+MIN_PER_REPLICA = 2  # one more than a request that waits for its answer
+IDLE_POLL_S = 0.05  # little beside the seconds that a stop may take
 STOP_RESERVE_S = 0.7  # of the time for a stop, left for giving back and leaving
 
 _log = EventLog("gateway")
@@ -81,7 +82,8 @@
             self.replicas.watch,
         )
         first = instance.is_first_start
-        self.loans = Loans(self.board, self.bus, self.members, is_first_start=first)
+        self.rates = RateOwner(self.board, self.bus, self.members, is_first_start=first)
+        self.loans = Loans(self.bus, self.members)
         self.budgets = BudgetOwner(self.board, self.bus, store, self.members, is_first_start=first)
         self.forwarder = self._make_forwarder(dialect, nursery)
         self.border = HttpServer(self.forwarder.handle, on_handler_error=self._note_error)
@@ -130,7 +132,7 @@
             self.configs.watch.run,
             self.replicas.watch.run,
             self.members.watch.run,
-            self.members.keep_registered,
+            self.members.registration.keep,
             self.members.check_silence,
             self.heartbeats.run,
             self.replicas.expire,
@@ -159,7 +161,7 @@
             _log.warning("gateway.stop_cuts", active=self.forwarder.active)
         with trio.move_on_after(max(0.1, times.stop_s - STOP_RESERVE_S / 2 - now_s() + began_s)):
             await self.budgets.give_back()
-            await self.members.leave()
+            await self.members.registration.leave()
         self.client.close()
         _log.info("gateway.stopped", took_s=round(now_s() - began_s, 3))
 
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_loans.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_loans.py
@@ -1,17 +1,12 @@
-"""Keeps client accounts to their rate over all instances.
+"""Keeps the calls that arrive at this instance to their client account's rate.
 
-Reads `config` and `live`. The account's owner, by rendezvous over the live instances, lends its
-tokens; each instance takes them for the calls that arrive there. An owner that may be cut off from
-the others lends nothing, since another may have taken the account over; a new owner waits until the
-former one's loans have expired. See `lagoonfold.rates` for the bound.
-
-With its asks an instance names the programs of its calls; the owner says which of them the rate
-holds in their time, and those go first.
+The account's owner (`_rate_owner`) lends its tokens; each instance takes them for its calls. With
+its asks an instance names the programs of its calls; the owner says which of them the rate holds in
+their time, and those go first.
 """
 
 from dataclasses import dataclass, field
 
-import msgspec
 import trio
 from result import Err, Ok, Result
 
@@ -19,23 +14,17 @@
 from lagoonfold.forwarding import ClientAccount, WaitingLine
 from lagoonfold.rates import (
     RANK_AHEAD,
-    RANK_TURN,
-    RANK_UNCOMMITTED,
     Ask,
     Borrower,
-    Commitments,
-    Lender,
     ProgramBook,
     ProgramCall,
     ProgramNeed,
     RateClaim,
-    RateLimit,
     Shortage,
 )
-from lagoonfold_gateway._board import ConfigView, GatewayBoard, LiveView
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._members import Members
-from lagoonfold_gateway._messages import Done, LoanAsk, LoanGiven, LoanRefused, Message, NotNow
+from lagoonfold_gateway._messages import LoanAsk, LoanGiven, LoanRefused
 from lagoonfold_gateway._peers import PeerBus
 from lagoonfold_io.observe import EventLog
 
@@ -43,7 +32,6 @@
 PAUSE_S = 0.02  # between asks while there is nothing to lend
 MAX_PAUSE_S = 0.1  # as above, for accounts of a low rate
 MIN_RETRY_AFTER_S = 0.05  # less than a caller's way there and back makes no sense
-LOAN_S = 0.25  # a new owner waits as long; a busy borrower asks as often
 REPORT_S = 0.2  # how often unused tokens are given back
 MAX_PROGRAMS_ASKED = 32  # in one ask, some 40 bytes each; the rest go with the next
 
@@ -76,38 +64,14 @@
             head.granted.set()
 
 
-@dataclass(frozen=True, slots=True)
-class _OwnedAccount:
-    limit: RateLimit
-    lender: Lender
-    commitments: Commitments = field(default_factory=Commitments)
-
-    def commit(self, needs: tuple[ProgramNeed, ...], *, now_s: float) -> tuple[str, ...]:
-        """Commit rate to programs where there is enough; return those that have it."""
-        return tuple(
-            need.program
-            for need in needs
-            if self.commitments.commit(need, self.limit, level=self.lender.level, now_s=now_s)
-        )
-
-
 class Loans:
-    """Lends the rates of the accounts that this instance owns, and borrows for its own calls."""
+    """Borrows tokens for this instance's calls and hands them out in order."""
 
-    def __init__(
-        self, board: GatewayBoard, bus: PeerBus, members: Members, *, is_first_start: bool
-    ) -> None:
-        self._board = board
+    def __init__(self, bus: PeerBus, members: Members) -> None:
         self._bus = bus
         self._members = members
-        self._is_first_start = is_first_start
-        self._epoch = 0
         self._programs = ProgramBook()
-        self._owned_by_account: dict[str, _OwnedAccount] = {}
         self._desk_by_account: dict[str, _Desk] = {}
-        bus.handles(LoanAsk)(self._lend)
-        board.config.subscribe(self._change_limits)
-        board.live.subscribe(self._drop_lost)
 
     async def take(
         self, account: ClientAccount, call: ProgramCall, nursery: trio.Nursery
@@ -256,85 +220,6 @@
                 claim = self._programs.claim(waiting.call, now_s=now_s())
                 desk.line.move(waiting, rank=claim.rank)
 
-    async def _lend(self, message: Message) -> Message:
-        assert isinstance(message, LoanAsk)
-        if not self._members.owns(message.account) or self._members.is_isolated():
-            self._owned_by_account.pop(message.account, None)
-            return NotNow(reason="not the owner")
-        owned = self._owned(message.account)
-        if owned is None:
-            return NotNow(reason="no such account")
-        ask = message.ask
-        owned.lender.report(message.borrower, ask.reports, now_s=now_s())
-        if ask.wanted < 1:
-            return Done()
-        committed = owned.commit(ask.programs, now_s=now_s())
-        if ask.programs:
-            _log.info(
-                "rate.programs_asked",
-                account=message.account,
-                borrower=message.borrower,
-                programs=[need.program for need in ask.programs],
-                committed=committed,
-                level=round(owned.lender.level, 1),
-                calls_committed=round(owned.commitments.calls_within(1.0, now_s=now_s()), 1),
-            )
-        if committed and ask.rank == RANK_UNCOMMITTED:
-            # The asker waits for these programs' calls too, and knows only now that they go first.
-            count = len(committed)
-            ask = msgspec.structs.replace(ask, rank=RANK_TURN, needed=count, wanted=count)
-        reserved = owned.commitments.reserved(owned.limit, now_s=now_s())
-        lent = owned.lender.lend(message.borrower, ask, now_s=now_s(), reserved=reserved)
-        if isinstance(lent, Err):
-            return LoanRefused(shortage=lent.err_value, committed=committed)
-        return LoanGiven(loan=lent.ok_value, committed=committed)
-
-    def _owned(self, account: str) -> _OwnedAccount | None:
-        owned = self._owned_by_account.get(account)
-        if owned is not None:
-            return owned
-        limit = _limits_by_account(self._board.config.read()).get(account)
-        if limit is None:
-            return None
-        self._epoch += 1
-        is_new = self._is_first_start and self._board.live.read().is_unbroken
-        owned_s = now_s() if is_new else self._board.live.read().since_s
-        lender = Lender(limit=limit, epoch=self._epoch, now_s=owned_s, ttl_s=LOAN_S, is_new=is_new)
-        owned = _OwnedAccount(limit, lender)
-        self._owned_by_account[account] = owned
-        _log.info("rate.owned", account=account, is_new=is_new, rate_per_s=limit.rate_per_s)
-        return owned
-
-    def _drop_lost(self, live: LiveView) -> None:
-        """Forget the accounts that another instance owns now: it does not know these loans."""
-        for account in tuple(self._owned_by_account):
-            if not self._members.owns(account):
-                del self._owned_by_account[account]
-                _log.info("rate.handed_over", account=account, live=len(live.ids))
-
-    def _change_limits(self, view: ConfigView | None) -> None:
-        limits = _limits_by_account(view)
-        for account, owned in tuple(self._owned_by_account.items()):
-            limit = limits.get(account)
-            if limit is None:
-                del self._owned_by_account[account]
-            elif limit != owned.limit:
-                owned.lender.change_limit(limit, now_s=now_s())
-                changed = _OwnedAccount(limit, owned.lender, owned.commitments)
-                self._owned_by_account[account] = changed
-                _log.info(
-                    "rate.limit_changed",
-                    account=account,
-                    rate_per_s=limit.rate_per_s,
-                    burst=limit.burst,
-                    config_version=view.config.version if view is not None else None,
-                )
-
-
-def _limits_by_account(view: ConfigView | None) -> dict[str, RateLimit]:
-    accounts = (view.config.accounts_by_key or {}).values() if view is not None else ()
-    return {account.name: account.limit for account in accounts if account.limit is not None}
-
 
 def _over_rate(account: str, retry_after_s: float) -> Refusal:
     return Refusal(
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_members.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_members.py
@@ -1,20 +1,17 @@
 """Which instances there are and which of them live.
 
-Reads `stopping`; writes `live`. Instances find each other by entries in the store, each under its
-instance's lease; whether one lives is known from its heartbeats, so an outage of the store takes
+Reads `stopping`; writes `live`. Instances find each other by entries in the store
+(`_registration`); whether one lives is known from its heartbeats, so an outage of the store takes
 nobody out. An instance that refuses connections has ended; one that is not heard for `SILENT_S` is
 taken as gone until it is heard again.
 """
 
 import msgspec
 import trio
-from result import Err
 
 from lagoonfold import (
     ABSENT_REVISION,
     Listing,
-    Put,
-    StoreErrorKind,
     TransactionalStore,
     WatchEvent,
     rendezvous_weight,
@@ -24,14 +21,11 @@
 from lagoonfold_gateway._messages import Heartbeat
 from lagoonfold_gateway._peer_link import PeerFault
 from lagoonfold_gateway._peers import PeerBus
+from lagoonfold_gateway._registration import MEMBER_PREFIX, RENEW_S, MemberEntry, Registration
 from lagoonfold_gateway._settings import InstanceSection
 from lagoonfold_gateway._store_watch import StoreWatch
 from lagoonfold_io.observe import EventLog
 
-MEMBER_PREFIX = "lagoonfold/members/"
-LEASE_TTL_S = 10.0  # a renewal costs a tenth of a call; entries of dead instances harm little
-RENEW_S = 3.0  # a third of the lease, so that one renewal may fail
-RETRY_S = 0.5  # after a failed call to the store
 SETTLED_S = 5.0  # after the first start of the system all instances have found each other
 SILENT_S = 0.75  # three heartbeats
 LATE_S = 0.45  # a heartbeat is missing: others are asked first where any instance can decide
@@ -41,14 +35,6 @@
 _log = EventLog("members")
 
 
-class MemberEntry(msgspec.Struct, frozen=True, kw_only=True):
-    """An instance's entry in the store."""
-
-    address: str
-    failure_domain: str
-    start_id: str
-
-
 class Members:
     """The other instances, and the order in which instances own a subject.
 
@@ -65,12 +51,12 @@
     ) -> None:
         self._id = instance.id
         self.writer_id = f"{instance.id}/{start_id}"
-        self._entry = MemberEntry(
-            address=instance.peers, failure_domain=instance.failure_domain, start_id=start_id
-        )
         self._board = board
         self._bus = bus
-        self._store = store
+        entry = MemberEntry(
+            address=instance.peers, failure_domain=instance.failure_domain, start_id=start_id
+        )
+        self.registration = Registration(store, instance.id, entry)
         self._entry_by_id: dict[str, MemberEntry] = {}
         self._heard_s_by_id: dict[str, float] = {}
         self._writer_by_id: dict[str, str] = {}
@@ -78,9 +64,7 @@
         self._lapsed: set[str] = set()  # without an entry in the store, but heard
         self.linked = trio.Event()
         self._without_store: set[str] = set()
-        self._lease_id: int | None = None
         self._started_s = now_s()
-        self._store_contact_s = now_s()
         self.watch = StoreWatch(
             store, MEMBER_PREFIX, on_listing=self._take_listing, on_event=self._take_event
         )
@@ -125,7 +109,7 @@
         It hears less than half of the instances that are known and has not reached the store: then
         others may have taken over what it owns.
         """
-        if now_s() - self._store_contact_s < STORE_CONTACT_S:
+        if now_s() - self.registration.store_contact_s < STORE_CONTACT_S:
             return False
         known = len(self._entry_by_id.keys() | {self._id})
         return 2 * len(self._board.live.read().ids) < known
@@ -160,53 +144,12 @@
             self._drop_lapsed(peer)
             self._write_live()
 
-    async def keep_registered(self) -> None:
-        """Keep this instance's entry in the store until cancelled."""
-        while True:
-            is_kept = await self._renew() if self._lease_id is not None else await self._register()
-            if is_kept:
-                self._store_contact_s = now_s()
-            await trio.sleep(RENEW_S if is_kept else RETRY_S)
-
     async def check_silence(self) -> None:
         """Take out instances that have fallen silent, until cancelled."""
         while True:
             await trio.sleep(CHECK_S)
             self._write_live()
 
-    async def leave(self) -> None:
-        """Remove this instance's entry from the store."""
-        if self._lease_id is not None:
-            await self._store.end_lease(self._lease_id)
-
-    async def _register(self) -> bool:
-        granted = await self._store.grant_lease(LEASE_TTL_S)
-        if isinstance(granted, Err):
-            return False
-        lease_id = granted.ok_value.lease_id
-        entry = Put(
-            key=MEMBER_PREFIX + self._id,
-            value=msgspec.json.encode(self._entry),
-            lease_id=lease_id,
-        )
-        put = await self._store.commit(puts=(entry,))
-        if isinstance(put, Err):
-            _log.warning("member.not_registered", reason=put.err_value.detail)
-            return False
-        self._lease_id = lease_id
-        _log.info("member.registered", lease=lease_id)
-        return True
-
-    async def _renew(self) -> bool:
-        assert self._lease_id is not None
-        renewed = await self._store.renew_lease(self._lease_id)
-        if isinstance(renewed, Err):
-            _log.warning("member.lease_not_renewed", reason=renewed.err_value.detail)
-            if renewed.err_value.kind is StoreErrorKind.LEASE_EXPIRED:
-                self._lease_id = None
-            return False
-        return True
-
     def _take_listing(self, listing: Listing) -> None:
         for name in tuple(self._entry_by_id):
             self._drop_unless_heard(name)
--- /dev/null
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_rate_owner.py
@@ -0,0 +1,155 @@
+"""The owner's side of client accounts' rates: lends tokens, and commits rate to programs.
+
+Reads `config` and `live`. An account's owner is the first by rendezvous over the live instances. An
+owner that may be cut off from the others lends nothing, since another may have taken the account
+over; a new owner waits until the former one's loans have expired. See `lagoonfold.rates` for the
+bound.
+"""
+
+from dataclasses import dataclass, field
+
+import msgspec
+from result import Err
+
+from lagoonfold.rates import (
+    RANK_TURN,
+    RANK_UNCOMMITTED,
+    Ask,
+    Commitments,
+    Lender,
+    ProgramNeed,
+    RateLimit,
+)
+from lagoonfold_gateway._board import ConfigView, GatewayBoard, LiveView
+from lagoonfold_gateway._clock import now_s
+from lagoonfold_gateway._members import Members
+from lagoonfold_gateway._messages import Done, LoanAsk, LoanGiven, LoanRefused, Message, NotNow
+from lagoonfold_gateway._peers import PeerBus
+from lagoonfold_io.observe import EventLog
+
+LOAN_S = 0.25  # a new owner waits as long; a busy borrower asks as often
+
+_log = EventLog("rates")
+
+
+@dataclass(frozen=True, slots=True)
+class _OwnedAccount:
+    limit: RateLimit
+    lender: Lender
+    commitments: Commitments = field(default_factory=Commitments)
+
+    def commit(self, needs: tuple[ProgramNeed, ...], *, now_s: float) -> tuple[str, ...]:
+        """Commit rate to programs where there is enough; return those that have it."""
+        return tuple(
+            need.program
+            for need in needs
+            if self.commitments.commit(need, self.limit, level=self.lender.level, now_s=now_s)
+        )
+
+
+class RateOwner:
+    """Lends the rates of the accounts that this instance owns."""
+
+    def __init__(
+        self, board: GatewayBoard, bus: PeerBus, members: Members, *, is_first_start: bool
+    ) -> None:
+        self._board = board
+        self._members = members
+        self._is_first_start = is_first_start
+        self._epoch = 0
+        self._owned_by_account: dict[str, _OwnedAccount] = {}
+        bus.handles(LoanAsk)(self._take_ask)
+        board.config.subscribe(self._change_limits)
+        board.live.subscribe(self._drop_lost)
+
+    async def _take_ask(self, message: Message) -> Message:
+        assert isinstance(message, LoanAsk)
+        if not self._members.owns(message.account) or self._members.is_isolated():
+            self._owned_by_account.pop(message.account, None)
+            return NotNow(reason="not the owner")
+        owned = self._owned(message.account)
+        if owned is None:
+            return NotNow(reason="no such account")
+        owned.lender.report(message.borrower, message.ask.reports, now_s=now_s())
+        if message.ask.wanted < 1:
+            return Done()
+        return self._lend(message, owned)
+
+    def _lend(self, message: LoanAsk, owned: _OwnedAccount) -> LoanGiven | LoanRefused:
+        ask = message.ask
+        committed = owned.commit(ask.programs, now_s=now_s())
+        if ask.programs:
+            self._log_programs(message, owned, committed)
+        if committed and ask.rank == RANK_UNCOMMITTED:
+            ask = _for_committed(ask, len(committed))
+        reserved = owned.commitments.reserved(owned.limit, now_s=now_s())
+        lent = owned.lender.lend(message.borrower, ask, now_s=now_s(), reserved=reserved)
+        if isinstance(lent, Err):
+            return LoanRefused(shortage=lent.err_value, committed=committed)
+        return LoanGiven(loan=lent.ok_value, committed=committed)
+
+    @staticmethod
+    def _log_programs(message: LoanAsk, owned: _OwnedAccount, committed: tuple[str, ...]) -> None:
+        _log.info(
+            "rate.programs_asked",
+            account=message.account,
+            borrower=message.borrower,
+            programs=[need.program for need in message.ask.programs],
+            committed=committed,
+            level=round(owned.lender.level, 1),
+            calls_committed=round(owned.commitments.calls_within(1.0, now_s=now_s()), 1),
+        )
+
+    def _owned(self, account: str) -> _OwnedAccount | None:
+        owned = self._owned_by_account.get(account)
+        if owned is not None:
+            return owned
+        limit = _limits_by_account(self._board.config.read()).get(account)
+        if limit is None:
+            return None
+        self._epoch += 1
+        is_new = self._is_first_start and self._board.live.read().is_unbroken
+        owned_s = now_s() if is_new else self._board.live.read().since_s
+        lender = Lender(limit=limit, epoch=self._epoch, now_s=owned_s, ttl_s=LOAN_S, is_new=is_new)
+        owned = _OwnedAccount(limit, lender)
+        self._owned_by_account[account] = owned
+        _log.info("rate.owned", account=account, is_new=is_new, rate_per_s=limit.rate_per_s)
+        return owned
+
+    def _drop_lost(self, live: LiveView) -> None:
+        """Forget the accounts that another instance owns now: it does not know these loans."""
+        for account in tuple(self._owned_by_account):
+            if not self._members.owns(account):
+                del self._owned_by_account[account]
+                _log.info("rate.handed_over", account=account, live=len(live.ids))
+
+    def _change_limits(self, view: ConfigView | None) -> None:
+        limits = _limits_by_account(view)
+        for account, owned in tuple(self._owned_by_account.items()):
+            limit = limits.get(account)
+            if limit is None:
+                del self._owned_by_account[account]
+            elif limit != owned.limit:
+                owned.lender.change_limit(limit, now_s=now_s())
+                changed = _OwnedAccount(limit, owned.lender, owned.commitments)
+                self._owned_by_account[account] = changed
+                _log.info(
+                    "rate.limit_changed",
+                    account=account,
+                    rate_per_s=limit.rate_per_s,
+                    burst=limit.burst,
+                    config_version=view.config.version if view is not None else None,
+                )
+
+
+def _for_committed(ask: Ask, count: int) -> Ask:
+    """Return an ask for the calls of programs that rate has just been committed to.
+
+    The asker waits for their calls among others, and does not know yet that they go first.
+    """
+    return msgspec.structs.replace(ask, rank=RANK_TURN, needed=count, wanted=count)
+
+
+def _limits_by_account(view: ConfigView | None) -> dict[str, RateLimit]:
+    accounts = (view.config.accounts_by_key or {}).values() if view is not None else ()
+    return {account.name: account.limit for account in accounts if account.limit is not None}
--- a/packages/lagoonfold-io/src/lagoonfold_io/_http_client.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_client.py
@@ -63,7 +63,6 @@
         self._connect_timeout_s = connect_timeout_s
         self._silence_limit_s = silence_limit_s
         self.max_per_address = max_per_address
-        self.opened = 0
         self._busy_by_address: Counter[str] = Counter()
         self._idle_by_address: dict[str, list[ClientConnection]] = defaultdict(list)
         self.bytes_sent = 0
@@ -167,7 +166,6 @@
         except (OSError, trio.TooSlowError) as error:
             detail = f"cannot connect to {address}: {error or 'timeout'}"
             return Err(HttpError(detail=detail, sent=Sent.NOTHING))
-        self.opened += 1
         protocol = h11.Connection(our_role=h11.CLIENT)
         return Ok(ClientConnection(stream, protocol, opened_at=trio.current_time()))
 
@@ -185,7 +183,6 @@
             connection = idle.pop()
             limit_s = min(max_idle_s, connection.idle_limit_s)
             if now - connection.idle_since <= limit_s and not has_input(connection):
-                connection.was_kept = True
                 return connection
             close_now(connection)
         return None
--- a/packages/lagoonfold-io/src/lagoonfold_io/_http_connection.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_connection.py
@@ -31,7 +31,7 @@
 
     `input_bytes` is the size of the latest input. `needs_input` says that the protocol has no
     event left in what it was given, so that it need not be asked. `idle_limit_s` is how long the
-    server keeps the connection when idle, and `was_kept` says that it carried a request before.
+    server keeps the connection when idle.
     """
 
     stream: trio.SocketStream
@@ -41,7 +41,6 @@
     input_bytes: int = 0
     needs_input: bool = False
     idle_limit_s: float = math.inf
-    was_kept: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/gateway/test_views.py
+++ b/tests/gateway/test_views.py
@@ -3,7 +3,7 @@
 import trio
 
 from lagoonfold.forwarding import ReplicaDirectory
-from lagoonfold_gateway._members import MEMBER_PREFIX
+from lagoonfold_gateway._registration import MEMBER_PREFIX
 from tests._suite import load_functions
 from tests.gateway._fleet import Fleet, make_config, until, with_fleet
 
