--- a/packages/lagoonfold/src/lagoonfold/rates/_commitments.py
+++ b/packages/lagoonfold/src/lagoonfold/rates/_commitments.py
@@ -13,9 +13,7 @@
 COMMITTED_SHARE = 0.75  # of the tokens to come; programs run faster than their objective asks
 RESERVE_S = 0.25  # what committed programs need for so long is kept from others: a loan's life
 MAX_RESERVE = 0.3  # share of the burst that may be kept
-MAX_COMMITMENT_S = (
-    60.0  # several times the programs' times; an objective that is absurd holds no more
-)
+MAX_COMMITMENT_S = 60.0  # several times the usual program; an absurd objective holds no more
 FULL_LEVEL = 0.9  # share of the burst at which the committed programs leave tokens unused
 
 
