--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_app.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_app.py
@@ -9,7 +9,7 @@
 import trio
 from result import Err
 
-from lagoonfold import TransactionalStore, WatchEvent
+from lagoonfold import TransactionalStore
 from lagoonfold_gateway._dialect import Dialect
 from lagoonfold_gateway._gateway import Gateway
 from lagoonfold_gateway._settings import GatewaySettings, parse_settings
@@ -18,18 +18,14 @@
 EXIT_SETTINGS = 2
 
 MakeStore = Callable[[str], TransactionalStore]
-OnOtherEvent = Callable[[WatchEvent, TransactionalStore, trio.Nursery], None]
 
 _log = EventLog("gateway")
 
 
-def run_gateway(
-    settings_path: str, dialect: Dialect, make_store: MakeStore, on_other_event: OnOtherEvent
-) -> int:
+def run_gateway(settings_path: str, dialect: Dialect, make_store: MakeStore) -> int:
     """Run an instance until SIGTERM or SIGINT; return the exit status of the process.
 
-    SIGHUP reloads the settings. `on_other_event` gets the changes of entries other than the
-    configuration below the dialect's `config_prefix`.
+    SIGHUP reloads the settings.
     """
     loaded = parse_settings(Path(settings_path).read_text(encoding="utf-8"))
     if isinstance(loaded, Err):
@@ -38,7 +34,7 @@
         return EXIT_SETTINGS
     settings = loaded.ok_value
     log_to_standard_output(settings.log.level, settings.instance.id)
-    trio.run(_run, settings, settings_path, dialect, make_store, on_other_event)
+    trio.run(_run, settings, settings_path, dialect, make_store)
     return 0
 
 
@@ -47,18 +43,11 @@
     settings_path: str,
     dialect: Dialect,
     make_store: MakeStore,
-    on_other_event: OnOtherEvent,
 ) -> None:
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
         async with trio.open_nursery() as nursery:
             store = make_store(settings.store.address)
-            gateway = Gateway(
-                settings,
-                dialect,
-                store,
-                nursery,
-                lambda event: on_other_event(event, store, nursery),
-            )
+            gateway = Gateway(settings, dialect, store, nursery)
             await gateway.start(nursery)
             async for number in signals:
                 if number != signal.SIGHUP:
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_attempt_runner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_attempt_runner.py
@@ -18,7 +18,7 @@
 from lagoonfold_gateway._context import ForwardContext
 from lagoonfold_gateway._dispatch import PlacementEvidence
 from lagoonfold_gateway._placement_client import Placement, PlacementNeed
-from lagoonfold_gateway._relay import StreamState, relay_plain, relay_stream
+from lagoonfold_gateway._relay import StreamState, finish_kept_turn, relay_plain, relay_stream
 from lagoonfold_gateway._request_state import RequestState
 from lagoonfold_gateway._upstream_attempt import (
     AttemptFailure,
@@ -60,6 +60,7 @@
             replica_id = placement.selection.replica.replica_id
             ended = await self._attempt(placement, state, request_state, exchange)
             if isinstance(ended, Ok):
+                await finish_kept_turn(state, request_state, exchange, self._context)
                 return None
             failure, decision = ended.err_value
             if decision is RetryDecision.FAIL:
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_board.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_board.py
@@ -5,6 +5,7 @@
 | `config` | configuration controller | the newest configuration and its routes |
 | `replicas` | replica controller | the directory of replicas; written again with each change |
 | `live` | member controller | the live instances, this one included |
+| `disks` | disk controller | the disks that hold kept turns; None until they are known |
 | `stopping` | `Gateway.stop` | whether this instance is leaving |
 """
 
@@ -12,6 +13,7 @@
 
 from lagoonfold import Cell
 from lagoonfold.forwarding import ForwardConfig, ReplicaDirectory, RouteTable
+from lagoonfold.histories import Disk
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,4 +48,5 @@
         default_factory=lambda: Cell("replicas", ReplicaDirectory())
     )
     live: Cell[LiveView] = field(default_factory=lambda: Cell("live", LiveView((), 0.0)))
+    disks: Cell[tuple[Disk, ...] | None] = field(default_factory=lambda: Cell("disks", None))
     stopping: Cell[bool] = field(default_factory=lambda: Cell("stopping", False))
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_context.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_context.py
@@ -7,6 +7,7 @@
 from lagoonfold_gateway._board import GatewayBoard
 from lagoonfold_gateway._budget_client import BudgetClient
 from lagoonfold_gateway._dialect import Dialect
+from lagoonfold_gateway._history_client import HistoryClient
 from lagoonfold_gateway._limit_controller import LimitController
 from lagoonfold_gateway._placement_client import PlacementClient
 from lagoonfold_gateway._poison_tracker import PoisonTracker
@@ -28,6 +29,7 @@
     poison_tracker: PoisonTracker
     rate_limiter: RateLimiter
     budget_client: BudgetClient
+    history_client: HistoryClient
     version_controller: VersionController
     metrics: Metrics
     nursery: trio.Nursery
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_dialect.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_dialect.py
@@ -32,6 +32,7 @@
     expected_tokens: str = "x-expected-tokens"
     last_event: str = "last-event-id"
     resumed_request: str = "x-resumes"
+    previous_turn: str = "x-previous-turn"
     account: str = "x-account"
     expected_replica: str = "x-expect-replica"
     urgency: str = "x-urgency"
@@ -42,6 +43,30 @@
     reserved: frozenset[str] = frozenset()
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RetirementDialect:
+    """Holds where the operator asks that a disk be emptied, and how that is answered.
+
+    A request's key is `request_prefix` and the instance's name; its answer's key begins with
+    `answer_prefix`. `encode_state` returns the answer, given whether the disk is empty.
+    """
+
+    request_prefix: str
+    answer_prefix: str
+    encode_state: Callable[[bool], bytes]
+
+
+def _encode_default_state(is_complete: bool) -> bytes:
+    return msgspec.json.encode({"state": "complete" if is_complete else "in-progress"})
+
+
+DEFAULT_RETIREMENT = RetirementDialect(
+    request_prefix="gateway/config/retire/",
+    answer_prefix="gateway/retired/",
+    encode_state=_encode_default_state,
+)
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Dialect:
     """Holds the names and decoders of one deployment; a decoder returns the reason of a failure."""
@@ -52,6 +77,7 @@
     decode_config: Callable[[bytes], Result[ForwardConfig, str]]
     decode_replica: Callable[[str, bytes], Result[Replica, str]]
     config_prefix: str
+    retirement: RetirementDialect
 
 
 def _decode_default_config(data: bytes) -> Result[ForwardConfig, str]:
@@ -78,4 +104,5 @@
     replica_prefix="gateway/replicas/",
     decode_config=_decode_default_config,
     decode_replica=_decode_default_replica,
+    retirement=DEFAULT_RETIREMENT,
 )
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_forwarder.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_forwarder.py
@@ -81,7 +81,9 @@
             if isinstance(taken, Err):
                 return taken.err_value
             receipt = taken.ok_value
-        refused = await self._admit_turn(request_state)
+        refused = await self._read_history(request_state)
+        if refused is None:
+            refused = await self._admit_turn(request_state)
         if refused is not None and receipt is not None:
             is_exhausted = refused.kind is ErrorKind.BUDGET_EXHAUSTED
             self._context.rate_limiter.give_back(
@@ -89,6 +91,34 @@
             )
         return refused
 
+    async def _read_history(self, request_state: RequestState) -> Refusal | None:
+        """Read what a turn continues from, on a route that keeps histories."""
+        if not request_state.route.keeps_history:
+            return None
+        if request_state.is_stream_taken_up:
+            # The text of the events that the caller has is at the instance that sent them.
+            return Refusal(
+                kind=ErrorKind.HISTORY_UNAVAILABLE,
+                detail="a turn that is kept is answered from its start",
+                retry_after_s=0.1,
+            )
+        history_client = self._context.history_client
+        refused = history_client.refuse_if_disks_are_missing()
+        parsed = request_state.parsed
+        if refused is not None or parsed.previous_turn is None:
+            return refused
+        began_s = now_s()
+        found = await history_client.find_chain(
+            parsed.previous_turn,
+            request_state.account_name,
+            parsed.turn.program if parsed.turn is not None else parsed.request_id,
+        )
+        request_state.chain_wait_s = now_s() - began_s
+        if isinstance(found, Err):
+            return found.err_value
+        request_state.chain = found.ok_value
+        return None
+
     async def _admit_turn(self, request_state: RequestState) -> Refusal | None:
         turn = request_state.parsed.turn
         if turn is None or not request_state.route.is_program_turn or not turn.budget_tokens:
@@ -181,6 +211,10 @@
             first_byte_s=None if first_s is None else round(first_s - request_state.arrived_s, 4),
             rate_wait_s=round(request_state.rate_wait_s, 4),
             place_wait_s=round(request_state.place_wait_s, 4),
+            previous_turn=request_state.parsed.previous_turn,
+            chain_turns=len(request_state.chain.turns),
+            chain_wait_s=round(request_state.chain_wait_s, 4),
+            keep_wait_s=round(request_state.keep_wait_s, 4),
             limit_s=round(request_state.answer_deadline_s - request_state.arrived_s, 3),
             program_left_s=turn.time_left_s if turn is not None else None,
             last_event=request_state.parsed.last_event,
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
@@ -7,11 +7,10 @@
 
 import math
 import random
-from collections.abc import Callable
 
 import trio
 
-from lagoonfold import TransactionalStore, WatchEvent, new_id
+from lagoonfold import TransactionalStore, new_id
 from lagoonfold.forwarding import PromptCacheIndex, ReplicaSelector, ReplicaTracker
 from lagoonfold_gateway._admin_endpoints import serve_metrics, serve_readiness
 from lagoonfold_gateway._board import ConfigView, GatewayBoard
@@ -22,9 +21,11 @@
 from lagoonfold_gateway._context import ForwardContext
 from lagoonfold_gateway._counted_store import CountedStore
 from lagoonfold_gateway._dialect import Dialect
+from lagoonfold_gateway._disk_controller import DiskController
 from lagoonfold_gateway._dispatch import Dispatcher
 from lagoonfold_gateway._forwarder import Forwarder
 from lagoonfold_gateway._heartbeats import Heartbeats
+from lagoonfold_gateway._history_client import HistoryClient
 from lagoonfold_gateway._latency_baselines import LatencyBaselines
 from lagoonfold_gateway._limit_controller import LimitController
 from lagoonfold_gateway._member_controller import MemberController
@@ -35,6 +36,7 @@
 from lagoonfold_gateway._rate_limiter import RateLimiter
 from lagoonfold_gateway._rate_owner import RateOwner
 from lagoonfold_gateway._replica_controller import ReplicaController
+from lagoonfold_gateway._retirement_responder import RetirementResponder
 from lagoonfold_gateway._settings import GatewaySettings
 from lagoonfold_gateway._store_watch import StoreGate
 from lagoonfold_gateway._usage import UsageReporter
@@ -49,6 +51,7 @@
 SHARING_MARGIN = 1.3  # for instances that have started and are not yet known here
 MIN_CONNECTIONS_PER_REPLICA = 2  # one more than a request waiting for its answer needs
 IDLE_POLL_S = 0.05  # short compared to the seconds that a stop may take
+BYTES_PER_MB = 1_000_000
 STOP_RESERVE_S = 0.7  # of the time for a stop, to return budget and deregister
 
 _log = EventLog("gateway")
@@ -63,7 +66,6 @@
         dialect: Dialect,
         store: TransactionalStore,
         nursery: trio.Nursery,
-        on_other_event: Callable[[WatchEvent], None],
     ) -> None:
         instance = settings.instance
         self.settings = settings
@@ -78,10 +80,26 @@
         self.bus = PeerBus(instance.id, nursery, self.metrics)
         gate = StoreGate()
         self.members = MemberController(instance, self.start_id, self.board, self.bus, store, gate)
-        self.config_controller = ConfigController(dialect, self.board, store, on_other_event, gate)
+        self.retirement_responder = RetirementResponder(
+            dialect.retirement, self.members, store, nursery
+        )
+        self.config_controller = ConfigController(
+            dialect, self.board, store, self.retirement_responder.handle_event, gate
+        )
         self.replica_controller = ReplicaController(
             dialect, self.board, store, self.replica_tracker, self.client, gate
         )
+        self.disk_bus = PeerBus(instance.id, nursery, self.metrics)
+        self.disk_controller = DiskController(self.board.disks, store, self.disk_bus, gate)
+        self.history_client = HistoryClient(
+            self.board,
+            self.disk_bus,
+            self.disk_controller,
+            settings.histories.rule(),
+            instance.failure_domain,
+            self.metrics,
+            cache_bytes=settings.histories.cache_mb * BYTES_PER_MB,
+        )
         self.heartbeats = Heartbeats(
             self.bus,
             self.members,
@@ -143,6 +161,7 @@
             poison_tracker=self.poison_tracker,
             rate_limiter=self.rate_limiter,
             budget_client=BudgetClient(self.bus, self.members),
+            history_client=self.history_client,
             version_controller=self.version_controller,
             metrics=self.metrics,
             nursery=nursery,
@@ -179,11 +198,25 @@
             self.usage.run,
             self.dispatcher.run,
             self.placement_owner.sweep,
+            self._follow_disks,
         )
         for task in tasks:
             nursery.start_soon(task)
         _log.info("gateway.started", start_id=self.start_id, listen=instance.listen)
 
+    async def _follow_disks(self) -> None:
+        """Follow the list of disks from the first configuration on that has turns to keep."""
+        needed = trio.Event()
+
+        def look(view: ConfigView | None) -> None:
+            if view is not None and any(route.keeps_history for route in view.config.routes):
+                needed.set()
+
+        self.board.config.subscribe(look)
+        look(self.board.config.read())
+        await needed.wait()
+        await self.disk_controller.watch.run()
+
     async def stop(self) -> None:
         """Stop the instance without cutting requests, unless they exceed the time for a stop."""
         times = self.settings.times
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_messages.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_messages.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from lagoonfold.histories import KeptTurn
 from lagoonfold.liveness import InstanceStatus
 from lagoonfold.resilience import PoisonNotice
 
@@ -274,6 +275,61 @@
     version: str | None = None
 
 
+class KeepTurns(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """Request to keep turns, sent to a storage instance by the one that answered or holds them.
+
+    Each is to be kept for at least as many seconds from the receipt as `keep_s` has in its place.
+    The answer is `TurnsKept` when they are durable, or `KeepRefused`.
+    """
+
+    turns: tuple[KeptTurn, ...]
+    keep_s: tuple[float, ...]
+
+
+class TurnsKept(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """Answer: the turns are durable on the disk of this id."""
+
+    disk_id: str
+
+
+class KeepRefused(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """Answer: the turns are not kept, for the given reason."""
+
+    reason: str
+
+
+class TurnQuery(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """Question for a turn of an account and what it continues from; the answer is `TurnsFound`."""
+
+    turn_id: str
+    account: str
+
+
+class TurnsFound(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """Answer: the turns of a chain that a disk holds, newest first, beginning with the one asked.
+
+    `turns` is empty if the disk does not hold that turn. A long chain may be cut short; the asker
+    asks for the rest. `kept_for_s` has the seconds for which each turn is kept.
+    """
+
+    disk_id: str
+    turns: tuple[KeptTurn, ...] = ()
+    kept_for_s: tuple[float, ...] = ()
+
+
+class CopyOffer(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """Keys of turns that the receiver should hold; the answer is `CopiesLacking`."""
+
+    keys: tuple[str, ...]
+
+
+class CopiesLacking(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """Answer: which of the offered turns are not durable on the disk of this id."""
+
+    disk_id: str
+    keys: tuple[str, ...]
+
+
 class Ack(msgspec.Struct, frozen=True, tag="Done", array_like=True):
     """Answer: the message was processed, or its type is unknown to the receiver."""
 
@@ -304,6 +360,13 @@
     | StreamOriginNote
     | StreamOriginQuery
     | StreamOriginAnswer
+    | KeepTurns
+    | TurnsKept
+    | KeepRefused
+    | TurnQuery
+    | TurnsFound
+    | CopyOffer
+    | CopiesLacking
     | Ack
 )
 
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_parsed_request.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_parsed_request.py
@@ -45,7 +45,8 @@
 
     `caller_timeout_s` is how long the caller waits, `expected_tokens` its estimate of the tokens
     that the answer has. `last_event` is the last event that the caller has of a stream,
-    `resumed_request` the id of the request that brought the first one.
+    `resumed_request` the id of the request that brought the first one. `previous_turn` is the turn
+    that this one continues from.
     """
 
     request: HttpRequest
@@ -58,6 +59,7 @@
     last_event: int | None
     expected_tokens: int | None = None
     resumed_request: str | None = None
+    previous_turn: str | None = None
 
 
 def parse_request(request: HttpRequest, names: HeaderNames) -> Result[ParsedRequest, str]:
@@ -76,6 +78,7 @@
             last_event=_integer(value_by_name, names.last_event),
             expected_tokens=_integer(value_by_name, names.expected_tokens),
             resumed_request=value_by_name.get(names.resumed_request),
+            previous_turn=value_by_name.get(names.previous_turn),
         )
     except _HeaderError as error:
         return Err(str(error))
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_peer_link.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_peer_link.py
@@ -19,7 +19,7 @@
 from lagoonfold_gateway._messages import Envelope, Message
 from lagoonfold_io import open_tcp_stream
 
-MAX_FRAME_BYTES = 1_048_576  # the statuses of 380 instances take some 30 KB
+MAX_FRAME_BYTES = 8_388_608  # a kept turn with the largest body that callers may send
 CONNECT_TIMEOUT_S = 0.3  # some hundred times the latency between failure domains of a region
 SILENCE_LIMIT_S = 1.0  # until a silent connection to a peer is replaced
 READ_SIZE_BYTES = 65_536
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_relay.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_relay.py
@@ -6,7 +6,7 @@
 by event. A turn delivers no more tokens than its credit.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import trio
 from result import Err, Ok, Result
@@ -18,13 +18,15 @@
     EventFilter,
     StreamOrigin,
 )
+from lagoonfold.histories import text_of_event
 from lagoonfold_gateway._budget_client import AdmittedTurn
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._context import ForwardContext
+from lagoonfold_gateway._history_client import MAX_TURN_BYTES
 from lagoonfold_gateway._parsed_request import headers_to_return
 from lagoonfold_gateway._request_state import RequestState
 from lagoonfold_gateway._upstream_attempt import AttemptFailure
-from lagoonfold_io import Exchange, Headers, HttpResponse, ResponseStream, StreamError
+from lagoonfold_io import Exchange, HttpResponse, ResponseHead, ResponseStream, StreamError
 
 MAX_HELD_BYTES = 262_144  # of a plain answer; an instance has about 1 MB for each request
 MIN_EVENTS_FOR_PACE = 2  # the time of the first one includes waiting and reading the prompt
@@ -35,13 +37,16 @@
 class StreamState:
     """The events of a stream that the caller has received, over all attempts.
 
-    `origin` is where the stream began, None if it has not begun or may go on anywhere.
+    `origin` is where the stream began, None if it has not begun or may go on anywhere. The head and
+    the last events of a whole answer are held until its turn is durable, if that is to be kept.
     """
 
     events: EventFilter
     origin: StreamOrigin | None = None
     is_started: bool = False
     is_requesting_credit: bool = False
+    held_events: list[Event] = field(default_factory=list)
+    held_head: ResponseHead | None = None
 
 
 async def relay_plain(
@@ -92,13 +97,23 @@
     exchange: Exchange,
     context: ForwardContext,
 ) -> Result[None, AttemptFailure]:
-    """Relay a stream as it arrives; after a failure, the answer stays open for a resumption."""
+    """Relay a stream as it arrives; after a failure, the answer stays open for a resumption.
+
+    The end of a turn that is to be kept, with the events that come together with it, is left to
+    `finish_kept_turn`.
+    """
     began_s = now_s()
     events_before = state.events.passed_count
     try:
         while data := await response.read(use_timeout=False):
-            for event in state.events.feed(data):
-                await _deliver(event, response, state, request_state, exchange, context)
+            events = state.events.feed(data)
+            if request_state.route.keeps_history:
+                _collect_text(events, request_state)
+                if response.is_complete():
+                    state.held_events = events
+                    break
+            for event in events:
+                await _deliver(event, response.head, state, request_state, exchange, context)
     except (StreamError, EventError) as error:
         state.events.discard_partial_event()
         return Err(AttemptFailure(outcome=AttemptOutcome.LOST, reason=str(error)))
@@ -107,18 +122,54 @@
         return Err(
             AttemptFailure(outcome=AttemptOutcome.LOST, reason="stream ends within an event")
         )
+    event_count = state.events.passed_count - events_before
+    if event_count >= MIN_EVENTS_FOR_PACE:
+        request_state.event_s = (now_s() - began_s) / event_count
+    if request_state.route.keeps_history:
+        state.held_head = response.head
+    else:
+        await _finish(response.head, state, request_state, exchange)
+    return Ok(None)
+
+
+async def finish_kept_turn(
+    state: StreamState, request_state: RequestState, exchange: Exchange, context: ForwardContext
+) -> None:
+    """Make a turn durable whose answer the replica has ended, then end the answer."""
+    if state.held_head is None:
+        return
+    began_s = now_s()
+    try:
+        await context.history_client.keep(
+            request_state.kept_turn(),
+            request_state.chain,
+            retention_s=request_state.route.retention_s,
+        )
+    finally:
+        request_state.keep_wait_s = now_s() - began_s
+    for event in state.held_events:
+        await _deliver(event, state.held_head, state, request_state, exchange, context)
+    await _finish(state.held_head, state, request_state, exchange)
+
+
+async def _finish(
+    head: ResponseHead, state: StreamState, request_state: RequestState, exchange: Exchange
+) -> None:
     if not state.is_started:
-        await _start(response.head.status, response.head.headers, state, request_state, exchange)
+        await _start(head, state, request_state, exchange)
     await exchange.finish()
-    events = state.events.passed_count - events_before
-    if events >= MIN_EVENTS_FOR_PACE:
-        request_state.event_s = (now_s() - began_s) / events
-    return Ok(None)
+
+
+def _collect_text(events: list[Event], request_state: RequestState) -> None:
+    for event in events:
+        request_state.answer_text += text_of_event(event.data)
+    if len(request_state.answer_text) > MAX_TURN_BYTES:
+        raise EventError(f"answer of more than {MAX_TURN_BYTES} bytes to a turn that is kept")
 
 
 async def _deliver(
     event: Event,
-    response: ResponseStream,
+    head: ResponseHead,
     state: StreamState,
     request_state: RequestState,
     exchange: Exchange,
@@ -133,7 +184,7 @@
         while not admitted_turn.credit_meter.try_consume():
             await trio.sleep(CREDIT_POLL_S)
     if not state.is_started:
-        await _start(response.head.status, response.head.headers, state, request_state, exchange)
+        await _start(head, state, request_state, exchange)
     request_state.last_event_s = now_s()
     await exchange.send(event.data)
 
@@ -146,13 +197,9 @@
 
 
 async def _start(
-    status: int,
-    headers: Headers,
-    state: StreamState,
-    request_state: RequestState,
-    exchange: Exchange,
+    head: ResponseHead, state: StreamState, request_state: RequestState, exchange: Exchange
 ) -> None:
     state.is_started = True
     request_state.first_byte_s = now_s()
-    request_state.status = status
-    await exchange.start(status, headers_to_return(headers))
+    request_state.status = head.status
+    await exchange.start(head.status, headers_to_return(head.headers))
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_request_state.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_request_state.py
@@ -3,7 +3,9 @@
 from dataclasses import dataclass, field
 
 from lagoonfold.forwarding import AttemptHistory, ClientAccount, ForwardRoute, RouteKind
+from lagoonfold.histories import KeptTurn, make_prompt
 from lagoonfold_gateway._budget_client import AdmittedTurn
+from lagoonfold_gateway._history_client import Chain
 from lagoonfold_gateway._parsed_request import ParsedRequest
 
 FIRST_EVENT_S = 0.1  # from a replica with a free slot
@@ -20,6 +22,9 @@
     The replica of the latest attempt told `reported_load` requests and the limits `named_limits`
     with its answer, whose head took `head_s` and whose events came `event_s` apart on average. They
     are None or empty without an answer.
+
+    On a route that keeps histories, `chain` is what the turn continues from, and `answer_text` the
+    text of the events that the caller has got.
     """
 
     parsed: ParsedRequest
@@ -39,6 +44,10 @@
     event_s: float | None = None
     named_limits: tuple[str, ...] = ()
     head_s: float | None = None
+    chain: Chain = Chain()
+    chain_wait_s: float = 0.0
+    keep_wait_s: float = 0.0
+    answer_text: bytearray = field(default_factory=bytearray)
     attempt_log: list[str] = field(default_factory=list)
     outcome: str = "unfinished"
     status: int = 0
@@ -60,6 +69,29 @@
             return self.parsed.resumed_request
         return self.parsed.request_id
 
+    @property
+    def account_name(self) -> str:
+        """Return the name of the client account, "" for a request without one."""
+        return self.account.name if self.account is not None else ""
+
+    @property
+    def upstream_body(self) -> bytes:
+        """Return the body for the upstream, which gets all that a kept turn continues from."""
+        body = self.parsed.request.body
+        return make_prompt(self.chain.turns, body) if self.chain.turns else body
+
+    def kept_turn(self) -> KeptTurn:
+        """Return the record of a turn whose answer is complete."""
+        turn = self.parsed.turn
+        return KeptTurn(
+            turn_id=self.parsed.request_id,
+            account=self.account_name,
+            previous=self.parsed.previous_turn,
+            program=turn.program if turn is not None else self.parsed.request_id,
+            request=self.parsed.request.body,
+            answer=bytes(self.answer_text),
+        )
+
     @property
     def rank(self) -> int:
         """Return the rank of the client account, or the route's if the account has none."""
--- /dev/null
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_retirement_responder.py
@@ -0,0 +1,80 @@
+"""Answers the operator's requests to empty machines on which no disk is listed.
+
+Reads `live`. Such a machine holds no turns, so that it can be taken away at once. The storage
+instance of a listed disk answers itself (`storage._retirement`). One gateway answers a request, by
+rendezvous hashing; the others wait and look whether it has.
+"""
+
+import trio
+from result import Err, Ok, Result
+
+from lagoonfold import ABSENT_REVISION, Put, StoreError, TransactionalStore, WatchEvent
+from lagoonfold_gateway._dialect import RetirementDialect
+from lagoonfold_gateway._disk_controller import DISK_PREFIX
+from lagoonfold_gateway._member_controller import MemberController
+from lagoonfold_io.observe import EventLog
+
+TURN_S = 1.0  # for which the next instance waits for the one before
+MAX_TURNS = 10
+RETRY_PAUSE_S = 0.3  # after a failed call to the store
+MAX_ATTEMPTS = 30  # outages of the store last seconds
+
+_log = EventLog("retirement")
+
+
+class RetirementResponder:
+    """Handles requests at one gateway."""
+
+    def __init__(
+        self,
+        dialect: RetirementDialect,
+        members: MemberController,
+        store: TransactionalStore,
+        nursery: trio.Nursery,
+    ) -> None:
+        self._dialect = dialect
+        self._members = members
+        self._store = store
+        self._nursery = nursery
+        self._revision_by_name: dict[str, int] = {}
+
+    @property
+    def seen(self) -> frozenset[str]:
+        """Return the names of the machines whose requests this gateway has seen."""
+        return frozenset(self._revision_by_name)
+
+    def handle_event(self, event: WatchEvent) -> None:
+        """Start a task for a changed entry if it is a request that is not known yet."""
+        key, revision = event.entry.key, event.entry.revision
+        if not key.startswith(self._dialect.request_prefix) or revision == ABSENT_REVISION:
+            return
+        name = key[len(self._dialect.request_prefix) :]
+        if self._revision_by_name.get(name) != revision:
+            self._revision_by_name[name] = revision
+            self._nursery.start_soon(self._answer, name)
+
+    async def _answer(self, name: str) -> None:
+        owners = self._members.ranked_owners(f"retirement/{name}")
+        await trio.sleep(TURN_S * min(MAX_TURNS, owners.index(self._members.instance_id)))
+        for _ in range(MAX_ATTEMPTS):
+            answered = await self._try_to_answer(name)
+            if isinstance(answered, Ok):
+                return
+            _log.warning("retirement.not_written", machine=name, reason=answered.err_value.detail)
+            await trio.sleep(RETRY_PAUSE_S)
+
+    async def _try_to_answer(self, name: str) -> Result[None, StoreError]:
+        answer_key = self._dialect.answer_prefix + name
+        for key in (DISK_PREFIX + name, answer_key):
+            listed = await self._store.read_all(key)
+            if isinstance(listed, Err):
+                return listed
+            if any(entry.key == key for entry in listed.ok_value.entries):
+                return Ok(None)
+        written = await self._store.commit(
+            puts=(Put(key=answer_key, value=self._dialect.encode_state(True)),)
+        )
+        if isinstance(written, Err):
+            return written
+        _log.info("retirement.complete", machine=name)
+        return Ok(None)
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_settings.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_settings.py
@@ -14,14 +14,15 @@
 window_s = 5
 """
 
-import configparser
-from typing import Annotated, Any, get_type_hints
+from typing import Annotated
 
 import msgspec
 from msgspec import Meta
-from result import Err, Ok, Result
+from result import Result
 
+from lagoonfold.histories import CopyRule
 from lagoonfold.rates import QuotaTerms
+from lagoonfold_gateway._ini import parse_ini
 
 Address = Annotated[str, Meta(pattern=r"^\d+\.\d+\.\d+\.\d+:\d+$", description="IPv4:port")]
 Seconds = Annotated[float, Meta(gt=0, le=86_400, description="seconds above 0")]
@@ -69,6 +70,27 @@
         return QuotaTerms(window_s=self.window_s, slack_calls=self.slack_calls)
 
 
+Count = Annotated[int, Meta(ge=0, le=100, description="a count from 0 to 100")]
+Megabytes = Annotated[int, Meta(ge=1, le=1_000_000, description="megabytes above 0")]
+
+
+class HistoriesSection(msgspec.Struct, frozen=True, kw_only=True):
+    """How many losses of machines with a disk, or of failure domains, kept turns survive.
+
+    `cache_mb` limits the memory for turns that were served or read lately. After `forget_after_s`
+    without a sign of life, a disk is no longer asked for turns, which have expired by then.
+    """
+
+    machine_losses: Count = 1
+    domain_losses: Count = 0
+    cache_mb: Megabytes = 8
+    forget_after_s: Seconds = 900.0
+
+    def rule(self) -> CopyRule:
+        """Return on how many disks a turn must lie."""
+        return CopyRule.for_losses(machines=self.machine_losses, domains=self.domain_losses)
+
+
 class LogSection(msgspec.Struct, frozen=True, kw_only=True):
     """The lowest level that is logged."""
 
@@ -84,55 +106,13 @@
     store: StoreSection
     times: TimesSection = TimesSection()
     quotas: QuotasSection = QuotasSection()
+    histories: HistoriesSection = HistoriesSection()
     log: LogSection = LogSection()
 
 
 def parse_settings(text: str) -> Result[GatewaySettings, tuple[str, ...]]:
     """Check the text of a settings file; an error holds every fault that was found.
 
-    Unknown sections and keys are faults; values may be empty where a key has a default.
+    See `_ini` for what counts as a fault.
     """
-    parser = configparser.ConfigParser(interpolation=None, default_section="")
-    try:
-        parser.read_string(text)
-    except configparser.Error as error:
-        return Err((f"settings cannot be parsed: {error.message}",))
-    faults: list[str] = []
-    values: dict[str, Any] = {}
-    known = get_type_hints(GatewaySettings)
-    for name in parser.sections():
-        if name in known:
-            values[name] = _check_section(name, known[name], dict(parser.items(name)), faults)
-        else:
-            faults.append(f"section [{name}] does not exist in a gateway's settings")
-    faults.extend(
-        f"section [{name}] is missing" for name in ("instance", "store") if name not in values
-    )
-    if faults:
-        return Err(tuple(faults))
-    return Ok(GatewaySettings(**values))
-
-
-def _check_section(name: str, section: type, items: dict[str, str], faults: list[str]) -> Any:
-    """Return the section with its checked values; add a fault for each that is wrong."""
-    checked: dict[str, Any] = {}
-    before = len(faults)
-    hints = get_type_hints(section, include_extras=True)
-    for key, value in items.items():
-        if key not in hints:
-            faults.append(f"key {key!r} does not exist in section [{name}]")
-            continue
-        if not value:
-            continue
-        try:
-            checked[key] = msgspec.convert(value, hints[key], strict=False)
-        except msgspec.ValidationError as error:
-            faults.append(f"[{name}] {key} = {value!r}: {error}")
-    required = (field.name for field in msgspec.structs.fields(section) if field.required)
-    missing = [key for key in required if key not in checked and not _is_at_fault(key, faults)]
-    faults.extend(f"[{name}] {key} is required" for key in missing)
-    return section(**checked) if len(faults) == before else None
-
-
-def _is_at_fault(key: str, faults: list[str]) -> bool:
-    return any(f"] {key} = " in fault for fault in faults)
+    return parse_ini(text, GatewaySettings, process="gateway")
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_upstream_attempt.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_upstream_attempt.py
@@ -56,7 +56,7 @@
         path=parsed.request.path,
         target=parsed.request.target,
         headers=tuple(headers),
-        body=parsed.request.body,
+        body=request_state.upstream_body,
     )
 
 
--- /dev/null
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/storage/_app.py
@@ -0,0 +1,97 @@
+"""Runs a storage instance as a process: settings, file, signals, reload."""
+
+import os
+import signal
+import sys
+from collections.abc import Callable
+from pathlib import Path
+
+import trio
+from result import Err
+
+from lagoonfold import TransactionalStore
+from lagoonfold_gateway._dialect import RetirementDialect
+from lagoonfold_gateway.storage._node import BYTES_PER_MB, StorageNode
+from lagoonfold_gateway.storage._settings import StorageSettings, parse_storage_settings
+from lagoonfold_io import TurnFile
+from lagoonfold_io.observe import EventLog, log_to_standard_output
+
+EXIT_SETTINGS = 2
+EXIT_DISK = 3
+FILE_NAME = "turns.db"
+
+_log = EventLog("storage")
+
+
+def run_storage(
+    settings_path: str,
+    dialect: RetirementDialect,
+    make_store: Callable[[str], TransactionalStore],
+) -> int:
+    """Run an instance until SIGTERM or SIGINT; return the exit status of the process.
+
+    SIGHUP reloads the settings.
+    """
+    loaded = parse_storage_settings(Path(settings_path).read_text(encoding="utf-8"))
+    if isinstance(loaded, Err):
+        for fault in loaded.err_value:
+            sys.stderr.write(f"{settings_path}: {fault}\n")
+        return EXIT_SETTINGS
+    settings = loaded.ok_value
+    log_to_standard_output(settings.log.level, settings.instance.id)
+    file = open_turn_file(settings)
+    if file is None:
+        return EXIT_DISK
+    trio.run(_run, settings, settings_path, dialect, make_store(settings.store.address), file)
+    return 0
+
+
+def open_turn_file(settings: StorageSettings) -> TurnFile | None:
+    """Open the file of turns; one that is damaged is renamed, and a new one begun.
+
+    The disk then has another id, so that the other instances copy to it what it should hold.
+    """
+    path = os.path.join(settings.instance.data_folder, FILE_NAME)
+    max_bytes = settings.instance.max_disk_mb * BYTES_PER_MB
+    opened = TurnFile.open(path, max_bytes=max_bytes)
+    if isinstance(opened, Err) and opened.err_value.is_damaged:
+        _log.error("disk.damaged", reason=opened.err_value.detail)
+        for suffix in ("", "-wal"):
+            if os.path.exists(path + suffix):
+                os.replace(path + suffix, f"{path}.damaged{suffix}")
+        opened = TurnFile.open(path, max_bytes=max_bytes)
+    if isinstance(opened, Err):
+        _log.error("disk.failed", reason=opened.err_value.detail)
+        return None
+    return opened.ok_value
+
+
+async def _run(
+    settings: StorageSettings,
+    settings_path: str,
+    dialect: RetirementDialect,
+    store: TransactionalStore,
+    file: TurnFile,
+) -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        async with trio.open_nursery() as nursery:
+            node = StorageNode(settings, dialect, store, file, nursery)
+            await node.start(nursery)
+            async for number in signals:
+                if number != signal.SIGHUP:
+                    break
+                _reload_settings(settings_path, settings)
+            node.usage.log()
+            nursery.cancel_scope.cancel()
+    file.close()
+    _log.info("storage.stopped")
+
+
+def _reload_settings(settings_path: str, current: StorageSettings) -> None:
+    """Apply the settings that can change in a running process; log if others need a restart."""
+    loaded = parse_storage_settings(Path(settings_path).read_text(encoding="utf-8"))
+    if isinstance(loaded, Err):
+        _log.error("settings.unreadable", faults=list(loaded.err_value), kept=True)
+        return
+    log_to_standard_output(loaded.ok_value.log.level, current.instance.id)
+    _log.info("settings.reloaded", needs_restart=loaded.ok_value != current)
--- a/packages/lagoonfold-io/src/lagoonfold_io/__init__.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/__init__.py
@@ -1,7 +1,8 @@
 """HTTP and platform adapters shared by the daemons, the command line and the test programs.
 
-The adapters of the daemon's key-value service are imported on first use. The gateway does not use
-them, and after a power failure callers wait until it has started: a tenth of a second matters.
+The adapters of the daemon's key-value service and the file of kept turns are imported on first use.
+The gateway does not use them, and after a power failure callers wait until it has started: a tenth
+of a second matters.
 """
 
 import importlib
@@ -28,6 +29,7 @@
     from lagoonfold_io._config_log import ConfigLog, ConfigLogState
     from lagoonfold_io._etcd_store import EtcdStore
     from lagoonfold_io._instance_list import HttpInstanceList
+    from lagoonfold_io._turn_file import TurnFile, TurnFileError, WriteBatch
 
 _MODULE_BY_LAZY_NAME = {
     "CallRateLimiter": "_call_rate",
@@ -35,6 +37,9 @@
     "ConfigLogState": "_config_log",
     "EtcdStore": "_etcd_store",
     "HttpInstanceList": "_instance_list",
+    "TurnFile": "_turn_file",
+    "TurnFileError": "_turn_file",
+    "WriteBatch": "_turn_file",
 }
 
 __all__ = [
@@ -57,6 +62,9 @@
     "ResponseStream",
     "SendStatus",
     "StreamError",
+    "TurnFile",
+    "TurnFileError",
+    "WriteBatch",
     "find_header",
     "open_tcp_stream",
     "set_tcp_timeout",
@@ -64,7 +72,7 @@
 
 
 def __getattr__(name: str) -> object:
-    """Import an adapter of the daemon's key-value service."""
+    """Import what not every process uses."""
     module = _MODULE_BY_LAZY_NAME.get(name)
     if module is None:
         raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
--- a/packages/lagoonfold/src/lagoonfold/__init__.py
+++ b/packages/lagoonfold/src/lagoonfold/__init__.py
@@ -4,6 +4,7 @@
 decisions are returned as values.
 """
 
+from lagoonfold._byte_limited_cache import ByteLimitedCache
 from lagoonfold._cell import Cell
 from lagoonfold._compression import compress, decompress
 from lagoonfold._errors import PROBLEM_TYPES_BY_KIND, ErrorKind, ProblemType, Ran, Refusal
@@ -53,6 +54,7 @@
     "NO_LEASE",
     "PROBLEM_TYPES_BY_KIND",
     "AccountId",
+    "ByteLimitedCache",
     "CallId",
     "Cell",
     "Changes",
--- a/packages/lagoonfold/src/lagoonfold/_errors.py
+++ b/packages/lagoonfold/src/lagoonfold/_errors.py
@@ -28,6 +28,7 @@
     Those whose title in `PROBLEM_TYPES_BY_KIND` does not explain them:
 
     - `CONFIG_STALE`: no configuration is known that is recent enough to verify the key.
+    - `HISTORY_UNAVAILABLE`: the turn that this one continues from cannot be read now.
     - `IDEMPOTENCY_MISMATCH`: a turn or an idempotency key is reused for another call.
     - `KEY_WITHDRAWN`: the key was withdrawn or its client account was retired.
     - `OUTCOME_UNKNOWN`: the call may have run, and is not run again.
@@ -47,6 +48,7 @@
     DEADLINE_EXCEEDED = "deadline-exceeded"
     FORBIDDEN = "forbidden"
     HEADERS_TOO_LARGE = "headers-too-large"
+    HISTORY_UNAVAILABLE = "history-unavailable"
     IDEMPOTENCY_MISMATCH = "idempotency-mismatch"
     INTERNAL = "internal"
     KEY_WITHDRAWN = "key-withdrawn"
@@ -87,6 +89,7 @@
     ErrorKind.DEADLINE_EXCEEDED: ProblemType(status=504, title="Deadline exceeded"),
     ErrorKind.FORBIDDEN: ProblemType(status=403, title="Forbidden"),
     ErrorKind.HEADERS_TOO_LARGE: ProblemType(status=431, title="Request headers too large"),
+    ErrorKind.HISTORY_UNAVAILABLE: ProblemType(status=503, title="History unavailable"),
     ErrorKind.IDEMPOTENCY_MISMATCH: ProblemType(status=422, title="Idempotency key reused"),
     ErrorKind.INTERNAL: ProblemType(status=500, title="Internal error"),
     ErrorKind.KEY_WITHDRAWN: ProblemType(status=401, title="Key withdrawn"),
--- a/packages/lagoonfold/src/lagoonfold/records/_frames.py
+++ b/packages/lagoonfold/src/lagoonfold/_frames.py
@@ -14,6 +14,7 @@
 CHECKPOINT = b"C"
 SEGMENT = b"S"
 CHECKPOINT_PART = b"P"
+TURN = b"T"
 
 
 def frame(kind: bytes, content: bytes) -> bytes:
--- a/packages/lagoonfold/src/lagoonfold/forwarding/_documents.py
+++ b/packages/lagoonfold/src/lagoonfold/forwarding/_documents.py
@@ -36,7 +36,8 @@
     until its deadline. `max_upstreams` is the number of upstreams at which one request may run. An
     open route (`is_open`) needs no API key. `can_resume` allows a broken stream to be resumed.
     `is_program_turn` marks requests that are turns of a program. `retention_s` is how long the
-    budget record of a program without running turns is kept after its last use.
+    budget record of a program without running turns is kept after its last use. A route that
+    `keeps_history` gets turns without what they continue from: answered turns are kept for as long.
     """
 
     name: str
@@ -53,6 +54,7 @@
     is_program_turn: bool = False
     retention_s: float = 60.0
     patience_s: float | None = None
+    keeps_history: bool = False
 
     @property
     def may_repeat(self) -> bool:
--- /dev/null
+++ b/packages/lagoonfold/src/lagoonfold/histories/__init__.py
@@ -0,0 +1,27 @@
+"""Histories that the system keeps: turns, the disks that hold them, and their copies."""
+
+from lagoonfold.histories._chain_search import ChainSearch
+from lagoonfold.histories._copy_tracker import CopyTracker
+from lagoonfold.histories._disks import CopyRule, Disk, rank_disks
+from lagoonfold.histories._turns import (
+    KeptTurn,
+    decode_kept_turn,
+    encode_kept_turn,
+    make_prompt,
+    text_of_event,
+    turn_key,
+)
+
+__all__ = [
+    "ChainSearch",
+    "CopyRule",
+    "CopyTracker",
+    "Disk",
+    "KeptTurn",
+    "decode_kept_turn",
+    "encode_kept_turn",
+    "make_prompt",
+    "rank_disks",
+    "text_of_event",
+    "turn_key",
+]
--- a/packages/lagoonfold/src/lagoonfold/records/_checkpoint.py
+++ b/packages/lagoonfold/src/lagoonfold/records/_checkpoint.py
@@ -11,9 +11,9 @@
 import msgspec
 from result import Err, Ok, Result
 
+from lagoonfold._frames import CHECKPOINT, CHECKPOINT_PART, frame, unframe
 from lagoonfold._ids import AccountId, ProgramId, ShardId
 from lagoonfold.records._costs import Cost, ProgramLimits
-from lagoonfold.records._frames import CHECKPOINT, CHECKPOINT_PART, frame, unframe
 from lagoonfold.records._journal import shard_prefix
 from lagoonfold.records._programs import Program, SegmentRef
 from lagoonfold.records._record_types import CallBegun, EndReason
--- a/packages/lagoonfold/src/lagoonfold/records/_journal.py
+++ b/packages/lagoonfold/src/lagoonfold/records/_journal.py
@@ -9,8 +9,8 @@
 import msgspec
 from result import Err, Ok, Result
 
+from lagoonfold._frames import JOURNAL, frame, unframe
 from lagoonfold._ids import ShardId
-from lagoonfold.records._frames import JOURNAL, frame, unframe
 from lagoonfold.records._record_types import AnswerPart, CallSettled, EpochStarted, Record
 
 MAX_ENTRY_BYTES = 900_000
--- a/packages/lagoonfold/src/lagoonfold/records/_segments.py
+++ b/packages/lagoonfold/src/lagoonfold/records/_segments.py
@@ -11,8 +11,8 @@
 import msgspec
 from result import Err, Ok, Result
 
+from lagoonfold._frames import SEGMENT, frame, unframe
 from lagoonfold._ids import ProgramId, ShardId
-from lagoonfold.records._frames import SEGMENT, frame, unframe
 from lagoonfold.records._journal import shard_prefix
 from lagoonfold.records._programs import Program, SegmentRef
 from lagoonfold.records._turns import DIGEST_BYTES, Turn, encode_turn
--- a/tests/_compatibility_names.py
+++ b/tests/_compatibility_names.py
@@ -21,8 +21,9 @@
 from lagoonfold_ctl import _fleet
 from lagoonfold_ctl._commands import Pending
 from lagoonfold_ctl._main import Lagoonfold
-from lagoonfold_gateway import DEFAULT_DIALECT
+from lagoonfold_gateway import DEFAULT_DIALECT, DEFAULT_RETIREMENT
 from lagoonfold_gateway._charges import BUDGET_PREFIX
+from lagoonfold_gateway._disk_controller import DISK_PREFIX
 from lagoonfold_gateway._registration import MEMBER_PREFIX
 from lagoonfold_io._http_connection import StreamError
 from lagoonfold_io._http_exchange import ClientGoneError
@@ -67,6 +68,9 @@
         "gateway configuration": DEFAULT_DIALECT.config_key,
         "gateway configuration, watched": DEFAULT_DIALECT.config_prefix,
         "replicas": DEFAULT_DIALECT.replica_prefix,
+        "disks": DISK_PREFIX,
+        "requests to empty a disk": DEFAULT_RETIREMENT.request_prefix,
+        "answers to requests to empty a disk": DEFAULT_RETIREMENT.answer_prefix,
     }
 
 
--- a/tests/_compatibility_values.py
+++ b/tests/_compatibility_values.py
@@ -6,6 +6,7 @@
 """
 
 from lagoonfold.budgets import BudgetRecord
+from lagoonfold.histories import KeptTurn
 from lagoonfold.liveness import LOST, InstanceStatus
 from lagoonfold.membership import Member, OwnershipTable, ShardOwner
 from lagoonfold.records import (
@@ -32,8 +33,12 @@
 from lagoonfold_gateway._messages import (
     Ack,
     BudgetExhausted,
+    CopiesLacking,
+    CopyOffer,
     Heartbeat,
     Hello,
+    KeepRefused,
+    KeepTurns,
     OwnerRedirect,
     OwnerUnavailable,
     Placed,
@@ -55,7 +60,10 @@
     TurnCredit,
     TurnCreditRequest,
     TurnEnd,
+    TurnQuery,
     TurnRequest,
+    TurnsFound,
+    TurnsKept,
 )
 from lagoonfold_node._peers._messages import Frame
 
@@ -65,6 +73,14 @@
 STATUS = InstanceStatus(
     instance="g1", start_id="start-1", number=66, state=LOST, address="10.0.0.1:7780"
 )
+KEPT_TURN = KeptTurn(
+    turn_id="turn-2",
+    account="north",
+    previous="turn-1",
+    program="prg-1",
+    request=b"question",
+    answer=b"answer",
+)
 GATEWAY_MESSAGES = (
     Heartbeat(status=STATUS, digest=61, config_revision=21, replica_revision=22),
     Hello(status=STATUS),
@@ -137,6 +153,13 @@
     TokenGranted(),
     TokenRefused(shortage="empty", retry_after_s=0.25),
     TokenReturn(instance="g1", number=67, account="north", exhausted_program="prg-1"),
+    KeepTurns(turns=(KEPT_TURN,), keep_s=(120.5,)),
+    TurnsKept(disk_id="disk-1"),
+    KeepRefused(reason="the disk is leaving"),
+    TurnQuery(turn_id="turn-2", account="north"),
+    TurnsFound(disk_id="disk-1", turns=(KEPT_TURN,), kept_for_s=(60.25,)),
+    CopyOffer(keys=("north\nturn-2",)),
+    CopiesLacking(disk_id="disk-1", keys=("north\nturn-2",)),
     Ack(),
 )
 # The body is the message `stream-end` with the size 7.
--- /dev/null
+++ b/tests/histories/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of kept turns: prompts, disks, searches, copies and the file."""
--- /dev/null
+++ b/tests/histories/test_copy_tracker.py
@@ -0,0 +1,182 @@
+"""Copies of turns while disks are lost, come back empty, are added and leave."""
+
+import random
+from dataclasses import replace
+
+from lagoonfold.histories import CopyRule, CopyTracker, Disk, rank_disks
+from tests._suite import load_functions
+from tests.histories.test_disks import make_disks
+
+RULE = CopyRule.for_losses(machines=1, domains=0)
+ROUNDS_TO_REPAIR = 3  # offer, copy, and once more after a change in between
+
+
+def _program_on(first: str, second: str, disks: list[Disk]) -> str:
+    """Return a program whose first two disks are these."""
+    for number in range(1_000):
+        ranked = rank_disks(f"program-{number}", disks)
+        if [disk.name for disk in ranked[:2]] == [first, second]:
+            return f"program-{number}"
+    raise AssertionError("no program uses these disks first")
+
+
+def test_turn_is_offered_until_its_disk_has_said_that_it_holds_it() -> None:
+    """A turn that both disks hold is settled and not offered again."""
+    disks = make_disks("abc")
+    tracker = CopyTracker("s-a-1", RULE)
+    tracker.set_disks(disks, lost=())
+    tracker.add("t1", _program_on("s-a-1", "s-b-1", disks))
+    assert tracker.wanted() == {"s-b-1": ["t1"]} and tracker.short() == ["t1"]
+    tracker.record_held("disk-b-1", ["t1", "unknown"])
+    assert tracker.wanted() == {} and tracker.short() == []
+
+
+def test_turns_of_a_lost_disk_are_copied_elsewhere_and_back() -> None:
+    """While a disk is silent the next one is used; empty again under a new id, it gets all."""
+    disks = make_disks("abc")
+    tracker = CopyTracker("s-a-1", RULE)
+    tracker.set_disks(disks, lost=())
+    tracker.add("t1", _program_on("s-a-1", "s-b-1", disks))
+    tracker.record_held("disk-b-1", ["t1"])
+    assert tracker.wanted() == {}
+    assert tracker.set_disks(disks, lost={"s-b-1"})
+    assert tracker.wanted() == {"s-c-1": ["t1"]} and tracker.short() == ["t1"]
+    tracker.record_held("disk-c-1", ["t1"])
+    assert tracker.wanted() == {} and tracker.short() == []
+    emptied = [replace(disk, disk_id="new") if disk.name == "s-b-1" else disk for disk in disks]
+    assert tracker.set_disks(emptied, lost=())
+    assert tracker.wanted() == {"s-b-1": ["t1"]} and tracker.short() == []
+    assert not tracker.set_disks(emptied, lost=())
+
+
+def test_leaving_disk_is_empty_only_with_all_copies_elsewhere() -> None:
+    """Its own copy no longer counts, and neither does one on another leaving disk."""
+    disks = make_disks("abc")
+    tracker = CopyTracker("s-a-1", RULE)
+    leaving = [replace(disk, is_leaving=disk.name == "s-a-1") for disk in disks]
+    tracker.set_disks(leaving, lost=())
+    tracker.add("t1", "p1")
+    assert tracker.wanted().keys() == {"s-b-1", "s-c-1"}
+    tracker.record_held("disk-b-1", ["t1"])
+    assert tracker.short() == ["t1"]
+    tracker.record_held("disk-c-1", ["t1"])
+    assert tracker.short() == []
+    both = [replace(disk, is_leaving=disk.name != "s-c-1") for disk in disks]
+    tracker.set_disks(both, lost=())
+    assert tracker.short() == ["t1"]
+
+
+def test_turns_with_fewest_copies_are_copied_first() -> None:
+    """A turn on this disk alone goes before one that another disk holds already."""
+    disks = make_disks("abcd")
+    rule = CopyRule.for_losses(machines=2, domains=0)
+    tracker = CopyTracker("s-a-1", rule)
+    tracker.set_disks(disks, lost=())
+    for key in ("t1", "t2", "t3"):
+        tracker.add(key, "p1")
+    targets = [disk for disk in rank_disks("p1", disks)[:3] if disk.name != "s-a-1"]
+    tracker.record_held(targets[0].disk_id, ["t1", "t3"])
+    assert tracker.wanted()[targets[1].name][0] == "t2"
+
+
+class _Cluster:
+    """Disks that hold keys in memory, each with its tracker; messages arrive at once."""
+
+    def __init__(self, rule: CopyRule, disks: list[Disk]) -> None:
+        self.rule = rule
+        self.disk_by_name = {disk.name: disk for disk in disks}
+        self.held_by_name: dict[str, dict[str, str]] = {disk.name: {} for disk in disks}
+        self.tracker_by_name = {disk.name: CopyTracker(disk.name, rule) for disk in disks}
+        self.down: set[str] = set()
+        self.copies = 0
+
+    def keep(self, key: str, program: str) -> bool:
+        """Write a turn as a gateway does; return whether it has enough copies."""
+        usable = [disk for disk in self.disk_by_name.values() if disk.name not in self.down]
+        chosen = rank_disks(program, [disk for disk in usable if not disk.is_leaving])
+        chosen = chosen[: self.rule.copies]
+        for disk in chosen:
+            self.put(disk.name, key, program)
+        return self.rule.is_met_by(chosen)
+
+    def put(self, name: str, key: str, program: str) -> None:
+        self.held_by_name[name][key] = program
+        self.tracker_by_name[name].add(key, program)
+
+    def wipe(self, name: str, number: int) -> None:
+        disk = replace(self.disk_by_name[name], disk_id=f"{name}-wiped-{number}")
+        self.disk_by_name[name] = disk
+        self.held_by_name[name] = {}
+        self.tracker_by_name[name] = CopyTracker(name, self.rule)
+
+    def repair(self) -> None:
+        """Let each disk that is up offer and copy once."""
+        for name, tracker in self.tracker_by_name.items():
+            if name in self.down:
+                continue
+            tracker.set_disks(self.disk_by_name.values(), lost=self.down)
+            for target, keys in tracker.wanted().items():
+                lacking = [key for key in keys if key not in self.held_by_name[target]]
+                for key in lacking:
+                    self.put(target, key, self.held_by_name[name][key])
+                    self.copies += 1
+                tracker.record_held(self.disk_by_name[target].disk_id, keys)
+
+    def holders(self, key: str) -> list[str]:
+        return [name for name, held in self.held_by_name.items() if key in held]
+
+
+def _play(seed: int, losses: int, disks: list[Disk]) -> None:
+    """Lose, stop, start and retire disks at random, never more at once than allowed."""
+    rng = random.Random(seed)
+    rule = CopyRule.for_losses(machines=losses, domains=0)
+    cluster = _Cluster(rule, disks)
+    kept: list[str] = []
+    for step in range(60):
+        for number in range(rng.randrange(4)):
+            key = f"{step}-{number}"
+            if cluster.keep(key, f"p{rng.randrange(12)}"):
+                kept.append(key)
+        event = rng.random()
+        up = [name for name in cluster.disk_by_name if name not in cluster.down]
+        if event < 0.25:
+            # Losses that come at once, and time to repair after them.
+            for name in rng.sample(up, min(len(up), losses - len(cluster.down))):
+                cluster.wipe(name, step)
+        elif event < 0.5 and len(cluster.down) < losses:
+            cluster.down.add(rng.choice(up))
+        elif event < 0.7:
+            cluster.down.clear()
+        elif event < 0.8 and len(up) > rule.copies + 1 and not cluster.down:
+            name = rng.choice(up)
+            leaving = replace(cluster.disk_by_name[name], is_leaving=True)
+            cluster.disk_by_name[name] = leaving
+            for _ in range(ROUNDS_TO_REPAIR):
+                cluster.repair()
+            assert cluster.tracker_by_name[name].short() == [], (seed, step)
+            for table in (cluster.disk_by_name, cluster.held_by_name, cluster.tracker_by_name):
+                del table[name]
+        for _ in range(ROUNDS_TO_REPAIR):
+            cluster.repair()
+        usable = len(cluster.disk_by_name) - len(cluster.down)
+        for key in kept:
+            holders = [name for name in cluster.holders(key) if name not in cluster.down]
+            assert len(holders) >= min(rule.copies, usable), (seed, step, key, holders)
+            assert len(holders) > losses - len(cluster.down), (seed, step, key, holders)
+    copies = cluster.copies
+    cluster.down.clear()
+    for _ in range(ROUNDS_TO_REPAIR):
+        cluster.repair()
+    settled = cluster.copies
+    cluster.repair()
+    assert cluster.copies == settled >= copies, "copies go on though nothing changes"
+
+
+def test_no_turn_is_lost_while_disks_are_lost_and_replaced_at_random() -> None:
+    """After each repair every kept turn has its copies on disks that are up."""
+    for seed in range(60):
+        _play(seed, 1, make_disks("abc", 2))
+        _play(seed, 2, make_disks("abc", 3))
+
+
+load_tests = load_functions(globals())
