Test kept turns over whole fleets: stalled, refusing, lost, replaced and emptied disks

Two faults were found by them: a gateway whose watch hangs could not keep a turn while the disks that it knew were gone (it reads the list again now), and each retry of a write logged each disk.

test_turn_is_found_at_a_disk_that_the_gateway_does_not_know_yet timed out once before it began, while its fleet was to know itself, beside other plays.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_history_client.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_history_client.py
@@ -25,6 +25,7 @@
 KEEP_TIMEOUT_S = 1.0  # for one disk to write; it takes some ms
 KEEP_ELSEWHERE_S = 0.1  # without enough copies, the next disk is asked to write too
 KEEP_AGAIN_S = 0.1  # before the disks that failed are tried again
+LIST_AGAIN_S = 1.0  # between reads of the list while turns cannot be kept
 FAULT_MEMORY_S = 1.0  # after which a disk that did not answer is tried again
 RETRY_AFTER_S = 0.3  # for a caller; an instance that was killed is back by then, or takes long
 MAX_MESSAGE_BYTES = 2_097_152  # of turns in one message, unless one turn is larger
@@ -69,6 +70,7 @@
         self._metrics = metrics
         self._cache: ByteLimitedCache[str, _Cached] = ByteLimitedCache(max_bytes=cache_bytes)
         self._faulty_until_s_by_name: dict[str, float] = {}
+        self._list_read_s = 0.0
         bus.on_fault = self._record_fault
         bus.on_answer = self._record_answer
 
@@ -120,10 +122,20 @@
         while not await self._write(messages, turn):
             self._metrics.count("histories", "not_kept")
             await trio.sleep(KEEP_AGAIN_S)
+            await self._read_list_again()
         for kept in (turn, *renewed):
             self._remember(kept, began_s + keep_s)
         self._metrics.record("keep_turn", now_s() - began_s)
 
+    async def _read_list_again(self) -> None:
+        """Read the list of disks, in case the watch has missed that some have come."""
+        if now_s() - self._list_read_s < LIST_AGAIN_S:
+            return
+        self._list_read_s = now_s()
+        listed = await self._disk_controller.read_now()
+        if isinstance(listed, Err):
+            _log.warning("disks.not_read", reason=listed.err_value.detail)
+
     def _remember(self, turn: KeptTurn, kept_until_s: float) -> None:
         cached = _Cached(turn, kept_until_s)
         self._cache.put(turn.key, cached, size_bytes=turn.size_bytes)
@@ -163,12 +175,14 @@
         return self._rule.is_met_by(kept_on)
 
     async def _write_to(self, disk: Disk, messages: list[KeepTurns], turn: KeptTurn) -> bool:
+        was_faulty = self._is_faulty(disk)
         for message in messages:
             answer = await self._bus.call(disk.name, message, timeout_s=KEEP_TIMEOUT_S)
             if isinstance(answer, Ok) and isinstance(answer.ok_value, TurnsKept):
                 continue
             reason = answer.err_value.value if isinstance(answer, Err) else str(answer.ok_value)
-            _log.warning("turn.not_kept", turn=turn.turn_id, disk=disk.name, reason=reason)
+            if not was_faulty:
+                _log.warning("turn.not_kept", turn=turn.turn_id, disk=disk.name, reason=reason)
             self._faulty_until_s_by_name[disk.name] = now_s() + FAULT_MEMORY_S
             return False
         return True
--- a/tests/gateway/_fleet.py
+++ b/tests/gateway/_fleet.py
@@ -1,12 +1,17 @@
 """Gateways, replicas and a store in one event loop, for tests."""
 
 import logging
+import os
+import shutil
+import tempfile
+import threading
 from collections.abc import Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
 import msgspec
 import trio
+from result import Err
 
 from lagoonfold.forwarding import (
     CallerLimits,
@@ -19,9 +24,23 @@
 )
 from lagoonfold.forwarding import Replica as ListedReplica
 from lagoonfold.rates import RateLimit
-from lagoonfold_gateway import DEFAULT_DIALECT, Gateway, GatewaySettings
-from lagoonfold_gateway._settings import InstanceSection, StoreSection, TimesSection
-from lagoonfold_io import HttpClient, HttpRequest, HttpResponse
+from lagoonfold_gateway import DEFAULT_DIALECT, DEFAULT_RETIREMENT, Gateway, GatewaySettings
+from lagoonfold_gateway._settings import (
+    HistoriesSection,
+    InstanceSection,
+    StoreSection,
+    TimesSection,
+)
+from lagoonfold_gateway.storage import StorageNode, StorageSettings
+from lagoonfold_gateway.storage._settings import StorageInstanceSection
+from lagoonfold_io import (
+    HttpClient,
+    HttpRequest,
+    HttpResponse,
+    TurnFile,
+    TurnFileError,
+    WriteBatch,
+)
 from standins._ports import free_port
 from standins.replica import NAMES, Replica
 from standins.transactional_store import MemoryStore, StoreView
@@ -71,17 +90,56 @@
     )
 
 
+class FaultyFile:
+    """A file of turns that stalls while `may_write` is not set, and refuses while `is_refusing`."""
+
+    def __init__(self, file: TurnFile) -> None:
+        self._file = file
+        self.may_write = threading.Event()
+        self.may_write.set()
+        self.is_refusing = False
+        self.writes = 0
+        self.reads = 0
+
+    def __getattr__(self, name: str) -> object:
+        return getattr(self._file, name)
+
+    def read(self, key: str) -> object:
+        """Count a read of the disk."""
+        self.reads += 1
+        return self._file.read(key)
+
+    def write(self, batch: WriteBatch) -> object:
+        """Write, unless the disk refuses, once it does not stall."""
+        self.writes += 1
+        if not self.may_write.wait(WAIT_S) or self.is_refusing:
+            return Err(TurnFileError("the disk refuses writes"))
+        return self._file.write(batch)
+
+
+@dataclass(slots=True)
+class Storage:
+    """A storage instance of the fleet, with its folder, which a restart finds again."""
+
+    settings: StorageSettings
+    node: StorageNode
+    file: FaultyFile
+    scope: trio.CancelScope
+
+
 @dataclass(slots=True)
 class Fleet:
     """A store, replicas and gateways; `client` reuses its connections as callers do."""
 
     store: MemoryStore
     nursery: trio.Nursery
+    folder: tempfile.TemporaryDirectory = field(default_factory=tempfile.TemporaryDirectory)
     replica_by_id: dict[str, Replica] = field(default_factory=dict)
     gateways: list[Gateway] = field(default_factory=list)
     scope_by_gateway: dict[str, trio.CancelScope] = field(default_factory=dict)
     view_by_gateway: dict[str, StoreView] = field(default_factory=dict)
     client: HttpClient = field(default_factory=HttpClient)
+    storage_by_name: dict[str, Storage] = field(default_factory=dict)
     _requests: int = 0
 
     def put_config(self, config: ForwardConfig) -> None:
@@ -151,6 +209,57 @@
             await gateway.start(nursery)
             task_status.started(gateway)
 
+    async def add_storage(
+        self, name: str, domain: str = "zone-a", *, cache_mb: int = 8, machine_losses: int = 1
+    ) -> Storage:
+        """Start a storage instance with an empty folder."""
+        settings = StorageSettings(
+            instance=StorageInstanceSection(
+                id=name,
+                failure_domain=domain,
+                peers=f"127.0.0.1:{free_port()}",
+                data_folder=tempfile.mkdtemp(dir=self.folder.name),
+                max_disk_mb=20,
+            ),
+            store=StoreSection(address="127.0.0.1:1"),
+            histories=HistoriesSection(cache_mb=cache_mb, machine_losses=machine_losses),
+        )
+        return await self._start_storage(settings)
+
+    async def _start_storage(self, settings: StorageSettings) -> Storage:
+        storage: Storage = await self.nursery.start(self._run_storage, settings)
+        self.storage_by_name[settings.instance.id] = storage
+        return storage
+
+    async def _run_storage(
+        self, settings: StorageSettings, *, task_status: trio.TaskStatus[Storage]
+    ) -> None:
+        path = f"{settings.instance.data_folder}/turns.db"
+        file = FaultyFile(TurnFile.open(path, max_bytes=20_000_000).unwrap())
+        view = self.view_by_gateway[settings.instance.id] = StoreView(self.store)
+        try:
+            async with trio.open_nursery() as nursery:
+                node = StorageNode(settings, DEFAULT_RETIREMENT, view, file, nursery)
+                await node.start(nursery)
+                task_status.started(Storage(settings, node, file, nursery.cancel_scope))
+        finally:
+            file.may_write.set()
+            file.close()
+
+    async def stop_storage(self, name: str) -> StorageSettings:
+        """End a storage instance as a kill does; its folder stays."""
+        storage = self.storage_by_name.pop(name)
+        storage.scope.cancel()
+        await trio.sleep(0.05)
+        return storage.settings
+
+    async def restart_storage(self, settings: StorageSettings, *, wiped: bool = False) -> Storage:
+        """Start a storage instance again, with its folder or an empty one."""
+        if wiped:
+            shutil.rmtree(settings.instance.data_folder)
+            os.mkdir(settings.instance.data_folder)
+        return await self._start_storage(settings)
+
     def kill(self, gateway: Gateway) -> None:
         """Cancel a gateway without a stop."""
         self.scope_by_gateway[gateway.settings.instance.id].cancel()
@@ -222,13 +331,62 @@
         gateway.board.config.read() is not None
         and len(gateway.board.replicas.read().all()) == len(fleet.replica_by_id)
         and len(gateway.board.live.read().ids) == len(fleet.gateways)
+        and (not fleet.storage_by_name or knows_disks(gateway, fleet))
         for gateway in fleet.gateways
+    ) and all(
+        storage.node.registration.is_listed
+        and len(storage.node.disks.read() or ()) == len(fleet.storage_by_name)
+        for storage in fleet.storage_by_name.values()
+    )
+
+
+def describe(fleet: Fleet) -> list[object]:
+    """Return what each instance of a fleet knows, for the message of a failed test."""
+    return [
+        *(
+            {
+                "gateway": gateway.bus.own_id,
+                "config": gateway.board.config.read() is not None,
+                "replicas": [each.replica_id for each in gateway.board.replicas.read().all()],
+                "live": gateway.board.live.read().ids,
+                "disks": gateway.board.disks.read(),
+                "calls": gateway.metrics.counts().get("store_calls"),
+            }
+            for gateway in fleet.gateways
+        ),
+        *(
+            {
+                "storage": name,
+                "is_listed": storage.node.registration.is_listed,
+                "disks": storage.node.disks.read(),
+                "writes": storage.file.writes,
+                "calls": storage.node.metrics.counts().get("store_calls"),
+            }
+            for name, storage in fleet.storage_by_name.items()
+        ),
+    ]
+
+
+def knows_disks(gateway: Gateway, fleet: Fleet) -> bool:
+    """Return whether a gateway knows the disks of all running storage instances."""
+    known = {disk.name: disk.disk_id for disk in gateway.board.disks.read() or ()}
+    return all(
+        known.get(name) == storage.node.turn_store.disk_id
+        for name, storage in fleet.storage_by_name.items()
     )
 
 
 @asynccontextmanager
-async def run_fleet(*, gateways: int = 1, replicas: int = 2, config: ForwardConfig | None = None):
-    """Start gateways and replicas and yield them once they know each other.
+async def run_fleet(
+    *,
+    gateways: int = 1,
+    replicas: int = 2,
+    storage: str = "",
+    config: ForwardConfig | None = None,
+):
+    """Start gateways, replicas and storage instances; yield them once they know each other.
+
+    There is a storage instance `s-<domain>` for each failure domain in `storage`.
 
     In the end no gateway may have counted an exception of its request handler: it may come after
     the response, where callers don't see it.
@@ -240,11 +398,17 @@
             await fleet.add_replica(f"r{number + 1}")
         for number in range(gateways):
             await fleet.add_gateway(f"g{number + 1}")
-        await wait_until(lambda: knows_all(fleet))
+        for domain in storage:
+            await fleet.add_storage(f"s-{domain}", domain)
+        try:
+            await wait_until(lambda: knows_all(fleet))
+        except trio.TooSlowError:
+            raise AssertionError(f"the fleet does not know itself: {describe(fleet)}") from None
         yield fleet
         for gateway in fleet.gateways:
             assert "handler_errors" not in gateway.metrics.render(), gateway.metrics.render()
         nursery.cancel_scope.cancel()
+    fleet.folder.cleanup()
 
 
 def run_with_fleet(check: Callable[[Fleet], Awaitable[None]], **options: object) -> None:
@@ -285,7 +449,9 @@
 
 __all__ = [
     "Fleet",
+    "Storage",
     "knows_all",
+    "knows_disks",
     "make_config",
     "run_and_collect_lines",
     "run_fleet",
--- a/tests/histories/test_copy_tracker.py
+++ b/tests/histories/test_copy_tracker.py
@@ -126,57 +126,85 @@
         return [name for name, held in self.held_by_name.items() if key in held]
 
 
-def _play(seed: int, losses: int, disks: list[Disk]) -> None:
-    """Lose, stop, start and retire disks at random, never more at once than allowed."""
-    rng = random.Random(seed)
-    rule = CopyRule.for_losses(machines=losses, domains=0)
-    cluster = _Cluster(rule, disks)
-    kept: list[str] = []
-    for step in range(60):
-        for number in range(rng.randrange(4)):
-            key = f"{step}-{number}"
-            if cluster.keep(key, f"p{rng.randrange(12)}"):
-                kept.append(key)
-        event = rng.random()
-        up = [name for name in cluster.disk_by_name if name not in cluster.down]
-        if event < 0.25:
-            # Losses that come at once, and time to repair after them.
-            for name in rng.sample(up, min(len(up), losses - len(cluster.down))):
-                cluster.wipe(name, step)
-        elif event < 0.5 and len(cluster.down) < losses:
-            cluster.down.add(rng.choice(up))
-        elif event < 0.7:
-            cluster.down.clear()
-        elif event < 0.8 and len(up) > rule.copies + 1 and not cluster.down:
-            name = rng.choice(up)
-            leaving = replace(cluster.disk_by_name[name], is_leaving=True)
-            cluster.disk_by_name[name] = leaving
-            for _ in range(ROUNDS_TO_REPAIR):
-                cluster.repair()
-            assert cluster.tracker_by_name[name].short() == [], (seed, step)
-            for table in (cluster.disk_by_name, cluster.held_by_name, cluster.tracker_by_name):
-                del table[name]
+class _Play:
+    """Loses, stops, starts and retires disks at random, never more at once than allowed."""
+
+    def __init__(self, seed: int, losses: int, disks: list[Disk]) -> None:
+        self.seed = seed
+        self.rng = random.Random(seed)
+        self.losses = losses
+        self.cluster = _Cluster(CopyRule.for_losses(machines=losses, domains=0), disks)
+        self.kept: list[str] = []
+
+    def run(self) -> None:
+        for step in range(60):
+            self.keep_some(step)
+            events = (self.wipe_some, self.stop_one, self.start_all, self.retire_one, self.rest)
+            self.rng.choices(events, (25, 25, 20, 10, 20))[0](step)
+            self.repair()
+            self.check(step)
+        self.check_that_copies_end()
+
+    def keep_some(self, step: int) -> None:
+        for number in range(self.rng.randrange(4)):
+            if self.cluster.keep(f"{step}-{number}", f"p{self.rng.randrange(12)}"):
+                self.kept.append(f"{step}-{number}")
+
+    def up(self) -> list[str]:
+        return [name for name in self.cluster.disk_by_name if name not in self.cluster.down]
+
+    def wipe_some(self, step: int) -> None:
+        up = self.up()
+        for name in self.rng.sample(up, min(len(up), self.losses - len(self.cluster.down))):
+            self.cluster.wipe(name, step)
+
+    def stop_one(self, step: int) -> None:
+        if len(self.cluster.down) < self.losses:
+            self.cluster.down.add(self.rng.choice(self.up()))
+
+    def start_all(self, step: int) -> None:
+        self.cluster.down.clear()
+
+    def retire_one(self, step: int) -> None:
+        cluster, up = self.cluster, self.up()
+        if cluster.down or len(up) <= cluster.rule.copies + 1:
+            return
+        name = self.rng.choice(up)
+        cluster.disk_by_name[name] = replace(cluster.disk_by_name[name], is_leaving=True)
+        self.repair()
+        assert cluster.tracker_by_name[name].short() == [], (self.seed, step)
+        for table in (cluster.disk_by_name, cluster.held_by_name, cluster.tracker_by_name):
+            del table[name]
+
+    def rest(self, step: int) -> None:
+        pass
+
+    def repair(self) -> None:
         for _ in range(ROUNDS_TO_REPAIR):
-            cluster.repair()
+            self.cluster.repair()
+
+    def check(self, step: int) -> None:
+        cluster = self.cluster
         usable = len(cluster.disk_by_name) - len(cluster.down)
-        for key in kept:
+        for key in self.kept:
             holders = [name for name in cluster.holders(key) if name not in cluster.down]
-            assert len(holders) >= min(rule.copies, usable), (seed, step, key, holders)
-            assert len(holders) > losses - len(cluster.down), (seed, step, key, holders)
-    copies = cluster.copies
-    cluster.down.clear()
-    for _ in range(ROUNDS_TO_REPAIR):
-        cluster.repair()
-    settled = cluster.copies
-    cluster.repair()
-    assert cluster.copies == settled >= copies, "copies go on though nothing changes"
+            where = (self.seed, step, key, holders)
+            assert len(holders) >= min(cluster.rule.copies, usable), where
+            assert len(holders) > self.losses - len(cluster.down), where
+
+    def check_that_copies_end(self) -> None:
+        self.cluster.down.clear()
+        self.repair()
+        settled = self.cluster.copies
+        self.cluster.repair()
+        assert self.cluster.copies == settled, "copies go on though nothing changes"
 
 
 def test_no_turn_is_lost_while_disks_are_lost_and_replaced_at_random() -> None:
     """After each repair every kept turn has its copies on disks that are up."""
     for seed in range(60):
-        _play(seed, 1, make_disks("abc", 2))
-        _play(seed, 2, make_disks("abc", 3))
+        _Play(seed, 1, make_disks("abc", 2)).run()
+        _Play(seed, 2, make_disks("abc", 3)).run()
 
 
 load_tests = load_functions(globals())
