Reach disks through another gateway while this one is cut off from them

A gateway that cannot reach a storage instance asks another gateway to pass its messages on, and keeps to the one that could. A disk counts as out of reach only if neither way answers.

test_gateway_that_reaches_no_disk_uses_them_through_another_one failed before (no answer's end).

--- /dev/null
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_disk_caller.py
@@ -0,0 +1,121 @@
+"""Calls storage instances, by way of another gateway while one cannot be reached from here.
+
+Reads `live`. A gateway that is cut off from some storage instances may still reach other gateways,
+and these the storage instances.
+"""
+
+import random
+from collections.abc import Awaitable
+
+from result import Err, Ok, Result
+
+from lagoonfold.histories import Disk
+from lagoonfold_gateway._board import GatewayBoard
+from lagoonfold_gateway._clock import now_s
+from lagoonfold_gateway._messages import (
+    DiskRelay,
+    DiskUnreached,
+    KeepTurns,
+    Message,
+    TurnQuery,
+)
+from lagoonfold_gateway._peer_link import PeerFault
+from lagoonfold_gateway._peers import PeerBus
+from lagoonfold_io.observe import Metrics
+
+FAULT_MEMORY_S = 1.0  # after which a disk that did not answer is called again
+RELAY_TIMEOUT_S = 0.5  # a disk's own time and a hop more
+MAX_RELAYS_TRIED = 2
+
+
+class DiskCaller:
+    """Calls the storage instances for one gateway, and for others that cannot reach them."""
+
+    def __init__(
+        self,
+        board: GatewayBoard,
+        bus: PeerBus,
+        disk_bus: PeerBus,
+        metrics: Metrics,
+        rng: random.Random,
+    ) -> None:
+        self._board = board
+        self._bus = bus
+        self._disk_bus = disk_bus
+        self._metrics = metrics
+        self._rng = rng
+        self._faulty_until_s_by_name: dict[str, float] = {}
+        self._unrelayed_until_s_by_name: dict[str, float] = {}
+        self._relay_by_name: dict[str, str] = {}
+        disk_bus.on_fault = self._record_fault
+        disk_bus.on_answer = self._record_answer
+        bus.register_handler(DiskRelay)(self._handle_relay)
+
+    def is_faulty(self, disk: Disk) -> bool:
+        """Return whether a disk's instance did not answer this gateway lately."""
+        return now_s() < self._faulty_until_s_by_name.get(disk.name, 0.0)
+
+    def is_out_of_reach(self, disk: Disk) -> bool:
+        """Return whether a disk's instance answered lately neither here nor through others."""
+        unrelayed = now_s() < self._unrelayed_until_s_by_name.get(disk.name, 0.0)
+        return unrelayed and self.is_faulty(disk)
+
+    def record_refused(self, disk: Disk) -> None:
+        """Record that a disk's instance has refused to keep a turn, for whichever reason."""
+        self._faulty_until_s_by_name[disk.name] = now_s() + FAULT_MEMORY_S
+
+    async def call(
+        self, disk: Disk, message: KeepTurns | TurnQuery, *, timeout_s: float
+    ) -> Result[Message, PeerFault]:
+        """Send a message to a disk's instance and return the answer.
+
+        One that did not answer lately is called through others first.
+        """
+        if self.is_faulty(disk) and not self.is_out_of_reach(disk):
+            relayed = await self._call_through_others(disk, message)
+            if isinstance(relayed, Ok):
+                return relayed
+        direct = await self._disk_bus.call(disk.name, message, timeout_s=timeout_s)
+        if isinstance(direct, Ok) or self.is_out_of_reach(disk):
+            return direct
+        return await self._call_through_others(disk, message)
+
+    async def _call_through_others(
+        self, disk: Disk, message: KeepTurns | TurnQuery
+    ) -> Result[Message, PeerFault]:
+        relay = DiskRelay(disk=disk.name, message=message)
+        for peer in self._relays(disk.name):
+            self._metrics.count("disk_calls_relayed")
+            answer = await self._bus.call(peer, relay, timeout_s=RELAY_TIMEOUT_S)
+            if isinstance(answer, Ok) and not isinstance(answer.ok_value, DiskUnreached):
+                self._relay_by_name[disk.name] = peer
+                self._unrelayed_until_s_by_name.pop(disk.name, None)
+                return answer
+        self._relay_by_name.pop(disk.name, None)
+        self._unrelayed_until_s_by_name[disk.name] = now_s() + FAULT_MEMORY_S
+        return Err(PeerFault.UNREACHED)
+
+    def _relays(self, disk_name: str) -> list[str]:
+        """Return the gateways to try, first the one that has reached the disk before."""
+        known = self._relay_by_name.get(disk_name)
+        others = [
+            each for each in self._board.live.read().ids if each not in (self._bus.own_id, known)
+        ]
+        drawn = self._rng.sample(others, min(MAX_RELAYS_TRIED, len(others)))
+        return ([known] if known is not None else []) + drawn[: MAX_RELAYS_TRIED - bool(known)]
+
+    def _handle_relay(self, relay: Message) -> Awaitable[Message]:
+        assert isinstance(relay, DiskRelay)
+        return self._pass_on(relay)
+
+    async def _pass_on(self, relay: DiskRelay) -> Message:
+        answer = await self._disk_bus.call(relay.disk, relay.message, timeout_s=RELAY_TIMEOUT_S)
+        if isinstance(answer, Err):
+            return DiskUnreached(reason=answer.err_value.value)
+        return answer.ok_value
+
+    def _record_fault(self, name: str, fault: PeerFault) -> None:
+        self._faulty_until_s_by_name[name] = now_s() + FAULT_MEMORY_S
+
+    def _record_answer(self, name: str) -> None:
+        self._faulty_until_s_by_name.pop(name, None)
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
@@ -21,6 +21,7 @@
 from lagoonfold_gateway._context import ForwardContext
 from lagoonfold_gateway._counted_store import CountedStore
 from lagoonfold_gateway._dialect import Dialect
+from lagoonfold_gateway._disk_caller import DiskCaller
 from lagoonfold_gateway._disk_controller import DiskController
 from lagoonfold_gateway._dispatch import Dispatcher
 from lagoonfold_gateway._forwarder import Forwarder
@@ -93,7 +94,7 @@
         self.disk_controller = DiskController(self.board.disks, store, self.disk_bus, gate)
         self.history_client = HistoryClient(
             self.board,
-            self.disk_bus,
+            DiskCaller(self.board, self.bus, self.disk_bus, self.metrics, random.Random()),
             self.disk_controller,
             settings.histories.rule(),
             instance.failure_domain,
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_history_client.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_history_client.py
@@ -13,20 +13,18 @@
 from lagoonfold.histories import ChainSearch, CopyRule, Disk, KeptTurn, rank_disks
 from lagoonfold_gateway._board import GatewayBoard
 from lagoonfold_gateway._clock import now_s
+from lagoonfold_gateway._disk_caller import DiskCaller
 from lagoonfold_gateway._disk_controller import DiskController
 from lagoonfold_gateway._messages import KeepTurns, TurnQuery, TurnsFound, TurnsKept
-from lagoonfold_gateway._peer_link import PeerFault
-from lagoonfold_gateway._peers import PeerBus
 from lagoonfold_io.observe import EventLog, Metrics
 
 KEPT_SPANS = 2  # of a route's retention; turns of a long chain are renewed once in each span
 ASK_TIMEOUT_S = 0.3  # a disk's instance answers from memory within some ms
 NEXT_DISK_S = 0.05  # without an answer, other disks are asked too
-KEEP_TIMEOUT_S = 1.0  # for one disk to write; it takes some ms
+KEEP_TIMEOUT_S = 0.5  # for one disk to write; it takes some ms
 KEEP_ELSEWHERE_S = 0.1  # without enough copies, the next disk is asked to write too
 KEEP_AGAIN_S = 0.1  # before the disks that failed are tried again
 LIST_AGAIN_S = 1.0  # between reads of the list while turns cannot be kept
-FAULT_MEMORY_S = 1.0  # after which a disk that did not answer is tried again
 RETRY_AFTER_S = 0.3  # for a caller; an instance that was killed is back by then, or takes long
 MAX_MESSAGE_BYTES = 2_097_152  # of turns in one message, unless one turn is larger
 MAX_TURN_BYTES = 6_291_456  # fits into a message with a margin
@@ -54,7 +52,7 @@
     def __init__(
         self,
         board: GatewayBoard,
-        bus: PeerBus,
+        caller: DiskCaller,
         disk_controller: DiskController,
         rule: CopyRule,
         failure_domain: str,
@@ -63,23 +61,22 @@
         cache_bytes: int,
     ) -> None:
         self._board = board
-        self._bus = bus
+        self._caller = caller
         self._disk_controller = disk_controller
         self._rule = rule
         self._failure_domain = failure_domain
         self._metrics = metrics
         self._cache: ByteLimitedCache[str, _Cached] = ByteLimitedCache(max_bytes=cache_bytes)
-        self._faulty_until_s_by_name: dict[str, float] = {}
         self._list_read_s = 0.0
-        bus.on_fault = self._record_fault
-        bus.on_answer = self._record_answer
 
     def refuse_if_disks_are_missing(self) -> Refusal | None:
         """Return a refusal if a turn that begins now could not be kept, as far as is known."""
         disks = self._board.disks.read()
         if disks is None:
             return _unavailable("the list of disks has not been read yet")
-        writable = [disk for disk in disks if not disk.is_leaving and not self._is_faulty(disk)]
+        writable = [
+            disk for disk in disks if not disk.is_leaving and not self._caller.is_out_of_reach(disk)
+        ]
         if self._rule.is_met_by(writable):
             return None
         return _unavailable(f"turns cannot be kept: {len(writable)} of {len(disks)} disks answer")
@@ -144,7 +141,7 @@
     async def _write(self, messages: list[KeepTurns], turn: KeptTurn) -> bool:
         """Write to the first disks by rank, and to further ones while copies are missing."""
         disks = [disk for disk in self._board.disks.read() or () if not disk.is_leaving]
-        waiting = sorted(rank_disks(turn.program, disks), key=self._is_faulty)
+        waiting = sorted(rank_disks(turn.program, disks), key=self._caller.is_faulty)
         kept_on: list[Disk] = []
         needs_more = trio.Event()
         pending = 0
@@ -175,15 +172,15 @@
         return self._rule.is_met_by(kept_on)
 
     async def _write_to(self, disk: Disk, messages: list[KeepTurns], turn: KeptTurn) -> bool:
-        was_faulty = self._is_faulty(disk)
+        was_faulty = self._caller.is_faulty(disk)
         for message in messages:
-            answer = await self._bus.call(disk.name, message, timeout_s=KEEP_TIMEOUT_S)
+            answer = await self._caller.call(disk, message, timeout_s=KEEP_TIMEOUT_S)
             if isinstance(answer, Ok) and isinstance(answer.ok_value, TurnsKept):
                 continue
             reason = answer.err_value.value if isinstance(answer, Err) else str(answer.ok_value)
             if not was_faulty:
                 _log.warning("turn.not_kept", turn=turn.turn_id, disk=disk.name, reason=reason)
-            self._faulty_until_s_by_name[disk.name] = now_s() + FAULT_MEMORY_S
+            self._caller.record_refused(disk)
             return False
         return True
 
@@ -244,7 +241,7 @@
         if turn_id is None:
             return
         query = TurnQuery(turn_id=turn_id, account=search.account)
-        answer = await self._bus.call(disk.name, query, timeout_s=ASK_TIMEOUT_S)
+        answer = await self._caller.call(disk, query, timeout_s=ASK_TIMEOUT_S)
         if not isinstance(answer, Ok) or not isinstance(answer.ok_value, TurnsFound):
             return
         held = answer.ok_value
@@ -257,15 +254,6 @@
         search.add(held.turns)
         found.set()
 
-    def _is_faulty(self, disk: Disk) -> bool:
-        return now_s() < self._faulty_until_s_by_name.get(disk.name, 0.0)
-
-    def _record_fault(self, name: str, fault: PeerFault) -> None:
-        self._faulty_until_s_by_name[name] = now_s() + FAULT_MEMORY_S
-
-    def _record_answer(self, name: str) -> None:
-        self._faulty_until_s_by_name.pop(name, None)
-
 
 async def _any_of(*events: trio.Event) -> None:
     """Wait until one of the events is set."""
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_messages.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_messages.py
@@ -317,6 +317,22 @@
     kept_for_s: tuple[float, ...] = ()
 
 
+class DiskRelay(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """A message to a storage instance that the sender cannot reach, for the receiver to pass on.
+
+    The answer is the storage instance's, or `DiskUnreached`.
+    """
+
+    disk: str
+    message: KeepTurns | TurnQuery
+
+
+class DiskUnreached(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """Answer: the receiver cannot reach the storage instance either."""
+
+    reason: str
+
+
 class CopyOffer(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Keys of turns that the receiver should hold; the answer is `CopiesLacking`."""
 
@@ -365,6 +381,8 @@
     | KeepRefused
     | TurnQuery
     | TurnsFound
+    | DiskRelay
+    | DiskUnreached
     | CopyOffer
     | CopiesLacking
     | Ack
--- a/tests/gateway/test_histories.py
+++ b/tests/gateway/test_histories.py
@@ -8,6 +8,7 @@
 from lagoonfold.forwarding import ClientAccount, ForwardConfig
 from lagoonfold_gateway import DEFAULT_RETIREMENT, Gateway
 from lagoonfold_io import HttpRequest, HttpResponse
+from standins._ports import free_port
 from standins.replica import EVENTS, NAMES
 from tests._suite import load_functions
 from tests.gateway._fleet import (
@@ -233,6 +234,29 @@
     _check(check, gateways=2, config=_config(timeout_s=4.0))
 
 
+def test_gateway_that_reaches_no_disk_uses_them_through_another_one() -> None:
+    """A cut between a gateway and all storage instances costs its callers nothing."""
+
+    async def check(fleet: Fleet) -> None:
+        cut, other = fleet.gateways
+        await _send(fleet, other, b"<1>", turn_id="t1")
+        for name in fleet.storage_by_name:
+            # Nobody listens there: calls fail, as they do over a cut.
+            cut.disk_bus.set_peer(name, f"127.0.0.1:{free_port()}")
+        cut.disk_bus.set_peer = lambda name, address: None
+        answer = await _send(fleet, cut, b"<2>", turn_id="t2", previous="t1")
+        assert answer.status == 200 and b"<1>" + ANSWER_TEXT + b"<2>" in _bodies(fleet)
+        assert len(_holders(fleet, "t2")) == 2
+        answer = await _send(fleet, cut, b"<3>", turn_id="t3", previous="unknown")
+        assert answer.status == 404
+        fleet.kill(other)
+        await wait_until(lambda: len(cut.board.live.read().ids) == 1)
+        answer = await _send(fleet, cut, b"<4>", turn_id="t4", previous="unknown")
+        assert answer.status == 503
+
+    _check(check, gateways=2)
+
+
 def test_turns_survive_the_kill_of_all_instances() -> None:
     """Gateways and storage instances start again; the line goes on where it was."""
 
