Send nothing new to a replica that says in an answer that it leaves

Nothing read the header: an instance went on using the replica until the store's listing told it, which in an outage or a cut is never.

Same class as the limits that replicas name, and now the same path: ReplicaStatements applies what the head of a replica's own answer says. The incarnation counts as draining in the directory whatever is listed later; only another start ends that. The instance that learns it tells all others, since the owner of the replica's pool places for all, and the owner tells those that join.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_context.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_context.py
@@ -8,10 +8,10 @@
 from lagoonfold_gateway._budget_client import BudgetClient
 from lagoonfold_gateway._dialect import Dialect
 from lagoonfold_gateway._history_client import HistoryClient
-from lagoonfold_gateway._limit_controller import LimitController
 from lagoonfold_gateway._placement_client import PlacementClient
 from lagoonfold_gateway._poison_tracker import PoisonTracker
 from lagoonfold_gateway._rate_limiter import RateLimiter
+from lagoonfold_gateway._replica_statements import ReplicaStatements
 from lagoonfold_gateway._version_controller import VersionController
 from lagoonfold_io import HttpClient
 from lagoonfold_io.observe import Metrics
@@ -24,7 +24,7 @@
     dialect: Dialect
     board: GatewayBoard
     placement_client: PlacementClient
-    limit_controller: LimitController
+    replica_statements: ReplicaStatements
     client: HttpClient
     poison_tracker: PoisonTracker
     rate_limiter: RateLimiter
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_dialect.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_dialect.py
@@ -40,6 +40,7 @@
     not_run: str = "x-not-run"
     replica_load: str = "x-replica-load"
     replica_limit: str = "x-replica-limit"
+    replica_leaving: str = "x-replica-leaving"
     reserved: frozenset[str] = frozenset()
 
 
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
@@ -28,15 +28,18 @@
 from lagoonfold_gateway._heartbeats import Heartbeats
 from lagoonfold_gateway._history_client import HistoryClient
 from lagoonfold_gateway._latency_baselines import LatencyBaselines
+from lagoonfold_gateway._leaving_controller import LeavingController
 from lagoonfold_gateway._limit_controller import LimitController
 from lagoonfold_gateway._member_controller import MemberController
 from lagoonfold_gateway._peers import PeerBus
 from lagoonfold_gateway._placement_client import PlacementClient
 from lagoonfold_gateway._placement_owner import PlacementOwner
 from lagoonfold_gateway._poison_tracker import PoisonTracker
+from lagoonfold_gateway._pool_owners import PoolOwners
 from lagoonfold_gateway._rate_limiter import RateLimiter
 from lagoonfold_gateway._rate_owner import RateOwner
 from lagoonfold_gateway._replica_controller import ReplicaController
+from lagoonfold_gateway._replica_statements import ReplicaStatements
 from lagoonfold_gateway._retirement_responder import RetirementResponder
 from lagoonfold_gateway._settings import GatewaySettings
 from lagoonfold_gateway._store_watch import StoreGate
@@ -123,7 +126,9 @@
         self.budget_owner = BudgetOwner(
             self.board, self.bus, store, self.members, nursery, is_first_start=first
         )
-        self.limit_controller = LimitController(self.board, self.bus, self.members)
+        pool_owners = PoolOwners(self.board, self.members)
+        self.limit_controller = LimitController(self.board, self.bus, self.members, pool_owners)
+        self.leaving_controller = LeavingController(self.board, self.bus, pool_owners, self.client)
         self.version_controller = VersionController(self.board, self.bus)
         self.dispatcher = self._make_dispatcher()
         self.placement_owner = PlacementOwner(
@@ -157,7 +162,9 @@
             dialect=dialect,
             board=self.board,
             placement_client=placement_client,
-            limit_controller=self.limit_controller,
+            replica_statements=ReplicaStatements(
+                dialect.headers, self.limit_controller, self.leaving_controller
+            ),
             client=self.client,
             poison_tracker=self.poison_tracker,
             rate_limiter=self.rate_limiter,
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_limit_controller.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_limit_controller.py
@@ -7,16 +7,16 @@
 from the other instances: one of them may have taken over from it.
 """
 
-from collections import Counter
-
 from result import Err
 
-from lagoonfold.forwarding import Replica, ReplicaDirectory, ReplicaLimits, parse_limit, pool_of
+from lagoonfold.forwarding import Replica, ReplicaDirectory, ReplicaLimits, parse_limit
 from lagoonfold_gateway._board import GatewayBoard, LiveView
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._member_controller import MemberController
 from lagoonfold_gateway._messages import Ack, Message, ReplicaLimitNews
+from lagoonfold_gateway._newcomers import Newcomers
 from lagoonfold_gateway._peers import PeerBus
+from lagoonfold_gateway._pool_owners import PoolOwners
 from lagoonfold_io.observe import EventLog
 
 TOLD_CHANGE_SHARE = 0.1  # instances that do not place for a replica need its limit roughly
@@ -27,15 +27,21 @@
 class LimitController:
     """Holds the limits of all replicas, and says for which of them this instance places."""
 
-    def __init__(self, board: GatewayBoard, bus: PeerBus, members: MemberController) -> None:
+    def __init__(
+        self,
+        board: GatewayBoard,
+        bus: PeerBus,
+        members: MemberController,
+        pool_owners: PoolOwners,
+    ) -> None:
         self.limits = ReplicaLimits(self._placing_since_s)
         self._board = board
         self._bus = bus
         self._members = members
-        self._replicas_by_service: Counter[str] = Counter()
+        self._pool_owners = pool_owners
         self._told_by_id: dict[str, float] = {}
         self._unreadable_by_id: dict[str, str] = {}
-        self._live_ids: frozenset[str] = frozenset()
+        self._newcomers = Newcomers(bus.own_id)
         bus.register_handler(ReplicaLimitNews)(self._handle_news)
         board.replicas.subscribe(self._apply_directory)
         board.live.subscribe(self._tell_newcomers)
@@ -55,7 +61,7 @@
             replica=replica.replica_id, started=replica.started, limit_per_s=parsed.ok_value
         )
         self._apply(news)
-        self._bus.post(self._owner(replica), news)
+        self._bus.post(self._pool_owners.owner(replica), news)
 
     def record_unlimited(self, replica: Replica, *, placed_at_s: float) -> None:
         """Record a whole answer without a limit to a request that this instance has placed."""
@@ -80,7 +86,7 @@
             return
         self.limits.record_named(news.replica, news.started, limit_per_s, now_s=now)
         replica = self._board.replicas.read().get(news.replica)
-        if replica is None or self._owner(replica) != self._bus.own_id:
+        if replica is None or self._pool_owners.owner(replica) != self._bus.own_id:
             return
         told = self._told_by_id.get(news.replica)
         if told is None or abs(limit_per_s - told) > TOLD_CHANGE_SHARE * told:
@@ -94,8 +100,7 @@
 
     def _tell_newcomers(self, view: LiveView) -> None:
         """Tell instances that have come the limits of the replicas for which this one places."""
-        newcomers = set(view.ids) - self._live_ids - {self._bus.own_id}
-        self._live_ids = frozenset(view.ids)
+        newcomers = self._newcomers.among(view)
         if not newcomers:
             return
         for replica_id, (started, limit_per_s) in self.limits.named().items():
@@ -108,21 +113,14 @@
 
     def _apply_directory(self, directory: ReplicaDirectory) -> None:
         replicas = directory.all()
-        self._replicas_by_service = Counter(
-            replica.service for replica in replicas if not replica.is_draining
-        )
         self.limits.keep({replica.replica_id: replica.started for replica in replicas})
 
     def _placing_since_s(self, replica_id: str) -> float | None:
         replica = self._board.replicas.read().get(replica_id)
-        if replica is None or self._owner(replica) != self._bus.own_id:
+        if replica is None or self._pool_owners.owner(replica) != self._bus.own_id:
             return None
         return self._board.live.read().since_s if self._members.hears_most() else None
 
-    def _owner(self, replica: Replica) -> str:
-        pool = pool_of(replica, self._replicas_by_service[replica.service])
-        return self._members.owner(pool.subject)
-
     def _log_unreadable(self, replica_id: str, reason: str) -> None:
         if self._unreadable_by_id.get(replica_id) != reason:
             self._unreadable_by_id[replica_id] = reason
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_messages.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_messages.py
@@ -251,6 +251,17 @@
     limit_per_s: float | None
 
 
+class ReplicaLeavingNews(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """Report that a replica's incarnation has said in an answer that it leaves; has no answer.
+
+    Sent to all instances by each that learns it from an answer, and to those that join by the owner
+    of the replica's pool.
+    """
+
+    replica: str
+    started: int
+
+
 class StreamOriginNote(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Report that a stream begins at a software version, sent to its homes; it has no answer.
 
@@ -373,6 +384,7 @@
     | PlacementRefused
     | PlacementEnd
     | ReplicaLimitNews
+    | ReplicaLeavingNews
     | StreamOriginNote
     | StreamOriginQuery
     | StreamOriginAnswer
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_replica_controller.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_replica_controller.py
@@ -93,7 +93,8 @@
 
     def _apply_change(self, replica: Replica) -> None:
         """Log a changed entry; drop the state and idle connections of an earlier incarnation."""
-        known = self._board.replicas.read().get(replica.replica_id)
+        directory = self._board.replicas.read()
+        known, replica = directory.get(replica.replica_id), directory.with_own_word(replica)
         if known == replica:
             return
         if known is None or known.started != replica.started or known.address != replica.address:
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_upstream_attempt.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_upstream_attempt.py
@@ -99,10 +99,11 @@
         response = opened.ok_value
         request_state.head_s = now_s() - began_s
         request_state.reported_load = _reported_load(response.head.headers, context)
-        request_state.named_limits = _named_limits(response.head.headers, context)
+        statements = context.replica_statements
+        request_state.named_limits = statements.named_limits(response.head.headers)
         refusal = _check_head(response, request_state, context)
         if refusal is None or refusal.outcome is AttemptOutcome.FULL:
-            context.limit_controller.record_head(replica, request_state.named_limits)
+            statements.apply(replica, response.head.headers)
         yield Ok(response) if refusal is None else Err(refusal)
 
 
@@ -142,12 +143,6 @@
     return None
 
 
-def _named_limits(headers: Headers, context: ForwardContext) -> tuple[str, ...]:
-    """Return the values in which an answer names the replica's limit."""
-    name = context.dialect.headers.replica_limit
-    return tuple(part.strip() for key, value in headers if key == name for part in value.split(","))
-
-
 def _reported_load(headers: Headers, context: ForwardContext) -> int | None:
     """Return the replica's own count of running and waiting requests, None if it told none."""
     text = find_header(headers, context.dialect.headers.replica_load)
--- a/packages/lagoonfold/src/lagoonfold/forwarding/_replicas.py
+++ b/packages/lagoonfold/src/lagoonfold/forwarding/_replicas.py
@@ -1,13 +1,16 @@
 """The replicas of all services, as listed in the discovery store.
 
-A replica that is draining or has left gets no new requests. An entry that is missing right after
-an outage of the discovery store may belong to a live replica that will be listed again, so entries
-are removed only at the end of a grace period of `REMOVAL_GRACE_S`.
+A replica that is draining or has left gets no new requests. One that has said in an answer that it
+leaves is draining, whatever the store lists, until it starts again. An entry that is missing right
+after an outage of the discovery store may belong to a live replica that will be listed again, so
+entries are removed only at the end of a grace period of `REMOVAL_GRACE_S`.
 """
 
-from dataclasses import dataclass
+from collections import OrderedDict
+from dataclasses import dataclass, replace
 
 REMOVAL_GRACE_S = 2.0  # the platform lists entries that expired in an outage again by then
+MAX_LEAVING = 4_096  # incarnations that are remembered; more than leave in hours
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -35,15 +38,42 @@
     def __init__(self) -> None:
         self._by_id: dict[str, Replica] = {}
         self._remove_at_s_by_id: dict[str, float] = {}
+        self._leaving_started_by_id: OrderedDict[str, int] = OrderedDict()
         self._grace_until_s = float("-inf")
 
     def begin_grace(self, *, now_s: float) -> None:
         """Delay removals by `REMOVAL_GRACE_S`; call this when the store is reachable again."""
         self._grace_until_s = now_s + REMOVAL_GRACE_S
 
+    def record_leaving(self, replica_id: str, started: int) -> bool:
+        """Record that a replica's incarnation has said that it leaves; return if that is news."""
+        if self._leaving_started_by_id.get(replica_id) == started:
+            return False
+        known = self._by_id.get(replica_id)
+        if known is not None and known.started != started:
+            return False
+        self._leaving_started_by_id[replica_id] = started
+        if len(self._leaving_started_by_id) > MAX_LEAVING:
+            self._leaving_started_by_id.popitem(last=False)
+        if known is not None:
+            self._by_id[replica_id] = self.with_own_word(known)
+        return True
+
+    def leaving(self) -> dict[str, int]:
+        """Return the incarnations that have said that they leave, by replica id."""
+        return dict(self._leaving_started_by_id)
+
+    def with_own_word(self, replica: Replica) -> Replica:
+        """Return an entry as draining if its incarnation has said that it leaves."""
+        if self._leaving_started_by_id.get(replica.replica_id) != replica.started:
+            return replica
+        return replace(replica, is_draining=True)
+
     def put(self, replica: Replica) -> None:
         """Add or replace an entry and cancel its removal."""
-        self._by_id[replica.replica_id] = replica
+        if self._leaving_started_by_id.get(replica.replica_id, replica.started) != replica.started:
+            del self._leaving_started_by_id[replica.replica_id]
+        self._by_id[replica.replica_id] = self.with_own_word(replica)
         self._remove_at_s_by_id.pop(replica.replica_id, None)
 
     def remove(self, replica_id: str, *, now_s: float) -> None:
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -22,7 +22,8 @@
     The next `refusals` requests are refused as not run, the `losses` requests after them run and
     get no answer. One stream is cut in the middle of the event that follows the first `break_after`
     events. A request whose body equals `crashes_on` stops the replica. `wrong_id` makes answers
-    carry the id of another request. Each answer names the limits in `limits`, one header for each.
+    carry the id of another request. Each answer names the limits in `limits`, one header for each,
+    and says in `leaving` whether the replica leaves, unless that is None.
     """
 
     refusals: int = 0
@@ -33,6 +34,7 @@
     wrong_id: bool = False
     crashes_on: bytes | None = None
     limits: tuple[str, ...] = ()
+    leaving: str | None = None
 
 
 @dataclass(slots=True)
@@ -88,6 +90,8 @@
             (NAMES.signature, self.replica_id),
             *((NAMES.replica_limit, limit) for limit in self.behaviour.limits),
         )
+        if self.behaviour.leaving is not None:
+            headers = (*headers, (NAMES.replica_leaving, self.behaviour.leaving))
         if request.path.startswith("/turns/"):
             await self._stream(request, exchange, headers)
         else:
--- a/tests/gateway/_limited_replicas.py
+++ b/tests/gateway/_limited_replicas.py
@@ -33,6 +33,7 @@
 from lagoonfold_gateway._latency_baselines import LatencyBaselines
 from lagoonfold_gateway._limit_controller import LimitController
 from lagoonfold_gateway._messages import Message
+from lagoonfold_gateway._pool_owners import PoolOwners
 from tests.forwarding._placing_load import Clock
 
 SERVICE = "models"
@@ -98,7 +99,9 @@
         self.board = GatewayBoard()
         self.bus = _Bus(own_id, fleet)
         self.members = _Members(own_id, self.board, fleet.known)
-        self.limit_controller = LimitController(self.board, self.bus, self.members)
+        self.limit_controller = LimitController(
+            self.board, self.bus, self.members, PoolOwners(self.board, self.members)
+        )
         tracker, prompt_index = ReplicaTracker(), PromptCacheIndex()
         selector = ReplicaSelector(
             tracker, prompt_index, random.Random(own_id), self.limit_controller.limits
