Let a few instances of each failure domain read the store for all

Now one instance for twelve of a failure domain, two at least, reads the store. The others keep copies that they ask of a reader: a poll waits 2.5 s for a change, carries all prefixes at once, and a reader that does not answer, is lost, or cannot vouch for its copy gives way to the next one, of another domain in the end. Who finds no reader reads itself for a while. Watches follow the copies as they followed the store, so outages, lost history and grace periods work as before. Whether an instance's own calls reach the store is now told by those calls. Leases last 30 s in place of 10 s.

Without a network at 7, 56, 171 and 380 instances in 5 domains (tests.gateway.test_feeds): calls grow with the readers, the busiest instance gets at most 1.5 times the messages of one of 7, and a change is everywhere within 0.5 s; within 2 s when readers are killed, lose power, or are turned away by the store. The test of messages that stood in test_fleet_sizes is in there, with 380 in place of 300.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_config_controller.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_config_controller.py
@@ -8,12 +8,12 @@
 
 from result import Err
 
-from lagoonfold import ABSENT_REVISION, Entry, Listing, TransactionalStore, WatchEvent
+from lagoonfold import ABSENT_REVISION, Entry, Listing, WatchEvent
 from lagoonfold.forwarding import RouteTable
 from lagoonfold_gateway._board import ConfigView, GatewayBoard
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._dialect import Dialect
-from lagoonfold_gateway._store_watch import StoreGate, StoreWatch
+from lagoonfold_gateway._store_watch import ReadableStore, StoreWatch
 from lagoonfold_io.observe import EventLog
 
 _log = EventLog("config")
@@ -26,9 +26,8 @@
         self,
         dialect: Dialect,
         board: GatewayBoard,
-        store: TransactionalStore,
+        store: ReadableStore,
         on_other_event: Callable[[WatchEvent], None] = lambda event: None,
-        gate: StoreGate | None = None,
     ) -> None:
         self._dialect = dialect
         self._board = board
@@ -38,7 +37,7 @@
             dialect.config_prefix,
             on_listing=self._apply_listing,
             on_event=self._apply_event,
-            gate=gate,
+            min_interval_s=0.0,
         )
 
     def _apply_listing(self, listing: Listing) -> None:
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_disk_controller.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_disk_controller.py
@@ -19,7 +19,7 @@
 )
 from lagoonfold.histories import Disk
 from lagoonfold_gateway._peers import PeerBus
-from lagoonfold_gateway._store_watch import StoreGate, StoreWatch, key_suffix
+from lagoonfold_gateway._store_watch import ReadableStore, StoreWatch, key_suffix
 from lagoonfold_io.observe import EventLog
 
 DISK_PREFIX = "lagoonfold/disks/"
@@ -44,6 +44,8 @@
 class DiskController:
     """Keeps the cell of disks, and links their instances on a bus of their own.
 
+    `watched` is followed for changes; `store` is asked where an answer must be current.
+
     The cell is None until the list has been read for the first time. `revision_by_name` has the
     revision of each disk's entry, `ABSENT_REVISION` for one that was removed.
     """
@@ -53,7 +55,7 @@
         cell: Cell[tuple[Disk, ...] | None],
         store: TransactionalStore,
         bus: PeerBus,
-        gate: StoreGate | None = None,
+        watched: ReadableStore,
     ) -> None:
         self._cell = cell
         self._store = store
@@ -61,12 +63,11 @@
         self._disk_by_name: dict[str, Disk] = {}
         self.revision_by_name: dict[str, int] = {}
         self.watch = StoreWatch(
-            store,
+            watched,
             DISK_PREFIX,
             on_listing=self._apply_listing,
             on_event=self._apply_event,
             min_interval_s=POLL_INTERVAL_S,
-            gate=gate,
         )
 
     async def read_now(self) -> Result[tuple[Disk, ...], StoreError]:
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
@@ -24,13 +24,14 @@
 from lagoonfold_gateway._disk_caller import DiskCaller
 from lagoonfold_gateway._disk_controller import DiskController
 from lagoonfold_gateway._dispatch import Dispatcher
+from lagoonfold_gateway._feed_client import FeedClient
 from lagoonfold_gateway._forwarder import Forwarder
 from lagoonfold_gateway._heartbeats import Heartbeats
 from lagoonfold_gateway._history_client import HistoryClient
 from lagoonfold_gateway._latency_baselines import LatencyBaselines
 from lagoonfold_gateway._leaving_controller import LeavingController
 from lagoonfold_gateway._limit_controller import LimitController
-from lagoonfold_gateway._member_controller import MemberController
+from lagoonfold_gateway._member_controller import POLL_INTERVAL_S, MemberController
 from lagoonfold_gateway._peers import PeerBus
 from lagoonfold_gateway._placement_client import PlacementClient
 from lagoonfold_gateway._placement_owner import PlacementOwner
@@ -38,11 +39,13 @@
 from lagoonfold_gateway._pool_owners import PoolOwners
 from lagoonfold_gateway._rate_limiter import RateLimiter
 from lagoonfold_gateway._rate_owner import RateOwner
+from lagoonfold_gateway._registration import MEMBER_PREFIX
+from lagoonfold_gateway._replica_controller import POLL_INTERVAL_S as REPLICA_INTERVAL_S
 from lagoonfold_gateway._replica_controller import ReplicaController
 from lagoonfold_gateway._replica_statements import ReplicaStatements
 from lagoonfold_gateway._retirement_responder import RetirementResponder
 from lagoonfold_gateway._settings import GatewaySettings
-from lagoonfold_gateway._store_watch import StoreGate
+from lagoonfold_gateway._store_mirror import StoreMirror
 from lagoonfold_gateway._usage import UsageReporter
 from lagoonfold_gateway._version_controller import VersionController
 from lagoonfold_io import HttpClient, HttpLimits, HttpServer
@@ -82,19 +85,25 @@
         self.replica_tracker = ReplicaTracker()
         self.poison_tracker = PoisonTracker(self.client)
         self.bus = PeerBus(instance.id, nursery, self.metrics)
-        gate = StoreGate()
-        self.members = MemberController(instance, self.start_id, self.board, self.bus, store, gate)
+        self.mirror = StoreMirror(
+            store, {MEMBER_PREFIX: POLL_INTERVAL_S, dialect.replica_prefix: REPLICA_INTERVAL_S}
+        )
+        self.members = MemberController(
+            instance, self.start_id, self.board, self.bus, store, self.mirror
+        )
+        self.members.is_store_reachable = lambda: store.is_reachable
+        self.feed_client = FeedClient(self.board, self.bus, self.members, self.mirror, nursery)
         self.retirement_responder = RetirementResponder(
             dialect.retirement, self.members, store, nursery
         )
         self.config_controller = ConfigController(
-            dialect, self.board, store, self.retirement_responder.handle_event, gate
+            dialect, self.board, self.mirror, self.retirement_responder.handle_event
         )
         self.replica_controller = ReplicaController(
-            dialect, self.board, store, self.replica_tracker, self.client, gate
+            dialect, self.board, self.mirror, self.replica_tracker, self.client
         )
         self.disk_bus = PeerBus(instance.id, nursery, self.metrics)
-        self.disk_controller = DiskController(self.board.disks, store, self.disk_bus, gate)
+        self.disk_controller = DiskController(self.board.disks, store, self.disk_bus, self.mirror)
         self.history_client = HistoryClient(
             self.board,
             DiskCaller(self.board, self.bus, self.disk_bus, self.metrics, random.Random()),
@@ -113,6 +122,7 @@
             nursery,
             random.Random(),
         )
+        self.heartbeats.on_behind = self.feed_client.refresh
         first = instance.is_first_start
         self.rate_owner = RateOwner(
             self.board,
@@ -196,8 +206,10 @@
         tasks = (
             self.config_controller.watch.run,
             self.replica_controller.watch.run,
-            self.members.watch.run,
+            self.members.find_members,
+            self.members.follow_members,
             self.members.registration.run,
+            self.feed_client.run,
             self.heartbeats.run,
             self.heartbeats.watch_peers,
             self.replica_controller.expire,
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_heartbeats.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_heartbeats.py
@@ -8,6 +8,7 @@
 
 import math
 import random
+from collections.abc import Callable
 
 import trio
 from result import Ok
@@ -42,13 +43,16 @@
 EXCHANGE_TIMEOUT_S = 1.0
 MISMATCH_S = 0.5  # news reach all within some ms; a digest that differs for longer missed some
 POISON_REPEAT_S = 1.0  # a report is sent twice, since a connection may break
-WATCH_LAG_S = 0.3  # between the polls of two working watches of one interval
+WATCH_LAG_S = 1.0  # between the changes that two instances have heard of while both are well fed
 
 _log = EventLog("members")
 
 
 class Heartbeats:
-    """Sends this instance's heartbeats and news, and applies those of peers."""
+    """Sends this instance's heartbeats and news, and applies those of peers.
+
+    `on_behind` is called with the prefix of a watch that has not told what a peer has seen.
+    """
 
     def __init__(
         self,
@@ -74,6 +78,7 @@
         self._exchanged_s = now_s()
         self._differs_since_s_by_id: dict[str, float] = {}
         self._behind_since_s_by_watch: dict[StoreWatch, float] = {}
+        self.on_behind: Callable[[str], None] = lambda prefix: None
         bus.register_handler(Heartbeat)(self._handle_heartbeat)
         bus.register_handler(Hello)(self._handle_hello)
         bus.register_handler(StatusNews)(self._handle_news)
@@ -88,7 +93,6 @@
     async def run(self) -> None:
         """Send heartbeats until cancelled."""
         while True:
-            self._members.is_store_reachable = not self._config_watch.is_failing
             heartbeat = Heartbeat(
                 status=self._members.own_status,
                 digest=self._members.digest,
@@ -205,8 +209,8 @@
         if known is not None and known.supersedes(heartbeat.status):
             self._bus.post(sender, StatusNews(statuses=(known,)))
         self._exchange_if_different(sender, heartbeat.digest, now)
-        self._relist_if_behind(self._config_watch, heartbeat.config_revision, now)
-        self._relist_if_behind(self._replica_watch, heartbeat.replica_revision, now)
+        self._report_if_behind(self._config_watch, heartbeat.config_revision, now)
+        self._report_if_behind(self._replica_watch, heartbeat.replica_revision, now)
         return Ack()
 
     def _handle_hello(self, hello: Message) -> Message:
@@ -264,12 +268,12 @@
             _log.info("members.exchanged", peer=peer, statuses=len(answer.ok_value.statuses))
             self._apply(answer.ok_value.statuses)
 
-    def _relist_if_behind(self, watch: StoreWatch, revision: int, now: float) -> None:
-        """Relist a watch if a peer has been ahead of it for longer than its interval allows."""
+    def _report_if_behind(self, watch: StoreWatch, revision: int, now: float) -> None:
+        """Tell `on_behind` of a watch if a peer has been ahead of it for `WATCH_LAG_S`."""
         if revision <= watch.revision:
             self._behind_since_s_by_watch.pop(watch, None)
             return
         since_s = self._behind_since_s_by_watch.setdefault(watch, now)
-        if now - since_s > watch.min_interval_s + WATCH_LAG_S:
+        if now - since_s > WATCH_LAG_S:
             self._behind_since_s_by_watch[watch] = now
-            watch.relist("a peer has seen later changes")
+            self.on_behind(watch.prefix)
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_member_controller.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_member_controller.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable, Collection, Iterable
 
 import msgspec
+import trio
+from result import Ok
 
 from lagoonfold import (
     ABSENT_REVISION,
@@ -30,18 +32,15 @@
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._peer_link import PeerFault
 from lagoonfold_gateway._peers import PeerBus
-from lagoonfold_gateway._registration import (
-    MEMBER_PREFIX,
-    RENEW_INTERVAL_S,
-    MemberEntry,
-    Registration,
-)
+from lagoonfold_gateway._registration import MEMBER_PREFIX, MemberEntry, Registration
 from lagoonfold_gateway._settings import InstanceSection
-from lagoonfold_gateway._store_watch import StoreGate, StoreWatch
+from lagoonfold_gateway._store_watch import ReadableStore, StoreWatch
 from lagoonfold_io.observe import EventLog
 
 POLL_INTERVAL_S = 5.0  # instances tell each other of themselves; entries show what was missed
-MAX_STORE_CONTACT_AGE_S = 2.0 * RENEW_INTERVAL_S  # with a later contact an instance isn't cut off
+LIST_AGAIN_S = 0.5  # after a listing that failed
+MAX_STORE_CONTACT_AGE_S = 6.0  # with a later contact an instance isn't cut off
+STORE_CHECK_S = 1.0  # in which an instance that sees few others finds out whether it is cut off
 FAULT_MEMORY_S = 1.0  # by then it is known whether an instance that did not answer is lost
 WITHOUT_STORE_MEMORY_S = 1.0  # bounds the time until an owner that reaches the store is used again
 MAX_CACHED_OWNERS = 4_096  # more than the accounts, programs and pools in use at one instance
@@ -54,6 +53,8 @@
     """Holds the statuses of all instances and ranks the live ones as owners of a subject.
 
     `on_new_peer` is called with the id of each instance that the store lists for the first time.
+    `is_listed` is set after the first attempt to list the entries. `is_store_reachable` says
+    whether this instance's own calls reach the store.
     """
 
     def __init__(
@@ -63,7 +64,7 @@
         board: GatewayBoard,
         bus: PeerBus,
         store: TransactionalStore,
-        gate: StoreGate | None = None,
+        watched: ReadableStore | None = None,
     ) -> None:
         self.instance_id = instance.id
         self.writer_id = f"{instance.id}/{start_id}"
@@ -72,13 +73,17 @@
         entry = MemberEntry(
             address=instance.peers, failure_domain=instance.failure_domain, start_id=start_id
         )
-        self.registration = Registration(store, instance.id, entry, self._read_entries_again)
+        self._store = store
+        self._must_list = trio.Event()
+        self.is_listed = trio.Event()
+        self.registration = Registration(store, instance.id, entry, self._must_list.set)
         self.own_status = InstanceStatus(
             instance=instance.id,
             start_id=start_id,
             number=int(time.time() * MILLISECONDS_PER_S),
             address=instance.peers,
             is_first_start=instance.is_first_start,
+            failure_domain=instance.failure_domain,
         )
         self._started_s = now_s()
         self.initial_members = InitialMembers(
@@ -94,15 +99,14 @@
         self._lost_ids: set[str] = set()
         self._hears_most: bool | None = None
         self._is_cut_off = False
-        self.is_store_reachable = True
+        self.is_store_reachable: Callable[[], bool] = lambda: True
         self.on_new_peer: Callable[[str], None] = lambda instance_id: None
-        self.watch = StoreWatch(
-            store,
+        self._watch = StoreWatch(
+            watched if watched is not None else store,
             MEMBER_PREFIX,
             on_listing=self._apply_listing,
             on_event=self._apply_event,
-            min_interval_s=POLL_INTERVAL_S,
-            gate=gate,
+            min_interval_s=0.0,
         )
         board.live.write(LiveView((self.instance_id,), now_s()))
 
@@ -116,6 +120,31 @@
         """Return a digest of the live instances."""
         return self._table.digest
 
+    async def find_members(self) -> None:
+        """List the entries once this instance has its own, and after each registration.
+
+        Of two instances that start at the same time, at least one then sees the other's entry.
+        """
+        await self.registration.is_attempted.wait()
+        while True:
+            self._must_list = trio.Event()
+            self.registration.on_registered = self._must_list.set
+            listed = await self._store.read_all(MEMBER_PREFIX)
+            self.is_listed.set()
+            if isinstance(listed, Ok):
+                self._apply_listing(listed.ok_value)
+                await self._must_list.wait()
+            else:
+                await trio.sleep(LIST_AGAIN_S)
+
+    def expects_others(self) -> bool:
+        """Return whether the store lists other instances that are not known to be live."""
+        return any(not self._table.is_live(key) for key in self._entry_by_id)
+
+    async def follow_members(self) -> None:
+        """Follow the entries until cancelled."""
+        await self._watch.run()
+
     def told_live_ids(self) -> tuple[str, ...]:
         """Return the instances that count as live, also if this one is cut off from them."""
         return self._table.live_ids()
@@ -191,7 +220,7 @@
             for instance_id, at_s in self._without_store_s_by_id.items()
             if now - at_s < WITHOUT_STORE_MEMORY_S
         }
-        own = () if self.is_store_reachable else (self.instance_id,)
+        own = () if self.is_store_reachable() else (self.instance_id,)
         return tuple(sorted({*self._without_store_s_by_id, *own}))
 
     def record_without_store(self, instance_id: str) -> None:
@@ -212,10 +241,14 @@
         That is so if it has not reached the store recently and sees less than half of the known
         instances as live. Others may then have taken over what it owns.
         """
-        if now_s() - self.registration.store_contact_s < MAX_STORE_CONTACT_AGE_S:
-            return False
+        live, now = self._board.live.read(), now_s()
         known = len(self._entry_by_id.keys() | {self.instance_id})
-        return 2 * len(self._board.live.read().ids) < known
+        if 2 * len(live.ids) >= known or now - live.since_s < STORE_CHECK_S:
+            return False
+        contact_age_s = now - self.registration.store_contact_s
+        if contact_age_s > STORE_CHECK_S:
+            self.registration.renew_soon()
+        return contact_age_s > MAX_STORE_CONTACT_AGE_S
 
     def hears_most(self) -> bool:
         """Return whether this instance is live together with most of the known instances.
@@ -293,13 +326,6 @@
                 if not self.initial_members.ids:
                     _log.warning("members.initial_incomplete", found=status.instance)
 
-    def _read_entries_again(self) -> None:
-        """List the entries once this instance has one.
-
-        Of two instances that start at the same time, at least one then sees the other's entry.
-        """
-        self.watch.relist("registered")
-
     def _raise_own_number(self, number: int, state: int) -> None:
         self.own_status = msgspec.structs.replace(self.own_status, number=number, state=state)
         self._table.merge(self.own_status)
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_messages.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_messages.py
@@ -262,6 +262,42 @@
     started: int
 
 
+class FeedPoll(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """Request for the changes below prefixes of the store, sent to an instance that reads it.
+
+    `revision_by_prefix` has the revision up to which the sender knows the changes, 0 if it knows
+    nothing. The answer, a `FeedAnswer`, comes at the first change, or after `wait_s` seconds.
+    """
+
+    revision_by_prefix: dict[str, int]
+    wait_s: float
+
+
+class FeedEntry(msgspec.Struct, frozen=True, array_like=True):
+    """An entry of the store; `value` is None for a removal, whose revision `revision` then is."""
+
+    key: str
+    value: bytes | None
+    revision: int
+    is_compressed: bool = False
+
+
+class FeedChanges(msgspec.Struct, frozen=True, array_like=True):
+    """The changes below a prefix up to a revision, or all entries if `is_listing` is set."""
+
+    prefix: str
+    revision: int
+    is_listing: bool
+    entries: tuple[FeedEntry, ...]
+
+
+class FeedAnswer(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """Answer: what has changed; `is_healthy` is not set if the receiver cannot vouch for it."""
+
+    is_healthy: bool
+    feeds: tuple[FeedChanges, ...] = ()
+
+
 class StreamOriginNote(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Report that a stream begins at a software version, sent to its homes; it has no answer.
 
@@ -385,6 +421,8 @@
     | PlacementEnd
     | ReplicaLimitNews
     | ReplicaLeavingNews
+    | FeedPoll
+    | FeedAnswer
     | StreamOriginNote
     | StreamOriginQuery
     | StreamOriginAnswer
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_registration.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_registration.py
@@ -11,8 +11,8 @@
 from lagoonfold_io.observe import EventLog
 
 MEMBER_PREFIX = "lagoonfold/members/"
-LEASE_TTL_S = 10.0  # a renewal costs a tenth of a call; entries of lost instances do little harm
-RENEW_INTERVAL_S = 3.0  # a third of the lease, so that one renewal may fail
+LEASE_TTL_S = 30.0  # entries of lost instances do little harm
+RENEW_INTERVAL_S = 10.0  # a third of the lease, so that one renewal may fail
 RETRY_PAUSE_S = 0.5  # after a failed call to the store
 
 _log = EventLog("members")
@@ -29,7 +29,8 @@
 class Registration:
     """Keeps one instance registered; `store_contact_s` is when the store last answered it.
 
-    `on_registered` is called each time when the entry has been written.
+    `on_registered` is called each time when the entry has been written; `is_attempted` is set after
+    the first attempt, successful or not.
     """
 
     def __init__(
@@ -43,8 +44,14 @@
         self._store = store
         self._instance_id = instance_id
         self._entry = entry
-        self._on_registered = on_registered
+        self.on_registered = on_registered
         self._lease_id: int | None = None
+        self._wake = trio.Event()
+        self.is_attempted = trio.Event()
+
+    def renew_soon(self) -> None:
+        """Renew the lease now, to find out whether the store can be reached."""
+        self._wake.set()
 
     async def run(self) -> None:
         """Register the instance and renew its lease until cancelled."""
@@ -54,7 +61,10 @@
             )
             if is_registered:
                 self.store_contact_s = now_s()
-            await trio.sleep(RENEW_INTERVAL_S if is_registered else RETRY_PAUSE_S)
+            self.is_attempted.set()
+            self._wake = trio.Event()
+            with trio.move_on_after(RENEW_INTERVAL_S if is_registered else RETRY_PAUSE_S):
+                await self._wake.wait()
 
     async def deregister(self) -> None:
         """Remove the entry by ending its lease."""
@@ -78,7 +88,7 @@
             return False
         self._lease_id = lease_id
         _log.info("member.registered", lease=lease_id)
-        self._on_registered()
+        self.on_registered()
         return True
 
     async def _renew(self) -> bool:
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_replica_controller.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_replica_controller.py
@@ -7,12 +7,12 @@
 import trio
 from result import Err
 
-from lagoonfold import ABSENT_REVISION, Entry, Listing, TransactionalStore, WatchEvent
+from lagoonfold import ABSENT_REVISION, Entry, Listing, WatchEvent
 from lagoonfold.forwarding import Replica, ReplicaTracker
 from lagoonfold_gateway._board import GatewayBoard
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._dialect import Dialect
-from lagoonfold_gateway._store_watch import StoreGate, StoreWatch, key_suffix
+from lagoonfold_gateway._store_watch import ReadableStore, StoreWatch, key_suffix
 from lagoonfold_io import HttpClient
 from lagoonfold_io.observe import EventLog
 
@@ -29,10 +29,9 @@
         self,
         dialect: Dialect,
         board: GatewayBoard,
-        store: TransactionalStore,
+        store: ReadableStore,
         replica_tracker: ReplicaTracker,
         client: HttpClient,
-        gate: StoreGate | None = None,
     ) -> None:
         self._dialect = dialect
         self._board = board
@@ -44,8 +43,7 @@
             on_listing=self._apply_listing,
             on_event=self._apply_event,
             on_store_recovered=self._begin_grace,
-            min_interval_s=POLL_INTERVAL_S,
-            gate=gate,
+            min_interval_s=0.0,
         )
 
     async def expire(self) -> None:
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_store_watch.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_store_watch.py
@@ -11,11 +11,12 @@
 """
 
 from collections.abc import Callable
+from typing import Protocol
 
 import trio
-from result import Err
+from result import Err, Result
 
-from lagoonfold import Entry, Listing, StoreError, StoreErrorKind, TransactionalStore, WatchEvent
+from lagoonfold import Changes, Entry, Listing, StoreError, StoreErrorKind, WatchEvent
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_io.observe import EventLog
 
@@ -23,7 +24,7 @@
 MIN_INTERVAL_S = 0.25  # a tenth of the time in which a change must be in force
 FIRST_PAUSE_S = 0.05  # after a failed call; doubles with each further failure
 MAX_PAUSE_S = 0.5  # bounds the time until the store's recovery is noticed
-MAX_GATE_WAIT_S = 2.0  # in case the store answers one watch with errors and would serve another
+GATE_WAIT_PAUSES = 4  # in case the store answers one watch with errors and would serve another
 MIN_OUTAGE_S = 1.0  # no entry expires in a shorter failure
 
 _log = EventLog("store")
@@ -50,40 +51,62 @@
         self._prober = None
         self._opened.set()
 
-    async def pass_through(self, watch: object) -> None:
-        """Wait while another watch tries the store, for at most `MAX_GATE_WAIT_S`."""
+    async def pass_through(self, watch: object, *, max_wait_s: float) -> None:
+        """Wait while another watch tries the store, for a while."""
         if self._prober not in (None, watch):
-            with trio.move_on_after(MAX_GATE_WAIT_S):
+            with trio.move_on_after(max_wait_s):
                 await self._opened.wait()
 
 
+class ReadableStore(Protocol):
+    """The part of a `TransactionalStore` that a watch uses."""
+
+    async def read_all(self, prefix: str) -> Result[Listing, StoreError]:
+        """Return all entries below a prefix."""
+
+    async def poll(
+        self, prefix: str, *, after_revision: int, wait_s: float
+    ) -> Result[Changes, StoreError]:
+        """Return the changes below a prefix after a revision."""
+
+
 class StoreWatch:
-    """Follows one prefix while `run` is running."""
+    """Follows one prefix while `run` is running.
+
+    `max_pause_s` is the longest pause after a failed call. `on_listing` is called with each
+    listing, `on_event` with each change of a poll and `on_revision` after them, with the revision
+    up to which all changes have been told. `on_failure` is called after each failed call.
+    """
 
     def __init__(
         self,
-        store: TransactionalStore,
+        store: ReadableStore,
         prefix: str,
         *,
         on_listing: Callable[[Listing], None],
         on_event: Callable[[WatchEvent], None],
+        on_revision: Callable[[int], None] = lambda revision: None,
+        on_failure: Callable[[], None] = lambda: None,
         on_store_recovered: Callable[[], None] = lambda: None,
         min_interval_s: float = MIN_INTERVAL_S,
         gate: StoreGate | None = None,
     ) -> None:
         self._store = store
-        self._prefix = prefix
+        self.prefix = prefix
         self.min_interval_s = min_interval_s
         self._next_poll_s = 0.0
         self._gate = gate or StoreGate()
         self._on_listing = on_listing
         self._on_event = on_event
+        self._on_revision = on_revision
+        self._on_failure = on_failure
         self._on_return = on_store_recovered
         self._revision: int | None = None
         self.last_change_revision = 0
         self._first_failure_s = 0.0
         self._failures = 0
         self._scope: trio.CancelScope | None = None
+        self.max_pause_s = MAX_PAUSE_S
 
     @property
     def revision(self) -> int:
@@ -101,9 +124,14 @@
     def relist(self, reason: str) -> None:
         """Cancel a poll in progress and list the prefix again."""
         if self._scope is not None and self._revision is not None:
-            _log.info("watch.relisted", prefix=self._prefix, revision=self._revision, reason=reason)
+            _log.info("watch.relisted", prefix=self.prefix, revision=self._revision, reason=reason)
             self._scope.cancel()
 
+    def continue_from(self, revision: int) -> None:
+        """Begin with a poll after a revision up to which all changes are known, if it is not 0."""
+        self._revision = revision or None
+        self._failures = 0
+
     async def run(self) -> None:
         """Follow the prefix until cancelled."""
         while True:
@@ -115,7 +143,7 @@
 
     async def _step(self) -> None:
         if self._revision is None:
-            listed = await self._store.read_all(self._prefix)
+            listed = await self._store.read_all(self.prefix)
             if isinstance(listed, Err):
                 await self._record_failure(listed.err_value)
                 return
@@ -128,7 +156,7 @@
             return
         await trio.sleep(max(0.0, self._next_poll_s - now_s()))
         polled = await self._store.poll(
-            self._prefix, after_revision=self._revision, wait_s=POLL_WAIT_S
+            self.prefix, after_revision=self._revision, wait_s=POLL_WAIT_S
         )
         if isinstance(polled, Err):
             await self._record_failure(polled.err_value)
@@ -140,30 +168,32 @@
             self.last_change_revision = max(self.last_change_revision, event.revision)
             self._on_event(event)
         self._revision = max(self._revision, polled.ok_value.revision)
+        self._on_revision(self._revision)
 
     async def _record_failure(self, error: StoreError) -> None:
         position, self._revision = self._revision, None
         if error.kind is StoreErrorKind.HISTORY_LOST:
-            _log.info("watch.history_lost", prefix=self._prefix, revision=position)
+            _log.info("watch.history_lost", prefix=self.prefix, revision=position)
             return
         if self._failures == 0:
             self._first_failure_s = now_s()
         _log.warning(
             "store.call_failed",
-            prefix=self._prefix,
+            prefix=self.prefix,
             failures=self._failures + 1,
             reason=error.detail,
         )
-        pause_s = min(MAX_PAUSE_S, FIRST_PAUSE_S * 2 ** min(self._failures, 8))
+        pause_s = min(self.max_pause_s, FIRST_PAUSE_S * 2 ** min(self._failures, 8))
         self._failures += 1
+        self._on_failure()
         self._gate.record_failure(self)
         await trio.sleep(pause_s)
-        await self._gate.pass_through(self)
+        await self._gate.pass_through(self, max_wait_s=GATE_WAIT_PAUSES * self.max_pause_s)
 
     def _record_success(self) -> None:
         if self._failures:
             away_s = now_s() - self._first_failure_s
-            _log.info("store.regained", prefix=self._prefix, away_s=round(away_s, 3))
+            _log.info("store.regained", prefix=self.prefix, away_s=round(away_s, 3))
             if away_s > MIN_OUTAGE_S:
                 self._on_return()
         self._failures = 0
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/storage/_node.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/storage/_node.py
@@ -45,7 +45,7 @@
         store = CountedStore(store, self.metrics)
         gate = StoreGate()
         self.bus = PeerBus(instance.id, nursery, self.metrics)
-        self.disk_controller = DiskController(self.disks, store, self.bus, gate)
+        self.disk_controller = DiskController(self.disks, store, self.bus, store)
         self.turn_store = TurnStore(
             file, self.metrics, cache_bytes=histories.cache_mb * BYTES_PER_MB
         )
--- a/packages/lagoonfold/src/lagoonfold/liveness/__init__.py
+++ b/packages/lagoonfold/src/lagoonfold/liveness/__init__.py
@@ -12,6 +12,7 @@
     table.ring.watchers_of("i-1")    # (), as there is no other
 """
 
+from lagoonfold.liveness._feed_sources import FeedPlan, plan_feeds
 from lagoonfold.liveness._initial_members import DISCOVERY_S, InitialMembers
 from lagoonfold.liveness._ring import WATCHERS, Ring
 from lagoonfold.liveness._silence import SilenceTracker
@@ -23,9 +24,11 @@
     "LIVE",
     "LOST",
     "WATCHERS",
+    "FeedPlan",
     "InitialMembers",
     "InstanceStatus",
     "Ring",
     "SilenceTracker",
     "StatusTable",
+    "plan_feeds",
 ]
--- a/packages/lagoonfold/src/lagoonfold/liveness/_status_table.py
+++ b/packages/lagoonfold/src/lagoonfold/liveness/_status_table.py
@@ -18,8 +18,9 @@
 
 
 class InstanceStatus(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """What is known of an instance: its start, its address for peers, and whether it is live.
+    """What is known of an instance: its start, address, failure domain, and whether it is live.
 
+    `address` is that for peers; the failure domain is "" for an instance of an earlier release.
     `number` grows with each start and each refuted claim. `state` is `LIVE`, `LEAVING` or `LOST`.
     `is_first_start` means that this start was part of the first start of the whole system.
     """
@@ -30,6 +31,7 @@
     state: int = LIVE
     address: str = ""
     is_first_start: bool = False
+    failure_domain: str = ""
 
     @property
     def is_live(self) -> bool:
