--- a/models/__init__.py
+++ b/models/__init__.py
@@ -10,6 +10,7 @@
     budget_charges,
     configuration_log,
     configuration_views,
+    kept_turns,
     ownership,
     rate_loans,
 )
@@ -31,6 +32,7 @@
     "check_sound",
     "configuration_log",
     "configuration_views",
+    "kept_turns",
     "ownership",
     "rate_loans",
 ]
--- a/packages/lagoonfold-ctl/src/lagoonfold_ctl/_main.py
+++ b/packages/lagoonfold-ctl/src/lagoonfold_ctl/_main.py
@@ -15,6 +15,7 @@
 
 from lagoonfold.settings import load_settings
 from lagoonfold_ctl._commands import Pending, command, run_pending
+from lagoonfold_ctl._disks import DiskCommands
 from lagoonfold_ctl._documents import (
     AccountCommands,
     KeyCommands,
@@ -102,6 +103,11 @@
             text += f"\n{timeline.unreadable} lines could not be read"
         self._session.show(rows, text)
 
+    @command
+    def disks(self, addresses: str) -> None:
+        """Show what the storage instances at ADDRESSES (metrics, comma-separated) hold."""
+        DiskCommands(self._session).show(addresses)
+
     @command
     def check(self, file: str) -> None:
         """Check a settings file and print every fault in it."""
--- a/packages/lagoonfold-ctl/src/lagoonfold_ctl/_story.py
+++ b/packages/lagoonfold-ctl/src/lagoonfold_ctl/_story.py
@@ -11,9 +11,21 @@
 from pathlib import Path
 from typing import Any
 
-CONTEXT_EVENTS = ("config.", "members.", "store.", "replica.", "rate.", "budget.", "gateway.")
+CONTEXT_EVENTS = (
+    "budget.",
+    "config.",
+    "disk.",
+    "disks.",
+    "feeds.",
+    "gateway.",
+    "members.",
+    "rate.",
+    "replica.",
+    "store.",
+    "turns.",
+)
 CONTEXT_BEFORE_S = 2.0  # a membership or configuration change takes effect within this time
-_ID_FIELDS = ("request_id", "program", "program_id")
+_ID_FIELDS = ("request_id", "program", "program_id", "turn", "previous_turn")
 _COMMON_FIELDS = ("at", "instance", "level", "event")
 
 
--- a/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_blob_stores.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_ownership/_blob_stores.py
@@ -3,12 +3,18 @@
 Only the checkpoint in the key-value service determines which blobs are in use.
 """
 
-from collections import OrderedDict
 from typing import Protocol
 
 from result import Err, Ok, Result
 
-from lagoonfold import ABSENT_REVISION, KeyValueStore, ShardId, StoreError, StoreErrorKind
+from lagoonfold import (
+    ABSENT_REVISION,
+    ByteLimitedCache,
+    KeyValueStore,
+    ShardId,
+    StoreError,
+    StoreErrorKind,
+)
 from lagoonfold.records import Blob, blob_key, verify_blob
 
 DEFAULT_CACHE_BYTES = 16_777_216
@@ -103,9 +109,9 @@
 
     def __init__(self, inner: BlobStore, *, max_bytes: int = DEFAULT_CACHE_BYTES) -> None:
         self._inner = inner
-        self._max_bytes = max_bytes
-        self._size = 0
-        self._values_by_name: OrderedDict[tuple[ShardId, str], bytes] = OrderedDict()
+        self._cache: ByteLimitedCache[tuple[ShardId, str], bytes] = ByteLimitedCache(
+            max_bytes=max_bytes
+        )
         self.put_count = 0
         self.get_count = 0
 
@@ -114,24 +120,23 @@
         self.put_count += 1
         stored = await self._inner.put(shard_id, value)
         if isinstance(stored, Ok):
-            self._add_to_cache(shard_id, value.name, value.data)
+            self._cache.put((shard_id, value.name), value.data, size_bytes=len(value.data))
         return stored
 
     async def get(self, shard_id: ShardId, name: str) -> Result[bytes, StoreError]:
         """Return a blob's data after checking its digest."""
-        cached = self._values_by_name.get((shard_id, name))
+        cached = self._cache.get((shard_id, name))
         if cached is not None:
-            self._values_by_name.move_to_end((shard_id, name))
             return Ok(cached)
         self.get_count += 1
         read = await self._inner.get(shard_id, name)
         if isinstance(read, Ok):
-            self._add_to_cache(shard_id, name, read.ok_value)
+            self._cache.put((shard_id, name), read.ok_value, size_bytes=len(read.ok_value))
         return read
 
     async def delete(self, shard_id: ShardId, name: str) -> None:
         """Delete an unreferenced blob; if the deletion fails, the blob remains stored."""
-        self._size -= len(self._values_by_name.pop((shard_id, name), b""))
+        self._cache.drop((shard_id, name))
         await self._inner.delete(shard_id, name)
 
     async def delete_between(self, shard_id: ShardId, first: int, end: int) -> None:
@@ -140,15 +145,7 @@
 
     def forget(self) -> None:
         """Clear the cache; the stored blobs remain."""
-        self._values_by_name.clear()
-        self._size = 0
-
-    def _add_to_cache(self, shard_id: ShardId, name: str, data: bytes) -> None:
-        self._size += len(data) - len(self._values_by_name.pop((shard_id, name), b""))
-        self._values_by_name[(shard_id, name)] = data
-        while self._size > self._max_bytes:
-            _, dropped = self._values_by_name.popitem(last=False)
-            self._size -= len(dropped)
+        self._cache.clear()
 
 
 def _unreadable(detail: str) -> StoreError:
