Ask a reader at once for a further prefix that is followed

A poll that waits now ends when a prefix is added.

test_further_prefix_is_fed_at_once: 2.495 s before, below 0.1 s now.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_feed_client.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_feed_client.py
@@ -75,6 +75,7 @@
         self._poll_scope: trio.CancelScope | None = None
         bus.register_handler(FeedPoll)(self._handle_poll)
         board.live.subscribe(self._note_live)
+        mirror.on_follow = self._poll_again
 
     def refresh(self, prefix: str) -> None:
         """Find out what is missing below a prefix: a peer has seen changes that are not told here.
@@ -85,8 +86,12 @@
             self._mirror.read_again(prefix)
         elif self._source is not None:
             self._reject(self._source, "it is behind")
-            if self._poll_scope is not None:
-                self._poll_scope.cancel()
+            self._poll_again()
+
+    def _poll_again(self) -> None:
+        """End the poll that is waiting; the next one has all prefixes that are followed now."""
+        if self._poll_scope is not None:
+            self._poll_scope.cancel()
 
     async def run(self) -> None:
         """Feed the copies until cancelled."""
@@ -183,8 +188,7 @@
         self._is_plan_outdated = True
         if self._source is not None and self._source not in view.ids:
             self._source = None
-            if self._poll_scope is not None:
-                self._poll_scope.cancel()
+            self._poll_again()
 
     def _update_plan(self) -> None:
         if not self._is_plan_outdated:
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_store_mirror.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_store_mirror.py
@@ -6,6 +6,8 @@
 does not answer.
 """
 
+from collections.abc import Callable
+
 import trio
 from result import Err, Ok, Result
 
@@ -82,6 +84,7 @@
     """Answers listings and polls below followed prefixes from copies.
 
     `interval_s_by_prefix` has how long a reader waits between two polls that return changes.
+    `on_follow` is called when a further prefix is followed.
     """
 
     def __init__(self, store: ReadableStore, interval_s_by_prefix: dict[str, float]) -> None:
@@ -92,6 +95,7 @@
         self._fed_s = 0.0
         self._reading: trio.CancelScope | None = None
         self._reading_nursery: trio.Nursery | None = None
+        self.on_follow: Callable[[], None] = lambda: None
 
     @property
     def feeds(self) -> tuple[Feed, ...]:
@@ -111,6 +115,7 @@
             feed = self._feed_by_prefix[prefix] = Feed(prefix, self._store, self._gate, interval_s)
             if self._reading_nursery is not None:
                 self._reading_nursery.start_soon(feed.watch.run)
+            self.on_follow()
         return feed
 
     def can_vouch(self, feed: Feed) -> bool:
--- a/tests/gateway/test_feeds.py
+++ b/tests/gateway/test_feeds.py
@@ -163,6 +163,23 @@
         _run_at(size, check)
 
 
+def test_further_prefix_is_fed_at_once() -> None:
+    """A watch that begins later need not wait for the end of a poll that does not have it."""
+
+    async def check(fleet: SimulatedFleet) -> None:
+        fleet.store.put("later/a", b"x")
+        fleet.store.put(CONFIG, b"second")
+        await fleet.wait_until(lambda: _all_have(fleet, CONFIG, b"second"))
+        for member in fleet.member_by_id.values():
+            began_s = trio.current_time()
+            listed = (await member.mirror.read_all("later/")).unwrap()
+            assert [entry.key for entry in listed.entries] == ["later/a"]
+            assert trio.current_time() - began_s < 0.1, trio.current_time() - began_s
+
+    for size in (7, 30):
+        _run_at(size, check)
+
+
 def test_plan_names_readers_in_each_failure_domain_alike_at_all_instances() -> None:
     """One for twelve of a domain, two at least; instances ask those of their own domain first."""
     domain_by_id = {f"i{number}": f"zone-{number % 3}" for number in range(63)}
