Send a repeatable request once more when its answer's head is overdue

Callers saw tool calls end without an answer: a replica ran the lookup, lost the answer and kept the connection open, and the caller left at its own deadline of 1.2 s. An attempt ended only with the request's deadline, when no time was left for another.

Only for routes that may repeat, the first attempt, and a replica with a free slot.

Counted as heads_overdue.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_attempt_runner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_attempt_runner.py
@@ -6,6 +6,7 @@
 from lagoonfold.forwarding import (
     AttemptOutcome,
     EventFilter,
+    OverdueHeads,
     Replica,
     ReplicaSelection,
     RetryDecision,
@@ -37,6 +38,7 @@
 
     def __init__(self, context: ForwardContext) -> None:
         self._context = context
+        self._overdue_heads = OverdueHeads()
 
     async def run(self, request_state: RequestState, exchange: Exchange) -> Refusal | None:
         """Attempt the request until it is answered; return the refusal if it cannot be."""
@@ -172,12 +174,23 @@
             name = self._context.dialect.headers.last_event
             request = resume_from(request, name, state.events.last_id)
         new_connection = request_state.attempts.losses > 0
+        limit_s = self._head_limit_s(request_state, selection, state)
+        began_s = now_s()
         async with attempt_upstream(
-            request_state, selection, request, self._context, new_connection=new_connection
+            request_state,
+            selection,
+            request,
+            self._context,
+            new_connection=new_connection,
+            head_limit_s=limit_s,
         ) as answered:
             if isinstance(answered, Err):
+                if limit_s is not None and now_s() - began_s >= limit_s:
+                    self._overdue_heads.record_overdue()
+                    self._context.metrics.count("heads_overdue")
                 return answered
             response = answered.ok_value
+            self._overdue_heads.record_head(request_state.route.name, request_state.head_s or 0.0)
             is_success = response.head.status < SUCCESS_BELOW
             if request_state.route.kind is RouteKind.STREAM and is_success:
                 self._context.version_controller.record_begun(
@@ -189,6 +202,20 @@
                 return Err(AttemptFailure(outcome=AttemptOutcome.LOST, reason=reason))
             return await relay_plain(response, request_state, exchange)
 
+    def _head_limit_s(
+        self, request_state: RequestState, selection: ReplicaSelection, state: StreamState
+    ) -> float | None:
+        """Return after how long the head of an answer is overdue; None if it may take all time.
+
+        That is so for a request that may run once only, that has been sent before, or that waits
+        for a slot at the replica.
+        """
+        is_first = request_state.attempts.losses == 0 and not state.is_started
+        has_slot = selection.requests < selection.replica.slots
+        if not (request_state.route.may_repeat and is_first and has_slot):
+            return None
+        return self._overdue_heads.limit_s(request_state.route.name)
+
     def _look_for_crash(
         self, request_state: RequestState, replica: Replica, failure: AttemptFailure
     ) -> None:
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_upstream_attempt.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_upstream_attempt.py
@@ -4,6 +4,7 @@
 of this request. A status that says "not run" counts as such only with the replica's not-run header.
 """
 
+import math
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
@@ -80,8 +81,12 @@
     context: ForwardContext,
     *,
     new_connection: bool,
+    head_limit_s: float | None = None,
 ) -> AsyncIterator[Result[ResponseStream, AttemptFailure]]:
-    """Send a request to a replica; yield the answer for reading, or the failure."""
+    """Send a request to a replica; yield the answer for reading, or the failure.
+
+    An answer without a head after `head_limit_s` counts as lost.
+    """
     replica = selection.replica
     began_s = now_s()
     left_s = max(0.0, request_state.answer_deadline_s - began_s)
@@ -89,7 +94,7 @@
     async with context.client.stream(
         replica.address,
         request,
-        progress_timeout_s=left_s + 1.0,
+        progress_timeout_s=min(left_s + 1.0, math.inf if head_limit_s is None else head_limit_s),
         new_connection=new_connection,
         max_idle_s=max_idle_s,
     ) as opened:
--- a/packages/lagoonfold/src/lagoonfold/forwarding/__init__.py
+++ b/packages/lagoonfold/src/lagoonfold/forwarding/__init__.py
@@ -16,6 +16,7 @@
 )
 from lagoonfold.forwarding._events import Event, EventError, EventFilter
 from lagoonfold.forwarding._late_programs import engine_urgency, queue_rank
+from lagoonfold.forwarding._overdue_heads import OverdueHeads
 from lagoonfold.forwarding._placement_queue import (
     PlacementOrder,
     PlacementQueue,
@@ -48,6 +49,7 @@
     "ForwardConfig",
     "ForwardRoute",
     "ForwardService",
+    "OverdueHeads",
     "PlacementOrder",
     "PlacementQueue",
     "PlacementRefusal",
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -20,14 +20,16 @@
     """How the replica treats requests; times are in seconds.
 
     The next `refusals` requests are refused as not run, the `losses` requests after them run and
-    get no answer. One stream is cut in the middle of the event that follows the first `break_after`
-    events. A request whose body equals `crashes_on` stops the replica. `wrong_id` makes answers
+    have their connection closed without an answer, the `silences` after these run and get nothing.
+    One stream is cut in the middle of the event that follows the first `break_after` events. A
+    request whose body equals `crashes_on` stops the replica. `wrong_id` makes answers
     carry the id of another request. Each answer names the limits in `limits`, one header for each,
     and says in `leaving` whether the replica leaves, unless that is None.
     """
 
     refusals: int = 0
     losses: int = 0
+    silences: int = 0
     break_after: int | None = None
     answer_after_s: float = 0.0
     event_pause_s: float = 0.0
@@ -83,6 +85,9 @@
             self.behaviour.losses -= 1
             exchange.abort()
             return
+        if self.behaviour.silences:
+            self.behaviour.silences -= 1
+            await trio.sleep_forever()
         request_id = request.header(NAMES.request_id) or ""
         echoed = "another" if self.behaviour.wrong_id else request_id
         headers = (
