Skip late copies of answers on a reused connection

What callers saw: a replica may send a second copy of an answer late, where the next answer is expected. The copy was recognized by its request id, and the request that had just been sent ended as lost (502, may have run), though its own answer followed on the same connection.

The client now takes a test of the head: responses on a reused connection that it rejects are read, within limits, and the next one is awaited. The echoed id is looked at before any status, so that a copy of a refusal could not call the next request not run either; that hole was not reachable, since a refused attempt closes its connection.

test_late_copy_of_an_answer_does_not_go_to_the_next_request: 502 before.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_upstream_attempt.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_upstream_attempt.py
@@ -1,7 +1,9 @@
 """One attempt of a forwarded request at one replica, up to the head of the answer.
 
-An answer is accepted only with the replica's signature header; an echoed request id must be that
-of this request. A status that says "not run" counts as such only with the replica's not-run header.
+An answer counts only if the request id that it echoes is that of this request: a replica may send a
+second copy of an earlier answer late, on the same connection. It is accepted only with the
+replica's signature header. A status that says "not run" counts as such only with the replica's
+not-run header.
 """
 
 import math
@@ -97,6 +99,7 @@
         progress_timeout_s=min(left_s + 1.0, math.inf if head_limit_s is None else head_limit_s),
         new_connection=new_connection,
         max_idle_s=max_idle_s,
+        is_own=lambda headers: _foreign_id(headers, request_state, context) is None,
     ) as opened:
         if isinstance(opened, Err):
             yield Err(_failure_of(opened.err_value))
@@ -126,15 +129,16 @@
     names = context.dialect.headers
     headers = response.head.headers
     status = response.head.status
+    foreign_id = _foreign_id(headers, request_state, context)
+    if foreign_id is not None:
+        reason = f"answer to request {foreign_id!r}"
+        return AttemptFailure(outcome=AttemptOutcome.LOST, reason=reason)
     if status == MISDIRECTED:
         return AttemptFailure(
             outcome=AttemptOutcome.MISDIRECTED, reason="another replica has the address"
         )
     if find_header(headers, names.not_run) is not None:
         return AttemptFailure(outcome=AttemptOutcome.FULL, reason=f"not run, status {status}")
-    echoed = find_header(headers, names.request_id)
-    if echoed is not None and echoed != request_state.parsed.request_id:
-        return AttemptFailure(outcome=AttemptOutcome.LOST, reason=f"answer to request {echoed!r}")
     if find_header(headers, names.signature) is None:
         return AttemptFailure(
             outcome=AttemptOutcome.LOST, reason=f"unsigned answer of status {status}"
@@ -148,6 +152,14 @@
     return None
 
 
+def _foreign_id(
+    headers: Headers, request_state: RequestState, context: ForwardContext
+) -> str | None:
+    """Return the request id that an answer echoes if it is that of another request."""
+    echoed = find_header(headers, context.dialect.headers.request_id)
+    return None if echoed == request_state.parsed.request_id else echoed
+
+
 def _reported_load(headers: Headers, context: ForwardContext) -> int | None:
     """Return the replica's own count of running and waiting requests, None if it told none."""
     text = find_header(headers, context.dialect.headers.replica_load)
--- a/packages/lagoonfold-io/src/lagoonfold_io/_http_client.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_client.py
@@ -4,13 +4,16 @@
 the idle connections to the same address that are as old or older are closed with it, since what
 lost the state of one has lost that of the others too; the next request uses a newer connection.
 
+A server may send a second copy of a response late, where the next response is expected. A caller
+that knows its responses by their heads can have such copies skipped.
+
     client = HttpClient()
     response = await client.fetch("127.0.0.1:8080", HttpRequest(method="GET", path="/livez"))
 """
 
 import re
 from collections import Counter, defaultdict
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
 import h11
@@ -25,6 +28,7 @@
     StreamError,
     close_now,
     encode_request,
+    expect_next_response,
     has_input,
     has_trailing_data,
     next_event,
@@ -45,6 +49,8 @@
 MAX_IDLE_S = 20.0
 MAX_OPEN_PER_ADDRESS = 1_000
 MAX_INTERIM_HEADS = 8  # servers send one or two before a response
+MAX_SKIPPED_RESPONSES = 2  # late copies before one response
+MAX_SKIPPED_BYTES = 1_048_576  # of the body of one late copy
 MAX_FETCHED_BYTES = 33_554_432  # of a body that is read whole; twice the largest list of instances
 KEEP_ALIVE_MARGIN_S = 0.5  # a server announces whole seconds and measures its own idle time
 DEFAULT_TCP_TIMEOUT_S = 2.0  # without acknowledgements, for busy and idle connections
@@ -123,9 +129,13 @@
         progress_timeout_s: float = DEFAULT_PROGRESS_TIMEOUT_S,
         new_connection: bool = False,
         max_idle_s: float = MAX_IDLE_S,
+        is_own: Callable[[Headers], bool] | None = None,
     ) -> AsyncIterator[Result[ResponseStream, HttpError]]:
         """Send a request and yield an error or the response, whose body is still to be read.
 
+        Responses on a reused connection whose headers `is_own` rejects are read and skipped, at
+        most `MAX_SKIPPED_RESPONSES` of them: they are late copies of earlier ones.
+
         Leaving the block before the body is complete closes the connection, which cancels the
         request on the server. A connection that has been idle for longer than `max_idle_s` seconds
         is not reused.
@@ -137,7 +147,7 @@
                 yield acquired
                 return
             async with self._exchange(
-                acquired.ok_value, address, request, progress_timeout_s
+                acquired.ok_value, address, request, progress_timeout_s, is_own
             ) as opened:
                 yield opened
         finally:
@@ -145,12 +155,17 @@
 
     @asynccontextmanager
     async def _exchange(
-        self, connection: ClientConnection, address: str, request: HttpRequest, timeout_s: float
+        self,
+        connection: ClientConnection,
+        address: str,
+        request: HttpRequest,
+        timeout_s: float,
+        is_own: Callable[[Headers], bool] | None,
     ) -> AsyncIterator[Result[ResponseStream, HttpError]]:
         """Send a request on a connection; afterwards release, discard or close the connection."""
         opened: Result[ResponseStream, HttpError] | None = None
         try:
-            opened = await self._send(connection, address, request, timeout_s)
+            opened = await self._send(connection, address, request, timeout_s, is_own)
             yield opened
         finally:
             if isinstance(opened, Ok) and opened.ok_value.is_complete():
@@ -165,6 +180,7 @@
     ) -> Result[ClientConnection, HttpError]:
         reused = None if new_connection else self._pop_idle(address, max_idle_s)
         if reused is not None:
+            reused.is_reused = True
             return Ok(reused)
         self._evict_idle(address)
         if self._busy_by_address[address] > self.max_connections_per_address:
@@ -206,23 +222,34 @@
             close_now(idle.pop(0))
 
     async def _send(
-        self, connection: ClientConnection, address: str, request: HttpRequest, timeout_s: float
+        self,
+        connection: ClientConnection,
+        address: str,
+        request: HttpRequest,
+        timeout_s: float,
+        is_own: Callable[[Headers], bool] | None,
     ) -> Result[ResponseStream, HttpError]:
+        deadline_s = trio.current_time() + timeout_s
         data = encode_request(connection.protocol, address, request)
         try:
             with trio.fail_after(timeout_s):
                 await connection.stream.send_all(data)
             self.bytes_sent += len(data)
-            event = await _next_final_head(connection, timeout_s)
+            response = await _next_response(connection, timeout_s)
+            for _ in range(MAX_SKIPPED_RESPONSES if connection.is_reused and is_own else 0):
+                if is_own(response.head.headers):
+                    break
+                await response.read_all(MAX_SKIPPED_BYTES)
+                expect_next_response(connection, address, request)
+                left_s = max(0.0, deadline_s - trio.current_time())
+                response = await _next_response(connection, left_s)
         except StreamError as error:
             return Err(error.error)
         except (trio.TooSlowError, *CLIENT_CONNECTION_ERRORS) as error:
             return Err(
                 HttpError(detail=f"cannot send to {address}: {error}", sent=SendStatus.MAYBE_SENT)
             )
-        headers = tuple((name.decode(), value.decode("latin-1")) for name, value in event.headers)
-        head = ResponseHead(status=event.status_code, headers=headers)
-        return Ok(ResponseStream(head=head, _connection=connection, _progress_timeout_s=timeout_s))
+        return Ok(response)
 
     def _release(self, address: str, connection: ClientConnection, headers: Headers) -> None:
         """Return a connection to the pool, or close it if it cannot be reused."""
@@ -259,6 +286,14 @@
                 close_now(idle.pop())
 
 
+async def _next_response(connection: ClientConnection, timeout_s: float) -> ResponseStream:
+    """Read the head of the next response; return it with its body still to be read."""
+    event = await _next_final_head(connection, timeout_s)
+    headers = tuple((name.decode(), value.decode("latin-1")) for name, value in event.headers)
+    head = ResponseHead(status=event.status_code, headers=headers)
+    return ResponseStream(head=head, _connection=connection, _progress_timeout_s=timeout_s)
+
+
 async def _next_final_head(connection: ClientConnection, timeout_s: float) -> h11.Event:
     """Return the head of the response after at most `MAX_INTERIM_HEADS` interim ones."""
     for _ in range(MAX_INTERIM_HEADS + 1):
--- a/packages/lagoonfold-io/src/lagoonfold_io/_http_connection.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_connection.py
@@ -47,6 +47,7 @@
     input_bytes: int = 0
     needs_input: bool = False
     idle_limit_s: float = math.inf
+    is_reused: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -215,6 +216,16 @@
     return connection.stream.socket.fileno() < 0 or is_readable(connection.stream)
 
 
+def expect_next_response(connection: ClientConnection, address: str, request: HttpRequest) -> None:
+    """After a whole response that belongs to no request, expect the one to a request in flight.
+
+    Raises `h11.LocalProtocolError` if the server closes the connection after that response.
+    """
+    connection.protocol.start_next_cycle()
+    encode_request(connection.protocol, address, request)
+    connection.needs_input = False
+
+
 def encode_request(protocol: h11.Connection, address: str, request: HttpRequest) -> bytes:
     """Return the bytes of a whole request."""
     target = request.target or request.path
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -23,8 +23,9 @@
     have their connection closed without an answer, the `silences` after these run and get nothing.
     One stream is cut in the middle of the event that follows the first `break_after` events. A
     request whose body equals `crashes_on` stops the replica. `wrong_id` makes answers
-    carry the id of another request. Each answer names the limits in `limits`, one header for each,
-    and says in `leaving` whether the replica leaves, unless that is None.
+    carry the id of another request. The next `late_copies` answers are sent a second time, just
+    before the next answer on the same connection. Each answer names the limits in `limits`, one
+    header for each, and says in `leaving` whether the replica leaves, unless that is None.
     """
 
     refusals: int = 0
@@ -34,6 +35,7 @@
     answer_after_s: float = 0.0
     event_pause_s: float = 0.0
     wrong_id: bool = False
+    late_copies: int = 0
     crashes_on: bytes | None = None
     limits: tuple[str, ...] = ()
     leaving: str | None = None
@@ -50,6 +52,7 @@
     abandoned: int = 0
     address: str = ""
     _scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+    _late_copy_by_stream: dict[trio.SocketStream, bytes] = field(default_factory=dict)
 
     async def serve(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Serve until cancelled."""
@@ -66,8 +69,9 @@
             return
         if self.behaviour.refusals:
             self.behaviour.refusals -= 1
-            headers = ((NAMES.not_run, "1"),)
-            await exchange.respond(HttpResponse(status=503, headers=headers))
+            request_id = request.header(NAMES.request_id) or ""
+            headers = ((NAMES.request_id, request_id), (NAMES.not_run, "1"))
+            await self._respond(HttpResponse(status=503, headers=headers), exchange)
             return
         self.requests.append(request)
         self.runs_by_request[request.header(NAMES.request_id) or ""] += 1
@@ -101,7 +105,18 @@
             await self._stream(request, exchange, headers)
         else:
             body = b"echo:" + request.body
-            await exchange.respond(HttpResponse(status=200, headers=headers, body=body))
+            await self._respond(HttpResponse(status=200, headers=headers, body=body), exchange)
+
+    async def _respond(self, response: HttpResponse, exchange: Exchange) -> None:
+        """Send the late copy of an earlier answer on this connection, if any, then the answer."""
+        stream = exchange._stream
+        late_copy = self._late_copy_by_stream.pop(stream, b"")
+        if late_copy:
+            await stream.send_all(late_copy)
+        if self.behaviour.late_copies:
+            self.behaviour.late_copies -= 1
+            self._late_copy_by_stream[stream] = _encode(response)
+        await exchange.respond(response)
 
     async def _stream(
         self, request: HttpRequest, exchange: Exchange, headers: tuple[tuple[str, str], ...]
@@ -118,3 +133,9 @@
                 return
             await exchange.send(event)
         await exchange.finish()
+
+
+def _encode(response: HttpResponse) -> bytes:
+    lines = [f"HTTP/1.1 {response.status} Copy", f"content-length: {len(response.body)}"]
+    lines += [f"{name}: {value}" for name, value in response.headers]
+    return "\r\n".join([*lines, "", ""]).encode() + response.body
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -245,4 +245,20 @@
     run_with_fleet(check, config=make_config(max_upstreams=3))
 
 
+def test_late_copy_of_an_answer_does_not_go_to_the_next_request() -> None:
+    """The copy comes on the reused connection before the next request's own answer."""
+
+    async def check(fleet: Fleet) -> None:
+        (gateway,), (replica,) = fleet.gateways, fleet.replica_by_id.values()
+        replica.behaviour.late_copies = 10
+        for number in range(10):
+            body = b"number %d" % number
+            answer = await fleet.send(gateway, "/write/a", body=body, deadline_ms=2_000)
+            assert answer.status == 200 and answer.body == b"echo:" + body, answer
+        assert set(replica.runs_by_request.values()) == {1}
+        assert replica.behaviour.late_copies == 0
+
+    run_with_fleet(check, replicas=1)
+
+
 load_tests = load_functions(globals())
