Answer the requests that have arrived when a server begins to stop

What callers saw: at a planned stop, connections that the kernel had accepted and the process had not were reset when the listening socket closed, with their requests on them; an idle connection was closed although a request had just arrived on it. A caller can't tell whether such a request ran.

The listening socket now stays open until all waiting connections are accepted, and only idle connections without input are closed at once.

test_shutdown_answers_requests_that_have_arrived and test_shutdown_ends_with_idle_connections_open: ConnectionResetError before.

--- a/packages/lagoonfold-io/src/lagoonfold_io/_http_request_reader.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_request_reader.py
@@ -15,8 +15,8 @@
 class RequestReader:
     """Reads the requests of one connection.
 
-    While it waits for the first byte of a request, its cancel scope is in `idle_scopes`, so that
-    the server can close idle connections.
+    While it waits for the first byte of a request, `idle_stream_by_scope` has its stream by its
+    cancel scope, so that the server can close idle connections.
     """
 
     def __init__(
@@ -24,13 +24,13 @@
         stream: trio.SocketStream,
         protocol: h11.Connection,
         limits: Callable[[], HttpLimits],
-        idle_scopes: set[trio.CancelScope],
+        idle_stream_by_scope: dict[trio.CancelScope, trio.SocketStream],
         is_shutting_down: Callable[[], bool],
     ) -> None:
         self._stream = stream
         self._protocol = protocol
         self._current_limits = limits
-        self._idle_scopes = idle_scopes
+        self._idle_stream_by_scope = idle_stream_by_scope
         self._is_shutting_down = is_shutting_down
 
     @property
@@ -79,11 +79,11 @@
         if self._is_shutting_down() and not is_readable(self._stream):
             return False
         with trio.move_on_after(self._limits.idle_timeout_s) as scope:
-            self._idle_scopes.add(scope)
+            self._idle_stream_by_scope[scope] = self._stream
             try:
                 data = await self._stream.receive_some(READ_SIZE_BYTES)
             finally:
-                self._idle_scopes.discard(scope)
+                self._idle_stream_by_scope.pop(scope, None)
             self._protocol.receive_data(data)
             return bool(data)
         return False
--- a/packages/lagoonfold-io/src/lagoonfold_io/_http_server.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_server.py
@@ -20,8 +20,10 @@
 from lagoonfold_io._http_faults import FaultError, RequestFault, plain_fault_response
 from lagoonfold_io._http_messages import READ_SIZE_BYTES, HttpLimits, HttpRequest, HttpResponse
 from lagoonfold_io._http_request_reader import RequestReader
+from lagoonfold_io._socket_input import is_readable
 
 _LINGER_S = 1.0
+_ACCEPT_WAITING_S = 0.5  # connections that wait are accepted without a pause
 
 Handler = Callable[[HttpRequest, Exchange], Awaitable[None]]
 FaultResponder = Callable[[RequestFault], HttpResponse]
@@ -46,7 +48,7 @@
         self._shutting_down = False
         self._announces_close = False
         self._accept_scope = trio.CancelScope()
-        self._idle_scopes: set[trio.CancelScope] = set()
+        self._idle_stream_by_scope: dict[trio.CancelScope, trio.SocketStream] = {}
 
     async def serve(
         self,
@@ -60,10 +62,31 @@
         bound_port = listeners[0].socket.getsockname()[1]
         task_status.started(bound_port)
         async with trio.open_nursery() as connections:
-            with self._accept_scope:
-                await trio.serve_listeners(
-                    self._serve_connection, listeners, handler_nursery=connections
-                )
+            try:
+                with self._accept_scope:
+                    kept_open = [_KeptOpenListener(listener) for listener in listeners]
+                    await trio.serve_listeners(
+                        self._serve_connection, kept_open, handler_nursery=connections
+                    )
+                for listener in listeners:
+                    await self._accept_waiting(listener, connections)
+            finally:
+                for listener in listeners:
+                    listener.socket.close()
+
+    async def _accept_waiting(
+        self, listener: trio.SocketListener, connections: trio.Nursery
+    ) -> None:
+        """Accept the connections that the kernel holds; closing the listener would reset them."""
+        with trio.move_on_after(_ACCEPT_WAITING_S):
+            while is_readable(listener):
+                try:
+                    stream = await listener.accept()
+                except OSError as error:
+                    if self._on_handler_error is not None:
+                        self._on_handler_error(error)
+                    return
+                connections.start_soon(self._serve_connection, stream)
 
     @property
     def connections(self) -> int:
@@ -84,12 +107,16 @@
         self._announces_close = True
 
     def begin_shutdown(self) -> None:
-        """Stop accepting connections; close idle ones now and busy ones after their response."""
+        """Stop accepting connections; close idle ones now and busy ones after their response.
+
+        A request that has arrived is answered, also on a connection that is not accepted yet.
+        """
         self._announces_close = True
         self._shutting_down = True
         self._accept_scope.cancel()
-        for scope in tuple(self._idle_scopes):
-            scope.cancel()
+        for scope, stream in tuple(self._idle_stream_by_scope.items()):
+            if not is_readable(stream):
+                scope.cancel()
 
     async def _serve_connection(self, stream: trio.SocketStream) -> None:
         self._connections += 1
@@ -112,7 +139,11 @@
 
     async def _serve_requests(self, stream: trio.SocketStream, protocol: h11.Connection) -> None:
         reader = RequestReader(
-            stream, protocol, lambda: self._limits, self._idle_scopes, lambda: self._shutting_down
+            stream,
+            protocol,
+            lambda: self._limits,
+            self._idle_stream_by_scope,
+            lambda: self._shutting_down,
         )
         while True:
             try:
@@ -191,6 +222,19 @@
         await _linger(stream)
 
 
+class _KeptOpenListener(trio.abc.Listener[trio.SocketStream]):
+    """A listener that stays open when `trio.serve_listeners` ends."""
+
+    def __init__(self, listener: trio.SocketListener) -> None:
+        self._listener = listener
+
+    async def accept(self) -> trio.SocketStream:
+        return await self._listener.accept()
+
+    async def aclose(self) -> None:
+        await trio.lowlevel.checkpoint()
+
+
 async def _linger(stream: trio.SocketStream) -> None:
     """Read and drop further input for up to `_LINGER_S` seconds.
 
--- a/packages/lagoonfold-io/src/lagoonfold_io/_socket_input.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_socket_input.py
@@ -5,8 +5,8 @@
 import trio
 
 
-def is_readable(stream: trio.SocketStream) -> bool:
-    """Return whether input or the end of input can be read without waiting."""
+def is_readable(source: trio.SocketStream | trio.SocketListener) -> bool:
+    """Return whether input, its end or a new connection can be had without waiting."""
     poll = select.poll()
-    poll.register(stream.socket.fileno(), select.POLLIN)
+    poll.register(source.socket.fileno(), select.POLLIN)
     return bool(poll.poll(0))
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable
 
 import trio
+import trio.testing
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from result import Err
@@ -224,4 +225,53 @@
     _with_server(check)
 
 
+def test_shutdown_answers_requests_that_have_arrived() -> None:
+    """On connections that are not accepted yet, and on those that were idle until then."""
+    request = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nhi"
+
+    async def run() -> None:
+        async with trio.open_nursery() as nursery:
+            server = HttpServer(_echo)
+            port = await nursery.start(server.serve, "127.0.0.1", 0)
+            connections = [socket.create_connection(("127.0.0.1", port)) for _ in range(4)]
+            idle = connections[:2]
+            for connection in idle:
+                connection.sendall(request)
+            for connection in idle:
+                assert b"200" in await _read_some(connection)
+            await trio.testing.wait_all_tasks_blocked()
+            connections += [socket.create_connection(("127.0.0.1", port)) for _ in range(4)]
+            for connection in connections:
+                connection.sendall(request)
+            server.begin_shutdown()
+            for connection in connections:
+                assert b"200" in await _read_some(connection)
+                connection.close()
+
+    trio.run(run)
+
+
+def test_shutdown_ends_with_idle_connections_open() -> None:
+    """Connections without a request are closed, whether they were accepted or not."""
+
+    async def run() -> None:
+        async with trio.open_nursery() as nursery:
+            server = HttpServer(_echo)
+            port = await nursery.start(server.serve, "127.0.0.1", 0)
+            connections = [socket.create_connection(("127.0.0.1", port)) for _ in range(2)]
+            await trio.testing.wait_all_tasks_blocked()
+            connections += [socket.create_connection(("127.0.0.1", port)) for _ in range(2)]
+            server.begin_shutdown()
+            for connection in connections:
+                assert await _read_some(connection) == b""
+                connection.close()
+
+    trio.run(run)
+
+
+async def _read_some(connection: socket.socket) -> bytes:
+    await trio.lowlevel.wait_readable(connection)
+    return connection.recv(65_536)
+
+
 load_tests = load_functions(globals())
