Tell instances that join who leaves, also the owner of the pool

What callers saw: after the owner of a pool had restarted, requests went again to a replica that had said in an answer that it leaves, until one of them told it once more.

Those that join were told by the pool's owner, by the view that has the newcomer in it; a restarted owner is the owner in that view, so nobody told it, and the store lists the replica as ready. Now the first two of the instances that were live before tell newcomers everything.

test_restarted_owner_of_the_pool_is_told_who_leaves: never told before (10 s). The limits that replicas name have no such hole, since whoever has placed by a limit tells it; test_instance_that_comes_is_told_the_limits... shows it and passed before as well.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
@@ -138,7 +138,7 @@
         )
         pool_owners = PoolOwners(self.board, self.members)
         self.limit_controller = LimitController(self.board, self.bus, self.members, pool_owners)
-        self.leaving_controller = LeavingController(self.board, self.bus, pool_owners, self.client)
+        self.leaving_controller = LeavingController(self.board, self.bus, self.client)
         self.version_controller = VersionController(self.board, self.bus)
         self.dispatcher = self._make_dispatcher()
         self.placement_owner = PlacementOwner(
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_leaving_controller.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_leaving_controller.py
@@ -2,8 +2,8 @@
 
 Reads `live`; reads and writes `replicas`. The answer is the news: it counts at once, whatever the
 store lists and whether or not the store answers, until the replica starts again. The instance that
-learns it tells all others, since the owner of the replica's pool places for all; the owner tells
-those that join.
+learns it tells all others, since the owner of the replica's pool places for all. Those that join
+are told by instances that were there before: a newcomer may own the pool itself.
 """
 
 from lagoonfold.forwarding import Replica
@@ -11,7 +11,6 @@
 from lagoonfold_gateway._messages import Ack, Message, ReplicaLeavingNews
 from lagoonfold_gateway._newcomers import Newcomers
 from lagoonfold_gateway._peers import PeerBus
-from lagoonfold_gateway._pool_owners import PoolOwners
 from lagoonfold_io import HttpClient
 from lagoonfold_io.observe import EventLog
 
@@ -21,12 +20,9 @@
 class LeavingController:
     """Records and tells which replicas have said that they leave."""
 
-    def __init__(
-        self, board: GatewayBoard, bus: PeerBus, pool_owners: PoolOwners, client: HttpClient
-    ) -> None:
+    def __init__(self, board: GatewayBoard, bus: PeerBus, client: HttpClient) -> None:
         self._board = board
         self._bus = bus
-        self._pool_owners = pool_owners
         self._client = client
         self._newcomers = Newcomers(bus.own_id)
         bus.register_handler(ReplicaLeavingNews)(self._handle_news)
@@ -59,12 +55,8 @@
 
     def _tell_newcomers(self, view: LiveView) -> None:
         newcomers = self._newcomers.among(view)
-        if not newcomers:
+        if not self._newcomers.is_teller:
             return
-        directory = self._board.replicas.read()
-        for replica_id, started in directory.leaving().items():
-            replica = directory.get(replica_id)
-            if replica is None or self._pool_owners.owner(replica) != self._bus.own_id:
-                continue
+        for replica_id, started in self._board.replicas.read().leaving().items():
             for peer in newcomers:
                 self._bus.post(peer, ReplicaLeavingNews(replica=replica_id, started=started))
--- a/tests/gateway/test_leaving_replicas.py
+++ b/tests/gateway/test_leaving_replicas.py
@@ -2,8 +2,10 @@
 
 import trio
 
+from lagoonfold import rendezvous_weight
+from lagoonfold.forwarding import pool_of
 from tests._suite import load_functions
-from tests.gateway._fleet import Fleet, make_config, run_with_fleet, wait_until
+from tests.gateway._fleet import Fleet, knows_all, make_config, run_with_fleet, wait_until
 
 
 async def _send_some(fleet: Fleet, count: int = 12) -> list[int]:
@@ -100,6 +102,29 @@
     run_with_fleet(check, gateways=2)
 
 
+def test_restarted_owner_of_the_pool_is_told_who_leaves() -> None:
+    """Nobody but the newcomer owns the pool, and it knows only what the store lists."""
+
+    async def check(fleet: Fleet) -> None:
+        await _learn(fleet, "r1")
+        before = len(fleet.replica_by_id["r1"].requests)
+        first, *_ = fleet.gateways
+        pool = pool_of(first.board.replicas.read().get("r1"), 1)
+        ids = [gateway.bus.own_id for gateway in fleet.gateways]
+        owner = next(
+            name
+            for name in (f"n{number}" for number in range(100))
+            if max((name, *ids), key=lambda key: rendezvous_weight(pool.subject, key)) == name
+        )
+        joined = await fleet.add_gateway(owner)
+        await wait_until(lambda: knows_all(fleet))
+        await wait_until(lambda: not _is_available(joined, "r1"))
+        assert set(await _send_some(fleet)) == {200}
+        assert len(fleet.replica_by_id["r1"].requests) == before
+
+    run_with_fleet(check, gateways=2)
+
+
 def test_other_values_of_the_header_do_not_take_a_replica_out() -> None:
     """Only "1" says that a replica leaves."""
 
--- a/tests/gateway/test_replica_limits.py
+++ b/tests/gateway/test_replica_limits.py
@@ -96,6 +96,25 @@
     run_with_fleet(check, replicas=1)
 
 
+def test_instance_that_comes_is_told_the_limits_also_as_the_new_owner() -> None:
+    """It places from then on, and would pass the limit until an answer names it again."""
+    told = 0
+    for number in range(20):
+        fleet = LimitedFleet(random.Random(number))
+        fleet.add_replicas(8)
+        fleet.start("i0", "i1", "i2")
+        fleet.limit_by_id.update(dict.fromkeys(fleet.replica_by_id, 2.0))
+        fleet.send_requests(40.0, 4.0)
+        fleet.run_until(5.0)
+        fleet.start(f"new{number}")
+        fleet.run_until(8.0)
+        limits = fleet.instance_by_id[f"new{number}"].limit_controller.limits
+        assert set(limits.named()) == set(fleet.replica_by_id), number
+        pool = rank_pools(SERVICE, list(fleet.replica_by_id.values()), "")[0]
+        told += fleet.owner(pool) == f"new{number}"
+    assert told, "no newcomer was an owner"
+
+
 SIZES_AND_REPLICAS = ((7, 5), (56, 24), (300, 24))
 USUAL_PER_S = 14.0  # requests at each replica
 WINDOW_S = 4.0
