Test that a withdrawn key stays withdrawn at instances that start again

Looked for: after a restart a withdrawn key is in use again, as the store lists to the new process what it held before and its watches are silent. It can't happen while a peer lives: a newcomer asks a reader first, and its copy refuses an older listing.

--- a/standins/transactional_store.py
+++ b/standins/transactional_store.py
@@ -1,7 +1,7 @@
 """An in-memory transactional store with the faults of a real one.
 
-It can be unavailable, lose the answers of commits that took effect, drop its history, and keep
-watches open without reporting changes. The gateways of one test share one store.
+It can be unavailable, lose the answers of commits that took effect, drop its history, list what it
+held earlier (`old_listing_by_prefix`), and keep watches open without reporting changes. The gateways of one test share one store.
 """
 
 from collections.abc import Awaitable, Callable
@@ -51,6 +51,7 @@
         self.is_down = False
         self.answers_to_lose = 0
         self.are_watches_silent = False
+        self.old_listing_by_prefix: dict[str, Listing] = {}
         self.commits: list[tuple[Put, ...]] = []
         self._stored_by_key: dict[str, _Stored] = {}
         self._history: list[WatchEvent] = []
@@ -93,6 +94,8 @@
         await trio.lowlevel.checkpoint()
         if self.is_down:
             return Err(UNAVAILABLE)
+        if prefix in self.old_listing_by_prefix:
+            return Ok(self.old_listing_by_prefix[prefix])
         entries = tuple(
             Entry(key=key, value=stored.value, revision=stored.revision)
             for key, stored in sorted(self._stored_by_key.items())
--- a/tests/gateway/test_views.py
+++ b/tests/gateway/test_views.py
@@ -6,7 +6,7 @@
 from lagoonfold_gateway import DEFAULT_DIALECT, Gateway
 from lagoonfold_gateway._registration import MEMBER_PREFIX
 from tests._suite import load_functions
-from tests.gateway._fleet import Fleet, make_config, run_with_fleet, wait_until
+from tests.gateway._fleet import KEY, Fleet, make_config, run_with_fleet, wait_until
 
 WATCHES = 3  # of a gateway that reads the store: configuration, replicas and members
 READERS = 2  # of a small fleet in one failure domain
@@ -40,6 +40,31 @@
     run_with_fleet(check, gateways=2)
 
 
+def test_withdrawn_key_stays_withdrawn_at_instances_that_start_again() -> None:
+    """The store lists to them what it held before, and its watches tell nothing."""
+
+    async def check(fleet: Fleet) -> None:
+        prefix = DEFAULT_DIALECT.config_prefix
+        old_listing = (await fleet.store.read_all(prefix)).unwrap()
+        newer = make_config(version=2)
+        newer.accounts_by_key.clear()
+        fleet.put_config(newer)
+        await wait_until(
+            lambda: all(g.board.config.read().config.version == 2 for g in fleet.gateways)
+        )
+        fleet.store.are_watches_silent = True
+        fleet.store.old_listing_by_prefix[prefix] = old_listing
+        for gateway in fleet.gateways[:2]:
+            fleet.kill(gateway)
+            joined = await fleet.add_gateway(gateway.bus.own_id, is_first_start=False)
+            await wait_until(lambda joined=joined: joined.is_ready())
+            for _ in range(20):
+                assert (await fleet.send(joined, "/read/a", key=KEY)).status == 401
+                await trio.sleep(0.05)
+
+    run_with_fleet(check, gateways=3)
+
+
 def test_draining_and_removed_replicas_get_no_new_requests() -> None:
     """A draining or removed replica gets no new requests."""
 
