Let the store take one answer only to a request to empty a machine

What the operator saw: around a change of the live instances two gateways took themselves for the one whose turn it is, both looked, found no answer and wrote one; a disk that was listed between look and write was called empty. The write now has both conditions itself, and saves the two reads.

test_gateways_that_act_at_once_around_a_hand_over_answer_once: three answers before, one now. Other acts around a hand-over were looked at: charges and clean-ups are written under conditions on their revisions, limits are played in tests/gateway/_limited_replicas.py.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_retirement_responder.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_retirement_responder.py
@@ -2,13 +2,13 @@
 
 Reads `live`. Such a machine holds no turns, so that it can be taken away at once. The storage
 instance of a listed disk answers itself (`storage._retirement`). One gateway answers a request, by
-rendezvous hashing; the others wait and look whether it has.
+rendezvous hashing; the others wait, and the store takes the first answer only.
 """
 
 import trio
 from result import Err, Ok, Result
 
-from lagoonfold import ABSENT_REVISION, Put, StoreError, TransactionalStore, WatchEvent
+from lagoonfold import ABSENT_REVISION, Check, Put, StoreError, TransactionalStore, WatchEvent
 from lagoonfold_gateway._dialect import RetirementDialect
 from lagoonfold_gateway._disk_controller import DISK_PREFIX
 from lagoonfold_gateway._member_controller import MemberController
@@ -64,17 +64,16 @@
             await trio.sleep(RETRY_PAUSE_S)
 
     async def _try_to_answer(self, name: str) -> Result[None, StoreError]:
+        """Answer unless another instance has, or the machine's disk is listed by now."""
         answer_key = self._dialect.answer_prefix + name
-        for key in (DISK_PREFIX + name, answer_key):
-            listed = await self._store.read_all(key)
-            if isinstance(listed, Err):
-                return listed
-            if any(entry.key == key for entry in listed.ok_value.entries):
-                return Ok(None)
         written = await self._store.commit(
-            puts=(Put(key=answer_key, value=self._dialect.encode_state(True)),)
+            checks=tuple(
+                Check(key=key, revision=ABSENT_REVISION) for key in (DISK_PREFIX + name, answer_key)
+            ),
+            puts=(Put(key=answer_key, value=self._dialect.encode_state(True)),),
         )
         if isinstance(written, Err):
             return written
-        _log.info("retirement.complete", machine=name)
+        if written.ok_value.revision is not None:
+            _log.info("retirement.complete", machine=name)
         return Ok(None)
--- a/tests/gateway/test_retirement.py
+++ b/tests/gateway/test_retirement.py
@@ -29,6 +29,20 @@
     run_with_fleet(check, gateways=3)
 
 
+def test_gateways_that_act_at_once_around_a_hand_over_answer_once() -> None:
+    """Each takes itself for the one whose turn it is, as views of the live instances differ."""
+
+    async def check(fleet: Fleet) -> None:
+        fleet.store.put(REQUEST + "s1", b"{}")
+        async with trio.open_nursery() as nursery:
+            for gateway in fleet.gateways:
+                nursery.start_soon(gateway.retirement_responder._try_to_answer, "s1")
+        answers = [put for puts in fleet.store.commits for put in puts if put.key == ANSWER + "s1"]
+        assert len(answers) == 1, answers
+
+    run_with_fleet(check, gateways=3)
+
+
 def test_request_for_a_listed_disk_is_left_to_its_instance() -> None:
     """A gateway must not call a disk empty of which it knows nothing."""
 
