--- a/standins/transactional_store.py
+++ b/standins/transactional_store.py
@@ -1,7 +1,8 @@
 """An in-memory transactional store with the faults of a real one.
 
 It can be unavailable, lose the answers of commits that took effect, drop its history, list what it
-held earlier (`old_listing_by_prefix`), and keep watches open without reporting changes. The gateways of one test share one store.
+held earlier (`old_listing_by_prefix`), and keep watches open without reporting changes. The
+gateways of one test share one store.
 """
 
 from collections.abc import Awaitable, Callable
