Test slow sound streams and trickling stalled ones

Looked for: slow sound streams are cut, stalled ones with a byte now and then never end. Neither can happen: the relay waits without a limit between reads, and the answer's deadline ends every request. The test passed at once.

--- a/standins/replica.py
+++ b/standins/replica.py
@@ -21,7 +21,8 @@
 
     The next `refusals` requests are refused as not run, the `losses` requests after them run and
     have their connection closed without an answer, the `silences` after these run and get nothing.
-    One stream is cut in the middle of the event that follows the first `break_after` events. A
+    One stream is cut in the middle of the event that follows the first `break_after` events. With
+    `trickle_pause_s`, streams get a byte of a comment at such pauses in place of events. A
     request whose body equals `crashes_on` stops the replica. `wrong_id` makes answers
     carry the id of another request. The next `late_copies` answers are sent a second time, just
     before the next answer on the same connection. Each answer names the limits in `limits`, one
@@ -34,6 +35,7 @@
     break_after: int | None = None
     answer_after_s: float = 0.0
     event_pause_s: float = 0.0
+    trickle_pause_s: float | None = None
     wrong_id: bool = False
     late_copies: int = 0
     crashes_on: bytes | None = None
@@ -122,6 +124,9 @@
         self, request: HttpRequest, exchange: Exchange, headers: tuple[tuple[str, str], ...]
     ) -> None:
         await exchange.start(200, headers)
+        while self.behaviour.trickle_pause_s is not None:
+            await exchange.send(b":")
+            await trio.sleep(self.behaviour.trickle_pause_s)
         first = int(request.header(NAMES.last_event) or 0) + 1
         for number in range(first, EVENTS + 1):
             await trio.sleep(self.behaviour.event_pause_s)
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -261,4 +261,23 @@
     run_with_fleet(check, replicas=1)
 
 
+def test_slow_sound_stream_is_not_cut_and_a_trickling_one_ends_in_time() -> None:
+    """Bytes that are no events do not keep a stream open beyond the caller's deadline."""
+
+    async def check(fleet: Fleet) -> None:
+        (gateway,), (replica,) = fleet.gateways, fleet.replica_by_id.values()
+        for _ in range(30):
+            assert (await fleet.send(gateway, "/turns/x", deadline_ms=10_000)).status == 200
+        replica.behaviour.event_pause_s = 0.4
+        answer = await fleet.send(gateway, "/turns/x", deadline_ms=10_000)
+        assert answer.status == 200 and answer.body.count(b"data: part") == EVENTS
+        replica.behaviour.trickle_pause_s = 0.02
+        with trio.fail_after(5.0):
+            answer = await fleet.send(gateway, "/turns/x", deadline_ms=500)
+            assert answer.status == 504
+            await wait_until(lambda: replica.abandoned == 1)
+
+    run_with_fleet(check, replicas=1, config=make_config(timeout_s=10.0))
+
+
 load_tests = load_functions(globals())
