Spread kept turns over regions where the loss of a region must be borne

What an operator would have seen: the number of regions that may be lost was not read, so that on a deployment that tolerates the loss of a region both copies of a turn could lie in one.

test_copies_bear_the_loss_of_a_region_however_many_disks_it_has: no such rule before. Entries of disks without a region are read as before (recorded).

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_disk_controller.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_disk_controller.py
@@ -37,6 +37,7 @@
     disk_id: str
     address: str
     failure_domain: str
+    region: str = ""
     is_leaving: bool = False
     renewals: int = 0
 
@@ -122,5 +123,6 @@
         disk_id=listed.disk_id,
         address=listed.address,
         failure_domain=listed.failure_domain,
+        region=listed.region,
         is_leaving=listed.is_leaving,
     )
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_settings.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_settings.py
@@ -75,7 +75,7 @@
 
 
 class HistoriesSection(msgspec.Struct, frozen=True, kw_only=True):
-    """How many losses of machines with a disk, or of failure domains, kept turns survive.
+    """How many losses of machines with a disk, of failure domains or of regions turns survive.
 
     `cache_mb` limits the memory for turns that were served or read lately. After `forget_after_s`
     without a sign of life, a disk is no longer asked for turns, which have expired by then.
@@ -83,12 +83,15 @@
 
     machine_losses: Count = 1
     domain_losses: Count = 0
+    region_losses: Count = 0
     cache_mb: Megabytes = 8
     forget_after_s: Seconds = 900.0
 
     def rule(self) -> CopyRule:
         """Return on how many disks a turn must lie."""
-        return CopyRule.for_losses(machines=self.machine_losses, domains=self.domain_losses)
+        return CopyRule.for_losses(
+            machines=self.machine_losses, domains=self.domain_losses, regions=self.region_losses
+        )
 
 
 class LogSection(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/storage/_disk_registration.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/storage/_disk_registration.py
@@ -15,6 +15,7 @@
 from lagoonfold.histories import Disk
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._disk_controller import DISK_PREFIX, DiskEntry
+from lagoonfold_gateway._settings import HistoriesSection
 from lagoonfold_gateway.storage._settings import StorageInstanceSection
 from lagoonfold_gateway.storage._turn_store import TurnStore
 from lagoonfold_io.observe import EventLog
@@ -35,13 +36,14 @@
     def __init__(
         self,
         instance: StorageInstanceSection,
-        forget_after_s: float,
+        histories: HistoriesSection,
         store: TransactionalStore,
         disks: Cell[tuple[Disk, ...] | None],
         turn_store: TurnStore,
     ) -> None:
         self._instance = instance
-        self._forget_after_s = forget_after_s
+        self._forget_after_s = histories.forget_after_s
+        self._region = instance.region if histories.region_losses else ""
         self._store = store
         self._disks = disks
         self._turn_store = turn_store
@@ -117,6 +119,7 @@
             disk_id=self._turn_store.disk_id,
             address=self._instance.peers,
             failure_domain=self._instance.failure_domain,
+            region=self._region,
             is_leaving=self.is_leaving,
             renewals=self._renewals,
         )
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/storage/_node.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/storage/_node.py
@@ -51,7 +51,7 @@
         )
         self.turn_store.load()
         self.registration = DiskRegistration(
-            instance, histories.forget_after_s, store, self.disks, self.turn_store
+            instance, histories, store, self.disks, self.turn_store
         )
         self.turn_server = TurnServer(self.bus, self.turn_store, self.registration, self.metrics)
         self.repair = Repair(
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/storage/_settings.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/storage/_settings.py
@@ -33,10 +33,11 @@
 
 
 class StorageInstanceSection(msgspec.Struct, frozen=True, kw_only=True):
-    """This instance: its id, failure domain, addresses, and the folder and size of its disk."""
+    """This instance: its id, where it is, its addresses, and the folder and size of its disk."""
 
     id: Name
     failure_domain: Name
+    region: str = ""
     peers: Address
     data_folder: Name
     max_disk_mb: Megabytes = 200
--- a/tests/histories/test_disks.py
+++ b/tests/histories/test_disks.py
@@ -6,14 +6,15 @@
 from tests._suite import load_functions
 
 
-def make_disks(domains: str, per_domain: int = 1) -> list[Disk]:
-    """Return disks s-a-1, s-a-2, ... in the failure domains a, b, ..."""
+def make_disks(domains: str, per_domain: int = 1, region: str = "") -> list[Disk]:
+    """Return disks s-a-1, s-a-2, ... in the failure domains a, b, ... of a region."""
     return [
         Disk(
             name=f"s-{domain}-{number}",
             disk_id=f"disk-{domain}-{number}",
             address="10.0.0.1:1",
             failure_domain=domain,
+            region=region,
         )
         for domain in domains
         for number in range(1, per_domain + 1)
@@ -56,4 +57,15 @@
     assert rule.is_met_by([*one_domain[:2], *make_disks("b")])
 
 
+def test_copies_bear_the_loss_of_a_region_however_many_disks_it_has() -> None:
+    """The first disks meet the rule wherever that can be, and a region's loss leaves a copy."""
+    disks = make_disks("abcd", 4, "east") + make_disks("efg", 1, "west") + make_disks("h", 2, "far")
+    for machines, domains, regions in ((1, 0, 1), (0, 2, 1), (3, 1, 1), (1, 1, 2)):
+        rule = CopyRule.for_losses(machines=machines, domains=domains, regions=regions)
+        for number in range(200):
+            first = rank_disks(f"program-{number}", disks)[: rule.copies]
+            assert rule.is_met_by(first), (rule, first)
+            assert not rule.is_met_by([disk for disk in first if disk.region == "east"])
+
+
 load_tests = load_functions(globals())
--- a/tests/test_compatibility.py
+++ b/tests/test_compatibility.py
@@ -245,6 +245,7 @@
         recorded = entries[f"configuration before {before}"]
         _assert_json_before(forwarding.ForwardConfig, recorded, f"configuration before {before}")
     _assert_json(DiskEntry, entries["disk"], "a disk's entry")
+    _assert_json_before(DiskEntry, entries["disk before regions"], "a disk's entry")
     _assert_json_before(forwarding.Replica, entries["replica before versions"], "replica")
     assert DEFAULT_DIALECT.decode_config(entries["configuration"].encode()).is_ok()
     assert DEFAULT_DIALECT.decode_replica("r1", entries["replica"].encode()).is_ok()
