One reader of the settings file for both roles

What an operator saw: a missing settings file, or one that is no text, ended the process with a traceback, and on SIGHUP a running one. Both roles had their own copy of the loading and reloading; the gateway's told a needed restart for its instance section only.

test_settings_file_that_cannot_be_read_is_named: no such class before, FileNotFoundError in both copies.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/storage/_app.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/storage/_app.py
@@ -2,21 +2,19 @@
 
 import os
 import signal
-import sys
 from collections.abc import Callable
-from pathlib import Path
 
 import trio
 from result import Err
 
 from lagoonfold import TransactionalStore
 from lagoonfold_gateway._dialect import RetirementDialect
+from lagoonfold_gateway._settings_file import EXIT_SETTINGS, SettingsFile
 from lagoonfold_gateway.storage._node import BYTES_PER_MB, StorageNode
 from lagoonfold_gateway.storage._settings import StorageSettings, parse_storage_settings
 from lagoonfold_io import TurnFile
-from lagoonfold_io.observe import EventLog, log_to_standard_output
+from lagoonfold_io.observe import EventLog
 
-EXIT_SETTINGS = 2
 EXIT_DISK = 3
 FILE_NAME = "turns.db"
 
@@ -32,17 +30,14 @@
 
     SIGHUP reloads the settings.
     """
-    loaded = parse_storage_settings(Path(settings_path).read_text(encoding="utf-8"))
-    if isinstance(loaded, Err):
-        for fault in loaded.err_value:
-            sys.stderr.write(f"{settings_path}: {fault}\n")
+    settings_file = SettingsFile(settings_path, parse_storage_settings)
+    settings = settings_file.load()
+    if settings is None:
         return EXIT_SETTINGS
-    settings = loaded.ok_value
-    log_to_standard_output(settings.log.level, settings.instance.id)
     file = open_turn_file(settings)
     if file is None:
         return EXIT_DISK
-    trio.run(_run, settings, settings_path, dialect, make_store(settings.store.address), file)
+    trio.run(_run, settings, settings_file, dialect, make_store(settings.store.address), file)
     return 0
 
 
@@ -68,7 +63,7 @@
 
 async def _run(
     settings: StorageSettings,
-    settings_path: str,
+    settings_file: SettingsFile[StorageSettings],
     dialect: RetirementDialect,
     store: TransactionalStore,
     file: TurnFile,
@@ -80,18 +75,8 @@
             async for number in signals:
                 if number != signal.SIGHUP:
                     break
-                _reload_settings(settings_path, settings)
+                settings_file.reload(settings)
             node.usage.log()
             nursery.cancel_scope.cancel()
     file.close()
     _log.info("storage.stopped")
-
-
-def _reload_settings(settings_path: str, current: StorageSettings) -> None:
-    """Apply the settings that can change in a running process; log if others need a restart."""
-    loaded = parse_storage_settings(Path(settings_path).read_text(encoding="utf-8"))
-    if isinstance(loaded, Err):
-        _log.error("settings.unreadable", faults=list(loaded.err_value), kept=True)
-        return
-    log_to_standard_output(loaded.ok_value.log.level, current.instance.id)
-    _log.info("settings.reloaded", needs_restart=loaded.ok_value != current)
--- a/tests/gateway/test_histories.py
+++ b/tests/gateway/test_histories.py
@@ -257,6 +257,14 @@
     _check(check, gateways=2)
 
 
+async def _check_line_goes_on_at_a_new_gateway(fleet: Fleet) -> None:
+    """Send a turn that continues from `t1` to a gateway that has nothing in memory."""
+    gateway = await fleet.add_gateway("g2", is_first_start=False)
+    await wait_until(lambda: knows_disks(gateway, fleet))
+    answer = await _send(fleet, gateway, b"<2>", turn_id="t2", previous="t1")
+    assert answer.status == 200 and b"<1>" + ANSWER_TEXT + b"<2>" in _bodies(fleet)
+
+
 def test_turns_survive_the_kill_of_all_instances() -> None:
     """Gateways and storage instances start again; the line goes on where it was."""
 
@@ -267,10 +275,7 @@
         stopped = [await fleet.stop_storage(name) for name in tuple(fleet.storage_by_name)]
         for settings in stopped:
             await fleet.restart_storage(settings)
-        gateway = await fleet.add_gateway("g2", is_first_start=False)
-        await wait_until(lambda: knows_disks(gateway, fleet))
-        answer = await _send(fleet, gateway, b"<2>", turn_id="t2", previous="t1")
-        assert answer.status == 200 and b"<1>" + ANSWER_TEXT + b"<2>" in _bodies(fleet)
+        await _check_line_goes_on_at_a_new_gateway(fleet)
 
     _check(check)
 
@@ -285,10 +290,7 @@
             await fleet.restart_storage(await fleet.stop_storage(name), wiped=True)
             await wait_until(lambda: len(_holders(fleet, "t1")) >= 2)
         fleet.kill(gateway)
-        gateway = await fleet.add_gateway("g2", is_first_start=False)
-        await wait_until(lambda: knows_disks(gateway, fleet))
-        answer = await _send(fleet, gateway, b"<2>", turn_id="t2", previous="t1")
-        assert answer.status == 200 and b"<1>" + ANSWER_TEXT + b"<2>" in _bodies(fleet)
+        await _check_line_goes_on_at_a_new_gateway(fleet)
 
     _check(check)
 
@@ -305,10 +307,7 @@
         await wait_until(lambda: len(_holders(fleet, "t1") - {other}) >= 1)
         await fleet.stop_storage(other)
         fleet.kill(gateway)
-        gateway = await fleet.add_gateway("g2", is_first_start=False)
-        await wait_until(lambda: knows_disks(gateway, fleet))
-        answer = await _send(fleet, gateway, b"<2>", turn_id="t2", previous="t1")
-        assert answer.status == 200 and b"<1>" + ANSWER_TEXT + b"<2>" in _bodies(fleet)
+        await _check_line_goes_on_at_a_new_gateway(fleet)
 
     _check(check)
 
--- a/tests/gateway/test_settings_and_logs.py
+++ b/tests/gateway/test_settings_and_logs.py
@@ -1,14 +1,18 @@
 """Checks of a settings file, and logging that never blocks."""
 
 import ast
+import contextlib
+import io
 import json
 import os
+import tempfile
 from pathlib import Path
 
 import trio
 
 from lagoonfold.rates import RateLimit
 from lagoonfold_gateway import parse_settings
+from lagoonfold_gateway._settings_file import SettingsFile
 from lagoonfold_io.observe import LineWriter
 from tests._suite import load_functions
 from tests.gateway._fleet import Fleet, make_config, run_and_collect_lines
@@ -51,6 +55,25 @@
     assert len(parse_settings("").err_value) == 2
 
 
+def test_settings_file_that_cannot_be_read_is_named() -> None:
+    """At the start in one line without a traceback; a running process keeps its settings."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "gateway.ini"
+        assert _load_from(path).startswith(f"{path}: the file cannot be read: [Errno 2] No such")
+        path.write_bytes(b"\xff\xfe")
+        assert "can't decode byte 0xff" in _load_from(path)
+        path.write_text(GOOD.replace("stop_s = 8", "stop_s = soon"))
+        assert "stop_s" in _load_from(path)
+
+
+def _load_from(path: Path) -> str:
+    """Return what is written to standard error by a load that fails."""
+    errors = io.StringIO()
+    with contextlib.redirect_stderr(errors):
+        assert SettingsFile(str(path), parse_settings).load() is None
+    return errors.getvalue()
+
+
 def test_lines_beyond_the_rate_are_counted() -> None:
     """The lines of an event beyond its limit per second are counted; other events go on."""
     reader, writer_end = os.pipe()
--- a/tests/on_platform/test_processes.py
+++ b/tests/on_platform/test_processes.py
@@ -79,6 +79,7 @@
                 "Bounds.QuotaSlack": "20",
                 "FaultTolerance.Machines": "1",
                 "FaultTolerance.Zones": "0",
+                "FaultTolerance.Regions": "0",
             }
             settings.write_text(render_template("gateway", fields))
             process = subprocess.Popen(
@@ -169,6 +170,7 @@
             fields = {
                 "NodeName": "storage-1",
                 "Zone": "zone-a",
+                "Region": "region-1",
                 "Ip": "127.0.0.1",
                 "PortRange.0": str(free_port()),
                 "Provider.Address": store.address,
@@ -176,6 +178,7 @@
                 "Limits.DiskMb": "20",
                 "FaultTolerance.Machines": "1",
                 "FaultTolerance.Zones": "0",
+                "FaultTolerance.Regions": "0",
             }
             settings = folder / "settings.ini"
             settings.write_text(render_template("storage", fields | changed))
