Let a planned reader read at once when a fleet starts as a whole

An instance that is a reader by plan asked the others first, who had nothing either, and began to read only once the plan was settled (0.5 s); others waited 0.3 s for one that reads. A planned reader without any listing reads at once now, and the others wait 0.1 s.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_feed_client.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_feed_client.py
@@ -35,7 +35,7 @@
 BAD_SOURCE_S = 1.0  # for which a reader that failed is not asked again
 MAX_SOURCES = 3  # asked before this instance reads the store itself
 START_WAIT_S = 0.1  # for peers that are listed; those that live answer within some ms
-START_GRACE_S = 0.3  # in which all instances of a fleet start, if they start at once
+START_GRACE_S = 0.1  # for readers that start at the same time to read the store
 PLAN_SETTLED_S = 0.5  # while many instances come, each is a reader of its failure domain at first
 MIN_READ_S = 2.0  # an instance that has begun to read goes on for as long, at least
 PLAN_INTERVAL_S = 0.25  # between looks at the plan
@@ -99,13 +99,17 @@
         self._started_s = now_s()
         while True:
             self._update_plan()
-            if self._plan.is_reader and now_s() - self._planned_s > PLAN_SETTLED_S:
+            is_settled = now_s() - self._planned_s > PLAN_SETTLED_S
+            if self._plan.is_reader and (is_settled or not self._has_listings()):
                 self._begin_to_read("reader of its failure domain", READER_PAUSE_S)
             if self._plan.is_reader and all(map(self._mirror.is_healthy, self._mirror.feeds)):
                 await trio.sleep(PLAN_INTERVAL_S)
             else:
                 await self._ask_next()
 
+    def _has_listings(self) -> bool:
+        return all(feed.mirror.is_listed for feed in self._mirror.feeds)
+
     async def _wait_for_peers(self) -> None:
         """Wait until those that the store lists have answered, or are known not to."""
         with trio.move_on_after(START_WAIT_S):
--- a/tests/gateway/test_feeds.py
+++ b/tests/gateway/test_feeds.py
@@ -1,5 +1,7 @@
 """A few instances read the store for all: calls, messages, and how fast changes reach everybody."""
 
+import random
+
 import trio
 
 from lagoonfold.liveness import plan_feeds
@@ -77,6 +79,33 @@
     assert all(messages <= 1.5 * smallest for messages in larger), messages_by_size
 
 
+def test_fleet_that_starts_again_as_a_whole_has_the_configuration_at_once() -> None:
+    """All lose power and start within 0.3 s, while the store still lists those that were."""
+
+    async def start_again(fleet: SimulatedFleet) -> None:
+        ids, calls_before = tuple(fleet.member_by_id), _calls(fleet)
+        fleet.kill(*ids)
+        await trio.sleep(1.0)
+        rng = random.Random(3)
+
+        async def start(number: int, instance_id: str) -> None:
+            await trio.sleep(rng.uniform(0.0, 0.3))
+            began_s = trio.current_time()
+            await fleet.start(instance_id, f"zone-{number % DOMAINS}")
+            while fleet.member_by_id[instance_id].seen.get(CONFIG) is None:
+                await trio.sleep(0.005)
+            assert trio.current_time() - began_s < 0.25, instance_id
+
+        async with trio.open_nursery() as nursery:
+            for number, instance_id in enumerate(ids):
+                nursery.start_soon(start, number, instance_id)
+        # Three listings and their polls, a lease and an entry, for each instance at most.
+        assert _calls(fleet) - calls_before <= 8 * len(ids)
+
+    for size in SIZES[:3]:
+        _run_at(size, start_again)
+
+
 def test_change_reaches_all_while_readers_are_lost() -> None:
     """They are killed, or lose power without a trace, at the moment of the change."""
 
