Tell all peers when an instance refutes its loss

Cause: each half holds the other one for lost. An instance that hears so raises its number, but told it only to those that are live in its own view, which is the half that never lost it. The other half learned of it by heartbeats to peers drawn at random and by exchanges after 0.5 s.

Change: a refutation goes to all peers. Losses still go to the live ones only.

The new test fails without the change.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_heartbeats.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_heartbeats.py
@@ -137,6 +137,18 @@
             if peer in subjects or self._members.is_told_live(peer):
                 self._bus.post(peer, news)
 
+    def _refute(self, statuses: list[InstanceStatus]) -> None:
+        """Tell all peers that this instance lives, also those that count as lost here.
+
+        After a cut both sides hold each other for lost, so those that need the news most are not
+        live in this instance's view.
+        """
+        if not statuses:
+            return
+        news = StatusNews(statuses=tuple(statuses))
+        for peer in self._bus.peer_ids:
+            self._bus.post(peer, news)
+
     def _greet(self, peer: str) -> None:
         self._nursery.start_soon(self._say_hello, peer)
 
@@ -192,7 +204,7 @@
             self._suspect(peer)
 
     def _apply(self, statuses: tuple[InstanceStatus, ...]) -> None:
-        self._tell_all(*self._members.apply(statuses))
+        self._refute(self._members.apply(statuses))
         for status in statuses:
             claimed = self._claimed_number_by_id.get(status.instance, math.inf)
             if status.is_live and status.number > claimed:
--- a/tests/gateway/test_liveness.py
+++ b/tests/gateway/test_liveness.py
@@ -3,6 +3,7 @@
 import trio
 
 from lagoonfold_gateway._heartbeats import CUT_OFF_S, PROBE_TIMEOUT_S, SUSPECT_S
+from lagoonfold_gateway._messages import StatusNews
 from tests._suite import load_functions
 from tests.gateway._simulated_fleet import LATENCY_S, SimulatedFleet, run_simulated
 
@@ -124,20 +125,24 @@
         _run_at(size, check)
 
 
+async def _cut_in_halves(fleet: SimulatedFleet) -> tuple[list[str], list[str]]:
+    """Cut two halves from each other and wait until each goes on alone; return their ids."""
+    ids = sorted(fleet.member_by_id)
+    left, right = ids[: len(ids) // 2], ids[len(ids) // 2 :]
+    fleet.network.cut_pairs.update(frozenset((a, b)) for a in left for b in right)
+    await fleet.wait_until(
+        lambda: all(
+            fleet.member_by_id[key].live == tuple(half) for half in (left, right) for key in half
+        )
+    )
+    return left, right
+
+
 def test_two_halves_that_are_cut_from_each_other_find_together_again() -> None:
     """Each half goes on alone, and both are one fleet after the cut."""
 
     async def check(fleet: SimulatedFleet) -> None:
-        ids = sorted(fleet.member_by_id)
-        left, right = ids[: len(ids) // 2], ids[len(ids) // 2 :]
-        fleet.network.cut_pairs.update(frozenset((a, b)) for a in left for b in right)
-        await fleet.wait_until(
-            lambda: all(
-                fleet.member_by_id[key].live == tuple(half)
-                for half in (left, right)
-                for key in half
-            )
-        )
+        left, right = await _cut_in_halves(fleet)
         hears_most = [fleet.member_by_id[key].members.hears_most() for key in (left[0], right[0])]
         assert hears_most == ([True, False] if len(left) == len(right) else [False, True])
         fleet.network.cut_pairs.clear()
@@ -147,4 +152,19 @@
         _run_at(size, check)
 
 
+def test_instance_that_hears_of_its_loss_tells_all_that_hold_it_lost() -> None:
+    """One message across a cut that has healed makes its sender live in the other half."""
+
+    async def check(fleet: SimulatedFleet) -> None:
+        left, right = await _cut_in_halves(fleet)
+        fleet.network.cut_pairs.clear()
+        news = StatusNews(statuses=(fleet.member_by_id[right[0]].members.status(left[-1]),))
+        fleet.network.bus_by_id[right[0]].post(left[-1], news)
+        await trio.sleep(10 * LATENCY_S)
+        assert all(fleet.member_by_id[key].members.is_told_live(left[-1]) for key in right)
+
+    for size in SIZES:
+        _run_at(size, check)
+
+
 load_tests = load_functions(globals())
