Close the file of turns only when no thread is in a call of it

Cause: a stop cancels the tasks, leaves the thread that is in a write, and closes the SQLite connection under it.

The new test closes a file in the middle of a write and crashes the interpreter without the change.

Change: close() leaves the closing to the thread that is in a call and does not wait for it, so that a stalled disk does not hold up the end of the process.

tests._run turns the fault handler on, so that a crash of the interpreter names its test.

--- a/packages/lagoonfold-io/src/lagoonfold_io/_turn_file.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_turn_file.py
@@ -2,7 +2,8 @@
 
 What `write` has returned for survives a loss of power: the write-ahead log is synchronised at each
 commit, and a torn end of it is dropped when the file is opened. Each content carries a checksum of
-its own; see `lagoonfold.histories`. The functions block and are called from one thread at a time.
+its own; see `lagoonfold.histories`. The functions block and are called from one thread at a time,
+but `close` may be called at any moment.
 
     opened = TurnFile.open("/data/turns.db", max_bytes=100_000_000)
     file = opened.unwrap()
@@ -11,7 +12,9 @@
 
 import os
 import sqlite3
+import threading
 from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 
 from result import Err, Ok, Result
@@ -74,6 +77,8 @@
     def __init__(self, path: str, connection: sqlite3.Connection) -> None:
         self._path = path
         self._connection = connection
+        self._in_use = threading.Lock()
+        self._must_close = False
         self.disk_id = ""
         self.counted_s = 0.0
         self.listed_as = ""
@@ -127,9 +132,10 @@
     def read(self, key: str) -> Result[bytes | None, TurnFileError]:
         """Return the content of a turn, None if the file does not hold it."""
         try:
-            row = self._connection.execute(
-                "SELECT content FROM turns WHERE key = ?", (key,)
-            ).fetchone()
+            with self._using_connection():
+                row = self._connection.execute(
+                    "SELECT content FROM turns WHERE key = ?", (key,)
+                ).fetchone()
         except sqlite3.Error as error:
             return Err(_describe(f"turn {key!r} cannot be read from {self._path!r}", error))
         return Ok(row[0] if row is not None else None)
@@ -150,18 +156,32 @@
 
     def _commit(self, change: Callable[[], None]) -> Result[None, TurnFileError]:
         try:
-            self._connection.execute("BEGIN IMMEDIATE")
-            try:
+            with self._using_connection(), self._transaction():
                 change()
-                self._connection.execute("COMMIT")
-            except BaseException:
-                if self._connection.in_transaction:
-                    self._connection.execute("ROLLBACK")
-                raise
         except sqlite3.Error as error:
             return Err(_describe(f"file {self._path!r} cannot be written", error))
         return Ok(None)
 
+    @contextmanager
+    def _transaction(self) -> Iterator[None]:
+        self._connection.execute("BEGIN IMMEDIATE")
+        try:
+            yield
+            self._connection.execute("COMMIT")
+        except BaseException:
+            if self._connection.in_transaction:
+                self._connection.execute("ROLLBACK")
+            raise
+
+    @contextmanager
+    def _using_connection(self) -> Iterator[None]:
+        try:
+            with self._in_use:
+                yield
+        finally:
+            if self._must_close:
+                self._close_unless_in_use()
+
     def _put_state(self, name: str, value: str) -> None:
         self._connection.execute("INSERT OR REPLACE INTO state VALUES (?, ?)", (name, value))
 
@@ -174,8 +194,20 @@
         )
 
     def close(self) -> None:
-        """Close the file."""
-        self._connection.close()
+        """Close the file; if another thread is using it, that closes it when it is done.
+
+        SQLite crashes the process if a connection is closed during a call. Waiting for the call
+        would let a stalled disk hold up the end of the process.
+        """
+        self._must_close = True
+        self._close_unless_in_use()
+
+    def _close_unless_in_use(self) -> None:
+        if self._in_use.acquire(blocking=False):
+            try:
+                self._connection.close()
+            finally:
+                self._in_use.release()
 
 
 def _describe(what: str, error: Exception) -> TurnFileError:
--- a/tests/_run.py
+++ b/tests/_run.py
@@ -4,6 +4,7 @@
 with `unittest.expectedFailure` that passes fails the run; a listed test that passes does not.
 """
 
+import faulthandler
 import sys
 import unittest
 from pathlib import Path
@@ -48,6 +49,7 @@
 
 def main(names: list[str]) -> int:
     """Run the tests and return the exit status of the process."""
+    faulthandler.enable()  # a crash of the interpreter then names the test
     known_red = read_known_red()
     runner = unittest.TextTestRunner(verbosity=2 if names else 1)
     suite = load_suite(names)
--- a/tests/histories/test_turn_file.py
+++ b/tests/histories/test_turn_file.py
@@ -5,10 +5,13 @@
 import shutil
 import sqlite3
 import tempfile
+import threading
 from collections.abc import Iterator
 from contextlib import contextmanager
 from pathlib import Path
 
+from result import Ok
+
 from lagoonfold_io import TurnFile, WriteBatch
 from tests._suite import load_functions
 
@@ -195,4 +198,29 @@
         file.close()
 
 
+def test_file_closed_while_another_thread_writes_keeps_the_write() -> None:
+    """A process that stops must not crash, nor lose a write that is under way."""
+    with _folder() as folder:
+        file = _open(folder)
+        is_writing, may_go_on = threading.Event(), threading.Event()
+
+        def contents() -> Iterator[tuple[str, float, bytes]]:
+            yield "t1", 60.0, b"first"
+            is_writing.set()
+            may_go_on.wait(10.0)
+            yield "t2", 60.0, b"second"
+
+        outcomes: list[object] = []
+        batch = WriteBatch(contents=contents(), counted_s=1.0)
+        writer = threading.Thread(target=lambda: outcomes.append(file.write(batch)))
+        writer.start()
+        assert is_writing.wait(10.0)
+        file.close()
+        may_go_on.set()
+        writer.join()
+        assert outcomes == [Ok(None)]
+        assert file.read("t1").is_err(), "the writer has closed the file"
+        assert _held(_open(folder)) == {"t1": b"first", "t2": b"second"}
+
+
 load_tests = load_functions(globals())
