Test a service all of whose replicas say that they leave

Decided as the code does it: a leaving replica is not used for want of another, since it may exit at any moment; a request waits a second for a replacement, is then refused as not run with a time to come back, and is served again once a replica has started. The test passed at once.

--- a/tests/gateway/test_leaving_replicas.py
+++ b/tests/gateway/test_leaving_replicas.py
@@ -4,9 +4,12 @@
 
 from lagoonfold import rendezvous_weight
 from lagoonfold.forwarding import pool_of
+from lagoonfold_gateway._placement_client import NO_REPLICA_WAIT_S
 from tests._suite import load_functions
 from tests.gateway._fleet import Fleet, knows_all, make_config, run_with_fleet, wait_until
 
+MARGIN_S = 0.5  # a tenth of the caller's time
+
 
 async def _send_some(fleet: Fleet, count: int = 12) -> list[int]:
     """Send requests through all gateways in turn; return the statuses."""
@@ -141,4 +144,28 @@
     run_with_fleet(check, gateways=1)
 
 
+def test_service_all_of_whose_replicas_leave_refuses_until_one_starts() -> None:
+    """A leaving replica is not used for want of another; a replacement is waited for shortly."""
+
+    async def check(fleet: Fleet) -> None:
+        replicas = [fleet.replica_by_id[replica_id] for replica_id in ("r1", "r2")]
+        for replica in replicas:
+            replica.behaviour.leaving = "1"
+        with trio.fail_after(5.0):
+            while any(_is_available(g, id_) for g in fleet.gateways for id_ in ("r1", "r2")):
+                await _send_some(fleet, 1)
+        before = [len(replica.requests) for replica in replicas]
+        began_s = trio.current_time()
+        answer = await fleet.send(fleet.gateways[0], "/read/a")
+        assert answer.status == 503 and "retry-after" in dict(answer.headers)
+        assert trio.current_time() - began_s < NO_REPLICA_WAIT_S + MARGIN_S
+        assert [len(replica.requests) for replica in replicas] == before
+        replicas[0].behaviour.leaving = None
+        fleet.list_replica(replicas[0], started=7)
+        await wait_until(lambda: all(_is_available(gateway, "r1") for gateway in fleet.gateways))
+        assert set(await _send_some(fleet)) == {200}
+
+    run_with_fleet(check, gateways=2)
+
+
 load_tests = load_functions(globals())
