Keep the ids of the live instances sorted in place of sorting them at each change

Each instance applies each change of each other one, so a fleet of 300 that starts applies 90,000 changes. Each one sorted and filtered all ids in Python. Now an id is inserted into a sorted list, and the sets of a change are made once.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_member_controller.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_member_controller.py
@@ -402,22 +402,21 @@
         return status is not None and status.state == LEAVING
 
     def _write_live(self, without: Collection[str] = ()) -> None:
-        live = tuple(key for key in self._table.live_ids() if key not in without)
+        live = self._table.live_ids()
+        if without:
+            live = tuple(key for key in live if key not in without)
         if self._is_cut_off or not live:
             live = (self.instance_id,)
         before = self._board.live.read()
         if live == before.ids:
             return
         is_late = now_s() - self._started_s > DISCOVERY_S
-        is_stable_since_start = (
-            before.is_stable_since_start and set(before.ids) <= set(live) and not is_late
-        )
-        gone = sorted(set(before.ids) - set(live))
+        ids, ids_before = set(live), set(before.ids)
+        gone = sorted(ids_before - ids)
+        is_stable_since_start = before.is_stable_since_start and not gone and not is_late
         self._lost_ids.difference_update(live)
         self._lost_ids.update(key for key in gone if not self._has_left(key))
         self._hears_most = None
         self._owner_by_subject.clear()
         self._board.live.write(LiveView(live, now_s(), is_stable_since_start))
-        _log.info(
-            "members.changed", live=len(live), gone=gone, come=sorted(set(live) - {*before.ids})
-        )
+        _log.info("members.changed", live=len(live), gone=gone, come=sorted(ids - ids_before))
--- a/packages/lagoonfold/src/lagoonfold/liveness/_status_table.py
+++ b/packages/lagoonfold/src/lagoonfold/liveness/_status_table.py
@@ -5,6 +5,7 @@
 it is lost holds until it hears of it.
 """
 
+from bisect import insort
 from collections.abc import Iterable
 
 import msgspec
@@ -53,7 +54,7 @@
     def __init__(self) -> None:
         self._status_by_id: dict[str, InstanceStatus] = {}
         self._digest = 0
-        self._live_ids: tuple[str, ...] | None = ()
+        self._live_ids: list[str] = []
         self.ring = Ring()
 
     def merge(self, status: InstanceStatus) -> bool:
@@ -64,10 +65,12 @@
         self._digest ^= _digest_of(known) ^ _digest_of(status)
         self._status_by_id[status.instance] = status
         was_live = known is not None and known.is_live
-        if status.is_live != was_live:
-            self._live_ids = None
-            update = self.ring.add if status.is_live else self.ring.remove
-            update(status.instance)
+        if status.is_live and not was_live:
+            insort(self._live_ids, status.instance)
+            self.ring.add(status.instance)
+        elif was_live and not status.is_live:
+            self._live_ids.remove(status.instance)
+            self.ring.remove(status.instance)
         return True
 
     def merge_all(self, statuses: Iterable[InstanceStatus]) -> list[InstanceStatus]:
@@ -95,10 +98,7 @@
 
     def live_ids(self) -> tuple[str, ...]:
         """Return the ids of the live instances, sorted."""
-        if self._live_ids is None:
-            live = (key for key, status in self._status_by_id.items() if status.is_live)
-            self._live_ids = tuple(sorted(live))
-        return self._live_ids
+        return tuple(self._live_ids)
 
     @property
     def digest(self) -> int:
