Withhold all tokens that committed programs will need from the others

Only the calls of a quarter of a second, and at most 0.3 of the burst, were withheld for committed programs. The others took the rest, and then neither was finished. 2. An account counted as idle at 0.9 of its burst, though its window holds several times that, so programs were committed to without regard to their calls. 3. Programs were taken to make 6 calls for each second to their objective; those of the sites make 2.6 to 9. The estimate now starts there and follows the programs of the account that had no call refused, with a margin for those that are left out. The committed share goes from 0.75 to 0.85, since what is committed is now kept.

A learnt estimate without a margin, and counting made calls against a commitment, were tried and were worse: long programs are refused more often and so are missing in what is learnt.

--- a/packages/lagoonfold/src/lagoonfold/rates/_commitments.py
+++ b/packages/lagoonfold/src/lagoonfold/rates/_commitments.py
@@ -10,11 +10,11 @@
 
 from lagoonfold.rates._messages import ProgramNeed, RateLimit
 
-COMMITTED_SHARE = 0.75  # of upcoming tokens; programs call faster than their soft deadlines require
+COMMITTED_SHARE = 0.85  # of upcoming tokens; programs call faster than their soft deadlines require
 RESERVE_SPAN_S = 0.25  # about a turn; the reserve covers committed calls of this time
 MAX_RESERVE_SHARE = 0.3  # of the burst
 MAX_COMMITMENT_S = 60.0  # several times a usual program; bounds what a far soft deadline can hold
-FULL_LEVEL_SHARE = 0.9  # of the burst; above it committed programs leave tokens unused
+FULL_LEVEL_SHARE = 0.9  # of the most tokens; above it committed programs leave tokens unused
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,12 +38,18 @@
         self._commitment_by_program: dict[str, _Commitment] = {}
 
     def try_commit(
-        self, need: ProgramNeed, limit: RateLimit, *, level: float, now_s: float
+        self,
+        need: ProgramNeed,
+        limit: RateLimit,
+        *,
+        level: float,
+        now_s: float,
+        most: float | None = None,
     ) -> bool:
         """Commit rate to a program if enough is free; return whether it has a commitment.
 
-        `level` is the number of tokens that can be lent now. While it is near the burst, the
-        program's own calls are not counted.
+        `level` is the number of tokens that can be lent now, `most` the largest that it can be (the
+        burst if it is not given). While it is near that, the program's own calls are not counted.
         """
         self._drop_ended(now_s)
         if need.program in self._commitment_by_program:
@@ -52,7 +58,7 @@
             return False
         available = COMMITTED_SHARE * (level + limit.rate_per_s * need.time_left_s)
         committed = self.expected_calls(need.time_left_s, now_s=now_s)
-        is_full = level >= FULL_LEVEL_SHARE * limit.burst
+        is_full = level >= FULL_LEVEL_SHARE * (limit.burst if most is None else most)
         if committed + (0.0 if is_full else need.calls_left) > available:
             return False
         span_s = min(need.time_left_s, MAX_COMMITMENT_S)
--- a/packages/lagoonfold/src/lagoonfold/rates/_program_tracker.py
+++ b/packages/lagoonfold/src/lagoonfold/rates/_program_tracker.py
@@ -14,7 +14,9 @@
 from lagoonfold.rates._messages import RANK_CALL, RANK_TURN, RANK_UNCOMMITTED, ProgramNeed
 
 MAX_TRACKED_PROGRAMS = 4_096  # per account, ended ones included; beyond it the oldest is dropped
-USUAL_CALLS_PER_S = 6.0  # a turn takes a third of a second and makes one tool call
+FIRST_CALLS_PER_S = 4.6  # of the time to the soft deadline, until programs have been seen
+FIRST_SPAN_S = 20.0  # the weight of that guess: about ten programs
+CALLS_MARGIN = 1.3  # programs with refused calls, often the longer ones, are not counted
 LOOP_FACTOR = 3.0  # a program with more than this many times its usual calls probably loops
 MAX_SPEEDUP = 1.6  # soft deadlines allow 1.2 to 1.6 times a program's time on idle upstreams
 
@@ -49,13 +51,15 @@
 class _Program:
     start_s: float
     soft_deadline_s: float
+    usual_calls_per_s: float
     calls: int = 0
     is_committed: bool = False
     is_budget_exhausted: bool = False
+    has_refused_calls: bool = False
 
     @property
     def usual_calls(self) -> int:
-        return math.ceil(USUAL_CALLS_PER_S * (self.soft_deadline_s - self.start_s))
+        return math.ceil(self.usual_calls_per_s * (self.soft_deadline_s - self.start_s))
 
     def can_finish_in_time(self, now_s: float) -> bool:
         """Return whether the program has time and budget left and does not seem to loop."""
@@ -63,11 +67,38 @@
         return now_s < self.soft_deadline_s and not is_failing
 
 
+class _UsualCalls:
+    """The calls that an account's programs make for each second to their soft deadlines."""
+
+    def __init__(self) -> None:
+        self._calls = FIRST_CALLS_PER_S * FIRST_SPAN_S
+        self._span_s = FIRST_SPAN_S
+        self._running: list[_Program] = []
+
+    @property
+    def per_s(self) -> float:
+        """Return the calls to expect of a program."""
+        return CALLS_MARGIN * self._calls / self._span_s
+
+    def add(self, program: _Program) -> None:
+        """Count a program's calls once its soft deadline has passed."""
+        self._running.append(program)
+
+    def update(self, now_s: float) -> None:
+        """Count the programs whose soft deadline has passed, if no call of theirs was refused."""
+        for program in self._running:
+            if program.soft_deadline_s <= now_s and not program.has_refused_calls:
+                self._calls += program.calls
+                self._span_s += program.soft_deadline_s - program.start_s
+        self._running = [program for program in self._running if program.soft_deadline_s > now_s]
+
+
 class ProgramTracker:
     """Track the programs of one account."""
 
     def __init__(self) -> None:
         self._program_by_id: OrderedDict[str, _Program] = OrderedDict()
+        self._usual_calls = _UsualCalls()
 
     def prioritize(self, call: ProgramCall, *, now_s: float) -> CallPriority:
         """Return the call's priority; start to track its program at its first call."""
@@ -87,6 +118,12 @@
         if program is not None:
             program.calls += 1
 
+    def mark_refused(self, program_id: str) -> None:
+        """Record that a call of a program was refused for want of a token."""
+        program = self._program_by_id.get(program_id)
+        if program is not None:
+            program.has_refused_calls = True
+
     def mark_budget_exhausted(self, program_id: str) -> None:
         """Record that a program's budget was too small for one of its turns."""
         program = self._program_by_id.get(program_id)
@@ -115,14 +152,20 @@
             return None
         calls_left = max(1, program.usual_calls - program.calls)
         time_left_s = program.soft_deadline_s - now_s
-        if calls_left > MAX_SPEEDUP * USUAL_CALLS_PER_S * time_left_s + 1:
+        if calls_left > MAX_SPEEDUP * program.usual_calls_per_s * time_left_s + 1:
             return None
         return ProgramNeed(program=program_id, calls_left=calls_left, time_left_s=time_left_s)
 
     def _add(self, call: ProgramCall, now_s: float) -> _Program:
         assert call.time_left_s is not None
-        program = _Program(start_s=now_s, soft_deadline_s=now_s + call.time_left_s)
+        self._usual_calls.update(now_s)
+        program = _Program(
+            start_s=now_s,
+            soft_deadline_s=now_s + call.time_left_s,
+            usual_calls_per_s=self._usual_calls.per_s,
+        )
         self._program_by_id[call.program_id] = program
+        self._usual_calls.add(program)
         while len(self._program_by_id) > MAX_TRACKED_PROGRAMS:
             self._program_by_id.popitem(last=False)
         return program
--- a/packages/lagoonfold/src/lagoonfold/rates/_quota.py
+++ b/packages/lagoonfold/src/lagoonfold/rates/_quota.py
@@ -63,6 +63,11 @@
         """Return the rate and burst in force."""
         return self._limit
 
+    @property
+    def most_available(self) -> float:
+        """Return how many tokens can be taken at once when none was taken before."""
+        return min(self._depth, self._window_size)
+
     def change_limit(self, limit: RateLimit, *, now_s: float) -> None:
         """Apply a new rate and burst to the calls from now on.
 
--- a/packages/lagoonfold/src/lagoonfold/rates/_token_queue.py
+++ b/packages/lagoonfold/src/lagoonfold/rates/_token_queue.py
@@ -14,7 +14,7 @@
 from result import Err, Ok, Result
 
 from lagoonfold._wait_queue import WaitQueue
-from lagoonfold.rates._commitments import Commitments
+from lagoonfold.rates._commitments import MAX_COMMITMENT_S, Commitments
 from lagoonfold.rates._messages import RANK_UNCOMMITTED, RateLimit
 from lagoonfold.rates._program_tracker import CallPriority, ProgramCall, ProgramTracker
 from lagoonfold.rates._quota import Quota, QuotaTerms
@@ -80,8 +80,12 @@
         return self._quota.available(now_s=now_s)
 
     def reserved(self, *, now_s: float) -> float:
-        """Return the tokens that are withheld from programs without a commitment."""
-        return self._commitments.reserved(self.limit, now_s=now_s)
+        """Return the tokens that are withheld from programs without a commitment.
+
+        These are all calls that committed programs will make: what others take before is missing
+        at the end of these, and then neither is finished.
+        """
+        return self._commitments.expected_calls(MAX_COMMITMENT_S, now_s=now_s)
 
     def request(self, item: T, call: ProgramCall, *, now_s: float) -> Result[bool, TokenRefusal]:
         """Grant a token to a call that arrives, or let it wait: then `grant` will return it.
@@ -102,7 +106,10 @@
             wait_until_s=priority.wait_until_s,
             now_s=now_s,
         )
-        return Ok(False) if is_queued else Err(self._refusal(priority.rank, wait_s, now_s))
+        if is_queued:
+            return Ok(False)
+        self._programs.mark_refused(call.program_id)
+        return Err(self._refusal(priority.rank, wait_s, now_s))
 
     def grant(self, *, now_s: float) -> Iterator[T]:
         """Grant the available tokens to waiting calls in their order; yield these calls."""
@@ -167,8 +174,14 @@
         need = self._programs.need(program_id, now_s=now_s)
         if need is None:
             return False
-        level = self.available(now_s=now_s)
-        if not self._commitments.try_commit(need, self.limit, level=level, now_s=now_s):
+        is_committed = self._commitments.try_commit(
+            need,
+            self.limit,
+            level=self.available(now_s=now_s),
+            now_s=now_s,
+            most=self._quota.most_available,
+        )
+        if not is_committed:
             return False
         self._programs.mark_committed(program_id)
         return True
