Bound what is followed to estimate the calls of programs

The list of programs whose soft deadline had not passed was scanned at each new program and had no bound: programs with far deadlines would have been held, and scanned, without end. It is a heap of at most as many programs as are tracked. A test shows what the estimate follows.

--- a/packages/lagoonfold/src/lagoonfold/rates/_program_tracker.py
+++ b/packages/lagoonfold/src/lagoonfold/rates/_program_tracker.py
@@ -7,6 +7,8 @@
 turn. Calls of equal rank go in order of their programs' soft deadlines.
 """
 
+import heapq
+import itertools
 import math
 from collections import OrderedDict
 from dataclasses import dataclass
@@ -73,7 +75,8 @@
     def __init__(self) -> None:
         self._calls = FIRST_CALLS_PER_S * FIRST_SPAN_S
         self._span_s = FIRST_SPAN_S
-        self._running: list[_Program] = []
+        self._running: list[tuple[float, int, _Program]] = []  # a heap, the next to end first
+        self._numbers = itertools.count()
 
     @property
     def per_s(self) -> float:
@@ -81,16 +84,18 @@
         return CALLS_MARGIN * self._calls / self._span_s
 
     def add(self, program: _Program) -> None:
-        """Count a program's calls once its soft deadline has passed."""
-        self._running.append(program)
+        """Follow a program, unless many are followed already."""
+        if len(self._running) < MAX_TRACKED_PROGRAMS:
+            entry = (program.soft_deadline_s, next(self._numbers), program)
+            heapq.heappush(self._running, entry)
 
     def update(self, now_s: float) -> None:
         """Count the programs whose soft deadline has passed, if no call of theirs was refused."""
-        for program in self._running:
-            if program.soft_deadline_s <= now_s and not program.has_refused_calls:
+        while self._running and self._running[0][0] <= now_s:
+            _, _, program = heapq.heappop(self._running)
+            if not program.has_refused_calls:
                 self._calls += program.calls
                 self._span_s += program.soft_deadline_s - program.start_s
-        self._running = [program for program in self._running if program.soft_deadline_s > now_s]
 
 
 class ProgramTracker:
--- a/tests/rates/test_program_tracker.py
+++ b/tests/rates/test_program_tracker.py
@@ -91,6 +91,28 @@
     assert tracker.need("p", now_s=11.9) is None
 
 
+def test_calls_of_a_program_are_estimated_from_those_before_it() -> None:
+    """Programs with a refused call are left out, since they did not make all their calls."""
+
+    def need_after(calls: int, *, is_refused: bool) -> int:
+        tracker = ProgramTracker()
+        for number in range(40):
+            name, now_s = f"p{number}", 3.0 * number
+            _prioritize(tracker, name, is_turn=True, now_s=now_s)
+            for _ in range(calls):
+                tracker.record_call(name)
+            if is_refused:
+                tracker.mark_refused(name)
+        _prioritize(tracker, "next", is_turn=True, now_s=200.0)
+        need = tracker.need("next", now_s=200.0)
+        assert need is not None
+        return need.calls_left
+
+    usual = need_after(0, is_refused=True)
+    assert need_after(1, is_refused=True) == usual
+    assert need_after(1, is_refused=False) < usual < need_after(30, is_refused=False)
+
+
 def test_rate_is_committed_while_it_covers_the_need() -> None:
     """A rate of twenty covers three of five programs that need ten calls in two seconds each."""
     limit = RateLimit(rate_per_s=20.0, burst=20)
