Tell the latest change that anybody has seen with each heartbeat

The time since a peer is known to be ahead was cleared by each heartbeat of a peer that is not, and most peers lacked the change too, so nobody listed anew.

Change: a peer that has seen less says nothing; the time runs until the watch itself has caught up and is looked at every 0.1 s; heartbeats also pass on what others have seen, so that all know within a few rounds. A watch may lag by 0.75 s in place of 1.0 s.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_heartbeats.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_heartbeats.py
@@ -9,6 +9,7 @@
 import math
 import random
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import trio
 from result import Ok
@@ -43,11 +44,19 @@
 EXCHANGE_TIMEOUT_S = 1.0
 MISMATCH_S = 0.5  # news reach all within some ms; a digest that differs for longer missed some
 POISON_REPEAT_S = 1.0  # a report is sent twice, since a connection may break
-WATCH_LAG_S = 1.0  # between the changes that two instances have heard of while both are well fed
+WATCH_LAG_S = 0.75  # between the changes that two instances have heard of while both are well fed
 
 _log = EventLog("members")
 
 
+@dataclass(slots=True)
+class _Lag:
+    """A revision that a peer has seen and a watch has not told, and since when that is known."""
+
+    revision: int
+    since_s: float
+
+
 class Heartbeats:
     """Sends this instance's heartbeats and news, and applies those of peers.
 
@@ -77,7 +86,7 @@
         self._contradicted_s_by_id: dict[str, float] = {}
         self._exchanged_s = now_s()
         self._differs_since_s_by_id: dict[str, float] = {}
-        self._behind_since_s_by_watch: dict[StoreWatch, float] = {}
+        self._lag_by_watch: dict[StoreWatch, _Lag] = {}
         self.on_behind: Callable[[str], None] = lambda prefix: None
         bus.register_handler(Heartbeat)(self._handle_heartbeat)
         bus.register_handler(Hello)(self._handle_hello)
@@ -96,8 +105,8 @@
             heartbeat = Heartbeat(
                 status=self._members.own_status,
                 digest=self._members.digest,
-                config_revision=self._config_watch.last_change_revision,
-                replica_revision=self._replica_watch.last_change_revision,
+                config_revision=self._latest_change(self._config_watch),
+                replica_revision=self._latest_change(self._replica_watch),
             )
             for peer in self._targets():
                 self._bus.post(peer, heartbeat)
@@ -112,6 +121,7 @@
             self._silence.observe(now_s=now)
             for peer in self._silence.silent_for(SUSPECT_S, now_s=now):
                 self._suspect(peer)
+            self._report_lags(now)
             is_silent = now - self._bus.last_received_s > CUT_OFF_S
             self._members.set_cut_off(is_silent and len(self._members.told_live_ids()) > 1)
 
@@ -221,8 +231,8 @@
         if known is not None and known.supersedes(heartbeat.status):
             self._bus.post(sender, StatusNews(statuses=(known,)))
         self._exchange_if_different(sender, heartbeat.digest, now)
-        self._report_if_behind(self._config_watch, heartbeat.config_revision, now)
-        self._report_if_behind(self._replica_watch, heartbeat.replica_revision, now)
+        self._record_lag(self._config_watch, heartbeat.config_revision, now)
+        self._record_lag(self._replica_watch, heartbeat.replica_revision, now)
         return Ack()
 
     def _handle_hello(self, hello: Message) -> Message:
@@ -280,12 +290,24 @@
             _log.info("members.exchanged", peer=peer, statuses=len(answer.ok_value.statuses))
             self._apply(answer.ok_value.statuses)
 
-    def _report_if_behind(self, watch: StoreWatch, revision: int, now: float) -> None:
-        """Tell `on_behind` of a watch if a peer has been ahead of it for `WATCH_LAG_S`."""
-        if revision <= watch.revision:
-            self._behind_since_s_by_watch.pop(watch, None)
-            return
-        since_s = self._behind_since_s_by_watch.setdefault(watch, now)
-        if now - since_s > WATCH_LAG_S:
-            self._behind_since_s_by_watch[watch] = now
-            self.on_behind(watch.prefix)
+    def _latest_change(self, watch: StoreWatch) -> int:
+        """Return the revision of the latest change that a watch has told or a peer has seen."""
+        lag = self._lag_by_watch.get(watch)
+        return max(watch.last_change_revision, lag.revision if lag is not None else 0)
+
+    def _record_lag(self, watch: StoreWatch, revision: int, now: float) -> None:
+        """Record that a peer has seen a change that a watch has not told.
+
+        Other peers may lack it as well, so what they have seen says nothing against it.
+        """
+        if revision > watch.revision and watch not in self._lag_by_watch:
+            self._lag_by_watch[watch] = _Lag(revision, now)
+
+    def _report_lags(self, now: float) -> None:
+        """Tell `on_behind` of each watch that has not caught up within `WATCH_LAG_S`."""
+        for watch, lag in tuple(self._lag_by_watch.items()):
+            if watch.revision >= lag.revision:
+                del self._lag_by_watch[watch]
+            elif now - lag.since_s > WATCH_LAG_S:
+                lag.since_s = now
+                self.on_behind(watch.prefix)
--- a/standins/transactional_store.py
+++ b/standins/transactional_store.py
@@ -217,10 +217,14 @@
 
 
 class StoreView:
-    """One gateway's connection to a store, which can be cut independently of the others."""
+    """One gateway's connection to a store, which can be cut independently of the others.
+
+    While `are_polls_silent` is set, its polls get no answer, as on a connection that went silent.
+    """
 
     def __init__(self, store: MemoryStore) -> None:
         self.is_cut = False
+        self.are_polls_silent = False
         self.calls = 0
         self._store = store
 
@@ -232,6 +236,8 @@
             if self.is_cut:
                 await trio.lowlevel.checkpoint()
                 return Err(UNAVAILABLE)
+            if self.are_polls_silent and name == "poll":
+                await trio.sleep_forever()
             return await getattr(self._store, name)(*arguments, **options)
 
         return call
--- a/tests/gateway/test_feeds.py
+++ b/tests/gateway/test_feeds.py
@@ -174,6 +174,25 @@
         _run_at(size, check)
 
 
+def test_change_that_one_reader_has_seen_reaches_all_while_the_polls_of_others_hang() -> None:
+    """Most instances lack the change, and what they have seen must not hide that."""
+
+    async def check(fleet: SimulatedFleet) -> None:
+        for name in _readers(fleet)[1:]:
+            fleet.view_by_id[name].are_polls_silent = True
+        fleet.store.cut_watches()
+        await trio.sleep(1.0)
+        assert await _time_of_change(fleet, b"second") < BOUND_S
+        fleet.store.put(f"{REPLICAS}r1", b"leaving")
+        took_s = await fleet.wait_until(
+            lambda: _all_have(fleet, f"{REPLICAS}r1", b"leaving"), within_s=20.0
+        )
+        assert took_s < BOUND_S, took_s
+
+    for size in (7, 30):
+        _run_at(size, check)
+
+
 def test_history_that_the_store_drops_is_not_missed() -> None:
     """Readers list again what was changed meanwhile, and those that ask get the whole list."""
 
