Publish replicas that change together once

The directory of replicas was published after each entry, and three subscribers (owners of pools, limits, software versions) look at all replicas each time: some 9 million looks at each of 300 instances while the replicas register.

Change: events of one poll are applied together and published once.

The new test puts 300 entries at once: 301 publications before, one now.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_replica_controller.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_replica_controller.py
@@ -37,11 +37,13 @@
         self._board = board
         self._replica_tracker = replica_tracker
         self._client = client
+        self._has_changes = False
         self.watch = StoreWatch(
             store,
             dialect.replica_prefix,
             on_listing=self._apply_listing,
             on_event=self._apply_event,
+            on_revision=self._publish_changes,
             on_store_recovered=self._begin_grace,
             min_interval_s=0.0,
         )
@@ -70,6 +72,7 @@
         self._publish()
 
     def _apply_event(self, event: WatchEvent) -> None:
+        self._has_changes = True
         directory = self._board.replicas.read()
         replica_id = key_suffix(event.entry, self._dialect.replica_prefix)
         if event.entry.revision == ABSENT_REVISION:
@@ -79,7 +82,6 @@
             _log.info("replica.gone", replica=replica_id, revision=event.revision, held=is_held)
             if known is not None and not is_held:
                 self._client.close_idle_to(known.address)
-            self._publish()
             return
         replica = self._decode(event.entry)
         if replica is None:
@@ -87,7 +89,12 @@
         else:
             self._apply_change(replica)
             directory.put(replica)
-        self._publish()
+
+    def _publish_changes(self, revision: int) -> None:
+        """Publish what the events up to a revision have changed; readers look at all replicas."""
+        if self._has_changes:
+            self._has_changes = False
+            self._publish()
 
     def _apply_change(self, replica: Replica) -> None:
         """Log a changed entry; drop the state and idle connections of an earlier incarnation."""
--- a/tests/gateway/test_fleet_sizes.py
+++ b/tests/gateway/test_fleet_sizes.py
@@ -1,7 +1,13 @@
 """What one instance exchanges with the store; `test_feeds` has fleets of several sizes."""
 
+from types import SimpleNamespace
+
 import trio
+from result import Ok
 
+from lagoonfold.forwarding import Replica
+from lagoonfold_gateway._board import GatewayBoard
+from lagoonfold_gateway._replica_controller import ReplicaController
 from lagoonfold_gateway._store_watch import StoreGate, StoreWatch
 from standins.transactional_store import MemoryStore, StoreView
 from tests._suite import load_functions
@@ -65,4 +71,40 @@
     assert calls[0] <= 5 * OUTAGE_S, calls
 
 
+def test_entries_that_change_together_are_published_once() -> None:
+    """Readers of the directory look at all replicas: once for each of 300 would be 90,000 looks."""
+    published: list[int] = []
+
+    async def check(fleet: SimulatedFleet) -> None:
+        store, board = MemoryStore(), GatewayBoard()
+        dialect = SimpleNamespace(replica_prefix="replicas/", decode_replica=_decode_replica)
+        tracker = SimpleNamespace(forget=lambda replica_id: None)
+        client = SimpleNamespace(close_idle_to=lambda address: None)
+        controller = ReplicaController(dialect, board, StoreView(store), tracker, client)
+        store.put("replicas/first", b"x")
+        fleet.nursery.start_soon(controller.watch.run)
+        await fleet.wait_until(lambda: board.replicas.read().get("first") is not None)
+        board.replicas.subscribe(lambda directory: published.append(len(directory.all())))
+        for number in range(300):
+            store.put(f"replicas/{number}", b"x")
+        await fleet.wait_until(lambda: len(board.replicas.read().all()) == 301)
+        store.remove("replicas/first")
+        await fleet.wait_until(lambda: board.replicas.read().get("first") is None)
+
+    run_simulated(check)
+    assert published == [301, 300], published[:5]
+
+
+def _decode_replica(replica_id: str, value: bytes) -> Ok[Replica]:
+    return Ok(
+        Replica(
+            replica_id=replica_id,
+            service="models",
+            address="127.0.0.1:1",
+            failure_domain="zone-a",
+            slots=4,
+        )
+    )
+
+
 load_tests = load_functions(globals())
