--- a/tests/gateway/test_feeds.py
+++ b/tests/gateway/test_feeds.py
@@ -193,6 +193,22 @@
         _run_at(size, check)
 
 
+def test_change_reaches_all_after_a_silent_outage_that_took_the_polls_of_all_readers() -> None:
+    """Nobody sees the change, and only the time limit of the polls ends their wait."""
+
+    async def check(fleet: SimulatedFleet) -> None:
+        for view in fleet.view_by_id.values():
+            view.are_polls_silent = True
+        fleet.store.cut_watches()
+        await trio.sleep(5.0)
+        for view in fleet.view_by_id.values():
+            view.are_polls_silent = False
+        assert await _time_of_change(fleet, b"second") < BOUND_S
+
+    for size in (7, 30):
+        _run_at(size, check)
+
+
 def test_history_that_the_store_drops_is_not_missed() -> None:
     """Readers list again what was changed meanwhile, and those that ask get the whole list."""
 
