--- a/standins/transactional_store.py
+++ b/standins/transactional_store.py
@@ -219,12 +219,14 @@
 class StoreView:
     """One gateway's connection to a store, which can be cut independently of the others.
 
-    While `are_polls_silent` is set, its polls get no answer, as on a connection that went silent.
+    While `are_polls_silent` is set, its polls get no answer, as on a connection that went silent;
+    those below the prefixes in `silent_prefixes` get none either.
     """
 
     def __init__(self, store: MemoryStore) -> None:
         self.is_cut = False
         self.are_polls_silent = False
+        self.silent_prefixes: set[str] = set()
         self.calls = 0
         self._store = store
 
@@ -236,7 +238,7 @@
             if self.is_cut:
                 await trio.lowlevel.checkpoint()
                 return Err(UNAVAILABLE)
-            if self.are_polls_silent and name == "poll":
+            if name == "poll" and (self.are_polls_silent or arguments[0] in self.silent_prefixes):
                 await trio.sleep_forever()
             return await getattr(self._store, name)(*arguments, **options)
 
--- a/tests/gateway/test_feeds.py
+++ b/tests/gateway/test_feeds.py
@@ -209,6 +209,24 @@
         _run_at(size, check)
 
 
+def test_change_is_in_force_in_time_after_the_polls_for_the_one_before_it_were_lost() -> None:
+    """The store answers all other calls, so no failure shows that these polls are lost."""
+
+    async def check(fleet: SimulatedFleet) -> None:
+        for view in fleet.view_by_id.values():
+            view.silent_prefixes.add(CONFIG)
+        fleet.store.put(CONFIG, b"second")
+        await trio.sleep(1.0)
+        assert _all_have(fleet, CONFIG, b"second")
+        for view in fleet.view_by_id.values():
+            view.silent_prefixes.clear()
+        fleet.store.put(f"{REPLICAS}r1", b"up")
+        assert await _time_of_change(fleet, b"third") < BOUND_S
+
+    for size in (7, 30):
+        _run_at(size, check)
+
+
 def test_history_that_the_store_drops_is_not_missed() -> None:
     """Readers list again what was changed meanwhile, and those that ask get the whole list."""
 
