Give up a poll without an answer within the time in which a change must be in force

Callers saw requests handled by a configuration that had been replaced more than 2 s before (CONFIG), were refused what all versions in force allow (DENIED), and their requests reached replicas that had been leaving for more than 2 s (DRAIN).

Cause: a poll that is sent in a silent outage of the store is never answered, and nothing but its own time limit of 17 s ended it. All readers poll again within 0.1 s of each other after a change, so an outage that begins then takes the polls of all. Calls for other prefixes that succeed meanwhile say nothing of it.

Change: StoreWatch itself gives up a poll after three quarters of the time in which changes of its prefix must be in force, which the deployment names (config_in_force_ms, replica_drained_ms); the last quarter is for the listing that follows. Other prefixes are given up after 5.5 s.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_config_controller.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_config_controller.py
@@ -13,7 +13,7 @@
 from lagoonfold_gateway._board import ConfigView, GatewayBoard
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._dialect import Dialect
-from lagoonfold_gateway._store_watch import ReadableStore, StoreWatch
+from lagoonfold_gateway._store_watch import COPY_TERMS, ReadableStore, StoreWatch
 from lagoonfold_io.observe import EventLog
 
 _log = EventLog("config")
@@ -37,7 +37,7 @@
             dialect.config_prefix,
             on_listing=self._apply_listing,
             on_event=self._apply_event,
-            min_interval_s=0.0,
+            terms=COPY_TERMS,
         )
 
     def _apply_listing(self, listing: Listing) -> None:
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_disk_controller.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_disk_controller.py
@@ -19,7 +19,7 @@
 )
 from lagoonfold.histories import Disk
 from lagoonfold_gateway._peers import PeerBus
-from lagoonfold_gateway._store_watch import ReadableStore, StoreWatch, key_suffix
+from lagoonfold_gateway._store_watch import PollTerms, ReadableStore, StoreWatch, key_suffix
 from lagoonfold_io.observe import EventLog
 
 DISK_PREFIX = "lagoonfold/disks/"
@@ -68,7 +68,7 @@
             DISK_PREFIX,
             on_listing=self._apply_listing,
             on_event=self._apply_event,
-            min_interval_s=POLL_INTERVAL_S,
+            terms=PollTerms(min_interval_s=POLL_INTERVAL_S),
         )
 
     async def read_now(self) -> Result[tuple[Disk, ...], StoreError]:
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
@@ -44,8 +44,9 @@
 from lagoonfold_gateway._replica_controller import ReplicaController
 from lagoonfold_gateway._replica_statements import ReplicaStatements
 from lagoonfold_gateway._retirement_responder import RetirementResponder
-from lagoonfold_gateway._settings import GatewaySettings
+from lagoonfold_gateway._settings import GatewaySettings, TimesSection
 from lagoonfold_gateway._store_mirror import StoreMirror
+from lagoonfold_gateway._store_watch import PollTerms, poll_limit_s
 from lagoonfold_gateway._usage import UsageReporter
 from lagoonfold_gateway._version_controller import VersionController
 from lagoonfold_io import HttpClient, HttpLimits, HttpServer
@@ -59,6 +60,7 @@
 MIN_CONNECTIONS_PER_REPLICA = 2  # one more than a request waiting for its answer needs
 IDLE_POLL_S = 0.05  # short compared to the seconds that a stop may take
 BYTES_PER_MB = 1_000_000
+MILLISECONDS_PER_S = 1_000
 STOP_RESERVE_S = 0.7  # of the time for a stop, to return budget and deregister
 
 _log = EventLog("gateway")
@@ -85,9 +87,7 @@
         self.replica_tracker = ReplicaTracker()
         self.poison_tracker = PoisonTracker(self.client)
         self.bus = PeerBus(instance.id, nursery, self.metrics)
-        self.mirror = StoreMirror(
-            store, {MEMBER_PREFIX: POLL_INTERVAL_S, dialect.replica_prefix: REPLICA_INTERVAL_S}
-        )
+        self.mirror = StoreMirror(store, _poll_terms_by_prefix(settings.times, dialect))
         self.members = MemberController(
             instance, self.start_id, self.board, self.bus, store, self.mirror
         )
@@ -291,6 +291,18 @@
         _log.error("request.handler_failed", error)
 
 
+def _poll_terms_by_prefix(times: TimesSection, dialect: Dialect) -> dict[str, PollTerms]:
+    config_s = times.config_in_force_ms / MILLISECONDS_PER_S
+    drained_s = times.replica_drained_ms / MILLISECONDS_PER_S
+    return {
+        MEMBER_PREFIX: PollTerms(min_interval_s=POLL_INTERVAL_S),
+        dialect.config_prefix: PollTerms(limit_s=poll_limit_s(config_s)),
+        dialect.replica_prefix: PollTerms(
+            limit_s=poll_limit_s(drained_s), min_interval_s=REPLICA_INTERVAL_S
+        ),
+    }
+
+
 def _split(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(":")
     return host, int(port)
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_member_controller.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_member_controller.py
@@ -34,7 +34,7 @@
 from lagoonfold_gateway._peers import PeerBus
 from lagoonfold_gateway._registration import MEMBER_PREFIX, MemberEntry, Registration
 from lagoonfold_gateway._settings import InstanceSection
-from lagoonfold_gateway._store_watch import ReadableStore, StoreWatch
+from lagoonfold_gateway._store_watch import COPY_TERMS, ReadableStore, StoreWatch
 from lagoonfold_io.observe import EventLog
 
 POLL_INTERVAL_S = 5.0  # instances tell each other of themselves; entries show what was missed
@@ -106,7 +106,7 @@
             MEMBER_PREFIX,
             on_listing=self._apply_listing,
             on_event=self._apply_event,
-            min_interval_s=0.0,
+            terms=COPY_TERMS,
         )
         board.live.write(LiveView((self.instance_id,), now_s()))
 
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_replica_controller.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_replica_controller.py
@@ -12,7 +12,7 @@
 from lagoonfold_gateway._board import GatewayBoard
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._dialect import Dialect
-from lagoonfold_gateway._store_watch import ReadableStore, StoreWatch, key_suffix
+from lagoonfold_gateway._store_watch import COPY_TERMS, ReadableStore, StoreWatch, key_suffix
 from lagoonfold_io import HttpClient
 from lagoonfold_io.observe import EventLog
 
@@ -45,7 +45,7 @@
             on_event=self._apply_event,
             on_revision=self._publish_changes,
             on_store_recovered=self._begin_grace,
-            min_interval_s=0.0,
+            terms=COPY_TERMS,
         )
 
     async def expire(self) -> None:
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_settings.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_settings.py
@@ -26,6 +26,7 @@
 
 Address = Annotated[str, Meta(pattern=r"^\d+\.\d+\.\d+\.\d+:\d+$", description="IPv4:port")]
 Seconds = Annotated[float, Meta(gt=0, le=86_400, description="seconds above 0")]
+Milliseconds = Annotated[float, Meta(gt=0, le=86_400_000, description="milliseconds above 0")]
 
 
 class InstanceSection(msgspec.Struct, frozen=True, kw_only=True):
@@ -50,13 +51,18 @@
 
 
 class TimesSection(msgspec.Struct, frozen=True, kw_only=True):
-    """Longest time of a stop, and time for which the balancer still sends after its announcement.
+    """Times that the deployment grants.
 
-    Both are in seconds.
+    `stop_s` is the longest time of a stop, and for `balancer_notice_s` the balancer still sends
+    after a stop was announced. A change of the configuration must be in force everywhere
+    `config_in_force_ms` after the store has acknowledged it, and a replica that drains must get no
+    requests after `replica_drained_ms`.
     """
 
     stop_s: Seconds = 8.0
     balancer_notice_s: Seconds = 2.5
+    config_in_force_ms: Milliseconds = 2_000.0
+    replica_drained_ms: Milliseconds = 2_000.0
 
 
 class QuotasSection(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_store_mirror.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_store_mirror.py
@@ -14,7 +14,7 @@
 from lagoonfold import Changes, Listing, StoreError, StoreErrorKind, WatchEvent
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._entry_mirror import EntryMirror
-from lagoonfold_gateway._store_watch import MIN_INTERVAL_S, ReadableStore, StoreGate, StoreWatch
+from lagoonfold_gateway._store_watch import PollTerms, ReadableStore, StoreGate, StoreWatch
 from lagoonfold_io.observe import EventLog
 
 CHECK_INTERVAL_S = 0.2  # between looks whether a copy is still fresh
@@ -34,7 +34,7 @@
     """
 
     def __init__(
-        self, prefix: str, store: ReadableStore, gate: StoreGate, interval_s: float
+        self, prefix: str, store: ReadableStore, gate: StoreGate, terms: PollTerms
     ) -> None:
         self.prefix = prefix
         self.mirror = EntryMirror()
@@ -48,7 +48,7 @@
             on_event=self._apply_event,
             on_revision=self._apply_revision,
             on_failure=self.wake,
-            min_interval_s=interval_s,
+            terms=terms,
             gate=gate,
         )
 
@@ -83,13 +83,13 @@
 class StoreMirror:
     """Answers listings and polls below followed prefixes from copies.
 
-    `interval_s_by_prefix` has how long a reader waits between two polls that return changes.
+    `terms_by_prefix` has how a reader polls prefixes that are not polled in the usual way.
     `on_follow` is called when a further prefix is followed.
     """
 
-    def __init__(self, store: ReadableStore, interval_s_by_prefix: dict[str, float]) -> None:
+    def __init__(self, store: ReadableStore, terms_by_prefix: dict[str, PollTerms]) -> None:
         self._store = store
-        self._interval_s_by_prefix = interval_s_by_prefix
+        self._terms_by_prefix = terms_by_prefix
         self._gate = StoreGate()
         self._feed_by_prefix: dict[str, Feed] = {}
         self._fed_s = 0.0
@@ -111,8 +111,8 @@
         """Return the feed of a prefix, which is followed from now on."""
         feed = self._feed_by_prefix.get(prefix)
         if feed is None:
-            interval_s = self._interval_s_by_prefix.get(prefix, MIN_INTERVAL_S)
-            feed = self._feed_by_prefix[prefix] = Feed(prefix, self._store, self._gate, interval_s)
+            terms = self._terms_by_prefix.get(prefix, PollTerms())
+            feed = self._feed_by_prefix[prefix] = Feed(prefix, self._store, self._gate, terms)
             if self._reading_nursery is not None:
                 self._reading_nursery.start_soon(feed.watch.run)
             self.on_follow()
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_store_watch.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_store_watch.py
@@ -4,6 +4,9 @@
 as there are instances. After a listing or a poll that returned changes, the next poll therefore
 waits for `min_interval_s` and fetches everything that has changed meanwhile.
 
+A poll may get no answer without any sign of a failure. It is given up after `PollTerms.limit_s`,
+so that a change is known that late at most.
+
 A failed poll is followed by a new listing, after a pause that grows: the store may take long to
 report lost history to a poll that continues from an old revision. After an outage of the store,
 `on_store_recovered` is called before the first changes are delivered, because entries may have
@@ -11,6 +14,7 @@
 """
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Protocol
 
 import trio
@@ -20,8 +24,10 @@
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_io.observe import EventLog
 
-POLL_WAIT_S = 15.0  # a poll that waits longer than the store keeps history is told to list again
 MIN_INTERVAL_S = 0.25  # a tenth of the time in which a change must be in force
+POLL_LIMIT_S = 5.5
+POLL_ANSWER_S = 0.5  # for the answer to a poll whose wait is over; a slow store takes some 0.3 s
+NOTICE_SHARE = 0.75  # of the time in which a change must be in force, until a lost poll is given up
 FIRST_PAUSE_S = 0.05  # after a failed call; doubles with each further failure
 MAX_PAUSE_S = 0.5  # bounds the time until the store's recovery is noticed
 GATE_WAIT_PAUSES = 4  # in case the store answers one watch with errors and would serve another
@@ -58,6 +64,31 @@
                 await self._opened.wait()
 
 
+@dataclass(frozen=True, slots=True)
+class PollTerms:
+    """How a prefix is polled.
+
+    A poll without an answer is given up after `limit_s`. `min_interval_s` passes between two polls
+    of which the first returned changes.
+    """
+
+    limit_s: float = POLL_LIMIT_S
+    min_interval_s: float = MIN_INTERVAL_S
+
+    @property
+    def wait_s(self) -> float:
+        """Return how long the store is to wait for a change."""
+        return self.limit_s - POLL_ANSWER_S
+
+
+COPY_TERMS = PollTerms(min_interval_s=0.0)  # of a watch that follows a copy in memory
+
+
+def poll_limit_s(in_force_s: float) -> float:
+    """Return when to give up a poll for changes that must be in force within `in_force_s`."""
+    return max(2 * POLL_ANSWER_S, NOTICE_SHARE * in_force_s)
+
+
 class ReadableStore(Protocol):
     """The part of a `TransactionalStore` that a watch uses."""
 
@@ -88,12 +119,12 @@
         on_revision: Callable[[int], None] = lambda revision: None,
         on_failure: Callable[[], None] = lambda: None,
         on_store_recovered: Callable[[], None] = lambda: None,
-        min_interval_s: float = MIN_INTERVAL_S,
+        terms: PollTerms = PollTerms(),
         gate: StoreGate | None = None,
     ) -> None:
         self._store = store
         self.prefix = prefix
-        self.min_interval_s = min_interval_s
+        self.terms = terms
         self._next_poll_s = 0.0
         self._gate = gate or StoreGate()
         self._on_listing = on_listing
@@ -152,24 +183,34 @@
             for entry in listed.ok_value.entries:
                 self.last_change_revision = max(self.last_change_revision, entry.revision)
             self._on_listing(listed.ok_value)
-            self._next_poll_s = now_s() + self.min_interval_s
+            self._next_poll_s = now_s() + self.terms.min_interval_s
             return
         await trio.sleep(max(0.0, self._next_poll_s - now_s()))
-        polled = await self._store.poll(
-            self.prefix, after_revision=self._revision, wait_s=POLL_WAIT_S
-        )
+        polled = await self._poll(self._revision)
         if isinstance(polled, Err):
             await self._record_failure(polled.err_value)
             return
         self._record_success()
         if polled.ok_value.events:
-            self._next_poll_s = now_s() + self.min_interval_s
+            self._next_poll_s = now_s() + self.terms.min_interval_s
         for event in polled.ok_value.events:
             self.last_change_revision = max(self.last_change_revision, event.revision)
             self._on_event(event)
         self._revision = max(self._revision, polled.ok_value.revision)
         self._on_revision(self._revision)
 
+    async def _poll(self, after_revision: int) -> Result[Changes, StoreError]:
+        with trio.move_on_after(self.terms.limit_s):
+            return await self._store.poll(
+                self.prefix, after_revision=after_revision, wait_s=self.terms.wait_s
+            )
+        return Err(
+            StoreError(
+                kind=StoreErrorKind.UNAVAILABLE,
+                detail=f"no answer to a poll within {self.terms.limit_s:g} s",
+            )
+        )
+
     async def _record_failure(self, error: StoreError) -> None:
         position, self._revision = self._revision, None
         if error.kind is StoreErrorKind.HISTORY_LOST:
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/storage/_retirement.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/storage/_retirement.py
@@ -10,7 +10,7 @@
 
 from lagoonfold import ABSENT_REVISION, Listing, Put, TransactionalStore, WatchEvent
 from lagoonfold_gateway._dialect import RetirementDialect
-from lagoonfold_gateway._store_watch import StoreGate, StoreWatch, key_suffix
+from lagoonfold_gateway._store_watch import PollTerms, StoreGate, StoreWatch, key_suffix
 from lagoonfold_gateway.storage._disk_registration import DiskRegistration
 from lagoonfold_gateway.storage._repair import Repair
 from lagoonfold_io.observe import EventLog
@@ -45,7 +45,7 @@
             dialect.request_prefix,
             on_listing=self._apply_listing,
             on_event=self._apply_event,
-            min_interval_s=POLL_INTERVAL_S,
+            terms=PollTerms(min_interval_s=POLL_INTERVAL_S),
             gate=gate,
         )
 
--- a/tests/gateway/test_settings_and_logs.py
+++ b/tests/gateway/test_settings_and_logs.py
@@ -34,6 +34,7 @@
 address = 127.0.0.1:4
 [times]
 stop_s = 8
+config_in_force_ms = 4000
 """
 
 
@@ -42,6 +43,8 @@
     settings = parse_settings(GOOD).unwrap()
     assert settings.instance.is_first_start and settings.instance.metrics is None
     assert settings.times.stop_s == 8.0
+    assert settings.times.config_in_force_ms == 4_000.0
+    assert settings.times.replica_drained_ms == 2_000.0
 
 
 def test_all_faults_are_named_at_once() -> None:
