Vouch for a copy of the store only once the store has answered the reader

Callers may be refused for want of replicas for up to 2 s after a silent outage: entries that lapsed in it are kept for that long only by instances that know of the outage.

An instance that begins to read for itself counted as fed by the store from its first poll on, before any answer.

Change: a reader's first poll waits for nothing and is answered at once; until then it does not vouch.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_store_mirror.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_store_mirror.py
@@ -120,7 +120,7 @@
 
     def can_vouch(self, feed: Feed) -> bool:
         """Return whether this instance reads the store for a copy, and the store answers."""
-        return self.is_reading and not feed.watch.is_failing
+        return self.is_reading and feed.watch.is_answered
 
     def is_healthy(self, feed: Feed) -> bool:
         """Return whether a copy is complete and kept so by this instance's own reading."""
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_store_watch.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_store_watch.py
@@ -136,6 +136,7 @@
         self.last_change_revision = 0
         self._first_failure_s = 0.0
         self._failures = 0
+        self._is_answered = False
         self._scope: trio.CancelScope | None = None
         self.max_pause_s = MAX_PAUSE_S
 
@@ -152,6 +153,11 @@
         """Return whether the latest call to the store failed."""
         return self._failures > 0
 
+    @property
+    def is_answered(self) -> bool:
+        """Return whether the store has answered since reading began or the last call failed."""
+        return self._is_answered
+
     def relist(self, reason: str) -> None:
         """Cancel a poll in progress and list the prefix again."""
         if self._scope is not None and self._revision is not None:
@@ -159,9 +165,13 @@
             self._scope.cancel()
 
     def continue_from(self, revision: int) -> None:
-        """Begin with a poll after a revision up to which all changes are known, if it is not 0."""
+        """Begin with a poll after a revision up to which all changes are known, if it is not 0.
+
+        The store is to answer that poll at once.
+        """
         self._revision = revision or None
         self._failures = 0
+        self._is_answered = False
 
     async def run(self) -> None:
         """Follow the prefix until cancelled."""
@@ -200,14 +210,14 @@
         self._on_revision(self._revision)
 
     async def _poll(self, after_revision: int) -> Result[Changes, StoreError]:
-        with trio.move_on_after(self.terms.limit_s):
-            return await self._store.poll(
-                self.prefix, after_revision=after_revision, wait_s=self.terms.wait_s
-            )
+        wait_s = self.terms.wait_s if self._is_answered else 0.0
+        limit_s = wait_s + POLL_ANSWER_S
+        with trio.move_on_after(limit_s):
+            return await self._store.poll(self.prefix, after_revision=after_revision, wait_s=wait_s)
         return Err(
             StoreError(
                 kind=StoreErrorKind.UNAVAILABLE,
-                detail=f"no answer to a poll within {self.terms.limit_s:g} s",
+                detail=f"no answer to a poll within {limit_s:g} s",
             )
         )
 
@@ -216,6 +226,7 @@
         if error.kind is StoreErrorKind.HISTORY_LOST:
             _log.info("watch.history_lost", prefix=self.prefix, revision=position)
             return
+        self._is_answered = False
         if self._failures == 0:
             self._first_failure_s = now_s()
         _log.warning(
@@ -238,6 +249,7 @@
             if away_s > MIN_OUTAGE_S:
                 self._on_return()
         self._failures = 0
+        self._is_answered = True
         self._gate.record_success()
 
 
--- a/standins/transactional_store.py
+++ b/standins/transactional_store.py
@@ -32,6 +32,7 @@
 TOO_MANY_ENTRIES = StoreError(
     kind=StoreErrorKind.REFUSED, detail=f"more than {MAX_ENTRIES_PER_COMMIT} entries"
 )
+CALL_TIMEOUT_S = 2.0
 CONNECTION_CUT = StoreError(kind=StoreErrorKind.LOST_ANSWER, detail="the connection was cut")
 
 
@@ -220,11 +221,13 @@
     """One gateway's connection to a store, which can be cut independently of the others.
 
     While `are_polls_silent` is set, its polls get no answer, as on a connection that went silent;
-    those below the prefixes in `silent_prefixes` get none either.
+    those below the prefixes in `silent_prefixes` get none either. While `is_silent` is set, no call
+    gets an answer, and all but polls are given up after `CALL_TIMEOUT_S`.
     """
 
     def __init__(self, store: MemoryStore) -> None:
         self.is_cut = False
+        self.is_silent = False
         self.are_polls_silent = False
         self.silent_prefixes: set[str] = set()
         self.calls = 0
@@ -238,7 +241,11 @@
             if self.is_cut:
                 await trio.lowlevel.checkpoint()
                 return Err(UNAVAILABLE)
-            if name == "poll" and (self.are_polls_silent or arguments[0] in self.silent_prefixes):
+            if self.is_silent and name != "poll":
+                await trio.sleep(CALL_TIMEOUT_S)
+                return Err(UNAVAILABLE)
+            are_polls_silent = self.are_polls_silent or self.is_silent
+            if name == "poll" and (are_polls_silent or arguments[0] in self.silent_prefixes):
                 await trio.sleep_forever()
             return await getattr(self._store, name)(*arguments, **options)
 
--- a/tests/gateway/_simulated_fleet.py
+++ b/tests/gateway/_simulated_fleet.py
@@ -150,6 +150,7 @@
     view: StoreView
     scope: trio.CancelScope
     seen: dict[str, bytes] = field(default_factory=dict)
+    store_returns: Counter[str] = field(default_factory=Counter)
 
     @property
     def live(self) -> tuple[str, ...]:
@@ -226,7 +227,7 @@
             member = self.member_by_id[instance_id] = Member(
                 board, members, None, mirror, view, nursery.cancel_scope
             )
-            watches = [_watch(mirror, prefix, member.seen) for prefix in (CONFIG, REPLICAS)]
+            watches = [_watch(mirror, prefix, member) for prefix in (CONFIG, REPLICAS)]
             heartbeats = member.heartbeats = Heartbeats(
                 bus,
                 members,
@@ -249,8 +250,9 @@
             task_status.started()
 
 
-def _watch(mirror: StoreMirror, prefix: str, seen: dict[str, bytes]) -> StoreWatch:
-    """Return a watch that keeps what it has been told."""
+def _watch(mirror: StoreMirror, prefix: str, member: Member) -> StoreWatch:
+    """Return a watch that keeps what it has been told, and counts the returns of the store."""
+    seen = member.seen
 
     def apply_listing(listing: Listing) -> None:
         for key in tuple(seen):
@@ -265,7 +267,12 @@
             seen[event.entry.key] = event.entry.value
 
     return StoreWatch(
-        mirror, prefix, on_listing=apply_listing, on_event=apply_event, terms=COPY_TERMS
+        mirror,
+        prefix,
+        on_listing=apply_listing,
+        on_event=apply_event,
+        on_store_recovered=lambda: member.store_returns.update([prefix]),
+        terms=COPY_TERMS,
     )
 
 
--- a/tests/gateway/test_feeds.py
+++ b/tests/gateway/test_feeds.py
@@ -2,11 +2,15 @@
 
 import math
 import random
+from functools import partial
 
 import trio
 
+from lagoonfold import Listing
 from lagoonfold.liveness import plan_feeds
 from lagoonfold.liveness._feed_sources import INSTANCES_PER_READER
+from lagoonfold_gateway._store_mirror import StoreMirror
+from standins.transactional_store import MemoryStore, StoreView
 from tests._suite import load_functions
 from tests.gateway._simulated_fleet import (
     CONFIG,
@@ -14,6 +18,7 @@
     POLL_TERMS_BY_PREFIX,
     REPLICAS,
     SimulatedFleet,
+    run_on_virtual_clock,
     run_simulated,
 )
 
@@ -232,6 +237,43 @@
         _run_at(size, check)
 
 
+def test_end_of_a_silent_outage_is_told_to_instances_that_read_for_themselves_meanwhile() -> None:
+    """They keep entries that lapsed in the outage for a while, if they know that it was one."""
+
+    async def check(fleet: SimulatedFleet) -> None:
+        for view in fleet.view_by_id.values():
+            view.is_silent = True
+        await trio.sleep(3.0)
+        for view in fleet.view_by_id.values():
+            view.is_silent = False
+        members = fleet.member_by_id.values()
+        await fleet.wait_until(lambda: all(member.store_returns[REPLICAS] for member in members))
+
+    for size in (7, 30):
+        _run_at(size, check)
+
+
+def test_reader_vouches_for_its_copy_only_once_the_store_has_answered_it() -> None:
+    """A copy from another reader may be old by the time at which reading begins."""
+
+    async def check() -> None:
+        view = StoreView(MemoryStore())
+        mirror = StoreMirror(view, POLL_TERMS_BY_PREFIX)
+        feed = mirror.follow(CONFIG)
+        feed.apply_listing(Listing(entries=(), revision=1))
+        view.are_polls_silent = True
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(partial(mirror.read, reason="no reader answers", max_pause_s=0.5))
+            await trio.sleep(0.1)
+            assert mirror.is_reading and not mirror.can_vouch(feed)
+            view.are_polls_silent = False
+            await trio.sleep(1.0)
+            assert mirror.can_vouch(feed)
+            nursery.cancel_scope.cancel()
+
+    run_on_virtual_clock(check)
+
+
 def test_history_that_the_store_drops_is_not_missed() -> None:
     """Readers list again what was changed meanwhile, and those that ask get the whole list."""
 
