Close connections as old as one that gave no answer in time

A change of the configuration may be in force late: when open connections to the store go silent, a poll is given up after 1.5 s, and the listing that follows went over an idle connection that was silent too and took 2 s more.

Cause: the HTTP client closes the idle connections that are as old as one that failed, but a request that ended at its time limit was cancelled from outside and counted as no failure.

Change: fetch closes them when its time is over, and TransactionalStore.poll takes its time limit, so that giving a poll up is the client's own time limit and no cancellation.

Evidence: the new test, with three open connections that all go silent, got no answer to the next request within 5 s before and gets one now.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_counted_store.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_counted_store.py
@@ -47,12 +47,14 @@
         return self._note(await self._store.read_all(prefix))
 
     async def poll(
-        self, prefix: str, *, after_revision: int, wait_s: float
+        self, prefix: str, *, after_revision: int, wait_s: float, timeout_s: float
     ) -> Result[Changes, StoreError]:
         """Count and pass on a poll."""
         self._metrics.count("store_calls", f"poll {prefix}")
         return self._note(
-            await self._store.poll(prefix, after_revision=after_revision, wait_s=wait_s)
+            await self._store.poll(
+                prefix, after_revision=after_revision, wait_s=wait_s, timeout_s=timeout_s
+            )
         )
 
     async def commit(
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_store_mirror.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_store_mirror.py
@@ -179,9 +179,12 @@
         return Ok(feed.mirror.listing())
 
     async def poll(
-        self, prefix: str, *, after_revision: int, wait_s: float
+        self, prefix: str, *, after_revision: int, wait_s: float, timeout_s: float
     ) -> Result[Changes, StoreError]:
-        """Return the changes below a prefix; fail once the copy is not fresh any more."""
+        """Return the changes below a prefix; fail once the copy is not fresh any more.
+
+        A copy in memory always answers, so `timeout_s` has no effect.
+        """
         feed = self.follow(prefix)
         until_s = now_s() + wait_s
         while (changes := feed.mirror.changes_after(after_revision)) is not None:
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_store_watch.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_store_watch.py
@@ -96,7 +96,7 @@
         """Return all entries below a prefix."""
 
     async def poll(
-        self, prefix: str, *, after_revision: int, wait_s: float
+        self, prefix: str, *, after_revision: int, wait_s: float, timeout_s: float
     ) -> Result[Changes, StoreError]:
         """Return the changes below a prefix after a revision."""
 
@@ -211,14 +211,11 @@
 
     async def _poll(self, after_revision: int) -> Result[Changes, StoreError]:
         wait_s = self.terms.wait_s if self._is_answered else 0.0
-        limit_s = wait_s + POLL_ANSWER_S
-        with trio.move_on_after(limit_s):
-            return await self._store.poll(self.prefix, after_revision=after_revision, wait_s=wait_s)
-        return Err(
-            StoreError(
-                kind=StoreErrorKind.UNAVAILABLE,
-                detail=f"no answer to a poll within {limit_s:g} s",
-            )
+        return await self._store.poll(
+            self.prefix,
+            after_revision=after_revision,
+            wait_s=wait_s,
+            timeout_s=wait_s + POLL_ANSWER_S,
         )
 
     async def _record_failure(self, error: StoreError) -> None:
--- a/packages/lagoonfold-io/src/lagoonfold_io/_http_client.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_client.py
@@ -1,8 +1,9 @@
 """An HTTP/1.1 client on h11 and trio, with a pool of idle connections for each address.
 
-An error says whether any byte of the request may have reached the server. When a connection fails,
-the idle connections to the same address that are as old or older are closed with it, since what
-lost the state of one has lost that of the others too; the next request uses a newer connection.
+An error says whether any byte of the request may have reached the server. When a connection fails
+or gives no answer in time, the idle connections to the same address that are as old or older are
+closed with it, since what lost the state of one has lost that of the others too; the next request
+uses a newer connection.
 
 A server may send a second copy of a response late, where the next response is expected. A caller
 that knows its responses by their heads can have such copies skipped.
@@ -95,8 +96,11 @@
             detail=f"no answer within {timeout_s:g} s", sent=SendStatus.MAYBE_SENT, is_timeout=True
         )
         response: Result[HttpResponse, HttpError] = Err(timeout_error)
-        with trio.move_on_after(timeout_s):
+        began_at = trio.current_time()
+        with trio.move_on_after(timeout_s) as limit:
             response = await self._fetch(address, request, timeout_s, new_connection, max_bytes)
+        if limit.cancelled_caught:
+            self._close_idle(address, opened_until=began_at)
         return response
 
     async def _fetch(
@@ -267,13 +271,16 @@
 
     def _discard(self, address: str, connection: ClientConnection) -> None:
         """Close a connection that failed, and the idle ones that are as old or older."""
-        idle = self._idle_by_address[address]
-        older = [each for each in idle if each.opened_at <= connection.opened_at]
-        for idle_connection in older:
-            idle.remove(idle_connection)
-            close_now(idle_connection)
+        self._close_idle(address, opened_until=connection.opened_at)
         close_now(connection)
 
+    def _close_idle(self, address: str, *, opened_until: float) -> None:
+        idle = self._idle_by_address[address]
+        older = [each for each in idle if each.opened_at <= opened_until]
+        for connection in older:
+            idle.remove(connection)
+            close_now(connection)
+
     def close_idle_to(self, address: str) -> None:
         """Close the idle connections to an address that will not be used any more."""
         for connection in self._idle_by_address.pop(address, ()):
--- a/packages/lagoonfold/src/lagoonfold/_ports.py
+++ b/packages/lagoonfold/src/lagoonfold/_ports.py
@@ -202,11 +202,12 @@
         """Return all entries below a prefix, with the revision after which to poll for changes."""
 
     async def poll(
-        self, prefix: str, *, after_revision: int, wait_s: float
+        self, prefix: str, *, after_revision: int, wait_s: float, timeout_s: float
     ) -> Result[Changes, StoreError]:
         """Return the changes below a prefix after a revision.
 
-        Wait up to `wait_s` seconds for a change; without one, return no events. The error
+        Wait up to `wait_s` seconds for a change; without one, return no events. Without an answer,
+        fail after `timeout_s` seconds. The error
         `StoreErrorKind.HISTORY_LOST` means that changes were missed and that everything must be
         read again.
         """
--- a/standins/transactional_store.py
+++ b/standins/transactional_store.py
@@ -106,9 +106,12 @@
         return Ok(Listing(entries=entries, revision=self.revision))
 
     async def poll(
-        self, prefix: str, *, after_revision: int, wait_s: float
+        self, prefix: str, *, after_revision: int, wait_s: float, timeout_s: float
     ) -> Result[Changes, StoreError]:
-        """Return the changes below a prefix after a revision; wait up to `wait_s` for the first."""
+        """Return the changes below a prefix after a revision; wait up to `wait_s` for the first.
+
+        It always answers, so `timeout_s` has no effect.
+        """
         self.calls += 1
         cut = self._cut
         if after_revision < self._compacted_revision:
@@ -222,7 +225,7 @@
 
     While `are_polls_silent` is set, its polls get no answer, as on a connection that went silent;
     those below the prefixes in `silent_prefixes` get none either. While `is_silent` is set, no call
-    gets an answer, and all but polls are given up after `CALL_TIMEOUT_S`.
+    gets an answer; all but polls fail after `CALL_TIMEOUT_S`.
     """
 
     def __init__(self, store: MemoryStore) -> None:
@@ -233,6 +236,9 @@
         self.calls = 0
         self._store = store
 
+    def _is_poll_silent(self, prefix: object) -> bool:
+        return self.are_polls_silent or prefix in self.silent_prefixes
+
     def __getattr__(self, name: str) -> Callable[..., Awaitable[Result[Any, StoreError]]]:
         """Return a method that forwards a call to the store, or fails it while `is_cut` is set."""
 
@@ -241,12 +247,9 @@
             if self.is_cut:
                 await trio.lowlevel.checkpoint()
                 return Err(UNAVAILABLE)
-            if self.is_silent and name != "poll":
-                await trio.sleep(CALL_TIMEOUT_S)
+            if self.is_silent or (name == "poll" and self._is_poll_silent(arguments[0])):
+                await trio.sleep(options.get("timeout_s", CALL_TIMEOUT_S))
                 return Err(UNAVAILABLE)
-            are_polls_silent = self.are_polls_silent or self.is_silent
-            if name == "poll" and (are_polls_silent or arguments[0] in self.silent_prefixes):
-                await trio.sleep_forever()
             return await getattr(self._store, name)(*arguments, **options)
 
         return call
--- a/tests/on_platform/test_store.py
+++ b/tests/on_platform/test_store.py
@@ -43,10 +43,12 @@
         start = standin.revision
         standin.put("x/a", b"1")
         standin.remove("x/a")
-        changes = (await store.poll("x/", after_revision=start, wait_s=5)).unwrap()
+        changes = (await store.poll("x/", after_revision=start, wait_s=5, timeout_s=5)).unwrap()
         assert [event.entry.revision for event in changes.events] == [start + 1, 0]
         assert changes.events[1].revision == start + 2
-        none = (await store.poll("x/", after_revision=standin.revision, wait_s=0.05)).unwrap()
+        none = (
+            await store.poll("x/", after_revision=standin.revision, wait_s=0.05, timeout_s=5)
+        ).unwrap()
         assert none.events == ()
 
     _with_store(check)
@@ -57,7 +59,7 @@
 
     async def check(standin: StoreStandIn, store: PlatformStore) -> None:
         standin.oldest_revision = 100
-        lost = await store.poll("x/", after_revision=5, wait_s=1)
+        lost = await store.poll("x/", after_revision=5, wait_s=1, timeout_s=5)
         assert lost.err_value.kind is StoreErrorKind.HISTORY_LOST
         kinds = {
             503: StoreErrorKind.UNAVAILABLE,
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -207,6 +207,37 @@
     trio.run(run)
 
 
+def test_connections_as_old_as_one_that_gave_no_answer_in_time_are_not_used_again() -> None:
+    """All open connections have gone silent; the server answers on new ones."""
+
+    async def run() -> None:
+        silent: set[trio.SocketStream] = set()
+        opened: list[trio.SocketStream] = []
+
+        async def answer(stream: trio.SocketStream) -> None:
+            opened.append(stream)
+            while await stream.receive_some():
+                if stream in silent:
+                    await trio.sleep_forever()
+                await trio.sleep(0.05)
+                await stream.send_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+        async with trio.open_nursery() as nursery:
+            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            nursery.start_soon(trio.serve_listeners, answer, listeners)
+            address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+            client, request = HttpClient(), HttpRequest(method="GET", path="/")
+            async with trio.open_nursery() as fetches:
+                for _ in range(3):
+                    fetches.start_soon(client.fetch, address, request)
+            silent.update(opened)
+            assert (await client.fetch(address, request, timeout_s=0.2)).err_value.is_timeout
+            assert (await client.fetch(address, request, timeout_s=5.0)).is_ok()
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+
+
 def test_connections_to_an_address_are_limited() -> None:
     """A request beyond the limit fails without being sent; a later one succeeds."""
 
