--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_dispatch.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_dispatch.py
@@ -29,9 +29,12 @@
 from lagoonfold_gateway._board import GatewayBoard
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._latency_baselines import LatencyBaselines
+from lagoonfold_io.observe import EventLog
 
 RECHECK_INTERVAL_S = 0.02  # ejections and reports of replicas end without notice
 
+_log = EventLog("placement")
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PlacementEvidence:
@@ -123,12 +126,14 @@
         """Count a request that another instance has placed and this one is about to send."""
         self._tracker.record_sent(replica_id)
 
-    def record_end(self, pool: ReplicaPool, replica: Replica, evidence: PlacementEvidence) -> None:
-        """Record the end of a request at a replica."""
+    def record_end(
+        self, pool: ReplicaPool, replica: Replica, evidence: PlacementEvidence, *, sender: str
+    ) -> None:
+        """Record the end of a request that an instance has sent to a replica."""
         replica_id, now = replica.replica_id, now_s()
         if evidence.reported_load is not None:
             self._tracker.record_report(replica_id, evidence.reported_load, now_s=now)
-        self._record_outcome(replica_id, evidence.outcome)
+        self._record_outcome(replica_id, evidence.outcome, sender)
         self._record_pace(replica_id, evidence)
         if evidence.parts:
             self._prompt_index.record(replica_id, replica.started, evidence.parts)
@@ -159,10 +164,15 @@
             ratio = self._baselines.record(evidence.route, "event", evidence.event_s)
             self._tracker.record_slowdown(replica_id, ratio, now_s=now_s())
 
-    def _record_outcome(self, replica_id: str, outcome: AttemptOutcome | None) -> None:
+    def _record_outcome(self, replica_id: str, outcome: AttemptOutcome | None, sender: str) -> None:
         record = _RECORDERS_BY_OUTCOME.get(outcome)
-        if record is not None:
-            record(self._tracker, replica_id)
+        if outcome is None or record is None:
+            return
+        was_ejected = self._tracker.is_ejected(replica_id, now_s=now_s())
+        record(self._tracker, replica_id)
+        is_ejected = self._tracker.is_ejected(replica_id, now_s=now_s())
+        if is_ejected and not was_ejected and outcome is not AttemptOutcome.FULL:
+            _log.info("replica.ejected", replica=replica_id, outcome=outcome.value, sender=sender)
 
     def _queue(self, pool: ReplicaPool) -> PlacementQueue[WaitingPlacement]:
         queue = self._queue_by_pool.get(pool)
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_placement_client.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_placement_client.py
@@ -124,7 +124,7 @@
         """Record the end of a request at its replica, and report it to the owner."""
         if placement.owner != self._bus.own_id:
             replica = placement.selection.replica
-            self._dispatcher.record_end(placement.pool, replica, evidence)
+            self._dispatcher.record_end(placement.pool, replica, evidence, sender=self._bus.own_id)
         if placement.owner is not None:
             self._report_end(placement.owner, placement.number, evidence)
 
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_placement_owner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_placement_owner.py
@@ -162,7 +162,7 @@
                 is_stream=end.is_stream,
                 parts=held.parts if is_answered else (),
             )
-            self._dispatcher.record_end(held.pool, held.replica, evidence)
+            self._dispatcher.record_end(held.pool, held.replica, evidence, sender=end.instance)
             if end.names_no_limit:
                 self._limit_controller.record_unlimited(held.replica, placed_at_s=held.placed_at_s)
         return Ack()
--- a/tests/gateway/_limited_replicas.py
+++ b/tests/gateway/_limited_replicas.py
@@ -244,7 +244,7 @@
         if instance is None:
             return
         evidence = PlacementEvidence(route="turns", outcome=AttemptOutcome.ANSWERED)
-        instance.dispatcher.record_end(pool, replica, evidence)
+        instance.dispatcher.record_end(pool, replica, evidence, sender=placing)
         if replica.replica_id not in self.limit_by_id:
             instance.limit_controller.record_unlimited(replica, placed_at_s=placed_at_s)
 
