--- a/packages/lagoonfold-io/src/lagoonfold_io/_http_client.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_client.py
@@ -42,7 +42,7 @@
     SendStatus,
     find_header,
 )
-from lagoonfold_io._tcp import open_tcp_stream
+from lagoonfold_io._tcp import StreamOpener, open_tcp_stream
 
 DEFAULT_CONNECT_TIMEOUT_S = 1.0
 DEFAULT_PROGRESS_TIMEOUT_S = 30.0
@@ -68,9 +68,11 @@
         connect_timeout_s: float = DEFAULT_CONNECT_TIMEOUT_S,
         tcp_timeout_s: float = DEFAULT_TCP_TIMEOUT_S,
         max_connections_per_address: int = MAX_OPEN_PER_ADDRESS,
+        open_stream: StreamOpener = open_tcp_stream,
     ) -> None:
         self._connect_timeout_s = connect_timeout_s
         self._tcp_timeout_s = tcp_timeout_s
+        self.open_stream = open_stream
         self.max_connections_per_address = max_connections_per_address
         self._busy_by_address: Counter[str] = Counter()
         self._idle_by_address: dict[str, list[ClientConnection]] = defaultdict(list)
@@ -192,7 +194,7 @@
             return Err(HttpError(detail=detail, sent=SendStatus.NOT_SENT, is_pool_exhausted=True))
         try:
             with trio.fail_after(self._connect_timeout_s):
-                stream = await open_tcp_stream(address, tcp_timeout_s=self._tcp_timeout_s)
+                stream = await self.open_stream(address, tcp_timeout_s=self._tcp_timeout_s)
         except (OSError, trio.TooSlowError) as error:
             detail = f"cannot connect to {address}: {error or 'timeout'}"
             return Err(HttpError(detail=detail, sent=SendStatus.NOT_SENT))
--- a/packages/lagoonfold-io/src/lagoonfold_io/_tcp.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_tcp.py
@@ -2,6 +2,7 @@
 
 import math
 import socket
+from typing import Protocol
 
 import trio
 
@@ -9,6 +10,13 @@
 KEEPALIVE_PROBES = 2  # unanswered probes after which a connection breaks
 
 
+class StreamOpener(Protocol):
+    """Opens a connection to `host:port`; raises `OSError` if it cannot be made."""
+
+    async def __call__(self, address: str, *, tcp_timeout_s: float) -> trio.SocketStream:
+        """Return the connection, with its TCP timeout set in seconds."""
+
+
 async def open_tcp_stream(address: str, *, tcp_timeout_s: float) -> trio.SocketStream:
     """Connect to `host:port` and set the connection's TCP timeout in seconds.
 
--- a/tests/gateway/_fleet.py
+++ b/tests/gateway/_fleet.py
@@ -6,12 +6,12 @@
 import tempfile
 import threading
 from collections.abc import Awaitable, Callable
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field
 
 import msgspec
 import trio
-from result import Err
+from result import Err, UnwrapError
 
 from lagoonfold.forwarding import (
     CallerLimits,
@@ -296,6 +296,11 @@
             await self.client.fetch(address, request, timeout_s=WAIT_S, new_connection=True)
         ).unwrap()
 
+    async def client_send(self, gateway: Gateway, path: str) -> None:
+        """Send a request whose answer, or lack of one, is of no interest."""
+        with suppress(UnwrapError):
+            await self.send(gateway, path)
+
     async def send_turn(
         self,
         gateway: Gateway,
