Move the choice of paths and peers out of the calls to disks

Calls to replicas need the same choice: which target counts as out of reach from here, and which peer to go through. lagoonfold.liveness.RelayPaths decides it without I/O.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_disk_caller.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_disk_caller.py
@@ -10,6 +10,7 @@
 from result import Err, Ok, Result
 
 from lagoonfold.histories import Disk
+from lagoonfold.liveness import RelayPaths
 from lagoonfold_gateway._board import GatewayBoard
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._messages import (
@@ -23,7 +24,6 @@
 from lagoonfold_gateway._peers import PeerBus
 from lagoonfold_io.observe import Metrics
 
-FAULT_MEMORY_S = 1.0  # after which a disk that did not answer is called again
 RELAY_TIMEOUT_S = 0.5  # a disk's own time and a hop more
 MAX_RELAYS_TRIED = 2
 
@@ -43,26 +43,22 @@
         self._bus = bus
         self._disk_bus = disk_bus
         self._metrics = metrics
-        self._rng = rng
-        self._faulty_until_s_by_name: dict[str, float] = {}
-        self._unrelayed_until_s_by_name: dict[str, float] = {}
-        self._relay_by_name: dict[str, str] = {}
+        self._paths = RelayPaths(rng)
         disk_bus.on_fault = self._record_fault
-        disk_bus.on_answer = self._record_answer
+        disk_bus.on_answer = self._paths.record_reached
         bus.register_handler(DiskRelay)(self._handle_relay)
 
     def is_faulty(self, disk: Disk) -> bool:
         """Return whether a disk's instance did not answer this gateway lately."""
-        return now_s() < self._faulty_until_s_by_name.get(disk.name, 0.0)
+        return self._paths.is_faulty(disk.name, now_s=now_s())
 
     def is_out_of_reach(self, disk: Disk) -> bool:
         """Return whether a disk's instance answered lately neither here nor through others."""
-        unrelayed = now_s() < self._unrelayed_until_s_by_name.get(disk.name, 0.0)
-        return unrelayed and self.is_faulty(disk)
+        return self._paths.is_out_of_reach(disk.name, now_s=now_s())
 
     def record_refused(self, disk: Disk) -> None:
         """Record that a disk's instance has refused to keep a turn, for whichever reason."""
-        self._faulty_until_s_by_name[disk.name] = now_s() + FAULT_MEMORY_S
+        self._paths.record_failed(disk.name, now_s=now_s())
 
     async def call(
         self, disk: Disk, message: KeepTurns | TurnQuery, *, timeout_s: float
@@ -84,26 +80,18 @@
         self, disk: Disk, message: KeepTurns | TurnQuery
     ) -> Result[Message, PeerFault]:
         relay = DiskRelay(disk=disk.name, message=message)
-        for peer in self._relays(disk.name):
+        peers = [each for each in self._board.live.read().ids if each != self._bus.own_id]
+        for peer in self._paths.relays(disk.name, peers, now_s=now_s(), limit=MAX_RELAYS_TRIED):
             self._metrics.count("disk_calls_relayed")
             answer = await self._bus.call(peer, relay, timeout_s=RELAY_TIMEOUT_S)
             if isinstance(answer, Ok) and not isinstance(answer.ok_value, DiskUnreached):
-                self._relay_by_name[disk.name] = peer
-                self._unrelayed_until_s_by_name.pop(disk.name, None)
+                self._paths.record_relayed(disk.name, peer, now_s=now_s())
                 return answer
-        self._relay_by_name.pop(disk.name, None)
-        self._unrelayed_until_s_by_name[disk.name] = now_s() + FAULT_MEMORY_S
+            if isinstance(answer, Err):
+                self._paths.record_relay_failed(peer, now_s=now_s())
+        self._paths.record_unrelayed(disk.name, now_s=now_s())
         return Err(PeerFault.UNREACHED)
 
-    def _relays(self, disk_name: str) -> list[str]:
-        """Return the gateways to try, first the one that has reached the disk before."""
-        known = self._relay_by_name.get(disk_name)
-        others = [
-            each for each in self._board.live.read().ids if each not in (self._bus.own_id, known)
-        ]
-        drawn = self._rng.sample(others, min(MAX_RELAYS_TRIED, len(others)))
-        return ([known] if known is not None else []) + drawn[: MAX_RELAYS_TRIED - bool(known)]
-
     def _handle_relay(self, relay: Message) -> Awaitable[Message]:
         assert isinstance(relay, DiskRelay)
         return self._pass_on(relay)
@@ -115,7 +103,4 @@
         return answer.ok_value
 
     def _record_fault(self, name: str, fault: PeerFault) -> None:
-        self._faulty_until_s_by_name[name] = now_s() + FAULT_MEMORY_S
-
-    def _record_answer(self, name: str) -> None:
-        self._faulty_until_s_by_name.pop(name, None)
+        self._paths.record_failed(name, now_s=now_s())
--- a/packages/lagoonfold/src/lagoonfold/liveness/__init__.py
+++ b/packages/lagoonfold/src/lagoonfold/liveness/__init__.py
@@ -14,6 +14,7 @@
 
 from lagoonfold.liveness._feed_sources import FeedPlan, plan_feeds
 from lagoonfold.liveness._initial_members import DISCOVERY_S, InitialMembers
+from lagoonfold.liveness._relay_paths import RelayPaths
 from lagoonfold.liveness._ring import WATCHERS, Ring
 from lagoonfold.liveness._silence import SilenceTracker
 from lagoonfold.liveness._status_table import LEAVING, LIVE, LOST, InstanceStatus, StatusTable
@@ -27,6 +28,7 @@
     "FeedPlan",
     "InitialMembers",
     "InstanceStatus",
+    "RelayPaths",
     "Ring",
     "SilenceTracker",
     "StatusTable",
