Call replicas through another instance while this one cannot reach them

Cause: an instance had one path to a replica, and whatever failed on it was told to the owners of pools as a fault of the replica. These avoided all replicas, for all.

Change: a replica that accepts no connection is called through a peer, which is asked like a proxy over the port for peers. If the peer cannot connect either, the replica is down; otherwise the path is at fault, and the failure is not told. A peer that may be cut off itself says that it cannot tell. The choice of peers is that of the calls to disks (RelayPaths). If nobody reaches a replica, requests are refused at once.

An answer without length is passed on in chunks, so that one which a lost peer breaks off is not complete.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_attempt_runner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_attempt_runner.py
@@ -31,6 +31,8 @@
 
 SUCCESS_BELOW = 300
 UNKNOWN_ORIGIN_RETRY_S = 0.2  # an instance that knows the stream may be back
+MAX_PATH_FAULTS = 3  # replicas that neither this instance nor another could call
+NO_PATH_RETRY_S = 0.2
 
 
 class AttemptRunner:
@@ -52,6 +54,7 @@
             service = state.origin.service if state.origin is not None else service
         only_id: str | None = None
         avoided_ids: set[str] = set()
+        path_faults = 0
         while True:
             began_s = now_s()
             placed = await self._place(service, state, request_state, avoided_ids, only_id)
@@ -67,12 +70,18 @@
             failure, decision = ended.err_value
             if decision is RetryDecision.FAIL:
                 return _answer_lost(failure)
+            path_faults += request_state.is_path_fault and failure.outcome.is_not_run
+            if path_faults and (self._is_cut_off() or path_faults == MAX_PATH_FAULTS):
+                return self._placement_refusal(_no_path(failure), request_state)
             only_id = None
             if decision is RetryDecision.SAME_OR_GONE:
                 only_id = self._id_if_available(replica_id, state.origin)
             elif failure.outcome is not AttemptOutcome.FULL:
                 avoided_ids.add(replica_id)
 
+    def _is_cut_off(self) -> bool:
+        return self._context.replica_caller.is_cut_off
+
     async def _find_origin(
         self, service: str, request_state: RequestState
     ) -> Result[StreamOrigin | None, Refusal]:
@@ -133,6 +142,7 @@
         ended: Result[None, AttemptFailure] | None = None
         try:
             ended = await self._send(selection, state, request_state, exchange)
+            self._look_for_path_fault(ended, selection.replica, request_state)
         finally:
             took_s = now_s() - began_s
             self._context.placement_client.end(
@@ -143,7 +153,8 @@
                 f" by={placement.owner or 'self'} load={selection.requests}"
                 f" told={request_state.reported_load} pace={selection.slowdown:.2f}"
                 f" uncached={selection.uncached_tokens} head={_seconds(request_state.head_s)}"
-                f" limit={','.join(request_state.named_limits) or None} took={took_s:.3f}"
+                f" limit={','.join(request_state.named_limits) or None} via={request_state.via}"
+                f" took={took_s:.3f}"
             )
         if state.is_started and state.origin is None:
             state.origin = _origin_at(selection.replica)
@@ -202,6 +213,14 @@
                 return Err(AttemptFailure(outcome=AttemptOutcome.LOST, reason=reason))
             return await relay_plain(response, request_state, exchange)
 
+    def _look_for_path_fault(
+        self, ended: Result[None, AttemptFailure], replica: Replica, request_state: RequestState
+    ) -> None:
+        """Note if an answer may have been lost on the path from a replica."""
+        if isinstance(ended, Err) and ended.err_value.outcome is AttemptOutcome.LOST:
+            is_faulty = self._context.replica_caller.must_relay(replica.address)
+            request_state.is_path_fault = is_faulty or request_state.via is not None
+
     def _head_limit_s(
         self, request_state: RequestState, selection: ReplicaSelection, state: StreamState
     ) -> float | None:
@@ -254,7 +273,8 @@
     if ended is None:
         return PlacementEvidence(route=route.name, outcome=None)
     if isinstance(ended, Err):
-        return PlacementEvidence(route=route.name, outcome=ended.err_value.outcome)
+        outcome = None if request_state.is_path_fault else ended.err_value.outcome
+        return PlacementEvidence(route=route.name, outcome=outcome)
     return PlacementEvidence(
         route=route.name,
         outcome=AttemptOutcome.ANSWERED,
@@ -284,6 +304,14 @@
     )
 
 
+def _no_path(failure: AttemptFailure) -> Refusal:
+    return Refusal(
+        kind=ErrorKind.UPSTREAM_UNAVAILABLE,
+        detail=failure.reason,
+        retry_after_s=NO_PATH_RETRY_S,
+    )
+
+
 def _answer_lost(failure: AttemptFailure) -> Refusal:
     return Refusal(
         kind=ErrorKind.OUTCOME_UNKNOWN,
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_context.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_context.py
@@ -11,9 +11,9 @@
 from lagoonfold_gateway._placement_client import PlacementClient
 from lagoonfold_gateway._poison_tracker import PoisonTracker
 from lagoonfold_gateway._rate_limiter import RateLimiter
+from lagoonfold_gateway._replica_caller import ReplicaCaller
 from lagoonfold_gateway._replica_statements import ReplicaStatements
 from lagoonfold_gateway._version_controller import VersionController
-from lagoonfold_io import HttpClient
 from lagoonfold_io.observe import Metrics
 
 
@@ -25,7 +25,7 @@
     board: GatewayBoard
     placement_client: PlacementClient
     replica_statements: ReplicaStatements
-    client: HttpClient
+    replica_caller: ReplicaCaller
     poison_tracker: PoisonTracker
     rate_limiter: RateLimiter
     budget_client: BudgetClient
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
@@ -40,8 +40,10 @@
 from lagoonfold_gateway._rate_limiter import RateLimiter
 from lagoonfold_gateway._rate_owner import RateOwner
 from lagoonfold_gateway._registration import MEMBER_PREFIX
+from lagoonfold_gateway._replica_caller import ReplicaCaller
 from lagoonfold_gateway._replica_controller import POLL_INTERVAL_S as REPLICA_INTERVAL_S
 from lagoonfold_gateway._replica_controller import ReplicaController
+from lagoonfold_gateway._replica_relay import ReplicaRelay
 from lagoonfold_gateway._replica_statements import ReplicaStatements
 from lagoonfold_gateway._retirement_responder import RetirementResponder
 from lagoonfold_gateway._settings import GatewaySettings, TimesSection
@@ -54,6 +56,9 @@
 
 SILENCE_LIMIT_S = 1.0  # replicas and instances are some ms apart
 CONNECT_TIMEOUT_S = 0.5  # replicas are some ms away, but a dropped SYN is resent after seconds
+RELAY_LIMITS = HttpLimits(  # requests with all that a kept turn continues from
+    max_header_bytes=262_144, max_body_bytes=33_554_432, max_connections=1_000
+)
 MAX_CALLER_CONNECTIONS = 2_000  # half of the file descriptors of the smallest instances
 MIN_SHARING_INSTANCES = 10  # that share the connections to a replica
 SHARING_MARGIN = 1.3  # for instances that have started and are not yet known here
@@ -87,6 +92,15 @@
         self.replica_tracker = ReplicaTracker()
         self.poison_tracker = PoisonTracker(self.client)
         self.bus = PeerBus(instance.id, nursery, self.metrics)
+        self.replica_caller = ReplicaCaller(
+            self.board, self.bus, self.client, self.metrics, random.Random()
+        )
+        self.relay_server = HttpServer(
+            ReplicaRelay(self.board, self.replica_caller, self.client, dialect.headers).handle,
+            limits=RELAY_LIMITS,
+            on_handler_error=self._record_handler_error,
+        )
+        self.bus.serve_http = self.relay_server.serve_stream
         self.mirror = StoreMirror(store, _poll_terms_by_prefix(settings.times, dialect))
         self.members = MemberController(
             instance, self.start_id, self.board, self.bus, store, self.mirror
@@ -175,7 +189,7 @@
             replica_statements=ReplicaStatements(
                 dialect.headers, self.limit_controller, self.leaving_controller
             ),
-            client=self.client,
+            replica_caller=self.replica_caller,
             poison_tracker=self.poison_tracker,
             rate_limiter=self.rate_limiter,
             budget_client=BudgetClient(self.bus, self.members),
@@ -213,6 +227,7 @@
             self.heartbeats.run,
             self.heartbeats.watch_peers,
             self.replica_controller.expire,
+            self.replica_caller.run,
             self.budget_owner.writer.run,
             self.budget_owner.sweep,
             self.usage.run,
@@ -244,11 +259,13 @@
         _log.info("gateway.stopping", active=self.forwarder.active_requests)
         self.board.stopping.write(True)
         self.http_server.announce_close()
+        self.relay_server.announce_close()
         self.heartbeats.announce_leaving()
         with trio.move_on_after(times.stop_s - STOP_RESERVE_S) as time:
             await trio.sleep(times.balancer_notice_s)
             self.http_server.begin_shutdown()
-            while self.http_server.connections:
+            self.relay_server.begin_shutdown()
+            while self.http_server.connections or self.relay_server.connections:
                 await trio.sleep(IDLE_POLL_S)
         if time.cancelled_caught:
             _log.warning("gateway.stop_cuts", active=self.forwarder.active_requests)
@@ -256,6 +273,7 @@
             await self.budget_owner.release_unused()
             await self.members.registration.deregister()
         self.client.close()
+        self.replica_caller.close()
         self.usage.log()
         _log.info("gateway.stopped", took_s=round(now_s() - began_s, 3))
 
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_messages.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_messages.py
@@ -393,6 +393,19 @@
     keys: tuple[str, ...]
 
 
+class ReplicaProbe(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """Question whether the receiver can connect to a replica that the sender cannot reach."""
+
+    address: str
+
+
+class ReplicaProbed(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """Answer: whether the replica was reached; an instance that may be cut off cannot tell."""
+
+    is_reached: bool
+    can_tell: bool
+
+
 class Ack(msgspec.Struct, frozen=True, tag="Done", array_like=True):
     """Answer: the message was processed, or its type is unknown to the receiver."""
 
@@ -435,6 +448,8 @@
     | DiskUnreached
     | CopyOffer
     | CopiesLacking
+    | ReplicaProbe
+    | ReplicaProbed
     | Ack
 )
 
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_parsed_request.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_parsed_request.py
@@ -156,6 +156,12 @@
     return tuple((name, value) for name, value in parsed.request.headers if name not in dropped)
 
 
+def without_hop_by_hop(headers: Headers) -> Headers:
+    """Return the headers of a request that another instance has sent for one of its callers."""
+    dropped = HOP_BY_HOP | _named_by_connection(headers)
+    return tuple((name, value) for name, value in headers if name not in dropped)
+
+
 def headers_to_return(headers: Headers) -> Headers:
     """Return an upstream's headers without hop-by-hop headers."""
     dropped = HOP_BY_HOP | _named_by_connection(headers)
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_peer_link.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_peer_link.py
@@ -23,6 +23,7 @@
 CONNECT_TIMEOUT_S = 0.3  # some hundred times the latency between failure domains of a region
 SILENCE_LIMIT_S = 1.0  # until a silent connection to a peer is replaced
 READ_SIZE_BYTES = 65_536
+FRAME_START = b"\0"  # of a length below 2^24
 
 _LENGTH = struct.Struct(">I")
 _ENCODER = msgspec.msgpack.Encoder()
@@ -54,9 +55,9 @@
 class FrameReader:
     """Reads frames from a stream."""
 
-    def __init__(self, stream: trio.SocketStream) -> None:
+    def __init__(self, stream: trio.SocketStream, received: bytes = b"") -> None:
         self._stream = stream
-        self._buffer = bytearray()
+        self._buffer = bytearray(received)
 
     async def read(self) -> Envelope | None:
         """Return the next message, None at the end; raise one of `PEER_LINK_ERRORS` on a fault."""
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_peers.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_peers.py
@@ -1,5 +1,8 @@
 """The message bus between instances: links to peers, and handlers of their messages.
 
+The port for peers also takes HTTP requests, for `serve_http`: frames begin with a zero byte, as
+none is longer than `MAX_FRAME_BYTES`, and requests with the letter of a method.
+
 A handler is registered with `@bus.register_handler(Type)` and returns the answer, or an awaitable
 of it if it has to wait. The answer is not sent for a message that was posted. A message to this
 instance itself goes to its handler without a connection.
@@ -13,7 +16,9 @@
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._messages import Ack, Envelope, Heartbeat, Hello, Message, type_name
 from lagoonfold_gateway._peer_link import (
+    FRAME_START,
     PEER_LINK_ERRORS,
+    READ_SIZE_BYTES,
     FrameReader,
     FrameWriter,
     PeerFault,
@@ -47,6 +52,7 @@
         self.on_fault: Callable[[str, PeerFault], None] = lambda peer, fault: None
         self.on_answer: Callable[[str], None] = lambda peer: None
         self.on_closed: Callable[[str], None] = lambda peer: None
+        self.serve_http: Callable[[trio.SocketStream, bytes], Awaitable[None]] | None = None
 
     def register_handler(self, message_type: type) -> Callable[[Handler], Handler]:
         """Return a decorator that registers a handler for a type of message."""
@@ -75,6 +81,11 @@
         if link is not None:
             link.close()
 
+    def address_of(self, peer: str) -> str | None:
+        """Return the address of a linked peer, None if it is not linked."""
+        link = self._links_by_id.get(peer)
+        return link.address if link is not None else None
+
     @property
     def peer_ids(self) -> tuple[str, ...]:
         """Return the ids of all linked peers."""
@@ -135,10 +146,14 @@
         await trio.serve_listeners(self._serve_peer, listeners, handler_nursery=self._nursery)
 
     async def _serve_peer(self, stream: trio.SocketStream) -> None:
-        reader, writer = FrameReader(stream), FrameWriter(stream)
         peer: str | None = None
         try:
             set_tcp_timeout(stream.socket, SILENCE_LIMIT_S)
+            received = await stream.receive_some(READ_SIZE_BYTES)
+            if received[:1] > FRAME_START and self.serve_http is not None:
+                await self.serve_http(stream, received)
+                return
+            reader, writer = FrameReader(stream, received), FrameWriter(stream)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(writer.run)
                 while (envelope := await reader.read()) is not None:
--- /dev/null
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_replica_relay.py
@@ -0,0 +1,104 @@
+"""Passes requests on to replicas for other gateways that cannot reach them.
+
+Reads `replicas`. Only listed replicas are called, and only directly, so that a request takes one
+more hop at most. The answer is passed on as it arrives; one that breaks off is broken off here.
+"""
+
+from result import Err
+
+from lagoonfold_gateway._board import GatewayBoard
+from lagoonfold_gateway._dialect import HeaderNames
+from lagoonfold_gateway._parsed_request import headers_to_return, without_hop_by_hop
+from lagoonfold_gateway._proxy_faults import (
+    ProxyFault,
+    fault_response,
+    without_proxy_status,
+)
+from lagoonfold_gateway._replica_caller import ReplicaCaller, is_unreached
+from lagoonfold_gateway._upstream_attempt import MAX_IDLE_AT_MOST_ONCE_S
+from lagoonfold_io import (
+    Exchange,
+    Headers,
+    HttpClient,
+    HttpError,
+    HttpRequest,
+    ResponseStream,
+    StreamError,
+    find_header,
+)
+
+SCHEME = "http://"
+MAX_ANSWER_S = 3_600.0  # the gateway that sent the request gives it up long before
+
+
+class ReplicaRelay:
+    """Serves the requests that other gateways send to replicas by way of this one."""
+
+    def __init__(
+        self, board: GatewayBoard, caller: ReplicaCaller, client: HttpClient, names: HeaderNames
+    ) -> None:
+        self._board = board
+        self._caller = caller
+        self._client = client
+        self._names = names
+
+    async def handle(self, request: HttpRequest, exchange: Exchange) -> None:
+        """Serve one request, whose target is a whole URL."""
+        address, _, target = request.target.removeprefix(SCHEME).partition("/")
+        if not self._is_listed(address):
+            await exchange.respond(fault_response(ProxyFault.NOT_RELAYED))
+        elif self._caller.cannot_tell(address):
+            await exchange.respond(fault_response(ProxyFault.CUT_OFF))
+        else:
+            await self._pass_on(address, f"/{target}", request, exchange)
+
+    def _is_listed(self, address: str) -> bool:
+        return any(replica.address == address for replica in self._board.replicas.read().all())
+
+    async def _pass_on(
+        self, address: str, target: str, request: HttpRequest, exchange: Exchange
+    ) -> None:
+        passed_on = HttpRequest(
+            method=request.method,
+            path=target.partition("?")[0],
+            target=target,
+            headers=without_hop_by_hop(request.headers),
+            body=request.body,
+        )
+        request_id = request.header(self._names.request_id)
+
+        def is_own(headers: Headers) -> bool:
+            return find_header(headers, self._names.request_id) in (None, request_id)
+
+        async with self._client.stream(
+            address,
+            passed_on,
+            progress_timeout_s=MAX_ANSWER_S,
+            max_idle_s=MAX_IDLE_AT_MOST_ONCE_S,
+            is_own=is_own,
+        ) as answer:
+            self._caller.record_direct(address, answer)
+            if isinstance(answer, Err):
+                await exchange.respond(fault_response(self._fault(answer, address)))
+                return
+            await _relay(answer.ok_value, exchange)
+
+    def _fault(self, answer: Err[HttpError], address: str) -> ProxyFault:
+        if answer.err_value.is_pool_exhausted:
+            return ProxyFault.NOT_RELAYED
+        if not is_unreached(answer):
+            return ProxyFault.ANSWER_LOST
+        is_own_fault = self._caller.cannot_tell(address)
+        return ProxyFault.CUT_OFF if is_own_fault else ProxyFault.REPLICA_UNREACHED
+
+
+async def _relay(response: ResponseStream, exchange: Exchange) -> None:
+    head = response.head
+    await exchange.start(head.status, without_proxy_status(headers_to_return(head.headers)))
+    try:
+        while data := await response.read(use_timeout=False):
+            await exchange.send(data)
+    except StreamError:
+        exchange.abort()
+        return
+    await exchange.finish()
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_request_state.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_request_state.py
@@ -21,7 +21,8 @@
 
     The replica of the latest attempt told `reported_load` requests and the limits `named_limits`
     with its answer, whose head took `head_s` and whose events came `event_s` apart on average. They
-    are None or empty without an answer.
+    are None or empty without an answer. It was called through the instance `via`, if that is set,
+    and `is_path_fault` says that its failure shows nothing of the replica.
 
     On a route that keeps histories, `chain` is what the turn continues from, and `answer_text` the
     text of the events that the caller has got.
@@ -44,6 +45,8 @@
     event_s: float | None = None
     named_limits: tuple[str, ...] = ()
     head_s: float | None = None
+    via: str | None = None
+    is_path_fault: bool = False
     chain: Chain = Chain()
     chain_wait_s: float = 0.0
     keep_wait_s: float = 0.0
@@ -56,6 +59,7 @@
         """Forget what the answer of the attempt before has shown of its replica."""
         self.reported_load = self.event_s = self.head_s = None
         self.named_limits = ()
+        self.via, self.is_path_fault = None, False
 
     @property
     def is_stream_taken_up(self) -> bool:
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_upstream_attempt.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_upstream_attempt.py
@@ -17,6 +17,7 @@
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._context import ForwardContext
 from lagoonfold_gateway._parsed_request import MILLISECONDS_PER_S, headers_to_forward
+from lagoonfold_gateway._replica_caller import CallOptions
 from lagoonfold_gateway._request_state import RequestState
 from lagoonfold_io import Headers, HttpError, HttpRequest, ResponseStream, SendStatus, find_header
 
@@ -89,22 +90,23 @@
 
     An answer without a head after `head_limit_s` counts as lost.
     """
-    replica = selection.replica
+    replica, caller = selection.replica, context.replica_caller
     began_s = now_s()
     left_s = max(0.0, request_state.answer_deadline_s - began_s)
     max_idle_s = MAX_IDLE_AT_MOST_ONCE_S if not request_state.route.may_repeat else 60.0
-    async with context.client.stream(
-        replica.address,
-        request,
-        progress_timeout_s=min(left_s + 1.0, math.inf if head_limit_s is None else head_limit_s),
+    options = CallOptions(
+        timeout_s=min(left_s + 1.0, math.inf if head_limit_s is None else head_limit_s),
+        is_repeatable=request_state.route.may_repeat,
         new_connection=new_connection,
         max_idle_s=max_idle_s,
         is_own=lambda headers: _foreign_id(headers, request_state, context) is None,
-    ) as opened:
-        if isinstance(opened, Err):
-            yield Err(_failure_of(opened.err_value))
+    )
+    async with caller.call(replica.address, request, options) as call:
+        request_state.via, request_state.is_path_fault = call.via, call.is_path_fault
+        if isinstance(call.answer, Err):
+            yield Err(_failure_of(call.answer.err_value))
             return
-        response = opened.ok_value
+        response = call.answer.ok_value
         request_state.head_s = now_s() - began_s
         request_state.reported_load = _reported_load(response.head.headers, context)
         statements = context.replica_statements
--- a/packages/lagoonfold-io/src/lagoonfold_io/_http_client.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_client.py
@@ -76,6 +76,7 @@
         self.max_connections_per_address = max_connections_per_address
         self._busy_by_address: Counter[str] = Counter()
         self._idle_by_address: dict[str, list[ClientConnection]] = defaultdict(list)
+        self._address_by_busy: dict[ClientConnection, str] = {}
         self.bytes_sent = 0
         self.bytes_received = 0
 
@@ -136,6 +137,7 @@
         new_connection: bool = False,
         max_idle_s: float = MAX_IDLE_S,
         is_own: Callable[[Headers], bool] | None = None,
+        is_repeatable: bool = False,
     ) -> AsyncIterator[Result[ResponseStream, HttpError]]:
         """Send a request and yield an error or the response, whose body is still to be read.
 
@@ -144,7 +146,7 @@
 
         Leaving the block before the body is complete closes the connection, which cancels the
         request on the server. A connection that has been idle for longer than `max_idle_s` seconds
-        is not reused.
+        is not reused. A request that `is_repeatable` may be ended by `break_silent_connections`.
         """
         self._busy_by_address[address] += 1
         try:
@@ -152,10 +154,16 @@
             if isinstance(acquired, Err):
                 yield acquired
                 return
-            async with self._exchange(
-                acquired.ok_value, address, request, progress_timeout_s, is_own
-            ) as opened:
-                yield opened
+            connection = acquired.ok_value
+            connection.is_repeatable = is_repeatable
+            self._address_by_busy[connection] = address
+            try:
+                async with self._exchange(
+                    connection, address, request, progress_timeout_s, is_own
+                ) as opened:
+                    yield opened
+            finally:
+                del self._address_by_busy[connection]
         finally:
             self._busy_by_address[address] -= 1
 
@@ -192,6 +200,9 @@
         if self._busy_by_address[address] > self.max_connections_per_address:
             detail = f"{self.max_connections_per_address} connections to {address} are in use"
             return Err(HttpError(detail=detail, sent=SendStatus.NOT_SENT, is_pool_exhausted=True))
+        return await self._open(address)
+
+    async def _open(self, address: str) -> Result[ClientConnection, HttpError]:
         try:
             with trio.fail_after(self._connect_timeout_s):
                 stream = await self.open_stream(address, tcp_timeout_s=self._tcp_timeout_s)
@@ -202,11 +213,14 @@
         return Ok(ClientConnection(stream, protocol, opened_at=trio.current_time()))
 
     async def can_connect(self, address: str) -> bool:
-        """Return whether the server accepts a new connection; nothing is sent on it."""
-        acquired = await self._acquire(address, new_connection=True)
-        if isinstance(acquired, Ok):
-            close_now(acquired.ok_value)
-        return isinstance(acquired, Ok)
+        """Return whether the server accepts a new connection; nothing is sent on it.
+
+        The connection does not count towards the limit of those to its address.
+        """
+        opened = await self._open(address)
+        if isinstance(opened, Ok):
+            close_now(opened.ok_value)
+        return isinstance(opened, Ok)
 
     def _pop_idle(self, address: str, max_idle_s: float) -> ClientConnection | None:
         idle = self._idle_by_address[address]
@@ -241,6 +255,7 @@
             with trio.fail_after(timeout_s):
                 await connection.stream.send_all(data)
             self.bytes_sent += len(data)
+            connection.received_at = trio.current_time()
             response = await _next_response(connection, timeout_s)
             for _ in range(MAX_SKIPPED_RESPONSES if connection.is_reused and is_own else 0):
                 if is_own(response.head.headers):
@@ -283,6 +298,17 @@
             idle.remove(connection)
             close_now(connection)
 
+    def break_silent_connections(self, silent_s: float, *, address: str | None = None) -> None:
+        """Close the connections of repeatable requests that have been silent for so long.
+
+        With `address`, only those to that address. Their requests fail as on a broken connection.
+        """
+        before = trio.current_time() - silent_s
+        for connection, connected_to in tuple(self._address_by_busy.items()):
+            is_meant = connection.is_repeatable and address in (None, connected_to)
+            if is_meant and connection.received_at < before:
+                close_now(connection)
+
     def close_idle_to(self, address: str) -> None:
         """Close the idle connections to an address that will not be used any more."""
         for connection in self._idle_by_address.pop(address, ()):
--- a/packages/lagoonfold-io/src/lagoonfold_io/_http_connection.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_connection.py
@@ -37,7 +37,8 @@
 
     `input_bytes` is the size of the latest input. `needs_input` says that the input so far holds no
     further event, so that parsing can be skipped. `idle_limit_s` is for how many seconds the server
-    keeps the connection open when it is idle.
+    keeps the connection open when it is idle. `received_at` is when the latest input came, or when
+    the request was sent; `is_repeatable` says that the request in flight may be sent again.
     """
 
     stream: trio.SocketStream
@@ -48,6 +49,8 @@
     needs_input: bool = False
     idle_limit_s: float = math.inf
     is_reused: bool = False
+    received_at: float = 0.0
+    is_repeatable: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -77,6 +80,11 @@
     _broke: bool = field(default=False)
     _was_full: bool = field(default=False)
 
+    @property
+    def is_on_reused_connection(self) -> bool:
+        """Return whether the connection had served another request before."""
+        return self._connection.is_reused
+
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives; each wait is limited by the progress timeout."""
         while data := await self.read():
@@ -151,6 +159,7 @@
     connection.protocol.receive_data(data)
     connection.input_bytes = len(data)
     connection.needs_input = False
+    connection.received_at = trio.current_time()
 
 
 def _parse_event(connection: ClientConnection) -> h11.Event | None:
--- a/packages/lagoonfold-io/src/lagoonfold_io/_http_server.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_server.py
@@ -118,12 +118,18 @@
             if not is_readable(stream):
                 scope.cancel()
 
-    async def _serve_connection(self, stream: trio.SocketStream) -> None:
+    async def serve_stream(self, stream: trio.SocketStream, received: bytes) -> None:
+        """Serve an accepted connection from which some bytes have been received."""
+        await self._serve_connection(stream, received)
+
+    async def _serve_connection(self, stream: trio.SocketStream, received: bytes = b"") -> None:
         self._connections += 1
         try:
             protocol = h11.Connection(
                 our_role=h11.SERVER, max_incomplete_event_size=self._limits.max_header_bytes
             )
+            if received:
+                protocol.receive_data(received)
             if self._connections > self._limits.max_connections:
                 await self._refuse(stream, protocol, RequestFault.TOO_MANY_CONNECTIONS)
                 return
--- a/packages/lagoonfold/src/lagoonfold/liveness/_relay_paths.py
+++ b/packages/lagoonfold/src/lagoonfold/liveness/_relay_paths.py
@@ -4,15 +4,16 @@
 decided from arguments, without I/O. A target that has just been found out of reach counts as such
 for a while, and so does a peer that could not help.
 
-An instance that has failed to reach several targets, and none since, takes itself for cut off: then
-it calls all targets through peers, until it reaches one itself.
+An instance that has failed to reach several targets, and none since, may be cut off itself: what it
+tells of targets says little. Once peers have reached several of those for it, it counts as cut off
+and calls all targets through peers, until it reaches one itself.
 """
 
 import random
 from collections.abc import Iterable
 
 MEMORY_S = 1.0  # after which a failure is no longer counted
-MIN_FAILED_TARGETS = 2  # one of them alone may itself be down
+MIN_FAILED_TARGETS = 2  # one alone may be the fault of a single path
 CUT_OFF_MEMORY_S = 5.0  # without a further failure; several probes of a path fit in
 
 
@@ -35,6 +36,7 @@
         self._bad_until_s_by_relay: dict[str, float] = {}
         self._good_until_s_by_relay: dict[str, float] = {}
         self._failed_since_reached: set[str] = set()
+        self._relayed_since_reached: set[str] = set()
         self._failed_s = float("-inf")
 
     def record_failed(self, target: str, *, now_s: float) -> None:
@@ -47,21 +49,28 @@
         """Record that a target was reached directly."""
         self._faulty_until_s_by_target.pop(target, None)
         self._failed_since_reached.clear()
+        self._relayed_since_reached.clear()
 
     def forget(self, target: str) -> None:
         """Forget the failures of a target that nobody reaches."""
         self._faulty_until_s_by_target.pop(target, None)
         self._failed_since_reached.discard(target)
+        self._relayed_since_reached.discard(target)
 
     def is_faulty(self, target: str, *, now_s: float) -> bool:
         """Return whether a target could not be reached directly of late."""
         return now_s < self._faulty_until_s_by_target.get(target, 0.0)
 
-    def is_cut_off(self, *, now_s: float) -> bool:
-        """Return whether this instance is probably cut off from all targets."""
+    def is_suspect(self, *, now_s: float) -> bool:
+        """Return whether this instance may be cut off from all targets."""
         is_recent = now_s - self._failed_s < CUT_OFF_MEMORY_S
         return is_recent and len(self._failed_since_reached) >= MIN_FAILED_TARGETS
 
+    def is_cut_off(self, *, now_s: float) -> bool:
+        """Return whether this instance is cut off from targets that peers reach."""
+        are_several = len(self._relayed_since_reached) >= MIN_FAILED_TARGETS
+        return are_several and self.is_suspect(now_s=now_s)
+
     def faulty_targets(self, *, now_s: float) -> list[str]:
         """Return the targets that could not be reached directly of late."""
         return [
@@ -106,6 +115,8 @@
     def record_relayed(self, target: str, relay: str, *, now_s: float) -> None:
         """Record that a peer has reached a target for this instance."""
         self._relay_by_target[target] = relay
+        if target in self._failed_since_reached:
+            self._relayed_since_reached.add(target)
         self._good_until_s_by_relay[relay] = now_s + CUT_OFF_MEMORY_S
         self._bad_until_s_by_relay.pop(relay, None)
         self._unrelayed_until_s_by_target.pop(target, None)
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -65,6 +65,10 @@
             self.address = f"127.0.0.1:{port}"
             task_status.started()
 
+    def stop(self) -> None:
+        """Stop serving; new connections are refused."""
+        self._scope.cancel()
+
     async def _handle(self, request: HttpRequest, exchange: Exchange) -> None:
         if request.header(NAMES.expected_replica) not in (None, self.replica_id):
             await exchange.respond(HttpResponse(status=421))
@@ -85,7 +89,7 @@
 
     async def _run(self, request: HttpRequest, exchange: Exchange) -> None:
         if self.behaviour.crashes_on is not None and request.body == self.behaviour.crashes_on:
-            self._scope.cancel()
+            self.stop()
         await trio.sleep(self.behaviour.answer_after_s)
         if self.behaviour.losses:
             self.behaviour.losses -= 1
--- a/tests/gateway/test_cut_off.py
+++ b/tests/gateway/test_cut_off.py
@@ -4,9 +4,11 @@
 
 from lagoonfold.forwarding import ReplicaPool
 from lagoonfold_gateway import Gateway
+from lagoonfold_gateway._clock import now_s
+from standins.replica import EVENTS
 from tests._suite import load_functions
 from tests.gateway._cut import CUTS, Cut
-from tests.gateway._fleet import Fleet, run_with_fleet
+from tests.gateway._fleet import Fleet, make_config, run_with_fleet, wait_until
 
 LEARNING_S = 3.0  # in which an instance may find out that it is cut off
 USUAL_S = 1.0  # many times what an answer takes
@@ -99,4 +101,89 @@
     run_with_fleet(check, gateways=3, replicas=1)
 
 
+def test_stream_that_a_cut_has_silenced_goes_on_through_another_instance() -> None:
+    """In the same answer, and long before its caller's deadline."""
+
+    async def check(fleet: Fleet) -> None:
+        stranded = fleet.gateways[0]
+        pauses = [replica.behaviour for replica in fleet.replica_by_id.values()]
+        for behaviour in pauses:
+            behaviour.event_pause_s = 0.1
+        bodies: list[bytes] = []
+
+        async def read() -> None:
+            bodies.append((await fleet.send(stranded, "/turns/a", deadline_ms=8_000)).body)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(read)
+            await trio.sleep(0.25)
+            for behaviour in pauses:
+                behaviour.event_pause_s = 30.0
+            CUTS[0].begin(stranded)
+            await trio.sleep(0.2)
+            for behaviour in pauses:
+                behaviour.event_pause_s = 0.0
+            with trio.fail_after(4.0):
+                for path in PATHS[:2] * 2:
+                    await fleet.client_send(stranded, path)
+                while not bodies:
+                    await trio.sleep(0.02)
+        assert [line for line in bodies[0].split(b"\n") if line.startswith(b"id")] == [
+            b"id: %d" % number for number in range(1, EVENTS + 1)
+        ]
+
+    run_with_fleet(check, gateways=3, replicas=3, config=make_config(timeout_s=8.0))
+
+
+def test_replicas_are_called_directly_again_once_a_cut_has_ended() -> None:
+    """Also where most requests had gone through another instance."""
+
+    async def check(fleet: Fleet) -> None:
+        stranded = fleet.gateways[0]
+        CUTS[1].begin(stranded)
+        await _send_some(fleet, stranded, for_s=1.0)
+        assert stranded.replica_caller.is_cut_off
+        Cut.end(stranded)
+        addresses = [replica.address for replica in fleet.replica_by_id.values()]
+        caller = stranded.replica_caller
+        await wait_until(lambda: not any(map(caller.must_relay, addresses)))
+        relayed = stranded.metrics.counts()["replica_calls_relayed"]
+        await _assert_served(fleet, stranded)
+        assert stranded.metrics.counts()["replica_calls_relayed"] == relayed
+
+    run_with_fleet(check, gateways=2, replicas=3)
+
+
+def test_request_is_refused_at_once_if_no_instance_reaches_a_replica() -> None:
+    """It is told when to come back, and none is passed on from instance to instance."""
+
+    async def check(fleet: Fleet) -> None:
+        async with trio.open_nursery() as nursery:
+            for gateway in fleet.gateways:
+                CUTS[0].begin(gateway)
+                nursery.start_soon(lambda each=gateway: _send_some(fleet, each, for_s=LEARNING_S))
+        for gateway in fleet.gateways:
+            with trio.fail_after(USUAL_S):
+                answer = await fleet.send(gateway, "/write/a")
+            assert answer.status == 503 and float(answer.header("retry-after")) > 0, answer
+
+    run_with_fleet(check, gateways=3, replicas=3)
+
+
+def test_replica_that_is_down_is_avoided_though_peers_exist() -> None:
+    """A peer that cannot connect either shows that it is the replica's fault."""
+
+    async def check(fleet: Fleet) -> None:
+        fleet.replica_by_id["r1"].stop()
+        for gateway in fleet.gateways:
+            await _assert_served(fleet, gateway)
+            assert not gateway.replica_caller.is_cut_off
+        owner = _owner(fleet)
+        assert any(
+            owner.replica_tracker.is_ejected("r1", now_s=now_s() - back_s) for back_s in (0.0, 1.0)
+        )
+
+    run_with_fleet(check, gateways=2, replicas=3)
+
+
 load_tests = load_functions(globals())
