Blame a lost answer on a crash only if another instance finds the replica down too

Callers would be refused with 422 what no replica had ever crashed on: an instance that is cut off loses the answers under way, cannot connect to their replicas, and told all instances that these requests crash replicas. Two such reports of one request refuse it everywhere.

Change: an instance that cannot connect asks a peer to try (ReplicaProbe). Only what a peer that can tell finds down counts as a crash, or what an instance without peers finds itself.

Evidence: test_request_lost_by_instances_that_are_cut_off_is_not_blamed_for_crashes got 422 before and 200 now; test_request_that_crashes_replicas_is_refused_everywhere holds.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_attempt_runner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_attempt_runner.py
@@ -241,12 +241,13 @@
         """After a lost answer, find out whether the replica has crashed."""
         if failure.outcome is AttemptOutcome.LOST:
             self._context.nursery.start_soon(
-                self._context.poison_tracker.record_crash_if_unreachable,
-                request_state.digest,
-                replica,
-                request_state.parsed.request_id,
+                self._record_crash, request_state.digest, replica, request_state.parsed.request_id
             )
 
+    async def _record_crash(self, digest: str, replica: Replica, request_id: str) -> None:
+        if await self._context.replica_caller.is_down(replica.address):
+            self._context.poison_tracker.record_crash(digest, replica, request_id)
+
     def _id_if_available(self, replica_id: str, origin: StreamOrigin | None) -> str | None:
         """Return the replica's id if it can go on with the request, otherwise None.
 
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
@@ -90,7 +90,7 @@
         store = CountedStore(store, self.metrics)
         self.client = HttpClient(connect_timeout_s=CONNECT_TIMEOUT_S, tcp_timeout_s=SILENCE_LIMIT_S)
         self.replica_tracker = ReplicaTracker()
-        self.poison_tracker = PoisonTracker(self.client)
+        self.poison_tracker = PoisonTracker()
         self.bus = PeerBus(instance.id, nursery, self.metrics)
         self.replica_caller = ReplicaCaller(
             self.board, self.bus, self.client, self.metrics, random.Random()
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_poison_tracker.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_poison_tracker.py
@@ -1,6 +1,6 @@
 """Detects poison requests, whose attempts crash the replicas that run them.
 
-A lost answer counts as a crash if its replica then accepts no connection. A request with
+A lost answer counts as a crash if its replica then is down. A request with
 `MAX_CRASHES` crashes that has not run to its end since the first of them is refused at every
 instance. `on_notice` is called with what the other instances must be told.
 """
@@ -14,7 +14,6 @@
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._messages import PoisonReport
 from lagoonfold_gateway._parsed_request import ParsedRequest
-from lagoonfold_io import HttpClient
 from lagoonfold_io.observe import EventLog
 
 MAX_CRASHES = 2  # a third attempt may be in flight elsewhere before the notice arrives
@@ -35,8 +34,7 @@
 class PoisonTracker:
     """Holds the crashes that this instance and its peers have recorded, by request digest."""
 
-    def __init__(self, client: HttpClient) -> None:
-        self._client = client
+    def __init__(self) -> None:
         self._registry = PoisonRegistry(
             incident_ttl_s=INCIDENT_TTL_S, max_incidents=MAX_CRASHES, cleared_by_completion=True
         )
@@ -54,12 +52,8 @@
         self._registry.record_started(digest, replica.replica_id)
         self._registry.record_ended(digest, replica.replica_id, now_s=now_s(), is_finished=True)
 
-    async def record_crash_if_unreachable(
-        self, digest: str, replica: Replica, request_id: str
-    ) -> None:
-        """Record a crash for a lost answer if the replica accepts no connection."""
-        if await self._client.can_connect(replica.address):
-            return
+    def record_crash(self, digest: str, replica: Replica, request_id: str) -> None:
+        """Record that a replica is down after it lost the answer to a request."""
         notice = PoisonNotice(digest=digest, upstream_id=replica.replica_id, incident_id=request_id)
         self._registry.add_notice(notice, now_s=now_s())
         self.on_notice(PoisonReport(notices=(notice,)))
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_replica_caller.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_replica_caller.py
@@ -118,6 +118,20 @@
         async with self._call_through_others(address, request, options) as call:
             yield call
 
+    async def is_down(self, address: str) -> bool:
+        """Return whether a replica accepts no connection, from this instance or from another."""
+        if await self._probe(address):
+            return False
+        for peer in self._relays(address):
+            answer = await self._bus.call(
+                peer, ReplicaProbe(address=address), timeout_s=PROBE_TIMEOUT_S
+            )
+            probed = answer.ok_value if isinstance(answer, Ok) else None
+            if isinstance(probed, ReplicaProbed) and probed.can_tell:
+                self._record_probed(address, peer, is_reached=probed.is_reached)
+                return not probed.is_reached
+        return not self._peers() and not self.is_cut_off
+
     def record_direct(self, address: str, answer: Result[ResponseStream, HttpError]) -> None:
         """Record what an attempt to open a connection has shown; reused ones show nothing."""
         if is_unreached(answer):
--- a/tests/gateway/_simulated_fleet.py
+++ b/tests/gateway/_simulated_fleet.py
@@ -29,7 +29,6 @@
 from lagoonfold_gateway._settings import InstanceSection
 from lagoonfold_gateway._store_mirror import StoreMirror
 from lagoonfold_gateway._store_watch import COPY_TERMS, PollTerms, StoreWatch, poll_limit_s
-from lagoonfold_io import HttpClient
 from standins.transactional_store import MemoryStore, StoreView
 
 CONFIG, REPLICAS = "config", "replicas/"  # prefixes that all instances follow
@@ -231,7 +230,7 @@
             heartbeats = member.heartbeats = Heartbeats(
                 bus,
                 members,
-                PoisonTracker(HttpClient()),
+                PoisonTracker(),
                 *watches,
                 nursery,
                 random.Random(instance_id),
