Wait longer for a silent replica with a request that cannot be repeated

Callers of requests that may run once got 502 when a sound replica fell silent for a second: TCP_USER_TIMEOUT of 1 s on all connections to replicas broke them, and it decides for keep-alive probes as well.

Change: the limit is set for each request: 3 s if it may not be repeated, 1 s if it can go on elsewhere.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
@@ -54,7 +54,8 @@
 from lagoonfold_io import HttpClient, HttpLimits, HttpServer
 from lagoonfold_io.observe import EventLog, Metrics
 
-SILENCE_LIMIT_S = 1.0  # replicas and instances are some ms apart
+SILENCE_LIMIT_S = 1.0  # of a replica with a request that can be sent elsewhere
+UNREPEATABLE_SILENCE_LIMIT_S = 3.0  # sound replicas may be silent for a second or two
 CONNECT_TIMEOUT_S = 0.5  # replicas are some ms away, but a dropped SYN is resent after seconds
 RELAY_LIMITS = HttpLimits(  # requests with all that a kept turn continues from
     max_header_bytes=262_144, max_body_bytes=33_554_432, max_connections=1_000
@@ -88,7 +89,11 @@
         self.metrics = Metrics()
         self.usage = UsageReporter(self.metrics)
         store = CountedStore(store, self.metrics)
-        self.client = HttpClient(connect_timeout_s=CONNECT_TIMEOUT_S, tcp_timeout_s=SILENCE_LIMIT_S)
+        self.client = HttpClient(
+            connect_timeout_s=CONNECT_TIMEOUT_S,
+            tcp_timeout_s=SILENCE_LIMIT_S,
+            unrepeatable_tcp_timeout_s=UNREPEATABLE_SILENCE_LIMIT_S,
+        )
         self.replica_tracker = ReplicaTracker()
         self.poison_tracker = PoisonTracker()
         self.bus = PeerBus(instance.id, nursery, self.metrics)
--- a/packages/lagoonfold-io/src/lagoonfold_io/_http_client.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_client.py
@@ -42,7 +42,7 @@
     SendStatus,
     find_header,
 )
-from lagoonfold_io._tcp import StreamOpener, open_tcp_stream
+from lagoonfold_io._tcp import StreamOpener, open_tcp_stream, set_user_timeout
 
 DEFAULT_CONNECT_TIMEOUT_S = 1.0
 DEFAULT_PROGRESS_TIMEOUT_S = 30.0
@@ -60,18 +60,24 @@
 
 
 class HttpClient:
-    """An HTTP client with a pool of connections, for use within one trio loop."""
+    """An HTTP client with a pool of connections, for use within one trio loop.
+
+    A connection breaks after `tcp_timeout_s` without acknowledgements by the server, or after
+    `unrepeatable_tcp_timeout_s` while it has a request that may not be repeated.
+    """
 
     def __init__(
         self,
         *,
         connect_timeout_s: float = DEFAULT_CONNECT_TIMEOUT_S,
         tcp_timeout_s: float = DEFAULT_TCP_TIMEOUT_S,
+        unrepeatable_tcp_timeout_s: float | None = None,
         max_connections_per_address: int = MAX_OPEN_PER_ADDRESS,
         open_stream: StreamOpener = open_tcp_stream,
     ) -> None:
         self._connect_timeout_s = connect_timeout_s
         self._tcp_timeout_s = tcp_timeout_s
+        self._unrepeatable_tcp_timeout_s = unrepeatable_tcp_timeout_s or tcp_timeout_s
         self.open_stream = open_stream
         self.max_connections_per_address = max_connections_per_address
         self._busy_by_address: Counter[str] = Counter()
@@ -155,7 +161,7 @@
                 yield acquired
                 return
             connection = acquired.ok_value
-            connection.is_repeatable = is_repeatable
+            self._prepare(connection, is_repeatable)
             self._address_by_busy[connection] = address
             try:
                 async with self._exchange(
@@ -167,6 +173,14 @@
         finally:
             self._busy_by_address[address] -= 1
 
+    def _prepare(self, connection: ClientConnection, is_repeatable: bool) -> None:
+        """Set for how long the server may be silent before the request fails."""
+        timeout_s = self._tcp_timeout_s if is_repeatable else self._unrepeatable_tcp_timeout_s
+        if connection.tcp_timeout_s != timeout_s:
+            set_user_timeout(connection.stream.socket, timeout_s)
+            connection.tcp_timeout_s = timeout_s
+        connection.is_repeatable = is_repeatable
+
     @asynccontextmanager
     async def _exchange(
         self,
@@ -210,7 +224,14 @@
             detail = f"cannot connect to {address}: {error or 'timeout'}"
             return Err(HttpError(detail=detail, sent=SendStatus.NOT_SENT))
         protocol = h11.Connection(our_role=h11.CLIENT)
-        return Ok(ClientConnection(stream, protocol, opened_at=trio.current_time()))
+        return Ok(
+            ClientConnection(
+                stream,
+                protocol,
+                opened_at=trio.current_time(),
+                tcp_timeout_s=self._tcp_timeout_s,
+            )
+        )
 
     async def can_connect(self, address: str) -> bool:
         """Return whether the server accepts a new connection; nothing is sent on it.
--- a/packages/lagoonfold-io/src/lagoonfold_io/_http_connection.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_connection.py
@@ -44,6 +44,7 @@
     stream: trio.SocketStream
     protocol: h11.Connection
     opened_at: float
+    tcp_timeout_s: float
     idle_since: float = 0.0
     input_bytes: int = 0
     needs_input: bool = False
--- a/packages/lagoonfold-io/src/lagoonfold_io/_tcp.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_tcp.py
@@ -36,9 +36,14 @@
 def set_tcp_timeout(sock: trio.socket.SocketType, tcp_timeout_s: float) -> None:
     """Make a connection break, idle or not, after that many seconds without acknowledgements."""
     probe_s = max(1, math.ceil(tcp_timeout_s / (KEEPALIVE_PROBES + 1)))
-    limit_ms = int(tcp_timeout_s * MILLISECONDS_PER_S)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, probe_s)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, probe_s)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    set_user_timeout(sock, tcp_timeout_s)
+
+
+def set_user_timeout(sock: trio.socket.SocketType, user_timeout_s: float) -> None:
+    """Change after how long a connection breaks; it also decides when keep-alive gives up."""
+    limit_ms = int(user_timeout_s * MILLISECONDS_PER_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_ms)
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -238,6 +238,22 @@
     trio.run(run)
 
 
+def test_connection_waits_longer_for_a_silent_server_if_its_request_cannot_be_repeated() -> None:
+    """A connection is set for each request anew, also when it is used again."""
+
+    async def check(address: str) -> None:
+        client = HttpClient(tcp_timeout_s=1.0, unrepeatable_tcp_timeout_s=3.0)
+        request = HttpRequest(method="GET", path="/stream")
+        for is_repeatable, limit_ms in ((False, 3_000), (True, 1_000), (False, 3_000)):
+            async with client.stream(address, request, is_repeatable=is_repeatable) as opened:
+                (connection,) = client._address_by_busy
+                option = (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+                assert connection.stream.socket.getsockopt(*option) == limit_ms
+                await opened.unwrap().read_all(100)
+
+    _with_server(check)
+
+
 def test_connections_to_an_address_are_limited() -> None:
     """A request beyond the limit fails without being sent; a later one succeeds."""
 
