Take a replica that is silent for a second for no crash

Change: a connection that is refused shows a crash at once, one that hangs only if it still does 2 s later.

Evidence: test_request_lost_by_replicas_that_are_silent_for_a_second_is_not_blamed_for_crashes got 422 before and 200 now; the tests of crashing requests hold.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_replica_caller.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_replica_caller.py
@@ -32,6 +32,7 @@
 PROBE_TIMEOUT_S = 0.7  # a peer's connection to a replica, and a hop more
 PROBE_INTERVAL_S = 0.4  # between probes of paths at fault; shorter than their failures are counted
 MAX_PROBED = 4  # paths at once
+SOUND_SILENCE_S = 2.0
 STALL_S = 0.75  # of an open connection to a replica while no new one can be made
 
 _log = EventLog("replica_paths")
@@ -119,9 +120,17 @@
             yield call
 
     async def is_down(self, address: str) -> bool:
-        """Return whether a replica accepts no connection, from this instance or from another."""
-        if await self._probe(address):
-            return False
+        """Find out whether a replica accepts no connection, from this instance or from another.
+
+        One that is silent must still be so after a while: sound ones may be for a second or so.
+        """
+        probed = await self._probe(address)
+        if isinstance(probed, Err) and probed.err_value.is_timeout:
+            await trio.sleep(SOUND_SILENCE_S)
+            probed = await self._probe(address)
+        return isinstance(probed, Err) and await self._is_down_for_another(address)
+
+    async def _is_down_for_another(self, address: str) -> bool:
         for peer in self._relays(address):
             answer = await self._bus.call(
                 peer, ReplicaProbe(address=address), timeout_s=PROBE_TIMEOUT_S
@@ -162,13 +171,13 @@
         faulty = self._paths.faulty_targets(now_s=now_s())
         return [address for address in faulty if address in listed][:MAX_PROBED]
 
-    async def _probe(self, address: str) -> bool:
-        is_reached = await self._client.can_connect(address)
-        if is_reached:
+    async def _probe(self, address: str) -> Result[None, HttpError]:
+        probed = await self._client.try_to_connect(address)
+        if isinstance(probed, Ok):
             self._record_reached(address)
         else:
             self._record_unreached(address)
-        return is_reached
+        return probed
 
     def _record_reached(self, address: str) -> None:
         self._paths.record_reached(address)
@@ -267,7 +276,7 @@
         )
         if not is_listed or self.cannot_tell(probe.address):
             return ReplicaProbed(is_reached=False, can_tell=False)
-        is_reached = await self._probe(probe.address)
+        is_reached = isinstance(await self._probe(probe.address), Ok)
         can_tell = is_reached or not self.cannot_tell(probe.address)
         return ReplicaProbed(is_reached=is_reached, can_tell=can_tell)
 
--- a/packages/lagoonfold-io/src/lagoonfold_io/_http_client.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_client.py
@@ -222,7 +222,8 @@
                 stream = await self.open_stream(address, tcp_timeout_s=self._tcp_timeout_s)
         except (OSError, trio.TooSlowError) as error:
             detail = f"cannot connect to {address}: {error or 'timeout'}"
-            return Err(HttpError(detail=detail, sent=SendStatus.NOT_SENT))
+            is_timeout = isinstance(error, trio.TooSlowError)
+            return Err(HttpError(detail=detail, sent=SendStatus.NOT_SENT, is_timeout=is_timeout))
         protocol = h11.Connection(our_role=h11.CLIENT)
         return Ok(
             ClientConnection(
@@ -234,14 +235,19 @@
         )
 
     async def can_connect(self, address: str) -> bool:
-        """Return whether the server accepts a new connection; nothing is sent on it.
+        """Return whether the server accepts a new connection."""
+        return isinstance(await self.try_to_connect(address), Ok)
+
+    async def try_to_connect(self, address: str) -> Result[None, HttpError]:
+        """Find out whether the server accepts a new connection; nothing is sent on it.
 
         The connection does not count towards the limit of those to its address.
         """
         opened = await self._open(address)
-        if isinstance(opened, Ok):
-            close_now(opened.ok_value)
-        return isinstance(opened, Ok)
+        if isinstance(opened, Err):
+            return opened
+        close_now(opened.ok_value)
+        return Ok(None)
 
     def _pop_idle(self, address: str, max_idle_s: float) -> ClientConnection | None:
         idle = self._idle_by_address[address]
--- a/tests/gateway/_cut.py
+++ b/tests/gateway/_cut.py
@@ -38,4 +38,9 @@
         gateway.client.open_stream = open_tcp_stream
 
 
-CUTS = (Cut(_hang, are_closed=True), Cut(_refuse, are_closed=True), Cut(_refuse, are_closed=False))
+CUTS = (
+    Cut(_hang, are_closed=True),
+    Cut(_refuse, are_closed=True),
+    Cut(_refuse, are_closed=False),
+    Cut(_hang, are_closed=False),
+)
--- a/tests/gateway/test_cut_off.py
+++ b/tests/gateway/test_cut_off.py
@@ -8,7 +8,7 @@
 from standins.replica import EVENTS
 from tests._suite import load_functions
 from tests.gateway._cut import CUTS, Cut
-from tests.gateway._fleet import Fleet, make_config, run_with_fleet, wait_until
+from tests.gateway._fleet import WAIT_S, Fleet, make_config, run_with_fleet, wait_until
 
 LEARNING_S = 3.0  # in which an instance may find out that it is cut off
 USUAL_S = 1.0  # many times what an answer takes
@@ -39,6 +39,13 @@
         assert answer.status == 200, (number, answer)
 
 
+async def wait_for_answer(fleet: Fleet, gateway: Gateway) -> None:
+    """Send requests until one is answered."""
+    with trio.fail_after(WAIT_S):
+        while (await fleet.send(gateway, "/read/a")).status != 200:
+            await trio.sleep(0.05)
+
+
 def _owner(fleet: Fleet) -> Gateway:
     subject = ReplicaPool("models").subject
     return next(gateway for gateway in fleet.gateways if gateway.members.owns(subject))
@@ -101,6 +108,26 @@
     run_with_fleet(check, gateways=3, replicas=1)
 
 
+def test_request_lost_by_replicas_that_are_silent_for_a_second_is_not_blamed_for_crashes() -> None:
+    """A replica that has crashed refuses connections, or stays away for longer."""
+
+    async def check(fleet: Fleet) -> None:
+        (gateway,), (replica,) = fleet.gateways, fleet.replica_by_id.values()
+        for _ in range(2):
+            await wait_for_answer(fleet, gateway)
+            CUTS[3].begin(gateway)
+            replica.behaviour.losses = 1
+            assert (await fleet.send(gateway, "/write/a", body=b"lost")).status == 502
+            await trio.sleep(1.2)
+            Cut.end(gateway)
+        await wait_for_answer(fleet, gateway)
+        await trio.sleep(2.0)
+        answer = await fleet.send(gateway, "/write/a", body=b"lost")
+        assert answer.status == 200, answer
+
+    run_with_fleet(check, replicas=1)
+
+
 def test_stream_that_a_cut_has_silenced_goes_on_through_another_instance() -> None:
     """In the same answer, and long before its caller's deadline."""
 
