Refuse streams from before an instance's start unless others vouch for their version

Cause: an instance that starts knows no version from before, and took the one that it saw for the only one.

Change: for a stream's age after a start other than the first of the system, the versions before count as unknown. A stream that no home remembers is refused (503, not run), unless a home has seen one version all the while, which it now tells.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
@@ -158,7 +158,7 @@
         pool_owners = PoolOwners(self.board, self.members)
         self.limit_controller = LimitController(self.board, self.bus, self.members, pool_owners)
         self.leaving_controller = LeavingController(self.board, self.bus, self.client)
-        self.version_controller = VersionController(self.board, self.bus)
+        self.version_controller = VersionController(self.board, self.bus, is_first_start=first)
         self.dispatcher = self._make_dispatcher()
         self.placement_owner = PlacementOwner(
             self.board, self.bus, self.dispatcher, self.limit_controller
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_messages.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_messages.py
@@ -310,13 +310,17 @@
 
 
 class StreamOriginQuery(msgspec.Struct, frozen=True, tag=True, array_like=True):
-    """Question where a stream began, sent to its homes; the answer is `StreamOriginAnswer`."""
+    """Question where a stream began, sent to its homes; the answer is `StreamOriginAnswer`.
+
+    `service` is that of the request that takes the stream up, "" from an earlier release.
+    """
 
     stream: str
+    service: str = ""
 
 
 class StreamOriginAnswer(msgspec.Struct, frozen=True, tag=True, array_like=True):
-    """Answer of a stream's home: where it began, None if the home does not know."""
+    """Answer of a stream's home: where it began, None if the home cannot tell."""
 
     service: str = ""
     version: str | None = None
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_version_controller.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_version_controller.py
@@ -4,10 +4,12 @@
 begins a stream tells its version to the stream's homes, the first live instances by rendezvous
 hashing of the first request's id, before it passes the first event on. An instance where the stream
 is taken up asks them. One more is asked than is told, since an instance that has joined may have
-become the first. See `lagoonfold.forwarding.VersionHistory` for streams that nobody remembers.
+become the first. A home that does not know a stream tells if there was one version all the while.
+See `lagoonfold.forwarding.VersionHistory` for streams that nobody remembers.
 """
 
 import heapq
+import math
 from collections import defaultdict
 
 import trio
@@ -37,10 +39,13 @@
 class VersionController:
     """Tells and finds out where streams began."""
 
-    def __init__(self, board: GatewayBoard, bus: PeerBus) -> None:
+    def __init__(self, board: GatewayBoard, bus: PeerBus, *, is_first_start: bool) -> None:
         self._board = board
         self._bus = bus
-        self._history_by_service: dict[str, VersionHistory] = defaultdict(VersionHistory)
+        known_since_s = -math.inf if is_first_start else now_s()
+        self._history_by_service: dict[str, VersionHistory] = defaultdict(
+            lambda: VersionHistory(known_since_s)
+        )
         self._origins = StreamOrigins()
         bus.register_handler(StreamOriginNote)(self._handle_note)
         bus.register_handler(StreamOriginQuery)(self._handle_query)
@@ -66,7 +71,7 @@
         origin = None
         if stream_id is not None:
             origin = self._origins.recall(stream_id, now_s=now_s())
-            origin = origin or await self._ask_homes(stream_id)
+            origin = origin or await self._ask_homes(stream_id, service)
         if origin is not None:
             return Ok(origin)
         version = history.version_of_forgotten(now_s=now_s())
@@ -75,13 +80,13 @@
             return version
         return Ok(None if version.ok_value is None else StreamOrigin(service, version.ok_value))
 
-    async def _ask_homes(self, stream_id: str) -> StreamOrigin | None:
+    async def _ask_homes(self, stream_id: str, service: str) -> StreamOrigin | None:
         """Ask a stream's homes at the same time; return the first origin that one knows."""
+        query = StreamOriginQuery(stream=stream_id, service=service)
         found: list[StreamOrigin] = []
         async with trio.open_nursery() as nursery:
 
             async def ask(home: str) -> None:
-                query = StreamOriginQuery(stream=stream_id)
                 answer = await self._bus.call(home, query, timeout_s=QUERY_TIMEOUT_S)
                 if isinstance(answer, Ok) and isinstance(answer.ok_value, StreamOriginAnswer):
                     if answer.ok_value.version is not None:
@@ -108,7 +113,8 @@
         assert isinstance(query, StreamOriginQuery)
         origin = self._origins.recall(query.stream, now_s=now_s())
         if origin is None:
-            return StreamOriginAnswer()
+            version = self._history_by_service[query.service].only_version(now_s=now_s())
+            return StreamOriginAnswer(service=query.service, version=version)
         return StreamOriginAnswer(service=origin.service, version=origin.version)
 
     def _observe(self, directory: ReplicaDirectory) -> None:
--- a/packages/lagoonfold/src/lagoonfold/forwarding/_stream_versions.py
+++ b/packages/lagoonfold/src/lagoonfold/forwarding/_stream_versions.py
@@ -5,6 +5,9 @@
 each stream that begins. While it has one version there is nothing to remember: a stream that nobody
 remembers began before the other versions came. Versions are opaque texts without an order.
 
+An instance that has started again has not seen which versions there were before. For a while it
+remembers streams as if there were several, and others may tell it that there was only one.
+
 Answers the load of callers that take streams up at any instance while a release is under way and
 instances are lost. Everything is decided from arguments, without I/O.
 """
@@ -32,6 +35,8 @@
 class VersionHistory:
     """The software versions that one service's replicas have had lately.
 
+    Before `known_since_s`, in seconds, there may have been others.
+
     history = VersionHistory()
     history.observe({"v1"}, now_s=0.0)
     history.observe({"v1", "v2"}, now_s=60.0)
@@ -39,7 +44,8 @@
     history.version_of_forgotten(now_s=64.0)    # Err(...)
     """
 
-    def __init__(self) -> None:
+    def __init__(self, known_since_s: float = -math.inf) -> None:
+        self._known_since_s = known_since_s
         self._versions: frozenset[str] = frozenset()
         self._only_before: str | None = None
         self._several_since_s = -math.inf
@@ -61,7 +67,15 @@
 
     def has_several(self, *, now_s: float) -> bool:
         """Return whether a stream may still be under way that began beside another version."""
-        return len(self._versions) > 1 or now_s - self._several_until_s < STREAM_AGE_S
+        several_until_s = max(self._several_until_s, self._known_since_s)
+        return len(self._versions) > 1 or now_s - several_until_s < STREAM_AGE_S
+
+    def only_version(self, *, now_s: float) -> str | None:
+        """Return the version at which all streams under way began, None if there are several."""
+        if len(self._versions) != 1 or self.has_several(now_s=now_s):
+            return None
+        (version,) = self._versions
+        return version
 
     def version_of_forgotten(self, *, now_s: float) -> Result[str | None, str]:
         """Return the version of a stream that no instance remembers, None if any may go on with it.
@@ -72,6 +86,8 @@
             return Ok(None)
         if self._only_before is not None and now_s - self._several_since_s < UNREMEMBERED_AGE_S:
             return Ok(self._only_before)
+        if now_s - self._known_since_s < STREAM_AGE_S:
+            return Err("the stream may have begun before this instance started")
         return Err(f"the stream may have begun at any of {len(self._versions)} software versions")
 
 
--- a/tests/_compatibility_values.py
+++ b/tests/_compatibility_values.py
@@ -151,7 +151,7 @@
         ),
     ),
     StreamOriginNote(stream="request-1", service="models", version="v1.1"),
-    StreamOriginQuery(stream="request-1"),
+    StreamOriginQuery(stream="request-1", service="models"),
     StreamOriginAnswer(service="models", version="v1.1"),
     TurnRequest(
         program="prg-1",
--- a/tests/forwarding/test_stream_versions.py
+++ b/tests/forwarding/test_stream_versions.py
@@ -58,6 +58,18 @@
     assert history.has_several(now_s=0.0) and history.version_of_forgotten(now_s=0.1).is_err()
 
 
+def test_instance_that_has_started_again_knows_of_no_stream_from_before() -> None:
+    """Others may have served before; after a stream's age none of theirs is under way."""
+    history = VersionHistory(known_since_s=10.0)
+    history.observe(["v1"], now_s=10.2)
+    assert history.has_several(now_s=11.0) and history.only_version(now_s=11.0) is None
+    assert history.version_of_forgotten(now_s=11.0).is_err()
+    history.observe(["v1", "v2"], now_s=12.0)
+    assert history.version_of_forgotten(now_s=12.1).is_err()
+    history.observe(["v2"], now_s=13.0)
+    assert history.only_version(now_s=13.0 + STREAM_AGE_S) == "v2"
+
+
 def test_second_release_soon_after_the_first_does_not_bring_back_its_old_version() -> None:
     """Streams of the version in between are remembered."""
     history = _history((0.0, "v1"), (60.0, "v1 v2"), (70.0, "v2"), (72.0, "v2 v3"))
--- a/tests/gateway/test_version_memory.py
+++ b/tests/gateway/test_version_memory.py
@@ -18,6 +18,7 @@
 SERVICE = "models"
 STREAMS_PER_S = 40
 REPLICAS_PER_VERSION = 3
+FIRST_START_S = 5.0  # instances that start later have started again or were added
 
 
 class _Streams:
@@ -71,7 +72,9 @@
         key = id(member.board)
         if key not in self._controller_by_board:
             bus = member.heartbeats._bus
-            self._controller_by_board[key] = VersionController(member.board, bus)
+            self._controller_by_board[key] = VersionController(
+                member.board, bus, is_first_start=trio.current_time() < FIRST_START_S
+            )
         directory = member.board.replicas.read()
         listed = {
             f"{version}-{number}": Replica(
--- a/tests/gateway/test_versions.py
+++ b/tests/gateway/test_versions.py
@@ -140,6 +140,67 @@
     run_with_fleet(check, replicas=4)
 
 
+async def _start_again(fleet: Fleet) -> Gateway:
+    """Kill all instances at once, and start one again."""
+    for gateway in tuple(fleet.gateways):
+        fleet.kill(gateway)
+    return await fleet.add_gateway("again", is_first_start=False)
+
+
+def test_stream_from_before_all_instances_were_killed_is_not_joined_from_two_versions() -> None:
+    """Nobody remembers it, and replicas of its version and of another one serve."""
+
+    async def check(fleet: Fleet) -> None:
+        await _list_versions(fleet, VERSION_BY_REPLICA)
+        first_id = await _begin(fleet, fleet.gateways[0])
+        gateway = await _start_again(fleet)
+        await _list_versions(fleet, VERSION_BY_REPLICA)
+        next_id, answer = await _take_up(fleet, gateway, first_id)
+        assert answer.status == 503 and answer.header("retry-after") is not None, answer
+        assert not _versions(fleet, next_id)
+
+    run_with_fleet(check, gateways=2, replicas=4)
+
+
+def test_stream_whose_version_left_while_all_instances_were_down_is_not_joined_with_another() -> (
+    None
+):
+    """The instances that start again see one version only, which is not the stream's."""
+
+    async def check(fleet: Fleet) -> None:
+        old, new = {"r1": "v1", "r2": "v1"}, {"r3": "v2", "r4": "v2"}
+        for replica_id in new:
+            fleet.unlist_replica(replica_id)
+        await _list_versions(fleet, old)
+        first_id = await _begin(fleet, fleet.gateways[0])
+        for replica_id in old:
+            fleet.unlist_replica(replica_id)
+        gateway = await _start_again(fleet)
+        await _list_versions(fleet, new)
+        next_id, answer = await _take_up(fleet, gateway, first_id)
+        assert answer.status == 503 and answer.header("retry-after") is not None, answer
+        assert not _versions(fleet, next_id)
+
+    run_with_fleet(check, gateways=2, replicas=4)
+
+
+def test_stream_goes_on_at_an_instance_that_has_started_again_beside_others() -> None:
+    """They have seen no other version all the while."""
+
+    async def check(fleet: Fleet) -> None:
+        await _list_versions(fleet, dict.fromkeys(VERSION_BY_REPLICA, "v1"))
+        _set_pause(fleet, 0.05)
+        first_id = await _begin(fleet, fleet.gateways[0])
+        fleet.kill(fleet.gateways[0])
+        gateway = await fleet.add_gateway("again", is_first_start=False)
+        await _list_versions(fleet, dict.fromkeys(VERSION_BY_REPLICA, "v1"))
+        await wait_until(lambda: len(gateway.board.live.read().ids) == len(fleet.gateways))
+        _, answer = await _take_up(fleet, gateway, first_id)
+        assert _is_rest(answer), answer
+
+    run_with_fleet(check, gateways=3, replicas=4)
+
+
 def test_stream_whose_version_has_gone_is_refused_and_not_run() -> None:
     """No replica of the version that began it is left."""
 
