Take odd entries of other writers for no replica

It can happen here: an entry nested more deeply than Python recurses raises RecursionError, which is no MsgspecError, out of the watch and ends the process, and so at each start; a port above 65535 raises OverflowError where a replica is called; a start beyond 64 bits cannot be sent to peers.

Change: JSON of others is decoded by decode_json, which takes deep nesting for an error, in the gateway, the platform's folder and the instance list; check_replica wants an IPv4 address, a port, slots and a start that can be used; open_tcp_stream raises OSError for an address without a usable port.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_charges.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_charges.py
@@ -24,6 +24,7 @@
     StoreError,
     StoreErrorKind,
     TransactionalStore,
+    decode_json,
 )
 from lagoonfold.budgets import BudgetRecord, ProgramLedger
 from lagoonfold_gateway._clock import now_s
@@ -240,8 +241,8 @@
 def _decode(entry: Entry | None) -> BudgetRecord | None:
     if entry is None or entry.revision == ABSENT_REVISION:
         return None
-    try:
-        return msgspec.json.decode(entry.value, type=BudgetRecord)
-    except msgspec.MsgspecError as error:
-        _log.error("budget.record_unreadable", key=entry.key, reason=str(error))
-        return BudgetRecord(writer="", charged=2**62, written_at_s=0)
+    decoded = decode_json(entry.value, BudgetRecord)
+    if isinstance(decoded, Ok):
+        return decoded.ok_value
+    _log.error("budget.record_unreadable", key=entry.key, reason=decoded.err_value)
+    return BudgetRecord(writer="", charged=2**62, written_at_s=0)
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_dialect.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_dialect.py
@@ -10,6 +10,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from lagoonfold import decode_json
 from lagoonfold.forwarding import ForwardConfig, Replica
 
 
@@ -82,20 +83,14 @@
 
 
 def _decode_default_config(data: bytes) -> Result[ForwardConfig, str]:
-    try:
-        return Ok(msgspec.json.decode(data, type=ForwardConfig))
-    except msgspec.MsgspecError as error:
-        return Err(str(error))
+    return decode_json(data, ForwardConfig)
 
 
 def _decode_default_replica(replica_id: str, data: bytes) -> Result[Replica, str]:
-    try:
-        replica = msgspec.json.decode(data, type=Replica)
-    except msgspec.MsgspecError as error:
-        return Err(str(error))
-    if replica.replica_id != replica_id:
-        return Err(f"entry of {replica_id!r} names {replica.replica_id!r}")
-    return Ok(replica)
+    decoded = decode_json(data, Replica)
+    if isinstance(decoded, Ok) and decoded.ok_value.replica_id != replica_id:
+        return Err(f"entry of {replica_id!r} names {decoded.ok_value.replica_id!r}")
+    return decoded
 
 
 DEFAULT_DIALECT = Dialect(
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_disk_controller.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_disk_controller.py
@@ -16,6 +16,7 @@
     StoreError,
     TransactionalStore,
     WatchEvent,
+    decode_json,
 )
 from lagoonfold.histories import Disk
 from lagoonfold_gateway._peers import PeerBus
@@ -113,11 +114,11 @@
 
 def _decode(entry: Entry) -> Disk | None:
     name = key_suffix(entry, DISK_PREFIX)
-    try:
-        listed = msgspec.json.decode(entry.value, type=DiskEntry)
-    except msgspec.MsgspecError as error:
-        _log.warning("disk.entry_unreadable", disk=name, reason=str(error))
+    decoded = decode_json(entry.value, DiskEntry)
+    if isinstance(decoded, Err):
+        _log.warning("disk.entry_unreadable", disk=name, reason=decoded.err_value)
         return None
+    listed = decoded.ok_value
     return Disk(
         name=name,
         disk_id=listed.disk_id,
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_member_controller.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_member_controller.py
@@ -11,13 +11,14 @@
 
 import msgspec
 import trio
-from result import Ok
+from result import Err, Ok
 
 from lagoonfold import (
     ABSENT_REVISION,
     Listing,
     TransactionalStore,
     WatchEvent,
+    decode_json,
     rendezvous_weight,
 )
 from lagoonfold.liveness import (
@@ -345,11 +346,11 @@
 
     def _put_entry(self, key: str, value: bytes) -> None:
         instance_id = key[len(MEMBER_PREFIX) :]
-        try:
-            entry = msgspec.json.decode(value, type=MemberEntry)
-        except msgspec.MsgspecError as error:
-            _log.warning("member.entry_unreadable", member=instance_id, reason=str(error))
+        decoded = decode_json(value, MemberEntry)
+        if isinstance(decoded, Err):
+            _log.warning("member.entry_unreadable", member=instance_id, reason=decoded.err_value)
             return
+        entry = decoded.ok_value
         if instance_id == self.instance_id:
             return
         before = self._entry_by_id.get(instance_id)
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_peer_link.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_peer_link.py
@@ -34,6 +34,7 @@
     trio.BrokenResourceError,
     trio.ClosedResourceError,
     msgspec.MsgspecError,
+    RecursionError,
 )
 
 
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_replica_controller.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_replica_controller.py
@@ -8,7 +8,7 @@
 from result import Err
 
 from lagoonfold import ABSENT_REVISION, Entry, Listing, WatchEvent
-from lagoonfold.forwarding import Replica, ReplicaTracker
+from lagoonfold.forwarding import Replica, ReplicaTracker, check_replica
 from lagoonfold_gateway._board import GatewayBoard
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._dialect import Dialect
@@ -117,7 +117,7 @@
 
     def _decode(self, entry: Entry) -> Replica | None:
         replica_id = key_suffix(entry, self._dialect.replica_prefix)
-        decoded = self._dialect.decode_replica(replica_id, entry.value)
+        decoded = self._dialect.decode_replica(replica_id, entry.value).and_then(check_replica)
         if isinstance(decoded, Err):
             _log.warning("replica.entry_unreadable", replica=replica_id, reason=decoded.err_value)
             return None
--- a/packages/lagoonfold-io/src/lagoonfold_io/_instance_list.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_instance_list.py
@@ -7,7 +7,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from lagoonfold import ListedInstance, StoreError, StoreErrorKind, decompress
+from lagoonfold import ListedInstance, StoreError, StoreErrorKind, decode_json, decompress
 from lagoonfold_io._http_client import HttpClient
 from lagoonfold_io._http_messages import HttpRequest, HttpResponse
 
@@ -55,10 +55,10 @@
         body = _decompress_body(response)
         if isinstance(body, Err):
             return _unavailable(body.err_value)
-        try:
-            document = msgspec.json.decode(body.ok_value, type=_Document)
-        except msgspec.DecodeError as error:
-            return _unavailable(f"instance list cannot be decoded: {error}")
+        decoded = decode_json(body.ok_value, _Document)
+        if isinstance(decoded, Err):
+            return _unavailable(f"instance list cannot be decoded: {decoded.err_value}")
+        document = decoded.ok_value
         self._last_read = document.instances
         self._entity_tag = response.header("etag")
         return Ok(document.instances)
--- a/packages/lagoonfold-io/src/lagoonfold_io/_tcp.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_tcp.py
@@ -5,6 +5,9 @@
 from typing import Protocol
 
 import trio
+from result import Err
+
+from lagoonfold import split_address
 
 MILLISECONDS_PER_S = 1_000
 KEEPALIVE_PROBES = 2  # unanswered probes after which a connection breaks
@@ -22,11 +25,13 @@
 
     Raises `OSError` if the connection cannot be made.
     """
-    host, _, port = address.rpartition(":")
+    split = split_address(address)
+    if isinstance(split, Err):
+        raise OSError(split.err_value)
     sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         set_tcp_timeout(sock, tcp_timeout_s)
-        await sock.connect((host, int(port)))
+        await sock.connect(split.ok_value)
     except BaseException:
         sock.close()
         raise
--- a/packages/lagoonfold/src/lagoonfold/__init__.py
+++ b/packages/lagoonfold/src/lagoonfold/__init__.py
@@ -4,9 +4,11 @@
 decisions are returned as values.
 """
 
+from lagoonfold._addresses import split_address
 from lagoonfold._byte_limited_cache import ByteLimitedCache
 from lagoonfold._cell import Cell
 from lagoonfold._compression import compress, decompress
+from lagoonfold._decoding import decode_json
 from lagoonfold._errors import PROBLEM_TYPES_BY_KIND, ErrorKind, ProblemType, Ran, Refusal
 from lagoonfold._ids import (
     AccountId,
@@ -87,8 +89,10 @@
     "WatchEvent",
     "WriterId",
     "compress",
+    "decode_json",
     "decompress",
     "new_id",
     "redact",
     "rendezvous_weight",
+    "split_address",
 ]
--- a/packages/lagoonfold/src/lagoonfold/forwarding/__init__.py
+++ b/packages/lagoonfold/src/lagoonfold/forwarding/__init__.py
@@ -33,7 +33,7 @@
     SelectionInput,
 )
 from lagoonfold.forwarding._replica_tracker import ReplicaTracker
-from lagoonfold.forwarding._replicas import Replica, ReplicaDirectory
+from lagoonfold.forwarding._replicas import Replica, ReplicaDirectory, check_replica
 from lagoonfold.forwarding._routing import RouteTable, pick_service
 from lagoonfold.forwarding._stream_versions import StreamOrigin, StreamOrigins, VersionHistory
 from lagoonfold.forwarding._work_ranking import WorkRanking
@@ -73,6 +73,7 @@
     "WaitQueue",
     "WeightedService",
     "WorkRanking",
+    "check_replica",
     "engine_urgency",
     "parse_limit",
     "pick_service",
--- a/packages/lagoonfold/src/lagoonfold/forwarding/_replicas.py
+++ b/packages/lagoonfold/src/lagoonfold/forwarding/_replicas.py
@@ -8,9 +8,16 @@
 
 from collections import OrderedDict
 from dataclasses import dataclass, replace
+from ipaddress import IPv4Address
+
+from result import Err, Ok, Result
+
+from lagoonfold._addresses import split_address
 
 REMOVAL_GRACE_S = 2.0  # the platform lists entries that expired in an outage again by then
 MAX_LEAVING = 4_096  # incarnations that are remembered; more than leave in hours
+MAX_SLOTS = 100_000
+MAX_STARTED = 2**53  # a whole number that every JSON reader keeps
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -32,6 +39,23 @@
     version: str = ""
 
 
+def check_replica(replica: Replica) -> Result[Replica, str]:
+    """Return a replica whose entry has values that it can be called with, or what is wrong."""
+    split = split_address(replica.address)
+    if isinstance(split, Err):
+        return split
+    host, _ = split.ok_value
+    try:
+        IPv4Address(host)
+    except ValueError:
+        return Err(f"address {replica.address!r} does not begin with an IPv4 address")
+    if not 1 <= replica.slots <= MAX_SLOTS:
+        return Err(f"{replica.slots} slots are not from 1 to {MAX_SLOTS}")
+    if not 0 <= replica.started <= MAX_STARTED:
+        return Err(f"start {replica.started} is not from 0 to {MAX_STARTED}")
+    return Ok(replica)
+
+
 class ReplicaDirectory:
     """Merges listings and changes into the current set of replicas."""
 
--- a/tests/on_platform/test_documents.py
+++ b/tests/on_platform/test_documents.py
@@ -124,4 +124,17 @@
     assert decode_replica("i-1", b"\xff").is_err()
 
 
+def test_odd_entries_of_other_writers_name_no_replica() -> None:
+    """They are deeply nested, or a number is out of range."""
+    plain = json.dumps(ENTRY).encode()
+    deep = b"[" * 100_000 + b"]" * 100_000
+    for odd in (
+        plain[:-1] + b',"More":' + deep + b"}",
+        plain.replace(b"12", b"9" * 5_000),
+        plain.replace(b"12", b"1e400"),
+    ):
+        assert decode_replica("i-1", odd).is_err(), odd[:200]
+    assert decode_config(json.dumps(CONFIG).encode()[:-1] + b',"More":' + deep + b"}").is_err()
+
+
 load_tests = load_functions(globals())
