Read counts of replicas and callers with a bound on their digits

A replica's load, its keep-alive time or the id of an event ended the caller's request with 500 or without its end after the replica had run it, and a caller's own header with 500 in place of 400.

A load or keep-alive time that cannot be read counts as none, an id as a garbled stream, a caller's header as a bad request.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_parsed_request.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_parsed_request.py
@@ -4,6 +4,7 @@
 
 from result import Err, Ok, Result
 
+from lagoonfold import parse_count
 from lagoonfold.forwarding import PromptPart
 from lagoonfold_gateway._dialect import HeaderNames
 from lagoonfold_io import Headers, HttpRequest
@@ -94,15 +95,16 @@
     if program is None:
         return None
     left_ms = _number(value_by_name, names.program_deadline_ms)
-    counts = value_by_name.get(names.token_counts, "0,0").split(",")
-    if len(counts) != 2 or not all(count.strip().isdigit() for count in counts):
+    texts = value_by_name.get(names.token_counts, "0,0").split(",")
+    counts = [parse_count(text.strip()) for text in texts]
+    if len(counts) != 2 or None in counts:
         raise _HeaderError(f"header {names.token_counts!r} does not hold two counts")
     return ProgramTurn(
         program=program,
         session_id=value_by_name.get(names.session_id, ""),
         time_left_s=None if left_ms is None else left_ms / MILLISECONDS_PER_S,
         budget_tokens=_integer(value_by_name, names.budget_tokens) or 0,
-        max_tokens=int(counts[1]),
+        max_tokens=counts[1] or 0,
     )
 
 
@@ -110,9 +112,10 @@
     parts: list[PromptPart] = []
     for entry in filter(None, (entry.strip() for entry in text.split(","))):
         part_id, _, tokens = entry.rpartition(":")
-        if not part_id or not tokens.isdigit():
+        count = parse_count(tokens)
+        if not part_id or count is None:
             raise _HeaderError(f"header {name!r} has {entry!r} in place of id:tokens")
-        parts.append(PromptPart(part_id, int(tokens)))
+        parts.append(PromptPart(part_id, count))
     return tuple(parts)
 
 
@@ -133,9 +136,10 @@
     text = value_by_name.get(name)
     if text is None:
         return None
-    if not (text.isascii() and text.isdigit()):
+    count = parse_count(text)
+    if count is None:
         raise _HeaderError(f"header {name!r} is not a count: {text!r}")
-    return int(text)
+    return count
 
 
 def _seconds(milliseconds: float) -> float:
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_upstream_attempt.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_upstream_attempt.py
@@ -13,6 +13,7 @@
 
 from result import Err, Ok, Result
 
+from lagoonfold import parse_count
 from lagoonfold.forwarding import AttemptOutcome, ReplicaSelection, engine_urgency
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._context import ForwardContext
@@ -165,7 +166,7 @@
 def _reported_load(headers: Headers, context: ForwardContext) -> int | None:
     """Return the replica's own count of running and waiting requests, None if it told none."""
     text = find_header(headers, context.dialect.headers.replica_load)
-    counts = text.split(",") if text else []
-    if len(counts) < 2 or not all(count.strip().isdigit() for count in counts[:2]):
+    counts = [parse_count(part.strip()) for part in text.split(",")[:2]] if text else []
+    if len(counts) < 2 or None in counts:
         return None
-    return int(counts[0]) + int(counts[1])
+    return sum(count or 0 for count in counts)
--- a/packages/lagoonfold-io/src/lagoonfold_io/_http_client.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_client.py
@@ -21,6 +21,7 @@
 import trio
 from result import Err, Ok, Result
 
+from lagoonfold import parse_count
 from lagoonfold_io._http_connection import (
     CLIENT_CONNECTION_ERRORS,
     ClientConnection,
@@ -370,4 +371,5 @@
     """Return for how many seconds the connection may be idle, by its `keep-alive` header."""
     keep_alive = find_header(headers, "keep-alive")
     found = _KEEP_ALIVE_TIMEOUT.search(keep_alive) if keep_alive else None
-    return int(found[1]) - KEEP_ALIVE_MARGIN_S if found else MAX_IDLE_S
+    timeout_s = parse_count(found[1]) if found else None
+    return timeout_s - KEEP_ALIVE_MARGIN_S if timeout_s is not None else MAX_IDLE_S
--- a/packages/lagoonfold/src/lagoonfold/__init__.py
+++ b/packages/lagoonfold/src/lagoonfold/__init__.py
@@ -25,6 +25,7 @@
     WriterId,
     new_id,
 )
+from lagoonfold._numbers import parse_count
 from lagoonfold._ports import (
     ABSENT_REVISION,
     MAX_CREATES_PER_CALL,
@@ -92,6 +93,7 @@
     "decode_json",
     "decompress",
     "new_id",
+    "parse_count",
     "redact",
     "rendezvous_weight",
     "split_address",
--- a/packages/lagoonfold/src/lagoonfold/forwarding/_events.py
+++ b/packages/lagoonfold/src/lagoonfold/forwarding/_events.py
@@ -11,6 +11,8 @@
 import re
 from dataclasses import dataclass
 
+from lagoonfold._numbers import parse_count
+
 MAX_EVENT_BYTES = 262_144  # bounds the memory for one stream; usual events are below 1 KB
 
 MAX_END_BYTES = 4  # of the empty line that ends an event
@@ -47,7 +49,8 @@
     def feed(self, data: bytes) -> list[Event]:
         """Return the whole events that are new to the caller.
 
-        Raises `EventError` if `data` and the partial event exceed `MAX_EVENT_BYTES` together.
+        Raises `EventError` if `data` and the partial event exceed `MAX_EVENT_BYTES` together, or an
+        id has too many digits.
         """
         self._buffer += data
         if len(self._buffer) > MAX_EVENT_BYTES:
@@ -79,7 +82,9 @@
         match = _ID_LINE.search(data)
         if match is None:
             return Event(None, data)
-        number = int(match[1])
+        number = parse_count(match[1].decode())
+        if number is None:
+            raise EventError(f"event id of {len(match[1])} digits")
         if self.last_id is not None and number <= self.last_id:
             return None
         self.last_id = number
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -26,7 +26,8 @@
     request whose body equals `crashes_on` stops the replica. `wrong_id` makes answers
     carry the id of another request. The next `late_copies` answers are sent a second time, just
     before the next answer on the same connection. Each answer names the limits in `limits`, one
-    header for each, and says in `leaving` whether the replica leaves, unless that is None.
+    header for each, and says in `leaving` whether the replica leaves, unless that is None. The
+    headers `load` and `keep_alive` are sent as they stand here, unless they are None.
     """
 
     refusals: int = 0
@@ -41,6 +42,8 @@
     crashes_on: bytes | None = None
     limits: tuple[str, ...] = ()
     leaving: str | None = None
+    load: str | None = None
+    keep_alive: str | None = None
 
 
 @dataclass(slots=True)
@@ -105,8 +108,13 @@
             (NAMES.signature, self.replica_id),
             *((NAMES.replica_limit, limit) for limit in self.behaviour.limits),
         )
-        if self.behaviour.leaving is not None:
-            headers = (*headers, (NAMES.replica_leaving, self.behaviour.leaving))
+        for name, value in (
+            (NAMES.replica_leaving, self.behaviour.leaving),
+            (NAMES.replica_load, self.behaviour.load),
+            ("keep-alive", self.behaviour.keep_alive),
+        ):
+            if value is not None:
+                headers = (*headers, (name, value))
         if request.path.startswith("/turns/"):
             await self._stream(request, exchange, headers)
         else:
--- a/tests/forwarding/test_decisions.py
+++ b/tests/forwarding/test_decisions.py
@@ -8,6 +8,7 @@
 from lagoonfold.forwarding import (
     AttemptHistory,
     AttemptOutcome,
+    EventError,
     EventFilter,
     ForwardRoute,
     PromptCacheIndex,
@@ -92,6 +93,16 @@
     assert not events.has_partial_event
 
 
+def test_event_id_of_too_many_digits_is_an_error_of_the_stream() -> None:
+    """A replica that garbles an id does not end the request with an internal error."""
+    try:
+        EventFilter().feed(b"id: " + b"9" * 5_000 + b"\ndata: a\n\n")
+    except EventError as error:
+        assert "5000 digits" in str(error)
+    else:
+        raise AssertionError("the id was accepted")
+
+
 @given(st.integers(0, 8), st.integers(0, 15))
 def test_resumed_stream_has_each_event_once(broke_after: int, part: int) -> None:
     """A stream that breaks within an event and resumes must not lose or repeat an event."""
--- a/tests/gateway/test_odd_entries.py
+++ b/tests/gateway/test_odd_entries.py
@@ -1,8 +1,9 @@
-"""Entries of other writers among those of the replicas."""
+"""Entries of other writers among those of the replicas, and odd numbers in headers and events."""
 
 import json
 
 from lagoonfold_gateway import DEFAULT_DIALECT
+from standins.replica import NAMES, Replica
 from tests._suite import load_functions
 from tests.gateway._fleet import Fleet, run_with_fleet, wait_until
 
@@ -63,4 +64,46 @@
     run_with_fleet(check, replicas=1)
 
 
+def test_odd_load_of_a_replica_does_not_spoil_its_answer() -> None:
+    """Loads that cannot be read count as none."""
+
+    async def check(fleet: Fleet) -> None:
+        replica: Replica = fleet.replica_by_id["r1"]
+        for load in (f"{HUGE},1,4", "\xb2,1,4", "1", "-1,2,3", "a,b,c", "1,2,4"):
+            replica.behaviour.load = load
+            assert (await fleet.send(fleet.gateways[0], "/read/a")).status == 200, load[:60]
+
+    run_with_fleet(check, replicas=1)
+
+
+def test_odd_keep_alive_of_a_replica_does_not_spoil_its_answer() -> None:
+    """A connection is kept for the usual time, or for none."""
+
+    async def check(fleet: Fleet) -> None:
+        replica: Replica = fleet.replica_by_id["r1"]
+        for keep_alive in (f"timeout={HUGE}", "timeout=0", "timeout=", "timeout=5"):
+            replica.behaviour.keep_alive = keep_alive
+            assert (await fleet.send(fleet.gateways[0], "/read/a")).status == 200, keep_alive[:60]
+
+    run_with_fleet(check, replicas=1)
+
+
+def test_odd_numbers_of_callers_are_bad_requests() -> None:
+    """The refusal names the header."""
+
+    async def check(fleet: Fleet) -> None:
+        for name, value in (
+            (NAMES.token_counts, f"{HUGE},1"),
+            (NAMES.token_counts, "\xb2,1"),
+            (NAMES.prompt_parts, f"a:{HUGE}"),
+            (NAMES.last_event, HUGE),
+            (NAMES.deadline_ms, "1e999"),
+        ):
+            headers = ((NAMES.program, "p"), (name, value))
+            answer = await fleet.send(fleet.gateways[0], "/turns/a", headers=headers)
+            assert answer.status == 400 and name.encode() in answer.body, (name, value[:60], answer)
+
+    run_with_fleet(check, replicas=1)
+
+
 load_tests = load_functions(globals())
