Take a refusal without the request's id on a reused connection for a lost answer

Here copies that echo another request's id were skipped already; one without an id was taken for the refusal of the next request. The new test, with 5 statuses, shows both: without an id the request ran twice before.

Change: 'not run' counts on a reused connection, or through another instance, only with the request's id.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_upstream_attempt.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_upstream_attempt.py
@@ -3,7 +3,7 @@
 An answer counts only if the request id that it echoes is that of this request: a replica may send a
 second copy of an earlier answer late, on the same connection. It is accepted only with the
 replica's signature header. A status that says "not run" counts as such only with the replica's
-not-run header.
+not-run header, and on a reused connection only with the request's id.
 """
 
 import math
@@ -136,6 +136,12 @@
     if foreign_id is not None:
         reason = f"answer to request {foreign_id!r}"
         return AttemptFailure(outcome=AttemptOutcome.LOST, reason=reason)
+    says_not_run = status == MISDIRECTED or find_header(headers, names.not_run) is not None
+    if says_not_run and not _is_certainly_own(response, request_state, context):
+        return AttemptFailure(
+            outcome=AttemptOutcome.LOST,
+            reason=f"status {status} without the request's id on a reused connection",
+        )
     if status == MISDIRECTED:
         return AttemptFailure(
             outcome=AttemptOutcome.MISDIRECTED, reason="another replica has the address"
@@ -155,6 +161,18 @@
     return None
 
 
+def _is_certainly_own(
+    response: ResponseStream, request_state: RequestState, context: ForwardContext
+) -> bool:
+    """Return whether an answer cannot be a late copy of the one to an earlier request.
+
+    Whether another instance has used its connection for an earlier request is not known here.
+    """
+    echoed = find_header(response.head.headers, context.dialect.headers.request_id)
+    is_reused = response.is_on_reused_connection or request_state.via is not None
+    return echoed == request_state.parsed.request_id or not is_reused
+
+
 def _foreign_id(
     headers: Headers, request_state: RequestState, context: ForwardContext
 ) -> str | None:
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -27,7 +27,8 @@
     carry the id of another request. The next `late_copies` answers are sent a second time, just
     before the next answer on the same connection. Each answer names the limits in `limits`, one
     header for each, and says in `leaving` whether the replica leaves, unless that is None. The
-    headers `load` and `keep_alive` are sent as they stand here, unless they are None.
+    headers `load` and `keep_alive` are sent as they stand here, unless they are None. The bytes in
+    `stale` precede the next answer on a connection that has served another request.
     """
 
     refusals: int = 0
@@ -42,6 +43,7 @@
     crashes_on: bytes | None = None
     limits: tuple[str, ...] = ()
     leaving: str | None = None
+    stale: bytes = b""
     load: str | None = None
     keep_alive: str | None = None
 
@@ -57,6 +59,7 @@
     abandoned: int = 0
     address: str = ""
     _scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+    _used_streams: set[trio.SocketStream] = field(default_factory=set)
     _late_copy_by_stream: dict[trio.SocketStream, bytes] = field(default_factory=dict)
 
     async def serve(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
@@ -91,6 +94,11 @@
             raise
 
     async def _run(self, request: HttpRequest, exchange: Exchange) -> None:
+        stream = exchange._stream
+        if self.behaviour.stale and stream in self._used_streams:
+            stale, self.behaviour.stale = self.behaviour.stale, b""
+            await stream.send_all(stale)
+        self._used_streams.add(stream)
         if self.behaviour.crashes_on is not None and request.body == self.behaviour.crashes_on:
             self.stop()
         await trio.sleep(self.behaviour.answer_after_s)
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -261,6 +261,25 @@
     run_with_fleet(check, replicas=1)
 
 
+def test_refusal_that_a_replica_writes_once_more_is_not_that_of_the_next_request() -> None:
+    """It comes on a kept connection, with the id of the refused request or without one."""
+
+    async def check(fleet: Fleet) -> None:
+        gateway, replica = fleet.gateways[0], fleet.replica_by_id["r1"]
+        for status in (503, 429, 408, 421, 400):
+            for id_line in (f"{NAMES.request_id}: refused\r\n", ""):
+                assert (await fleet.send(gateway, "/write/a")).status == 200
+                head = f"HTTP/1.1 {status} Refused\r\n{NAMES.not_run}: 1\r\n{id_line}"
+                replica.behaviour.stale = f"{head}content-length: 0\r\n\r\n".encode()
+                request_id = fleet.next_id()
+                answer = await fleet.send(gateway, "/write/a", request_id=request_id)
+                assert not replica.behaviour.stale
+                assert replica.runs_by_request[request_id] == 1, (status, id_line)
+                assert answer.status in (200, 502), (status, id_line, answer)
+
+    run_with_fleet(check, replicas=1)
+
+
 def test_slow_sound_stream_is_not_cut_and_a_trickling_one_ends_in_time() -> None:
     """Bytes that are no events do not keep a stream open beyond the caller's deadline."""
 
