--- a/standins/_kv_faults.py
+++ b/standins/_kv_faults.py
@@ -8,6 +8,7 @@
     {"refuse": 1.0, "operations": ["txn"], "remaining": 2}   the next two transactions get 503
     {"hold_answer": 1.0}                       calls take effect, answers wait for the next plan
     {"refuse": 1.0, "value_contains": "m-1"}   only calls that write a value with this text get 503
+    {"hold_answer": 1.0, "armed_by": "m-1"}   no faults before a call writes a value with this text
     {"mute_watches": true}                     watches stay open but report no change
     {}                                         no faults
 
@@ -44,8 +45,9 @@
     """The faults in effect.
 
     `refuse`, `drop_answer`, `silent` and `hold_answer` are probabilities per call. `operations`,
-    `key_contains` and `value_contains` select the calls concerned. `remaining` is the number of
-    faults still to be injected, without limit if negative.
+    `key_contains` and `value_contains` select the calls concerned. Calls before the first one that
+    writes a value with the text `armed_by` get no fault. `remaining` is the number of faults still
+    to be injected, without limit if negative.
     """
 
     outage: str = ""
@@ -58,6 +60,7 @@
     operations: tuple[str, ...] = ()
     key_contains: str = ""
     value_contains: str = ""
+    armed_by: str = ""
     remaining: int = -1
     mute_watches: bool = False
 
@@ -85,6 +88,9 @@
         plan = self.plan
         if plan.outage:
             return Outcome.REFUSE if plan.outage == "refuse" else Outcome.SILENT
+        if plan.armed_by and not _contains(plan.armed_by, call.values):
+            return Outcome.SERVE
+        plan.armed_by = ""
         if not self._matches(call) or plan.remaining == 0:
             return Outcome.SERVE
         outcome = self._draw()
--- a/tests/failure/test_at_most_once.py
+++ b/tests/failure/test_at_most_once.py
@@ -71,7 +71,7 @@
 
     def start_with_intent_stored(self) -> Background:
         """Send the call; its intent is stored, but the store withholds its answer to the owner."""
-        self.env.fleet.inject_store(hold_answer=1.0, key_contains="/journal/")
+        self.env.fleet.inject_store(hold_answer=1.0, key_contains="/journal/", armed_by=self.marker)
         first = self.start()
         wait_until(lambda: is_in_journal(self.env, self.marker), "the intent in the journal")
         return first
