Render the bounds of changes and drains in the tests of the roles as processes

The template got config_in_force_ms and replica_drained_ms in, and these tests, which replace its placeholders, were not run with it.

--- a/tests/on_platform/test_processes.py
+++ b/tests/on_platform/test_processes.py
@@ -75,6 +75,8 @@
                 "Bootstrap": "true",
                 "Provider.Address": store.address,
                 "Bounds.GraceS": "8",
+                "Bounds.ConfigApplyMs": "2000",
+                "Bounds.DrainMs": "2000",
                 "Bounds.QuotaWindowS": "5",
                 "Bounds.QuotaSlack": "20",
                 "FaultTolerance.Machines": "1",
