Wait for no poll that is due only after ten seconds in the test of a lapsed entry

test_instance_whose_entry_has_lapsed_goes_on_being_heard was listed as known red: at a load of 10 to 13 the members' listing was not seen within the wait. Cause, in the test: it first waited until all polls of both readers were waiting at the store. Which wait failed in the run that was listed is not known: its log was not kept.

The test now makes both instances list the members anew at once and, in place of one look, looks for a second that the instance whose entry has lapsed stays a peer.

--- a/tests/gateway/test_views.py
+++ b/tests/gateway/test_views.py
@@ -9,7 +9,6 @@
 from tests.gateway._fleet import KEY, Fleet, make_config, run_with_fleet, wait_until
 
 WATCHES = 3  # of a gateway that reads the store: configuration, replicas and members
-READERS = 2  # of a small fleet in one failure domain
 
 
 def test_change_made_while_a_watch_was_silent_is_found_when_it_is_cut() -> None:
@@ -137,18 +136,21 @@
     async def check(fleet: Fleet) -> None:
         first, cut, third = fleet.gateways
         cut_id = cut.settings.instance.id
-        await wait_until(lambda: fleet.store.polls_waiting == READERS * WATCHES)
         fleet.view_by_gateway[cut_id].is_cut = True
         fleet.store.remove(MEMBER_PREFIX + cut_id)
-        fleet.store.cut_watches(forget_history=True)
         fleet.store.put(MEMBER_PREFIX + "other", b"unreadable")
+        fleet.store.cut_watches(forget_history=True)
+        for gateway in (first, third):
+            gateway.mirror.read_again(MEMBER_PREFIX)
         await wait_until(
             lambda: all(
                 _listed_members(gateway) == ["g1", "g3", "other"] for gateway in (first, third)
             )
         )
-        assert cut_id in first.bus.peer_ids and cut_id in third.bus.peer_ids
-        assert not cut.members.is_isolated()
+        for _ in range(20):
+            assert cut_id in first.bus.peer_ids and cut_id in third.bus.peer_ids
+            assert not cut.members.is_isolated()
+            await trio.sleep(0.05)
         fleet.kill(cut)
         await wait_until(
             lambda: cut_id not in first.bus.peer_ids and cut_id not in third.bus.peer_ids
