Test callers that leave and planned stops while instances call replicas through others

Two paths of the calls through other instances had no test: a caller that leaves is to end its request at the replica, also there, and a planned stop of the instance between is to end what it passes on.

--- a/tests/gateway/test_cut_off.py
+++ b/tests/gateway/test_cut_off.py
@@ -46,6 +46,21 @@
             await trio.sleep(0.05)
 
 
+async def _strand(fleet: Fleet, gateway: Gateway) -> None:
+    """Cut an instance off and let it find that out."""
+    CUTS[1].begin(gateway)
+    await _send_some(fleet, gateway, for_s=1.0)
+    assert gateway.replica_caller.is_cut_off
+
+
+def _abandoned(fleet: Fleet) -> int:
+    return sum(replica.abandoned for replica in fleet.replica_by_id.values())
+
+
+def _received(fleet: Fleet) -> int:
+    return sum(len(replica.requests) for replica in fleet.replica_by_id.values())
+
+
 def _owner(fleet: Fleet) -> Gateway:
     subject = ReplicaPool("models").subject
     return next(gateway for gateway in fleet.gateways if gateway.members.owns(subject))
@@ -213,4 +228,51 @@
     run_with_fleet(check, gateways=2, replicas=3)
 
 
+def test_caller_that_leaves_cancels_a_request_that_another_instance_passes_on() -> None:
+    """The replica does not go on working for nobody."""
+
+    async def check(fleet: Fleet) -> None:
+        stranded = fleet.gateways[0]
+        await _strand(fleet, stranded)
+        for replica in fleet.replica_by_id.values():
+            replica.behaviour.answer_after_s = 60.0
+        for path in PATHS:
+            before = _received(fleet) - _abandoned(fleet)
+            with trio.move_on_after(0.3):
+                await fleet.send(stranded, path)
+            # A request whose answer is overdue is sent to a second replica.
+            await wait_until(lambda before=before: _received(fleet) - _abandoned(fleet) == before)
+        assert _abandoned(fleet) >= len(PATHS)
+
+    run_with_fleet(check, gateways=2, replicas=3, config=make_config(timeout_s=30.0))
+
+
+def test_planned_stop_of_an_instance_ends_what_it_passes_on_for_others_first() -> None:
+    """A request that may run once is answered, and the next ones go through another instance."""
+
+    async def check(fleet: Fleet) -> None:
+        stranded, relay, other = fleet.gateways
+        CUTS[1].begin(other)
+        await _strand(fleet, stranded)
+        for replica in fleet.replica_by_id.values():
+            replica.behaviour.answer_after_s = 1.0
+        statuses: list[int] = []
+
+        async def send() -> None:
+            statuses.append((await fleet.send(stranded, "/write/a")).status)
+
+        before = _received(fleet)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send)
+            await wait_until(lambda: _received(fleet) > before)
+            Cut.end(other)
+            await relay.stop()
+            assert statuses == [200]
+        for replica in fleet.replica_by_id.values():
+            replica.behaviour.answer_after_s = 0.0
+        await _assert_served(fleet, stranded)
+
+    run_with_fleet(check, gateways=3, replicas=3)
+
+
 load_tests = load_functions(globals())
