Grant programs without a commitment the tokens that committed ones leave unused

Cause: all calls that committed programs are expected to make are withheld from the others, up to 60 s of them, though the bucket fills again meanwhile. Expected calls are estimated with a margin, and programs that have ended count on until their objective, so an account that commits new programs all the time withholds its whole bucket for good.

Change: once committed programs have left nine tenths of the tokens for a second, only these are withheld.

The new test: not served from 0.4 s on before.

--- a/packages/lagoonfold/src/lagoonfold/rates/_token_queue.py
+++ b/packages/lagoonfold/src/lagoonfold/rates/_token_queue.py
@@ -2,8 +2,10 @@
 
 Answers the load of an account whose programs need more than its quota: rate is committed to whole
 programs, whose calls go first (see `ProgramTracker` and `Commitments`), and a call that would not
-get a token in time is refused at once. Everything is decided from arguments, without I/O; the
-caller calls `grant` at the times that `next_grant_s` tells.
+get a token in time is refused at once. Programs without a commitment get the tokens that committed
+ones leave unused for a while, so that none is refused for as long as others are committed to.
+Everything is decided from arguments, without I/O; the caller calls `grant` at the times that
+`next_grant_s` tells.
 """
 
 from collections.abc import Iterator
@@ -14,12 +16,13 @@
 from result import Err, Ok, Result
 
 from lagoonfold._wait_queue import WaitQueue
-from lagoonfold.rates._commitments import MAX_COMMITMENT_S, Commitments
+from lagoonfold.rates._commitments import FULL_LEVEL_SHARE, MAX_COMMITMENT_S, Commitments
 from lagoonfold.rates._messages import RANK_UNCOMMITTED, RateLimit
 from lagoonfold.rates._program_tracker import CallPriority, ProgramCall, ProgramTracker
 from lagoonfold.rates._quota import Quota, QuotaTerms
 
 MAX_RETRY_AFTER_S = 60.0  # of an account without a rate
+UNUSED_S = 1.0  # several turns; committed programs that make no call for so long need fewer tokens
 MAX_COMMITMENTS_PER_GRANT = 32  # programs tried for a commitment, those due soonest first
 
 T = TypeVar("T")
@@ -62,6 +65,7 @@
         self._programs = ProgramTracker()
         self._commitments = Commitments()
         self._queue: WaitQueue[_Waiting[T]] = WaitQueue()
+        self._used_s = now_s
 
     def __len__(self) -> int:
         return len(self._queue)
@@ -148,11 +152,23 @@
     def _take(self, call: ProgramCall, rank: int, now_s: float) -> bool:
         if not self._quota.try_take(now_s=now_s, reserved=self._reserved_from(rank, now_s)):
             return False
+        if self.available(now_s=now_s) < self._full_level:
+            self._used_s = now_s
         self._programs.record_call(call.program_id)
         return True
 
     def _reserved_from(self, rank: int, now_s: float) -> float:
-        return self.reserved(now_s=now_s) if rank >= RANK_UNCOMMITTED else 0.0
+        if rank < RANK_UNCOMMITTED:
+            return 0.0
+        reserved = self.reserved(now_s=now_s)
+        is_unused = now_s - self._used_s >= UNUSED_S
+        return min(reserved, self._full_level) if is_unused else reserved
+
+    @property
+    def _full_level(self) -> float:
+        """Return the number of tokens above which committed programs leave some unused."""
+        most = self._quota.most_available
+        return max(0.0, min(FULL_LEVEL_SHARE * most, most - 1))
 
     def _expected_wait_s(self, priority: CallPriority, now_s: float) -> float:
         """Return how long a call would wait if those before it take their tokens."""
--- a/tests/rates/test_quota.py
+++ b/tests/rates/test_quota.py
@@ -2,6 +2,7 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+from result import Ok
 
 from lagoonfold.rates import (
     ProgramCall,
@@ -12,9 +13,11 @@
     TokenShortage,
 )
 from tests._suite import load_functions
+from tests.rates._agent_load import TURN_DEADLINE_S
 
 LIMIT = RateLimit(rate_per_s=4.0, burst=3)
 TERMS = QuotaTerms(window_s=5.0, slack_calls=12)
+STEPS = 200
 WINDOW_CALLS = 4.0 * 5.0 + 3
 
 PAUSES = st.lists(st.sampled_from([0.0, 0.0, 0.0, 0.01, 0.1, 0.5, 1.0, 6.0]), max_size=120)
@@ -146,4 +149,21 @@
     assert queue.request("c", _call("committed", time_left_s=1.5), now_s=0.0).unwrap()
 
 
+def test_late_program_is_not_starved_by_tokens_that_committed_programs_leave_unused() -> None:
+    """It is served within a turn's time, though new programs are committed to all the while."""
+    limit = RateLimit(rate_per_s=10.0, burst=10)
+    queue: TokenQueue[str] = TokenQueue(limit, QuotaTerms(slack_calls=20), now_s=0.0, is_new=True)
+    served_s, withheld = 0.0, 0
+    for step in range(STEPS):
+        now_s = step * 0.1
+        if step % 5 == 0:
+            queue.request("c", _call(f"p{step}", time_left_s=4.0), now_s=now_s)
+        late = _call("late", wait_s=0.0, time_left_s=0.0)
+        if step % 4 == 0 and queue.request("l", late, now_s=now_s) == Ok(True):
+            served_s = now_s
+        assert now_s - served_s <= TURN_DEADLINE_S, (served_s, now_s)
+        withheld += queue.reserved(now_s=now_s) > queue.available(now_s=now_s)
+    assert withheld > STEPS / 2, withheld
+
+
 load_tests = load_functions(globals())
