Remove the other records at once when another owner has changed one of them

A search for programs whose retention is over removed nothing if one of up to 32 records had been changed by another owner: the others stayed in the store for 5 s more, until the next search.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_budget_owner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_budget_owner.py
@@ -106,7 +106,7 @@
             await self._remove(due)
 
     async def _remove(self, due: list[tuple[str, _OwnedProgram]]) -> None:
-        """Remove the programs' records; if other owners changed some, forget only those."""
+        """Remove the programs' records, but those that other owners have changed are forgotten."""
         recorded = [(program, owned.ledger.revision) for program, owned in due]
         checks = tuple(
             Check(key=BUDGET_PREFIX + program, revision=revision)
@@ -121,6 +121,9 @@
                 return
             if removed.ok_value.revision is None:
                 self._forget_changed(checks, removed.ok_value.conflicting)
+                unchanged = [each for each in due if each[0] in self._owned_by_program]
+                if len(unchanged) < len(due):
+                    await self._remove(unchanged)
                 return
         for program, _ in due:
             self._owned_by_program.pop(program, None)
