Close the connection on which a replica has refused what was passed on for another instance

The new test has both paths; through an instance the request ran twice before (status 503).

Change: an instance that passes an answer on which says 'not run' closes the replica's connection after it (ResponseStream.is_last_on_connection).

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_replica_relay.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_replica_relay.py
@@ -15,7 +15,7 @@
     without_proxy_status,
 )
 from lagoonfold_gateway._replica_caller import ReplicaCaller, is_unreached
-from lagoonfold_gateway._upstream_attempt import MAX_IDLE_AT_MOST_ONCE_S
+from lagoonfold_gateway._upstream_attempt import MAX_IDLE_AT_MOST_ONCE_S, says_not_run
 from lagoonfold_io import (
     Exchange,
     Headers,
@@ -81,7 +81,10 @@
             if isinstance(answer, Err):
                 await exchange.respond(fault_response(self._fault(answer, address)))
                 return
-            await _relay(answer.ok_value, exchange)
+            response = answer.ok_value
+            # A copy of the refusal could come as the answer when the request is sent once more.
+            response.is_last_on_connection = says_not_run(response.head, self._names)
+            await _relay(response, exchange)
 
     def _fault(self, answer: Err[HttpError], address: str) -> ProxyFault:
         if answer.err_value.is_pool_exhausted:
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_upstream_attempt.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_upstream_attempt.py
@@ -17,10 +17,19 @@
 from lagoonfold.forwarding import AttemptOutcome, ReplicaSelection, engine_urgency
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._context import ForwardContext
+from lagoonfold_gateway._dialect import HeaderNames
 from lagoonfold_gateway._parsed_request import MILLISECONDS_PER_S, headers_to_forward
 from lagoonfold_gateway._replica_caller import CallOptions
 from lagoonfold_gateway._request_state import RequestState
-from lagoonfold_io import Headers, HttpError, HttpRequest, ResponseStream, SendStatus, find_header
+from lagoonfold_io import (
+    Headers,
+    HttpError,
+    HttpRequest,
+    ResponseHead,
+    ResponseStream,
+    SendStatus,
+    find_header,
+)
 
 MISDIRECTED = 421
 NOT_RUN_STATUSES = (408, 429, 503)  # promise "not run" to a caller, so they need that header
@@ -136,8 +145,9 @@
     if foreign_id is not None:
         reason = f"answer to request {foreign_id!r}"
         return AttemptFailure(outcome=AttemptOutcome.LOST, reason=reason)
-    says_not_run = status == MISDIRECTED or find_header(headers, names.not_run) is not None
-    if says_not_run and not _is_certainly_own(response, request_state, context):
+    if says_not_run(response.head, names) and not _is_certainly_own(
+        response, request_state, context
+    ):
         return AttemptFailure(
             outcome=AttemptOutcome.LOST,
             reason=f"status {status} without the request's id on a reused connection",
@@ -161,6 +171,11 @@
     return None
 
 
+def says_not_run(head: ResponseHead, names: HeaderNames) -> bool:
+    """Return whether a replica's answer says that it has not run the request."""
+    return head.status == MISDIRECTED or find_header(head.headers, names.not_run) is not None
+
+
 def _is_certainly_own(
     response: ResponseStream, request_state: RequestState, context: ForwardContext
 ) -> bool:
--- a/packages/lagoonfold-io/src/lagoonfold_io/_http_client.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_client.py
@@ -197,7 +197,7 @@
             opened = await self._send(connection, address, request, timeout_s, is_own)
             yield opened
         finally:
-            if isinstance(opened, Ok) and opened.ok_value.is_complete():
+            if isinstance(opened, Ok) and opened.ok_value.is_reusable():
                 self._release(address, connection, opened.ok_value.head.headers)
             elif isinstance(opened, Err) or (opened and opened.ok_value.is_broken()):
                 self._discard(address, connection)
--- a/packages/lagoonfold-io/src/lagoonfold_io/_http_connection.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_connection.py
@@ -72,7 +72,10 @@
 
 @dataclass(slots=True, kw_only=True)
 class ResponseStream:
-    """A response whose body is being read; `chunks` and `read` raise `StreamError` on failure."""
+    """A response whose body is being read; `chunks` and `read` raise `StreamError` on failure.
+
+    A reader that sets `is_last_on_connection` has the connection closed after the response.
+    """
 
     head: ResponseHead
     _connection: ClientConnection
@@ -80,6 +83,7 @@
     _complete: bool = field(default=False)
     _broke: bool = field(default=False)
     _was_full: bool = field(default=False)
+    is_last_on_connection: bool = field(default=False, init=False)
 
     @property
     def is_on_reused_connection(self) -> bool:
@@ -141,6 +145,10 @@
         """Return whether the whole body has been read."""
         return self._complete
 
+    def is_reusable(self) -> bool:
+        """Return whether the connection may serve another request."""
+        return self._complete and not self.is_last_on_connection
+
     def is_broken(self) -> bool:
         """Return whether the connection failed while the body was being read."""
         return self._broke
--- a/tests/gateway/test_cut_off.py
+++ b/tests/gateway/test_cut_off.py
@@ -5,7 +5,7 @@
 from lagoonfold.forwarding import ReplicaPool
 from lagoonfold_gateway import Gateway
 from lagoonfold_gateway._clock import now_s
-from standins.replica import EVENTS
+from standins.replica import EVENTS, NAMES
 from tests._suite import load_functions
 from tests.gateway._cut import CUTS, Cut
 from tests.gateway._fleet import WAIT_S, Fleet, make_config, run_with_fleet, wait_until
@@ -276,4 +276,28 @@
     run_with_fleet(check, gateways=3, replicas=3)
 
 
+def test_refusal_written_once_more_is_not_that_of_the_next_attempt_through_an_instance() -> None:
+    """The replica had refused the same request before, so the copy has its id."""
+
+    async def check(fleet: Fleet) -> None:
+        gateway, replica = fleet.gateways[0], fleet.replica_by_id["r1"]
+        for cut in (None, CUTS[1]):
+            if cut is not None:
+                cut.begin(gateway)
+            for status in (503, 429, 421):
+                assert (await fleet.send(gateway, "/write/a")).status == 200
+                request_id = fleet.next_id()
+                head = f"HTTP/1.1 {status} Refused\r\n{NAMES.not_run}: 1\r\n"
+                copy = f"{head}{NAMES.request_id}: {request_id}\r\ncontent-length: 0\r\n\r\n"
+                replica.behaviour.refusals = 1
+                replica.behaviour.stale = copy.encode()
+                answer = await fleet.send(gateway, "/write/a", request_id=request_id)
+                assert not replica.behaviour.refusals
+                assert replica.runs_by_request[request_id] == 1, (cut, status)
+                assert answer.status in (200, 502), (cut, status, answer)
+                replica.behaviour.stale = b""
+
+    run_with_fleet(check, gateways=2, replicas=1)
+
+
 load_tests = load_functions(globals())
