Take entries whose id cannot be sent in a header for no replica

Callers got 500 for each request that was placed at an odd entry of another writer: a valid entry under a key with a line break, a letter beyond latin-1 or too many bytes. The id goes into the header that names the expected replica; encoding it raised LocalProtocolError or UnicodeEncodeError in the request's handler.

Change: check_replica wants an id of 1 to 256 visible ASCII characters.

--- a/packages/lagoonfold/src/lagoonfold/forwarding/_replicas.py
+++ b/packages/lagoonfold/src/lagoonfold/forwarding/_replicas.py
@@ -6,6 +6,7 @@
 entries are removed only at the end of a grace period of `REMOVAL_GRACE_S`.
 """
 
+import re
 from collections import OrderedDict
 from dataclasses import dataclass, replace
 from ipaddress import IPv4Address
@@ -17,8 +18,11 @@
 REMOVAL_GRACE_S = 2.0  # the platform lists entries that expired in an outage again by then
 MAX_LEAVING = 4_096  # incarnations that are remembered; more than leave in hours
 MAX_SLOTS = 100_000
+MAX_ID_CHARS = 256  # the id goes into a header of each request
 MAX_STARTED = 2**53  # a whole number that every JSON reader keeps
 
+_ID = re.compile(f"[!-~]{{1,{MAX_ID_CHARS}}}")
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Replica:
@@ -41,6 +45,8 @@
 
 def check_replica(replica: Replica) -> Result[Replica, str]:
     """Return a replica whose entry has values that it can be called with, or what is wrong."""
+    if not _ID.fullmatch(replica.replica_id):
+        return Err(f"the id is not made of 1 to {MAX_ID_CHARS} visible ASCII characters")
     split = split_address(replica.address)
     if isinstance(split, Err):
         return split
--- a/tests/gateway/test_odd_entries.py
+++ b/tests/gateway/test_odd_entries.py
@@ -31,6 +31,8 @@
     {"started": -1},
 )
 
+ODD_IDS = ("r\n1", "r\u06631", "r 1", "r\r\nx-odd: 1", "r" * 300, "")
+
 
 def _odd_entries() -> list[bytes]:
     plain = json.dumps(ENTRY).encode()
@@ -64,6 +66,24 @@
     run_with_fleet(check, replicas=1)
 
 
+def test_odd_id_of_an_entry_names_no_replica() -> None:
+    """The id would go into a header, and each request to that replica would end with 500."""
+
+    async def check(fleet: Fleet) -> None:
+        (gateway,) = fleet.gateways
+        directory = gateway.board.replicas.read()
+        listed = ENTRY | {"address": fleet.replica_by_id["r1"].address}
+        for number, odd_id in enumerate(ODD_IDS):
+            entry = json.dumps(listed | {"replica_id": odd_id}).encode()
+            fleet.store.put(f"{DEFAULT_DIALECT.replica_prefix}{odd_id}", entry)
+            await fleet.add_replica(f"r{number + 10}")
+            await wait_until(lambda key=f"r{number + 10}": directory.get(key) is not None)
+            assert directory.get(odd_id) is None, odd_id[:20]
+        assert (await fleet.send(gateway, "/read/a")).status == 200
+
+    run_with_fleet(check, replicas=1)
+
+
 def test_odd_load_of_a_replica_does_not_spoil_its_answer() -> None:
     """Loads that cannot be read count as none."""
 
