Treat a host that cannot be looked up like one that cannot be reached

All gateways ended when another writer left an entry among those of the instances whose address has a host with a zero byte: looking it up raises ValueError, which is no OSError, in the task that keeps the link.

Change: open_tcp_stream raises OSError for it, as its callers expect of an address that cannot be used.

Evidence: the new test with six odd addresses, an odd id and a deeply nested entry ended with ValueError before, and the instances serve on now.

--- a/packages/lagoonfold-io/src/lagoonfold_io/_tcp.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_tcp.py
@@ -32,6 +32,9 @@
     try:
         set_tcp_timeout(sock, tcp_timeout_s)
         await sock.connect(split.ok_value)
+    except ValueError as error:
+        sock.close()
+        raise OSError(f"host of address {address!r} cannot be looked up: {error}") from error
     except BaseException:
         sock.close()
         raise
--- a/tests/gateway/test_odd_entries.py
+++ b/tests/gateway/test_odd_entries.py
@@ -2,7 +2,11 @@
 
 import json
 
+import msgspec
+import trio
+
 from lagoonfold_gateway import DEFAULT_DIALECT
+from lagoonfold_gateway._registration import MEMBER_PREFIX, MemberEntry
 from standins.replica import NAMES, Replica
 from tests._suite import load_functions
 from tests.gateway._fleet import Fleet, run_with_fleet, wait_until
@@ -32,6 +36,7 @@
 )
 
 ODD_IDS = ("r\n1", "r\u06631", "r 1", "r\r\nx-odd: 1", "r" * 300, "")
+ODD_ADDRESSES = ("127.0.0.1:99999", "127.0.0.1:x", "\xe9:9", "", "\u0000:80", "x" * 300 + ":80")
 
 
 def _odd_entries() -> list[bytes]:
@@ -84,6 +89,27 @@
     run_with_fleet(check, replicas=1)
 
 
+def test_odd_entry_of_an_instance_does_not_end_the_others() -> None:
+    """They cannot call what it names, and serve on."""
+
+    async def check(fleet: Fleet) -> None:
+        for number, address in enumerate(ODD_ADDRESSES):
+            member = MemberEntry(address=address, failure_domain="zone-a", start_id="start")
+            fleet.store.put(f"{MEMBER_PREFIX}odd-{number}", msgspec.json.encode(member))
+        fleet.store.put(f"{MEMBER_PREFIX}\u0663\n", msgspec.json.encode(member))
+        fleet.store.put(f"{MEMBER_PREFIX}deep", DEEP)
+        for gateway in fleet.gateways:
+            gateway.mirror.read_again(MEMBER_PREFIX)
+        last = f"odd-{len(ODD_ADDRESSES) - 1}"
+        await wait_until(lambda: all(last in gateway.bus.peer_ids for gateway in fleet.gateways))
+        for _ in range(10):
+            for gateway in fleet.gateways:
+                assert (await fleet.send(gateway, "/write/a")).status == 200
+            await trio.sleep(0.1)
+
+    run_with_fleet(check, gateways=2)
+
+
 def test_odd_load_of_a_replica_does_not_spoil_its_answer() -> None:
     """Loads that cannot be read count as none."""
 
