Ignore signals that arrive while a process stops

A process that got SIGHUP or a second SIGTERM during its planned stop ended by that signal's default action in place of status 0, a storage instance before it had closed its file of turns.

Cause: when trio's signal receiver is left, it delivers the signals that were not read once more, with the handlers from before, which were the default ones.

Change: receive_signals ignores the signals before it receives them, so that this is what is restored; used by the gateway, the storage instance and the daemon. Two new tests send SIGTERM and SIGHUP every millisecond until the process has ended; both failed before, and pass.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_app.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_app.py
@@ -10,6 +10,7 @@
 from lagoonfold_gateway._gateway import Gateway
 from lagoonfold_gateway._settings import GatewaySettings, parse_settings
 from lagoonfold_gateway._settings_file import EXIT_SETTINGS, SettingsFile
+from lagoonfold_io import receive_signals
 
 MakeStore = Callable[[str], TransactionalStore]
 
@@ -34,7 +35,7 @@
     dialect: Dialect,
     store: TransactionalStore,
 ) -> None:
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+    with receive_signals(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
         async with trio.open_nursery() as nursery:
             gateway = Gateway(settings, dialect, store, nursery)
             await gateway.start(nursery)
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/storage/_app.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/storage/_app.py
@@ -12,7 +12,7 @@
 from lagoonfold_gateway._settings_file import EXIT_SETTINGS, SettingsFile
 from lagoonfold_gateway.storage._node import BYTES_PER_MB, StorageNode
 from lagoonfold_gateway.storage._settings import StorageSettings, parse_storage_settings
-from lagoonfold_io import TurnFile
+from lagoonfold_io import TurnFile, receive_signals
 from lagoonfold_io.observe import EventLog
 
 EXIT_DISK = 3
@@ -68,7 +68,7 @@
     store: TransactionalStore,
     file: TurnFile,
 ) -> None:
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+    with receive_signals(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
         async with trio.open_nursery() as nursery:
             node = StorageNode(settings, dialect, store, file, nursery)
             await node.start(nursery)
--- a/packages/lagoonfold-io/src/lagoonfold_io/__init__.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/__init__.py
@@ -22,6 +22,7 @@
     find_header,
 )
 from lagoonfold_io._http_server import HttpServer
+from lagoonfold_io._signals import receive_signals
 from lagoonfold_io._tcp import open_tcp_stream, set_tcp_timeout
 
 if TYPE_CHECKING:
@@ -67,6 +68,7 @@
     "WriteBatch",
     "find_header",
     "open_tcp_stream",
+    "receive_signals",
     "set_tcp_timeout",
 ]
 
--- a/packages/lagoonfold-node/src/lagoonfold_node/_app.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_app.py
@@ -12,6 +12,7 @@
 from result import Err
 
 from lagoonfold.settings import Settings, load_settings
+from lagoonfold_io import receive_signals
 from lagoonfold_io.observe import configure_logging
 from lagoonfold_node._node import Node
 
@@ -35,7 +36,7 @@
 async def run_node(settings: Settings) -> None:
     """Run an instance until SIGTERM or SIGINT."""
     node = Node(settings)
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+    with receive_signals(signal.SIGTERM, signal.SIGINT) as signals:
         async with trio.open_nursery() as nursery:
             await nursery.start(node.serve)
             async for number in signals:
--- a/tests/on_platform/test_processes.py
+++ b/tests/on_platform/test_processes.py
@@ -210,6 +210,15 @@
     return process.returncode
 
 
+async def _until_ended_by_many_signals(process: subprocess.Popen) -> int:
+    with trio.fail_after(WAIT_S):
+        while process.poll() is None:
+            process.send_signal(signal.SIGTERM)
+            process.send_signal(signal.SIGHUP)
+            await trio.sleep(0.001)
+    return process.returncode
+
+
 def test_storage_role_lists_its_disk_and_runs_until_sigterm() -> None:
     """It goes on at SIGHUP, ends with 0 at SIGTERM, and its entry stays, as its turns do."""
 
@@ -228,6 +237,33 @@
     assert all(line["instance"] == "storage-1" for line in lines)
 
 
+def test_signals_that_arrive_during_a_stop_do_not_end_a_storage_instance_before_it_is_done() -> (
+    None
+):
+    """They come again and again until the process has ended."""
+
+    async def check(process: subprocess.Popen, store: StoreStandIn) -> None:
+        while store.value("lagoonfold/disks/storage-1") is None:
+            await trio.sleep(0.05)
+        assert await _until_ended_by_many_signals(process) == 0
+
+    for _ in range(3):
+        events = [line["event"] for line in _with_storage(check)]
+        assert events[-1] == "storage.stopped", events
+
+
+def test_signals_that_arrive_during_a_stop_do_not_end_a_gateway_before_it_is_done() -> None:
+    """They come again and again until the process has ended."""
+
+    async def check(
+        process: subprocess.Popen, client: HttpClient, address: str, readiness: str
+    ) -> None:
+        assert await _until_ended_by_many_signals(process) == 0
+
+    events = [line["event"] for line in _with_gateway(check)]
+    assert events[-1] == "gateway.stopped", events
+
+
 def test_empty_storage_instance_is_retired_at_once() -> None:
     """A disk without turns leaves the list together with the answer to the operator."""
 
