--- a/review/2/case.py
+++ b/review/3/case.py
@@ -1,6 +1,6 @@
 """BUDGET: tokens that a gateway may grant without a charge are granted twice to one program.
 
-Programs run one turn each. Then one of three gateways freezes for some seconds while the programs
+Programs run one turn each. Then one of seven gateways freezes for some seconds while the programs
 call tools; they go on at the others until shortly after it is back. Within `RetentionS` of its last
 turn, each program returns for one more turn through another zone.
 """
@@ -19,7 +19,9 @@
 MOST = TOKENS_PER_EVENT * EVENTS
 TURNS = 6
 BUDGET = TURNS * MOST
-PROGRAMS = 12
+GATEWAYS = 7
+FROZEN = 2  # its number
+PROGRAMS = 36
 LEAD_S = 12.0  # as at the sites: traffic starts 12 s after the machines do
 TOOL_S = 2.0  # a program calls tools for so long between its first two turns
 FREEZE_S = 5.0
@@ -78,18 +80,18 @@
 
 
 async def freeze(world: World, began_s: float) -> None:
-    """Freeze the third gateway for some seconds, once the first turns have ended."""
+    """Freeze a gateway for some seconds, once the first turns have ended."""
     await sleep_until(world, began_s + 1.0)
-    world.note(f"freeze   {world.gateways[2].name}")
-    world.gateways[2].signal(signal.SIGSTOP)
+    world.note(f"freeze   {world.gateways[FROZEN].name}")
+    world.gateways[FROZEN].signal(signal.SIGSTOP)
     await asyncio.sleep(FREEZE_S)
-    world.gateways[2].signal(signal.SIGCONT)
-    world.note(f"thaw     {world.gateways[2].name}")
+    world.gateways[FROZEN].signal(signal.SIGCONT)
+    world.note(f"thaw     {world.gateways[FROZEN].name}")
 
 
 async def case(world: World, has_trouble: bool) -> bool:
     """Return whether a program got more than its budget and the most of one turn."""
-    await world.start(plain_config(), gateways=3, replicas_by_service={"model": 2})
+    await world.start(plain_config(), gateways=GATEWAYS, replicas_by_service={"model": 5})
     await asyncio.sleep(max(0.0, LEAD_S - world.now_s()))
     began_s = world.now_s()
     programs = [f"prog{number:02d}" for number in range(PROGRAMS)]
--- a/review/harness.py
+++ b/review/harness.py
@@ -11,6 +11,7 @@
 import contextlib
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -33,11 +34,19 @@
     """The case could not be brought about, so it says nothing of the rule."""
 
 
+_ports_taken: set[int] = set()
+
+
 def free_port() -> int:
-    """Return a port of the loopback address that nobody uses now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Return a port that nobody uses now, from below those that connections get by themselves."""
+    while True:
+        port = random.randint(12_000, 30_000)
+        if port in _ports_taken:
+            continue
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            _ports_taken.add(port)
+            return port
 
 
 @dataclass(slots=True)
@@ -285,7 +294,6 @@
     def __init__(self, world: "World", name: str, service: str, slots: int) -> None:
         super().__init__()
         self.world, self.name, self.service, self.slots = world, name, service, slots
-        self.born = int(time.time() * 1000)
         self._free = asyncio.Semaphore(slots)
         self.active = 0
 
@@ -301,7 +309,7 @@
             "State": "ready",
             "ColdRemainingMs": 0,
             "Sequence": 1,
-            "born": self.born,
+            "born": int(time.time() * 1000),
         }
         self.world.store.put(f"servers/{self.name}", json.dumps(entry).encode())
 
