--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,109 +1,134 @@
-"""BUDGET: tokens that a gateway may grant without a charge are granted twice to one program.
+"""ORDER: streams of a new software version are taken up at the old one after a herd of kills.
 
-Programs run one turn each. Then one of seven gateways freezes for some seconds while the programs
-call tools; they go on at the others until shortly after it is back. Within `RetentionS` of its last
-turn, each program returns for one more turn through another zone.
+A release begins: three replicas of a new version start one after the other, beside seven of the old
+one. While streams run at both, all gateways but one are killed at once and started again a second
+later. Callers take up their streams that have broken off, as the pages allow.
 """
 
 import asyncio
+import random
 import signal
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from harness import CannotRunError, World, plain_config, run_case
+from harness import Answer, CannotRunError, Replica, World, plain_config, run_case
 
-TOKENS_PER_EVENT = 10
-EVENTS = 12  # of each turn; each replica writes as many as the turn may have
-MOST = TOKENS_PER_EVENT * EVENTS
-TURNS = 6
-BUDGET = TURNS * MOST
-GATEWAYS = 7
-FROZEN = 2  # its number
-PROGRAMS = 36
 LEAD_S = 12.0  # as at the sites: traffic starts 12 s after the machines do
-TOOL_S = 2.0  # a program calls tools for so long between its first two turns
-FREEZE_S = 5.0
-LAST_TURN_S = 31.0  # all after the first turns
-RETURN_S = 74.0  # less than `RetentionS`, 60 s, after the last turns
-
-
-async def turn(world: World, program: str, gateway: int) -> tuple[int, int]:
-    """Run one turn; return its status and the tokens that the client has got."""
-    headers = {
-        "Program-Id": program,
-        "Session-Id": f"s-{program}",
-        "Program-Deadline-Ms": "90000",
-        "Token-Budget": str(BUDGET),
-        "Token-Count": f"600,{MOST}",
-        "Prompt-Prefix": f"5c1e07a2:512,{program.encode().hex()}:88",
-        "Model": "m",
-    }
-    answer = await world.send(
-        world.gateways[gateway],
-        "POST",
-        f"/turns/stream-{EVENTS}-5/{program}",
-        deadline_ms=4000,
-        headers=headers,
-        body=program.encode(),
-    )
-    return answer.status, TOKENS_PER_EVENT * len(answer.events)
-
-
-async def run_program(world: World, program: str, began_s: float) -> int:
-    """Run a program's turns up to its last one, and its return; return the tokens it got."""
-    status, tokens = await turn(world, program, 0)
-    if status != 200 or tokens != MOST:
-        raise CannotRunError(f"first turn of {program}: status {status}, {tokens} tokens")
-    await sleep_until(world, began_s + 1.0 + TOOL_S)
-    pause_s = (LAST_TURN_S - 1.0 - TOOL_S) / (TURNS + 2)
-    last_s = world.now_s()
-    for _ in range(TURNS + 2):
-        status, got = await turn(world, program, 0)
-        tokens += got
-        last_s = world.now_s()
-        if status == 402:
+GATEWAYS = 7
+SURVIVOR = 3  # the number of the gateway that is not killed
+DOWN_S = 1.0
+OLD_REPLICAS = 7
+NEW_REPLICAS = 3
+GAP_S = 0.7  # between the starts of new replicas
+RELEASE_AT_S = 3.0  # after the start of traffic
+KILL_AT_S = 5.0
+TRAFFIC_S = 9.0
+STREAMS_PER_S = 60.0
+EVENTS = 24
+EVENT_MS = 60
+DEADLINE_MS = 4000
+TRIES = 4  # of a caller, in its deadline
+MOST_JOINED = 2
+
+
+class Stream:
+    """One stream of a caller: its tries, and the versions whose events it holds."""
+
+    def __init__(self) -> None:
+        self.first = ""
+        self.last_event = 0
+        self.versions: list[str] = []
+        self.is_whole = False
+
+    def add(self, answer: Answer) -> None:
+        """Take over the whole events of a try."""
+        for event in answer.body.decode().split("\n\n")[:-1]:
+            number, data = event.split("\n")
+            if int(number[4:]) != self.last_event + 1:
+                raise CannotRunError(f"event {number} after {self.last_event}")
+            self.last_event += 1
+            self.first = self.first or answer.attempt
+            self.versions.append(data.split(" ")[1])
+        self.is_whole = answer.is_complete and answer.status == 200
+
+
+async def run_stream(world: World, number: int, rng: random.Random) -> Stream:
+    """Send a stream; take it up at other gateways while it breaks off and there is time."""
+    stream, began_s = Stream(), world.now_s()
+    gateways = rng.sample(world.gateways, TRIES)
+    for gateway in gateways:
+        left_ms = DEADLINE_MS - int(1000 * (world.now_s() - began_s))
+        if stream.is_whole or left_ms < 100:
             break
-        await asyncio.sleep(pause_s)
-    await sleep_until(world, began_s + RETURN_S)
-    world.note(f"return   {program} after {world.now_s() - last_s:.1f} s, has {tokens} tokens")
-    for _ in range(2):
-        status, got = await turn(world, program, 1)
-        tokens += got
-    return tokens
-
-
-async def sleep_until(world: World, at_s: float) -> None:
-    """Sleep until a time of the run."""
-    await asyncio.sleep(max(0.0, at_s - world.now_s()))
-
-
-async def freeze(world: World, began_s: float) -> None:
-    """Freeze a gateway for some seconds, once the first turns have ended."""
-    await sleep_until(world, began_s + 1.0)
-    world.note(f"freeze   {world.gateways[FROZEN].name}")
-    world.gateways[FROZEN].signal(signal.SIGSTOP)
-    await asyncio.sleep(FREEZE_S)
-    world.gateways[FROZEN].signal(signal.SIGCONT)
-    world.note(f"thaw     {world.gateways[FROZEN].name}")
+        headers = {"Model": "m", "Token-Count": "600,240"}
+        headers["Prompt-Prefix"] = f"5c1e07a2:512,{number + 4096:x}:88"
+        if stream.first:
+            headers |= {"Last-Event-Id": str(stream.last_event), "Resumes": stream.first}
+        path = f"/turns/stream-{EVENTS}-{EVENT_MS}/{number}"
+        answer = await world.send(
+            gateway, "POST", path, deadline_ms=left_ms, headers=headers, body=b"x"
+        )
+        if answer.status in (0, 200):
+            stream.add(answer)
+        await asyncio.sleep(0.05)
+    return stream
+
+
+async def release(world: World) -> None:
+    """Start the replicas of the new version."""
+    await asyncio.sleep(RELEASE_AT_S)
+    for number in range(NEW_REPLICAS):
+        replica = Replica(world, f"i-model-new-{number + 1}", "model", 12, version="v2")
+        world.replicas.append(replica)
+        await replica.begin()
+        world.note(f"release  {replica.name} of v2 has started")
+        await asyncio.sleep(GAP_S)
+
+
+async def kill(world: World) -> None:
+    """Kill all gateways but one at once, and start them again."""
+    await asyncio.sleep(KILL_AT_S)
+    killed = [each for each in world.gateways if each is not world.gateways[SURVIVOR]]
+    for gateway in killed:
+        gateway.signal(signal.SIGKILL)
+    world.note(f"kill     all but {world.gateways[SURVIVOR].name}")
+    await asyncio.sleep(DOWN_S)
+    for gateway in killed:
+        assert gateway.process is not None
+        await gateway.process.wait()
+        await gateway.start(is_first=False)
+    world.note("restart  all that were killed")
 
 
 async def case(world: World, has_trouble: bool) -> bool:
-    """Return whether a program got more than its budget and the most of one turn."""
-    await world.start(plain_config(), gateways=GATEWAYS, replicas_by_service={"model": 5})
+    """Return whether more streams hold events of two versions than the rule allows."""
+    replicas = {"model": OLD_REPLICAS}
+    await world.start(plain_config(), gateways=GATEWAYS, replicas_by_service=replicas)
     await asyncio.sleep(max(0.0, LEAD_S - world.now_s()))
-    began_s = world.now_s()
-    programs = [f"prog{number:02d}" for number in range(PROGRAMS)]
+    rng = random.Random(1)
+    tasks = []
     async with asyncio.TaskGroup() as group:
-        tasks = [group.create_task(run_program(world, each, began_s)) for each in programs]
+        group.create_task(release(world))
         if has_trouble:
-            group.create_task(freeze(world, began_s))
-    limit = BUDGET + MOST
-    totals = {program: task.result() for program, task in zip(programs, tasks, strict=True)}
-    for program, tokens in totals.items():
-        world.note(f"total    {program} {tokens} tokens, at most {limit}")
-    return any(tokens > limit for tokens in totals.values())
+            group.create_task(kill(world))
+        for number in range(int(TRAFFIC_S * STREAMS_PER_S)):
+            tasks.append(group.create_task(run_stream(world, number, rng)))
+            await asyncio.sleep(1 / STREAMS_PER_S)
+    streams = [task.result() for task in tasks]
+    joined = [stream for stream in streams if len(set(stream.versions)) > 1]
+    for stream in joined:
+        world.note(f"joined   {stream.first}: {' '.join(stream.versions)}")
+    whole = sum(stream.is_whole for stream in streams)
+    new = sum(stream.versions[:1] == ["v2"] for stream in streams)
+    world.note(
+        f"streams  {len(streams)}: {whole} whole, {new} begun at v2, {len(joined)} joined from"
+        f" two versions, at most {MOST_JOINED}"
+    )
+    if not new:
+        raise CannotRunError("no stream began at the new version")
+    return len(joined) > MOST_JOINED
 
 
 if __name__ == "__main__":
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,8 +1,8 @@
-"""QUOTA: a gateway that was frozen grants tokens of accounts that another one has taken over.
+"""BUDGET: tokens that a gateway may grant without a charge are granted twice to one program.
 
-Clients of several accounts press beyond their limits at six of seven gateways. The seventh freezes
-for some seconds and goes on. The rule's sum is taken over each window of the requests that were
-sent and run in it.
+Programs run one turn each. Then one of seven gateways freezes for some seconds while the programs
+call tools; they go on at the others until shortly after it is back. Within `RetentionS` of its last
+turn, each program returns for one more turn through another zone.
 """
 
 import asyncio
@@ -12,46 +12,76 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from harness import Answer, World, plain_config, run_case
+from harness import CannotRunError, World, plain_config, run_case
 
-LEAD_S = 12.0  # as at the sites: traffic starts 12 s after the machines do
+TOKENS_PER_EVENT = 10
+EVENTS = 12  # of each turn; each replica writes as many as the turn may have
+MOST = TOKENS_PER_EVENT * EVENTS
+TURNS = 6
+BUDGET = TURNS * MOST
 GATEWAYS = 7
-FROZEN = 6  # its number
-ACCOUNTS = 8
-RATE_PER_S = 12
-BURST = 12
-PRESS_X = 6  # times the rate that an account asks for
-CALM_S = 0.6  # of pressing before the freeze
-FREEZE_S = 2.0
-PRESS_S = 9.0
-WINDOW_S = 5.0  # `QuotaWindowS`
-OVERSHOOT = 0.1  # `QuotaOvershoot`
-SLACK = 20  # `QuotaSlack`
-
-
-async def press(world: World, number: int, answers: list[tuple[int, Answer]]) -> None:
-    """Send the requests of one account at an even pace, through all gateways but one."""
-    async with asyncio.TaskGroup() as group:
-        for index in range(int(PRESS_S * RATE_PER_S * PRESS_X)):
-            group.create_task(ask(world, number, index, answers))
-            await asyncio.sleep(1 / (RATE_PER_S * PRESS_X))
-
-
-async def ask(world: World, number: int, index: int, answers: list[tuple[int, Answer]]) -> None:
-    """Send one lookup of an account."""
+FROZEN = 2  # its number
+PROGRAMS = 36
+LEAD_S = 12.0  # as at the sites: traffic starts 12 s after the machines do
+TOOL_S = 2.0  # a program calls tools for so long between its first two turns
+FREEZE_S = 5.0
+LAST_TURN_S = 31.0  # all after the first turns
+RETURN_S = 74.0  # less than `RetentionS`, 60 s, after the last turns
+
+
+async def turn(world: World, program: str, gateway: int) -> tuple[int, int]:
+    """Run one turn; return its status and the tokens that the client has got."""
+    headers = {
+        "Program-Id": program,
+        "Session-Id": f"s-{program}",
+        "Program-Deadline-Ms": "90000",
+        "Token-Budget": str(BUDGET),
+        "Token-Count": f"600,{MOST}",
+        "Prompt-Prefix": f"5c1e07a2:512,{program.encode().hex()}:88",
+        "Model": "m",
+    }
     answer = await world.send(
-        world.gateways[index % FROZEN],
-        "GET",
-        f"/lookups/plain-5/{number}.{index}",
-        deadline_ms=1200,
-        key=f"key-{number}",
+        world.gateways[gateway],
+        "POST",
+        f"/turns/stream-{EVENTS}-5/{program}",
+        deadline_ms=4000,
+        headers=headers,
+        body=program.encode(),
     )
-    answers.append((number, answer))
-
-
-async def freeze(world: World) -> None:
-    """Freeze a gateway for some seconds."""
-    await asyncio.sleep(CALM_S)
+    return answer.status, TOKENS_PER_EVENT * len(answer.events)
+
+
+async def run_program(world: World, program: str, began_s: float) -> int:
+    """Run a program's turns up to its last one, and its return; return the tokens it got."""
+    status, tokens = await turn(world, program, 0)
+    if status != 200 or tokens != MOST:
+        raise CannotRunError(f"first turn of {program}: status {status}, {tokens} tokens")
+    await sleep_until(world, began_s + 1.0 + TOOL_S)
+    pause_s = (LAST_TURN_S - 1.0 - TOOL_S) / (TURNS + 2)
+    last_s = world.now_s()
+    for _ in range(TURNS + 2):
+        status, got = await turn(world, program, 0)
+        tokens += got
+        last_s = world.now_s()
+        if status == 402:
+            break
+        await asyncio.sleep(pause_s)
+    await sleep_until(world, began_s + RETURN_S)
+    world.note(f"return   {program} after {world.now_s() - last_s:.1f} s, has {tokens} tokens")
+    for _ in range(2):
+        status, got = await turn(world, program, 1)
+        tokens += got
+    return tokens
+
+
+async def sleep_until(world: World, at_s: float) -> None:
+    """Sleep until a time of the run."""
+    await asyncio.sleep(max(0.0, at_s - world.now_s()))
+
+
+async def freeze(world: World, began_s: float) -> None:
+    """Freeze a gateway for some seconds, once the first turns have ended."""
+    await sleep_until(world, began_s + 1.0)
     world.note(f"freeze   {world.gateways[FROZEN].name}")
     world.gateways[FROZEN].signal(signal.SIGSTOP)
     await asyncio.sleep(FREEZE_S)
@@ -59,48 +89,21 @@
     world.note(f"thaw     {world.gateways[FROZEN].name}")
 
 
-def most_in_a_window(world: World, mine: list[Answer]) -> int:
-    """Return the most requests that were both sent and run in some window."""
-    ran_at = {attempt: at_s for at_s, attempt, _ in world.runs}
-    spans = [(each.sent_s, ran_at[each.attempt]) for each in mine if each.attempt in ran_at]
-    return max(
-        (
-            sum(begin <= sent and ran <= begin + WINDOW_S for sent, ran in spans)
-            for begin, _ in spans
-        ),
-        default=0,
-    )
-
-
 async def case(world: World, has_trouble: bool) -> bool:
-    """Return whether some account got more in a window than its quota allows."""
-    accounts = [
-        {
-            "Name": f"tenant-{number}",
-            "ApiKeys": [f"key-{number}"],
-            "Priority": 1,
-            "RatePerS": RATE_PER_S,
-            "Burst": BURST,
-        }
-        for number in range(ACCOUNTS)
-    ]
-    config = plain_config(Tenants=accounts)
-    await world.start(config, gateways=GATEWAYS, replicas_by_service={"orders": 3, "model": 5})
+    """Return whether a program got more than its budget and the most of one turn."""
+    await world.start(plain_config(), gateways=GATEWAYS, replicas_by_service={"model": 5})
     await asyncio.sleep(max(0.0, LEAD_S - world.now_s()))
-    answers: list[tuple[int, Answer]] = []
+    began_s = world.now_s()
+    programs = [f"prog{number:02d}" for number in range(PROGRAMS)]
     async with asyncio.TaskGroup() as group:
-        for number in range(ACCOUNTS):
-            group.create_task(press(world, number, answers))
+        tasks = [group.create_task(run_program(world, each, began_s)) for each in programs]
         if has_trouble:
-            group.create_task(freeze(world))
-    limit = (RATE_PER_S * WINDOW_S + BURST) * (1 + OVERSHOOT) + SLACK
-    most = []
-    for number in range(ACCOUNTS):
-        mine = [answer for owner, answer in answers if owner == number]
-        most.append(most_in_a_window(world, mine))
-        refused = sum(answer.status == 429 for answer in mine)
-        world.note(f"windows  tenant-{number}: {most[-1]} of at most {limit:.1f}; {refused} 429")
-    return any(count > limit for count in most)
+            group.create_task(freeze(world, began_s))
+    limit = BUDGET + MOST
+    totals = {program: task.result() for program, task in zip(programs, tasks, strict=True)}
+    for program, tokens in totals.items():
+        world.note(f"total    {program} {tokens} tokens, at most {limit}")
+    return any(tokens > limit for tokens in totals.values())
 
 
 if __name__ == "__main__":
--- a/review/harness.py
+++ b/review/harness.py
@@ -291,9 +291,12 @@
     at 30 ms each.
     """
 
-    def __init__(self, world: "World", name: str, service: str, slots: int) -> None:
+    def __init__(
+        self, world: "World", name: str, service: str, slots: int, version: str = "v1"
+    ) -> None:
         super().__init__()
         self.world, self.name, self.service, self.slots = world, name, service, slots
+        self.version = version
         self._free = asyncio.Semaphore(slots)
         self.active = 0
 
@@ -304,7 +307,7 @@
             "Service": self.service,
             "Address": self.address,
             "Zone": "zone-a",
-            "Version": "v1",
+            "Version": self.version,
             "Slots": self.slots,
             "State": "ready",
             "ColdRemainingMs": 0,
@@ -350,7 +353,7 @@
         first = int(request.headers.get("last-event-id", 0)) + 1
         for number in range(first, int(numbers[0]) + 1):
             await asyncio.sleep(int(numbers[1]) / 1000)
-            event = f"id: {number}\ndata: {attempt}.{number}\n\n".encode()
+            event = f"id: {number}\ndata: {self.version} {attempt}.{number}\n\n".encode()
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
         writer.write(b"0\r\n\r\n")
