--- a/review/1/case.py
+++ b/review/1/case.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import json
+import os
 import signal
 import sys
 from pathlib import Path
@@ -65,4 +66,5 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(str(Path(__file__).parent), case))
+    has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    sys.exit(run_case(str(Path(__file__).parent), case, has_trouble=has_trouble))
--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,4 +1,7 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
+TROUBLE="${TROUBLE:-1}"
+export TROUBLE
 exec python3 review/1/case.py
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import os
 import random
 import signal
 import sys
@@ -132,4 +133,5 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(str(Path(__file__).parent), case))
+    has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    sys.exit(run_case(str(Path(__file__).parent), case, has_trouble=has_trouble))
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import os
 import signal
 import sys
 from pathlib import Path
@@ -107,4 +108,5 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(str(Path(__file__).parent), case))
+    has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    sys.exit(run_case(str(Path(__file__).parent), case, has_trouble=has_trouble))
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import os
 import signal
 import sys
 from pathlib import Path
@@ -104,4 +105,5 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(str(Path(__file__).parent), case))
+    has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    sys.exit(run_case(str(Path(__file__).parent), case, has_trouble=has_trouble))
--- a/review/harness.py
+++ b/review/harness.py
@@ -665,9 +665,10 @@
     }
 
 
-def run_case(folder: str, case: Callable[[World, bool], Awaitable[bool]]) -> int:
+def run_case(
+    folder: str, case: Callable[[World, bool], Awaitable[bool]], *, has_trouble: bool
+) -> int:
     """Run a case; return 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
     return asyncio.run(_run(Path(folder), case, has_trouble))
 
 
