Keep a gateway that leaves from looking for itself among the live ones

Cause: RetirementResponder looked up its own place among the live instances, where an instance that has announced that it leaves is not listed. The ValueError ended the process.

The new test failed with "ValueError: 'g2' is not in list" before the change and passes with it. A gateway that leaves now comes after all live ones, which answer first.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_retirement_responder.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_retirement_responder.py
@@ -54,8 +54,7 @@
             self._nursery.start_soon(self._answer, name)
 
     async def _answer(self, name: str) -> None:
-        owners = self._members.ranked_owners(f"retirement/{name}")
-        await trio.sleep(TURN_S * min(MAX_TURNS, owners.index(self._members.instance_id)))
+        await trio.sleep(TURN_S * min(MAX_TURNS, self._place(name)))
         for _ in range(MAX_ATTEMPTS):
             answered = await self._try_to_answer(name)
             if isinstance(answered, Ok):
@@ -63,6 +62,12 @@
             _log.warning("retirement.not_written", machine=name, reason=answered.err_value.detail)
             await trio.sleep(RETRY_PAUSE_S)
 
+    def _place(self, name: str) -> int:
+        """Return how many instances come before this one; one that leaves is last."""
+        owners = self._members.ranked_owners(f"retirement/{name}")
+        own = self._members.instance_id
+        return owners.index(own) if own in owners else len(owners)
+
     async def _try_to_answer(self, name: str) -> Result[None, StoreError]:
         """Answer unless another instance has, or the machine's disk is listed by now."""
         answer_key = self._dialect.answer_prefix + name
--- a/tests/gateway/test_retirement.py
+++ b/tests/gateway/test_retirement.py
@@ -43,6 +43,23 @@
     run_with_fleet(check, gateways=3)
 
 
+def test_gateway_that_stops_goes_on_serving_when_a_machine_is_to_be_emptied() -> None:
+    """A gateway that leaves is not among the live ones; looking for itself there ended it (LOST)."""
+
+    async def check(fleet: Fleet) -> None:
+        stays, stops = fleet.gateways
+        stops.board.stopping.write(True)
+        stops.heartbeats.announce_leaving()
+        await wait_until(lambda: stops.board.live.read().ids == (stays.bus.own_id,))
+        fleet.store.put(REQUEST + "s1", b"{}")
+        await wait_until(lambda: all(len(g.retirement_responder.seen) == 1 for g in fleet.gateways))
+        await wait_until(lambda: fleet.store.value(ANSWER + "s1") is not None)
+        answer = await fleet.send(stops, "/read/x")
+        assert answer.status == 200, answer
+
+    run_with_fleet(check, gateways=2)
+
+
 def test_request_for_a_listed_disk_is_left_to_its_instance() -> None:
     """A gateway must not call a disk empty of which it knows nothing."""
 
