Let a failed background task cost its own work, not the process

Cause: all tasks of an instance ran in one nursery, where one failure cancels all.

BackgroundTasks starts them instead: a failure is logged with its trace and counted in task_failures, and duties are started again after half a second. A message whose handler fails is not answered, as if it had been lost. A storage instance still ends if writing its file fails, and any instance if it can't start. Nothing that peers or the store see has changed.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_budget_owner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_budget_owner.py
@@ -15,6 +15,7 @@
 
 from lagoonfold import Check, Entry, StoreErrorKind, TransactionalStore
 from lagoonfold.budgets import ProgramLedger
+from lagoonfold_gateway._background import TaskStarter
 from lagoonfold_gateway._board import GatewayBoard, LiveView
 from lagoonfold_gateway._charges import (
     BUDGET_PREFIX,
@@ -66,7 +67,7 @@
         bus: PeerBus,
         store: TransactionalStore,
         members: MemberController,
-        nursery: trio.Nursery,
+        nursery: TaskStarter,
         *,
         is_first_start: bool,
     ) -> None:
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_context.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_context.py
@@ -2,8 +2,7 @@
 
 from dataclasses import dataclass
 
-import trio
-
+from lagoonfold_gateway._background import TaskStarter
 from lagoonfold_gateway._board import GatewayBoard
 from lagoonfold_gateway._budget_client import BudgetClient
 from lagoonfold_gateway._dialect import Dialect
@@ -32,4 +31,4 @@
     history_client: HistoryClient
     version_controller: VersionController
     metrics: Metrics
-    nursery: trio.Nursery
+    nursery: TaskStarter
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_feed_client.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_feed_client.py
@@ -21,6 +21,7 @@
     decompress,
 )
 from lagoonfold.liveness import FeedPlan, plan_feeds
+from lagoonfold_gateway._background import TaskStarter
 from lagoonfold_gateway._board import GatewayBoard, LiveView
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._member_controller import MemberController
@@ -57,7 +58,7 @@
         bus: PeerBus,
         members: MemberController,
         mirror: StoreMirror,
-        nursery: trio.Nursery,
+        nursery: TaskStarter,
     ) -> None:
         self._board = board
         self._bus = bus
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
@@ -13,6 +13,7 @@
 from lagoonfold import TransactionalStore, new_id
 from lagoonfold.forwarding import PromptCacheIndex, ReplicaSelector, ReplicaTracker
 from lagoonfold_gateway._admin_endpoints import serve_metrics, serve_readiness
+from lagoonfold_gateway._background import BackgroundTasks
 from lagoonfold_gateway._board import ConfigView, GatewayBoard
 from lagoonfold_gateway._budget_client import BudgetClient
 from lagoonfold_gateway._budget_owner import BudgetOwner
@@ -87,6 +88,7 @@
         self.start_id = new_id("start")
         self.board = GatewayBoard()
         self.metrics = Metrics()
+        self.tasks = BackgroundTasks(nursery, self.metrics)
         self.usage = UsageReporter(self.metrics)
         store = CountedStore(store, self.metrics)
         self.client = HttpClient(
@@ -96,7 +98,7 @@
         )
         self.replica_tracker = ReplicaTracker()
         self.poison_tracker = PoisonTracker()
-        self.bus = PeerBus(instance.id, nursery, self.metrics)
+        self.bus = PeerBus(instance.id, self.tasks, self.metrics)
         self.replica_caller = ReplicaCaller(
             self.board, self.bus, self.client, self.metrics, random.Random()
         )
@@ -111,9 +113,9 @@
             instance, self.start_id, self.board, self.bus, store, self.mirror
         )
         self.members.is_store_reachable = lambda: store.is_reachable
-        self.feed_client = FeedClient(self.board, self.bus, self.members, self.mirror, nursery)
+        self.feed_client = FeedClient(self.board, self.bus, self.members, self.mirror, self.tasks)
         self.retirement_responder = RetirementResponder(
-            dialect.retirement, self.members, store, nursery
+            dialect.retirement, self.members, store, self.tasks
         )
         self.config_controller = ConfigController(
             dialect, self.board, self.mirror, self.retirement_responder.handle_event
@@ -121,7 +123,7 @@
         self.replica_controller = ReplicaController(
             dialect, self.board, self.mirror, self.replica_tracker, self.client
         )
-        self.disk_bus = PeerBus(instance.id, nursery, self.metrics)
+        self.disk_bus = PeerBus(instance.id, self.tasks, self.metrics)
         self.disk_controller = DiskController(self.board.disks, store, self.disk_bus, self.mirror)
         self.history_client = HistoryClient(
             self.board,
@@ -138,7 +140,7 @@
             self.poison_tracker,
             self.config_controller.watch,
             self.replica_controller.watch,
-            nursery,
+            self.tasks,
             random.Random(),
         )
         self.heartbeats.on_behind = self.feed_client.refresh
@@ -147,13 +149,13 @@
             self.board,
             self.bus,
             self.members,
-            nursery,
+            self.tasks,
             settings.quotas.terms(),
             is_first_start=first,
         )
         self.rate_limiter = RateLimiter(self.bus, self.members)
         self.budget_owner = BudgetOwner(
-            self.board, self.bus, store, self.members, nursery, is_first_start=first
+            self.board, self.bus, store, self.members, self.tasks, is_first_start=first
         )
         pool_owners = PoolOwners(self.board, self.members)
         self.limit_controller = LimitController(self.board, self.bus, self.members, pool_owners)
@@ -163,7 +165,7 @@
         self.placement_owner = PlacementOwner(
             self.board, self.bus, self.dispatcher, self.limit_controller
         )
-        self.forwarder = self._make_forwarder(dialect, nursery)
+        self.forwarder = self._make_forwarder(dialect)
         self.http_server = HttpServer(
             self.forwarder.handle, on_handler_error=self._record_handler_error
         )
@@ -179,7 +181,7 @@
             self.board, selector, self.replica_tracker, prompt_index, LatencyBaselines()
         )
 
-    def _make_forwarder(self, dialect: Dialect, nursery: trio.Nursery) -> Forwarder:
+    def _make_forwarder(self, dialect: Dialect) -> Forwarder:
         placement_client = PlacementClient(
             self.board,
             self.bus,
@@ -201,7 +203,7 @@
             history_client=self.history_client,
             version_controller=self.version_controller,
             metrics=self.metrics,
-            nursery=nursery,
+            nursery=self.tasks,
         )
         return Forwarder(context)
 
@@ -222,7 +224,7 @@
         await nursery.start(serve_readiness, instance.readiness, self.is_ready)
         if instance.metrics is not None:
             await nursery.start(serve_metrics, instance.metrics, self.metrics)
-        tasks = (
+        duties = (
             self.config_controller.watch.run,
             self.replica_controller.watch.run,
             self.members.find_members,
@@ -240,8 +242,8 @@
             self.placement_owner.sweep,
             self._follow_disks,
         )
-        for task in tasks:
-            nursery.start_soon(task)
+        for duty in duties:
+            self.tasks.start_duty(duty)
         _log.info("gateway.started", start_id=self.start_id, listen=instance.listen)
 
     async def _follow_disks(self) -> None:
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_heartbeats.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_heartbeats.py
@@ -15,6 +15,7 @@
 from result import Ok
 
 from lagoonfold.liveness import InstanceStatus, SilenceTracker
+from lagoonfold_gateway._background import TaskStarter
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._member_controller import MemberController
 from lagoonfold_gateway._messages import (
@@ -70,7 +71,7 @@
         poison_tracker: PoisonTracker,
         config_watch: StoreWatch,
         replica_watch: StoreWatch,
-        nursery: trio.Nursery,
+        nursery: TaskStarter,
         rng: random.Random,
     ) -> None:
         self._bus = bus
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_peer_link.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_peer_link.py
@@ -15,6 +15,7 @@
 import trio
 from result import Err, Ok, Result
 
+from lagoonfold_gateway._background import TaskStarter
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._messages import Envelope, Message
 from lagoonfold_io import open_tcp_stream
@@ -115,7 +116,7 @@
     def __init__(
         self,
         address: str,
-        nursery: trio.Nursery,
+        nursery: TaskStarter,
         on_received: Callable[[], None],
         on_fault: Callable[[PeerFault], None] = lambda fault: None,
     ) -> None:
@@ -173,8 +174,10 @@
 
     async def _run(self) -> None:
         """Connect, send what has been queued, and serve the connection until it ends."""
-        connected = await self._connect()
-        self._is_connecting = False
+        try:
+            connected = await self._connect()
+        finally:
+            self._is_connecting = False
         unsent, self._unsent = self._unsent, []
         if isinstance(connected, Err):
             self._fail_calls(connected.err_value)
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_peers.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_peers.py
@@ -13,6 +13,7 @@
 import trio
 from result import Err, Ok, Result
 
+from lagoonfold_gateway._background import TaskStarter, record_failure
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._messages import Ack, Envelope, Heartbeat, Hello, Message, type_name
 from lagoonfold_gateway._peer_link import (
@@ -42,7 +43,7 @@
     any peer was heard last.
     """
 
-    def __init__(self, own_id: str, nursery: trio.Nursery, metrics: Metrics) -> None:
+    def __init__(self, own_id: str, nursery: TaskStarter, metrics: Metrics) -> None:
         self.own_id = own_id
         self._nursery = nursery
         self._metrics = metrics
@@ -127,9 +128,9 @@
     def post(self, peer: str, message: Message) -> None:
         """Send a message that has no answer, without waiting; a fault is told to `on_fault`."""
         if peer == self.own_id:
-            answer = self._handle(message)
+            answer = self._try_to_handle(message)
             if isinstance(answer, Awaitable):
-                self._nursery.start_soon(self._answer_later, answer)
+                self._nursery.start_soon(self._try_to_wait, answer, message)
             return
         link = self._links_by_id.get(peer)
         if link is not None:
@@ -163,6 +164,8 @@
                 nursery.cancel_scope.cancel()
         except* PEER_LINK_ERRORS as errors:
             _log.debug("peer.connection_broke", reason=str(errors.exceptions[0]))
+        except* Exception as errors:
+            record_failure(self._serve_peer, errors, self._metrics)
         finally:
             stream.socket.close()
             if peer is not None:
@@ -174,20 +177,39 @@
     def _serve_message(
         self, envelope: Envelope, writer: FrameWriter, nursery: trio.Nursery
     ) -> None:
-        """Handle a message; only a handler that has to wait gets a task."""
+        """Handle a message; only a handler that has to wait gets a task.
+
+        A message whose handler fails is not answered, as if it had been lost.
+        """
         self._metrics.count("peer_messages_received", type_name(envelope.message))
-        answer = self._handle(envelope.message)
+        answer = self._try_to_handle(envelope.message)
         if isinstance(answer, Awaitable):
-            nursery.start_soon(self._serve_later, answer, envelope.number, writer)
-        elif envelope.number:
+            nursery.start_soon(self._serve_later, answer, envelope, writer)
+        elif answer is not None and envelope.number:
             writer.put(Envelope(envelope.number, True, answer))
 
     async def _serve_later(
-        self, answer: Awaitable[Message], number: int, writer: FrameWriter
+        self, answer: Awaitable[Message], envelope: Envelope, writer: FrameWriter
     ) -> None:
-        message = await answer
-        if number:
-            writer.put(Envelope(number, True, message))
+        message = await self._try_to_wait(answer, envelope.message)
+        if message is not None and envelope.number:
+            writer.put(Envelope(envelope.number, True, message))
+
+    async def _try_to_wait(self, answer: Awaitable[Message], message: Message) -> Message | None:
+        """Wait for a handler; return None if it fails."""
+        try:
+            return await answer
+        except Exception as error:
+            record_failure(self._handlers_by_type[type(message)], error, self._metrics)
+            return None
+
+    def _try_to_handle(self, message: Message) -> Message | Awaitable[Message] | None:
+        """Call the handler of a message; return None if it fails."""
+        try:
+            return self._handle(message)
+        except Exception as error:
+            record_failure(self._handlers_by_type[type(message)], error, self._metrics)
+            return None
 
     @staticmethod
     async def _answer_later(answer: Message | Awaitable[Message]) -> Message:
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_rate_owner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_rate_owner.py
@@ -12,6 +12,7 @@
 from result import Err
 
 from lagoonfold.rates import ProgramCall, QuotaTerms, RateLimit, TokenQueue, TokenShortage
+from lagoonfold_gateway._background import TaskStarter
 from lagoonfold_gateway._board import ConfigView, GatewayBoard, LiveView
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._member_controller import MemberController
@@ -54,7 +55,7 @@
         board: GatewayBoard,
         bus: PeerBus,
         members: MemberController,
-        nursery: trio.Nursery,
+        nursery: TaskStarter,
         terms: QuotaTerms,
         *,
         is_first_start: bool,
@@ -120,12 +121,14 @@
 
     async def _grant(self, owned: _OwnedAccount) -> None:
         """Grant tokens as they become available, until no call waits."""
-        while len(owned.queue):
-            pause_s = owned.queue.next_grant_s(now_s=now_s())
-            await trio.sleep(max(MIN_GRANT_PAUSE_S, min(MAX_GRANT_PAUSE_S, pause_s)))
-            for waiting in owned.queue.grant(now_s=now_s()):
-                waiting.granted.set()
-        owned.is_granting = False
+        try:
+            while len(owned.queue):
+                pause_s = owned.queue.next_grant_s(now_s=now_s())
+                await trio.sleep(max(MIN_GRANT_PAUSE_S, min(MAX_GRANT_PAUSE_S, pause_s)))
+                for waiting in owned.queue.grant(now_s=now_s()):
+                    waiting.granted.set()
+        finally:
+            owned.is_granting = False
 
     def _handle_return(self, message: Message) -> Message:
         """Take back the token of a call that is not forwarded, or end its wait."""
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_retirement_responder.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_retirement_responder.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from lagoonfold import ABSENT_REVISION, Check, Put, StoreError, TransactionalStore, WatchEvent
+from lagoonfold_gateway._background import TaskStarter
 from lagoonfold_gateway._dialect import RetirementDialect
 from lagoonfold_gateway._disk_controller import DISK_PREFIX
 from lagoonfold_gateway._member_controller import MemberController
@@ -30,7 +31,7 @@
         dialect: RetirementDialect,
         members: MemberController,
         store: TransactionalStore,
-        nursery: trio.Nursery,
+        nursery: TaskStarter,
     ) -> None:
         self._dialect = dialect
         self._members = members
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/storage/_node.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/storage/_node.py
@@ -5,6 +5,7 @@
 from lagoonfold import Cell, TransactionalStore
 from lagoonfold.histories import Disk
 from lagoonfold_gateway._admin_endpoints import serve_metrics
+from lagoonfold_gateway._background import BackgroundTasks
 from lagoonfold_gateway._counted_store import CountedStore
 from lagoonfold_gateway._dialect import RetirementDialect
 from lagoonfold_gateway._disk_controller import DiskController
@@ -40,11 +41,12 @@
         instance, histories = settings.instance, settings.histories
         self.settings = settings
         self.metrics = Metrics()
+        self.tasks = BackgroundTasks(nursery, self.metrics)
         self.usage = UsageReporter(self.metrics)
         self.disks: Cell[tuple[Disk, ...] | None] = Cell("disks", None)
         store = CountedStore(store, self.metrics)
         gate = StoreGate()
-        self.bus = PeerBus(instance.id, nursery, self.metrics)
+        self.bus = PeerBus(instance.id, self.tasks, self.metrics)
         self.disk_controller = DiskController(self.disks, store, self.bus, store)
         self.turn_store = TurnStore(
             file, self.metrics, cache_bytes=histories.cache_mb * BYTES_PER_MB
@@ -74,16 +76,17 @@
         await nursery.start(self.bus.serve, instance.peers)
         if instance.metrics is not None:
             await nursery.start(serve_metrics, instance.metrics, self.metrics)
-        tasks = (
+        duties = (
             self.disk_controller.watch.run,
             self.retirement.watch.run,
-            self.turn_store.run,
             self.registration.run,
             self.repair.run,
             self.retirement.run,
             self.cleanup.run,
             self.usage.run,
         )
-        for task in tasks:
-            nursery.start_soon(task)
+        for duty in duties:
+            self.tasks.start_duty(duty)
+        # Its failure ends the process: what is in memory may no longer be what the file holds.
+        nursery.start_soon(self.turn_store.run)
         _log.info("storage.started", disk_id=self.turn_store.disk_id, peers=instance.peers)
--- a/tests/gateway/test_retirement.py
+++ b/tests/gateway/test_retirement.py
@@ -44,7 +44,7 @@
 
 
 def test_gateway_that_stops_goes_on_serving_when_a_machine_is_to_be_emptied() -> None:
-    """A gateway that leaves is not among the live ones; looking for itself there ended it (LOST)."""
+    """A gateway that leaves is not among the live ones; a search for itself there ended it."""
 
     async def check(fleet: Fleet) -> None:
         stays, stops = fleet.gateways
