Conclude that a stream began before a release only when all who know were asked

Cause: a stream that no home remembers was taken for one from before the release, though homes and first instance may have been killed, cut off, or not asked at all by an instance that had missed the new version.

Now homes are always asked and say which versions they have seen. A forgotten stream goes on at the old version only if every live instance has answered and agrees, none was lost, and fewer than three stopped as planned; otherwise it is refused, not run.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
@@ -161,6 +161,8 @@
         self.limit_controller = LimitController(self.board, self.bus, self.members, pool_owners)
         self.leaving_controller = LeavingController(self.board, self.bus, self.client)
         self.version_controller = VersionController(self.board, self.bus, is_first_start=first)
+        self.version_controller.told_ids = self.members.told_live_ids
+        self.version_controller.has_left = self.members.has_left
         self.dispatcher = self._make_dispatcher()
         self.placement_owner = PlacementOwner(
             self.board, self.bus, self.dispatcher, self.limit_controller
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_member_controller.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_member_controller.py
@@ -154,6 +154,11 @@
         """Return whether an instance counts as live, also if this one is cut off from it."""
         return self._table.is_live(instance_id)
 
+    def has_left(self, instance_id: str) -> bool:
+        """Return whether an instance has told that it stops."""
+        status = self._table.get(instance_id)
+        return status is not None and status.state == LEAVING
+
     def watchers(self) -> tuple[str, ...]:
         """Return the instances that watch this one."""
         return self._table.ring.watchers_of(self.instance_id)
@@ -398,10 +403,6 @@
             and status.start_id != known.start_id
         )
 
-    def _has_left(self, instance_id: str) -> bool:
-        status = self._table.get(instance_id)
-        return status is not None and status.state == LEAVING
-
     def _write_live(self, without: Collection[str] = ()) -> None:
         live = self._table.live_ids()
         if without:
@@ -416,7 +417,7 @@
         gone = sorted(ids_before - ids)
         is_stable_since_start = before.is_stable_since_start and not gone and not is_late
         self._lost_ids.difference_update(live)
-        self._lost_ids.update(key for key in gone if not self._has_left(key))
+        self._lost_ids.update(key for key in gone if not self.has_left(key))
         self._hears_most = None
         self._owner_by_subject.clear()
         self._board.live.write(LiveView(live, now_s(), is_stable_since_start))
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_messages.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_messages.py
@@ -320,10 +320,18 @@
 
 
 class StreamOriginAnswer(msgspec.Struct, frozen=True, tag=True, array_like=True):
-    """Answer of a stream's home: where it began, None if the home cannot tell."""
+    """Answer of a stream's home: where it began, None if the home cannot tell.
+
+    `is_remembered` says whether the home was told, or knows of one version only; it is None from an
+    earlier release. See `lagoonfold.forwarding.StreamReport` for the other fields.
+    """
 
     service: str = ""
     version: str | None = None
+    is_remembered: bool | None = None
+    versions: tuple[str, ...] = ()
+    version_before: str | None = None
+    is_complete: bool | None = None
 
 
 class KeepTurns(msgspec.Struct, frozen=True, tag=True, array_like=True):
--- a/packages/lagoonfold/src/lagoonfold/forwarding/__init__.py
+++ b/packages/lagoonfold/src/lagoonfold/forwarding/__init__.py
@@ -35,10 +35,23 @@
 from lagoonfold.forwarding._replica_tracker import ReplicaTracker
 from lagoonfold.forwarding._replicas import Replica, ReplicaDirectory, check_replica
 from lagoonfold.forwarding._routing import RouteTable, pick_service
-from lagoonfold.forwarding._stream_versions import StreamOrigin, StreamOrigins, VersionHistory
+from lagoonfold.forwarding._stream_versions import (
+    LOSS_MARGIN_S,
+    UNREMEMBERED_AGE_S,
+    StreamOrigin,
+    StreamOrigins,
+    StreamReport,
+    VersionHistory,
+    only_version_of,
+    version_before_release,
+)
 from lagoonfold.forwarding._work_ranking import WorkRanking
 
 __all__ = [
+    "LOSS_MARGIN_S",
+    "UNREMEMBERED_AGE_S",
+    "only_version_of",
+    "version_before_release",
     "AttemptHistory",
     "AttemptOutcome",
     "CallerLimits",
@@ -69,6 +82,7 @@
     "SelectionInput",
     "StreamOrigin",
     "StreamOrigins",
+    "StreamReport",
     "VersionHistory",
     "WaitQueue",
     "WeightedService",
