Remember which programs got credit before their first charge

Cause: their first owner forgot with the ledger that it had granted the first credit, though the program had gone on under another owner meanwhile.

FirstGrants keeps that apart from the ledgers until a transaction finds no record of the program: other owners keep one as long as the program may return. An owner whose first credit is used up reads the record before it admits a turn.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_budget_owner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_budget_owner.py
@@ -5,6 +5,7 @@
 `lagoonfold.budgets`). Only one instance may ever grant credit for a program before its first
 charge: its first initial member (see `lagoonfold.liveness.InitialMembers`), as long as the process
 of the system's first start runs there and the requesting instance knows the same initial members.
+It does so once (see `lagoonfold.budgets.FirstGrants`).
 """
 
 import itertools
@@ -13,8 +14,8 @@
 import trio
 from result import Err
 
-from lagoonfold import Check, Entry, StoreErrorKind, TransactionalStore
-from lagoonfold.budgets import ProgramLedger
+from lagoonfold import ABSENT_REVISION, Check, Entry, StoreErrorKind, TransactionalStore
+from lagoonfold.budgets import FirstGrants, ProgramLedger
 from lagoonfold_gateway._background import TaskStarter
 from lagoonfold_gateway._board import GatewayBoard, LiveView
 from lagoonfold_gateway._charges import (
@@ -76,6 +77,7 @@
         self._store = store
         self._is_first_start = is_first_start
         self._owned_by_program: dict[str, _OwnedProgram] = {}
+        self._first_grants = FirstGrants()
         self._live_ids: frozenset[str] = frozenset()
         self._ledger_numbers = itertools.count(1)
         self._is_released = False
@@ -105,6 +107,27 @@
                 if not owned.ledger.running_turns and now - owned.used_s > owned.retention_s
             ][:MAX_RECORDS_PER_COMMIT]
             await self._remove(due)
+            await self._forget_first_grants()
+
+    async def _forget_first_grants(self) -> None:
+        """Forget the first credit of programs that no other owner uses: they have no record."""
+        due = self._first_grants.due(
+            now_s=now_s(), at_most=MAX_RECORDS_PER_COMMIT, in_use=self._owned_by_program
+        )
+        if not due:
+            return
+        checks = tuple(Check(key=BUDGET_PREFIX + each, revision=ABSENT_REVISION) for each in due)
+        checked = await self._store.commit(checks=checks)
+        if isinstance(checked, Err):
+            _log.warning("budget.not_checked", count=len(due), reason=checked.err_value.detail)
+            return
+        entries = checked.ok_value.conflicting if checked.ok_value.revision is None else ()
+        used = {entry.key for entry in entries if entry.revision != ABSENT_REVISION}
+        for program in due:
+            if BUDGET_PREFIX + program in used:
+                self._first_grants.keep(program, now_s=now_s())
+            else:
+                self._first_grants.forget(program)
 
     async def _remove(self, due: list[tuple[str, _OwnedProgram]]) -> None:
         """Remove the programs' records, but those that other owners have changed are forgotten."""
@@ -142,7 +165,7 @@
             return _STOPPING
         owned = self._owned_by_program.get(request.program)
         if owned is None:
-            uncharged_credit = request.max_tokens if self._is_first_owner(request) else 0
+            uncharged_credit = request.max_tokens if self._may_grant_first(request) else 0
             owned = _OwnedProgram(
                 ProgramLedger(
                     budget=request.budget,
@@ -154,11 +177,15 @@
                 now_s(),
             )
             self._owned_by_program[request.program] = owned
-            if not uncharged_credit:
+            if uncharged_credit:
+                self._first_grants.record(
+                    request.program, retention_s=request.retention_s, now_s=now_s()
+                )
+            else:
                 _log.info("budget.taken_over", program=request.program, budget=request.budget)
         owned.used_s = now_s()
         ledger = owned.ledger
-        if ledger.revision is None and not ledger.uncharged_credit:
+        if ledger.revision is None and not ledger.has_unspent_first_credit:
             failed = await self._take_over(request, owned)
             if failed is not None:
                 return failed
@@ -274,11 +301,12 @@
             owned.ledger.finish_turn(end.turn_id, delivered_tokens=end.delivered_tokens)
         return Ack()
 
-    def _is_first_owner(self, request: TurnRequest) -> bool:
-        """Return whether this instance is the only one that may grant credit before a charge."""
+    def _may_grant_first(self, request: TurnRequest) -> bool:
+        """Return whether this instance alone may grant credit before a charge, and has not yet."""
         digest = self._members.initial_members.digest
         return (
             self._is_first_start
+            and request.program not in self._first_grants
             and digest != ""
             and request.initial_members == (digest,)
             and self._members.initial_owner(request.program) == self._members.instance_id
--- a/packages/lagoonfold/src/lagoonfold/budgets/_ledger.py
+++ b/packages/lagoonfold/src/lagoonfold/budgets/_ledger.py
@@ -111,6 +111,11 @@
         turn.credit += max(0, min(step, turn.max_tokens - turn.credit, self._available_credit()))
         return turn.credit
 
+    @property
+    def has_unspent_first_credit(self) -> bool:
+        """Return whether some of the credit from before the first charge is left."""
+        return self.uncharged_credit > self._delivered_tokens
+
     def is_running_low(self, max_tokens: int) -> bool:
         """Return whether the next turns may need a charge, so that it should be made ahead."""
         unspent = self._own_charged + self.uncharged_credit - self._delivered_tokens
--- a/tests/gateway/test_budget_owner.py
+++ b/tests/gateway/test_budget_owner.py
@@ -1,7 +1,7 @@
 """Owners that stop, are lost and charge at the same time: what they grant in all stays bounded."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from types import SimpleNamespace
 
 import msgspec
@@ -14,6 +14,7 @@
 from lagoonfold_gateway._budget_owner import BudgetOwner
 from lagoonfold_gateway._charges import BUDGET_PREFIX
 from lagoonfold_gateway._messages import (
+    BudgetExhausted,
     Message,
     OwnerRedirect,
     OwnerUnavailable,
@@ -106,6 +107,101 @@
     run_on_virtual_clock(check)
 
 
+def _run_first_owner(
+    check: Callable[[BudgetOwner, _Bus, MemoryStore], Awaitable[None]],
+) -> None:
+    """Run a check with the owner that may grant the first credit of program `p`."""
+
+    async def run() -> None:
+        store = MemoryStore()
+        board = GatewayBoard(live=Cell("live", LiveView(("me",), 0.0)))
+        members = SimpleNamespace(
+            instance_id="me",
+            writer_id="me/start",
+            initial_members=SimpleNamespace(digest="initial"),
+            initial_owner=lambda program: "me",
+            live_instance_of_writer=lambda writer: None,
+        )
+        async with trio.open_nursery() as nursery:
+            bus = _Bus(nursery)
+            owner = BudgetOwner(board, bus, store, members, nursery, is_first_start=True)
+            nursery.start_soon(owner.writer.run)
+            nursery.start_soon(owner.sweep)
+            await check(owner, bus, store)
+            nursery.cancel_scope.cancel()
+
+    run_on_virtual_clock(run)
+
+
+async def _run_turn(bus: _Bus, turn_id: str, delivered_tokens: int) -> Message:
+    granted = await bus.call(_request(turn_id, "initial"))
+    bus.tell(TurnEnd(program="p", turn_id=turn_id, delivered_tokens=delivered_tokens))
+    return granted
+
+
+def _put_record(store: MemoryStore, charged: int) -> None:
+    record = BudgetRecord(writer="other/start", charged=charged, written_at_s=0)
+    store.put(BUDGET_PREFIX + "p", msgspec.json.encode(record))
+
+
+def test_first_owner_that_was_frozen_does_not_grant_the_first_credit_again() -> None:
+    """It forgot that it had, while the program went on under another owner (BUDGET)."""
+
+    async def check(owner: BudgetOwner, bus: _Bus, store: MemoryStore) -> None:
+        assert isinstance(await _run_turn(bus, "t1", 10), TurnCredit)
+        _put_record(store, BUDGET)
+        await trio.sleep(2.5 * 60.0)
+        assert not owner._owned_by_program
+        assert isinstance(await bus.call(_request("t2", "initial")), BudgetExhausted)
+
+    _run_first_owner(check)
+
+
+def test_first_owner_whose_record_another_has_changed_does_not_grant_it_again() -> None:
+    """It forgets the program when it finds its record changed."""
+
+    async def check(owner: BudgetOwner, bus: _Bus, store: MemoryStore) -> None:
+        for turn_id in ("t1", "t2"):
+            assert isinstance(await _run_turn(bus, turn_id, MAX_TOKENS), TurnCredit)
+        assert store.value(BUDGET_PREFIX + "p") is not None
+        _put_record(store, BUDGET)
+        await trio.sleep(70.0)
+        assert not owner._owned_by_program
+        assert isinstance(await bus.call(_request("t3", "initial")), BudgetExhausted)
+
+    _run_first_owner(check)
+
+
+def test_turn_that_an_owner_without_credit_gets_back_is_refused_at_once() -> None:
+    """It was admitted by what the owner knew before its freeze, and waited for credit."""
+
+    async def check(owner: BudgetOwner, bus: _Bus, store: MemoryStore) -> None:
+        await _run_turn(bus, "t1", MAX_TOKENS)
+        await trio.sleep(1.0)
+        owner._owned_by_program["p"].ledger.revision = None
+        _put_record(store, BUDGET)
+        assert isinstance(await bus.call(_request("t2", "initial")), BudgetExhausted)
+
+    _run_first_owner(check)
+
+
+def test_first_owner_forgets_programs_that_nobody_else_has_used() -> None:
+    """One that returns after its retention begins anew, and memory does not grow."""
+
+    async def check(owner: BudgetOwner, bus: _Bus, store: MemoryStore) -> None:
+        await _run_turn(bus, "t1", 10)
+        assert "p" in owner._first_grants
+        store.is_down = True
+        await trio.sleep(70.0)
+        assert "p" in owner._first_grants
+        store.is_down = False
+        await trio.sleep(10.0)
+        assert "p" not in owner._first_grants and store.value(BUDGET_PREFIX + "p") is None
+        assert isinstance(await _run_turn(bus, "t2", 10), TurnCredit)
+
+    _run_first_owner(check)
+
+
 class _ErraticStore:
     """Answers after a while, late, or not at all, whether it has applied the writes or not."""
 
