Give back only tokens that were granted, and the one that comes back

The owner now keeps the calls of the last window that got a token, gives each back once, and removes the time at which it was granted.

Evidence: the new test of the owner fails on the code before, where each of five returns gives a token back, and passes now.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_rate_owner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_rate_owner.py
@@ -5,6 +5,7 @@
 over the account. A new owner starts from an empty bucket. See `lagoonfold.rates` for the bound.
 """
 
+from collections import OrderedDict
 from collections.abc import Awaitable
 from dataclasses import dataclass, field
 
@@ -38,14 +39,25 @@
 
 @dataclass(slots=True, eq=False)
 class _WaitingCall:
+    key: _Key
     granted: trio.Event = field(default_factory=trio.Event)
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class _OwnedAccount:
+    """An account's queue, and when the calls of the last window got their tokens."""
+
+    name: str
     queue: TokenQueue[_WaitingCall]
+    window_s: float
+    granted_s_by_key: OrderedDict[_Key, float] = field(default_factory=OrderedDict)
     is_granting: bool = False
 
+    def record_granted(self, key: _Key, *, at_s: float) -> None:
+        self.granted_s_by_key[key] = at_s
+        while next(iter(self.granted_s_by_key.values())) < at_s - self.window_s:
+            self.granted_s_by_key.popitem(last=False)
+
 
 class RateOwner:
     """Grants the tokens of the accounts that this instance owns."""
@@ -86,28 +98,30 @@
             wait_s=request.wait_s,
             time_left_s=request.time_left_s,
         )
-        waiting = _WaitingCall()
-        asked = owned.queue.request(waiting, call, now_s=now_s())
+        waiting, now = _WaitingCall((request.instance, request.number)), now_s()
+        asked = owned.queue.request(waiting, call, now_s=now)
         if isinstance(asked, Err):
             refusal = asked.err_value
             self._log_refusal(request, owned.queue, refusal.shortage)
             return TokenRefused(
                 shortage=refusal.shortage.value, retry_after_s=refusal.retry_after_s
             )
-        return TokenGranted() if asked.ok_value else self._wait(request, owned, waiting)
+        if not asked.ok_value:
+            return self._wait(request, owned, waiting)
+        owned.record_granted(waiting.key, at_s=now)
+        return TokenGranted()
 
     async def _wait(
         self, request: TokenRequest, owned: _OwnedAccount, waiting: _WaitingCall
     ) -> Message:
         """Wait for a token for up to `hold_s`, and return the answer."""
         self._start_granting(owned)
-        key = (request.instance, request.number)
-        scope = self._scope_by_key[key] = trio.move_on_after(request.hold_s)
+        scope = self._scope_by_key[waiting.key] = trio.move_on_after(request.hold_s)
         try:
             with scope:
                 await waiting.granted.wait()
         finally:
-            del self._scope_by_key[key]
+            del self._scope_by_key[waiting.key]
             owned.queue.withdraw(waiting)
         if waiting.granted.is_set():
             return TokenGranted()
@@ -125,20 +139,26 @@
             while len(owned.queue):
                 pause_s = owned.queue.next_grant_s(now_s=now_s())
                 await trio.sleep(max(MIN_GRANT_PAUSE_S, min(MAX_GRANT_PAUSE_S, pause_s)))
-                for waiting in owned.queue.grant(now_s=now_s()):
+                now = now_s()
+                for waiting in owned.queue.grant(now_s=now):
+                    owned.record_granted(waiting.key, at_s=now)
                     waiting.granted.set()
         finally:
             owned.is_granting = False
 
     def _handle_return(self, message: Message) -> Message:
-        """Take back the token of a call that is not forwarded, or end its wait."""
+        """Take back the token of a call that is not forwarded, or end its wait.
+
+        A call that got no token here gives none back: its request may have been refused or lost.
+        """
         assert isinstance(message, TokenReturn)
         owned = self._owned_by_account.get(message.account)
-        scope = self._scope_by_key.get((message.instance, message.number))
+        key = (message.instance, message.number)
+        scope = self._scope_by_key.get(key)
         if scope is not None:
             scope.cancel()
-        elif owned is not None:
-            owned.queue.give_back(now_s=now_s())
+        elif owned is not None and (taken_s := owned.granted_s_by_key.pop(key, None)) is not None:
+            owned.queue.give_back(taken_s=taken_s, now_s=now_s())
         if owned is not None and message.exhausted_program is not None:
             owned.queue.mark_budget_exhausted(message.exhausted_program)
         return Ack()
@@ -171,7 +191,8 @@
             return None
         is_new = self._is_first_start and self._board.live.read().is_stable_since_start
         owned_s = now_s() if is_new else self._board.live.read().since_s
-        owned = _OwnedAccount(TokenQueue(limit, self._terms, now_s=owned_s, is_new=is_new))
+        queue = TokenQueue[_WaitingCall](limit, self._terms, now_s=owned_s, is_new=is_new)
+        owned = _OwnedAccount(account, queue, self._terms.window_s)
         self._owned_by_account[account] = owned
         _log.info(
             "rate.owned",
--- a/packages/lagoonfold/src/lagoonfold/rates/_quota.py
+++ b/packages/lagoonfold/src/lagoonfold/rates/_quota.py
@@ -93,11 +93,11 @@
         self._taken_at_s.append(now_s)
         return True
 
-    def give_back(self, *, now_s: float) -> None:
-        """Return the token of a call that was not forwarded."""
+    def give_back(self, *, taken_s: float, now_s: float) -> None:
+        """Return the token, taken at `taken_s`, of a call that was not forwarded."""
         self._advance(now_s)
-        if self._taken_at_s:
-            self._taken_at_s.pop()
+        if taken_s in self._taken_at_s:
+            self._taken_at_s.remove(taken_s)
             self._level = min(self._level + 1, self._depth)
 
     def wait_s(self, tokens: float, *, now_s: float) -> float:
--- a/packages/lagoonfold/src/lagoonfold/rates/_token_queue.py
+++ b/packages/lagoonfold/src/lagoonfold/rates/_token_queue.py
@@ -137,9 +137,9 @@
             if waiting.item is item:
                 self._queue.remove(waiting)
 
-    def give_back(self, *, now_s: float) -> None:
-        """Return the token of a call that was not forwarded."""
-        self._quota.give_back(now_s=now_s)
+    def give_back(self, *, taken_s: float, now_s: float) -> None:
+        """Return the token, granted at `taken_s`, of a call that was not forwarded."""
+        self._quota.give_back(taken_s=taken_s, now_s=now_s)
 
     def mark_budget_exhausted(self, program_id: str) -> None:
         """Record that a program's budget could not hold one of its turns."""
--- a/tests/gateway/test_background.py
+++ b/tests/gateway/test_background.py
@@ -13,6 +13,7 @@
     StatusNews,
     TokenReturn,
 )
+from lagoonfold_gateway._rate_owner import _OwnedAccount
 from lagoonfold_io.observe import Metrics
 from tests._suite import load_functions
 from tests.gateway._fleet import Fleet, run_and_collect_lines, run_with_fleet, wait_until
@@ -99,8 +100,7 @@
         (gateway,) = fleet.gateways
         owner = gateway.rate_owner
         queue_type = type("BrokenQueue", (), {"__len__": lambda self: 1 // 0})
-        owned = type("Owned", (), {})()
-        owned.queue, owned.is_granting = queue_type(), False
+        owned = _OwnedAccount("acme", queue_type(), window_s=5.0)
         owner._start_granting(owned)
         await wait_until(lambda: "task_failures" in gateway.metrics.counts())
         assert not owned.is_granting
--- /dev/null
+++ b/tests/gateway/test_rate_owner.py
@@ -0,0 +1,99 @@
+"""An owner of an account's rate that was away, dropped the account, or gets tokens back."""
+
+from collections.abc import Awaitable, Callable
+from types import SimpleNamespace
+
+import trio
+
+from lagoonfold import Cell
+from lagoonfold.forwarding import ForwardConfig, RouteTable
+from lagoonfold.rates import QuotaTerms, RateLimit
+from lagoonfold_gateway._board import ConfigView, GatewayBoard, LiveView
+from lagoonfold_gateway._messages import Message, TokenGranted, TokenRequest, TokenReturn
+from lagoonfold_gateway._rate_owner import RateOwner
+from tests._suite import load_functions
+from tests.gateway._fleet import make_config
+from tests.gateway._simulated_fleet import run_on_virtual_clock
+
+ACCOUNT = "acme"
+RATE_PER_S = 12.0
+BURST = 12
+TERMS = QuotaTerms(window_s=5.0, slack_calls=20)
+MOST_AT_ONCE = BURST + 20  # of a new owner that nobody was before
+
+
+class _Owner:
+    """A rate owner whose handlers are called like those of a peer."""
+
+    def __init__(self, nursery: trio.Nursery) -> None:
+        self._handler_by_type: dict[type, Callable] = {}
+        self._numbers = 0
+        self.board = GatewayBoard(live=Cell("live", LiveView(("me",), 0.0)))
+        members = SimpleNamespace(owns=lambda account: True, is_isolated=lambda: False)
+        self.owner = RateOwner(self.board, self, members, nursery, TERMS, is_first_start=True)
+        limit = RateLimit(rate_per_s=RATE_PER_S, burst=BURST)
+        self.configure(make_config(limit=limit))
+
+    def configure(self, config: ForwardConfig) -> None:
+        """Put a configuration in force."""
+        self.board.config.write(ConfigView(config, RouteTable(config.routes), 0.0))
+
+    def register_handler(self, message_type: type) -> Callable:
+        """Return a decorator that registers a handler, as `PeerBus` does."""
+
+        def register(handler: Callable) -> Callable:
+            self._handler_by_type[message_type] = handler
+            return handler
+
+        return register
+
+    async def ask(self, count: int, *, hold_s: float = 0.0) -> int:
+        """Request tokens; return how many were granted."""
+        granted = 0
+        for _ in range(count):
+            self._numbers += 1
+            request = TokenRequest(
+                instance="i2",
+                number=self._numbers,
+                account=ACCOUNT,
+                program="",
+                is_turn=False,
+                wait_s=hold_s,
+                time_left_s=None,
+                hold_s=hold_s,
+            )
+            answer: Message | Awaitable[Message] = self._handler_by_type[TokenRequest](request)
+            if isinstance(answer, Awaitable):
+                answer = await answer
+            granted += isinstance(answer, TokenGranted)
+        return granted
+
+    def give_back(self, number: int) -> None:
+        """Return the token of a call."""
+        message = TokenReturn(instance="i2", number=number, account=ACCOUNT, exhausted_program=None)
+        self._handler_by_type[TokenReturn](message)
+
+
+def _run(check: Callable[[_Owner], Awaitable[None]]) -> None:
+    async def run() -> None:
+        async with trio.open_nursery() as nursery:
+            owner = _Owner(nursery)
+            await check(owner)
+            nursery.cancel_scope.cancel()
+
+    run_on_virtual_clock(run)
+
+
+def test_token_that_was_never_granted_is_not_given_back() -> None:
+    """A call whose request was lost or refused returned the token of another call."""
+
+    async def check(owner: _Owner) -> None:
+        assert await owner.ask(100) == MOST_AT_ONCE
+        for number in (1, 1, 99, 100, 1_000):
+            owner.give_back(number)
+        assert await owner.ask(100) == 1
+
+    _run(check)
+
+
+load_tests = load_functions(globals())
--- a/tests/rates/test_quota.py
+++ b/tests/rates/test_quota.py
@@ -105,10 +105,19 @@
     """A call that is refused for its budget costs no token."""
     quota = Quota(RateLimit(rate_per_s=0.001, burst=2), QuotaTerms(), now_s=0.0, is_new=True)
     assert len(_take_all(quota, 0.0)) == 2
-    quota.give_back(now_s=0.1)
+    quota.give_back(taken_s=0.0, now_s=0.1)
     assert len(_take_all(quota, 0.1)) == 1
 
 
+def test_token_that_comes_back_late_leaves_those_taken_since_in_the_window() -> None:
+    """The last token taken was given back in place of the one that came back."""
+    quota = Quota(RateLimit(rate_per_s=0.001, burst=3), QuotaTerms(), now_s=0.0, is_new=True)
+    assert quota.try_take(now_s=0.0) and quota.try_take(now_s=4.0)
+    quota.give_back(taken_s=0.0, now_s=4.5)
+    quota.give_back(taken_s=0.0, now_s=4.6)
+    assert len(_take_all(quota, 5.1)) == 2
+
+
 def _call(program: str, *, wait_s: float = 1.0, time_left_s: float | None = 2.0) -> ProgramCall:
     return ProgramCall(program_id=program, is_turn=True, wait_s=wait_s, time_left_s=time_left_s)
 
