Keep an account without a key from getting its burst again

Cause: its owner forgot the account while it had no key, and took it for one that had used nothing when the new key came.

An owner now remembers when it dropped an account, and starts from an empty bucket then, as a new owner does. Accounts that are dropped for other reasons go the same way.

Evidence: the new test fails on the code before and passes now.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_rate_owner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_rate_owner.py
@@ -2,9 +2,11 @@
 
 Reads `config` and `live`. An account's owner is the first live instance by rendezvous hashing. An
 owner that may be cut off from the other instances grants nothing, since one of them may have taken
-over the account. A new owner starts from an empty bucket. See `lagoonfold.rates` for the bound.
+over the account. A new owner starts from an empty bucket, and so does one that has dropped the
+account. See `lagoonfold.rates` for the bound.
 """
 
+import math
 from collections import OrderedDict
 from collections.abc import Awaitable
 from dataclasses import dataclass, field
@@ -78,6 +80,7 @@
         self._terms = terms
         self._is_first_start = is_first_start
         self._owned_by_account: dict[str, _OwnedAccount] = {}
+        self._dropped_s_by_account: dict[str, float] = {}
         self._scope_by_key: dict[_Key, trio.CancelScope] = {}
         bus.register_handler(TokenRequest)(self._handle_request)
         bus.register_handler(TokenReturn)(self._handle_return)
@@ -87,7 +90,7 @@
     def _handle_request(self, request: Message) -> Message | Awaitable[Message]:
         assert isinstance(request, TokenRequest)
         if not self._members.owns(request.account) or self._members.is_isolated():
-            self._owned_by_account.pop(request.account, None)
+            self._drop(request.account)
             return OwnerUnavailable(reason="not the owner")
         owned = self._owned_account(request.account)
         if owned is None:
@@ -189,8 +192,10 @@
         limit = _limits_by_account(self._board.config.read()).get(account)
         if limit is None:
             return None
-        is_new = self._is_first_start and self._board.live.read().is_stable_since_start
-        owned_s = now_s() if is_new else self._board.live.read().since_s
+        live = self._board.live.read()
+        empty_s = self._dropped_s_by_account.pop(account, -math.inf)
+        is_new = self._is_first_start and live.is_stable_since_start and empty_s == -math.inf
+        owned_s = now_s() if is_new else max(empty_s, live.since_s)
         queue = TokenQueue[_WaitingCall](limit, self._terms, now_s=owned_s, is_new=is_new)
         owned = _OwnedAccount(account, queue, self._terms.window_s)
         self._owned_by_account[account] = owned
@@ -207,15 +212,19 @@
         """Drop the accounts that another instance owns now."""
         for account in tuple(self._owned_by_account):
             if not self._members.owns(account):
-                del self._owned_by_account[account]
+                self._drop(account)
                 _log.info("rate.handed_over", account=account, live=len(live.ids))
 
+    def _drop(self, account: str) -> None:
+        if self._owned_by_account.pop(account, None) is not None:
+            self._dropped_s_by_account[account] = now_s()
+
     def _apply_limits(self, view: ConfigView | None) -> None:
         limits = _limits_by_account(view)
         for account, owned in tuple(self._owned_by_account.items()):
             limit = limits.get(account)
             if limit is None:
-                del self._owned_by_account[account]
+                self._drop(account)
             elif limit != owned.queue.limit:
                 owned.queue.change_limit(limit, now_s=now_s())
                 _log.info(
--- a/tests/gateway/test_rate_owner.py
+++ b/tests/gateway/test_rate_owner.py
@@ -84,6 +84,20 @@
     run_on_virtual_clock(run)
 
 
+def test_account_whose_keys_were_all_replaced_does_not_get_its_burst_again() -> None:
+    """Its owner forgot it while it had no key (QUOTA)."""
+
+    async def check(owner: _Owner) -> None:
+        assert await owner.ask(100) == MOST_AT_ONCE
+        with_keys = owner.board.config.read().config
+        owner.configure(make_config(version=2))
+        await trio.sleep(1.0)
+        owner.configure(with_keys)
+        assert await owner.ask(100) <= RATE_PER_S
+
+    _run(check)
+
+
 def test_token_that_was_never_granted_is_not_given_back() -> None:
     """A call whose request was lost or refused returned the token of another call."""
 
