Start from an empty bucket where an owner of a rate was away

Cause: nothing told the owner that it had been away. Its bucket filled during the freeze and was granted at once, beside that of the owner that had taken over.

Presence notices a gap in which an instance did not run, a cut, and that others took it for lost, before the next look-up of an owner. A rate owner then drops its buckets and starts empty, as a new owner does, and an instance that had a gap tells all others at once that it lives.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_heartbeats.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_heartbeats.py
@@ -98,6 +98,7 @@
         bus.on_fault = self._apply_fault
         bus.on_closed = self._apply_closed
         members.on_new_peer = self._greet
+        members.presence.on_resumed = self._tell_resumed
         poison_tracker.on_notice = self._report_poison
 
     async def run(self) -> None:
@@ -117,6 +118,7 @@
         """Look for watched instances that are silent, and for being cut off, until cancelled."""
         while True:
             await trio.sleep(CHECK_INTERVAL_S)
+            self._members.presence.check()
             now = now_s()
             self._silence.watch(self._members.watched(), now_s=now)
             self._silence.observe(now_s=now)
@@ -126,6 +128,10 @@
             is_silent = now - self._bus.last_received_s > CUT_OFF_S
             self._members.set_cut_off(is_silent and len(self._members.told_live_ids()) > 1)
 
+    def _tell_resumed(self) -> None:
+        """Tell all peers that this instance lives, before it is told that it counts as lost."""
+        self._refute([self._members.renew_status()])
+
     def announce_leaving(self) -> None:
         """Tell all peers that this instance leaves."""
         news = StatusNews(statuses=(self._members.announce_leaving(),))
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_member_controller.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_member_controller.py
@@ -33,6 +33,7 @@
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._peer_link import PeerFault
 from lagoonfold_gateway._peers import PeerBus
+from lagoonfold_gateway._presence import Presence
 from lagoonfold_gateway._registration import MEMBER_PREFIX, MemberEntry, Registration
 from lagoonfold_gateway._settings import InstanceSection
 from lagoonfold_gateway._store_watch import COPY_TERMS, ReadableStore, StoreWatch
@@ -68,6 +69,7 @@
         watched: ReadableStore | None = None,
     ) -> None:
         self.instance_id = instance.id
+        self.presence = Presence()
         self.writer_id = f"{instance.id}/{start_id}"
         self._board = board
         self._bus = bus
@@ -173,6 +175,7 @@
 
     def owner(self, subject: str) -> str:
         """Return the live instance that owns a subject, by rendezvous hashing."""
+        self.presence.check()
         owner = self._owner_by_subject.get(subject)
         if owner is None:
             ids = self._board.live.read().ids
@@ -282,6 +285,7 @@
         must_refute = own != self.own_status and not self._board.stopping.read()
         if must_refute and own is not None:
             self._raise_own_number(own.number + 1, self.own_status.state)
+            self.presence.end_absence()
         for status in news:
             self._update_peer(status.instance)
         if news:
@@ -308,12 +312,21 @@
         self._write_live()
         return self.own_status
 
+    def renew_status(self) -> InstanceStatus:
+        """Raise the number of this instance's status, and return it.
+
+        It then counts as live also where it has been declared lost.
+        """
+        self._raise_own_number(self.own_status.number + 1, self.own_status.state)
+        return self.own_status
+
     def set_cut_off(self, is_cut_off: bool) -> None:
         """Set whether this instance hears none of the others; it then counts on itself alone."""
         if is_cut_off != self._is_cut_off:
             self._is_cut_off = is_cut_off
             _log.warning("member.cut_off" if is_cut_off else "member.heard_again")
             self._write_live()
+            self.presence.end_absence()
 
     def apply_fault(self, peer: str, fault: PeerFault) -> None:
         """Record a message that did not reach a peer; a refused connection means it has ended."""
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_rate_owner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_rate_owner.py
@@ -2,8 +2,8 @@
 
 Reads `config` and `live`. An account's owner is the first live instance by rendezvous hashing. An
 owner that may be cut off from the other instances grants nothing, since one of them may have taken
-over the account. A new owner starts from an empty bucket, and so does one that has dropped the
-account. See `lagoonfold.rates` for the bound.
+over the account. A new owner starts from an empty bucket, and so does one that was away or has
+dropped the account. See `lagoonfold.rates` for the bound.
 """
 
 import math
@@ -81,11 +81,13 @@
         self._is_first_start = is_first_start
         self._owned_by_account: dict[str, _OwnedAccount] = {}
         self._dropped_s_by_account: dict[str, float] = {}
+        self._away_until_s = -math.inf
         self._scope_by_key: dict[_Key, trio.CancelScope] = {}
         bus.register_handler(TokenRequest)(self._handle_request)
         bus.register_handler(TokenReturn)(self._handle_return)
         board.config.subscribe(self._apply_limits)
         board.live.subscribe(self._drop_unowned)
+        members.presence.subscribe(self._drop_all)
 
     def _handle_request(self, request: Message) -> Message | Awaitable[Message]:
         assert isinstance(request, TokenRequest)
@@ -137,11 +139,14 @@
             self._nursery.start_soon(self._grant, owned)
 
     async def _grant(self, owned: _OwnedAccount) -> None:
-        """Grant tokens as they become available, until no call waits."""
+        """Grant tokens as they become available, until no call waits or the account is dropped."""
         try:
             while len(owned.queue):
                 pause_s = owned.queue.next_grant_s(now_s=now_s())
                 await trio.sleep(max(MIN_GRANT_PAUSE_S, min(MAX_GRANT_PAUSE_S, pause_s)))
+                is_owner = self._members.owns(owned.name)
+                if not is_owner or self._owned_by_account.get(owned.name) is not owned:
+                    return
                 now = now_s()
                 for waiting in owned.queue.grant(now_s=now):
                     owned.record_granted(waiting.key, at_s=now)
@@ -193,7 +198,7 @@
         if limit is None:
             return None
         live = self._board.live.read()
-        empty_s = self._dropped_s_by_account.pop(account, -math.inf)
+        empty_s = max(self._away_until_s, self._dropped_s_by_account.pop(account, -math.inf))
         is_new = self._is_first_start and live.is_stable_since_start and empty_s == -math.inf
         owned_s = now_s() if is_new else max(empty_s, live.since_s)
         queue = TokenQueue[_WaitingCall](limit, self._terms, now_s=owned_s, is_new=is_new)
@@ -215,6 +220,16 @@
                 self._drop(account)
                 _log.info("rate.handed_over", account=account, live=len(live.ids))
 
+    def _drop_all(self) -> None:
+        """Drop all accounts, of which others may have granted tokens while this instance was away.
+
+        What it takes over anew starts from an empty bucket.
+        """
+        self._away_until_s = now_s()
+        if self._owned_by_account:
+            _log.info("rate.dropped", accounts=len(self._owned_by_account))
+        self._owned_by_account.clear()
+
     def _drop(self, account: str) -> None:
         if self._owned_by_account.pop(account, None) is not None:
             self._dropped_s_by_account[account] = now_s()
