Bound the work that one read of a stream may take, and the events of a turn

A replica that sent more events than a turn may have made its program exceed its budget.

Cause: all events of a read, some 32,000, were sent one by one before any other task ran, and nothing bounded how many events without use a stream may have.

At most 32 events are handled at once, and those that are ready are sent together. A stream with more than 256 events without content is lost, and nothing of it has been sent before its first event with content; a turn is broken off at its tokens.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_relay.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_relay.py
@@ -3,9 +3,11 @@
 A plain answer is read to its end before its first byte is sent, so that the request can be
 attempted again, if that is allowed, when the answer breaks off. One of more than
 `MAX_HELD_BYTES`, which may have no end, is relayed as it arrives instead. A stream is relayed event
-by event. A turn delivers no more tokens than its credit.
+by event; after some events of one read, other requests get processor time. A turn delivers no more
+tokens than its credit, and one whose replica sends more than it may have is broken off.
 """
 
+from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 
 import trio
@@ -39,12 +41,14 @@
 
     `origin` is where the stream began, None if it has not begun or may go on anywhere. The head and
     the last events of a whole answer are held until its turn is durable, if that is to be kept.
+    What comes before the first event with content is held until that arrives, in `lead`.
     """
 
     events: EventFilter
     origin: StreamOrigin | None = None
     is_started: bool = False
     is_requesting_credit: bool = False
+    lead: bytes = b""
     held_events: list[Event] = field(default_factory=list)
     held_head: ResponseHead | None = None
 
@@ -106,22 +110,17 @@
     events_before = state.events.passed_count
     try:
         while data := await response.read(use_timeout=False):
-            events = state.events.feed(data)
-            if request_state.route.keeps_history:
-                _collect_text(events, request_state)
-                if response.is_complete():
-                    state.held_events = events
-                    break
-            for event in events:
-                await _deliver(event, response.head, state, request_state, exchange, context)
+            async for events in _split(data, state.events):
+                if request_state.route.keeps_history:
+                    _collect_text(events, request_state)
+                    if response.is_complete():
+                        state.held_events += events
+                        continue
+                await _deliver(events, response.head, state, request_state, exchange, context)
     except (StreamError, EventError) as error:
-        state.events.discard_partial_event()
-        return Err(AttemptFailure(outcome=AttemptOutcome.LOST, reason=str(error)))
+        return _broken_stream(str(error), state, request_state)
     if state.events.has_partial_event:
-        state.events.discard_partial_event()
-        return Err(
-            AttemptFailure(outcome=AttemptOutcome.LOST, reason="stream ends within an event")
-        )
+        return _broken_stream("stream ends within an event", state, request_state)
     event_count = state.events.passed_count - events_before
     if event_count >= MIN_EVENTS_FOR_PACE:
         request_state.event_s = (now_s() - began_s) / event_count
@@ -132,6 +131,25 @@
     return Ok(None)
 
 
+async def _split(data: bytes, events: EventFilter) -> AsyncIterator[list[Event]]:
+    """Yield the events of one read, some at a time; let other tasks run in between."""
+    yield events.feed(data)
+    while events.has_more:
+        await trio.lowlevel.checkpoint()
+        yield events.feed()
+
+
+def _broken_stream(
+    reason: str, state: StreamState, request_state: RequestState
+) -> Result[None, AttemptFailure]:
+    """Return the failure of a stream; one that has had all that it may have cannot go on."""
+    state.events.discard_partial_event()
+    state.held_events.clear()
+    state.lead = b""
+    is_over = state.is_started and _is_over(request_state)
+    return Err(AttemptFailure(outcome=AttemptOutcome.LOST, reason=reason, has_begun_answer=is_over))
+
+
 async def finish_kept_turn(
     state: StreamState, request_state: RequestState, exchange: Exchange, context: ForwardContext
 ) -> None:
@@ -147,8 +165,7 @@
         )
     finally:
         request_state.keep_wait_s = now_s() - began_s
-    for event in state.held_events:
-        await _deliver(event, state.held_head, state, request_state, exchange, context)
+    await _deliver(state.held_events, state.held_head, state, request_state, exchange, context)
     await _finish(state.held_head, state, request_state, exchange)
 
 
@@ -157,6 +174,7 @@
 ) -> None:
     if not state.is_started:
         await _start(head, state, request_state, exchange)
+        await exchange.send(state.lead)
     await exchange.finish()
 
 
@@ -168,25 +186,67 @@
 
 
 async def _deliver(
-    event: Event,
+    events: list[Event],
     head: ResponseHead,
     state: StreamState,
     request_state: RequestState,
     exchange: Exchange,
     context: ForwardContext,
 ) -> None:
-    """Send one event to the caller as soon as the turn's credit allows it."""
+    """Send events to the caller as soon as the turn's credit allows it."""
+    ready = bytearray()
+    for event in events:
+        if not event.has_content:
+            if state.is_started or ready:
+                ready += event.data
+            else:
+                state.lead += event.data
+            continue
+        if _is_over(request_state):
+            await _send(ready, head, state, request_state, exchange)
+            raise EventError("events of more tokens than the turn may have")
+        if not _may_deliver(state, request_state, context):
+            await _send(ready, head, state, request_state, exchange)
+            ready.clear()
+            while not _may_deliver(state, request_state, context):
+                await trio.sleep(CREDIT_POLL_S)
+        ready += event.data
+    await _send(ready, head, state, request_state, exchange)
+
+
+def _is_over(request_state: RequestState) -> bool:
+    """Return whether the turn has delivered all tokens that it may have."""
+    turn = request_state.admitted_turn
+    return turn is not None and turn.credit_meter.is_over
+
+
+def _may_deliver(state: StreamState, request_state: RequestState, context: ForwardContext) -> bool:
+    """Return whether the turn's credit allows one more event, and count it then."""
     admitted_turn = request_state.admitted_turn
-    if admitted_turn is not None:
-        if admitted_turn.credit_meter.needs_more_credit and not state.is_requesting_credit:
-            state.is_requesting_credit = True
-            context.nursery.start_soon(_request_credit, admitted_turn, state, context)
-        while not admitted_turn.credit_meter.try_consume():
-            await trio.sleep(CREDIT_POLL_S)
+    if admitted_turn is None:
+        return True
+    meter = admitted_turn.credit_meter
+    if meter.needs_more_credit and not state.is_requesting_credit:
+        state.is_requesting_credit = True
+        context.nursery.start_soon(_request_credit, admitted_turn, state, context)
+    return meter.try_consume()
+
+
+async def _send(
+    ready: bytearray,
+    head: ResponseHead,
+    state: StreamState,
+    request_state: RequestState,
+    exchange: Exchange,
+) -> None:
+    """Send what is ready, after the head and what came before the first event."""
+    if not ready:
+        return
     if not state.is_started:
         await _start(head, state, request_state, exchange)
+        ready[:0] = state.lead
     request_state.last_event_s = now_s()
-    await exchange.send(event.data)
+    await exchange.send(bytes(ready))
 
 
 async def _request_credit(
--- a/packages/lagoonfold/src/lagoonfold/budgets/_credit_meter.py
+++ b/packages/lagoonfold/src/lagoonfold/budgets/_credit_meter.py
@@ -24,11 +24,15 @@
         low_credit = LOW_CREDIT_EVENTS * self._tokens_per_event
         return self.credit < self.max_tokens and self.credit - self.delivered_tokens < low_credit
 
+    @property
+    def is_over(self) -> bool:
+        """Return whether all of `max_tokens` have been delivered: no further event may come."""
+        return self.delivered_tokens >= self.max_tokens
+
     def try_consume(self) -> bool:
         """Count one event to deliver; return False, without counting it, if credit is lacking.
 
-        A turn with credit for all of its `max_tokens` is not stopped, since its upstream enforces
-        that limit.
+        The last event of a turn with credit for all of its `max_tokens` may exceed it in part.
         """
         is_fully_credited = self.credit >= self.max_tokens
         if not is_fully_credited and self.delivered_tokens + self._tokens_per_event > self.credit:
--- a/packages/lagoonfold/src/lagoonfold/forwarding/_events.py
+++ b/packages/lagoonfold/src/lagoonfold/forwarding/_events.py
@@ -3,11 +3,16 @@
 An event ends with an empty line and may carry its number as `id`. A partial event is buffered
 until the rest arrives, so that a broken stream ends between two events and can be resumed.
 
+A replica in trouble may send small events without end. So few are returned at once, after which the
+caller lets other tasks run, and a stream with more than `MAX_SURPLUS_EVENTS` that bring its caller
+nothing is an error.
+
     events = EventFilter(last_id=12)
     events.feed(b"id: 12\\ndata: a\\n\\nid: 13\\ndata: b\\n\\nid: 14\\nda")
     # [Event(number=13, data=b"id: 13\\ndata: b\\n\\n")]
 """
 
+import itertools
 import re
 from dataclasses import dataclass
 
@@ -15,9 +20,12 @@
 
 MAX_EVENT_BYTES = 262_144  # bounds the memory for one stream; usual events are below 1 KB
 
+MAX_EVENTS_AT_ONCE = 32  # take less than 1 ms; then other requests get processor time
+MAX_SURPLUS_EVENTS = 256  # comments that keep a stream of minutes alive; others never come
 MAX_END_BYTES = 4  # of the empty line that ends an event
 
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
+_DATA_LINE = re.compile(rb"^data", re.MULTILINE)
 _ID_LINE = re.compile(rb"^id: ?(\d+)\r?$", re.MULTILINE)
 
 
@@ -27,10 +35,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Event:
-    """A whole event as it arrived; `number` is its id, None if it has none."""
+    """A whole event as it arrived; `number` is its id, None if it has none.
+
+    One with neither an id nor data has no content: an empty line or a comment.
+    """
 
     number: int | None
     data: bytes
+    has_content: bool = True
 
 
 class EventFilter:
@@ -43,27 +55,36 @@
     def __init__(self, last_id: int | None = None) -> None:
         self.last_id = last_id
         self.passed_count = 0
+        self.has_more = False
+        self._first_id = last_id or 0
+        self._numbered = 0
+        self._surplus = 0
         self._buffer = bytearray()
         self._searched = 0
 
-    def feed(self, data: bytes) -> list[Event]:
-        """Return the whole events that are new to the caller.
+    def feed(self, data: bytes = b"") -> list[Event]:
+        """Return whole events that are new to the caller, of `MAX_EVENTS_AT_ONCE` at most.
 
-        Raises `EventError` if `data` and the partial event exceed `MAX_EVENT_BYTES` together, or an
-        id has too many digits.
+        While `has_more` is set, call it again without data for those that follow. Raises
+        `EventError` if `data` and the partial event exceed `MAX_EVENT_BYTES` together, an id has
+        too many digits, or too many events have no content or are known to the caller.
         """
         self._buffer += data
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise EventError(f"event of more than {MAX_EVENT_BYTES} bytes")
         events: list[Event] = []
+        found = _EVENT_END.finditer(self._buffer, self._searched)
+        ends = [match.end() for match in itertools.islice(found, MAX_EVENTS_AT_ONCE + 1)]
+        del found  # a buffer that is being searched cannot be shortened
+        self.has_more = len(ends) > MAX_EVENTS_AT_ONCE
         start = 0
-        for end in _EVENT_END.finditer(self._buffer, self._searched):
-            event = self._accept(bytes(self._buffer[start : end.end()]))
-            start = end.end()
+        for end in ends[:MAX_EVENTS_AT_ONCE]:
+            event = self._accept(bytes(self._buffer[start:end]))
+            start = end
             if event is not None:
                 events.append(event)
         del self._buffer[:start]
-        self._searched = max(0, len(self._buffer) - MAX_END_BYTES + 1)
+        self._searched = 0 if self.has_more else max(0, len(self._buffer) - MAX_END_BYTES + 1)
         self.passed_count += len(events)
         return events
 
@@ -76,16 +97,30 @@
         """Discard the partial event; another upstream resumes after the last whole event."""
         self._buffer.clear()
         self._searched = 0
+        self._surplus = 0
+        self.has_more = False
 
     def _accept(self, data: bytes) -> Event | None:
         """Return the event, or None if the caller already has it."""
         match = _ID_LINE.search(data)
         if match is None:
-            return Event(None, data)
+            has_content = _DATA_LINE.search(data) is not None
+            if not has_content:
+                self._count_surplus()
+            return Event(None, data, has_content)
         number = parse_count(match[1].decode())
         if number is None:
             raise EventError(f"event id of {len(match[1])} digits")
         if self.last_id is not None and number <= self.last_id:
+            self._count_surplus()
             return None
         self.last_id = number
+        self._numbered += 1
         return Event(number, data)
+
+    def _count_surplus(self) -> None:
+        """Count an event without use; a replica may send all again that the caller has."""
+        self._surplus += 1
+        most = MAX_SURPLUS_EVENTS + self._first_id + self._numbered
+        if self._surplus > most:
+            raise EventError(f"more than {most} events without content or known before")
--- a/standins/endless_replica.py
+++ b/standins/endless_replica.py
@@ -28,6 +28,9 @@
     "trailers": (_CHUNKED + b"1\r\nb\r\n0\r\n", b"x-more: a\r\n" * (BLOCK_BYTES // 11)),
     "more than its length": (_SIGNED + b"content-length: 4\r\n\r\nbody", b"b" * BLOCK_BYTES),
     "one event": (_CHUNKED, b"11\r\ndata: aaaaaaaaaa\n\r\n" * (BLOCK_BYTES // 23)),
+    "empty events": (_CHUNKED, b"4000\r\n" + b"\n\n" * (BLOCK_BYTES // 2) + b"\r\n"),
+    "comments": (_CHUNKED, b"3fff\r\n" + b":\n\n" * (BLOCK_BYTES // 3) + b"\r\n"),
+    "known events": (_CHUNKED, b"3ffc\r\n" + b"id: 1\n\n" * 2340 + b"\r\n"),
     "events": (_CHUNKED, b"b\r\ndata: aaa\n\n\r\n" * (BLOCK_BYTES // 16)),
 }
 
--- a/tests/gateway/test_budgets.py
+++ b/tests/gateway/test_budgets.py
@@ -10,9 +10,11 @@
 from lagoonfold_gateway import Gateway
 from lagoonfold_gateway._budget_client import OUTAGE_RETRY_AFTER_S
 from lagoonfold_gateway._charges import BUDGET_PREFIX
-from standins.replica import EVENTS
+from lagoonfold_io import HttpRequest
+from lagoonfold_io._http_connection import StreamError
+from standins.replica import EVENTS, NAMES
 from tests._suite import load_functions
-from tests.gateway._fleet import Fleet, make_config, run_with_fleet, wait_until
+from tests.gateway._fleet import HOST, KEY, Fleet, make_config, run_with_fleet, wait_until
 
 TOKENS_PER_TURN = EVENTS * 10
 BUDGET = 400
@@ -54,6 +56,36 @@
     run_with_fleet(check, gateways=3)
 
 
+def test_turn_whose_replica_sends_more_than_it_may_have_is_broken_off() -> None:
+    """Its replica does not keep to the turn's tokens, and its budget was exceeded (BUDGET)."""
+
+    async def check(fleet: Fleet) -> None:
+        (gateway,) = fleet.gateways
+        most = TOKENS_PER_TURN - 20
+        headers = (
+            ("host", HOST),
+            (NAMES.request_id, fleet.next_id()),
+            (NAMES.deadline_ms, "2000"),
+            (NAMES.api_key, KEY),
+            (NAMES.program, "p"),
+            (NAMES.budget_tokens, str(most)),
+            (NAMES.token_counts, f"10,{most}"),
+        )
+        request = HttpRequest(method="POST", path="/turns/x", headers=headers)
+        body = b""
+        async with fleet.client.stream(gateway.settings.instance.listen, request) as opened:
+            response = opened.unwrap()
+            try:
+                while data := await response.read():
+                    body += data
+            except StreamError:
+                body += b"broken off"
+        assert 10 * body.count(b"id: ") == most and body.endswith(b"broken off"), body
+        assert _runs(fleet) == 1
+
+    run_with_fleet(check)
+
+
 def test_budget_holds_after_all_instances_are_lost() -> None:
     """Tokens delivered before the loss still count, except for one turn at most."""
 
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -23,6 +23,8 @@
     "one event",
     "events",
 )
+# Small events whose number was not bounded in one read: one stream held up all other requests.
+SMALL_EVENTS = ("empty events", "comments", "known events")
 DEADLINE_S = 0.5
 CALLERS = 4
 MAX_BYTES_FOR_EACH = 1_400_000  # 256 MB of an instance with 181 programs under way
@@ -122,6 +124,31 @@
         _check_trouble(trouble, "/turns/a", FAILURES)
 
 
+def test_small_events_without_end_hold_up_no_other_request() -> None:
+    """All events of one read were sent before any other task ran (CONFIG)."""
+    for trouble in SMALL_EVENTS:
+        _check_trouble(trouble, "/turns/a", FAILURES)
+
+
+def test_streams_go_on_at_a_sound_replica_beside_one_that_sends_events_without_end() -> None:
+    """Its answers count as lost after some hundred events, and it is put aside after two."""
+
+    async def check(fleet: Fleet) -> None:
+        (gateway,) = fleet.gateways
+        replica = EndlessReplica("endless", "empty events")
+        await fleet.nursery.start(replica.serve)
+        fleet.list_replica(replica)
+        directory = gateway.board.replicas.read()
+        await wait_until(lambda: directory.get("endless") is not None)
+        for _ in range(30):
+            answer = await fleet.send(gateway, "/turns/a")
+            assert answer.status == 200 and answer.body.startswith(b"id: 1"), answer
+        assert 2 <= replica.closed <= 10, replica
+        assert replica.sent_bytes <= 200_000 * replica.closed, replica
+
+    run_with_fleet(check, replicas=1)
+
+
 def test_bytes_after_an_answer_are_not_read() -> None:
     """The answer counts, and its connection is closed."""
     _check_trouble("more than its length", "/read/a", {"200"})
