Count one crash of a replica once, however many requests were in progress

Cause: each request in progress at the crash was an incident of its own, so that two alike had two, which is what a request that crashes replicas has.

An incident is now named by the replica and its start.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_poison_tracker.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_poison_tracker.py
@@ -53,8 +53,15 @@
         self._registry.record_ended(digest, replica.replica_id, now_s=now_s(), is_finished=True)
 
     def record_crash(self, digest: str, replica: Replica, request_id: str) -> None:
-        """Record that a replica is down after it lost the answer to a request."""
-        notice = PoisonNotice(digest=digest, upstream_id=replica.replica_id, incident_id=request_id)
+        """Record that a replica is down after it lost the answer to a request.
+
+        All requests that were in progress there have one incident. A replica whose entry does not
+        tell its starts apart has one for each request.
+        """
+        incident_id = f"{replica.replica_id}/{replica.started}" if replica.started else request_id
+        notice = PoisonNotice(
+            digest=digest, upstream_id=replica.replica_id, incident_id=incident_id
+        )
         self._registry.add_notice(notice, now_s=now_s())
         self.on_notice(PoisonReport(notices=(notice,)))
         self._drop_expired()
