Answer every request before a planned stop ends

Cause: the end of a stop was a limit for the process only. It is a deadline of every request now, less the time for the last answers, and replicas are told of it.

Evidence: the new test got no answer within 10 s on the code before, and three answers of 504 with the change.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_forwarder.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_forwarder.py
@@ -2,9 +2,11 @@
 
 Reads `config` and `replicas`. The order is: route, API key, rate, budget, replica. As long as no
 replica can have begun the request, a refusal says "not run"; after that none does. The final answer
-is sent at the route's timeout or the caller's deadline at the latest.
+is sent at the route's timeout or the caller's deadline at the latest, and before a stop ends.
 """
 
+import math
+
 import trio
 from result import Err
 
@@ -30,6 +32,15 @@
         self._context = context
         self._attempt_runner = AttemptRunner(context)
         self.active_requests = 0
+        self._until_s = math.inf
+        self._scopes: set[trio.CancelScope] = set()
+
+    def answer_all_until(self, until_s: float) -> None:
+        """Send each final answer until then, in seconds on this instance's clock, at the latest."""
+        self._until_s = until_s
+        latest = trio.current_time() + until_s - now_s()
+        for scope in self._scopes:
+            scope.deadline = min(scope.deadline, latest)
 
     async def handle(self, request: HttpRequest, exchange: Exchange) -> None:
         """Serve one request from the HTTP server."""
@@ -47,8 +58,7 @@
             return
         request_state = admitted.ok_value
         try:
-            with trio.move_on_after(request_state.answer_deadline_s - now_s()) as time:
-                await self._serve(request_state, exchange)
+            time = await self._serve_in_time(request_state, exchange)
             if time.cancelled_caught:
                 await self._answer_timeout(request_state, exchange)
         except BaseException:
@@ -60,6 +70,20 @@
             self._end_turn(request_state)
             self._log_request(request_state)
 
+    async def _serve_in_time(
+        self, request_state: RequestState, exchange: Exchange
+    ) -> trio.CancelScope:
+        """Serve a request until its deadline; return the scope that says whether it was over."""
+        deadline_s = min(request_state.answer_deadline_s, self._until_s)
+        request_state.answer_deadline_s = deadline_s
+        with trio.move_on_after(deadline_s - now_s()) as time:
+            self._scopes.add(time)
+            try:
+                await self._serve(request_state, exchange)
+            finally:
+                self._scopes.discard(time)
+        return time
+
     async def _serve(self, request_state: RequestState, exchange: Exchange) -> None:
         refused = await self._acquire_rate_and_budget(request_state)
         if refused is None:
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
@@ -68,6 +68,7 @@
 IDLE_POLL_S = 0.05  # short compared to the seconds that a stop may take
 BYTES_PER_MB = 1_000_000
 MILLISECONDS_PER_S = 1_000
+ANSWER_RESERVE_S = 0.2  # of that time, until the last answers have been sent
 STOP_RESERVE_S = 0.7  # of the time for a stop, to return budget and deregister
 
 _log = EventLog("gateway")
@@ -270,6 +271,7 @@
         self.http_server.announce_close()
         self.relay_server.announce_close()
         self.heartbeats.announce_leaving()
+        self.forwarder.answer_all_until(began_s + times.stop_s - STOP_RESERVE_S - ANSWER_RESERVE_S)
         with trio.move_on_after(times.stop_s - STOP_RESERVE_S) as time:
             await trio.sleep(times.balancer_notice_s)
             self.http_server.begin_shutdown()
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -194,6 +194,31 @@
     run_with_fleet(check, gateways=2, replicas=5)
 
 
+def test_requests_that_are_not_answered_by_the_end_of_a_stop_get_a_final_answer() -> None:
+    """They were passed on and then cut without one, also those that may run once only (LOST)."""
+
+    async def check(fleet: Fleet) -> None:
+        gateway = fleet.gateways[0]
+        for replica in fleet.replica_by_id.values():
+            replica.behaviour.answer_after_s = 20.0
+        outcomes: list[tuple[str, int]] = []
+
+        async def send(path: str, delay_s: float) -> None:
+            await trio.sleep(delay_s)
+            answer = await fleet.send(gateway, path, deadline_ms=15_000)
+            outcomes.append((path, answer.status))
+
+        async with trio.open_nursery() as nursery:
+            for path, delay_s in (("/write/a", 0.0), ("/read/a", 0.0), ("/write/b", 0.6)):
+                nursery.start_soon(send, path, delay_s)
+            await trio.sleep(0.5)
+            nursery.start_soon(gateway.stop)
+        expected = [("/read/a", 504), ("/write/a", 504), ("/write/b", 504)]
+        assert sorted(outcomes) == expected, outcomes
+
+    run_with_fleet(check, config=make_config(timeout_s=15.0))
+
+
 def test_withdrawn_key_and_new_route_take_effect() -> None:
     """A newer configuration takes effect; an older one that arrives later is ignored."""
 
