Take an answer that switches protocols for a lost one

Cause: h11 returns PAUSED for ever, which the reader of bodies took for neither data nor an end and asked again without waiting.

--- a/packages/lagoonfold-io/src/lagoonfold_io/_http_connection.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_connection.py
@@ -214,6 +214,10 @@
         raise StreamError(
             HttpError(detail=f"connection broke: {error}", sent=SendStatus.MAYBE_SENT)
         ) from error
+    if event is h11.PAUSED:
+        # What follows is no HTTP, and h11 parses no more of it.
+        detail = "the server has switched protocols"
+        raise StreamError(HttpError(detail=detail, sent=SendStatus.MAYBE_SENT))
     if type(event) is h11.ConnectionClosed:
         raise StreamError(HttpError(detail="connection closed", sent=SendStatus.MAYBE_SENT))
     return event
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -127,6 +127,28 @@
     _with_server(check)
 
 
+def test_response_that_switches_protocols_is_a_failure() -> None:
+    """A 2xx to CONNECT has no body for h11; reading it took the loop for good."""
+
+    async def answer(stream: trio.SocketStream) -> None:
+        await stream.receive_some(4_096)
+        await stream.send_all(b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nbody")
+        await trio.sleep_forever()
+
+    async def check() -> None:
+        async with trio.open_nursery() as nursery:
+            listeners = await nursery.start(trio.serve_tcp, answer, 0)
+            port = listeners[0].socket.getsockname()[1]
+            request = HttpRequest(method="CONNECT", path="/read/a")
+            with trio.fail_after(5.0):
+                fetched = await HttpClient().fetch(f"127.0.0.1:{port}", request)
+            assert isinstance(fetched, Err), fetched
+            assert fetched.err_value.sent is SendStatus.MAYBE_SENT
+            nursery.cancel_scope.cancel()
+
+    trio.run(check)
+
+
 def test_drain_reports_a_client_that_closed() -> None:
     """A write does not raise after the client has closed; the following drain does."""
     outcomes: list[str] = []
