Go on with a turn that breaks off after its last token

The bound on a turn's tokens took such a stream for one whose replica had sent too much, and broke it off for its caller, though only its end was missing. Found by reading the change; the new test covers it.

Only events beyond the turn's tokens end it now. The loop over one read is plain code in place of an asynchronous generator, and an owner keeps 4,096 dropped accounts at most.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_rate_owner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_rate_owner.py
@@ -32,6 +32,7 @@
 from lagoonfold_io.observe import EventLog
 
 MIN_GRANT_PAUSE_S = 0.002  # timers fire late by about as much
+MAX_DROPPED = 4_096  # accounts that may come back; more than there are
 MAX_GRANT_PAUSE_S = 0.05  # tokens that are given back are granted without notice
 
 _log = EventLog("rates")
@@ -233,6 +234,8 @@
     def _drop(self, account: str) -> None:
         if self._owned_by_account.pop(account, None) is not None:
             self._dropped_s_by_account[account] = now_s()
+            if len(self._dropped_s_by_account) > MAX_DROPPED:
+                del self._dropped_s_by_account[next(iter(self._dropped_s_by_account))]
 
     def _apply_limits(self, view: ConfigView | None) -> None:
         limits = _limits_by_account(view)
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_relay.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_relay.py
@@ -7,7 +7,6 @@
 tokens than its credit, and one whose replica sends more than it may have is broken off.
 """
 
-from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 
 import trio
@@ -35,6 +34,10 @@
 CREDIT_POLL_S = 0.01  # while an event waits for credit
 
 
+class _TurnOverError(EventError):
+    """Raised for a turn whose replica sends more than the turn may have."""
+
+
 @dataclass(slots=True)
 class StreamState:
     """The events of a stream that the caller has received, over all attempts.
@@ -110,17 +113,11 @@
     events_before = state.events.passed_count
     try:
         while data := await response.read(use_timeout=False):
-            async for events in _split(data, state.events):
-                if request_state.route.keeps_history:
-                    _collect_text(events, request_state)
-                    if response.is_complete():
-                        state.held_events += events
-                        continue
-                await _deliver(events, response.head, state, request_state, exchange, context)
+            await _relay_data(data, response, state, request_state, exchange, context)
     except (StreamError, EventError) as error:
-        return _broken_stream(str(error), state, request_state)
+        return _broken_stream(str(error), state, is_over=isinstance(error, _TurnOverError))
     if state.events.has_partial_event:
-        return _broken_stream("stream ends within an event", state, request_state)
+        return _broken_stream("stream ends within an event", state)
     event_count = state.events.passed_count - events_before
     if event_count >= MIN_EVENTS_FOR_PACE:
         request_state.event_s = (now_s() - began_s) / event_count
@@ -131,22 +128,36 @@
     return Ok(None)
 
 
-async def _split(data: bytes, events: EventFilter) -> AsyncIterator[list[Event]]:
-    """Yield the events of one read, some at a time; let other tasks run in between."""
-    yield events.feed(data)
-    while events.has_more:
+async def _relay_data(
+    data: bytes,
+    response: ResponseStream,
+    state: StreamState,
+    request_state: RequestState,
+    exchange: Exchange,
+    context: ForwardContext,
+) -> None:
+    """Relay the events of one read, some at a time; let other tasks run in between."""
+    events = state.events.feed(data)
+    while True:
+        if request_state.route.keeps_history:
+            _collect_text(events, request_state)
+        if request_state.route.keeps_history and response.is_complete():
+            state.held_events += events
+        else:
+            await _deliver(events, response.head, state, request_state, exchange, context)
+        if not state.events.has_more:
+            return
         await trio.lowlevel.checkpoint()
-        yield events.feed()
+        events = state.events.feed()
 
 
 def _broken_stream(
-    reason: str, state: StreamState, request_state: RequestState
+    reason: str, state: StreamState, *, is_over: bool = False
 ) -> Result[None, AttemptFailure]:
-    """Return the failure of a stream; one that has had all that it may have cannot go on."""
+    """Return the failure of a stream; one that `is_over` has had all that it may have."""
     state.events.discard_partial_event()
     state.held_events.clear()
     state.lead = b""
-    is_over = state.is_started and _is_over(request_state)
     return Err(AttemptFailure(outcome=AttemptOutcome.LOST, reason=reason, has_begun_answer=is_over))
 
 
@@ -204,7 +215,7 @@
             continue
         if _is_over(request_state):
             await _send(ready, head, state, request_state, exchange)
-            raise EventError("events of more tokens than the turn may have")
+            raise _TurnOverError("events of more tokens than the turn may have")
         if not _may_deliver(state, request_state, context):
             await _send(ready, head, state, request_state, exchange)
             ready.clear()
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -21,14 +21,15 @@
 
     The next `refusals` requests are refused as not run, the `losses` requests after them run and
     have their connection closed without an answer, the `silences` after these run and get nothing.
-    One stream is cut in the middle of the event that follows the first `break_after` events. With
-    `trickle_pause_s`, streams get a byte of a comment at such pauses in place of events. A
-    request whose body equals `crashes_on` stops the replica. `wrong_id` makes answers
-    carry the id of another request. The next `late_copies` answers are sent a second time, just
-    before the next answer on the same connection. Each answer names the limits in `limits`, one
-    header for each, and says in `leaving` whether the replica leaves, unless that is None. The
-    headers `load` and `keep_alive` are sent as they stand here, unless they are None. The bytes in
-    `stale` precede the next answer on a connection that has served another request.
+    One stream is cut in the middle of the event that follows the first `break_after` events, or
+    before its end if there is none. With `trickle_pause_s`, streams get a byte of a comment at such
+    pauses in place of events. A request whose body equals `crashes_on` stops the replica.
+    `wrong_id` makes answers carry the id of another request. The next `late_copies` answers are
+    sent a second time, just before the next answer on the same connection. Each answer names the
+    limits in `limits`, one header for each, and says in `leaving` whether the replica leaves,
+    unless that is None. The headers `load` and `keep_alive` are sent as they stand here, unless
+    they are None. The bytes in `stale` precede the next answer on a connection that has served
+    another request.
     """
 
     refusals: int = 0
@@ -157,6 +158,10 @@
                 exchange.abort()
                 return
             await exchange.send(event)
+        if self.behaviour.break_after == EVENTS:
+            self.behaviour.break_after = None
+            exchange.abort()
+            return
         await exchange.finish()
 
 
--- a/tests/gateway/test_budgets.py
+++ b/tests/gateway/test_budgets.py
@@ -86,6 +86,19 @@
     run_with_fleet(check)
 
 
+def test_turn_that_breaks_off_after_its_last_token_goes_on_at_another_replica() -> None:
+    """It has all that it may have, but its end is missing."""
+
+    async def check(fleet: Fleet) -> None:
+        (gateway,) = fleet.gateways
+        for replica in fleet.replica_by_id.values():
+            replica.behaviour.break_after = EVENTS
+        answer = await fleet.send_turn(gateway, "whole", budget=BUDGET, max_tokens=TOKENS_PER_TURN)
+        assert answer.status == 200 and answer.body.count(b"id: ") == EVENTS, answer
+
+    run_with_fleet(check)
+
+
 def test_budget_holds_after_all_instances_are_lost() -> None:
     """Tokens delivered before the loss still count, except for one turn at most."""
 
