Log what each attempt of a request was answered and which events it brought

The line of an attempt named neither the status and the media type of its answer nor the numbers of the events that it was asked for, brought and delivered. Without them, a stream that goes on with an answer that is none of its own looks like one that counts events as delivered too early.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_attempt_runner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_attempt_runner.py
@@ -138,6 +138,7 @@
         may_have_run_before = replica_id in request_state.attempts.may_have_run
         request_state.attempts.record_sent(replica_id)
         request_state.forget_answer()
+        asked_after = state.events.last_id
         began_s = now_s()
         ended: Result[None, AttemptFailure] | None = None
         try:
@@ -154,6 +155,8 @@
                 f" told={request_state.reported_load} pace={selection.slowdown:.2f}"
                 f" uncached={selection.uncached_tokens} head={_seconds(request_state.head_s)}"
                 f" limit={','.join(request_state.named_limits) or None} via={request_state.via}"
+                f" answer={request_state.answer_kind} events={asked_after}..{state.events.last_id}"
+                f" delivered={state.delivered_id}"
                 f" took={took_s:.3f}"
             )
         if state.is_started and state.origin is None:
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_relay.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_relay.py
@@ -42,12 +42,14 @@
 class StreamState:
     """The events of a stream that the caller has received, over all attempts.
 
-    `origin` is where the stream began, None if it has not begun or may go on anywhere. The head and
+    `delivered_id` is the number of the last event that was sent to the caller. `origin` is where
+    the stream began, None if it has not begun or may go on anywhere. The head and
     the last events of a whole answer are held until its turn is durable, if that is to be kept.
     What comes before the first event with content is held until that arrives, in `lead`.
     """
 
     events: EventFilter
+    delivered_id: int | None = None
     origin: StreamOrigin | None = None
     is_started: bool = False
     is_requesting_credit: bool = False
@@ -222,6 +224,8 @@
             while not _may_deliver(state, request_state, context):
                 await trio.sleep(CREDIT_POLL_S)
         ready += event.data
+        if event.number is not None:
+            state.delivered_id = event.number
     await _send(ready, head, state, request_state, exchange)
 
 
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_upstream_attempt.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_upstream_attempt.py
@@ -118,6 +118,8 @@
             return
         response = call.answer.ok_value
         request_state.head_s = now_s() - began_s
+        media_type = find_header(response.head.headers, "content-type")
+        request_state.answer_kind = f"{response.head.status},{media_type}"
         request_state.reported_load = _reported_load(response.head.headers, context)
         statements = context.replica_statements
         request_state.named_limits = statements.named_limits(response.head.headers)
--- a/tests/gateway/test_settings_and_logs.py
+++ b/tests/gateway/test_settings_and_logs.py
@@ -14,6 +14,7 @@
 from lagoonfold_gateway import parse_settings
 from lagoonfold_gateway._settings_file import SettingsFile
 from lagoonfold_io.observe import LineWriter
+from standins.replica import Behaviour
 from tests._suite import load_functions
 from tests.gateway._fleet import Fleet, make_config, run_and_collect_lines
 
@@ -139,6 +140,20 @@
     assert "list gateway/config" not in second["store_calls"], second
 
 
+def test_line_of_an_attempt_names_its_answer_and_its_events() -> None:
+    """What a stream went on with can be told from the status, the media type and the numbers."""
+
+    async def check(fleet: Fleet) -> None:
+        for replica in fleet.replica_by_id.values():
+            replica.behaviour = behaviour
+        assert (await fleet.send_turn(fleet.gateways[0], "p1", budget=1_000)).status == 200
+
+    behaviour = Behaviour(break_after=2)
+    first, second = run_and_collect_lines(check)["request.done"][0]["tries"]
+    assert " answer=200,None events=None..2 delivered=2 " in first, first
+    assert " answer=200,None events=2..5 delivered=5 " in second, second
+
+
 def test_refused_call_names_its_cause() -> None:
     """The owner's line tells an empty bucket from tokens that are withheld."""
 
