--- /dev/null
+++ b/tests/gateway/test_stream_answers.py
@@ -0,0 +1,293 @@
+"""Streams whose replicas answer with something that is no part of them.
+
+A caller gets the whole events of its stream, numbered without a gap, and an end only after the last
+one; a stream that cannot go on is broken off.
+"""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, replace
+
+import trio
+
+from lagoonfold.forwarding import ForwardConfig
+from lagoonfold_gateway import Gateway
+from lagoonfold_io import HttpRequest, StreamError
+from standins.scripted_replica import (
+    NAMES,
+    Answer,
+    Script,
+    ScriptedReplica,
+    events,
+)
+from tests._suite import load_functions
+from tests.gateway._cut import CUTS
+from tests.gateway._fleet import HOST, KEY, Fleet, make_config, run_with_fleet, wait_until
+
+WHOLE = events()
+BROKEN_AFTER = 2
+ERROR_HEAD = (
+    b"HTTP/1.1 500 Internal Server Error\r\ncontent-type: text/plain\r\ncontent-length: 5\r\n\r\n"
+)
+
+# What a replica sends to a request for the events after `BROKEN_AFTER`, by the name of the trouble.
+HEADS = {
+    "text with an empty line at its end": Answer(body=b"no room\n\n", media_type="text/plain"),
+    "text in the form of an event": Answer(body=b"data: no room\n\n", media_type="text/plain"),
+    "JSON": Answer(body=b'{"error": "no room"}\n\n', media_type="application/json"),
+    "status 204": Answer(status=204, media_type=None),
+    "status 206 without a body": Answer(status=206),
+    "status 206 with an event": Answer(status=206, body=events(3, 3)),
+    "status 202 without a type": Answer(status=202, media_type=None),
+    "status 500 of a stream": Answer(status=500, body=b"id: 3\ndata: no room\n\n"),
+}
+BODIES = {
+    "text": b"no room\n\n",
+    "text after an event": events(3, 3) + b"no room\n\n",
+    "text before an event": b"no room\n" + events(3),
+    "text within an event": b"id: 3\nno room\ndata: part 3\n\n",
+    "a head": ERROR_HEAD,
+    "a head after an event": events(3, 3) + ERROR_HEAD,
+    "an event without a number": b"event: error\ndata: no room\n\n",
+    "an event without a number after one": events(3, 3) + b"data: no room\n\n",
+    "an event with a garbled number": events(3, 3) + b"id: 4x\ndata: part 4\n\n",
+}
+GAPS = {
+    "events left out at first": events(5),
+    "events left out later": events(3, 3) + events(6),
+}
+MISCOUNTED = {
+    "a number of too many digits after an event": events(3, 3) + b"id: " + b"9" * 99 + b"\n\n",
+}
+
+
+@dataclass(slots=True)
+class Received:
+    """What a caller has got of an answer; `status` is 0 without one."""
+
+    status: int = 0
+    body: bytes = b""
+    is_complete: bool = False
+
+    def is_right(self, expected: bytes = WHOLE) -> bool:
+        """Return whether the answer is whole, or a refusal, or a part that is broken off."""
+        if not self.is_complete:
+            return expected.startswith(self.body)
+        return self.body == expected if self.status == 200 else self.status >= 500
+
+
+def _in_stream(body: bytes) -> tuple[Answer, Answer]:
+    """Return the answer of chunks and the one without that have a body."""
+    return Answer(body=body), Answer(body=body, is_chunked=False)
+
+
+async def _receive(
+    fleet: Fleet, gateway: Gateway, headers: tuple[tuple[str, str], ...] = ()
+) -> Received:
+    """Send a request for a stream; return what comes until its end or until it breaks."""
+    own = (("host", HOST), (NAMES.request_id, fleet.next_id()), (NAMES.api_key, KEY))
+    request = HttpRequest(method="POST", path="/turns/x", headers=(*own, *headers))
+    received = Received()
+    address = gateway.settings.instance.listen
+    async with fleet.client.stream(address, request, new_connection=True) as opened:
+        if opened.is_err():
+            return received
+        response = opened.ok_value
+        received.status = response.head.status
+        try:
+            while data := await response.read():
+                received.body += data
+            received.is_complete = True
+        except StreamError:
+            pass
+    return received
+
+
+async def _add_replicas(fleet: Fleet, script: Script) -> None:
+    for replica_id in ("r1", "r2"):
+        replica = ScriptedReplica(replica_id, script)
+        await fleet.nursery.start(replica.serve)
+        fleet.list_replica(replica)
+    await wait_until(
+        lambda: all(len(gateway.board.replicas.read().all()) == 2 for gateway in fleet.gateways)
+    )
+
+
+def _kept_config() -> ForwardConfig:
+    """Return a configuration whose route for turns keeps histories, and may be resumed."""
+    config = make_config(max_upstreams=3)
+    routes = tuple(
+        replace(route, keeps_history=True) if route.name == "turns" else route
+        for route in config.routes
+    )
+    return replace(config, routes=routes)
+
+
+Check = Callable[[Fleet, Gateway, Script], Awaitable[None]]
+
+
+def _run(check: Check, **options: object) -> None:
+    """Run a check with two replicas that share a script, and with the first gateway."""
+
+    async def run(fleet: Fleet) -> None:
+        script = Script()
+        await _add_replicas(fleet, script)
+        await check(fleet, fleet.gateways[0], script)
+
+    run_with_fleet(run, replicas=0, **{"config": make_config(max_upstreams=3), **options})
+
+
+async def _check_answers(
+    fleet: Fleet, gateway: Gateway, script: Script, answers: dict[str, Answer]
+) -> None:
+    """Check what callers get if a stream breaks off and one of the answers goes on with it."""
+    broken = Answer(body=events(1, BROKEN_AFTER) + b"id: 3\nda", is_whole=False)
+    for name, answer in answers.items():
+        script.answers.clear()
+        script.answers += [broken, answer]
+        received = await _receive(fleet, gateway)
+        assert received.is_right(), (name, received)
+        assert received.status == 200, (name, received)
+
+
+def _answers_by_name(bodies: dict[str, bytes]) -> dict[str, Answer]:
+    return {
+        f"{name}, {'chunked' if answer.is_chunked else 'to the end'}": answer
+        for name, body in bodies.items()
+        for answer in _in_stream(body)
+    }
+
+
+def test_stream_does_not_go_on_with_an_answer_that_is_no_stream() -> None:
+    """Its status or its media type says so."""
+
+    async def check(fleet: Fleet, gateway: Gateway, script: Script) -> None:
+        await _check_answers(fleet, gateway, script, HEADS)
+
+    _run(check)
+
+
+def test_stream_does_not_go_on_with_bytes_that_are_no_events() -> None:
+    """The text or the whole head of an error came in the midst of the events."""
+
+    async def check(fleet: Fleet, gateway: Gateway, script: Script) -> None:
+        await _check_answers(fleet, gateway, script, _answers_by_name(BODIES))
+
+    _run(check)
+
+
+def test_stream_does_not_go_on_after_a_piece_that_is_missing() -> None:
+    """A replica that leaves events out is taken for one that broke the stream off."""
+
+    async def check(fleet: Fleet, gateway: Gateway, script: Script) -> None:
+        await _check_answers(fleet, gateway, script, _answers_by_name(GAPS))
+
+    _run(check)
+
+
+def test_events_before_an_invalid_one_are_not_lost() -> None:
+    """The next attempt asks for those that the caller has not got."""
+
+    async def check(fleet: Fleet, gateway: Gateway, script: Script) -> None:
+        await _check_answers(fleet, gateway, script, _answers_by_name(MISCOUNTED))
+
+    _run(check)
+
+
+def test_stream_without_numbers_is_not_begun_again() -> None:
+    """Its events would come twice."""
+    unnumbered = b"data: a\n\ndata: b\n\n"
+
+    async def check(fleet: Fleet, gateway: Gateway, script: Script) -> None:
+        script.answers += [Answer(body=unnumbered, is_whole=False), Answer(body=unnumbered)]
+        received = await _receive(fleet, gateway)
+        assert received.status == 200 and received.is_right(unnumbered), received
+
+    _run(check)
+
+
+def test_streams_do_not_go_on_with_wrong_answers_through_another_instance() -> None:
+    """The instance that cannot reach the replicas checks what comes through the other one."""
+
+    async def check(fleet: Fleet, gateway: Gateway, script: Script) -> None:
+        CUTS[1].begin(gateway)
+        await _check_answers(fleet, gateway, script, HEADS | _answers_by_name(BODIES | GAPS))
+        assert gateway.metrics.counts()["replica_calls_relayed"]
+
+    _run(check, gateways=2)
+
+
+def test_stream_that_its_caller_takes_up_does_not_go_on_with_wrong_answers() -> None:
+    """The caller has the first events from an earlier request."""
+
+    async def check(fleet: Fleet, gateway: Gateway, script: Script) -> None:
+        headers = ((NAMES.last_event, str(BROKEN_AFTER)), (NAMES.resumed_request, "first"))
+        for name, answer in (HEADS | _answers_by_name(BODIES | GAPS | MISCOUNTED)).items():
+            script.answers.clear()
+            script.answers.append(answer)
+            received = await _receive(fleet, gateway, headers)
+            assert received.is_right(events(BROKEN_AFTER + 1)), (name, received)
+
+    _run(check)
+
+
+def test_first_answer_that_is_no_stream_is_not_passed_on_as_one() -> None:
+    """Another replica streams all events; nothing of the first answer has reached the caller."""
+    wrong = {
+        name: replace(answer, body=answer.body.replace(b"id: 3", b"id: 1"))
+        for name, answer in (HEADS | _answers_by_name(BODIES | GAPS | MISCOUNTED)).items()
+        if answer.status != 500
+    }
+
+    async def check(fleet: Fleet, gateway: Gateway, script: Script) -> None:
+        for name, answer in wrong.items():
+            script.answers.clear()
+            script.answers.append(answer)
+            received = await _receive(fleet, gateway)
+            assert received.status == 200 and received.is_right(), (name, received)
+
+    _run(check)
+
+
+def test_kept_turn_has_each_event_once_after_it_broke_at_its_end() -> None:
+    """The events that come with the end are held, and were lost when that end was none."""
+    part = events(1, 3) + b"id: 4\nda"
+
+    async def check(fleet: Fleet, gateway: Gateway, script: Script) -> None:
+        for answers in ([Answer(body=part)], [Answer(body=events(1, 2), is_whole=False)]):
+            script.answers += answers
+            received = await _receive(fleet, gateway, ((NAMES.program, "p"),))
+            assert received == Received(200, WHOLE, is_complete=True), received
+
+    _run(check, config=_kept_config(), storage="ab")
+
+
+def test_kept_turn_does_not_go_on_with_wrong_answers() -> None:
+    """What is kept is what its caller got."""
+
+    async def check(fleet: Fleet, gateway: Gateway, script: Script) -> None:
+        await _check_answers(
+            fleet, gateway, script, HEADS | _answers_by_name(BODIES | GAPS | MISCOUNTED)
+        )
+
+    _run(check, config=_kept_config(), storage="ab")
+
+
+def test_head_that_stops_in_its_middle_is_no_answer() -> None:
+    """A plain request and a stream are answered by another replica, or not with a success."""
+    head = Answer(body=WHOLE).encode("r1", "request").partition(b"\r\n\r\n")[0] + b"\r\n\r\n"
+
+    async def check(fleet: Fleet, gateway: Gateway, script: Script) -> None:
+        for path in ("/read/x", "/write/x", "/turns/x"):
+            for length in range(0, len(head), 11):
+                script.answers.clear()
+                script.answers.append(Answer(head_bytes=head[:length]))
+                with trio.fail_after(5):
+                    answer = await fleet.send(gateway, path)
+                is_whole = answer.status == 200 and answer.body == WHOLE
+                assert is_whole or answer.status >= 500, (path, head[:length], answer)
+                assert (await fleet.send(gateway, path)).body == WHOLE
+
+    _run(check)
+
+
+load_tests = load_functions(globals())
