Take a success that is no event stream for a lost answer on routes for streams

Callers found an error's text in the midst of their stream, or the stream ended as complete too early, when the try that went on with it got 200 with text/plain, or 204 or 206 without a body.

Cause: any signed answer below 300 went on with a stream. Its status and its media type were never looked at. Now both are checked with the rest of the head, before anything of the answer reaches the caller, for first tries and for those that go on, directly and through another instance.

test_stream_does_not_go_on_with_an_answer_that_is_no_stream failed before and passes now.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_attempt_runner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_attempt_runner.py
@@ -22,6 +22,7 @@
 from lagoonfold_gateway._relay import StreamState, finish_kept_turn, relay_plain, relay_stream
 from lagoonfold_gateway._request_state import RequestState
 from lagoonfold_gateway._upstream_attempt import (
+    SUCCESS_BELOW,
     AttemptFailure,
     attempt_upstream,
     build_request,
@@ -29,7 +30,6 @@
 )
 from lagoonfold_io import Exchange
 
-SUCCESS_BELOW = 300
 UNKNOWN_ORIGIN_RETRY_S = 0.2  # an instance that knows the stream may be back
 MAX_PATH_FAULTS = 3  # replicas that neither this instance nor another could call
 NO_PATH_RETRY_S = 0.2
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_upstream_attempt.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_upstream_attempt.py
@@ -3,7 +3,8 @@
 An answer counts only if the request id that it echoes is that of this request: a replica may send a
 second copy of an earlier answer late, on the same connection. It is accepted only with the
 replica's signature header. A status that says "not run" counts as such only with the replica's
-not-run header, and on a reused connection only with the request's id.
+not-run header, and on a reused connection only with the request's id. A success on a route for
+streams is accepted only if its head is that of an event stream, whether it begins one or goes on.
 """
 
 import math
@@ -14,7 +15,7 @@
 from result import Err, Ok, Result
 
 from lagoonfold import parse_count
-from lagoonfold.forwarding import AttemptOutcome, ReplicaSelection, engine_urgency
+from lagoonfold.forwarding import AttemptOutcome, ReplicaSelection, RouteKind, engine_urgency
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._context import ForwardContext
 from lagoonfold_gateway._dialect import HeaderNames
@@ -31,8 +32,11 @@
     find_header,
 )
 
+OK = 200
+SUCCESS_BELOW = 300
 MISDIRECTED = 421
 NOT_RUN_STATUSES = (408, 429, 503)  # promise "not run" to a caller, so they need that header
+EVENT_STREAM = "text/event-stream"
 MAX_IDLE_AT_MOST_ONCE_S = 1.0  # a server may close a longer idle connection as a request is sent
 
 
@@ -170,9 +174,27 @@
         )
     if find_header(headers, "content-encoding") is not None:
         return AttemptFailure(outcome=AttemptOutcome.LOST, reason="encoded answer")
+    if _is_no_stream(response.head, request_state.route.kind):
+        media_type = find_header(headers, "content-type")
+        return AttemptFailure(
+            outcome=AttemptOutcome.LOST,
+            reason=f"status {status} with media type {media_type!r} in place of a stream",
+        )
     return None
 
 
+def _is_no_stream(head: ResponseHead, kind: RouteKind) -> bool:
+    """Return whether a success has another status or media type than a stream of its route.
+
+    One that names no media type may be a stream.
+    """
+    if kind is not RouteKind.STREAM or head.status >= SUCCESS_BELOW:
+        return False
+    media_type = find_header(head.headers, "content-type") or EVENT_STREAM
+    essence = media_type.partition(";")[0].strip().lower()
+    return head.status != OK or essence != EVENT_STREAM
+
+
 def says_not_run(head: ResponseHead, names: HeaderNames) -> bool:
     """Return whether a replica's answer says that it has not run the request."""
     return head.status == MISDIRECTED or find_header(head.headers, names.not_run) is not None
