Go on with a stream after the last event that its caller has

Callers missed pieces: after a replica had broken off with an invalid event, the whole events that came in the same read were left out; a kept turn whose replica ended within an event lost all events of its last read, the first one too.

Cause: the number that the next attempt asks after was that of the last event that was parsed. Events of a batch that ends in an error, and those held until a turn is durable, are parsed and not delivered. Now the filter is set back to the last delivered event before another attempt, and the text of a kept turn is collected from the events as they are delivered or held to its end.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_attempt_runner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_attempt_runner.py
@@ -45,7 +45,8 @@
     async def run(self, request_state: RequestState, exchange: Exchange) -> Refusal | None:
         """Attempt the request until it is answered; return the refusal if it cannot be."""
         service = pick_service(request_state.route.targets, request_state.stream_id)
-        state = StreamState(EventFilter(request_state.parsed.last_event))
+        last_event = request_state.parsed.last_event
+        state = StreamState(EventFilter(last_event), delivered_id=last_event)
         if request_state.is_stream_taken_up:
             found = await self._find_origin(service, request_state)
             if isinstance(found, Err):
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_relay.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_relay.py
@@ -42,7 +42,7 @@
 class StreamState:
     """The events of a stream that the caller has received, over all attempts.
 
-    `delivered_id` is the number of the last event that was sent to the caller. `origin` is where
+    `delivered_id` is the number of the last event that the caller has. `origin` is where
     the stream began, None if it has not begun or may go on anywhere. The head and
     the last events of a whole answer are held until its turn is durable, if that is to be kept.
     What comes before the first event with content is held until that arrives, in `lead`.
@@ -116,10 +116,11 @@
     try:
         while data := await response.read(use_timeout=False):
             await _relay_data(data, response, state, request_state, exchange, context)
+        if state.events.has_partial_event:
+            return _broken_stream("stream ends within an event", state)
+        _collect_text(state.held_events, request_state)
     except (StreamError, EventError) as error:
         return _broken_stream(str(error), state, is_over=isinstance(error, _TurnOverError))
-    if state.events.has_partial_event:
-        return _broken_stream("stream ends within an event", state)
     event_count = state.events.passed_count - events_before
     if event_count >= MIN_EVENTS_FOR_PACE:
         request_state.event_s = (now_s() - began_s) / event_count
@@ -141,11 +142,10 @@
     """Relay the events of one read, some at a time; let other tasks run in between."""
     events = state.events.feed(data)
     while True:
-        if request_state.route.keeps_history:
-            _collect_text(events, request_state)
         if request_state.route.keeps_history and response.is_complete():
             state.held_events += events
         else:
+            _collect_text(events, request_state)
             await _deliver(events, response.head, state, request_state, exchange, context)
         if not state.events.has_more:
             return
@@ -157,7 +157,7 @@
     reason: str, state: StreamState, *, is_over: bool = False
 ) -> Result[None, AttemptFailure]:
     """Return the failure of a stream; one that `is_over` has had all that it may have."""
-    state.events.discard_partial_event()
+    state.events.rewind(state.delivered_id)
     state.held_events.clear()
     state.lead = b""
     return Err(AttemptFailure(outcome=AttemptOutcome.LOST, reason=reason, has_begun_answer=is_over))
@@ -192,6 +192,8 @@
 
 
 def _collect_text(events: list[Event], request_state: RequestState) -> None:
+    if not request_state.route.keeps_history:
+        return
     for event in events:
         request_state.answer_text += text_of_event(event.data)
     if len(request_state.answer_text) > MAX_TURN_BYTES:
--- a/packages/lagoonfold/src/lagoonfold/forwarding/_events.py
+++ b/packages/lagoonfold/src/lagoonfold/forwarding/_events.py
@@ -48,8 +48,9 @@
 class EventFilter:
     """Splits and filters the events of one response, across all upstreams that produce it.
 
-    `last_id` is the number of the last event that the caller has, `passed_count` the number of
-    events returned so far.
+    `last_id` is the number of the last event that was returned, or that the caller had before;
+    `passed_count` is the number of events returned so far. Before another upstream goes on with the
+    response, `rewind` says which of them the caller has.
     """
 
     def __init__(self, last_id: int | None = None) -> None:
@@ -93,8 +94,9 @@
         """Return whether a partial event is buffered."""
         return bool(self._buffer)
 
-    def discard_partial_event(self) -> None:
-        """Discard the partial event; another upstream resumes after the last whole event."""
+    def rewind(self, last_id: int | None) -> None:
+        """Expect the events after `last_id` from another upstream; discard a partial event."""
+        self.last_id = last_id
         self._buffer.clear()
         self._searched = 0
         self._surplus = 0
--- a/tests/forwarding/test_decisions.py
+++ b/tests/forwarding/test_decisions.py
@@ -111,12 +111,23 @@
         EVENTS[broke_after][:part] if broke_after < 8 else b""
     )
     received = [event.data for event in events.feed(first)]
-    events.discard_partial_event()
+    events.rewind(events.last_id)
     resume_from = max(0, broke_after - 1)
     received += [event.data for event in events.feed(b"".join(EVENTS[resume_from:]))]
     assert received == EVENTS
 
 
+def test_events_that_were_not_delivered_come_again_after_a_rewind() -> None:
+    """Those of a batch that ended in an error have been parsed, but nobody has got them."""
+    events = EventFilter()
+    events.feed(EVENTS[0])
+    try:
+        events.feed(EVENTS[1] + b"id: " + b"9" * 99 + b"\n\n")
+    except EventError:
+        events.rewind(1)
+    assert [event.data for event in events.feed(b"".join(EVENTS[1:]))] == EVENTS[1:]
+
+
 _OUTCOMES = st.lists(
     st.tuples(st.sampled_from(["r1", "r2", "r3"]), st.sampled_from(list(AttemptOutcome)[1:])),
     max_size=8,
