Take lines that are no fields for the break of an event stream

Callers found the text of an error, or the whole head of a 500, in the midst of their stream, when a replica wrote it there in place of events, or where its answer named an event stream.

Cause: all bytes before an empty line were an event, one without a number and without data if need be. Now each line of an event is a field or a comment, an event has one id at most, and after a numbered event no data comes without a number. Anything else breaks the attempt off, as a lost connection does.

In the test of first answers a whole stream without numbers is passed on: nothing tells it from one that has none.

--- a/packages/lagoonfold/src/lagoonfold/forwarding/_events.py
+++ b/packages/lagoonfold/src/lagoonfold/forwarding/_events.py
@@ -3,9 +3,11 @@
 An event ends with an empty line and may carry its number as `id`. A partial event is buffered
 until the rest arrives, so that a broken stream ends between two events and can be resumed.
 
-A replica in trouble may send small events without end. So few are returned at once, after which the
-caller lets other tasks run, and a stream with more than `MAX_SURPLUS_EVENTS` that bring its caller
-nothing is an error.
+A replica in trouble may send text, or the head of another answer, in place of events. So each line
+must be a field or a comment, and a stream of numbered events has no data without a number. It may
+also send small events without end. So few are returned at once, after which the caller lets other
+tasks run, and a stream with more than `MAX_SURPLUS_EVENTS` that bring its caller nothing is an
+error.
 
     events = EventFilter(last_id=12)
     events.feed(b"id: 12\\ndata: a\\n\\nid: 13\\ndata: b\\n\\nid: 14\\nda")
@@ -26,6 +28,9 @@
 
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 _DATA_LINE = re.compile(rb"^data", re.MULTILINE)
+_STANDARD_FIELD = rb"(?:data|event|id|retry)?(?::|\r?$)"  # an empty name is that of a comment
+_NO_FIELD = re.compile(rb"^(?!" + _STANDARD_FIELD + rb"|[a-z][a-z0-9-]*:)", re.MULTILINE)
+_OTHER_FIELD = re.compile(rb"^(?!" + _STANDARD_FIELD + rb")", re.MULTILINE)
 _ID_LINE = re.compile(rb"^id: ?(\d+)\r?$", re.MULTILINE)
 
 
@@ -68,7 +73,8 @@
 
         While `has_more` is set, call it again without data for those that follow. Raises
         `EventError` if `data` and the partial event exceed `MAX_EVENT_BYTES` together, an id has
-        too many digits, or too many events have no content or are known to the caller.
+        too many digits, a line is no field, data without a number follows a numbered event, or too
+        many events have no content or are known to the caller.
         """
         self._buffer += data
         if len(self._buffer) > MAX_EVENT_BYTES:
@@ -104,15 +110,16 @@
 
     def _accept(self, data: bytes) -> Event | None:
         """Return the event, or None if the caller already has it."""
-        match = _ID_LINE.search(data)
-        if match is None:
-            has_content = _DATA_LINE.search(data) is not None
-            if not has_content:
-                self._count_surplus()
-            return Event(None, data, has_content)
-        number = parse_count(match[1].decode())
+        if _NO_FIELD.search(data) is not None:
+            raise EventError("event with a line that is no field")
+        ids = _ID_LINE.findall(data)
+        if not ids:
+            return self._accept_unnumbered(data)
+        if len(ids) > 1:
+            raise EventError("event with several ids")
+        number = parse_count(ids[0].decode())
         if number is None:
-            raise EventError(f"event id of {len(match[1])} digits")
+            raise EventError(f"event id of {len(ids[0])} digits")
         if self.last_id is not None and number <= self.last_id:
             self._count_surplus()
             return None
@@ -120,6 +127,16 @@
         self._numbered += 1
         return Event(number, data)
 
+    def _accept_unnumbered(self, data: bytes) -> Event:
+        has_content = _DATA_LINE.search(data) is not None
+        if has_content and self.last_id is not None:
+            raise EventError(f"event without a number after event {self.last_id}")
+        if not has_content and _OTHER_FIELD.search(data) is not None:
+            raise EventError("event of unknown fields without data")
+        if not has_content:
+            self._count_surplus()
+        return Event(None, data, has_content)
+
     def _count_surplus(self) -> None:
         """Count an event without use; a replica may send all again that the caller has."""
         self._surplus += 1
--- a/tests/forwarding/test_decisions.py
+++ b/tests/forwarding/test_decisions.py
@@ -103,6 +103,39 @@
         raise AssertionError("the id was accepted")
 
 
+def _is_accepted(*events: bytes) -> bool:
+    try:
+        EventFilter().feed(b"".join(events))
+    except EventError:
+        return False
+    return True
+
+
+def test_lines_that_are_no_fields_are_an_error_of_the_stream() -> None:
+    """Texts and heads are no events; comments and fields that the format does not name are."""
+    event = b"id: 1\ndata: a\n\n"
+    for good in (
+        b": comment\n\n",
+        b"retry: 10\n\n",
+        b"\n\n",
+        b"id:2\r\nevent: x\r\ndata\r\n\r\n",
+        b"weights-of: 3\nid: 2\ndata: a\ndata: b\n\n",
+    ):
+        assert _is_accepted(event, good), good
+    for bad in (
+        b"error\n\n",
+        b"no room\n\n",
+        b"data: a\n\n",
+        b"id: 2x\ndata: a\n\n",
+        b"id: 2\nid: 3\ndata: a\n\n",
+        b"HTTP/1.1 500 Error\r\ncontent-length: 5\r\n\r\n",
+        b"content-type: text/plain\ncontent-length: 5\n\n",
+        b"id: 2\ndata: a\nno room\n\n",
+    ):
+        assert not _is_accepted(event, bad), bad
+    assert _is_accepted(b"data: a\n\n", b"event: end\ndata: [DONE]\n\n")
+
+
 @given(st.integers(0, 8), st.integers(0, 15))
 def test_resumed_stream_has_each_event_once(broke_after: int, part: int) -> None:
     """A stream that breaks within an event and resumes must not lose or repeat an event."""
