Break a stream without numbers off rather than begin it again

Callers got pieces twice: a stream whose events have no numbers broke off, and the next attempt brought all events again in the same answer, as none of them could be asked after or left out.

--- a/packages/lagoonfold/src/lagoonfold/forwarding/_events.py
+++ b/packages/lagoonfold/src/lagoonfold/forwarding/_events.py
@@ -55,13 +55,15 @@
 
     `last_id` is the number of the last event that was returned, or that the caller had before;
     `passed_count` is the number of events returned so far. Before another upstream goes on with the
-    response, `rewind` says which of them the caller has.
+    response, `rewind` says which of them the caller has. One that `has_unnumbered` events cannot go
+    on: another upstream would send these again.
     """
 
     def __init__(self, last_id: int | None = None) -> None:
         self.last_id = last_id
         self.passed_count = 0
         self.has_more = False
+        self.has_unnumbered = False
         self._first_id = last_id or 0
         self._numbered = 0
         self._surplus = 0
@@ -135,6 +137,7 @@
             raise EventError("event of unknown fields without data")
         if not has_content:
             self._count_surplus()
+        self.has_unnumbered |= has_content
         return Event(None, data, has_content)
 
     def _count_surplus(self) -> None:
