Take a number that is missing from a stream for its break

Callers got event 5 after event 2 where a replica had left two events out of its answer.

Cause: any number above the last one was accepted. Numbers now begin at 0 or 1 and grow by one; where one is missing the attempt is broken off and the next one asks for it.

test_stream_does_not_go_on_after_a_piece_that_is_missing failed before and passes now, and with it the four tests of all wrong answers: through another instance, of streams that their caller takes up, of first answers and of kept turns.

The tests use four replicas in place of two and send sound streams in between, as two replicas were put aside after some wrong answers and each case took a second; what is checked is the same.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_attempt_runner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_attempt_runner.py
@@ -1,11 +1,14 @@
 """Runs the attempts of a forwarded request: selects a replica, sends, relays, retries."""
 
+from collections import defaultdict
+
 from result import Err, Ok, Result
 
 from lagoonfold import ErrorKind, Ran, Refusal
 from lagoonfold.forwarding import (
     AttemptOutcome,
     EventFilter,
+    EventNumbers,
     OverdueHeads,
     Replica,
     ReplicaSelection,
@@ -41,12 +44,14 @@
     def __init__(self, context: ForwardContext) -> None:
         self._context = context
         self._overdue_heads = OverdueHeads()
+        self._numbers_by_service: defaultdict[str, EventNumbers] = defaultdict(EventNumbers)
 
     async def run(self, request_state: RequestState, exchange: Exchange) -> Refusal | None:
         """Attempt the request until it is answered; return the refusal if it cannot be."""
         service = pick_service(request_state.route.targets, request_state.stream_id)
         last_event = request_state.parsed.last_event
-        state = StreamState(EventFilter(last_event), delivered_id=last_event)
+        events = EventFilter(last_event, self._numbers_by_service[service])
+        state = StreamState(events, delivered_id=last_event)
         if request_state.is_stream_taken_up:
             found = await self._find_origin(service, request_state)
             if isinstance(found, Err):
--- a/packages/lagoonfold/src/lagoonfold/forwarding/__init__.py
+++ b/packages/lagoonfold/src/lagoonfold/forwarding/__init__.py
@@ -14,6 +14,7 @@
     RouteKind,
     WeightedService,
 )
+from lagoonfold.forwarding._event_numbers import EventNumbers
 from lagoonfold.forwarding._events import Event, EventError, EventFilter
 from lagoonfold.forwarding._late_programs import engine_urgency, queue_rank
 from lagoonfold.forwarding._overdue_heads import OverdueHeads
@@ -59,6 +60,7 @@
     "Event",
     "EventError",
     "EventFilter",
+    "EventNumbers",
     "ForwardConfig",
     "ForwardRoute",
     "ForwardService",
--- a/packages/lagoonfold/src/lagoonfold/forwarding/_events.py
+++ b/packages/lagoonfold/src/lagoonfold/forwarding/_events.py
@@ -19,6 +19,7 @@
 from dataclasses import dataclass
 
 from lagoonfold._numbers import parse_count
+from lagoonfold.forwarding._event_numbers import EventNumbers
 
 MAX_EVENT_BYTES = 262_144  # bounds the memory for one stream; usual events are below 1 KB
 
@@ -56,11 +57,12 @@
     `last_id` is the number of the last event that was returned, or that the caller had before;
     `passed_count` is the number of events returned so far. Before another upstream goes on with the
     response, `rewind` says which of them the caller has. One that `has_unnumbered` events cannot go
-    on: another upstream would send these again.
+    on: another upstream would send these again. `numbers` is what is known of the service's.
     """
 
-    def __init__(self, last_id: int | None = None) -> None:
+    def __init__(self, last_id: int | None = None, numbers: EventNumbers | None = None) -> None:
         self.last_id = last_id
+        self._numbers = numbers if numbers is not None else EventNumbers()
         self.passed_count = 0
         self.has_more = False
         self.has_unnumbered = False
@@ -75,8 +77,8 @@
 
         While `has_more` is set, call it again without data for those that follow. Raises
         `EventError` if `data` and the partial event exceed `MAX_EVENT_BYTES` together, an id has
-        too many digits, a line is no field, data without a number follows a numbered event, or too
-        many events have no content or are known to the caller.
+        too many digits, a line is no field, data without a number follows a numbered event, a
+        number is missing, or too many events have no content or are known to the caller.
         """
         self._buffer += data
         if len(self._buffer) > MAX_EVENT_BYTES:
@@ -125,6 +127,8 @@
         if self.last_id is not None and number <= self.last_id:
             self._count_surplus()
             return None
+        if not self._numbers.follows(number, self.last_id):
+            raise EventError(f"event {number} after event {self.last_id}")
         self.last_id = number
         self._numbered += 1
         return Event(number, data)
--- a/tests/gateway/test_stream_answers.py
+++ b/tests/gateway/test_stream_answers.py
@@ -25,6 +25,7 @@
 
 WHOLE = events()
 BROKEN_AFTER = 2
+REPLICAS = ("r1", "r2", "r3", "r4")
 ERROR_HEAD = (
     b"HTTP/1.1 500 Internal Server Error\r\ncontent-type: text/plain\r\ncontent-length: 5\r\n\r\n"
 )
@@ -103,12 +104,14 @@
 
 
 async def _add_replicas(fleet: Fleet, script: Script) -> None:
-    for replica_id in ("r1", "r2"):
+    for replica_id in REPLICAS:
         replica = ScriptedReplica(replica_id, script)
         await fleet.nursery.start(replica.serve)
         fleet.list_replica(replica)
     await wait_until(
-        lambda: all(len(gateway.board.replicas.read().all()) == 2 for gateway in fleet.gateways)
+        lambda: all(
+            len(gateway.board.replicas.read().all()) == len(REPLICAS) for gateway in fleet.gateways
+        )
     )
 
 
@@ -126,7 +129,7 @@
 
 
 def _run(check: Check, **options: object) -> None:
-    """Run a check with two replicas that share a script, and with the first gateway."""
+    """Run a check with replicas that share a script, and with the first gateway."""
 
     async def run(fleet: Fleet) -> None:
         script = Script()
@@ -147,6 +150,8 @@
         received = await _receive(fleet, gateway)
         assert received.is_right(), (name, received)
         assert received.status == 200, (name, received)
+        for _ in REPLICAS:  # which would be put aside after some wrong answers in a row
+            assert (await _receive(fleet, gateway)).is_right(), name
 
 
 def _answers_by_name(bodies: dict[str, bytes]) -> dict[str, Answer]:
