Ask once more when a stream ends without a new event

Callers got an end as complete too early when the try that went on with their stream got a whole answer of the right status and media type that had nothing in it, and a whole empty stream when the first did.

Nothing in such an answer tells whether all events have been sent before. A stream that broke off after its last event is ended so by a sound replica too, so the end counts when a second attempt says the same, or when no further attempt is allowed.

test_stream_does_not_end_with_an_answer_that_brings_no_event failed before and passes now.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_relay.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_relay.py
@@ -42,16 +42,18 @@
 class StreamState:
     """The events of a stream that the caller has received, over all attempts.
 
-    `delivered_id` is the number of the last event that the caller has. `origin` is where
-    the stream began, None if it has not begun or may go on anywhere. The head and
-    the last events of a whole answer are held until its turn is durable, if that is to be kept.
-    What comes before the first event with content is held until that arrives, in `lead`.
+    `delivered_id` is the number of the last event that the caller has. `origin` is where the stream
+    began, None if it has not begun or may go on anywhere. An attempt has `ended_without_event` if
+    its answer was whole and brought nothing. The head and the last events of a whole answer are
+    held until its turn is durable, if that is to be kept. What comes before the first event with
+    content is held until that arrives, in `lead`.
     """
 
     events: EventFilter
     delivered_id: int | None = None
     origin: StreamOrigin | None = None
     is_started: bool = False
+    ended_without_event: bool = False
     is_requesting_credit: bool = False
     lead: bytes = b""
     held_events: list[Event] = field(default_factory=list)
@@ -108,7 +110,8 @@
 ) -> Result[None, AttemptFailure]:
     """Relay a stream as it arrives; after a failure, the answer stays open for a resumption.
 
-    The end of a turn that is to be kept, with the events that come together with it, is left to
+    An end without a new event counts once another attempt has ended so too, if one is allowed. The
+    end of a turn that is to be kept, with the events that come together with it, is left to
     `finish_kept_turn`.
     """
     began_s = now_s()
@@ -122,6 +125,9 @@
     except (StreamError, EventError) as error:
         return _broken_stream(str(error), state, is_over=isinstance(error, _TurnOverError))
     event_count = state.events.passed_count - events_before
+    if not (event_count or state.ended_without_event) and request_state.attempts.may_lose_answer:
+        state.ended_without_event = True
+        return _broken_stream("stream ends without an event", state)
     if event_count >= MIN_EVENTS_FOR_PACE:
         request_state.event_s = (now_s() - began_s) / event_count
     if request_state.route.keeps_history:
--- a/packages/lagoonfold/src/lagoonfold/forwarding/_events.py
+++ b/packages/lagoonfold/src/lagoonfold/forwarding/_events.py
@@ -55,9 +55,10 @@
     """Splits and filters the events of one response, across all upstreams that produce it.
 
     `last_id` is the number of the last event that was returned, or that the caller had before;
-    `passed_count` is the number of events returned so far. Before another upstream goes on with the
-    response, `rewind` says which of them the caller has. One that `has_unnumbered` events cannot go
-    on: another upstream would send these again. `numbers` is what is known of the service's.
+    `passed_count` is the number of events with content returned so far. Before another upstream
+    goes on with the response, `rewind` says which of them the caller has. One that `has_unnumbered`
+    events cannot go on: another upstream would send these again. `numbers` is what is known of the
+    service's.
     """
 
     def __init__(self, last_id: int | None = None, numbers: EventNumbers | None = None) -> None:
@@ -96,7 +97,7 @@
                 events.append(event)
         del self._buffer[:start]
         self._searched = 0 if self.has_more else max(0, len(self._buffer) - MAX_END_BYTES + 1)
-        self.passed_count += len(events)
+        self.passed_count += sum(event.has_content for event in events)
         return events
 
     @property
--- a/tests/gateway/test_stream_answers.py
+++ b/tests/gateway/test_stream_answers.py
@@ -13,6 +13,7 @@
 from lagoonfold_gateway import Gateway
 from lagoonfold_io import HttpRequest, StreamError
 from standins.scripted_replica import (
+    EVENTS,
     NAMES,
     Answer,
     Script,
@@ -210,6 +211,21 @@
     _run(check)
 
 
+def test_stream_does_not_end_with_an_answer_that_brings_no_event() -> None:
+    """It ended as complete too early; one that has all its events may end so."""
+    empty = Answer(), Answer(is_chunked=False)
+    begun, unended = (Answer(body=events(1, last), is_whole=False) for last in (2, EVENTS))
+
+    async def check(fleet: Fleet, gateway: Gateway, script: Script) -> None:
+        for answer in empty:
+            for answers in ((begun, answer), (answer,), (unended, answer, answer)):
+                script.answers += answers
+                received = await _receive(fleet, gateway)
+                assert received == Received(200, WHOLE, is_complete=True), (answers, received)
+
+    _run(check)
+
+
 def test_streams_do_not_go_on_with_wrong_answers_through_another_instance() -> None:
     """The instance that cannot reach the replicas checks what comes through the other one."""
 
