Reset the connection of an HTTP/1.0 caller whose answer breaks off

A caller that speaks HTTP/1.0 got a stream that had broken off after event 2 of 6, or the first 600,000 bytes of a plain answer that broke off, and its connection ended in order: for an answer without length and chunks, that is the end of a whole one.

The cause: an answer that is abandoned has its connection closed. In HTTP/1.1 the last chunk is missing then; an answer to HTTP/1.0 has none.

Now the socket of such an answer is closed with a reset unless the answer has been finished, whoever closes it, so this holds for a process that is killed too.

--- a/packages/lagoonfold-io/src/lagoonfold_io/_http_exchange.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_exchange.py
@@ -1,6 +1,12 @@
-"""Sends the response to a request."""
+"""Sends the response to a request.
+
+A streamed response to an HTTP/1.0 client has no chunks and ends with its connection, so one that is
+not finished must end with a reset.
+"""
 
 import os
+import socket
+import struct
 from collections.abc import Callable
 
 import h11
@@ -11,6 +17,8 @@
 CONNECTION_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError, OSError)
 _STREAM_HEADERS = ("transfer-encoding", "chunked")
 _CLOSE_HEADERS = (("connection", "close"),)
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # struct linger: on, 0 s
+_SEND_ON_CLOSE = struct.pack("ii", 0, 0)
 
 
 class ClientGoneError(Exception):
@@ -59,6 +67,8 @@
         all_headers = [*headers, _STREAM_HEADERS, *self._closing_headers()]
         head = h11.Response(status_code=status, headers=encode_headers(tuple(all_headers)))
         self.started = True
+        if self._ends_with_connection:
+            self._set_linger(_RESET_ON_CLOSE)
         await self._write(self._protocol.send(head))
 
     def _closing_headers(self) -> Headers:
@@ -106,8 +116,21 @@
     async def finish(self) -> None:
         """End a streamed response."""
         await self._write(self._protocol.send(h11.EndOfMessage()))
+        if self._ends_with_connection:
+            self._set_linger(_SEND_ON_CLOSE)
         self.finished = True
 
+    @property
+    def _ends_with_connection(self) -> bool:
+        """Return whether the client knows the end of a streamed response only by that."""
+        return self._protocol.their_http_version == b"1.0"
+
+    def _set_linger(self, linger: bytes) -> None:
+        try:
+            self._stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        except CONNECTION_ERRORS as error:
+            raise ClientGoneError from error
+
     def _write_unsent(self) -> None:
         """Write as much of the buffer as the socket accepts without waiting."""
         self._unsent = self._unsent[self._write_now(self._unsent) :]
--- a/tests/gateway/test_stream_answers.py
+++ b/tests/gateway/test_stream_answers.py
@@ -27,6 +27,8 @@
 WHOLE = events()
 BROKEN_AFTER = 2
 REPLICAS = ("r1", "r2", "r3", "r4")
+READ_SIZE_BYTES = 65_536
+LARGE_BYTES = 600_000  # more than is held of a plain answer
 ERROR_HEAD = (
     b"HTTP/1.1 500 Internal Server Error\r\ncontent-type: text/plain\r\ncontent-length: 5\r\n\r\n"
 )
@@ -104,6 +106,22 @@
     return received
 
 
+async def _receive_as_http_1_0(fleet: Fleet, gateway: Gateway, path: str) -> tuple[bytes, bool]:
+    """Return what an HTTP/1.0 caller gets, and whether its connection ends without a reset."""
+    host, _, port = gateway.settings.instance.listen.partition(":")
+    stream = await trio.open_tcp_stream(host, int(port))
+    fields = (("host", HOST), (NAMES.request_id, fleet.next_id()), (NAMES.api_key, KEY))
+    lines = [f"POST {path} HTTP/1.0", *(f"{name}: {value}" for name, value in fields), "", ""]
+    await stream.send_all("\r\n".join(lines).encode())
+    received = b""
+    try:
+        while data := await stream.receive_some(READ_SIZE_BYTES):
+            received += data
+    except trio.BrokenResourceError:
+        return received, False
+    return received, True
+
+
 async def _add_replicas(fleet: Fleet, script: Script) -> None:
     for replica_id in REPLICAS:
         replica = ScriptedReplica(replica_id, script)
@@ -316,4 +334,21 @@
     _run(check)
 
 
+def test_broken_answer_does_not_look_complete_to_an_http_1_0_caller() -> None:
+    """Its answer has no chunks, and the end of its connection was the end of the answer."""
+    broken = Answer(body=events(1, BROKEN_AFTER), is_whole=False)
+    large = Answer(body=b"x" * LARGE_BYTES, is_whole=False)
+
+    async def check(fleet: Fleet, gateway: Gateway, script: Script) -> None:
+        for path, answer in (("/turns/x", broken), ("/read/x", large)):
+            script.answers += [answer] * len(REPLICAS)
+            received, is_complete = await _receive_as_http_1_0(fleet, gateway, path)
+            assert not is_complete, (path, received[-80:])
+            script.answers.clear()
+            received, is_complete = await _receive_as_http_1_0(fleet, gateway, path)
+            assert is_complete and received.endswith(WHOLE), (path, received[-80:])
+
+    _run(check)
+
+
 load_tests = load_functions(globals())
