Take the head of an error after a part of an event for a break

Callers got "data: paHTTP/1.1 500 Internal Server Error", with the head's fields below it, as event 3 of their stream, where a replica stopped within that event and wrote the whole head of a 500 into the same body.

The cause: the status line ends the event's last line, so no line of its own shows it, and the head's lower-case fields pass for fields that the format of event streams does not name, which were accepted anywhere in an event.

The lines of an event end alike, all with LF or all with CRLF: a head's CRLF after the LF of events shows it without any field. A lone CR, at which a parser of the format would begin another line, is an error too. Text without a head that goes on with a line of data can't be told from that data.

--- a/packages/lagoonfold/src/lagoonfold/forwarding/_events.py
+++ b/packages/lagoonfold/src/lagoonfold/forwarding/_events.py
@@ -3,11 +3,12 @@
 An event ends with an empty line and may carry its number as `id`. A partial event is buffered
 until the rest arrives, so that a broken stream ends between two events and can be resumed.
 
-A replica in trouble may send text, or the head of another answer, in place of events. So each line
-must be a field or a comment, and a stream of numbered events has no data without a number. It may
-also send small events without end. So few are returned at once, after which the caller lets other
-tasks run, and a stream with more than `MAX_SURPLUS_EVENTS` that bring its caller nothing is an
-error.
+A replica in trouble may send text, or the head of another answer, in place of events or of the rest
+of one. So each line must be a field or a comment, fields that the format does not name come first,
+the lines of an event end alike, and a stream of numbered events has no data without a number. It
+may also send small events without end. So few are returned at once, after which the caller lets
+other tasks run, and a stream with more than `MAX_SURPLUS_EVENTS` that bring its caller nothing is
+an error.
 
     events = EventFilter(last_id=12)
     events.feed(b"id: 12\\ndata: a\\n\\nid: 13\\ndata: b\\n\\nid: 14\\nda")
@@ -29,9 +30,13 @@
 
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 _DATA_LINE = re.compile(rb"^data", re.MULTILINE)
-_STANDARD_FIELD = rb"(?:data|event|id|retry)?(?::|\r?$)"  # an empty name is that of a comment
-_NO_FIELD = re.compile(rb"^(?!" + _STANDARD_FIELD + rb"|[a-z][a-z0-9-]*:)", re.MULTILINE)
+_NAME = rb"(?:data|event|id|retry)"
+_STANDARD_FIELD = _NAME + rb"?(?::|\r?$)"  # an empty name is that of a comment
 _OTHER_FIELD = re.compile(rb"^(?!" + _STANDARD_FIELD + rb")", re.MULTILINE)
+_FIELDS = re.compile(
+    rb"(?:(?!" + _NAME + rb":)[a-z][a-z0-9-]*:[^\n]*\n|(?::[^\n]*|\r?)\n)*+"
+    rb"(?:" + _NAME + rb"?(?::[^\n]*|\r?)\n)*+"
+)
 _ID_LINE = re.compile(rb"^id: ?(\d+)\r?$", re.MULTILINE)
 
 
@@ -115,8 +120,10 @@
 
     def _accept(self, data: bytes) -> Event | None:
         """Return the event, or None if the caller already has it."""
-        if _NO_FIELD.search(data) is not None:
-            raise EventError("event with a line that is no field")
+        if _FIELDS.fullmatch(data) is None:
+            raise EventError("event with a line that is no field, or no field of its place")
+        if not _ends_lines_alike(data):
+            raise EventError("event with line ends of several kinds")
         ids = _ID_LINE.findall(data)
         if not ids:
             return self._accept_unnumbered(data)
@@ -151,3 +158,10 @@
         most = MAX_SURPLUS_EVENTS + self._first_id + self._numbered
         if self._surplus > most:
             raise EventError(f"more than {most} events without content or known before")
+
+
+def _ends_lines_alike(data: bytes) -> bool:
+    """Return whether all lines end with LF, or all with CRLF."""
+    if b"\r" not in data:
+        return True
+    return data.count(b"\r") == data.count(b"\r\n") == data.count(b"\n")
--- a/tests/forwarding/test_decisions.py
+++ b/tests/forwarding/test_decisions.py
@@ -120,6 +120,8 @@
         b"\n\n",
         b"id:2\r\nevent: x\r\ndata\r\n\r\n",
         b"weights-of: 3\nid: 2\ndata: a\ndata: b\n\n",
+        b"\n: comment\nweights-of: 3\nid: 2\n: comment\ndata: a\n\n",
+        b"\r\nweights-of: 3\r\nid: 2\r\ndata: a: b\r\n\r\n",
     ):
         assert _is_accepted(event, good), good
     for bad in (
@@ -131,6 +133,10 @@
         b"HTTP/1.1 500 Error\r\ncontent-length: 5\r\n\r\n",
         b"content-type: text/plain\ncontent-length: 5\n\n",
         b"id: 2\ndata: a\nno room\n\n",
+        b"id: 2\ndata: aHTTP/1.1 500 Error\r\n\r\n",
+        b"id: 2\ndata: aHTTP/1.1 500 Error\ncontent-length: 5\n\n",
+        b"id: 2\ndata: a\rdata: b\n\n",
+        b"id: 2\ndata: a\r\rdata: b\n\n",
     ):
         assert not _is_accepted(event, bad), bad
     assert _is_accepted(b"data: a\n\n", b"event: end\ndata: [DONE]\n\n")
--- a/tests/gateway/test_stream_answers.py
+++ b/tests/gateway/test_stream_answers.py
@@ -29,9 +29,8 @@
 REPLICAS = ("r1", "r2", "r3", "r4")
 READ_SIZE_BYTES = 65_536
 LARGE_BYTES = 600_000  # more than is held of a plain answer
-ERROR_HEAD = (
-    b"HTTP/1.1 500 Internal Server Error\r\ncontent-type: text/plain\r\ncontent-length: 5\r\n\r\n"
-)
+STATUS_LINE = b"HTTP/1.1 500 Internal Server Error\r\n"
+ERROR_HEAD = STATUS_LINE + b"content-type: text/plain\r\ncontent-length: 5\r\n\r\n"
 
 # What a replica sends to a request for the events after `BROKEN_AFTER`, by the name of the trouble.
 HEADS = {
@@ -51,6 +50,10 @@
     "text within an event": b"id: 3\nno room\ndata: part 3\n\n",
     "a head": ERROR_HEAD,
     "a head after an event": events(3, 3) + ERROR_HEAD,
+    "a head within an event": b"id: 3\ndata: pa" + ERROR_HEAD,
+    "a status line within an event": b"id: 3\ndata: pa" + STATUS_LINE + b"\r\n",
+    "a head of LF ends within an event": b"id: 3\ndata: pa" + ERROR_HEAD.replace(b"\r", b""),
+    "a lone CR within an event": b"id: 3\ndata: pa\rno room\n\n",
     "an event without a number": b"event: error\ndata: no room\n\n",
     "an event without a number after one": events(3, 3) + b"data: no room\n\n",
     "an event with a garbled number": events(3, 3) + b"id: 4x\ndata: part 4\n\n",
