Do not go on with a stream in the middle of another run

Callers got "part 1", "part 2" of one run and "other 3" to "other 6" of another, where the replica that was asked for the events after 2 began a run of its own at event 1, or where numbers went back within one answer.

The cause: events whose numbers the caller has were left out without a look at them, and the next number was taken for the next event.

The hashes of the data of the last 64 events are kept now. An event that comes again with other data ends the attempt, and so does a number that goes back within an answer: to go on from another run, an answer passes the caller's last event. Only data is compared, as the line with the version of the weights may come once only. A caller that takes a stream up itself tells no data, so what comes again is left out there as before.

The new test failed before ("another run from its start") and passes now.

--- a/packages/lagoonfold/src/lagoonfold/forwarding/_events.py
+++ b/packages/lagoonfold/src/lagoonfold/forwarding/_events.py
@@ -26,6 +26,7 @@
 
 MAX_EVENTS_AT_ONCE = 32  # take less than 1 ms; then other requests get processor time
 MAX_SURPLUS_EVENTS = 256  # comments that keep a stream of minutes alive; others never come
+MAX_COMPARED_EVENTS = 64  # an answer that begins again is compared with the last ones returned
 MAX_END_BYTES = 4  # of the empty line that ends an event
 
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
@@ -37,6 +38,7 @@
     rb"(?:(?!" + _NAME + rb":)[a-z][a-z0-9-]*:[^\n]*\n|(?::[^\n]*|\r?)\n)*+"
     rb"(?:" + _NAME + rb"?(?::[^\n]*|\r?)\n)*+"
 )
+_DATA = re.compile(rb"^data[^\r\n]*", re.MULTILINE)
 _ID_LINE = re.compile(rb"^id: ?(\d+)\r?$", re.MULTILINE)
 
 
@@ -72,6 +74,8 @@
         self.passed_count = 0
         self.has_more = False
         self.has_unnumbered = False
+        self._answer_id: int | None = None
+        self._hash_by_number: dict[int, int] = {}
         self._first_id = last_id or 0
         self._numbered = 0
         self._surplus = 0
@@ -84,7 +88,8 @@
         While `has_more` is set, call it again without data for those that follow. Raises
         `EventError` if `data` and the partial event exceed `MAX_EVENT_BYTES` together, an id has
         too many digits, a line is no field, data without a number follows a numbered event, a
-        number is missing, or too many events have no content or are known to the caller.
+        number is missing or goes back, an event comes again with other data, or too many events
+        have no content or are known to the caller.
         """
         self._buffer += data
         if len(self._buffer) > MAX_EVENT_BYTES:
@@ -113,6 +118,7 @@
     def rewind(self, last_id: int | None) -> None:
         """Expect the events after `last_id` from another upstream; discard a partial event."""
         self.last_id = last_id
+        self._answer_id = None
         self._buffer.clear()
         self._searched = 0
         self._surplus = 0
@@ -132,15 +138,29 @@
         number = parse_count(ids[0].decode())
         if number is None:
             raise EventError(f"event id of {len(ids[0])} digits")
+        data_hash = hash(tuple(_DATA.findall(data)))
+        if self._answer_id is not None and number < self._answer_id:
+            raise EventError(f"event {number} after event {self._answer_id}")
+        self._answer_id = number
         if self.last_id is not None and number <= self.last_id:
+            if self._hash_by_number.get(number, data_hash) != data_hash:
+                raise EventError(f"event {number} with other data than before")
             self._count_surplus()
             return None
         if not self._numbers.follows(number, self.last_id):
             raise EventError(f"event {number} after event {self.last_id}")
         self.last_id = number
         self._numbered += 1
+        self._remember(number, data_hash)
         return Event(number, data)
 
+    def _remember(self, number: int, data_hash: int) -> None:
+        """Remember the data of an event; it may have been returned before, and not delivered."""
+        self._hash_by_number.pop(number, None)
+        self._hash_by_number[number] = data_hash
+        if len(self._hash_by_number) > MAX_COMPARED_EVENTS:
+            del self._hash_by_number[next(iter(self._hash_by_number))]
+
     def _accept_unnumbered(self, data: bytes) -> Event:
         has_content = _DATA_LINE.search(data) is not None
         if has_content and self.last_id is not None:
--- a/tests/forwarding/test_decisions.py
+++ b/tests/forwarding/test_decisions.py
@@ -167,6 +167,21 @@
     assert [event.data for event in events.feed(b"".join(EVENTS[1:]))] == EVENTS[1:]
 
 
+def test_events_that_come_again_are_those_of_the_same_run() -> None:
+    """Other fields than the data may differ, as the version of the weights does."""
+    events = EventFilter()
+    events.feed(EVENTS[0] + EVENTS[1] + EVENTS[1])
+    events.rewind(2)
+    assert not events.feed(EVENTS[0] + b"weights-of: 3\n" + EVENTS[1])
+    assert [event.number for event in events.feed(EVENTS[2])] == [3]
+    for again in (b"id: 3\ndata: other\n\n", b"id: 2\ndata: part 2\n\n"):
+        try:
+            events.feed(again)
+        except EventError:
+            continue
+        raise AssertionError(again)
+
+
 _OUTCOMES = st.lists(
     st.tuples(st.sampled_from(["r1", "r2", "r3"]), st.sampled_from(list(AttemptOutcome)[1:])),
     max_size=8,
--- a/tests/gateway/test_stream_answers.py
+++ b/tests/gateway/test_stream_answers.py
@@ -62,6 +62,14 @@
     "events left out at first": events(5),
     "events left out later": events(3, 3) + events(6),
 }
+OTHER_RUN = events(1).replace(b"part", b"other")
+OTHER_RUNS = {
+    "another run from its start": OTHER_RUN,
+    "the last event of another run": events(2).replace(b"part", b"other"),
+    "another run after the rest of this one": events(3, 3) + OTHER_RUN,
+    "another run from within this one": events(3, 4) + events(2).replace(b"part", b"other"),
+    "an event twice with other data": events(3, 3) + events(3).replace(b"part", b"other"),
+}
 MISCOUNTED = {
     "a number of too many digits after an event": events(3, 3) + b"id: " + b"9" * 99 + b"\n\n",
 }
@@ -211,6 +219,15 @@
     _run(check)
 
 
+def test_stream_does_not_go_on_with_the_events_of_another_run() -> None:
+    """The events that the caller had were left out, and those of the other run followed."""
+
+    async def check(fleet: Fleet, gateway: Gateway, script: Script) -> None:
+        await _check_answers(fleet, gateway, script, _answers_by_name(OTHER_RUNS))
+
+    _run(check)
+
+
 def test_events_before_an_invalid_one_are_not_lost() -> None:
     """The next attempt asks for those that the caller has not got."""
 
