Judge the numbers of streams by what most recent ones of their service have shown

Streams whose numbers 1, 2, 5, 9 are a habit of their service were refused for good, as one step of one bound all later ones; three wrong attempts of one request passed as a habit on an instance that had just started, and its caller got events 1, 4, 5, 6 as a whole stream.

A stream that is taken up is judged by the service that began it.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_attempt_runner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_attempt_runner.py
@@ -49,15 +49,16 @@
     async def run(self, request_state: RequestState, exchange: Exchange) -> Refusal | None:
         """Attempt the request until it is answered; return the refusal if it cannot be."""
         service = pick_service(request_state.route.targets, request_state.stream_id)
-        last_event = request_state.parsed.last_event
-        events = EventFilter(last_event, self._numbers_by_service[service])
-        state = StreamState(events, delivered_id=last_event)
+        origin: StreamOrigin | None = None
         if request_state.is_stream_taken_up:
             found = await self._find_origin(service, request_state)
             if isinstance(found, Err):
                 return found.err_value
-            state.origin = found.ok_value
-            service = state.origin.service if state.origin is not None else service
+            origin = found.ok_value
+            service = origin.service if origin is not None else service
+        last_event = request_state.parsed.last_event
+        events = EventFilter(last_event, self._numbers_by_service[service])
+        state = StreamState(events, delivered_id=last_event, origin=origin)
         only_id: str | None = None
         avoided_ids: set[str] = set()
         path_faults = 0
--- a/packages/lagoonfold/src/lagoonfold/forwarding/_events.py
+++ b/packages/lagoonfold/src/lagoonfold/forwarding/_events.py
@@ -20,7 +20,7 @@
 from dataclasses import dataclass
 
 from lagoonfold._numbers import parse_count
-from lagoonfold.forwarding._event_numbers import EventNumbers
+from lagoonfold.forwarding._event_numbers import EventNumbers, StreamNumbers
 
 MAX_EVENT_BYTES = 262_144  # bounds the memory for one stream; usual events are below 1 KB
 
@@ -70,7 +70,7 @@
 
     def __init__(self, last_id: int | None = None, numbers: EventNumbers | None = None) -> None:
         self.last_id = last_id
-        self._numbers = numbers if numbers is not None else EventNumbers()
+        self._numbering = StreamNumbers(numbers if numbers is not None else EventNumbers())
         self.passed_count = 0
         self.has_more = False
         self.has_unnumbered = False
@@ -147,7 +147,7 @@
                 raise EventError(f"event {number} with other data than before")
             self._count_surplus()
             return None
-        if not self._numbers.follows(number, self.last_id):
+        if not self._numbering.follows(number, self.last_id):
             raise EventError(f"event {number} after event {self.last_id}")
         self.last_id = number
         self._numbered += 1
