Keep no turn whose replica has sent more than its caller may have

A kept turn whose whole answer came in one read had all its events made durable before they were counted against the turn's tokens: the caller got four events, broken off, six were kept, and the next turn continued from text that nobody had seen and no budget counted. The exception ended the handler.

What is held to the end of a turn is counted before the turn is kept.

test_kept_turn_whose_replica_sends_too_much_is_not_kept failed before and passes now.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_relay.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_relay.py
@@ -121,6 +121,7 @@
             await _relay_data(data, response, state, request_state, exchange, context)
         if state.events.has_partial_event:
             return _broken_stream("stream ends within an event", state)
+        _check_held(state.held_events, request_state)
         _collect_text(state.held_events, request_state)
     except (StreamError, EventError) as error:
         return _broken_stream(str(error), state, is_over=isinstance(error, _TurnOverError))
@@ -197,6 +198,14 @@
     await exchange.finish()
 
 
+def _check_held(events: list[Event], request_state: RequestState) -> None:
+    """Raise `_TurnOverError` if held events have more tokens than the turn may have."""
+    turn = request_state.admitted_turn
+    count = sum(event.has_content for event in events)
+    if turn is not None and not turn.credit_meter.covers(count):
+        raise _TurnOverError("held events of more tokens than the turn may have")
+
+
 def _collect_text(events: list[Event], request_state: RequestState) -> None:
     if not request_state.route.keeps_history:
         return
--- a/packages/lagoonfold/src/lagoonfold/budgets/_credit_meter.py
+++ b/packages/lagoonfold/src/lagoonfold/budgets/_credit_meter.py
@@ -29,6 +29,11 @@
         """Return whether all of `max_tokens` have been delivered: no further event may come."""
         return self.delivered_tokens >= self.max_tokens
 
+    def covers(self, events: int) -> bool:
+        """Return whether the turn may have so many further events; the last one in part."""
+        tokens_before_last = (events - 1) * self._tokens_per_event
+        return not events or self.delivered_tokens + tokens_before_last < self.max_tokens
+
     def try_consume(self) -> bool:
         """Count one event to deliver; return False, without counting it, if credit is lacking.
 
--- a/tests/budgets/test_ledger.py
+++ b/tests/budgets/test_ledger.py
@@ -145,6 +145,14 @@
     assert all(meter.try_consume() for _ in range(9))
 
 
+def test_meter_tells_how_many_events_its_turn_may_have() -> None:
+    """The last one may exceed the turn in part."""
+    meter = TurnCreditMeter(max_tokens=25, credit=25, tokens_per_event=10)
+    assert [meter.covers(events) for events in range(5)] == [True, True, True, True, False]
+    assert all(meter.try_consume() for _ in range(3)) and meter.is_over
+    assert meter.covers(0) and not meter.covers(1)
+
+
 def test_charge_is_due_before_a_program_has_no_credit_left() -> None:
     """A usual turn leaves the next one enough; after a few, a charge is made ahead."""
     ledger = ProgramLedger(budget=2_000, uncharged_credit=300)
--- a/tests/gateway/test_stream_answers.py
+++ b/tests/gateway/test_stream_answers.py
@@ -325,6 +325,25 @@
     _run(check, config=_kept_config(), storage="ab")
 
 
+def test_kept_turn_whose_replica_sends_too_much_is_not_kept() -> None:
+    """Text that its caller had not got was durable, as a part of the next turn's prompt."""
+    most = 10 * (EVENTS - 2)
+    turn = (
+        (NAMES.program, "p"),
+        (NAMES.session_id, "s"),
+        (NAMES.budget_tokens, str(10 * most)),
+        (NAMES.token_counts, f"10,{most}"),
+    )
+
+    async def check(fleet: Fleet, gateway: Gateway, script: Script) -> None:
+        received = await _receive(fleet, gateway, turn)
+        assert received.status == 502 or not received.is_complete, received
+        previous = ((NAMES.previous_turn, "request-1"), *turn[:2])
+        assert (await _receive(fleet, gateway, previous)).status == 404
+
+    _run(check, config=_kept_config(), storage="ab")
+
+
 def test_kept_turn_does_not_go_on_with_wrong_answers() -> None:
     """What is kept is what its caller got."""
 
