Count events without numbers as delivered only once they are

A stream was broken off that could have gone on: a first attempt brought data without a number and then an invalid line, nothing of it was delivered, and the next attempt's numbered stream broke and was not taken up, as the stream counted as one without numbers. And data without a number before numbered events came to the caller as a part of the stream.

What a caller has got is recorded where events are delivered; numbered events after data without a number end the attempt.

test_unnumbered_events_that_nobody_got_do_not_keep_a_stream_from_going_on failed before, and so did the new case of wrong answers; both pass now.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_attempt_runner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_attempt_runner.py
@@ -178,7 +178,7 @@
         decision = request_state.attempts.record_outcome(
             replica_id, failure.outcome, may_have_run_before=may_have_run_before
         )
-        can_go_on = request_state.route.can_resume and not state.events.has_unnumbered
+        can_go_on = request_state.route.can_resume and not state.has_unnumbered
         is_cut = state.is_started and not can_go_on
         if is_cut or failure.has_begun_answer:
             decision = RetryDecision.FAIL
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_relay.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_relay.py
@@ -53,6 +53,7 @@
     delivered_id: int | None = None
     origin: StreamOrigin | None = None
     is_started: bool = False
+    has_unnumbered: bool = False
     ended_without_event: bool = False
     is_requesting_credit: bool = False
     lead: bytes = b""
@@ -243,6 +244,8 @@
         ready += event.data
         if event.number is not None:
             state.delivered_id = event.number
+        else:
+            state.has_unnumbered = True
     await _send(ready, head, state, request_state, exchange)
 
 
--- a/packages/lagoonfold/src/lagoonfold/forwarding/_events.py
+++ b/packages/lagoonfold/src/lagoonfold/forwarding/_events.py
@@ -63,9 +63,8 @@
 
     `last_id` is the number of the last event that was returned, or that the caller had before;
     `passed_count` is the number of events with content returned so far. Before another upstream
-    goes on with the response, `rewind` says which of them the caller has. One that `has_unnumbered`
-    events cannot go on: another upstream would send these again. `numbers` is what is known of the
-    service's.
+    goes on with the response, `rewind` says which of them the caller has. `numbers` is what is
+    known of the service's.
     """
 
     def __init__(self, last_id: int | None = None, numbers: EventNumbers | None = None) -> None:
@@ -73,7 +72,7 @@
         self._numbering = StreamNumbers(numbers if numbers is not None else EventNumbers())
         self.passed_count = 0
         self.has_more = False
-        self.has_unnumbered = False
+        self._has_unnumbered = False
         self._answer_id: int | None = None
         self._hash_by_number: dict[int, int] = {}
         self._first_id = last_id or 0
@@ -87,7 +86,7 @@
 
         While `has_more` is set, call it again without data for those that follow. Raises
         `EventError` if `data` and the partial event exceed `MAX_EVENT_BYTES` together, an id has
-        too many digits, a line is no field, data without a number follows a numbered event, a
+        too many digits, a line is no field, events with and without numbers follow each other, a
         number is missing or goes back, an event comes again with other data, or too many events
         have no content or are known to the caller.
         """
@@ -119,6 +118,7 @@
         """Expect the events after `last_id` from another upstream; discard a partial event."""
         self.last_id = last_id
         self._answer_id = None
+        self._has_unnumbered = False
         self._buffer.clear()
         self._searched = 0
         self._surplus = 0
@@ -126,26 +126,20 @@
 
     def _accept(self, data: bytes) -> Event | None:
         """Return the event, or None if the caller already has it."""
-        if _FIELDS.fullmatch(data) is None:
-            raise EventError("event with a line that is no field, or no field of its place")
-        if not _ends_lines_alike(data):
-            raise EventError("event with line ends of several kinds")
-        ids = _ID_LINE.findall(data)
+        ids = _read_ids(data)
         if not ids:
             return self._accept_unnumbered(data)
-        if len(ids) > 1:
-            raise EventError("event with several ids")
         number = parse_count(ids[0].decode())
         if number is None:
             raise EventError(f"event id of {len(ids[0])} digits")
+        if self._has_unnumbered:
+            raise EventError(f"event {number} after one without a number")
         data_hash = hash(tuple(_DATA.findall(data)))
         if self._answer_id is not None and number < self._answer_id:
             raise EventError(f"event {number} after event {self._answer_id}")
         self._answer_id = number
         if self.last_id is not None and number <= self.last_id:
-            if self._hash_by_number.get(number, data_hash) != data_hash:
-                raise EventError(f"event {number} with other data than before")
-            self._count_surplus()
+            self._check_known(number, data_hash)
             return None
         if not self._numbering.follows(number, self.last_id):
             raise EventError(f"event {number} after event {self.last_id}")
@@ -154,6 +148,11 @@
         self._remember(number, data_hash)
         return Event(number, data)
 
+    def _check_known(self, number: int, data_hash: int) -> None:
+        if self._hash_by_number.get(number, data_hash) != data_hash:
+            raise EventError(f"event {number} with other data than before")
+        self._count_surplus()
+
     def _remember(self, number: int, data_hash: int) -> None:
         """Remember the data of an event; it may have been returned before, and not delivered."""
         self._hash_by_number.pop(number, None)
@@ -169,7 +168,7 @@
             raise EventError("event of unknown fields without data")
         if not has_content:
             self._count_surplus()
-        self.has_unnumbered |= has_content
+        self._has_unnumbered |= has_content
         return Event(None, data, has_content)
 
     def _count_surplus(self) -> None:
@@ -180,6 +179,18 @@
             raise EventError(f"more than {most} events without content or known before")
 
 
+def _read_ids(data: bytes) -> list[bytes]:
+    """Return the id of an event, if it has one; raise `EventError` if it is no event."""
+    if _FIELDS.fullmatch(data) is None:
+        raise EventError("event with a line that is no field, or no field of its place")
+    if not _ends_lines_alike(data):
+        raise EventError("event with line ends of several kinds")
+    ids = _ID_LINE.findall(data)
+    if len(ids) > 1:
+        raise EventError("event with several ids")
+    return ids
+
+
 def _ends_lines_alike(data: bytes) -> bool:
     """Return whether all lines end with LF, or all with CRLF."""
     if b"\r" not in data:
--- a/tests/gateway/test_stream_answers.py
+++ b/tests/gateway/test_stream_answers.py
@@ -55,6 +55,7 @@
     "a head of LF ends within an event": b"id: 3\ndata: pa" + ERROR_HEAD.replace(b"\r", b""),
     "a lone CR within an event": b"id: 3\ndata: pa\rno room\n\n",
     "an event without a number": b"event: error\ndata: no room\n\n",
+    "an event without a number before others": b"data: no room\n\n" + events(3),
     "an event without a number after one": events(3, 3) + b"data: no room\n\n",
     "an event with a garbled number": events(3, 3) + b"id: 4x\ndata: part 4\n\n",
 }
@@ -249,6 +250,17 @@
     _run(check)
 
 
+def test_unnumbered_events_that_nobody_got_do_not_keep_a_stream_from_going_on() -> None:
+    """They came with an invalid one, and the next attempt began a stream with numbers."""
+    wrong = Answer(body=b"data: a\n\nno room\n\n")
+
+    async def check(fleet: Fleet, gateway: Gateway, script: Script) -> None:
+        script.answers += [wrong, Answer(body=events(1, 2), is_whole=False)]
+        assert await _receive(fleet, gateway) == Received(200, WHOLE, is_complete=True)
+
+    _run(check)
+
+
 def test_stream_does_not_end_with_an_answer_that_brings_no_event() -> None:
     """It ended as complete too early; one that has all its events may end so."""
     empty = Answer(), Answer(is_chunked=False)
