End a stream without a new event only when two attempts in a row say so

Callers still got an end as complete too early: where an empty answer came after two lost ones, or after one at another place of the stream. And sound replicas that were asked for the events after the last one were put aside after two such answers, which cost their callers a quarter of a second.

A turn that has all its tokens ends at once. Such an answer does not count against its replica.

test_stream_does_not_end_with_an_answer_that_brings_no_event with its new cases, and test_replica_that_says_that_no_event_is_left_is_not_put_aside, failed before and pass now.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_attempt_runner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_attempt_runner.py
@@ -250,7 +250,7 @@
         self, request_state: RequestState, replica: Replica, failure: AttemptFailure
     ) -> None:
         """After a lost answer, find out whether the replica has crashed."""
-        if failure.outcome is AttemptOutcome.LOST:
+        if failure.outcome is AttemptOutcome.LOST and failure.shows_fault:
             self._context.nursery.start_soon(
                 self._record_crash, request_state.digest, replica, request_state.parsed.request_id
             )
@@ -285,7 +285,9 @@
     if ended is None:
         return PlacementEvidence(route=route.name, outcome=None)
     if isinstance(ended, Err):
-        outcome = None if request_state.is_path_fault else ended.err_value.outcome
+        failure = ended.err_value
+        is_evidence = failure.shows_fault and not request_state.is_path_fault
+        outcome = failure.outcome if is_evidence else None
         return PlacementEvidence(route=route.name, outcome=outcome)
     return PlacementEvidence(
         route=route.name,
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_relay.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_relay.py
@@ -42,11 +42,12 @@
 class StreamState:
     """The events of a stream that the caller has received, over all attempts.
 
-    `delivered_id` is the number of the last event that the caller has. `origin` is where the stream
-    began, None if it has not begun or may go on anywhere. An attempt has `ended_without_event` if
-    its answer was whole and brought nothing. The head and the last events of a whole answer are
-    held until its turn is durable, if that is to be kept. What comes before the first event with
-    content is held until that arrives, in `lead`.
+    `delivered_id` is the number of the last event that the caller has; one that `has_unnumbered`
+    events cannot go on, as another attempt would bring these again. `origin` is where the stream
+    began, None if it has not begun or may go on anywhere. The last attempt has
+    `ended_without_event` if its answer was whole and brought nothing. The head and the last events
+    of a whole answer are held until its turn is durable, if that is to be kept. What comes before
+    the first event with content is held until that arrives, in `lead`.
     """
 
     events: EventFilter
@@ -111,9 +112,8 @@
 ) -> Result[None, AttemptFailure]:
     """Relay a stream as it arrives; after a failure, the answer stays open for a resumption.
 
-    An end without a new event counts once another attempt has ended so too, if one is allowed. The
-    end of a turn that is to be kept, with the events that come together with it, is left to
-    `finish_kept_turn`.
+    An end without a new event counts once another attempt has ended so too. The end of a turn that
+    is to be kept, with the events that come together with it, is left to `finish_kept_turn`.
     """
     began_s = now_s()
     events_before = state.events.passed_count
@@ -127,9 +127,9 @@
     except (StreamError, EventError) as error:
         return _broken_stream(str(error), state, is_over=isinstance(error, _TurnOverError))
     event_count = state.events.passed_count - events_before
-    if not (event_count or state.ended_without_event) and request_state.attempts.may_lose_answer:
+    if not event_count and not _is_end(state, request_state):
         state.ended_without_event = True
-        return _broken_stream("stream ends without an event", state)
+        return _broken_stream("stream ends without an event", state, shows_fault=False)
     if event_count >= MIN_EVENTS_FOR_PACE:
         request_state.event_s = (now_s() - began_s) / event_count
     if request_state.route.keeps_history:
@@ -139,6 +139,16 @@
     return Ok(None)
 
 
+def _is_end(state: StreamState, request_state: RequestState) -> bool:
+    """Return whether an answer that brings no event ends the stream.
+
+    A sound replica that is asked for the events after the last one answers so, but so does one in
+    trouble, unless the turn has all tokens that it may have.
+    """
+    is_whole = state.is_started and _is_over(request_state)
+    return is_whole or state.ended_without_event or not request_state.attempts.may_repeat
+
+
 async def _relay_data(
     data: bytes,
     response: ResponseStream,
@@ -162,13 +172,20 @@
 
 
 def _broken_stream(
-    reason: str, state: StreamState, *, is_over: bool = False
+    reason: str, state: StreamState, *, is_over: bool = False, shows_fault: bool = True
 ) -> Result[None, AttemptFailure]:
     """Return the failure of a stream; one that `is_over` has had all that it may have."""
     state.events.rewind(state.delivered_id)
     state.held_events.clear()
     state.lead = b""
-    return Err(AttemptFailure(outcome=AttemptOutcome.LOST, reason=reason, has_begun_answer=is_over))
+    return Err(
+        AttemptFailure(
+            outcome=AttemptOutcome.LOST,
+            reason=reason,
+            has_begun_answer=is_over,
+            shows_fault=shows_fault,
+        )
+    )
 
 
 async def finish_kept_turn(
@@ -242,6 +259,7 @@
             while not _may_deliver(state, request_state, context):
                 await trio.sleep(CREDIT_POLL_S)
         ready += event.data
+        state.ended_without_event = False
         if event.number is not None:
             state.delivered_id = event.number
         else:
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_upstream_attempt.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_upstream_attempt.py
@@ -45,11 +45,13 @@
     """The outcome of an attempt without a usable answer, and the reason.
 
     `has_begun_answer` is set if the caller has a part of a plain answer, which cannot be continued.
+    A failure that `shows_fault` counts against its replica.
     """
 
     outcome: AttemptOutcome
     reason: str
     has_begun_answer: bool = False
+    shows_fault: bool = True
 
 
 def build_request(
--- a/packages/lagoonfold/src/lagoonfold/forwarding/_attempts.py
+++ b/packages/lagoonfold/src/lagoonfold/forwarding/_attempts.py
@@ -58,11 +58,6 @@
         """Return whether no upstream can have begun the request; one in flight counts as begun."""
         return not self.may_have_run
 
-    @property
-    def may_lose_answer(self) -> bool:
-        """Return whether another attempt is allowed after one more lost answer."""
-        return self.may_repeat and self.losses < MAX_LOST_ANSWERS
-
     def record_sent(self, upstream_id: str) -> None:
         """Record that an upstream may have run the request; call this before sending any byte."""
         self.may_have_run.add(upstream_id)
--- a/tests/gateway/test_stream_answers.py
+++ b/tests/gateway/test_stream_answers.py
@@ -22,7 +22,15 @@
 )
 from tests._suite import load_functions
 from tests.gateway._cut import CUTS
-from tests.gateway._fleet import HOST, KEY, Fleet, make_config, run_with_fleet, wait_until
+from tests.gateway._fleet import (
+    HOST,
+    KEY,
+    Fleet,
+    make_config,
+    run_and_collect_lines,
+    run_with_fleet,
+    wait_until,
+)
 
 WHOLE = events()
 BROKEN_AFTER = 2
@@ -159,15 +167,20 @@
 Check = Callable[[Fleet, Gateway, Script], Awaitable[None]]
 
 
-def _run(check: Check, **options: object) -> None:
-    """Run a check with replicas that share a script, and with the first gateway."""
-
+def _with_replicas(check: Check) -> Callable[[Fleet], Awaitable[None]]:
     async def run(fleet: Fleet) -> None:
         script = Script()
         await _add_replicas(fleet, script)
         await check(fleet, fleet.gateways[0], script)
 
-    run_with_fleet(run, replicas=0, **{"config": make_config(max_upstreams=3), **options})
+    return run
+
+
+def _run(check: Check, **options: object) -> None:
+    """Run a check with replicas that share a script, and with the first gateway."""
+    run_with_fleet(
+        _with_replicas(check), replicas=0, **{"config": make_config(max_upstreams=3), **options}
+    )
 
 
 async def _check_answers(
@@ -263,19 +276,36 @@
 
 def test_stream_does_not_end_with_an_answer_that_brings_no_event() -> None:
     """It ended as complete too early; one that has all its events may end so."""
-    empty = Answer(), Answer(is_chunked=False)
     begun, unended = (Answer(body=events(1, last), is_whole=False) for last in (2, EVENTS))
+    more = Answer(body=events(3, 4), is_whole=False)
+    text = Answer(body=b"no room", media_type="text/plain")
 
     async def check(fleet: Fleet, gateway: Gateway, script: Script) -> None:
-        for answer in empty:
-            for answers in ((begun, answer), (answer,), (unended, answer, answer)):
+        for empty in (Answer(), Answer(is_chunked=False)):
+            for answers in ((begun, empty), (empty,), (unended, empty, empty)):
                 script.answers += answers
                 received = await _receive(fleet, gateway)
                 assert received == Received(200, WHOLE, is_complete=True), (answers, received)
+            for answers in ((begun, text, empty), (begun, more, empty), (empty, begun, empty)):
+                script.answers += answers
+                received = await _receive(fleet, gateway)
+                assert received.is_right() and not received.is_complete, (answers, received)
 
     _run(check)
 
 
+def test_replica_that_says_that_no_event_is_left_is_not_put_aside() -> None:
+    """It is sound, and was taken for one that loses answers."""
+    headers = ((NAMES.last_event, str(EVENTS)), (NAMES.resumed_request, "first"))
+
+    async def check(fleet: Fleet, gateway: Gateway, script: Script) -> None:
+        for _ in range(3 * len(REPLICAS)):
+            assert await _receive(fleet, gateway, headers) == Received(200, is_complete=True)
+
+    lines = run_and_collect_lines(_with_replicas(check), replicas=0)
+    assert "replica.ejected" not in lines, lines["replica.ejected"]
+
+
 def test_streams_do_not_go_on_with_wrong_answers_through_another_instance() -> None:
     """The instance that cannot reach the replicas checks what comes through the other one."""
 
