Try other replicas before an instance takes itself for cut off

Callers got 502 and 503 again and again for a request that crashes the replicas that run it, and replica after replica went down, where 422 is due after two crashes.

Cause: a crash is blamed only if a peer finds the replica down, and a peer that has failed to reach two replicas and reached none since says that it cannot tell, as it may be cut off. Probes that it makes for others count too, so the second crash already met such a peer. The log of a failed run shows it: the peer had failed to reach the two replicas that had crashed, and answered "cannot tell" for these and all that followed, though three others accepted connections.

A peer in doubt now tries up to three listed replicas that have not failed, for 0.15 s. One that accepts a connection shows that the peer is not cut off, and it goes on to judge. In a partition none does, and the peer says that it cannot tell, as before; it tries again after 0.4 s at the earliest.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_replica_caller.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_replica_caller.py
@@ -32,6 +32,8 @@
 PROBE_TIMEOUT_S = 0.7  # a peer's connection to a replica, and a hop more
 PROBE_INTERVAL_S = 0.4  # between probes of paths at fault; shorter than their failures are counted
 MAX_PROBED = 4  # paths at once
+MAX_OTHERS_PROBED = 3  # one of them may be down too
+OTHERS_TIMEOUT_S = 0.15  # after a connection that hangs, the answer to a probe is still in time
 SOUND_SILENCE_S = 2.0
 STALL_S = 0.75  # of an open connection to a replica while no new one can be made
 
@@ -87,6 +89,7 @@
         )
         self._paths = RelayPaths(rng)
         self._was_cut_off = False
+        self._reached_none_s = float("-inf")
         bus.register_handler(ReplicaProbe)(self._handle_probe)
 
     @property
@@ -274,12 +277,38 @@
         is_listed = any(
             replica.address == probe.address for replica in self._board.replicas.read().all()
         )
-        if not is_listed or self.cannot_tell(probe.address):
+        if not is_listed or not await self._can_tell(probe.address):
             return ReplicaProbed(is_reached=False, can_tell=False)
         is_reached = isinstance(await self._probe(probe.address), Ok)
-        can_tell = is_reached or not self.cannot_tell(probe.address)
+        can_tell = is_reached or await self._can_tell(probe.address)
         return ReplicaProbed(is_reached=is_reached, can_tell=can_tell)
 
+    async def _can_tell(self, address: str) -> bool:
+        """Return whether this instance can judge a replica; find out if it may be cut off.
+
+        It has failed to reach several since it reached one, but these may all be down.
+        """
+        if self.cannot_tell(address) and not self.is_cut_off:
+            await self._probe_others()
+        return not self.cannot_tell(address)
+
+    async def _probe_others(self) -> None:
+        """Try to reach a replica that has not failed; not again soon if that is in vain."""
+        if now_s() - self._reached_none_s < PROBE_INTERVAL_S:
+            return
+        self._reached_none_s = now_s()
+        listed = [replica.address for replica in self._board.replicas.read().all()]
+
+        async def probe(address: str) -> None:
+            if isinstance(await self._probe(address), Ok):
+                self._reached_none_s = float("-inf")
+                nursery.cancel_scope.cancel()
+
+        with trio.move_on_after(OTHERS_TIMEOUT_S):
+            async with trio.open_nursery() as nursery:
+                for address in self._paths.untried(listed, limit=MAX_OTHERS_PROBED):
+                    nursery.start_soon(probe, address)
+
 
 def is_unreached(answer: Result[ResponseStream, HttpError]) -> bool:
     """Return whether no connection could be made."""
--- a/packages/lagoonfold/src/lagoonfold/liveness/_relay_paths.py
+++ b/packages/lagoonfold/src/lagoonfold/liveness/_relay_paths.py
@@ -66,6 +66,14 @@
         is_recent = now_s - self._failed_s < CUT_OFF_MEMORY_S
         return is_recent and len(self._failed_since_reached) >= MIN_FAILED_TARGETS
 
+    def untried(self, targets: Iterable[str], *, limit: int) -> list[str]:
+        """Return targets that show whether a suspect instance reaches any, at most `limit`.
+
+        Those that failed may be down; the others are drawn at random.
+        """
+        others = [target for target in targets if target not in self._failed_since_reached]
+        return self._rng.sample(others, min(limit, len(others)))
+
     def is_cut_off(self, *, now_s: float) -> bool:
         """Return whether this instance is cut off from targets that peers reach."""
         are_several = len(self._relayed_since_reached) >= MIN_FAILED_TARGETS
--- a/tests/gateway/test_cut_off.py
+++ b/tests/gateway/test_cut_off.py
@@ -5,7 +5,7 @@
 from lagoonfold.forwarding import ReplicaPool
 from lagoonfold_gateway import Gateway
 from lagoonfold_gateway._clock import now_s
-from standins.replica import EVENTS, NAMES
+from standins.replica import EVENTS, NAMES, Replica
 from tests._suite import load_functions
 from tests.gateway._cut import CUTS, Cut
 from tests.gateway._fleet import WAIT_S, Fleet, make_config, run_with_fleet, wait_until
@@ -53,6 +53,12 @@
     assert gateway.replica_caller.is_cut_off
 
 
+async def _wait_until_refused(fleet: Fleet, replica: Replica) -> None:
+    with trio.fail_after(WAIT_S):
+        while await fleet.client.can_connect(replica.address):
+            await trio.sleep(0.01)
+
+
 def _abandoned(fleet: Fleet) -> int:
     return sum(replica.abandoned for replica in fleet.replica_by_id.values())
 
@@ -229,6 +235,43 @@
     run_with_fleet(check, gateways=2, replicas=3)
 
 
+def test_replicas_that_are_down_are_found_so_by_a_peer_that_has_found_others_down() -> None:
+    """Two that are down are no cut while another accepts connections."""
+
+    async def check(fleet: Fleet) -> None:
+        caller = fleet.gateways[0].replica_caller
+        for replica_id in ("r1", "r2", "r3"):
+            replica = fleet.replica_by_id[replica_id]
+            replica.stop()
+            await _wait_until_refused(fleet, replica)
+            assert await caller.is_down(replica.address), replica_id
+
+    run_with_fleet(check, gateways=2, replicas=5)
+
+
+def test_replicas_are_not_found_down_by_instances_that_are_all_cut_off() -> None:
+    """None of them can tell, whether connections are refused or hang."""
+
+    async def assert_not_found_down(gateway: Gateway, replica: Replica) -> None:
+        assert not await gateway.replica_caller.is_down(replica.address)
+
+    def run(cut: Cut) -> None:
+        async def check(fleet: Fleet) -> None:
+            async with trio.open_nursery() as nursery:
+                for gateway in fleet.gateways:
+                    cut.begin(gateway)
+                    nursery.start_soon(lambda each=gateway: _send_some(fleet, each, for_s=1.0))
+            async with trio.open_nursery() as nursery:
+                for gateway in fleet.gateways:
+                    for replica in fleet.replica_by_id.values():
+                        nursery.start_soon(assert_not_found_down, gateway, replica)
+
+        run_with_fleet(check, gateways=2, replicas=3)
+
+    for cut in CUTS[:2]:
+        run(cut)
+
+
 def test_caller_that_leaves_cancels_a_request_that_another_instance_passes_on() -> None:
     """The replica does not go on working for nobody."""
 
--- a/tests/liveness/test_relay_paths.py
+++ b/tests/liveness/test_relay_paths.py
@@ -39,6 +39,17 @@
     assert not paths.is_suspect(now_s=0.3)
 
 
+def test_targets_that_have_failed_do_not_show_whether_an_instance_is_cut_off() -> None:
+    """They may be down; of the others a few are drawn."""
+    paths = _paths()
+    for target in "ab":
+        paths.record_failed(target, now_s=0.0)
+    assert set(paths.untried("abcd", limit=3)) == {"c", "d"}
+    assert len(paths.untried("abcd", limit=1)) == 1
+    paths.record_reached("c")
+    assert set(paths.untried("abcd", limit=4)) == set("abcd")
+
+
 def test_instance_is_cut_off_once_peers_have_reached_what_it_could_not() -> None:
     """Targets that nobody reaches may all be down; one that is reached directly ends it."""
     paths = _paths()
