Let an instance look at a second path once a peer reaches what it cannot

Callers whose stream came over a connection that a cut had silenced waited for the rest until their deadline, or gave up, though other instances reached the replicas.

Cause: an instance takes itself for cut off, and breaks silent connections off, once it has failed to reach two replicas that peers reach. Only requests led to the second failure, and the probes of paths at fault go to those that have failed. Where all requests after the cut were placed at one replica, which is a matter of the draw, the instance never learned of the others. The log of a failed run shows it: all four requests went to the same replica through the same peer, five attempts to reach that replica failed, none to another was made, and the stream from another one stayed open until the caller left. In a run that passed the second request went to another replica, and the stream went on 1.8 s after the cut. Load has nothing to do with it.

While a peer reaches what the instance does not, and it has reached none since, it now tries another listed replica every 0.4 s, and asks a peer for it if that fails. One that is reached directly ends it.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_replica_caller.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_replica_caller.py
@@ -161,6 +161,9 @@
             async with trio.open_nursery() as nursery:
                 for address in self._addresses_to_probe():
                     nursery.start_soon(self._probe, address)
+                if self._paths.has_path_fault(now_s=now_s()) and not self.is_cut_off:
+                    for address in self._paths.untried(self._listed_addresses(), limit=1):
+                        nursery.start_soon(self._probe_here_and_through_another, address)
 
     def close(self) -> None:
         """Close all idle connections to other gateways."""
@@ -168,12 +171,23 @@
 
     def _addresses_to_probe(self) -> list[str]:
         """Return listed replicas whose paths are at fault; any will do if this one is cut off."""
-        listed = [replica.address for replica in self._board.replicas.read().all()]
+        listed = self._listed_addresses()
         if self.is_cut_off:
             return self._rng.sample(listed, min(1, len(listed)))
         faulty = self._paths.faulty_targets(now_s=now_s())
         return [address for address in faulty if address in listed][:MAX_PROBED]
 
+    def _listed_addresses(self) -> list[str]:
+        return [replica.address for replica in self._board.replicas.read().all()]
+
+    async def _probe_here_and_through_another(self, address: str) -> None:
+        """Find out whether another path than the one at fault is at fault too.
+
+        Requests may all go to one replica while streams from others have fallen silent.
+        """
+        if isinstance(await self._probe(address), Err):
+            await self._is_down_for_another(address)
+
     async def _probe(self, address: str) -> Result[None, HttpError]:
         probed = await self._client.try_to_connect(address)
         if isinstance(probed, Ok):
@@ -274,9 +288,7 @@
         return self._answer_probe(probe)
 
     async def _answer_probe(self, probe: ReplicaProbe) -> Message:
-        is_listed = any(
-            replica.address == probe.address for replica in self._board.replicas.read().all()
-        )
+        is_listed = probe.address in self._listed_addresses()
         if not is_listed or not await self._can_tell(probe.address):
             return ReplicaProbed(is_reached=False, can_tell=False)
         is_reached = isinstance(await self._probe(probe.address), Ok)
@@ -297,7 +309,7 @@
         if now_s() - self._reached_none_s < PROBE_INTERVAL_S:
             return
         self._reached_none_s = now_s()
-        listed = [replica.address for replica in self._board.replicas.read().all()]
+        untried = self._paths.untried(self._listed_addresses(), limit=MAX_OTHERS_PROBED)
 
         async def probe(address: str) -> None:
             if isinstance(await self._probe(address), Ok):
@@ -306,7 +318,7 @@
 
         with trio.move_on_after(OTHERS_TIMEOUT_S):
             async with trio.open_nursery() as nursery:
-                for address in self._paths.untried(listed, limit=MAX_OTHERS_PROBED):
+                for address in untried:
                     nursery.start_soon(probe, address)
 
 
--- a/packages/lagoonfold/src/lagoonfold/liveness/_relay_paths.py
+++ b/packages/lagoonfold/src/lagoonfold/liveness/_relay_paths.py
@@ -66,8 +66,13 @@
         is_recent = now_s - self._failed_s < CUT_OFF_MEMORY_S
         return is_recent and len(self._failed_since_reached) >= MIN_FAILED_TARGETS
 
+    def has_path_fault(self, *, now_s: float) -> bool:
+        """Return whether a peer reaches what this instance could not, and it reached none since."""
+        is_recent = now_s - self._failed_s < CUT_OFF_MEMORY_S
+        return is_recent and bool(self._relayed_since_reached)
+
     def untried(self, targets: Iterable[str], *, limit: int) -> list[str]:
-        """Return targets that show whether a suspect instance reaches any, at most `limit`.
+        """Return targets that show whether this instance reaches any, at most `limit`.
 
         Those that failed may be down; the others are drawn at random.
         """
--- a/tests/gateway/test_cut_off.py
+++ b/tests/gateway/test_cut_off.py
@@ -183,6 +183,24 @@
     run_with_fleet(check, gateways=3, replicas=3, config=make_config(timeout_s=8.0))
 
 
+def test_instance_that_calls_one_replica_only_finds_out_that_it_is_cut_off_from_all() -> None:
+    """No request shows the other paths, and streams on these would stay silent."""
+
+    def run(cut: Cut) -> None:
+        async def check(fleet: Fleet) -> None:
+            stranded, caller = fleet.gateways[0], fleet.gateways[0].replica_caller
+            cut.begin(stranded)
+            assert not await caller.is_down(fleet.replica_by_id["r1"].address)
+            with trio.fail_after(LEARNING_S):
+                while not caller.is_cut_off:
+                    await trio.sleep(0.01)
+
+        run_with_fleet(check, gateways=3, replicas=3)
+
+    for cut in CUTS[:2]:
+        run(cut)
+
+
 def test_replicas_are_called_directly_again_once_a_cut_has_ended() -> None:
     """Also where most requests had gone through another instance."""
 
--- a/tests/liveness/test_relay_paths.py
+++ b/tests/liveness/test_relay_paths.py
@@ -50,6 +50,20 @@
     assert set(paths.untried("abcd", limit=4)) == set("abcd")
 
 
+def test_path_is_at_fault_once_a_peer_has_reached_the_target_until_one_is_reached_directly() -> (
+    None
+):
+    """A target that nobody reaches is no fault of the path."""
+    paths = _paths()
+    paths.record_failed("a", now_s=0.0)
+    assert not paths.has_path_fault(now_s=0.0)
+    paths.record_relayed("a", "i1", now_s=0.1)
+    assert paths.has_path_fault(now_s=0.1)
+    assert not paths.has_path_fault(now_s=0.1 + CUT_OFF_MEMORY_S)
+    paths.record_reached("b")
+    assert not paths.has_path_fault(now_s=0.1)
+
+
 def test_instance_is_cut_off_once_peers_have_reached_what_it_could_not() -> None:
     """Targets that nobody reaches may all be down; one that is reached directly ends it."""
     paths = _paths()
