Refuse streams whose route has left the service that began them

Cause: the service that is remembered as a stream's origin replaced the one of the route without a look at what the configuration allows.

The origin is now compared with the services of the route in force. Neither service may go on with such a stream, so it is refused with 503, not run.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_attempt_runner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_attempt_runner.py
@@ -92,11 +92,16 @@
     async def _find_origin(
         self, service: str, request_state: RequestState
     ) -> Result[StreamOrigin | None, Refusal]:
-        """Find out where a stream that the caller takes up began."""
+        """Find out where a stream that the caller takes up began, if its route still allows it."""
         stream_id = request_state.parsed.resumed_request
         found = await self._context.version_controller.find(stream_id, service)
         if isinstance(found, Err):
             return Err(_unknown_origin(found.err_value))
+        origin = found.ok_value
+        services = {target.service for target in request_state.route.targets}
+        if origin is not None and origin.service not in services:
+            reason = f"service {origin.service!r} no longer serves route"
+            return Err(_unknown_origin(f"{reason} {request_state.route.name!r}"))
         return found
 
     async def _place(
--- a/tests/gateway/test_versions.py
+++ b/tests/gateway/test_versions.py
@@ -2,7 +2,7 @@
 
 from dataclasses import replace
 
-from lagoonfold.forwarding import WeightedService
+from lagoonfold.forwarding import ForwardConfig, WeightedService
 from lagoonfold_gateway import Gateway
 from lagoonfold_io import HttpRequest, HttpResponse
 from standins.replica import EVENTS, NAMES, Behaviour
@@ -252,11 +252,13 @@
     run_with_fleet(check, replicas=2)
 
 
-def test_stream_of_a_split_route_goes_on_at_the_service_that_began_it() -> None:
-    """An instance that has not seen the stream picks the same one of the route's services."""
-    targets = tuple(WeightedService(service=name, weight=1) for name in ("models", "others"))
-    config = make_config(targets=targets)
-    config = replace(
+def _config_of_services(version: int, **weight_by_service: int) -> ForwardConfig:
+    """Return a configuration of two services whose routes are split as given."""
+    targets = tuple(
+        WeightedService(service=name, weight=weight) for name, weight in weight_by_service.items()
+    )
+    config = make_config(version=version, targets=targets)
+    return replace(
         config,
         services_by_name={
             name: replace(config.services_by_name["models"], name=name)
@@ -264,25 +266,66 @@
         },
     )
 
-    async def check(fleet: Fleet) -> None:
-        fleet.list_replica(fleet.replica_by_id["r2"], service="others")
-        await wait_until(
-            lambda: all(
-                gateway.board.replicas.read().available_for("others") for gateway in fleet.gateways
-            )
+
+async def _list_others(fleet: Fleet, replica_id: str) -> None:
+    """List a replica as one of the service `others`, and wait until all instances know it."""
+    fleet.list_replica(fleet.replica_by_id[replica_id], service="others")
+    await wait_until(
+        lambda: all(
+            gateway.board.replicas.read().available_for("others") for gateway in fleet.gateways
         )
+    )
+
+
+async def _put_config(fleet: Fleet, config: ForwardConfig) -> None:
+    """Write a configuration, and wait until all instances know it."""
+    fleet.put_config(config)
+    await wait_until(
+        lambda: all(
+            (known := gateway.board.config.read()) is not None
+            and known.config.version == config.version
+            for gateway in fleet.gateways
+        )
+    )
+
+
+def _ran_at(fleet: Fleet, *request_ids: str) -> set[str]:
+    """Return the replicas that ran any of these requests."""
+    return {
+        replica_id
+        for replica_id, replica in fleet.replica_by_id.items()
+        if set(request_ids) & set(replica.runs_by_request)
+    }
+
+
+def test_stream_of_a_split_route_goes_on_at_the_service_that_began_it() -> None:
+    """An instance that has not seen the stream picks the same one of the route's services."""
+
+    async def check(fleet: Fleet) -> None:
+        await _list_others(fleet, "r2")
         for _ in range(STREAMS):
             first_id = await _begin(fleet, fleet.gateways[0])
             next_id, answer = await _take_up(fleet, fleet.gateways[1], first_id)
             assert _is_rest(answer), answer
-            ran = [
-                replica_id
-                for replica_id, replica in fleet.replica_by_id.items()
-                if {first_id, next_id} & set(replica.runs_by_request)
-            ]
-            assert len(ran) == 1, (first_id, next_id, ran)
-
-    run_with_fleet(check, gateways=2, config=config)
+            assert len(_ran_at(fleet, first_id, next_id)) == 1, (first_id, next_id)
+
+    run_with_fleet(check, gateways=2, config=_config_of_services(1, models=1, others=1))
+
+
+def test_stream_is_not_run_at_a_service_that_its_route_has_left() -> None:
+    """Its origin was remembered, and the configuration no longer allows that service."""
+
+    async def check(fleet: Fleet) -> None:
+        await _list_others(fleet, "r4")
+        await _list_versions(fleet, {"r1": "v1", "r2": "v1", "r3": "v2"})
+        first_id = await _begin(fleet, fleet.gateways[0])
+        await _put_config(fleet, _config_of_services(2, others=1))
+        for gateway in fleet.gateways:
+            next_id, answer = await _take_up(fleet, gateway, first_id)
+            assert answer.status == 503 and answer.header("retry-after") is not None, answer
+            assert not _ran_at(fleet, next_id)
+
+    run_with_fleet(check, gateways=2, replicas=4, config=_config_of_services(1, models=1))
 
 
 load_tests = load_functions(globals())
