Remember at which service a stream of a split route began

What callers saw: the weights of a split route changed between a caller's tries, and the rest of a stream came from the route's other service: pieces of two runs of two models in one stream.

Cause: the service was worked out again from the weights in force. Where each service has one software version, nothing was remembered of a stream that would have shown another one.

Evidence: test_stream_goes_on_at_its_service_after_the_weights_of_its_route_have_changed failed before, with the first stream that was taken up run at two services.

Streams of a split route are now told to their homes as during a release, with the same message; routes of one service cost no more messages than before.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_attempt_runner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_attempt_runner.py
@@ -221,7 +221,9 @@
             is_success = response.head.status < SUCCESS_BELOW
             if request_state.route.kind is RouteKind.STREAM and is_success:
                 self._context.version_controller.record_begun(
-                    request_state.stream_id, state.origin or _origin_at(selection.replica)
+                    request_state.stream_id,
+                    state.origin or _origin_at(selection.replica),
+                    is_split=len(request_state.route.targets) > 1,
                 )
                 return await relay_stream(response, state, request_state, exchange, self._context)
             if state.is_started:
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_version_controller.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_version_controller.py
@@ -1,12 +1,13 @@
-"""Finds the software version at which a stream that is taken up must go on.
-
-Reads `replicas` and `live`. While a service has replicas of several versions, the instance that
-begins a stream tells its version to the stream's homes, the first live instances by rendezvous
-hashing of the first request's id, before it passes the first event on. An instance where the stream
-is taken up asks them, also if it knows of one version only: it may have been frozen or cut off
-while another came. One more is asked than is told, since an instance that has joined may have
-become the first. All others are asked only of a stream that no home remembers, shortly after a
-version came. See `lagoonfold.forwarding.VersionHistory` for streams that nobody remembers.
+"""Finds the service and software version at which a stream that is taken up must go on.
+
+Reads `replicas` and `live`. While a service has replicas of several versions, or a route is split
+between services, the instance that begins a stream tells its origin to the stream's homes, the
+first live instances by rendezvous hashing of the first request's id, before it passes the first
+event on. An instance where the stream is taken up asks them, also if it knows of one version only:
+it may have been frozen or cut off while another came. One more is asked than is told, since an
+instance that has joined may have become the first. All others are asked only of a stream that no
+home remembers, shortly after a version came.
+See `lagoonfold.forwarding.VersionHistory` for streams that nobody remembers.
 """
 
 import heapq
@@ -74,10 +75,14 @@
         board.replicas.subscribe(self._observe)
         board.live.subscribe(self._note_gone)
 
-    def record_begun(self, stream_id: str, origin: StreamOrigin) -> None:
-        """Remember where a stream begins or goes on; call this before an event is passed on."""
+    def record_begun(self, stream_id: str, origin: StreamOrigin, *, is_split: bool = False) -> None:
+        """Remember where a stream begins or goes on; call this before an event is passed on.
+
+        With `is_split`, its route goes to several services, whose shares may change meanwhile.
+        """
         history = self._history_by_service[origin.service]
-        if history.knows(origin.version) and not history.has_several(now_s=now_s()):
+        has_one = history.knows(origin.version) and not history.has_several(now_s=now_s())
+        if has_one and not is_split:
             return
         self._origins.remember(stream_id, origin, now_s=now_s())
         note = StreamOriginNote(stream=stream_id, service=origin.service, version=origin.version)
--- a/tests/gateway/test_versions.py
+++ b/tests/gateway/test_versions.py
@@ -312,6 +312,21 @@
     run_with_fleet(check, gateways=2, config=_config_of_services(1, models=1, others=1))
 
 
+def test_stream_goes_on_at_its_service_after_the_weights_of_its_route_have_changed() -> None:
+    """It was joined from pieces of two services."""
+
+    async def check(fleet: Fleet) -> None:
+        await _list_others(fleet, "r2")
+        first_ids = [await _begin(fleet, fleet.gateways[0]) for _ in range(STREAMS)]
+        await _put_config(fleet, _config_of_services(2, models=1, others=99))
+        for first_id in first_ids:
+            next_id, answer = await _take_up(fleet, fleet.gateways[1], first_id)
+            assert _is_rest(answer), answer
+            assert len(_ran_at(fleet, first_id, next_id)) == 1, (first_id, next_id)
+
+    run_with_fleet(check, gateways=2, config=_config_of_services(1, models=99, others=1))
+
+
 def test_stream_is_not_run_at_a_service_that_its_route_has_left() -> None:
     """Its origin was remembered, and the configuration no longer allows that service."""
 
