Refuse streams without their first request's id while several versions serve

Cause: a stream without an id was taken for one that nobody remembers, without asking anybody.

Evidence: test_stream_of_a_caller_that_names_no_first_request_is_not_joined_in_a_release got 200 from the old version before the change.

Nobody can be asked where such a stream began, so it goes on only while its service has had one version for a stream's age.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_version_controller.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_version_controller.py
@@ -94,9 +94,8 @@
 
         `service` is that of the caller's request. An error says why the version is not known.
         """
-        history = self._history_by_service[service]
         if stream_id is None:
-            version = history.version_of_forgotten(now_s=now_s())
+            version = self._version_without_id(service)
         else:
             origin = self._origins.recall(stream_id, now_s=now_s())
             origin = origin or await self._ask_homes(stream_id, service)
@@ -108,6 +107,13 @@
             return version
         return Ok(None if version.ok_value is None else StreamOrigin(service, version.ok_value))
 
+    def _version_without_id(self, service: str) -> Result[str | None, str]:
+        """Return the version of a stream whose first request the caller does not name."""
+        history = self._history_by_service[service]
+        if history.has_several(now_s=now_s()):
+            return Err("the request that brought its first event is not named")
+        return history.version_of_forgotten(now_s=now_s())
+
     async def _ask_homes(self, stream_id: str, service: str) -> StreamOrigin | Result[str, str]:
         """Return a stream's origin if one is remembered, or the version of a forgotten stream."""
         query = StreamOriginQuery(stream=stream_id, service=service)
--- a/tests/gateway/test_versions.py
+++ b/tests/gateway/test_versions.py
@@ -5,7 +5,7 @@
 from lagoonfold.forwarding import ForwardConfig, WeightedService
 from lagoonfold_gateway import Gateway
 from lagoonfold_io import HttpRequest, HttpResponse
-from standins.replica import EVENTS, NAMES, Behaviour
+from standins.replica import EVENTS, NAMES, Behaviour, Replica
 from tests._suite import load_functions
 from tests.gateway._fleet import HOST, KEY, Fleet, make_config, run_with_fleet, wait_until
 
@@ -56,11 +56,15 @@
     return request_id
 
 
-async def _take_up(fleet: Fleet, gateway: Gateway, first_id: str) -> tuple[str, HttpResponse]:
+async def _take_up(
+    fleet: Fleet, gateway: Gateway, first_id: str | None, *, after: int = 2
+) -> tuple[str, HttpResponse]:
     """Send the request for the rest of a stream; return its id and the answer."""
     request_id = fleet.next_id()
-    headers = ((NAMES.last_event, "2"), (NAMES.resumed_request, first_id))
-    answer = await fleet.send(gateway, PATH, request_id=request_id, headers=headers)
+    headers = [(NAMES.last_event, str(after))]
+    if first_id is not None:
+        headers.append((NAMES.resumed_request, first_id))
+    answer = await fleet.send(gateway, PATH, request_id=request_id, headers=tuple(headers))
     return request_id, answer
 
 
@@ -238,6 +242,22 @@
     run_with_fleet(check, gateways=2, replicas=2)
 
 
+def test_stream_of_a_caller_that_names_no_first_request_is_not_joined_in_a_release() -> None:
+    """Shortly after a version came, it was taken for a stream of the one before."""
+
+    async def check(fleet: Fleet) -> None:
+        for replica_id in ("r3", "r4"):
+            replica = fleet.replica_by_id[replica_id] = Replica(replica_id)
+            await fleet.nursery.start(replica.serve)
+        await _list_versions(fleet, {"r3": "v2", "r4": "v2"})
+        for gateway in fleet.gateways:
+            next_id, answer = await _take_up(fleet, gateway, None)
+            assert answer.status == 503 and answer.header("retry-after") is not None, answer
+            assert not _versions(fleet, next_id)
+
+    run_with_fleet(check, gateways=2, replicas=2)
+
+
 def test_stream_goes_on_anywhere_while_there_is_one_version() -> None:
     """An instance that does not know the stream needs not know it."""
 
