--- a/tests/gateway/test_versions.py
+++ b/tests/gateway/test_versions.py
@@ -258,6 +258,58 @@
     run_with_fleet(check, gateways=2, replicas=2)
 
 
+def test_stream_taken_up_twice_at_different_instances_goes_on_at_its_version() -> None:
+    """Both times the caller names the first request, and the first instance has been killed."""
+
+    async def check(fleet: Fleet) -> None:
+        await _list_versions(fleet, VERSION_BY_REPLICA)
+        killed = fleet.gateways[0]
+        first_ids = [await _begin(fleet, killed) for _ in range(STREAMS)]
+        fleet.kill(killed)
+        for first_id in first_ids:
+            ids = [first_id]
+            for gateway in fleet.gateways:
+                next_id, answer = await _take_up(fleet, gateway, first_id, after=len(ids) + 1)
+                assert answer.status == 200, answer
+                ids.append(next_id)
+            assert len(_versions(fleet, *ids)) == 1, ids
+
+    run_with_fleet(check, gateways=4, replicas=4)
+
+
+def test_stream_of_replicas_without_a_version_is_not_joined_with_one_of_a_version() -> None:
+    """No version is one of its own."""
+
+    async def check(fleet: Fleet) -> None:
+        await _list_versions(fleet, {"r1": "", "r2": "", "r3": "v2", "r4": "v2"})
+        for number in range(STREAMS):
+            first_id = await _begin(fleet, fleet.gateways[number % 3])
+            next_id, answer = await _take_up(fleet, fleet.gateways[(number + 1) % 3], first_id)
+            assert _is_rest(answer), answer
+            assert len(_versions(fleet, first_id, next_id)) == 1, (first_id, next_id)
+
+    run_with_fleet(check, gateways=3, replicas=4)
+
+
+def test_stream_is_not_joined_with_one_of_a_replica_whose_version_has_changed() -> None:
+    """The replica that began it is listed under the same id and address with another version."""
+
+    async def check(fleet: Fleet) -> None:
+        await _list_versions(fleet, VERSION_BY_REPLICA)
+        first_id = await _begin(fleet, fleet.gateways[0])
+        (began,) = _ran_at(fleet, first_id)
+        version = VERSION_BY_REPLICA[began]
+        other = next(each for each in VERSION_BY_REPLICA.values() if each != version)
+        await _list_versions(fleet, {**VERSION_BY_REPLICA, began: other})
+        for gateway in fleet.gateways:
+            next_id, answer = await _take_up(fleet, gateway, first_id)
+            assert _is_rest(answer), answer
+            (replica_id,) = _ran_at(fleet, next_id)
+            assert replica_id != began and VERSION_BY_REPLICA[replica_id] == version
+
+    run_with_fleet(check, gateways=2, replicas=4)
+
+
 def test_stream_goes_on_anywhere_while_there_is_one_version() -> None:
     """An instance that does not know the stream needs not know it."""
 
