Go on with an engine's answer after the tokens that were passed on

Callers of the daemon got t0 t3 ... t7 as a whole answer, while the record had t0 to t7: an engine had sent t1, t2 and an error in one read.

Cause: the events of a read were added to the completion one by one. Where a later one was an error or no chunk, none of the read was passed on, but the next attempt asked for the tokens after those added, and the record was made from them.

Now all events of a read are decoded before the first is added, so that the completion holds what was returned to be passed on and nothing else, tool calls included.

--- a/packages/lagoonfold-node/src/lagoonfold_node/_caller_api/_caller_sink.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_caller_api/_caller_sink.py
@@ -37,8 +37,7 @@
         """Return the completion parsed from the events delivered so far."""
         completion = Completion()
         events, _ = parse_events(b"".join(self._parts))
-        for event in events:
-            completion.add(event)
+        completion.add_events(events)
         return completion
 
     async def start(self, status: int, content_type: str) -> None:
--- a/packages/lagoonfold-node/src/lagoonfold_node/_upstreams/_completion.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_upstreams/_completion.py
@@ -96,17 +96,17 @@
         part_count, self.tokens = position
         del self.texts[part_count:]
 
-    def add(self, event: bytes) -> None:
-        """Add the data of one event; raise `StreamError` if it is an error or not a chunk."""
-        if event == DONE_DATA:
-            self.is_done = True
-            return
-        try:
-            chunk = _CHUNK_DECODER.decode(event)
-        except msgspec.DecodeError as error:
-            raise StreamError(f"event is not a completion chunk: {error}") from error
-        if chunk.error is not None:
-            raise StreamError(f"engine error: {chunk.error}")
+    def add_events(self, events: list[bytes]) -> None:
+        """Add the data of events.
+
+        If one is an error or not a chunk, raise `StreamError` and add none of them.
+        """
+        chunks = [_decode_chunk(event) for event in events if event != DONE_DATA]
+        for chunk in chunks:
+            self._add_chunk(chunk)
+        self.is_done = self.is_done or len(chunks) < len(events)
+
+    def _add_chunk(self, chunk: _Chunk) -> None:
         if chunk.usage is not None:
             self.usage = chunk.usage
         for choice in chunk.choices:
@@ -139,6 +139,16 @@
         return message
 
 
+def _decode_chunk(event: bytes) -> _Chunk:
+    try:
+        chunk = _CHUNK_DECODER.decode(event)
+    except msgspec.DecodeError as error:
+        raise StreamError(f"event is not a completion chunk: {error}") from error
+    if chunk.error is not None:
+        raise StreamError(f"engine error: {chunk.error}")
+    return chunk
+
+
 def parse_events(buffer: bytes) -> tuple[list[bytes], int]:
     """Return the data of the complete events in a buffer, and the size of these events in bytes."""
     end = buffer.rfind(EVENT_END)
--- a/packages/lagoonfold-node/src/lagoonfold_node/_upstreams/_engine.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_upstreams/_engine.py
@@ -84,7 +84,7 @@
 
 
 class EngineStream:
-    """An engine's answer that is being read; each chunk is added to `completion`."""
+    """An engine's answer that is being read; each chunk that is returned is in `completion`."""
 
     def __init__(
         self,
@@ -136,8 +136,7 @@
         if not size:
             return None
         try:
-            for event in events:
-                self.completion.add(event)
+            self.completion.add_events(events)
         except StreamError as error:
             return _failure(str(error))
         return Ok(EngineChunk(raw=buffer[:size], is_last=self.completion.is_done))
--- a/tests/node/_path.py
+++ b/tests/node/_path.py
@@ -64,6 +64,8 @@
 KEY = "lfk_" + "k" * 43
 OTHER_KEY = "lfk_" + "o" * 43
 TOKENS = tuple(f"t{number} " for number in range(8))
+EVENT_END = b"\n\n"
+PART_INTERVAL_S = 0.05  # so that each part of a scripted answer is read on its own
 REQUEST_TIMEOUT_S = 15.0
 OWNER_LOOKUP_REFUSAL = Refusal(
     kind=ErrorKind.PLATFORM_UNAVAILABLE, detail="cut off", retry_after_s=5.0
@@ -212,11 +214,36 @@
         return Err(StoreError(kind=StoreErrorKind.UNAVAILABLE, detail="down"))
 
 
+@dataclass(frozen=True, kw_only=True)
+class ScriptedAnswer:
+    """An answer of an engine; each of its parts is sent on its own."""
+
+    parts: tuple[bytes, ...]
+    headers: tuple[tuple[str, str], ...] = (("content-type", "text/event-stream"),)
+
+    async def send(self, exchange: Exchange) -> None:
+        await exchange.start(200, self.headers)
+        for part in self.parts:
+            await exchange.send(part)
+            await trio.sleep(PART_INTERVAL_S)
+        await exchange.finish()
+
+
+def token_event(number: int) -> bytes:
+    """Return an engine's event with one token."""
+    delta = {"choices": [{"index": 0, "delta": {"content": TOKENS[number]}}]}
+    return b"data: " + json.dumps(delta).encode() + EVENT_END
+
+
 @dataclass
 class FakeUpstream:
-    """An engine and tool that records its requests, by which tests check what ran."""
+    """An engine and tool that records its requests, by which tests check what ran.
+
+    Each of `scripted_answers` is used once, in place of an engine's own answer.
+    """
 
     requests: list[HttpRequest] = field(default_factory=list)
+    scripted_answers: list[ScriptedAnswer] = field(default_factory=list)
     gate: trio.Event | None = None
     break_after: int = -1
     silent_after: int = -1
@@ -244,6 +271,8 @@
             await trio.sleep_forever()
         if self.status != 200:
             await exchange.respond(HttpResponse(status=self.status))
+        elif request.path == "/v1/chat/completions" and self.scripted_answers:
+            await self.scripted_answers.pop(0).send(exchange)
         elif request.path == "/v1/chat/completions":
             await self._stream(json.loads(request.body), exchange)
         else:
@@ -265,8 +294,7 @@
             while self.gate is not None and number == 4 and not self.gate.is_set():
                 await exchange.send(b": waiting\n\n")
                 await trio.sleep(0.02)
-            delta = {"choices": [{"index": 0, "delta": {"content": TOKENS[number]}}]}
-            await exchange.send(b"data: " + json.dumps(delta).encode() + b"\n\n")
+            await exchange.send(token_event(number))
             self.tokens_sent += 1
         await trio.sleep(self.pause_before_end_s)
         usage = {"prompt_tokens": 10, "completion_tokens": len(TOKENS), "total_tokens": 18}
@@ -361,6 +389,12 @@
         for engine in self.engines:
             engine.gate = trio.Event()
 
+    def script(self, *answers: ScriptedAnswer) -> None:
+        """Let the next requests to either engine get scripted answers."""
+        scripted = list(answers)
+        for engine in self.engines:
+            engine.scripted_answers = scripted
+
     def record_fault(self, event: str, error: BaseException) -> None:
         self.faults.append((event, error))
 
@@ -537,10 +571,12 @@
     "OTHER_KEY",
     "TOKENS",
     "PathFleet",
+    "ScriptedAnswer",
     "kind_of",
     "make_configuration",
     "partial",
     "run_fleet",
     "text_of",
+    "token_event",
     "wait_for",
 ]
