Break an engine's answer off where something else than its events comes

Callers of the daemon found the text of an error, the whole head of a 500, or an event after `[DONE]` in the midst of their streams, and got what an engine had sent with another media type.

Cause: blocks without data were skipped when the text was collected, but their bytes were passed on with the events around them, and of an answer's head only the status was looked at.

Now each line of an event is a field or a comment, fields that the standard does not name come with data only, and what is read with the last event after it is blank or a comment. An answer of another media type than text/event-stream (a missing one is accepted) or with a content coding is no stream. Anything else fails the attempt before its bytes are passed on, and the next one goes on after the tokens that were, as after a lost connection.

--- a/packages/lagoonfold-node/src/lagoonfold_node/_upstreams/_completion.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_upstreams/_completion.py
@@ -1,8 +1,11 @@
 """Chat completions: parsing engines' event streams and encoding answers to callers.
 
-Events are parsed once, for their text and usage; their bytes are passed on unchanged.
+Events are parsed once, for their text and usage; their bytes are passed on unchanged. An engine in
+trouble may send text, or the head of another answer, in place of events. So each line must be a
+field or a comment, and no event follows the last one.
 """
 
+import re
 import time
 from dataclasses import dataclass, field
 from typing import Any
@@ -13,6 +16,11 @@
 DATA_PREFIX = b"data:"
 DONE_DATA = b"[DONE]"
 DONE_EVENT = b"data: [DONE]\n\n"
+COMMENT_PREFIX = b":"
+MAX_QUOTED_BYTES = 40
+
+_STANDARD_FIELD = re.compile(rb"(?:data|event|id|retry)?:|(?:data|event|id|retry)$")
+_OTHER_FIELD = re.compile(rb"[a-z][a-z0-9_-]*:")
 
 
 class StreamError(Exception):
@@ -170,6 +178,36 @@
     return b"\n".join(line[len(DATA_PREFIX) :].strip() for line in lines)
 
 
+def check_events(raw: bytes) -> None:
+    """Raise `StreamError` if whole events have a line that is neither a field nor a comment.
+
+    Fields that the standard does not name are accepted in an event with data only.
+    """
+    for event in raw.split(EVENT_END):
+        if not event.startswith(DATA_PREFIX) or b"\n" in event:
+            _check_lines(event)
+
+
+def _check_lines(event: bytes) -> None:
+    lines = event.splitlines()
+    has_data = any(line.startswith(DATA_PREFIX) for line in lines)
+    for line in lines:
+        is_other_field = has_data and _OTHER_FIELD.match(line) is not None
+        if line and not is_other_field and _STANDARD_FIELD.match(line) is None:
+            raise StreamError(f"a line is no field of an event: {line[:MAX_QUOTED_BYTES]!r}")
+
+
+def check_end(events: list[bytes], rest: bytes) -> None:
+    """Raise `StreamError` if an event, or a rest that is no comment, follows the last event."""
+    if DONE_DATA not in events:
+        return
+    rest = rest.strip()
+    if events.index(DONE_DATA) < len(events) - 1:
+        raise StreamError("an event follows the last one")
+    if rest and not rest.startswith(COMMENT_PREFIX):
+        raise StreamError(f"text follows the last event: {rest[:MAX_QUOTED_BYTES]!r}")
+
+
 def encode_completion(
     message: dict[str, Any], *, call_id: str, model: str, finish_reason: str, usage: Usage
 ) -> bytes:
--- a/packages/lagoonfold-node/src/lagoonfold_node/_upstreams/_engine.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_upstreams/_engine.py
@@ -17,9 +17,23 @@
 from result import Err, Ok, Result
 
 from lagoonfold import Ran
-from lagoonfold_io import HttpClient, HttpError, HttpRequest, ResponseStream, SendStatus
+from lagoonfold_io import (
+    HttpClient,
+    HttpError,
+    HttpRequest,
+    ResponseHead,
+    ResponseStream,
+    SendStatus,
+    find_header,
+)
 from lagoonfold_io import StreamError as HttpStreamError
-from lagoonfold_node._upstreams._completion import Completion, StreamError, parse_events
+from lagoonfold_node._upstreams._completion import (
+    Completion,
+    StreamError,
+    check_end,
+    check_events,
+    parse_events,
+)
 from lagoonfold_node._upstreams._headers import RequestIdentity, upstream_headers
 
 FIRST_BYTE_TIMEOUT_S = 30.0
@@ -29,6 +43,8 @@
 CONTROL_TIMEOUT_S = 2.0
 DRAIN_TIMEOUT_S = 0.2
 MAX_EVENT_BYTES = 1_048_576
+EVENT_STREAM = "text/event-stream"
+NO_CODING = "identity"
 JSON_HEADERS = (("content-type", "application/json"),)
 
 _PROBE = HttpRequest(method="GET", path="/v1/load")
@@ -136,6 +152,8 @@
         if not size:
             return None
         try:
+            check_events(buffer[:size])
+            check_end(events, self._unparsed)
             self.completion.add_events(events)
         except StreamError as error:
             return _failure(str(error))
@@ -217,6 +235,9 @@
         response = opened.ok_value
         if response.head.status != HTTPStatus.OK:
             return await _status_failure(response)
+        unfit = _describe_unfit_head(response.head)
+        if unfit is not None:
+            return _failure(unfit)
         return Ok(EngineStream(response, completion, partial(self._probe, call.address)))
 
     async def _probe_while_silent(self, address: str, scope: trio.CancelScope) -> None:
@@ -263,6 +284,17 @@
     return msgspec.json.encode(body)
 
 
+def _describe_unfit_head(head: ResponseHead) -> str | None:
+    """Return why an answer is no event stream, or None; one without a media type may be one."""
+    media_type = find_header(head.headers, "content-type") or EVENT_STREAM
+    if media_type.partition(";")[0].strip().lower() != EVENT_STREAM:
+        return f"media type {media_type!r} in place of {EVENT_STREAM}"
+    coding = find_header(head.headers, "content-encoding") or NO_CODING
+    if coding.strip().lower() != NO_CODING:
+        return f"content coding {coding!r} that was not asked for"
+    return None
+
+
 async def _status_failure(response: ResponseStream) -> Err[UpstreamFailure]:
     """Read what arrives of a response that is not OK, and return its failure."""
     status = response.head.status
