Take a stream without any event for a lost answer

A caller got a stream of ten events as complete without one.

Two such answers show that nothing is left only if something has come: a stream has events. Without any, each of them is now a lost answer, and the caller gets a 502 when no attempt is left.

test_stream_without_any_event_does_not_end_as_complete failed before and passes now.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_relay.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_relay.py
@@ -143,10 +143,10 @@
     """Return whether an answer that brings no event ends the stream.
 
     A sound replica that is asked for the events after the last one answers so, but so does one in
-    trouble, unless the turn has all tokens that it may have.
+    trouble, unless the turn has all tokens that it may have. A stream has an event at least.
     """
     is_whole = state.is_started and _is_over(request_state)
-    return is_whole or state.ended_without_event or not request_state.attempts.may_repeat
+    return is_whole or (state.ended_without_event and state.delivered_id is not None)
 
 
 async def _relay_data(
--- a/tests/gateway/test_stream_answers.py
+++ b/tests/gateway/test_stream_answers.py
@@ -297,6 +297,20 @@
     _run(check)
 
 
+def test_stream_without_any_event_does_not_end_as_complete() -> None:
+    """Two attempts had ended so, but no stream has no event."""
+
+    async def check(fleet: Fleet, gateway: Gateway, script: Script) -> None:
+        script.answers += [Answer(), Answer(is_chunked=False)]
+        received = await _receive(fleet, gateway)
+        assert received == Received(200, WHOLE, is_complete=True), received
+        script.answers += [Answer()] * len(REPLICAS)
+        received = await _receive(fleet, gateway)
+        assert received.status >= 500, received
+
+    _run(check)
+
+
 def test_replica_that_says_that_no_event_is_left_is_not_put_aside() -> None:
     """It is sound, and was taken for one that loses answers."""
     headers = ((NAMES.last_event, str(EVENTS)), (NAMES.resumed_request, "first"))
