Take an engine's answer for whole once its last event is read

Callers of the daemon missed the last tokens of an answer that ended as whole: an engine sent t0, then t1 to t7 and `[DONE]` 2 s later, and did not end its answer at once. The caller got t0 and the end.

Cause: the time limit for silence ran on while the connection was read out after the last event. Where it passed, the attempt failed, the events held until the record is durable were dropped, and the next attempt asked for the tokens after them.

--- a/packages/lagoonfold-node/src/lagoonfold_node/_execution/_model_call.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_execution/_model_call.py
@@ -155,7 +155,7 @@
     """Relay the events to the readers as they arrive, except for the last.
 
     A cancel scope ends the stream if no event arrives for `SILENCE_TIMEOUT_S`. The timeout is
-    suspended while readers hold the stream back.
+    suspended while readers hold the stream back, and ends with the last event.
     """
     failure: UpstreamFailure | None = None
     running = generation.running
@@ -190,6 +190,7 @@
         generation.has_chunks = True
         if chunk.is_last:
             generation.last_part = chunk.raw
+            silence_scope.deadline = math.inf
             await stream.drain()
             return None
         if running.answer_buffer.has_room():
--- a/tests/node/_path.py
+++ b/tests/node/_path.py
@@ -216,16 +216,17 @@
 
 @dataclass(frozen=True, kw_only=True)
 class ScriptedAnswer:
-    """An answer of an engine; each of its parts is sent on its own."""
+    """An answer of an engine; `interval_s` passes after each of its parts."""
 
     parts: tuple[bytes, ...]
+    interval_s: float = PART_INTERVAL_S
     headers: tuple[tuple[str, str], ...] = (("content-type", "text/event-stream"),)
 
     async def send(self, exchange: Exchange) -> None:
         await exchange.start(200, self.headers)
         for part in self.parts:
             await exchange.send(part)
-            await trio.sleep(PART_INTERVAL_S)
+            await trio.sleep(self.interval_s)
         await exchange.finish()
 
 
--- a/tests/node/test_engine_streams.py
+++ b/tests/node/test_engine_streams.py
@@ -2,6 +2,7 @@
 
 import json
 
+from lagoonfold_node._upstreams import SILENCE_TIMEOUT_S
 from tests._suite import load_functions
 from tests.node._path import (
     TOKENS,
@@ -62,6 +63,16 @@
     run_fleet(check)
 
 
+def test_last_events_are_not_lost_before_the_end_of_a_slow_answer() -> None:
+    """Guards against a whole answer that is taken for silent while its connection is read out."""
+
+    async def check(fleet: PathFleet) -> None:
+        answer = ScriptedAnswer(parts=(FIRST, REST + LAST), interval_s=SILENCE_TIMEOUT_S)
+        await check_answer_is_whole(fleet, answer)
+
+    run_fleet(check)
+
+
 def test_bytes_that_are_no_engine_events_are_not_passed_on() -> None:
     """Guards against text and heads of other answers within a stream."""
 
