--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A seeded run of real gateways before replicas that break streams off, with checks of ORDER."""
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,109 @@
+"""Runs the soak: `python -m soak [--seed N] [--seconds S] [--gateways N] [--out DIR] [--code DIR]`.
+
+Prints what callers got, and exits with 1 if any of it was wrong.
+"""
+
+import argparse
+import random
+import sys
+from collections import Counter
+from pathlib import Path
+
+import trio
+
+from soak._callers import Caller
+from soak._checks import MOST_JOINED_VERSIONS, find_faults, find_joined_versions
+from soak._records import Stream
+from soak._troubles import run_troubles
+from soak._world import World
+
+ROOT = Path(__file__).resolve().parents[1]
+PROGRAMS_PER_S = 10.0
+LAST_ANSWERS_S = 15.0
+
+
+async def _run_callers(world: World, caller: Caller, seconds: float) -> None:
+    with trio.move_on_after(seconds + LAST_ANSWERS_S):
+        async with trio.open_nursery() as nursery:
+            ends_s = trio.current_time() + seconds
+            number = 0
+            while trio.current_time() < ends_s:
+                number += 1
+                nursery.start_soon(caller.run_program, number)
+                await trio.sleep(caller.rng.expovariate(PROGRAMS_PER_S))
+
+
+async def run(options: argparse.Namespace) -> int:
+    """Run everything; return the exit status."""
+    options.out.mkdir(parents=True, exist_ok=True)
+    async with trio.open_nursery() as nursery:
+        world = World(options.seed, options.code, options.out, nursery)
+        caller = Caller(world.gateways, world.stopping, random.Random(f"{options.seed}/callers"))
+        try:
+            await world.start(options.gateways)
+            async with trio.open_nursery() as running:
+                running.start_soon(run_troubles, world, options.seconds)
+                running.start_soon(_run_callers, world, caller, options.seconds)
+        finally:
+            world.close()
+        nursery.cancel_scope.cancel()
+    return _report(world, caller.streams, options)
+
+
+def _report(world: World, streams: list[Stream], options: argparse.Namespace) -> int:
+    run_by_id = world.ledger.run_by_id
+    wrong: Counter[str] = Counter()
+    lines = list(world.notes)
+    for stream in streams:
+        if faults := find_faults(stream, run_by_id):
+            wrong.update(faults.keys())
+            lines += _describe(world, stream, faults)
+    joined = find_joined_versions(streams, run_by_id)
+    for service, names in joined.items():
+        wrong[f"two versions of {service}, at most {MOST_JOINED_VERSIONS}"] = len(names)
+        by_name = {stream.name: stream for stream in streams}
+        for name in names:
+            lines += _describe(world, by_name[name], {"two versions": [service]})
+    whole = sum(stream.is_whole for stream in streams)
+    begun = sum(not stream.is_whole and bool(stream.pieces) for stream in streams)
+    runs = Counter(stream_run.answer for stream_run in run_by_id.values())
+    summary = (
+        f"seed {options.seed}: {options.seconds:g} s, {len(streams)} streams, {whole} whole,"
+        f" {begun} broken, {len(streams) - whole - begun} without an event; wrong: {dict(wrong)}"
+    )
+    statuses = Counter(each.status for stream in streams for each in stream.tries)
+    lines += [summary, f"statuses {dict(statuses)}", f"runs {dict(runs)}"]
+    (options.out / "record.txt").write_text("\n".join(lines) + "\n")
+    print(summary)
+    has_many = any(len(names) > MOST_JOINED_VERSIONS for names in joined.values())
+    return 1 if has_many or any(not form.startswith("two versions") for form in wrong) else 0
+
+
+def _describe(world: World, stream: Stream, faults: dict[str, list[str]]) -> list[str]:
+    """Return the record of a stream that is wrong."""
+    lines = [f"WRONG {stream.name} on {stream.route}, {stream.total} events: {faults}"]
+    for each in stream.tries:
+        numbers = " ".join(f"{piece.number}/{piece.run_id}" for piece in each.pieces)
+        lines.append(
+            f"  {each.attempt} at {each.gateway} {each.sent_s - world.began_s:.3f} to"
+            f" {each.ended_s - world.began_s:.3f}: {each.status}"
+            f" {'complete' if each.is_complete else 'broken'}, {numbers} {each.error}"
+        )
+    runs = world.ledger.run_by_id.values()
+    lines += [f"  {stream_run}" for stream_run in runs if stream_run.stream == stream.name]
+    return lines
+
+
+def main() -> int:
+    """Parse the command line, run, and return the exit status."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=30.0)
+    parser.add_argument("--gateways", type=int, default=4)
+    parser.add_argument("--code", type=Path, default=ROOT)
+    parser.add_argument("--out", type=Path, default=ROOT / "target" / "soak")
+    return trio.run(run, parser.parse_args())
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/soak/_replicas.py
@@ -0,0 +1,205 @@
+"""Replicas that break streams off, and go on with them wrongly, as drawn from the seed."""
+
+import json
+import random
+import socket
+import struct
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+
+import trio
+
+from soak._answers import MAKE_BY_NAME, Part
+from soak._records import Run
+from soak._store import LeasingStore
+
+BEAT_S = 1.2
+EVENT_MS = (3, 60)  # between events
+BROKEN_SHARE = 0.6  # of first runs
+WRONG_SHARE = 0.5  # of later runs
+WRONG_FIRST_SHARE = 0.08
+RESET_SHARE = 0.3
+RESET = struct.pack("ii", 1, 0)  # a close then resets the connection
+
+
+@dataclass(slots=True)
+class Ledger:
+    """The runs at all replicas, and what they answer; `seed` decides by stream and run."""
+
+    seed: int
+    run_by_id: dict[int, Run] = field(default_factory=dict)
+    runs_by_stream: Counter[str] = field(default_factory=Counter)
+
+    def plan(self, stream: str) -> tuple[str, random.Random]:
+        """Return the answer of the next run of a stream: "sound", "broken" or a wrong one."""
+        number = self.runs_by_stream[stream]
+        self.runs_by_stream[stream] += 1
+        rng = random.Random(f"{self.seed}/{stream}/{number}")
+        share = rng.random()
+        wrong_share = WRONG_SHARE if number else WRONG_FIRST_SHARE
+        if share < wrong_share:
+            return rng.choice(list(MAKE_BY_NAME)), rng
+        return (
+            "broken" if share < wrong_share + (1 - wrong_share) * BROKEN_SHARE else "sound"
+        ), rng
+
+
+@dataclass(slots=True)
+class Replica:
+    """One replica; it registers itself in the store until it drains or crashes."""
+
+    replica_id: str
+    service: str
+    zone: str
+    version: str
+    ledger: Ledger
+    store: LeasingStore
+    slots: int = 8
+    state: str = "ready"
+    active: int = 0
+    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+
+    async def serve(self) -> None:
+        """Serve until the scope is cancelled, as by a crash."""
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+        born = int(time.time() * 1000)
+        with self.scope:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(trio.serve_listeners, self._serve_connection, listeners)
+                sequence = 0
+                while True:
+                    sequence += 1
+                    self._register(address, born, sequence)
+                    await trio.sleep(BEAT_S)
+
+    def _register(self, address: str, born: int, sequence: int) -> None:
+        entry = {
+            "Service": self.service,
+            "Address": address,
+            "Zone": self.zone,
+            "Version": self.version,
+            "Slots": self.slots,
+            "State": self.state,
+            "ColdRemainingMs": 0,
+            "Sequence": sequence,
+            "born": born,
+        }
+        self.store.put(f"servers/{self.replica_id}", json.dumps(entry).encode())
+
+    def remove_entry(self) -> None:
+        """Remove the entry, as the platform does after a replica has left or fallen silent."""
+        self.store.remove(f"servers/{self.replica_id}")
+
+    async def _serve_connection(self, stream: trio.SocketStream) -> None:
+        stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, True)
+        buffer = bytearray()
+        try:
+            while (request := await _read_request(stream, buffer)) is not None:
+                self.active += 1
+                try:
+                    goes_on = await self._answer(stream, *request)
+                finally:
+                    self.active -= 1
+                if not goes_on:
+                    await stream.aclose()
+                    return
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+
+    async def _answer(self, stream: trio.SocketStream, path: str, headers: dict) -> bool:
+        """Answer a request; return whether the connection may be used again."""
+        attempt = headers.get("attempt-id", "")
+        fields = f"attempt-id: {attempt}\r\nreplica-id: {self.replica_id}\r\n"
+        fields += f"replica-load: {self.active},0,{self.slots}\r\n"
+        parts = path.split("/")
+        if len(parts) < 4:
+            status = "200 OK" if path == "/health" else "404 Not Found"
+            await stream.send_all(
+                f"HTTP/1.1 {status}\r\n{fields}content-length: 0\r\n\r\n".encode()
+            )
+            return True
+        if headers.get("expect-replica", self.replica_id) != self.replica_id:
+            await stream.send_all(
+                f"HTTP/1.1 421 Misdirected\r\n{fields}content-length: 0\r\n\r\n".encode()
+            )
+            return True
+        after = int(headers.get("last-event-id", 0))
+        answer, rng = self.ledger.plan(parts[2])
+        run_id = len(self.ledger.run_by_id) + 1
+        self.ledger.run_by_id[run_id] = Run(
+            run_id, parts[2], attempt, after, self.replica_id, self.service, self.version, answer
+        )
+        part = Part(after, int(parts[3]), self.version, parts[2], run_id)
+        if answer in MAKE_BY_NAME:
+            made = MAKE_BY_NAME[answer](part)
+            await _send_in_parts(stream, made.encode(self.replica_id, attempt), rng)
+            _reset_sometimes(stream, rng, RESET_SHARE)
+            return False
+        fields += f"server-seal: {self.replica_id}.{attempt}\r\ncontent-type: text/event-stream\r\n"
+        return await _stream(stream, fields, part, rng, is_broken=answer == "broken")
+
+
+async def _read_request(
+    stream: trio.SocketStream, buffer: bytearray
+) -> tuple[str, dict[str, str]] | None:
+    """Return the path and the headers of the next request, None at the end."""
+    while (end := buffer.find(b"\r\n\r\n")) < 0:
+        data = await stream.receive_some(65_536)
+        if not data:
+            return None
+        buffer += data
+    first, *lines = bytes(buffer[:end]).decode("latin-1").split("\r\n")
+    pairs = (line.partition(":") for line in lines)
+    headers = {name.strip().lower(): value.strip() for name, _, value in pairs}
+    length = end + 4 + int(headers.get("content-length", 0))
+    while len(buffer) < length:
+        data = await stream.receive_some(65_536)
+        if not data:
+            return None
+        buffer += data
+    del buffer[:length]
+    return first.split(" ")[1], headers
+
+
+async def _stream(
+    stream: trio.SocketStream, fields: str, part: Part, rng: random.Random, *, is_broken: bool
+) -> bool:
+    """Send the events; one that is broken stops within or after an event."""
+    head = f"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n"
+    await stream.send_all(head.encode())
+    left = part.total - part.after
+    events_before_break = rng.randint(0, max(0, left)) if is_broken else left
+    cut_bytes = rng.choice((0, 1, 5, 40, 91)) if is_broken else 0
+    step_ms = rng.uniform(*EVENT_MS)
+    for number in range(part.after + 1, part.after + events_before_break + 1):
+        await trio.sleep(step_ms / 1000)
+        await stream.send_all(_chunk(part.event(number)))
+    if not is_broken:
+        await stream.send_all(b"0\r\n\r\n")
+        return True
+    if cut_bytes and events_before_break < left:
+        data = _chunk(part.event(part.after + events_before_break + 1)[:cut_bytes])
+        await stream.send_all(data[: rng.choice((len(data), len(data) - 2))])
+    _reset_sometimes(stream, rng, RESET_SHARE)
+    return False
+
+
+def _chunk(data: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def _reset_sometimes(stream: trio.SocketStream, rng: random.Random, share: float) -> None:
+    if rng.random() < share:
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+
+
+async def _send_in_parts(stream: trio.SocketStream, data: bytes, rng: random.Random) -> None:
+    """Send bytes whole, or in two parts with a pause between them."""
+    at = rng.choice((len(data), rng.randint(0, len(data))))
+    if data[:at]:
+        await stream.send_all(data[:at])
+    if data[at:]:
+        await trio.sleep(rng.uniform(0.005, 0.06))
+        await stream.send_all(data[at:])
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the checks of the soak run."""
