--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -72,7 +72,9 @@
         f" {begun} broken, {len(streams) - whole - begun} without an event; wrong: {dict(wrong)}"
     )
     statuses = Counter(each.status for stream in streams for each in stream.tries)
-    lines += [summary, f"statuses {dict(statuses)}", f"runs {dict(runs)}"]
+    errors = Counter(each.error[:60] for stream in streams for each in stream.tries)
+    lines += [summary, f"statuses {dict(statuses)}", f"errors {dict(errors)}"]
+    lines.append(f"runs {dict(runs)}")
     (options.out / "record.txt").write_text("\n".join(lines) + "\n")
     print(summary)
     has_many = any(len(names) > MOST_JOINED_VERSIONS for names in joined.values())
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -39,7 +39,7 @@
         """Run the turns of a program one after the other."""
         rng = random.Random(self.rng.random())
         turns = rng.randint(1, 4)
-        budget = rng.choice((turns * MAX_EVENTS, turns * MEAN_EVENTS // 2)) * EVENT_TOKENS
+        budget = rng.choice((turns * MAX_EVENTS,) * 5 + (turns * MEAN_EVENTS // 2,)) * EVENT_TOKENS
         fields = {"Program-Id": f"p{number}", "Session-Id": f"p{number}"}
         fields |= {"Program-Deadline-Ms": "8000", "Token-Budget": str(budget)}
         fields |= {"Key": f"key-{rng.randint(1, 8)}", "Model": "m"}
--- a/soak/_replicas.py
+++ b/soak/_replicas.py
@@ -6,7 +6,7 @@
 import struct
 import time
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import trio
 
@@ -16,7 +16,7 @@
 
 BEAT_S = 1.2
 EVENT_MS = (3, 60)  # between events
-BROKEN_SHARE = 0.6  # of first runs
+BROKEN_SHARE = 0.5  # of first runs
 WRONG_SHARE = 0.5  # of later runs
 WRONG_FIRST_SHARE = 0.08
 RESET_SHARE = 0.3
@@ -134,6 +134,8 @@
         part = Part(after, int(parts[3]), self.version, parts[2], run_id)
         if answer in MAKE_BY_NAME:
             made = MAKE_BY_NAME[answer](part)
+            own = (("server-seal", f"{self.replica_id}.{attempt}"), ("attempt-id", attempt))
+            made = replace(made, headers=(*own, *made.headers))
             await _send_in_parts(stream, made.encode(self.replica_id, attempt), rng)
             _reset_sometimes(stream, rng, RESET_SHARE)
             return False
--- a/soak/_troubles.py
+++ b/soak/_troubles.py
@@ -9,7 +9,7 @@
 from soak._gateways import Instance
 from soak._world import World
 
-GAP_S = (0.8, 3.0)  # between the beginnings of two troubles, which may overlap
+GAP_S = (1.5, 5.0)  # between the beginnings of two troubles, which may overlap
 FREEZE_S = (0.2, 2.5)
 DOWN_S = (0.3, 2.0)
 DRAIN_S = 3.5
@@ -91,7 +91,7 @@
 
 
 async def _config(world: World, rng: random.Random) -> None:
-    world.operate(timeout_ms=rng.choice((2_000, 3_000)), rate_per_s=rng.choice((4.0, 8.0, 40.0)))
+    world.operate(timeout_ms=rng.choice((2_000, 3_000)), rate_per_s=rng.choice((8.0, 20.0, 40.0)))
 
 
 async def _release(world: World, seconds: float) -> None:
