--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -75,6 +75,7 @@
     errors = Counter(each.error[:60] for stream in streams for each in stream.tries)
     lines += [summary, f"statuses {dict(statuses)}", f"errors {dict(errors)}"]
     lines.append(f"runs {dict(runs)}")
+    lines.append(f"ends at a start: {sum(each.ends_at_start for each in world.gateways)}")
     (options.out / "record.txt").write_text("\n".join(lines) + "\n")
     print(summary)
     has_many = any(len(names) > MOST_JOINED_VERSIONS for names in joined.values())
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -16,7 +16,7 @@
 EVENT_TOKENS = 12
 MEAN_EVENTS = 6
 MAX_EVENTS = 24
-ROUTES = (("drafts", 0.6), ("sweeps", 0.15), ("split", 0.15), ("once", 0.1))
+ROUTES = (("drafts", 0.4), ("sweeps", 0.1), ("split", 0.2), ("once", 0.1), ("kept", 0.2))
 REFUSED = (429, 503)
 BUDGET_SPENT = 402
 
@@ -52,6 +52,8 @@
             await self._run_stream(stream, fields, rng)
             if stream.tries[-1].status == BUDGET_SPENT:
                 return
+            if route == "kept" and stream.is_whole:
+                fields["Previous-Turn"] = stream.tries[-1].attempt
             await trio.sleep(rng.uniform(0.05, 0.3))
 
     async def _run_stream(self, stream: Stream, fields: dict, rng: random.Random) -> None:
--- a/soak/_gateways.py
+++ b/soak/_gateways.py
@@ -30,9 +30,13 @@
     readiness: str = ""
     peer_port: int = 0
     is_first: bool = True
+    ends_at_start: int = 0
     process: subprocess.Popen | None = None
 
     def __post_init__(self) -> None:
+        self._draw_ports()
+
+    def _draw_ports(self) -> None:
         self.listen, self.readiness = (f"127.0.0.1:{free_port()}" for _ in range(2))
         self.peer_port = free_port()
 
@@ -102,8 +106,15 @@
             self.process.wait()
 
     async def wait_ready(self) -> None:
-        """Wait until the process answers 200 on its readiness address."""
+        """Wait until the process answers 200 on its readiness address.
+
+        One that ends before is started again with other ports: another program may use one of them.
+        """
         while not await self._is_ready():
+            if self.process is not None and self.process.poll() is not None:
+                self.ends_at_start += 1
+                self._draw_ports()
+                self.start()
             await trio.sleep(READY_POLL_S)
 
     async def _is_ready(self) -> bool:
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -91,7 +91,10 @@
 
 
 def make_config(version: int, *, timeout_ms: int, rate_per_s: float) -> dict:
-    """Return a configuration with routes that may be resumed, a split one, and one that may not."""
+    """Return a configuration with routes that may be resumed, and one that may not.
+
+    One of them is split, and one keeps its turns at the storage processes.
+    """
     route = {
         "Host": "a.example",
         "RouteType": "stream",
@@ -112,6 +115,13 @@
         "Routes": [
             {**route, "Name": "drafts", "PathPrefix": "/drafts/", "Service": "quill"},
             {**route, "Name": "sweeps", "PathPrefix": "/sweeps/", "Service": "quill"},
+            {
+                **route,
+                "Name": "kept",
+                "PathPrefix": "/kept/",
+                "Service": "quill",
+                "RetainContext": True,
+            },
             {**route, "Name": "split", "PathPrefix": "/split/", "TrafficSplit": split},
             {
                 **route,
