Send a request that comes again through another instance on a new connection

Callers of an instance that is cut off from the replicas got an end as complete after event 2 of 6: one answer to their stream had nothing in it, and its late copy, which the replica wrote on the same connection, was taken for that of the next attempt, which confirmed the end.

The cause: after a lost answer the next attempt takes a new connection, but through another instance that is the one to that instance only. That instance sent the request on a kept connection to the replica, and the copy has the id of the same request.

It remembers the ids of the last 4,096 requests and sends one that comes again on a new connection. Nothing is added to the messages between instances.

The new test failed before and passes now; the scripted replicas can keep their connections and send each answer twice for it.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_replica_relay.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_replica_relay.py
@@ -1,7 +1,8 @@
 """Passes requests on to replicas for other gateways that cannot reach them.
 
 Reads `replicas`. Only listed replicas are called, and only directly, so that a request takes one
-more hop at most. The answer is passed on as it arrives; one that breaks off is broken off here.
+more hop at most. The answer is passed on as it arrives; one that breaks off is broken off here. A
+request that comes again is sent on a new connection: a late copy of the answer before has its id.
 """
 
 from result import Err
@@ -29,6 +30,7 @@
 
 SCHEME = "http://"
 MAX_ANSWER_S = 3_600.0  # the gateway that sent the request gives it up long before
+MAX_REMEMBERED_REQUESTS = 4_096  # of many seconds; a request comes again within a few
 
 
 class ReplicaRelay:
@@ -41,6 +43,7 @@
         self._caller = caller
         self._client = client
         self._names = names
+        self._seen_ids: dict[str, None] = {}
 
     async def handle(self, request: HttpRequest, exchange: Exchange) -> None:
         """Serve one request, whose target is a whole URL."""
@@ -74,6 +77,7 @@
             address,
             passed_on,
             progress_timeout_s=MAX_ANSWER_S,
+            new_connection=self._has_seen(request_id),
             max_idle_s=MAX_IDLE_AT_MOST_ONCE_S,
             is_own=is_own,
         ) as answer:
@@ -86,6 +90,17 @@
             response.is_last_on_connection = says_not_run(response.head, self._names)
             await _relay(response, exchange)
 
+    def _has_seen(self, request_id: str | None) -> bool:
+        """Return whether a request came before, and remember it."""
+        if request_id is None:
+            return False
+        if request_id in self._seen_ids:
+            return True
+        self._seen_ids[request_id] = None
+        if len(self._seen_ids) > MAX_REMEMBERED_REQUESTS:
+            del self._seen_ids[next(iter(self._seen_ids))]
+        return False
+
     def _fault(self, answer: Err[HttpError], address: str) -> ProxyFault:
         if answer.err_value.is_pool_exhausted:
             return ProxyFault.NOT_RELAYED
--- a/standins/scripted_replica.py
+++ b/standins/scripted_replica.py
@@ -16,6 +16,7 @@
 NAMES = DEFAULT_DIALECT.headers
 EVENTS = 6
 EVENT_STREAM = "text/event-stream"
+READ_SIZE_BYTES = 65_536
 
 
 def events(first: int = 1, last: int = EVENTS) -> bytes:
@@ -70,10 +71,15 @@
 
 @dataclass(slots=True)
 class ScriptedReplica:
-    """Answers each request by the script and closes its connection."""
+    """Answers each request by the script and closes its connection.
+
+    One that `sends_copies` keeps it, and sends each whole answer a second time, just before the
+    next answer on the same connection.
+    """
 
     replica_id: str
     script: Script = field(default_factory=Script)
+    sends_copies: bool = False
     address: str = ""
 
     async def serve(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
@@ -83,18 +89,27 @@
         await trio.serve_listeners(self._answer, listeners, task_status=task_status)
 
     async def _answer(self, stream: trio.SocketStream) -> None:
-        request = b""
-        while b"\r\n\r\n" not in request:
-            data = await stream.receive_some(65_536)
-            if not data:
-                return
-            request += data
-        value_by_name = _headers(request)
-        last_event = int(value_by_name.get(NAMES.last_event, 0))
-        answer = self.script.next_answer(last_event)
-        request_id = value_by_name.get(NAMES.request_id, "")
-        await stream.send_all(answer.encode(self.replica_id, request_id))
-        await stream.aclose()
+        copy = b""
+        async with stream:
+            while (value_by_name := await _read_headers(stream)) is not None:
+                answer = self.script.next_answer(int(value_by_name.get(NAMES.last_event, 0)))
+                request_id = value_by_name.get(NAMES.request_id, "")
+                encoded = answer.encode(self.replica_id, request_id)
+                await stream.send_all(copy + encoded)
+                copy = encoded
+                if not (self.sends_copies and answer.is_whole and answer.is_chunked):
+                    return
+
+
+async def _read_headers(stream: trio.SocketStream) -> dict[str, str] | None:
+    """Read the headers of a request without a body; return None at the end of the connection."""
+    request = b""
+    while b"\r\n\r\n" not in request:
+        data = await stream.receive_some(READ_SIZE_BYTES)
+        if not data:
+            return None
+        request += data
+    return _headers(request)
 
 
 def _headers(request: bytes) -> dict[str, str]:
--- a/tests/gateway/test_stream_answers.py
+++ b/tests/gateway/test_stream_answers.py
@@ -145,14 +145,16 @@
     return received, True
 
 
-async def _add_replicas(fleet: Fleet, script: Script) -> None:
-    for replica_id in REPLICAS:
-        replica = ScriptedReplica(replica_id, script)
+async def _add_replicas(
+    fleet: Fleet, script: Script, ids: tuple[str, ...] = REPLICAS, *, sends_copies: bool = False
+) -> None:
+    for replica_id in ids:
+        replica = ScriptedReplica(replica_id, script, sends_copies)
         await fleet.nursery.start(replica.serve)
         fleet.list_replica(replica)
     await wait_until(
         lambda: all(
-            len(gateway.board.replicas.read().all()) == len(REPLICAS) for gateway in fleet.gateways
+            len(gateway.board.replicas.read().all()) == len(ids) for gateway in fleet.gateways
         )
     )
 
@@ -334,6 +336,21 @@
     _run(check, gateways=2)
 
 
+def test_late_copy_of_an_answer_is_not_that_of_the_next_attempt_through_another_instance() -> None:
+    """The copy of an empty answer, which has the id of the request, confirmed its end."""
+    begun = Answer(body=events(1, BROKEN_AFTER), is_whole=False)
+
+    async def check(fleet: Fleet) -> None:
+        script = Script()
+        await _add_replicas(fleet, script, ("r1",), sends_copies=True)
+        CUTS[1].begin(fleet.gateways[0])
+        script.answers += [begun, Answer()]
+        received = await _receive(fleet, fleet.gateways[0])
+        assert received == Received(200, WHOLE, is_complete=True), received
+
+    run_with_fleet(check, gateways=2, replicas=0, config=make_config(max_upstreams=3))
+
+
 def test_stream_that_its_caller_takes_up_does_not_go_on_with_wrong_answers() -> None:
     """The caller has the first events from an earlier request."""
 
