Take an answer with another media type besides for no stream

Callers got "data: no room" as event 3 where the answer that went on with their stream had two Content-Type headers, that of event streams first.

The cause: only the first one was looked at. All that are not empty must be that of event streams now; an answer without any may be a stream as before.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_upstream_attempt.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_upstream_attempt.py
@@ -188,13 +188,13 @@
 def _is_no_stream(head: ResponseHead, kind: RouteKind) -> bool:
     """Return whether a success has another status or media type than a stream of its route.
 
-    One that names no media type may be a stream.
+    One that names no media type may be a stream; one that names several is none.
     """
     if kind is not RouteKind.STREAM or head.status >= SUCCESS_BELOW:
         return False
-    media_type = find_header(head.headers, "content-type") or EVENT_STREAM
-    essence = media_type.partition(";")[0].strip().lower()
-    return head.status != OK or essence != EVENT_STREAM
+    media_types = [value for name, value in head.headers if name == "content-type" and value]
+    essences = {each.partition(";")[0].strip().lower() for each in media_types}
+    return head.status != OK or not essences <= {EVENT_STREAM}
 
 
 def says_not_run(head: ResponseHead, names: HeaderNames) -> bool:
--- a/tests/gateway/test_stream_answers.py
+++ b/tests/gateway/test_stream_answers.py
@@ -13,6 +13,7 @@
 from lagoonfold_gateway import Gateway
 from lagoonfold_io import HttpRequest, StreamError
 from standins.scripted_replica import (
+    EVENT_STREAM,
     EVENTS,
     NAMES,
     Answer,
@@ -49,6 +50,11 @@
     "status 206 without a body": Answer(status=206),
     "status 206 with an event": Answer(status=206, body=events(3, 3)),
     "status 202 without a type": Answer(status=202, media_type=None),
+    "two media types": Answer(
+        body=b"id: 3\ndata: no room\n\n",
+        media_type="text/plain",
+        headers=(("content-type", EVENT_STREAM),),
+    ),
     "status 500 of a stream": Answer(status=500, body=b"id: 3\ndata: no room\n\n"),
 }
 BODIES = {
