Count what runs at replicas when a caller has left, not a difference

test_caller_that_leaves_cancels_a_request_that_another_instance_passes_on failed in 2 of 25 and 2 of 3 runs beside busy loops: it waited for 10 s for a state that could no longer come.

The test was wrong. Before it, callers send requests so that the instance finds out that it is cut off, and leave. Replicas were still running one or two of these when the test took the number of requests received less those abandoned, and counted them as abandoned afterwards; the difference then stayed below the number taken. Both traced runs show this: 34 received and none abandoned at first, 35 and 3 in the end; 62 and none, 64 and 3. Nothing was left running.

The stand-in of a replica now counts what runs there. The test waits until nothing does, before and after each path, and no longer counts what was abandoned before. With the cancellation of requests that are passed on switched off it fails, as it must.

--- a/standins/replica.py
+++ b/standins/replica.py
@@ -51,13 +51,17 @@
 
 @dataclass(slots=True)
 class Replica:
-    """One replica and the requests that it ran; `abandoned` counts those cancelled meanwhile."""
+    """One replica and the requests that it ran; `abandoned` counts those cancelled meanwhile.
+
+    `running` counts those that are in progress.
+    """
 
     replica_id: str
     behaviour: Behaviour = field(default_factory=Behaviour)
     runs_by_request: Counter[str] = field(default_factory=Counter)
     requests: list[HttpRequest] = field(default_factory=list)
     abandoned: int = 0
+    running: int = 0
     address: str = ""
     _scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     _used_streams: set[trio.SocketStream] = field(default_factory=set)
@@ -88,11 +92,14 @@
             return
         self.requests.append(request)
         self.runs_by_request[request.header(NAMES.request_id) or ""] += 1
+        self.running += 1
         try:
             await self._run(request, exchange)
         except trio.Cancelled:
             self.abandoned += 1
             raise
+        finally:
+            self.running -= 1
 
     async def _run(self, request: HttpRequest, exchange: Exchange) -> None:
         stream = exchange._stream
--- a/tests/gateway/test_cut_off.py
+++ b/tests/gateway/test_cut_off.py
@@ -63,8 +63,8 @@
     return sum(replica.abandoned for replica in fleet.replica_by_id.values())
 
 
-def _received(fleet: Fleet) -> int:
-    return sum(len(replica.requests) for replica in fleet.replica_by_id.values())
+async def _wait_until_none_runs(fleet: Fleet) -> None:
+    await wait_until(lambda: not any(r.running for r in fleet.replica_by_id.values()))
 
 
 def _owner(fleet: Fleet) -> Gateway:
@@ -296,15 +296,16 @@
     async def check(fleet: Fleet) -> None:
         stranded = fleet.gateways[0]
         await _strand(fleet, stranded)
+        await _wait_until_none_runs(fleet)
+        before = _abandoned(fleet)
         for replica in fleet.replica_by_id.values():
             replica.behaviour.answer_after_s = 60.0
         for path in PATHS:
-            before = _received(fleet) - _abandoned(fleet)
             with trio.move_on_after(0.3):
                 await fleet.send(stranded, path)
             # A request whose answer is overdue is sent to a second replica.
-            await wait_until(lambda before=before: _received(fleet) - _abandoned(fleet) == before)
-        assert _abandoned(fleet) >= len(PATHS)
+            await _wait_until_none_runs(fleet)
+        assert _abandoned(fleet) - before >= len(PATHS)
 
     run_with_fleet(check, gateways=2, replicas=3, config=make_config(timeout_s=30.0))
 
