Tell homes of a stream only once its first event is passed on

Cause: homes were told of the version of each attempt as soon as its head came, so one that missed the later note, as a frozen one that no longer counts as live does, remembered a version that has brought nothing.

A stream now has one origin: it is told directly before the first byte is passed on, and an attempt that has brought nothing leaves no trace.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_attempt_runner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_attempt_runner.py
@@ -1,6 +1,7 @@
 """Runs the attempts of a forwarded request: selects a replica, sends, relays, retries."""
 
 from collections import defaultdict
+from functools import partial
 
 from result import Err, Ok, Result
 
@@ -220,17 +221,31 @@
             self._overdue_heads.record_head(request_state.route.name, request_state.head_s or 0.0)
             is_success = response.head.status < SUCCESS_BELOW
             if request_state.route.kind is RouteKind.STREAM and is_success:
-                self._context.version_controller.record_begun(
-                    request_state.stream_id,
-                    state.origin or _origin_at(selection.replica),
-                    is_split=len(request_state.route.targets) > 1,
-                )
+                self._record_begun(selection.replica, state, request_state)
                 return await relay_stream(response, state, request_state, exchange, self._context)
             if state.is_started:
                 reason = f"status {response.head.status} to a resumed stream"
                 return Err(AttemptFailure(outcome=AttemptOutcome.LOST, reason=reason))
             return await relay_plain(response, request_state, exchange)
 
+    def _record_begun(
+        self, replica: Replica, state: StreamState, request_state: RequestState
+    ) -> None:
+        """Remember where a stream goes on, or where it begins once it does.
+
+        An attempt that breaks off before the first event does not fix the version of the next.
+        """
+        record = partial(
+            self._context.version_controller.record_begun,
+            request_state.stream_id,
+            state.origin or _origin_at(replica),
+            is_split=len(request_state.route.targets) > 1,
+        )
+        if state.origin is not None:
+            record()
+        else:
+            state.on_start = record
+
     def _look_for_path_fault(
         self, ended: Result[None, AttemptFailure], replica: Replica, request_state: RequestState
     ) -> None:
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_relay.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_relay.py
@@ -7,6 +7,7 @@
 tokens than its credit, and one whose replica sends more than it may have is broken off.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import trio
@@ -47,7 +48,8 @@
     began, None if it has not begun or may go on anywhere. The last attempt has
     `ended_without_event` if its answer was whole and brought nothing. The head and the last events
     of a whole answer are held until its turn is durable, if that is to be kept. What comes before
-    the first event with content is held until that arrives, in `lead`.
+    the first event with content is held until that arrives, in `lead`. `on_start` is called before
+    anything is sent.
     """
 
     events: EventFilter
@@ -60,6 +62,7 @@
     lead: bytes = b""
     held_events: list[Event] = field(default_factory=list)
     held_head: ResponseHead | None = None
+    on_start: Callable[[], None] = lambda: None
 
 
 async def relay_plain(
@@ -312,6 +315,7 @@
 async def _start(
     head: ResponseHead, state: StreamState, request_state: RequestState, exchange: Exchange
 ) -> None:
+    state.on_start()
     state.is_started = True
     request_state.first_byte_s = now_s()
     request_state.status = head.status
--- a/tests/gateway/test_versions.py
+++ b/tests/gateway/test_versions.py
@@ -1,9 +1,12 @@
 """Streams go on at replicas of the software version that began them."""
 
+from collections import Counter
+from collections.abc import Awaitable
 from dataclasses import replace
 
 from lagoonfold.forwarding import ForwardConfig, WeightedService
 from lagoonfold_gateway import Gateway
+from lagoonfold_gateway._messages import Ack, Message, StreamOriginNote
 from lagoonfold_io import HttpRequest, HttpResponse
 from standins.replica import EVENTS, NAMES, Behaviour, Replica
 from tests._suite import load_functions
@@ -41,6 +44,12 @@
 
 async def _begin(fleet: Fleet, gateway: Gateway) -> str:
     """Read the first two events of a stream, then leave; return the id of the request."""
+    request_id, _ = await _begin_at(fleet, gateway)
+    return request_id
+
+
+async def _begin_at(fleet: Fleet, gateway: Gateway) -> tuple[str, str]:
+    """Begin a stream as `_begin` does; return also the replica whose signature it has."""
     request_id = fleet.next_id()
     request = HttpRequest(
         method="POST",
@@ -53,7 +62,7 @@
         assert response.head.status == 200, response.head
         while received.count(b"\n\n") < 2:
             received += await response.read()
-    return request_id
+    return request_id, dict(response.head.headers)[NAMES.signature]
 
 
 async def _take_up(
@@ -258,6 +267,37 @@
     run_with_fleet(check, gateways=2, replicas=2)
 
 
+def test_homes_that_miss_a_note_do_not_join_a_stream_that_broke_off_before_its_first_event() -> (
+    None
+):
+    """They were told of the version of each attempt, and remembered that of the first."""
+    told: Counter[str] = Counter()
+
+    def miss_later_notes(gateway: Gateway) -> None:
+        handle = gateway.bus._handlers_by_type[StreamOriginNote]
+
+        def handle_first(note: StreamOriginNote) -> Message | Awaitable[Message]:
+            told[note.stream] += 1
+            return handle(note) if told[note.stream] == 1 else Ack()
+
+        gateway.bus._handlers_by_type[StreamOriginNote] = handle_first
+
+    async def check(fleet: Fleet) -> None:
+        await _list_versions(fleet, VERSION_BY_REPLICA)
+        miss_later_notes(fleet.gateways[1])
+        behaviour = Behaviour(event_pause_s=0.05)
+        for replica in fleet.replica_by_id.values():
+            replica.behaviour = behaviour
+        for _ in range(3 * STREAMS):
+            behaviour.break_after = 0
+            first_id, began = await _begin_at(fleet, fleet.gateways[0])
+            next_id, answer = await _take_up(fleet, fleet.gateways[1], first_id)
+            assert _is_rest(answer), answer
+            assert _versions(fleet, next_id) == {VERSION_BY_REPLICA[began]}, (first_id, next_id)
+
+    run_with_fleet(check, gateways=2, replicas=4)
+
+
 def test_stream_taken_up_twice_at_different_instances_goes_on_at_its_version() -> None:
     """Both times the caller names the first request, and the first instance has been killed."""
 
