--- a/tests/gateway/test_version_memory.py
+++ b/tests/gateway/test_version_memory.py
@@ -248,6 +248,23 @@
     _run(check)
 
 
+def test_streams_are_not_joined_where_all_but_the_first_instance_have_missed_the_version() -> None:
+    """No home was told of them, and none that is asked knows that there are two versions."""
+
+    async def check(fleet: SimulatedFleet, streams: _Streams) -> None:
+        others = [key for key in fleet.member_by_id if key != "i0"]
+        for key in others:
+            streams.leave_behind(fleet.member_by_id[key])
+            fleet.network.cut_pairs.add(frozenset(("i0", key)))
+        streams.list_versions("v1", "v2")
+        ids = streams.begin(60, "v2", at=("i0",))
+        await trio.sleep(0.4)
+        fleet.network.cut_pairs.clear()
+        assert (await streams.take_up(ids, "v2", at="i3"))["joined"] == 0
+
+    _run(check)
+
+
 def test_forgotten_streams_go_on_at_the_old_version_beside_planned_stops() -> None:
     """Of three that remember a stream, one is left when two instances stop."""
 
