Take an answer without an id on a kept connection for a lost one

Replicas echo the id. Only refusals without one were taken for lost on reused connections; a missing id counted as the right one for all other answers. Now it does on a new connection only, where nothing can have come before, and not through another instance, whose connection is not known here.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_upstream_attempt.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_upstream_attempt.py
@@ -1,10 +1,10 @@
 """One attempt of a forwarded request at one replica, up to the head of the answer.
 
 An answer counts only if the request id that it echoes is that of this request: a replica may send a
-second copy of an earlier answer late, on the same connection. It is accepted only with the
-replica's signature header. A status that says "not run" counts as such only with the replica's
-not-run header, and on a reused connection only with the request's id. A success on a route for
-streams is accepted only if its head is that of an event stream, whether it begins one or goes on.
+second copy of an earlier answer late, on the same connection. One without an id counts on a new
+connection only. An answer is accepted only with the replica's signature header. A status that says
+"not run" counts as such only with the replica's not-run header. A success on a route for streams is
+accepted only if its head is that of an event stream, whether it begins one or goes on.
 """
 
 import math
@@ -153,9 +153,7 @@
     if foreign_id is not None:
         reason = f"answer to request {foreign_id!r}"
         return AttemptFailure(outcome=AttemptOutcome.LOST, reason=reason)
-    if says_not_run(response.head, names) and not _is_certainly_own(
-        response, request_state, context
-    ):
+    if not _is_certainly_own(response, request_state, context):
         return AttemptFailure(
             outcome=AttemptOutcome.LOST,
             reason=f"status {status} without the request's id on a reused connection",
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -305,6 +305,24 @@
     run_with_fleet(check, replicas=1)
 
 
+def test_answer_without_an_id_on_a_kept_connection_is_not_that_of_the_next_request() -> None:
+    """A replica had written it after a whole answer, and the next caller got it as a success."""
+
+    async def check(fleet: Fleet) -> None:
+        gateway, replica = fleet.gateways[0], fleet.replica_by_id["r1"]
+        for path in ("/write/a", "/read/a"):
+            for status in (200, 500):
+                assert (await fleet.send(gateway, path)).status == 200
+                head = f"HTTP/1.1 {status} Late\r\n{NAMES.signature}: r1\r\n"
+                replica.behaviour.stale = f"{head}content-length: 5\r\n\r\nwrong".encode()
+                answer = await fleet.send(gateway, path)
+                assert not replica.behaviour.stale
+                assert answer.body != b"wrong", (path, status, answer)
+                assert answer.status in (200, 502), (path, status, answer)
+
+    run_with_fleet(check, replicas=1)
+
+
 def test_slow_sound_stream_is_not_cut_and_a_trickling_one_ends_in_time() -> None:
     """Bytes that are no events do not keep a stream open beyond the caller's deadline."""
 
