--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,4 +1,4 @@
-"""Runs the soak: `python -m soak [--seed N] [--seconds S] [--gateways N] [--out DIR] [--code DIR]`.
+"""Runs the soak: `scripts/soak [--seed N] [--seconds S] [--gateways N] [--trouble SHARE]`.
 
 Prints what callers got, and exits with 1 if any of it was wrong.
 """
@@ -37,7 +37,7 @@
     """Run everything; return the exit status."""
     options.out.mkdir(parents=True, exist_ok=True)
     async with trio.open_nursery() as nursery:
-        world = World(options.seed, options.code, options.out, nursery)
+        world = World(options.seed, options.code, options.out, nursery, options.trouble)
         caller = Caller(world.gateways, world.stopping, random.Random(f"{options.seed}/callers"))
         try:
             await world.start(options.gateways)
@@ -75,6 +75,12 @@
     errors = Counter(each.error[:60] for stream in streams for each in stream.tries)
     lines += [summary, f"statuses {dict(statuses)}", f"errors {dict(errors)}"]
     lines.append(f"runs {dict(runs)}")
+    taken_up = [
+        stream
+        for stream in streams
+        if len({each.gateway for each in stream.tries if each.pieces}) > 1
+    ]
+    lines.append(f"streams with events from several gateways: {len(taken_up)}")
     lines.append(f"ends at a start: {sum(each.ends_at_start for each in world.gateways)}")
     (options.out / "record.txt").write_text("\n".join(lines) + "\n")
     print(summary)
@@ -103,6 +109,7 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=30.0)
     parser.add_argument("--gateways", type=int, default=4)
+    parser.add_argument("--trouble", type=float, default=1.0)
     parser.add_argument("--code", type=Path, default=ROOT)
     parser.add_argument("--out", type=Path, default=ROOT / "target" / "soak")
     return trio.run(run, parser.parse_args())
--- a/soak/_replicas.py
+++ b/soak/_replicas.py
@@ -25,9 +25,13 @@
 
 @dataclass(slots=True)
 class Ledger:
-    """The runs at all replicas, and what they answer; `seed` decides by stream and run."""
+    """The runs at all replicas, and what they answer; `seed` decides by stream and run.
+
+    `trouble` is the share of the usual faults that replicas have.
+    """
 
     seed: int
+    trouble: float = 1.0
     run_by_id: dict[int, Run] = field(default_factory=dict)
     runs_by_stream: Counter[str] = field(default_factory=Counter)
 
@@ -36,6 +40,8 @@
         number = self.runs_by_stream[stream]
         self.runs_by_stream[stream] += 1
         rng = random.Random(f"{self.seed}/{stream}/{number}")
+        if rng.random() >= self.trouble:
+            return "sound", rng
         share = rng.random()
         wrong_share = WRONG_SHARE if number else WRONG_FIRST_SHARE
         if share < wrong_share:
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -25,6 +25,7 @@
     code: Path
     folder: Path
     nursery: trio.Nursery
+    trouble: float = 1.0
     store: LeasingStore = field(default_factory=LeasingStore)
     gateways: list[Instance] = field(default_factory=list)
     storages: list[Instance] = field(default_factory=list)
@@ -36,7 +37,7 @@
     ledger: Ledger = field(init=False)
 
     def __post_init__(self) -> None:
-        self.ledger = Ledger(self.seed)
+        self.ledger = Ledger(self.seed, self.trouble)
 
     @property
     def services(self) -> tuple[str, ...]:
