--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -11,7 +11,7 @@
 DEADLINE_MS = 3_000
 MIN_LEFT_MS = 100
 RETRIES = 1
-SPREAD_SHARE = 0.2  # of streams that are sent to any gateway, also one that is down
+SPREAD_SHARE = 0.2  # of tries that go to any gateway, also one that is down
 READ_BYTES = (1, 2, 7, 64)
 EVENT_TOKENS = 12
 MEAN_EVENTS = 6
@@ -58,15 +58,21 @@
 
     async def _run_stream(self, stream: Stream, fields: dict, rng: random.Random) -> None:
         ends_s = trio.current_time() + DEADLINE_MS / 1000
-        up = [each for each in self.gateways if each.name not in self.stopping]
-        is_spread = rng.random() < SPREAD_SHARE or len(up) <= RETRIES
-        for gateway in rng.sample(self.gateways if is_spread else up, RETRIES + 1):
+        for _ in range(RETRIES + 1):
             left_ms = int(1000 * (ends_s - trio.current_time()))
             if left_ms < MIN_LEFT_MS or not _may_try(stream):
                 return
+            gateway = self._pick_gateway(stream, rng)
             await self._try(stream, gateway, {**fields, "Deadline-Ms": str(left_ms)}, rng)
             await trio.sleep(0.02)
 
+    def _pick_gateway(self, stream: Stream, rng: random.Random) -> Instance:
+        """Return a gateway that the stream has not tried, mostly one that is up."""
+        tried = {each.gateway for each in stream.tries}
+        left = [each for each in self.gateways if each.name not in tried]
+        up = [each for each in left if each.name not in self.stopping]
+        return rng.choice(up if up and rng.random() >= SPREAD_SHARE else left)
+
     async def _try(
         self, stream: Stream, gateway: Instance, fields: dict, rng: random.Random
     ) -> None:
