Test events of any answers in any parts, and the time that they take

For answers of events, parts of events, heads, texts and any bytes, split anywhere, with events that were returned and not delivered: what callers got is one stream of whole events without a gap. 400 examples, derandomized; and 256 KB of each kind of line are checked within 0.5 s.

The first run of the property found a gap: event 2 was accepted as the first one in the third answer that began so. That is the rule for services that number their events in another way (EventNumbers), so the property is stated for a service that has streamed before.

--- a/tests/forwarding/test_decisions.py
+++ b/tests/forwarding/test_decisions.py
@@ -1,15 +1,20 @@
 """Tests of routing, attempts, event streams, replica selection and wait queues."""
 
 import random
+import time
+from collections.abc import Iterator
+from contextlib import suppress
 
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from lagoonfold.forwarding import (
     AttemptHistory,
     AttemptOutcome,
+    Event,
     EventError,
     EventFilter,
+    EventNumbers,
     ForwardRoute,
     PromptCacheIndex,
     PromptPart,
@@ -25,9 +30,11 @@
     WeightedService,
     pick_service,
 )
+from lagoonfold.forwarding._events import MAX_EVENT_BYTES
 from lagoonfold.forwarding._replicas import REMOVAL_GRACE_S
 from tests._suite import load_functions
 
+MAX_EVENT_S = 0.5  # of processor time, for 256 KB; more than linear time takes minutes
 EVENTS = [b"id: %d\ndata: part %d\n\n" % (number, number) for number in range(1, 9)]
 
 
@@ -182,6 +189,82 @@
         raise AssertionError(again)
 
 
+_PIECES = st.one_of(
+    st.sampled_from(EVENTS),
+    st.sampled_from(EVENTS).map(lambda event: event.replace(b"\n", b"\r\n")),
+    st.tuples(st.sampled_from(EVENTS), st.integers(0, 20)).map(lambda cut: cut[0][: cut[1]]),
+    st.sampled_from(
+        (b"\n", b"\r", b": comment\n\n", b"data: x\n\n", b"id\n", b"v: 2\n", b"no room\n")
+    ),
+    st.sampled_from((b"HTTP/1.1 500 Error\r\ncontent-length: 5\r\n\r\n", b"\xef\xbb\xbf", b"\0")),
+    st.binary(max_size=8),
+)
+
+
+@settings(derandomize=True, deadline=None, max_examples=400)
+@given(
+    st.lists(st.lists(_PIECES, max_size=12).map(b"".join), min_size=1, max_size=4),
+    st.lists(st.integers(1, 40), max_size=10),
+    st.integers(0, 3),
+)
+def test_events_are_numbered_without_a_gap_whatever_the_answers_are(
+    answers: list[bytes], cut_sizes: list[int], undelivered: int
+) -> None:
+    """Those returned before each error, less what was not delivered, are one stream."""
+    numbers_of_service = EventNumbers()
+    EventFilter(numbers=numbers_of_service).feed(b"".join(EVENTS))
+    events = EventFilter(0, numbers_of_service)
+    delivered: list[Event] = []
+    for answer in (*answers, b"".join(EVENTS)):
+        returned: list[Event] = []
+        with suppress(EventError):
+            for part in _cut(answer, cut_sizes):
+                returned += events.feed(part)
+                while events.has_more:
+                    returned += events.feed()
+        delivered += returned[: max(0, len(returned) - undelivered)]
+        events.rewind(_last_number(delivered))
+    numbers = [event.number for event in delivered if event.has_content]
+    assert numbers == list(range(1, len(numbers) + 1))
+    for event in delivered:
+        assert event.data.endswith((b"\n\n", b"\n\r\n")), event
+        assert b"HTTP/1.1" not in event.data and b"no room" not in event.data, event
+
+
+def _cut(data: bytes, sizes: list[int]) -> Iterator[bytes]:
+    for size in sizes:
+        yield data[:size]
+        data = data[size:]
+    yield data
+
+
+def _last_number(events: list[Event]) -> int:
+    return max((event.number for event in events if event.number is not None), default=0)
+
+
+def test_time_of_events_grows_with_their_size_only() -> None:
+    """Each kind of line, up to the largest event, is split and checked in some ms."""
+    lines = (
+        b"a:\n",
+        b":\n",
+        b"\r\n",
+        b"id:\n",
+        b"a-",
+        b"\r",
+        b"data:",
+        b"data:\r",
+        b"ret",
+        b"a:b:",
+    )
+    for line in lines:
+        for end in (b"", b"\n\n", b"x\n\n", b"\r\n\r\n"):
+            events = EventFilter()
+            began_s = time.process_time()
+            with suppress(EventError):
+                events.feed(line * (MAX_EVENT_BYTES // len(line) - 8) + end)
+            assert time.process_time() - began_s < MAX_EVENT_S, (line, end)
+
+
 _OUTCOMES = st.lists(
     st.tuples(st.sampled_from(["r1", "r2", "r3"]), st.sampled_from(list(AttemptOutcome)[1:])),
     max_size=8,
