Give the choice of a replica a package of its own, with rules for capacity and terms of cost

Cause: each further reason why a replica must not get a request, or why it would take longer there, was one more branch in `_has_capacity`, `_estimate` or `_min_fill` of one module. Change: the package `lagoonfold.placement` holds selection, capacity, queue, pools and limits. Rules are registered by `@capacity_rule`, terms by `@cost_term`; the selection by the former three rules and three terms is as before.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_attempt_runner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_attempt_runner.py
@@ -12,13 +12,13 @@
     EventNumbers,
     OverdueHeads,
     Replica,
-    ReplicaSelection,
     RetryDecision,
     RouteKind,
     StreamOrigin,
     pick_service,
     queue_rank,
 )
+from lagoonfold.placement import ReplicaSelection
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._context import ForwardContext
 from lagoonfold_gateway._dispatch import PlacementEvidence
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_dispatch.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_dispatch.py
@@ -12,14 +12,16 @@
 
 from lagoonfold.forwarding import (
     AttemptOutcome,
+    Replica,
+    ReplicaDirectory,
+)
+from lagoonfold.placement import (
     PlacementOrder,
     PlacementQueue,
     PlacementRefusal,
     PlacementShortage,
     PromptCacheIndex,
     PromptPart,
-    Replica,
-    ReplicaDirectory,
     ReplicaPool,
     ReplicaSelection,
     ReplicaSelector,
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
@@ -7,11 +7,16 @@
 
 import math
 import random
+from functools import partial
 
 import trio
 
 from lagoonfold import TransactionalStore, new_id
-from lagoonfold.forwarding import PromptCacheIndex, ReplicaSelector, ReplicaTracker
+from lagoonfold.placement import (
+    PromptCacheIndex,
+    ReplicaSelector,
+    ReplicaTracker,
+)
 from lagoonfold_gateway._admin_endpoints import serve_metrics, serve_readiness
 from lagoonfold_gateway._background import BackgroundTasks
 from lagoonfold_gateway._board import ConfigView, GatewayBoard
@@ -178,7 +183,11 @@
     def _make_dispatcher(self) -> Dispatcher:
         prompt_index = PromptCacheIndex()
         selector = ReplicaSelector(
-            self.replica_tracker, prompt_index, random.Random(), self.limit_controller.limits
+            self.replica_tracker,
+            prompt_index,
+            random.Random(),
+            self.limit_controller.limits,
+            count_rejection=partial(self.metrics.count, "placements_rejected"),
         )
         return Dispatcher(
             self.board, selector, self.replica_tracker, prompt_index, LatencyBaselines()
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_limit_controller.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_limit_controller.py
@@ -9,7 +9,14 @@
 
 from result import Err
 
-from lagoonfold.forwarding import Replica, ReplicaDirectory, ReplicaLimits, parse_limit
+from lagoonfold.forwarding import (
+    Replica,
+    ReplicaDirectory,
+)
+from lagoonfold.placement import (
+    ReplicaLimits,
+    parse_limit,
+)
 from lagoonfold_gateway._board import GatewayBoard, LiveView
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._member_controller import MemberController
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_parsed_request.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_parsed_request.py
@@ -5,7 +5,7 @@
 from result import Err, Ok, Result
 
 from lagoonfold import parse_count
-from lagoonfold.forwarding import PromptPart
+from lagoonfold.placement import PromptPart
 from lagoonfold_gateway._dialect import HeaderNames
 from lagoonfold_io import Headers, HttpRequest
 
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_placement_client.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_placement_client.py
@@ -13,12 +13,12 @@
 from result import Err, Ok, Result
 
 from lagoonfold import ErrorKind, Refusal
-from lagoonfold.forwarding import (
+from lagoonfold.forwarding import Replica
+from lagoonfold.placement import (
     PlacementOrder,
     PlacementRefusal,
     PlacementShortage,
     PromptPart,
-    Replica,
     ReplicaPool,
     ReplicaSelection,
     SelectionInput,
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_placement_owner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_placement_owner.py
@@ -14,11 +14,13 @@
 
 from lagoonfold.forwarding import (
     AttemptOutcome,
+    Replica,
+)
+from lagoonfold.placement import (
     PlacementOrder,
     PlacementRefusal,
     PlacementShortage,
     PromptPart,
-    Replica,
     ReplicaPool,
     ReplicaSelection,
     SelectionInput,
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_pool_owners.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_pool_owners.py
@@ -5,7 +5,11 @@
 
 from collections import Counter
 
-from lagoonfold.forwarding import Replica, ReplicaDirectory, pool_of
+from lagoonfold.forwarding import (
+    Replica,
+    ReplicaDirectory,
+)
+from lagoonfold.placement import pool_of
 from lagoonfold_gateway._board import GatewayBoard
 from lagoonfold_gateway._member_controller import MemberController
 
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_replica_controller.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_replica_controller.py
@@ -8,7 +8,11 @@
 from result import Err
 
 from lagoonfold import ABSENT_REVISION, Entry, Listing, WatchEvent
-from lagoonfold.forwarding import Replica, ReplicaTracker, check_replica
+from lagoonfold.forwarding import (
+    Replica,
+    check_replica,
+)
+from lagoonfold.placement import ReplicaTracker
 from lagoonfold_gateway._board import GatewayBoard
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._dialect import Dialect
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_upstream_attempt.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_upstream_attempt.py
@@ -15,7 +15,12 @@
 from result import Err, Ok, Result
 
 from lagoonfold import parse_count
-from lagoonfold.forwarding import AttemptOutcome, ReplicaSelection, RouteKind, engine_urgency
+from lagoonfold.forwarding import (
+    AttemptOutcome,
+    RouteKind,
+    engine_urgency,
+)
+from lagoonfold.placement import ReplicaSelection
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._context import ForwardContext
 from lagoonfold_gateway._dialect import HeaderNames
--- a/packages/lagoonfold/src/lagoonfold/forwarding/__init__.py
+++ b/packages/lagoonfold/src/lagoonfold/forwarding/__init__.py
@@ -1,4 +1,4 @@
-"""Routing, replica selection, retries and stream resumption of forwarded requests, without I/O.
+"""Routing, retries and stream resumption of forwarded requests, without I/O.
 
 A forwarded request passes through unchanged; its headers and its route decide how it is handled.
 """
@@ -18,22 +18,6 @@
 from lagoonfold.forwarding._events import Event, EventError, EventFilter
 from lagoonfold.forwarding._late_programs import engine_urgency, queue_rank
 from lagoonfold.forwarding._overdue_heads import OverdueHeads
-from lagoonfold.forwarding._placement_queue import (
-    PlacementOrder,
-    PlacementQueue,
-    PlacementRefusal,
-    PlacementShortage,
-)
-from lagoonfold.forwarding._replica_limits import ReplicaLimits, parse_limit
-from lagoonfold.forwarding._replica_pools import ReplicaPool, pool_of, rank_pools
-from lagoonfold.forwarding._replica_selection import (
-    PromptCacheIndex,
-    PromptPart,
-    ReplicaSelection,
-    ReplicaSelector,
-    SelectionInput,
-)
-from lagoonfold.forwarding._replica_tracker import ReplicaTracker
 from lagoonfold.forwarding._replicas import Replica, ReplicaDirectory, check_replica
 from lagoonfold.forwarding._routing import RouteTable, pick_service
 from lagoonfold.forwarding._stream_versions import (
@@ -46,7 +30,6 @@
     only_version_of,
     version_before_release,
 )
-from lagoonfold.forwarding._work_ranking import WorkRanking
 
 __all__ = [
     "LOSS_MARGIN_S",
@@ -65,35 +48,19 @@
     "ForwardRoute",
     "ForwardService",
     "OverdueHeads",
-    "PlacementOrder",
-    "PlacementQueue",
-    "PlacementRefusal",
-    "PlacementShortage",
-    "PromptCacheIndex",
-    "PromptPart",
     "Replica",
     "ReplicaDirectory",
-    "ReplicaLimits",
-    "ReplicaPool",
-    "ReplicaSelection",
-    "ReplicaSelector",
-    "ReplicaTracker",
     "RetryDecision",
     "RouteKind",
     "RouteTable",
-    "SelectionInput",
     "StreamOrigin",
     "StreamOrigins",
     "StreamReport",
     "VersionHistory",
     "WaitQueue",
     "WeightedService",
-    "WorkRanking",
     "check_replica",
     "engine_urgency",
-    "parse_limit",
     "pick_service",
-    "pool_of",
     "queue_rank",
-    "rank_pools",
 ]
--- /dev/null
+++ b/packages/lagoonfold/src/lagoonfold/placement/__init__.py
@@ -0,0 +1,47 @@
+"""The choice of a replica for a request, its capacity, and the queue of its pool, without I/O.
+
+Whether a replica has room is decided by capacity rules, how long a request would take there by cost
+terms. Both are registries: a further reason is a function in a module of its own.
+"""
+
+from lagoonfold.placement._candidates import Candidate, ReplicaKnowledge
+from lagoonfold.placement._capacity_rules import capacity_rule, find_rejection
+from lagoonfold.placement._cost_terms import cost_term, estimate_cost_s
+from lagoonfold.placement._placement_queue import (
+    PlacementOrder,
+    PlacementQueue,
+    PlacementRefusal,
+    PlacementShortage,
+)
+from lagoonfold.placement._prompt_cache_index import PromptCacheIndex, PromptPart
+from lagoonfold.placement._replica_limits import ReplicaLimits, parse_limit
+from lagoonfold.placement._replica_pools import ReplicaPool, pool_of, rank_pools
+from lagoonfold.placement._replica_selection import ReplicaSelection, ReplicaSelector
+from lagoonfold.placement._replica_tracker import ReplicaTracker
+from lagoonfold.placement._selection_input import SelectionInput
+from lagoonfold.placement._work_ranking import WorkRanking
+
+__all__ = [
+    "Candidate",
+    "PlacementOrder",
+    "PlacementQueue",
+    "PlacementRefusal",
+    "PlacementShortage",
+    "PromptCacheIndex",
+    "PromptPart",
+    "ReplicaKnowledge",
+    "ReplicaLimits",
+    "ReplicaPool",
+    "ReplicaSelection",
+    "ReplicaSelector",
+    "ReplicaTracker",
+    "SelectionInput",
+    "WorkRanking",
+    "capacity_rule",
+    "cost_term",
+    "estimate_cost_s",
+    "find_rejection",
+    "parse_limit",
+    "pool_of",
+    "rank_pools",
+]
--- /dev/null
+++ b/packages/lagoonfold/src/lagoonfold/placement/_candidates.py
@@ -0,0 +1,37 @@
+"""A replica that is considered for a request, and what is known of it."""
+
+from dataclasses import dataclass
+
+from lagoonfold.forwarding import Replica
+from lagoonfold.placement._prompt_cache_index import PromptCacheIndex
+from lagoonfold.placement._replica_limits import ReplicaLimits
+from lagoonfold.placement._replica_tracker import ReplicaTracker
+from lagoonfold.placement._selection_input import SelectionInput
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReplicaKnowledge:
+    """What this instance knows of all replicas, by subject."""
+
+    tracker: ReplicaTracker
+    prompt_index: PromptCacheIndex
+    limits: ReplicaLimits
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Candidate:
+    """A replica that a request could be placed at.
+
+    `requests` is the estimated number of requests there and `uncached_tokens` how much of the
+    prompt it probably has to read. `min_limit_fill` is how much of a limit must be left for the
+    request to use a limited replica.
+    """
+
+    replica: Replica
+    request: SelectionInput
+    knowledge: ReplicaKnowledge
+    now_s: float
+    requests: int
+    slowdown: float
+    uncached_tokens: int
+    min_limit_fill: float = 0.0
--- a/packages/lagoonfold/src/lagoonfold/forwarding/_placement_queue.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/_placement_queue.py
@@ -14,13 +14,10 @@
 from result import Err, Ok, Result
 
 from lagoonfold._wait_queue import WaitQueue
-from lagoonfold.forwarding._replica_selection import (
-    ReplicaSelection,
-    ReplicaSelector,
-    SelectionInput,
-)
-from lagoonfold.forwarding._replica_tracker import ReplicaTracker
-from lagoonfold.forwarding._replicas import Replica
+from lagoonfold.forwarding import Replica
+from lagoonfold.placement._replica_selection import ReplicaSelection, ReplicaSelector
+from lagoonfold.placement._replica_tracker import ReplicaTracker
+from lagoonfold.placement._selection_input import SelectionInput
 
 T = TypeVar("T")
 
--- /dev/null
+++ b/packages/lagoonfold/src/lagoonfold/placement/_prompt_cache_index.py
@@ -0,0 +1,46 @@
+"""Remembers which replicas have read which parts of prompts."""
+
+from collections import OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from lagoonfold.forwarding import Replica
+
+MAX_INDEXED_PARTS = 8_192  # about a minute of the prompts of one pool of replicas
+
+
+@dataclass(frozen=True, slots=True)
+class PromptPart:
+    """A part of a prompt: its id and its length in tokens."""
+
+    part_id: str
+    tokens: int
+
+
+class PromptCacheIndex:
+    """Maps prompt parts to the replicas that have read them in requests placed by this instance."""
+
+    def __init__(self) -> None:
+        self._replicas_by_part_id: OrderedDict[str, dict[str, int]] = OrderedDict()
+
+    def record(self, replica_id: str, started: int, parts: Iterable[PromptPart]) -> None:
+        """Record that a replica has read these parts in its incarnation `started`."""
+        for part in parts:
+            started_by_replica = self._replicas_by_part_id.setdefault(part.part_id, {})
+            started_by_replica[replica_id] = started
+            self._replicas_by_part_id.move_to_end(part.part_id)
+        while len(self._replicas_by_part_id) > MAX_INDEXED_PARTS:
+            self._replicas_by_part_id.popitem(last=False)
+
+    def knows(self, part: PromptPart) -> bool:
+        """Return whether this instance remembers placing a request with that part."""
+        return part.part_id in self._replicas_by_part_id
+
+    def uncached_tokens(self, replica: Replica, parts: Iterable[PromptPart]) -> int:
+        """Return the tokens of the first part that the replica has not read and all after it."""
+        uncached = 0
+        for part in parts:
+            started_by_replica = self._replicas_by_part_id.get(part.part_id, {})
+            if uncached or started_by_replica.get(replica.replica_id) != replica.started:
+                uncached += part.tokens
+        return uncached
--- a/packages/lagoonfold/src/lagoonfold/forwarding/_replica_pools.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/_replica_pools.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass
 
 from lagoonfold._rendezvous import rendezvous_weight, weighted_score
-from lagoonfold.forwarding._replicas import Replica
+from lagoonfold.forwarding import Replica
 
 REPLICAS_PER_POOL = 12  # some 100 requests a second of a quarter of a second each
 
--- /dev/null
+++ b/packages/lagoonfold/src/lagoonfold/placement/_replica_selection.py
@@ -0,0 +1,151 @@
+"""Selects the replica for a request by estimated cost.
+
+Of the replicas that have room by all capacity rules, the one of the lowest cost is selected. If
+none has room, the request waits in the instance, where a more urgent one can overtake it. While
+some replicas of a pool are limited and others are not, the less of a limit is left, the larger a
+request must be to use it (see `WorkRanking`).
+
+An instance knows only the prompts of requests that it has placed itself. If it has not placed a
+session before, it assumes that the prompt is cached at the session's home replica, which all
+instances determine alike by rendezvous hashing.
+"""
+
+import random
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass
+
+from lagoonfold._rendezvous import rendezvous_weight
+from lagoonfold.forwarding import Replica
+from lagoonfold.placement._candidates import Candidate, ReplicaKnowledge
+from lagoonfold.placement._capacity_rules import find_rejection
+from lagoonfold.placement._cost_terms import estimate_cost_s
+from lagoonfold.placement._prompt_cache_index import PromptCacheIndex, PromptPart
+from lagoonfold.placement._replica_limits import ReplicaLimits
+from lagoonfold.placement._replica_tracker import ReplicaTracker
+from lagoonfold.placement._selection_input import SelectionInput
+from lagoonfold.placement._work_ranking import WorkRanking
+
+COST_JITTER = 0.05  # spreads requests over replicas of about the same cost
+HOME_BONUS_TOKENS = 400  # preference for a new session's home: 3 ms, less than one request costs
+SESSION_PART_INDEX = 1  # first part of a prompt that sessions of a route don't share
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReplicaSelection:
+    """The selected replica with its estimated cost and the figures behind it."""
+
+    replica: Replica
+    cost_s: float
+    requests: int
+    slowdown: float
+    uncached_tokens: int
+
+
+class ReplicaSelector:
+    """Selects replicas by what this instance knows of them.
+
+    `count_rejection` is called with the reason of each replica that has no room.
+    """
+
+    def __init__(
+        self,
+        tracker: ReplicaTracker,
+        prompt_index: PromptCacheIndex,
+        rng: random.Random,
+        limits: ReplicaLimits | None = None,
+        *,
+        count_rejection: Callable[[str], None] = lambda reason: None,
+    ) -> None:
+        self.limits = limits if limits is not None else ReplicaLimits()
+        self.knowledge = ReplicaKnowledge(
+            tracker=tracker, prompt_index=prompt_index, limits=self.limits
+        )
+        self._rng = rng
+        self._count_rejection = count_rejection
+        self._ranking = WorkRanking()
+
+    def record_arrival(self, request: SelectionInput) -> None:
+        """Record the expected work of a request that is to be placed."""
+        if request.expected_tokens is not None:
+            self._ranking.record(request.expected_tokens)
+
+    def choose(
+        self, replicas: Iterable[Replica], request: SelectionInput, *, now_s: float
+    ) -> ReplicaSelection | None:
+        """Return the replica of the lowest cost that has room, None if there is none."""
+        best: Candidate | None = None
+        best_cost_s = float("inf")
+        for candidate in self.candidates(replicas, request, now_s=now_s):
+            reason = find_rejection(candidate)
+            if reason is not None:
+                self._count_rejection(reason)
+                continue
+            cost_s = estimate_cost_s(candidate) * (1 + COST_JITTER * self._rng.random())
+            if best is None or cost_s < best_cost_s:
+                best, best_cost_s = candidate, cost_s
+        if best is None:
+            return None
+        return ReplicaSelection(
+            replica=best.replica,
+            cost_s=best_cost_s,
+            requests=best.requests,
+            slowdown=best.slowdown,
+            uncached_tokens=best.uncached_tokens,
+        )
+
+    def candidates(
+        self, replicas: Iterable[Replica], request: SelectionInput, *, now_s: float
+    ) -> Iterator[Candidate]:
+        """Return the replicas that a request may use, with what is known of each."""
+        replicas = tuple(replicas)
+        tracker = self.knowledge.tracker
+        home_id = self._home_id(replicas, request.parts)
+        min_fill = self._min_fill(replicas, request)
+        for replica in replicas:
+            replica_id = replica.replica_id
+            if request.allows(replica):
+                yield Candidate(
+                    replica=replica,
+                    request=request,
+                    knowledge=self.knowledge,
+                    now_s=now_s,
+                    requests=tracker.requests_at(replica_id, now_s=now_s),
+                    slowdown=tracker.slowdown(replica_id, now_s=now_s),
+                    uncached_tokens=self._estimate_uncached(
+                        replica, request.parts, is_home=replica_id == home_id
+                    ),
+                    min_limit_fill=min_fill,
+                )
+
+    def _min_fill(self, replicas: tuple[Replica, ...], request: SelectionInput) -> float:
+        """Return how much of a limit must be left for a request to use it, 0 if it may use any."""
+        if request.expected_tokens is None:
+            return 0.0
+        is_limited = [
+            self.limits.limit_per_s(replica.replica_id) is not None for replica in replicas
+        ]
+        if all(is_limited) or not any(is_limited):
+            return 0.0
+        return 1.0 - self._ranking.rank(request.expected_tokens)
+
+    def _home_id(self, replicas: tuple[Replica, ...], parts: tuple[PromptPart, ...]) -> str | None:
+        """Return the home replica of a session that this instance has not seen, otherwise None."""
+        if (
+            not replicas
+            or len(parts) <= SESSION_PART_INDEX
+            or self.knowledge.prompt_index.knows(parts[SESSION_PART_INDEX])
+        ):
+            return None
+        session_id = parts[SESSION_PART_INDEX].part_id
+        ids = (replica.replica_id for replica in replicas)
+        return max(ids, key=lambda replica_id: rendezvous_weight(session_id, replica_id))
+
+    def _estimate_uncached(
+        self, replica: Replica, parts: tuple[PromptPart, ...], *, is_home: bool
+    ) -> int:
+        """Return how many tokens of a prompt a replica probably has to read."""
+        uncached = self.knowledge.prompt_index.uncached_tokens(replica, parts)
+        if not is_home:
+            return uncached
+        is_later_turn = len(parts) > SESSION_PART_INDEX + 1
+        return parts[-1].tokens if is_later_turn else max(0, uncached - HOME_BONUS_TOKENS)
--- a/tests/forwarding/test_decisions.py
+++ b/tests/forwarding/test_decisions.py
@@ -16,22 +16,24 @@
     EventFilter,
     EventNumbers,
     ForwardRoute,
-    PromptCacheIndex,
-    PromptPart,
     Replica,
     ReplicaDirectory,
-    ReplicaSelector,
-    ReplicaTracker,
     RetryDecision,
     RouteKind,
     RouteTable,
-    SelectionInput,
     WaitQueue,
     WeightedService,
     pick_service,
 )
 from lagoonfold.forwarding._events import MAX_EVENT_BYTES
 from lagoonfold.forwarding._replicas import REMOVAL_GRACE_S
+from lagoonfold.placement import (
+    PromptCacheIndex,
+    PromptPart,
+    ReplicaSelector,
+    ReplicaTracker,
+    SelectionInput,
+)
 from tests._suite import load_functions
 
 MAX_EVENT_S = 0.5  # of processor time, for 256 KB; more than linear time takes minutes
--- a/tests/gateway/_limited_replicas.py
+++ b/tests/gateway/_limited_replicas.py
@@ -18,9 +18,11 @@
 from lagoonfold import rendezvous_weight
 from lagoonfold.forwarding import (
     AttemptOutcome,
+    Replica,
+)
+from lagoonfold.placement import (
     PlacementOrder,
     PromptCacheIndex,
-    Replica,
     ReplicaPool,
     ReplicaSelection,
     ReplicaSelector,
@@ -34,7 +36,7 @@
 from lagoonfold_gateway._limit_controller import LimitController
 from lagoonfold_gateway._messages import Message
 from lagoonfold_gateway._pool_owners import PoolOwners
-from tests.forwarding._placing_load import Clock
+from tests.placement._placing_load import Clock
 
 SERVICE = "models"
 LATENCY_S = 0.001
--- a/tests/gateway/test_cut_off.py
+++ b/tests/gateway/test_cut_off.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from lagoonfold.forwarding import ReplicaPool
+from lagoonfold.placement import ReplicaPool
 from lagoonfold_gateway import Gateway
 from lagoonfold_gateway._clock import now_s
 from standins.replica import EVENTS, NAMES, Replica
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -5,7 +5,7 @@
 import trio
 from result import UnwrapError
 
-from lagoonfold.forwarding import ReplicaPool
+from lagoonfold.placement import ReplicaPool
 from lagoonfold_gateway import Gateway
 from tests._suite import load_functions
 from tests.gateway._fleet import Fleet, make_config, run_with_fleet, wait_until
--- a/tests/gateway/test_replica_limits.py
+++ b/tests/gateway/test_replica_limits.py
@@ -4,8 +4,8 @@
 
 import trio
 
-from lagoonfold.forwarding import rank_pools
-from lagoonfold.forwarding._replica_limits import MAX_LIMIT_PER_S
+from lagoonfold.placement import rank_pools
+from lagoonfold.placement._replica_limits import MAX_LIMIT_PER_S
 from tests._suite import load_functions
 from tests.gateway._fleet import Fleet, run_and_collect_lines, run_with_fleet, wait_until
 from tests.gateway._limited_replicas import SERVICE, LimitedFleet
--- /dev/null
+++ b/tests/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the placement of requests on replicas."""
--- a/tests/forwarding/_limited_load.py
+++ b/tests/placement/_limited_load.py
@@ -10,17 +10,17 @@
 
 from result import Err
 
-from lagoonfold.forwarding import (
+from lagoonfold.forwarding import Replica
+from lagoonfold.placement import (
     PlacementOrder,
     PlacementQueue,
     PromptCacheIndex,
-    Replica,
     ReplicaSelection,
     ReplicaSelector,
     ReplicaTracker,
     SelectionInput,
 )
-from tests.forwarding._placing_load import Clock
+from tests.placement._placing_load import Clock
 
 REPLICAS = 5
 SLOTS = 12
--- a/tests/forwarding/_placing_load.py
+++ b/tests/placement/_placing_load.py
@@ -17,11 +17,11 @@
 from result import Err
 
 from lagoonfold import rendezvous_weight
-from lagoonfold.forwarding import (
+from lagoonfold.forwarding import Replica
+from lagoonfold.placement import (
     PlacementOrder,
     PlacementQueue,
     PromptCacheIndex,
-    Replica,
     ReplicaPool,
     ReplicaSelector,
     ReplicaTracker,
--- a/tests/forwarding/test_placing.py
+++ b/tests/placement/test_placing.py
@@ -5,7 +5,7 @@
 
 from result import Err
 
-from lagoonfold.forwarding import (
+from lagoonfold.placement import (
     PlacementOrder,
     PlacementQueue,
     PlacementRefusal,
@@ -19,8 +19,8 @@
     rank_pools,
 )
 from tests._suite import load_functions
-from tests.forwarding import _limited_load
-from tests.forwarding._placing_load import SERVICE, SLOTS, Clock, make_replicas, waits_for_slots
+from tests.placement import _limited_load
+from tests.placement._placing_load import SERVICE, SLOTS, Clock, make_replicas, waits_for_slots
 
 SIZES = (7, 56, 150, 300)
 CALM_UTILIZATION = 0.33
--- a/tests/forwarding/test_replica_limits.py
+++ b/tests/placement/test_replica_limits.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 from result import Err, Ok
 
-from lagoonfold.forwarding import (
+from lagoonfold.placement import (
     PlacementOrder,
     PlacementQueue,
     PlacementRefusal,
@@ -20,7 +20,7 @@
     parse_limit,
 )
 from tests._suite import load_functions
-from tests.forwarding._placing_load import make_replicas
+from tests.placement._placing_load import make_replicas
 
 PAUSES = st.lists(st.sampled_from([0.0, 0.0, 0.01, 0.05, 0.3, 1.0, 5.0]), max_size=150)
 LIMITS = st.sampled_from([0.0, 0.1, 1.0, 2.5, 8.0, 40.0, 1e300])
