Send nothing new to the replicas of evacuated failure domains

Change: a controller follows the requests with the configuration; the directory of replicas leaves evacuated ones out, and whoever would use a replica asks it. Pools keep their division.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_attempt_runner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_attempt_runner.py
@@ -284,10 +284,11 @@
     def _id_if_available(self, replica_id: str, origin: StreamOrigin | None) -> str | None:
         """Return the replica's id if it can go on with the request, otherwise None.
 
-        It is to be listed, not draining, and of the version that began the stream.
+        It is to get new requests, and to be of the version that began the stream.
         """
-        replica = self._context.board.replicas.read().get(replica_id)
-        if replica is None or replica.is_draining:
+        directory = self._context.board.replicas.read()
+        replica = directory.get(replica_id)
+        if replica is None or not directory.may_use(replica_id):
             return None
         return replica_id if origin in (None, _origin_at(replica)) else None
 
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_board.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_board.py
@@ -4,11 +4,13 @@
 |---|---|---|
 | `config` | configuration controller | the newest configuration and its routes |
 | `replicas` | replica controller | the directory of replicas; written again with each change |
+| `evacuations` | evacuation controller | the evacuated failure domains |
 | `live` | member controller | the live instances, this one included |
 | `disks` | disk controller | the disks that hold kept turns; None until they are known |
 | `stopping` | `Gateway.stop` | whether this instance is leaving |
 """
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from lagoonfold import Cell
@@ -25,6 +27,17 @@
     since_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class EvacuationView:
+    """The failure domains whose replicas get no new requests.
+
+    `restored_s_by_domain` has when evacuations ended, on this instance's clock.
+    """
+
+    domains: frozenset[str] = frozenset()
+    restored_s_by_domain: Mapping[str, float] = field(default_factory=dict)
+
+
 @dataclass(frozen=True, slots=True)
 class LiveView:
     """The ids of the live instances and the time of their last change.
@@ -47,6 +60,9 @@
     replicas: Cell[ReplicaDirectory] = field(
         default_factory=lambda: Cell("replicas", ReplicaDirectory())
     )
+    evacuations: Cell[EvacuationView] = field(
+        default_factory=lambda: Cell("evacuations", EvacuationView())
+    )
     live: Cell[LiveView] = field(default_factory=lambda: Cell("live", LiveView((), 0.0)))
     disks: Cell[tuple[Disk, ...] | None] = field(default_factory=lambda: Cell("disks", None))
     stopping: Cell[bool] = field(default_factory=lambda: Cell("stopping", False))
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_config_controller.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_config_controller.py
@@ -20,7 +20,10 @@
 
 
 class ConfigController:
-    """Follows the configuration's key; `on_other_event` gets changes of other keys."""
+    """Follows the configuration's key; `on_other_event` gets changes of other keys.
+
+    `on_listing` gets each listing of all keys before the configuration in it is put in force.
+    """
 
     def __init__(
         self,
@@ -28,10 +31,12 @@
         board: GatewayBoard,
         store: ReadableStore,
         on_other_event: Callable[[WatchEvent], None] = lambda event: None,
+        on_listing: Callable[[Listing], None] = lambda listing: None,
     ) -> None:
         self._dialect = dialect
         self._board = board
         self._on_other_event = on_other_event
+        self._on_listing = on_listing
         self.watch = StoreWatch(
             store,
             dialect.config_prefix,
@@ -41,6 +46,7 @@
         )
 
     def _apply_listing(self, listing: Listing) -> None:
+        self._on_listing(listing)
         for entry in listing.entries:
             self._apply_event(WatchEvent(entry=entry, revision=entry.revision))
 
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_dialect.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_dialect.py
@@ -71,7 +71,11 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Dialect:
-    """Holds the names and decoders of one deployment; a decoder returns the reason of a failure."""
+    """Holds the names and decoders of one deployment; a decoder returns the reason of a failure.
+
+    The operator's keys begin with `config_prefix`: the configuration's, and those that end with the
+    name of a failure domain to evacuate, or of a machine to empty.
+    """
 
     headers: HeaderNames
     config_key: str
@@ -79,6 +83,7 @@
     decode_config: Callable[[bytes], Result[ForwardConfig, str]]
     decode_replica: Callable[[str, bytes], Result[Replica, str]]
     config_prefix: str
+    evacuation_prefix: str
     retirement: RetirementDialect
 
 
@@ -97,6 +102,7 @@
     headers=HeaderNames(),
     config_key="gateway/config",
     config_prefix="gateway/config",
+    evacuation_prefix="gateway/config/evacuate/",
     replica_prefix="gateway/replicas/",
     decode_config=_decode_default_config,
     decode_replica=_decode_default_replica,
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
@@ -11,7 +11,7 @@
 
 import trio
 
-from lagoonfold import TransactionalStore, new_id
+from lagoonfold import TransactionalStore, WatchEvent, new_id
 from lagoonfold.placement import (
     PromptCacheIndex,
     ReplicaSelector,
@@ -57,6 +57,7 @@
 from lagoonfold_gateway._store_watch import PollTerms, poll_limit_s
 from lagoonfold_gateway._usage import UsageReporter
 from lagoonfold_gateway._version_controller import VersionController
+from lagoonfold_gateway.evacuation import EvacuationController
 from lagoonfold_io import HttpClient, HttpLimits, HttpServer
 from lagoonfold_io.observe import EventLog, Metrics
 
@@ -123,8 +124,15 @@
         self.retirement_responder = RetirementResponder(
             dialect.retirement, self.members, store, self.tasks
         )
+        self.evacuation_controller = EvacuationController(
+            dialect.evacuation_prefix, self.board, self.metrics
+        )
         self.config_controller = ConfigController(
-            dialect, self.board, self.mirror, self.retirement_responder.handle_event
+            dialect,
+            self.board,
+            self.mirror,
+            self._apply_operator_event,
+            self.evacuation_controller.apply_listing,
         )
         self.replica_controller = ReplicaController(
             dialect, self.board, self.mirror, self.replica_tracker, self.client
@@ -180,6 +188,11 @@
         self.board.config.subscribe(self._apply_limits)
         self.board.live.subscribe(lambda view: self._share_connections())
 
+    def _apply_operator_event(self, event: WatchEvent) -> None:
+        """Apply a change of one of the operator's keys that is not the configuration."""
+        self.evacuation_controller.apply_event(event)
+        self.retirement_responder.handle_event(event)
+
     def _make_dispatcher(self) -> Dispatcher:
         prompt_index = PromptCacheIndex()
         selector = ReplicaSelector(
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_placement_client.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_placement_client.py
@@ -7,7 +7,7 @@
 """
 
 import itertools
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import trio
 from result import Err, Ok, Result
@@ -107,18 +107,51 @@
             return Err(_no_replica(need.service))
         if not any(_is_of_version(replica, need) for replica in replicas):
             return Err(_no_replica_of_version(need.service, need.version))
-        pools = _pools(need, replicas)
+        pools = self._pools(need, replicas)
         if len(pools) > 1:
             for pool in pools[:MAX_POOLS_ASKED]:
                 placed = await self._ask_owner(pool, need, hold_s=0.0)
                 if isinstance(placed, Ok):
                     return placed
+        return await self._wait_for_place(pools, need)
+
+    async def _wait_for_place(
+        self, pools: list[ReplicaPool], need: PlacementNeed
+    ) -> Result[Placement, Refusal]:
+        """Let a request wait at its first pool until it is placed or refused."""
         while True:
             placed = await self._ask_owner(pools[0], need, hold_s=HOLD_S)
             if isinstance(placed, Ok):
                 return placed
-            if placed.err_value.shortage is not PlacementShortage.WAITING:
-                return Err(_queue_full(need.service, placed.err_value.retry_after_s))
+            refusal = placed.err_value
+            if refusal.shortage is PlacementShortage.NO_REPLICA:
+                evacuated = self._evacuated_ids(need.service)
+                others = self._other_pools(need, pools)
+                if not others and evacuated <= need.excluded:
+                    return Err(_queue_full(need.service, refusal.retry_after_s))
+                pools = others or pools
+                # The owner may not know of an evacuation yet.
+                need = replace(need, excluded=need.excluded | evacuated)
+            elif refusal.shortage is not PlacementShortage.WAITING:
+                return Err(_queue_full(need.service, refusal.retry_after_s))
+
+    def _evacuated_ids(self, service: str) -> frozenset[str]:
+        directory = self._board.replicas.read()
+        staying = {replica.replica_id for replica in directory.staying_at(service)}
+        return frozenset(each for each in staying if not directory.may_use(each))
+
+    def _other_pools(self, need: PlacementNeed, asked: list[ReplicaPool]) -> list[ReplicaPool]:
+        """Return the pools to ask once no replica of the first one gets new requests."""
+        replicas = self._board.replicas.read().available_for(need.service)
+        if not any(_is_of_version(replica, need) for replica in replicas):
+            return []
+        pools = self._pools(need, replicas)
+        return pools if pools[:1] != asked[:1] else []
+
+    def _pools(self, need: PlacementNeed, replicas: list[Replica]) -> list[ReplicaPool]:
+        """Return the pools that may take a request, the first one of its session first."""
+        listed = len(self._board.replicas.read().staying_at(need.service))
+        return _pools(need, replicas, listed)
 
     def end(self, placement: Placement, evidence: PlacementEvidence) -> None:
         """Record the end of a request at its replica, and report it to the owner."""
@@ -159,7 +192,8 @@
     ) -> Result[Placement, PlacementRefusal]:
         """Accept a placement, unless this instance knows that the replica must not be used."""
         replica = self._board.replicas.read().get(placed.replica_id)
-        if replica is None or replica.is_draining or not _is_of_version(replica, need):
+        may_use = self._board.replicas.read().may_use(placed.replica_id)
+        if replica is None or not may_use or not _is_of_version(replica, need):
             self._report_end(owner, number, _unsent(need))
             return Err(PlacementRefusal(shortage=PlacementShortage.NO_REPLICA))
         if owner != self._bus.own_id:
@@ -239,19 +273,21 @@
         self._bus.post(owner, end)
 
     async def _wait_for_replicas(self, service: str) -> list[Replica]:
-        """Return the replicas of a service, waiting for `NO_REPLICA_WAIT_S` if it has none."""
+        """Return the replicas of a service, waiting for `NO_REPLICA_WAIT_S` if it has none.
+
+        Evacuations last too long for waiting to be of use.
+        """
         directory = self._board.replicas.read()
         until_s = now_s() + NO_REPLICA_WAIT_S
-        while not (replicas := directory.available_for(service)) and now_s() < until_s:
+        while not directory.staying_at(service) and now_s() < until_s:
             await trio.sleep(NO_REPLICA_POLL_S)
-        return replicas
+        return directory.available_for(service)
 
 
-def _pools(need: PlacementNeed, replicas: list[Replica]) -> list[ReplicaPool]:
-    """Return the pools that may take a request, the first one of its session first."""
+def _pools(need: PlacementNeed, replicas: list[Replica], listed: int) -> list[ReplicaPool]:
     has_session = len(need.parts) > SESSION_PART_INDEX
     key = need.parts[SESSION_PART_INDEX].part_id if has_session else need.request_id
-    pools = rank_pools(need.service, replicas, key)
+    pools = rank_pools(need.service, replicas, key, listed=listed)
     if need.only is not None:
         return [pool for pool in pools if pool.holds(need.only)] or pools[:1]
     usable = [
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_replica_relay.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_replica_relay.py
@@ -48,15 +48,20 @@
     async def handle(self, request: HttpRequest, exchange: Exchange) -> None:
         """Serve one request, whose target is a whole URL."""
         address, _, target = request.target.removeprefix(SCHEME).partition("/")
-        if not self._is_listed(address):
+        if not self._may_use(address):
             await exchange.respond(fault_response(ProxyFault.NOT_RELAYED))
         elif self._caller.cannot_tell(address):
             await exchange.respond(fault_response(ProxyFault.CUT_OFF))
         else:
             await self._pass_on(address, f"/{target}", request, exchange)
 
-    def _is_listed(self, address: str) -> bool:
-        return any(replica.address == address for replica in self._board.replicas.read().all())
+    def _may_use(self, address: str) -> bool:
+        """Return whether a replica with that address is listed and not evacuated."""
+        directory = self._board.replicas.read()
+        return any(
+            replica.address == address and replica.failure_domain not in directory.evacuated_domains
+            for replica in directory.all()
+        )
 
     async def _pass_on(
         self, address: str, target: str, request: HttpRequest, exchange: Exchange
--- a/packages/lagoonfold/src/lagoonfold/forwarding/_replicas.py
+++ b/packages/lagoonfold/src/lagoonfold/forwarding/_replicas.py
@@ -1,6 +1,7 @@
 """The replicas of all services, as listed in the discovery store.
 
-A replica that is draining or has left gets no new requests. One that has said in an answer that it
+A replica that is draining or has left gets no new requests, nor do those of an evacuated failure
+domain. One that has said in an answer that it
 leaves is draining, whatever the store lists, until it starts again. An entry that is missing right
 after an outage of the discovery store may belong to a live replica that will be listed again, so
 entries are removed only at the end of a grace period of `REMOVAL_GRACE_S`.
@@ -63,9 +64,13 @@
 
 
 class ReplicaDirectory:
-    """Merges listings and changes into the current set of replicas."""
+    """Merges listings and changes into the current set of replicas.
+
+    Replicas of the failure domains in `evacuated_domains` stay listed and get no new requests.
+    """
 
     def __init__(self) -> None:
+        self.evacuated_domains: frozenset[str] = frozenset()
         self._by_id: dict[str, Replica] = {}
         self._remove_at_s_by_id: dict[str, float] = {}
         self._leaving_started_by_id: OrderedDict[str, int] = OrderedDict()
@@ -134,8 +139,17 @@
         """Return a listed replica, draining or not, None if it is not listed."""
         return self._by_id.get(replica_id)
 
+    def may_use(self, replica_id: str) -> bool:
+        """Return whether a replica may get new requests."""
+        replica = self._by_id.get(replica_id)
+        return replica is not None and not replica.is_draining and not self._is_evacuated(replica)
+
     def available_for(self, service: str) -> list[Replica]:
-        """Return the replicas of a service that are not draining."""
+        """Return the replicas of a service that may get new requests."""
+        return [each for each in self.staying_at(service) if not self._is_evacuated(each)]
+
+    def staying_at(self, service: str) -> list[Replica]:
+        """Return the replicas of a service that are not draining, evacuated ones included."""
         return [
             replica
             for replica in self._by_id.values()
@@ -146,6 +160,9 @@
         """Return every listed replica."""
         return list(self._by_id.values())
 
+    def _is_evacuated(self, replica: Replica) -> bool:
+        return replica.failure_domain in self.evacuated_domains
+
     def _drop(self, replica_id: str) -> None:
         self._by_id.pop(replica_id, None)
         self._remove_at_s_by_id.pop(replica_id, None)
--- a/packages/lagoonfold/src/lagoonfold/placement/_replica_pools.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/_replica_pools.py
@@ -53,15 +53,20 @@
     return ReplicaPool(replica.service, index, count)
 
 
-def rank_pools(service: str, replicas: list[Replica], key: str) -> list[ReplicaPool]:
+def rank_pools(
+    service: str, replicas: list[Replica], key: str, *, listed: int | None = None
+) -> list[ReplicaPool]:
     """Return the pools of a service that have replicas, the pool of a key's requests first.
 
+    The service is divided by the number of its `listed` replicas, by default that of `replicas`, so
+    that the pools stay while some of their replicas get no new requests.
+
     Requests of one key, such as those of a session, go to the same pool while the replicas stay;
     the keys are spread in proportion to the pools' slots.
 
         rank_pools("models", directory.available_for("models"), session_id)[0]
     """
-    count = pool_count(len(replicas))
+    count = pool_count(len(replicas) if listed is None else listed)
     pools = [ReplicaPool(service, index, count) for index in range(count)]
     slots = {pool: sum(replica.slots for replica in pool.select(replicas)) for pool in pools}
     scores = {
--- a/tests/gateway/_fleet.py
+++ b/tests/gateway/_fleet.py
@@ -154,13 +154,14 @@
         started: int = 0,
         version: str = "",
         service: str = "models",
+        failure_domain: str = "zone-a",
     ) -> None:
         """List a replica in the store."""
         listed = ListedReplica(
             replica_id=replica.replica_id,
             service=service,
             address=replica.address,
-            failure_domain="zone-a",
+            failure_domain=failure_domain,
             slots=4,
             is_draining=is_draining,
             started=started,
