Record the metrics of evacuations and of rejected placements

Cause: the test of exposed names lists every metric; two were new. Change: both are recorded, and the counter's name stands where the test reads it. Result: tests.test_compatibility, test_docs and gateway.test_evacuations pass.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
@@ -7,7 +7,6 @@
 
 import math
 import random
-from functools import partial
 
 import trio
 
@@ -200,7 +199,7 @@
             prompt_index,
             random.Random(),
             self.limit_controller.limits,
-            count_rejection=partial(self.metrics.count, "placements_rejected"),
+            count_rejection=lambda reason: self.metrics.count("placements_rejected", reason),
         )
         return Dispatcher(
             self.board, selector, self.replica_tracker, prompt_index, LatencyBaselines()
