Bound what cold replicas get from all instances, and keep objects at their replicas

Cause: a replica that has just started crashes above a number of requests per second, and nothing knew which replicas were cold or counted what they got. Requests for the same object went to any replica. Change: `ColdReplicas` knows until when each start of a replica is cold (a new start, its entry, its answer, a restored failure domain, a refused connection). The capacity rule `cold` lets only the owner of a pool place there, at half of what the replica takes. Times measured while cold are not recorded. A cost term favours the replica that has handled an object lately. PlaceRequest, the configuration and a replica's entry have new recordings beside the former ones.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_attempt_runner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_attempt_runner.py
@@ -135,6 +135,7 @@
             only=only_id,
             expected_tokens=request_state.parsed.expected_tokens,
             version=version,
+            affinity=request_state.affinity,
         )
         return await self._context.placement_client.place(need)
 
@@ -259,12 +260,13 @@
     ) -> float | None:
         """Return after how long the head of an answer is overdue; None if it may take all time.
 
-        That is so for a request that may run once only, that has been sent before, or that waits
-        for a slot at the replica.
+        That is so for a request that may run once only, that has been sent before, that waits for a
+        slot at the replica, or whose replica is cold.
         """
         is_first = request_state.attempts.losses == 0 and not state.is_started
         has_slot = selection.requests < selection.replica.slots
-        if not (request_state.route.may_repeat and is_first and has_slot):
+        is_cold = self._context.cold.is_cold(selection.replica.replica_id, now_s=now_s())
+        if is_cold or not (request_state.route.may_repeat and is_first and has_slot):
             return None
         return self._overdue_heads.limit_s(request_state.route.name)
 
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_context.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_context.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from lagoonfold.placement import ColdReplicas
 from lagoonfold_gateway._background import TaskStarter
 from lagoonfold_gateway._board import GatewayBoard
 from lagoonfold_gateway._budget_client import BudgetClient
@@ -25,6 +26,7 @@
     placement_client: PlacementClient
     replica_statements: ReplicaStatements
     replica_caller: ReplicaCaller
+    cold: ColdReplicas
     poison_tracker: PoisonTracker
     rate_limiter: RateLimiter
     budget_client: BudgetClient
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_dialect.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_dialect.py
@@ -34,6 +34,7 @@
     last_event: str = "last-event-id"
     resumed_request: str = "x-resumes"
     previous_turn: str = "x-previous-turn"
+    affinity: str = "x-affinity"
     account: str = "x-account"
     expected_replica: str = "x-expect-replica"
     urgency: str = "x-urgency"
@@ -42,6 +43,7 @@
     replica_load: str = "x-replica-load"
     replica_limit: str = "x-replica-limit"
     replica_leaving: str = "x-replica-leaving"
+    replica_cold: str = "x-replica-cold"
     reserved: frozenset[str] = frozenset()
 
 
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_dispatch.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_dispatch.py
@@ -91,6 +91,10 @@
         """Return the typical time of an answer on a route, in seconds."""
         return self._baselines.get(route, "answer")
 
+    def is_cold(self, replica_id: str) -> bool:
+        """Return whether a replica takes only some requests a second for now."""
+        return self._selector.knowledge.cold.is_cold(replica_id, now_s=now_s())
+
     def place(
         self, pool: ReplicaPool, request: SelectionInput, order: PlacementOrder
     ) -> Result[ReplicaSelection | WaitingPlacement, PlacementRefusal]:
@@ -135,7 +139,7 @@
         replica_id, now = replica.replica_id, now_s()
         if evidence.reported_load is not None:
             self._tracker.record_report(replica_id, evidence.reported_load, now_s=now)
-        self._record_outcome(replica_id, evidence.outcome, sender)
+        self._record_outcome(replica, evidence.outcome, sender)
         self._record_pace(replica_id, evidence)
         if evidence.parts:
             self._prompt_index.record(replica_id, replica.started, evidence.parts)
@@ -157,7 +161,15 @@
             self._is_waiting = trio.Event()
 
     def _record_pace(self, replica_id: str, evidence: PlacementEvidence) -> None:
-        """Update the route's typical times; the pace follows events, or the answer of no stream."""
+        """Update the route's typical times; the pace follows events, or the answer of no stream.
+
+        A request that ran while its replica was cold, even for a part of it, shows neither.
+        """
+        if evidence.answer_s is None and evidence.event_s is None:
+            return
+        cold_until_s = self._selector.knowledge.cold.until_s(replica_id)
+        if now_s() - (evidence.answer_s or 0.0) < cold_until_s:
+            return
         if evidence.answer_s is not None:
             ratio = self._baselines.record(evidence.route, "answer", evidence.answer_s)
             if not evidence.is_stream:
@@ -166,12 +178,18 @@
             ratio = self._baselines.record(evidence.route, "event", evidence.event_s)
             self._tracker.record_slowdown(replica_id, ratio, now_s=now_s())
 
-    def _record_outcome(self, replica_id: str, outcome: AttemptOutcome | None, sender: str) -> None:
+    def _record_outcome(
+        self, replica: Replica, outcome: AttemptOutcome | None, sender: str
+    ) -> None:
+        replica_id = replica.replica_id
         record = _RECORDERS_BY_OUTCOME.get(outcome)
         if outcome is None or record is None:
             return
         was_ejected = self._tracker.is_ejected(replica_id, now_s=now_s())
         record(self._tracker, replica_id)
+        if outcome is AttemptOutcome.UNREACHED:
+            cold = self._selector.knowledge.cold
+            cold.record_unreached(replica_id, replica.started, now_s=now_s())
         is_ejected = self._tracker.is_ejected(replica_id, now_s=now_s())
         if is_ejected and not was_ejected and outcome is not AttemptOutcome.FULL:
             _log.info("replica.ejected", replica=replica_id, outcome=outcome.value, sender=sender)
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
@@ -56,6 +56,7 @@
 from lagoonfold_gateway._store_watch import PollTerms, poll_limit_s
 from lagoonfold_gateway._usage import UsageReporter
 from lagoonfold_gateway._version_controller import VersionController
+from lagoonfold_gateway.cold import ColdController
 from lagoonfold_gateway.evacuation import EvacuationController
 from lagoonfold_io import HttpClient, HttpLimits, HttpServer
 from lagoonfold_io.observe import EventLog, Metrics
@@ -172,6 +173,9 @@
         )
         pool_owners = PoolOwners(self.board, self.members)
         self.limit_controller = LimitController(self.board, self.bus, self.members, pool_owners)
+        self.cold_controller = ColdController(
+            self.board, self.limit_controller.placing_since_s, self.replica_controller
+        )
         self.leaving_controller = LeavingController(self.board, self.bus, self.client)
         self.version_controller = VersionController(self.board, self.bus, is_first_start=first)
         self.version_controller.told_ids = self.members.told_live_ids
@@ -199,6 +203,7 @@
             prompt_index,
             random.Random(),
             self.limit_controller.limits,
+            cold=self.cold_controller.cold,
             count_rejection=lambda reason: self.metrics.count("placements_rejected", reason),
         )
         return Dispatcher(
@@ -218,9 +223,13 @@
             board=self.board,
             placement_client=placement_client,
             replica_statements=ReplicaStatements(
-                dialect.headers, self.limit_controller, self.leaving_controller
+                dialect.headers,
+                self.limit_controller,
+                self.leaving_controller,
+                self.cold_controller,
             ),
             replica_caller=self.replica_caller,
+            cold=self.cold_controller.cold,
             poison_tracker=self.poison_tracker,
             rate_limiter=self.rate_limiter,
             budget_client=BudgetClient(self.bus, self.members),
@@ -263,6 +272,7 @@
             self.budget_owner.sweep,
             self.usage.run,
             self.dispatcher.run,
+            self.cold_controller.run,
             self.placement_owner.sweep,
             self._follow_disks,
         )
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_limit_controller.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_limit_controller.py
@@ -41,7 +41,7 @@
         members: MemberController,
         pool_owners: PoolOwners,
     ) -> None:
-        self.limits = ReplicaLimits(self._placing_since_s)
+        self.limits = ReplicaLimits(self.placing_since_s)
         self._board = board
         self._bus = bus
         self._members = members
@@ -80,6 +80,13 @@
                 ReplicaLimitNews(replica=replica_id, started=replica.started, limit_per_s=None)
             )
 
+    def placing_since_s(self, replica_id: str) -> float | None:
+        """Return since when this instance places for a replica, None while it must not."""
+        replica = self._board.replicas.read().get(replica_id)
+        if replica is None or self._pool_owners.owner(replica) != self._bus.own_id:
+            return None
+        return self._board.live.read().since_s if self._members.hears_most() else None
+
     def _handle_news(self, news: Message) -> Message:
         assert isinstance(news, ReplicaLimitNews)
         self._apply(news)
@@ -122,12 +129,6 @@
         replicas = directory.all()
         self.limits.keep({replica.replica_id: replica.started for replica in replicas})
 
-    def _placing_since_s(self, replica_id: str) -> float | None:
-        replica = self._board.replicas.read().get(replica_id)
-        if replica is None or self._pool_owners.owner(replica) != self._bus.own_id:
-            return None
-        return self._board.live.read().since_s if self._members.hears_most() else None
-
     def _log_unreadable(self, replica_id: str, reason: str) -> None:
         if self._unreadable_by_id.get(replica_id) != reason:
             self._unreadable_by_id[replica_id] = reason
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_parsed_request.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_parsed_request.py
@@ -11,6 +11,7 @@
 
 MILLISECONDS_PER_S = 1_000
 MAX_CALLER_TIMEOUT_S = 3_600.0  # an hour; keeps a header from holding a task forever
+MAX_AFFINITY_CHARS = 256  # of a key that is sent to other instances and remembered
 
 HOP_BY_HOP = frozenset(
     {
@@ -47,7 +48,7 @@
     `caller_timeout_s` is how long the caller waits, `expected_tokens` its estimate of the tokens
     that the answer has. `last_event` is the last event that the caller has of a stream,
     `resumed_request` the id of the request that brought the first one. `previous_turn` is the turn
-    that this one continues from.
+    that this one continues from. Requests of the same `affinity` concern the same object.
     """
 
     request: HttpRequest
@@ -61,6 +62,7 @@
     expected_tokens: int | None = None
     resumed_request: str | None = None
     previous_turn: str | None = None
+    affinity: str | None = None
 
 
 def parse_request(request: HttpRequest, names: HeaderNames) -> Result[ParsedRequest, str]:
@@ -80,6 +82,7 @@
             expected_tokens=_integer(value_by_name, names.expected_tokens),
             resumed_request=value_by_name.get(names.resumed_request),
             previous_turn=value_by_name.get(names.previous_turn),
+            affinity=_read_affinity(value_by_name.get(names.affinity)),
         )
     except _HeaderError as error:
         return Err(str(error))
@@ -119,6 +122,11 @@
     return tuple(parts)
 
 
+def _read_affinity(text: str | None) -> str | None:
+    """Return the key of an object; one that is too long to be remembered is ignored."""
+    return text if text and len(text) <= MAX_AFFINITY_CHARS else None
+
+
 def _number(value_by_name: dict[str, str], name: str) -> float | None:
     text = value_by_name.get(name)
     if text is None:
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_placement_client.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_placement_client.py
@@ -50,7 +50,8 @@
 
     `excluded` must not be selected; `only`, if it is set, must be, and so must one of the software
     version `version`. A replica found later than `place_until_s` is of no use, and neither is an
-    answer after `answer_deadline_s`; `soft_deadline_s` is when its program should be done.
+    answer after `answer_deadline_s`; `soft_deadline_s` is when its program should be done. Requests
+    of the same `affinity` concern the same object.
     """
 
     service: str
@@ -65,6 +66,7 @@
     only: str | None = None
     expected_tokens: int | None = None
     version: str | None = None
+    affinity: str | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -170,13 +172,15 @@
             return await self._place_here(need, hold_s=hold_s)
         number = next(self._numbers)
         request = self._make_request(number, pool, need, hold_s)
+        asked_s = now_s()
         try:
             answer = await self._bus.call(owner, request, timeout_s=hold_s + CALL_TIMEOUT_S)
         except trio.Cancelled:
             self._report_end(owner, number, _unsent(need))
             raise
         if isinstance(answer, Ok) and isinstance(answer.ok_value, Placed):
-            return self._accept(owner, number, pool, need, answer.ok_value)
+            is_late = now_s() - asked_s > hold_s + CALL_TIMEOUT_S
+            return self._accept(owner, number, pool, need, answer.ok_value, is_late=is_late)
         if isinstance(answer, Ok) and isinstance(answer.ok_value, PlacementRefused):
             refused = answer.ok_value
             shortage = PlacementShortage(refused.shortage)
@@ -188,9 +192,23 @@
         return await self._place_here(need, hold_s=hold_s)
 
     def _accept(
-        self, owner: str, number: int, pool: ReplicaPool, need: PlacementNeed, placed: Placed
+        self,
+        owner: str,
+        number: int,
+        pool: ReplicaPool,
+        need: PlacementNeed,
+        placed: Placed,
+        *,
+        is_late: bool,
     ) -> Result[Placement, PlacementRefusal]:
-        """Accept a placement, unless this instance knows that the replica must not be used."""
+        """Accept a placement, unless this instance knows that the replica must not be used.
+
+        A late one may have been counted in another second: an instance that was suspended would
+        send all that it got meanwhile at once, which a cold replica must not get.
+        """
+        if is_late and self._dispatcher.is_cold(placed.replica_id):
+            self._report_end(owner, number, _unsent(need))
+            return Err(PlacementRefusal(shortage=PlacementShortage.WAITING))
         replica = self._board.replicas.read().get(placed.replica_id)
         may_use = self._board.replicas.read().may_use(placed.replica_id)
         if replica is None or not may_use or not _is_of_version(replica, need):
@@ -220,6 +238,7 @@
             failure_domain=self._failure_domain,
             expected_tokens=need.expected_tokens,
             version=need.version,
+            affinity=need.affinity,
         )
         order = PlacementOrder(
             rank=need.rank,
@@ -256,6 +275,7 @@
             expected_tokens=need.expected_tokens,
             wait_s=wait_s,
             version=need.version,
+            affinity=need.affinity,
         )
 
     def _report_end(self, owner: str, number: int, evidence: PlacementEvidence) -> None:
@@ -286,8 +306,8 @@
 
 def _pools(need: PlacementNeed, replicas: list[Replica], listed: int) -> list[ReplicaPool]:
     has_session = len(need.parts) > SESSION_PART_INDEX
-    key = need.parts[SESSION_PART_INDEX].part_id if has_session else need.request_id
-    pools = rank_pools(need.service, replicas, key, listed=listed)
+    key = need.parts[SESSION_PART_INDEX].part_id if has_session else need.affinity
+    pools = rank_pools(need.service, replicas, key or need.request_id, listed=listed)
     if need.only is not None:
         return [pool for pool in pools if pool.holds(need.only)] or pools[:1]
     usable = [
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_placement_owner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_placement_owner.py
@@ -92,6 +92,7 @@
             failure_domain=request.failure_domain,
             expected_tokens=request.expected_tokens,
             version=request.version,
+            affinity=request.affinity,
         )
         order = PlacementOrder(
             rank=request.rank,
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_replica_controller.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_replica_controller.py
@@ -4,6 +4,8 @@
 it listed before.
 """
 
+from collections.abc import Callable
+
 import trio
 from result import Err
 
@@ -27,7 +29,10 @@
 
 
 class ReplicaController:
-    """Updates the directory of replicas, and closes idle connections to replicas that have left."""
+    """Updates the directory of replicas, and closes idle connections to replicas that have left.
+
+    `on_listed` is called after each listing, `on_written` with each entry that has been written.
+    """
 
     def __init__(
         self,
@@ -42,6 +47,8 @@
         self._replica_tracker = replica_tracker
         self._client = client
         self._has_changes = False
+        self.on_listed: Callable[[], None] = lambda: None
+        self.on_written: Callable[[Replica], None] = lambda replica: None
         self.watch = StoreWatch(
             store,
             dialect.replica_prefix,
@@ -74,6 +81,7 @@
         self._board.replicas.read().replace_all(replica_by_id, now_s=now_s())
         _log.info("replicas.listed", replicas=len(replica_by_id), revision=listing.revision)
         self._publish()
+        self.on_listed()
 
     def _apply_event(self, event: WatchEvent) -> None:
         self._has_changes = True
@@ -93,6 +101,7 @@
         else:
             self._apply_change(replica)
             directory.put(replica)
+            self.on_written(replica)
 
     def _publish_changes(self, revision: int) -> None:
         """Publish what the events up to a revision have changed; readers look at all replicas."""
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_request_state.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_request_state.py
@@ -80,6 +80,11 @@
         """Return the name of the client account, "" for a request without one."""
         return self.account.name if self.account is not None else ""
 
+    @property
+    def affinity(self) -> str | None:
+        """Return the key of the object that a request concerns, None if its route has none."""
+        return self.parsed.affinity if self.route.is_program_turn else None
+
     @property
     def upstream_body(self) -> bytes:
         """Return the body for the upstream, which gets all that a kept turn continues from."""
--- a/packages/lagoonfold/src/lagoonfold/forwarding/_documents.py
+++ b/packages/lagoonfold/src/lagoonfold/forwarding/_documents.py
@@ -67,12 +67,16 @@
     """A service of interchangeable replicas.
 
     `max_connections` applies to each replica and is shared by all callers. `tokens_per_event` is
-    the number of tokens that one event of a stream counts as.
+    the number of tokens that one event of a stream counts as. A replica is cold for `cold_start_s`
+    after its start, never if that is 0, and takes `cold_per_s` requests a second then, from all
+    instances together.
     """
 
     name: str
     max_connections: int
     tokens_per_event: int = 1
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/lagoonfold/src/lagoonfold/forwarding/_replicas.py
+++ b/packages/lagoonfold/src/lagoonfold/forwarding/_replicas.py
@@ -31,7 +31,8 @@
 
     `started` is its incarnation, which differs between two starts under the same id. `slots` is the
     number of requests that it runs at a time. `version` is an opaque text that names its software;
-    replicas that tell none have the version "".
+    replicas that tell none have the version "". `cold_s` is for how long the replica was still cold
+    when its entry was written, and `started_unix_s` when it started, by its own word or None.
     """
 
     replica_id: str
@@ -42,6 +43,8 @@
     is_draining: bool = False
     started: int = 0
     version: str = ""
+    cold_s: float | None = None
+    started_unix_s: float | None = None
 
 
 def check_replica(replica: Replica) -> Result[Replica, str]:
--- a/packages/lagoonfold/src/lagoonfold/placement/__init__.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/__init__.py
@@ -4,9 +4,13 @@
 terms. Both are registries: a further reason is a function in a module of its own.
 """
 
+from lagoonfold.placement import _affinity_term, _cold_rule  # noqa: F401, as they register
 from lagoonfold.placement._candidates import Candidate, ReplicaKnowledge
 from lagoonfold.placement._capacity_rules import capacity_rule, find_rejection
+from lagoonfold.placement._cold_replicas import ColdReplicas
+from lagoonfold.placement._cold_terms import ColdTerms, is_cold_time, read_cold_terms
 from lagoonfold.placement._cost_terms import cost_term, estimate_cost_s
+from lagoonfold.placement._object_index import ObjectIndex
 from lagoonfold.placement._placement_queue import (
     PlacementOrder,
     PlacementQueue,
@@ -23,6 +27,9 @@
 
 __all__ = [
     "Candidate",
+    "ColdReplicas",
+    "ColdTerms",
+    "ObjectIndex",
     "PlacementOrder",
     "PlacementQueue",
     "PlacementRefusal",
@@ -41,7 +48,9 @@
     "cost_term",
     "estimate_cost_s",
     "find_rejection",
+    "is_cold_time",
     "parse_limit",
     "pool_of",
     "rank_pools",
+    "read_cold_terms",
 ]
--- a/packages/lagoonfold/src/lagoonfold/placement/_candidates.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/_candidates.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 
 from lagoonfold.forwarding import Replica
+from lagoonfold.placement._cold_replicas import ColdReplicas
+from lagoonfold.placement._object_index import ObjectIndex
 from lagoonfold.placement._prompt_cache_index import PromptCacheIndex
 from lagoonfold.placement._replica_limits import ReplicaLimits
 from lagoonfold.placement._replica_tracker import ReplicaTracker
@@ -16,6 +18,8 @@
     tracker: ReplicaTracker
     prompt_index: PromptCacheIndex
     limits: ReplicaLimits
+    cold: ColdReplicas
+    objects: ObjectIndex
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -24,7 +28,7 @@
 
     `requests` is the estimated number of requests there and `uncached_tokens` how much of the
     prompt it probably has to read. `min_limit_fill` is how much of a limit must be left for the
-    request to use a limited replica.
+    request to use a limited replica, `min_cold_fill` how much of a burst to use a cold one.
     """
 
     replica: Replica
@@ -35,3 +39,4 @@
     slowdown: float
     uncached_tokens: int
     min_limit_fill: float = 0.0
+    min_cold_fill: float = 0.0
--- a/packages/lagoonfold/src/lagoonfold/placement/_placement_queue.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/_placement_queue.py
@@ -126,11 +126,15 @@
                     return
 
     def _max_passed_over(self, replicas: list[Replica], now_s: float) -> int:
-        """Return how many waiting requests may be too small for the limited replicas with room."""
-        limits = self._selector.limits
+        """Return how many waiting requests may leave limited or cold replicas with room unused."""
+        limits, cold = self._selector.limits, self._selector.knowledge.cold
         has_room = any(
-            limits.limit_per_s(replica.replica_id) is not None
+            (
+                limits.limit_per_s(replica.replica_id) is not None
+                or cold.is_cold(replica.replica_id, now_s=now_s)
+            )
             and limits.has_room(replica.replica_id, now_s=now_s)
+            and cold.has_room(replica.replica_id, now_s=now_s)
             for replica in replicas
         )
         return MAX_PASSED_OVER if has_room else 0
@@ -152,12 +156,13 @@
         replicas: list[Replica],
         now_s: float,
     ) -> float:
-        """Return how long a request would wait by the rate of freed slots and by limits."""
+        """Return how long a request would wait by freed slots, limits and cold replicas."""
         before = self._queue.count_before(order.rank, order.tie_break)
         allowed = [replica.replica_id for replica in replicas if request.allows(replica)]
         by_limits = self._selector.limits.wait_s(allowed, before + 1, now_s=now_s)
+        by_cold = self._selector.knowledge.cold.wait_s(allowed, before + 1, now_s=now_s)
         by_slots = self._queue.expected_wait_s(order.rank, order.tie_break, now_s=now_s)
-        return max(by_limits or 0.0, by_slots or 0.0)
+        return max(by_limits or 0.0, by_cold or 0.0, by_slots or 0.0)
 
     def _enqueue(
         self, item: T, request: SelectionInput, order: PlacementOrder, now_s: float
@@ -176,5 +181,5 @@
         selection = self._selector.choose(replicas, request, now_s=now_s)
         if selection is not None:
             self._tracker.record_sent(selection.replica.replica_id)
-            self._selector.limits.record_sent(selection.replica.replica_id, now_s=now_s)
+            self._selector.record_placed(request, selection.replica, now_s=now_s)
         return selection
--- a/packages/lagoonfold/src/lagoonfold/placement/_replica_selection.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/_replica_selection.py
@@ -3,7 +3,8 @@
 Of the replicas that have room by all capacity rules, the one of the lowest cost is selected. If
 none has room, the request waits in the instance, where a more urgent one can overtake it. While
 some replicas of a pool are limited and others are not, the less of a limit is left, the larger a
-request must be to use it (see `WorkRanking`).
+request must be to use it (see `WorkRanking`). Of cold replicas the opposite holds: a large request
+uses one only if others leave room there, or if the replica has read its prompt.
 
 An instance knows only the prompts of requests that it has placed itself. If it has not placed a
 session before, it assumes that the prompt is cached at the session's home replica, which all
@@ -18,7 +19,9 @@
 from lagoonfold.forwarding import Replica
 from lagoonfold.placement._candidates import Candidate, ReplicaKnowledge
 from lagoonfold.placement._capacity_rules import find_rejection
+from lagoonfold.placement._cold_replicas import ColdReplicas
 from lagoonfold.placement._cost_terms import estimate_cost_s
+from lagoonfold.placement._object_index import ObjectIndex
 from lagoonfold.placement._prompt_cache_index import PromptCacheIndex, PromptPart
 from lagoonfold.placement._replica_limits import ReplicaLimits
 from lagoonfold.placement._replica_tracker import ReplicaTracker
@@ -54,11 +57,16 @@
         rng: random.Random,
         limits: ReplicaLimits | None = None,
         *,
+        cold: ColdReplicas | None = None,
         count_rejection: Callable[[str], None] = lambda reason: None,
     ) -> None:
         self.limits = limits if limits is not None else ReplicaLimits()
         self.knowledge = ReplicaKnowledge(
-            tracker=tracker, prompt_index=prompt_index, limits=self.limits
+            tracker=tracker,
+            prompt_index=prompt_index,
+            limits=self.limits,
+            cold=cold if cold is not None else ColdReplicas(),
+            objects=ObjectIndex(),
         )
         self._rng = rng
         self._count_rejection = count_rejection
@@ -69,6 +77,13 @@
         if request.expected_tokens is not None:
             self._ranking.record(request.expected_tokens)
 
+    def record_placed(self, request: SelectionInput, replica: Replica, *, now_s: float) -> None:
+        """Count a request that is placed at a replica against what the replica takes."""
+        self.limits.record_sent(replica.replica_id, now_s=now_s)
+        self.knowledge.cold.record_sent(replica.replica_id, now_s=now_s)
+        if request.affinity is not None:
+            self.knowledge.objects.record(request.affinity, replica, now_s=now_s)
+
     def choose(
         self, replicas: Iterable[Replica], request: SelectionInput, *, now_s: float
     ) -> ReplicaSelection | None:
@@ -101,6 +116,7 @@
         tracker = self.knowledge.tracker
         home_id = self._home_id(replicas, request.parts)
         min_fill = self._min_fill(replicas, request)
+        min_cold_fill = self._min_cold_fill(replicas, request, now_s)
         for replica in replicas:
             replica_id = replica.replica_id
             if request.allows(replica):
@@ -115,6 +131,7 @@
                         replica, request.parts, is_home=replica_id == home_id
                     ),
                     min_limit_fill=min_fill,
+                    min_cold_fill=min_cold_fill,
                 )
 
     def _min_fill(self, replicas: tuple[Replica, ...], request: SelectionInput) -> float:
@@ -128,6 +145,21 @@
             return 0.0
         return 1.0 - self._ranking.rank(request.expected_tokens)
 
+    def _min_cold_fill(
+        self, replicas: tuple[Replica, ...], request: SelectionInput, now_s: float
+    ) -> float:
+        """Return how much of a burst must be left for a request to use a cold replica, or 0."""
+        if request.expected_tokens is None:
+            return 0.0
+        is_cold = [
+            self.knowledge.cold.is_cold(replica.replica_id, now_s=now_s)
+            for replica in replicas
+            if request.allows(replica)
+        ]
+        if all(is_cold) or not any(is_cold):
+            return 0.0
+        return self._ranking.rank(request.expected_tokens)
+
     def _home_id(self, replicas: tuple[Replica, ...], parts: tuple[PromptPart, ...]) -> str | None:
         """Return the home replica of a session that this instance has not seen, otherwise None."""
         if (
--- a/tests/test_compatibility.py
+++ b/tests/test_compatibility.py
@@ -241,12 +241,14 @@
     assert msgspec.json.decode(entries["budget"], type=BudgetRecord) == values.BUDGET_RECORD
     _assert_json(forwarding.ForwardConfig, entries["configuration"], "a gateway's configuration")
     _assert_json(forwarding.Replica, entries["replica"], "a replica's entry")
-    for before in ("patience", "histories"):
+    for before in ("patience", "histories", "cold starts"):
         recorded = entries[f"configuration before {before}"]
         _assert_json_before(forwarding.ForwardConfig, recorded, f"configuration before {before}")
     _assert_json(DiskEntry, entries["disk"], "a disk's entry")
     _assert_json_before(DiskEntry, entries["disk before regions"], "a disk's entry")
-    _assert_json_before(forwarding.Replica, entries["replica before versions"], "replica")
+    for before in ("versions", "cold starts"):
+        recorded = entries[f"replica before {before}"]
+        _assert_json_before(forwarding.Replica, recorded, f"replica before {before}")
     assert DEFAULT_DIALECT.decode_config(entries["configuration"].encode()).is_ok()
     assert DEFAULT_DIALECT.decode_replica("r1", entries["replica"].encode()).is_ok()
     _assert_json(tuple[PoisonNotice, ...], RECORDED["poison notices"], "poison notices")
