--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_attempt_runner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_attempt_runner.py
@@ -324,9 +324,16 @@
         is_stream=is_stream,
         parts=request_state.parsed.parts,
         names_no_limit=request_state.status < SUCCESS_BELOW and not request_state.named_limits,
+        cold_s=_cold_s(request_state),
     )
 
 
+def _cold_s(request_state: RequestState) -> float | None:
+    """Return for how long the replica is still cold by its answer."""
+    until_s = request_state.cold_until_s
+    return None if until_s is None else max(0.0, until_s - now_s())
+
+
 def _seconds(duration_s: float | None) -> str:
     return "None" if duration_s is None else f"{duration_s:.3f}"
 
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_dispatch.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_dispatch.py
@@ -45,7 +45,8 @@
     `outcome` is None if the request was cancelled or never sent. `reported_load` is the number of
     requests that the replica told at the end of its answer. `answer_s` is how long a whole answer
     took, `event_s` the average time between the events of a stream. `parts` is the prompt that the
-    replica has read. `names_no_limit` is set for a whole answer that names no limit.
+    replica has read. `names_no_limit` is set for a whole answer that names no limit. `cold_s` is
+    how long the replica is still cold by its answer, None if it does not tell.
     """
 
     route: str
@@ -56,6 +57,7 @@
     is_stream: bool = False
     parts: tuple[PromptPart, ...] = ()
     names_no_limit: bool = False
+    cold_s: float | None = None
 
 
 @dataclass(slots=True, eq=False)
@@ -140,6 +142,9 @@
         if evidence.reported_load is not None:
             self._tracker.record_report(replica_id, evidence.reported_load, now_s=now)
         self._record_outcome(replica, evidence.outcome, sender)
+        if evidence.cold_s is not None:
+            cold = self._selector.knowledge.cold
+            cold.record_told(replica_id, replica.started, evidence.cold_s, now_s=now)
         self._record_pace(replica_id, evidence)
         if evidence.parts:
             self._prompt_index.record(replica_id, replica.started, evidence.parts)
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_messages.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_messages.py
@@ -237,6 +237,7 @@
     event_s: float | None
     is_stream: bool
     names_no_limit: bool = False
+    cold_s: float | None = None
 
 
 class ReplicaLimitNews(msgspec.Struct, frozen=True, tag=True, array_like=True):
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_placement_client.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_placement_client.py
@@ -289,6 +289,7 @@
             event_s=evidence.event_s,
             is_stream=evidence.is_stream,
             names_no_limit=evidence.names_no_limit,
+            cold_s=evidence.cold_s,
         )
         self._bus.post(owner, end)
 
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_placement_owner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_placement_owner.py
@@ -164,6 +164,7 @@
                 event_s=end.event_s,
                 is_stream=end.is_stream,
                 parts=held.parts if is_answered else (),
+                cold_s=end.cold_s,
             )
             self._dispatcher.record_end(held.pool, held.replica, evidence, sender=end.instance)
             if end.names_no_limit:
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_replica_statements.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_replica_statements.py
@@ -23,11 +23,14 @@
         self._leaving = leaving
         self._cold = cold
 
-    def apply(self, replica: Replica, headers: Headers) -> None:
-        """Apply the head of an answer that is the replica's own."""
+    def apply(self, replica: Replica, headers: Headers) -> float | None:
+        """Apply the head of an answer that is the replica's own.
+
+        Return until when the replica is cold by it, None if it does not tell.
+        """
         self._limits.record_head(replica, self.named_limits(headers))
-        self._cold.record_head(replica, find_header(headers, self._names.replica_cold))
         self._leaving.record_head(replica, find_header(headers, self._names.replica_leaving))
+        return self._cold.record_head(replica, find_header(headers, self._names.replica_cold))
 
     def named_limits(self, headers: Headers) -> tuple[str, ...]:
         """Return the values in which an answer names the replica's limit."""
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_request_state.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_request_state.py
@@ -21,9 +21,9 @@
 
     The replica of the latest attempt told `reported_load` requests and the limits `named_limits`
     with its answer, whose head took `head_s` and whose events came `event_s` apart on average. They
-    are None or empty without an answer. `answer_kind` is the answer's status and media type. The
-    replica was called through the instance `via`, if that is set, and `is_path_fault` says that its
-    failure shows nothing of the replica.
+    are None or empty without an answer, as is `cold_until_s`, until when the replica is cold by it.
+    `answer_kind` is the answer's status and media type. The replica was called through the instance
+    `via`, if that is set, and `is_path_fault` says that its failure shows nothing of the replica.
 
     On a route that keeps histories, `chain` is what the turn continues from, and `answer_text` the
     text of the events that the caller has got.
@@ -45,6 +45,7 @@
     reported_load: int | None = None
     event_s: float | None = None
     named_limits: tuple[str, ...] = ()
+    cold_until_s: float | None = None
     answer_kind: str | None = None
     head_s: float | None = None
     via: str | None = None
@@ -60,7 +61,7 @@
     def forget_answer(self) -> None:
         """Forget what the answer of the attempt before has shown of its replica."""
         self.reported_load = self.event_s = self.head_s = self.answer_kind = None
-        self.named_limits = ()
+        self.named_limits, self.cold_until_s = (), None
         self.via, self.is_path_fault = None, False
 
     @property
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_upstream_attempt.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_upstream_attempt.py
@@ -136,7 +136,7 @@
         request_state.named_limits = statements.named_limits(response.head.headers)
         refusal = _check_head(response, request_state, context)
         if refusal is None or refusal.outcome is AttemptOutcome.FULL:
-            statements.apply(replica, response.head.headers)
+            request_state.cold_until_s = statements.apply(replica, response.head.headers)
         yield Ok(response) if refusal is None else Err(refusal)
 
 
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/cold/_cold_controller.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/cold/_cold_controller.py
@@ -17,7 +17,7 @@
 from lagoonfold_gateway._replica_controller import ReplicaController
 from lagoonfold_io.observe import EventLog
 
-CHECK_INTERVAL_S = 0.25  # between looks for replicas that are no longer cold, for the log only
+CHECK_INTERVAL_S = 1.0  # between looks for replicas that are no longer cold, for the log only
 MILLISECONDS_PER_S = 1_000
 SHOWN_CHARS = 40  # of a value that is not a time, which may be as long as a head
 
@@ -43,18 +43,23 @@
         board.config.subscribe(self._apply_config)
         board.replicas.subscribe(self._apply_directory)
 
-    def record_head(self, replica: Replica, text: str | None) -> None:
-        """Record for how many milliseconds a replica is still cold by the head of its answer."""
+    def record_head(self, replica: Replica, text: str | None) -> float | None:
+        """Record for how many milliseconds a replica is still cold by the head of its answer.
+
+        Return until when that is on this instance's clock, None if the answer does not tell.
+        """
         if text is None:
-            return
+            return None
         try:
             cold_s = float(text) / MILLISECONDS_PER_S
         except ValueError:
             self._log_unusable(replica.replica_id, text[:SHOWN_CHARS])
-            return
-        if self._check(replica.replica_id, cold_s):
-            now = now_s()
-            self.cold.record_told(replica.replica_id, replica.started, cold_s, now_s=now)
+            return None
+        if not self._check(replica.replica_id, cold_s):
+            return None
+        now = now_s()
+        self.cold.record_told(replica.replica_id, replica.started, cold_s, now_s=now)
+        return now + cold_s
 
     async def run(self) -> None:
         """Log replicas that become cold or warm, until cancelled."""
--- a/packages/lagoonfold/src/lagoonfold/placement/_affinity_term.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/_affinity_term.py
@@ -7,7 +7,7 @@
 from lagoonfold.placement._candidates import Candidate
 from lagoonfold.placement._cost_terms import cost_term
 
-MISS_SHARE = 0.04  # of the typical latency; one more request costs 0.05 of it with six slots
+MISS_SHARE = 0.035  # of the typical latency; one more request costs 0.0375 of it with eight slots
 MAX_MISS_S = 0.005  # what 600 tokens of prompt cost that are not cached
 
 
--- a/packages/lagoonfold/src/lagoonfold/placement/_cold_replicas.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/_cold_replicas.py
@@ -25,7 +25,7 @@
 )
 from lagoonfold.rates import Quota
 
-MAX_CLOCK_SKEW_S = 2.0  # between machines; a replica's age is known no better
+MAX_CLOCK_SKEW_S = 30.0  # between machines; an age below it is not trusted
 MAX_GONE = 4_096  # replicas no longer listed that are remembered, as entries may come back
 MAX_COUNTED = 1_024  # requests of the last second at one replica
 
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -27,9 +27,9 @@
     `wrong_id` makes answers carry the id of another request. The next `late_copies` answers are
     sent a second time, just before the next answer on the same connection. Each answer names the
     limits in `limits`, one header for each, and says in `leaving` whether the replica leaves,
-    unless that is None. The headers `load` and `keep_alive` are sent as they stand here, unless
-    they are None. The bytes in `stale` precede the next answer on a connection that has served
-    another request.
+    unless that is None. The headers `load`, `cold` and `keep_alive` are sent as they stand here,
+    unless they are None. The bytes in `stale` precede the next answer on a connection that has
+    served another request.
     """
 
     refusals: int = 0
@@ -46,6 +46,7 @@
     leaving: str | None = None
     stale: bytes = b""
     load: str | None = None
+    cold: str | None = None
     keep_alive: str | None = None
 
 
@@ -127,6 +128,7 @@
         for name, value in (
             (NAMES.replica_leaving, self.behaviour.leaving),
             (NAMES.replica_load, self.behaviour.load),
+            (NAMES.replica_cold, self.behaviour.cold),
             ("keep-alive", self.behaviour.keep_alive),
         ):
             if value is not None:
--- a/tests/_compatibility_values.py
+++ b/tests/_compatibility_values.py
@@ -134,6 +134,7 @@
         event_s=0.05,
         is_stream=True,
         names_no_limit=True,
+        cold_s=2.75,
     ),
     ReplicaLimitNews(replica="r1", started=67, limit_per_s=7.5),
     ReplicaLeavingNews(replica="r1", started=67),
--- a/tests/gateway/_fleet.py
+++ b/tests/gateway/_fleet.py
@@ -155,6 +155,7 @@
         version: str = "",
         service: str = "models",
         failure_domain: str = "zone-a",
+        cold_s: float | None = None,
     ) -> None:
         """List a replica in the store."""
         listed = ListedReplica(
@@ -166,6 +167,7 @@
             is_draining=is_draining,
             started=started,
             version=version,
+            cold_s=cold_s,
         )
         key = DEFAULT_DIALECT.replica_prefix + replica.replica_id
         self.store.put(key, msgspec.json.encode(listed))
--- a/tests/gateway/_limited_replicas.py
+++ b/tests/gateway/_limited_replicas.py
@@ -36,6 +36,7 @@
 from lagoonfold_gateway._limit_controller import LimitController
 from lagoonfold_gateway._messages import Message
 from lagoonfold_gateway._pool_owners import PoolOwners
+from lagoonfold_gateway.cold import ColdController
 from tests.placement._placing_load import Clock
 
 SERVICE = "models"
@@ -104,9 +105,17 @@
         self.limit_controller = LimitController(
             self.board, self.bus, self.members, PoolOwners(self.board, self.members)
         )
+        self.store = SimpleNamespace()
+        self.cold_controller = ColdController(
+            self.board, self.limit_controller.placing_since_s, self.store
+        )
         tracker, prompt_index = ReplicaTracker(), PromptCacheIndex()
         selector = ReplicaSelector(
-            tracker, prompt_index, random.Random(own_id), self.limit_controller.limits
+            tracker,
+            prompt_index,
+            random.Random(own_id),
+            self.limit_controller.limits,
+            cold=self.cold_controller.cold,
         )
         self.dispatcher = Dispatcher(
             self.board, selector, tracker, prompt_index, LatencyBaselines()
@@ -114,6 +123,7 @@
         for replica in fleet.replica_by_id.values():
             self.board.replicas.read().put(replica)
         self.board.replicas.write(self.board.replicas.read())
+        self.store.on_listed()
 
 
 @dataclass(slots=True)
--- a/tests/on_platform/test_documents.py
+++ b/tests/on_platform/test_documents.py
@@ -37,7 +37,7 @@
     ],
     "Services": [
         {"Name": "m", "MaxConns": 150, "Engine": {"TokensPerEvent": 10}},
-        {"Name": "n", "MaxConns": 100},
+        {"Name": "n", "MaxConns": 100, "ColdStartS": 3.0, "ColdPerS": 27.0},
     ],
     "Limits": {
         "MaxHeaderBytes": 16384,
@@ -72,7 +72,9 @@
     assert [target.weight for target in stream.targets] == [90, 10]
     assert stream.patience_s == 2.0 and write.patience_s is None
     assert write.kind is RouteKind.AT_MOST_ONCE and write.is_open and not write.may_repeat
-    assert config.services_by_name["m"].tokens_per_event == 10
+    warm, cold = config.services_by_name["m"], config.services_by_name["n"]
+    assert (warm.tokens_per_event, warm.cold_start_s) == (10, 0.0)
+    assert (cold.cold_start_s, cold.cold_per_s) == (3.0, 27.0)
     assert config.limits.max_body_bytes == 1000
     account = config.accounts_by_key["k2"]
     assert (account.name, account.rank, account.limit.rate_per_s) == ("t1", 1, 77)
@@ -115,6 +117,14 @@
     assert decode_replica("i-1", json.dumps(without).encode()).unwrap().version == ""
 
 
+def test_time_for_which_a_replica_is_cold() -> None:
+    """A value that is no time must not hide the replica; it is negative, which is reported."""
+    for value, cold_s in ((500, 0.5), (None, None), (-7, -0.007), ("x", -1.0), (10**400, -1.0)):
+        entry = json.dumps({**ENTRY, "ColdRemainingMs": value}).encode()
+        replica = decode_replica("i-1", entry).unwrap()
+        assert (replica.cold_s, replica.started_unix_s) == (cold_s, 1.7e9), value
+
+
 def test_unreadable_replica_entries_are_refused() -> None:
     """Entries with missing fields, wrong types, unknown states or undecodable bytes are refused."""
     for bad in ({"State": "resting"}, {"Slots": "many"}, {"Address": None}, {"Version": 2}):
--- a/tests/on_platform/test_folder.py
+++ b/tests/on_platform/test_folder.py
@@ -16,6 +16,7 @@
     r"|Expect-Replica|Urgency-Class|urgency-class|Program-Deadline-Ms|Prompt-Prefix|Token-Count"
     r"|PathPrefix|TimeoutMs|MaxAttempts|TrafficSplit|AuthExempt|ApiKeys|RatePerS|RouteType"
     r"|StoreRevision|ExpectedRev|Tombstone|kv-txn|kv-watch|kv-range|kv-keep|ColdRemainingMs"
+    r"|ColdStartS|ColdPerS|Cold-Ms|cold-ms|Affinity-Key|affinity-key"
     r"|NodeName|PortRange|Bootstrap|QuotaWindowS)\b"
 )
 CODE_FOLDERS = ("packages", "standins", "bench", "models", "examples", "scripts")
