--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_attempt_runner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_attempt_runner.py
@@ -135,6 +135,7 @@
             only=only_id,
             expected_tokens=request_state.parsed.expected_tokens,
             version=version,
+            affinity=request_state.affinity,
         )
         return await self._context.placement_client.place(need)
 
@@ -259,12 +260,13 @@
     ) -> float | None:
         """Return after how long the head of an answer is overdue; None if it may take all time.
 
-        That is so for a request that may run once only, that has been sent before, or that waits
-        for a slot at the replica.
+        That is so for a request that may run once only, that has been sent before, that waits for a
+        slot at the replica, or whose replica is cold.
         """
         is_first = request_state.attempts.losses == 0 and not state.is_started
         has_slot = selection.requests < selection.replica.slots
-        if not (request_state.route.may_repeat and is_first and has_slot):
+        is_cold = self._context.cold.is_cold(selection.replica.replica_id, now_s=now_s())
+        if is_cold or not (request_state.route.may_repeat and is_first and has_slot):
             return None
         return self._overdue_heads.limit_s(request_state.route.name)
 
@@ -322,9 +324,16 @@
         is_stream=is_stream,
         parts=request_state.parsed.parts,
         names_no_limit=request_state.status < SUCCESS_BELOW and not request_state.named_limits,
+        cold_s=_cold_s(request_state),
     )
 
 
+def _cold_s(request_state: RequestState) -> float | None:
+    """Return for how long the replica is still cold by its answer."""
+    until_s = request_state.cold_until_s
+    return None if until_s is None else max(0.0, until_s - now_s())
+
+
 def _seconds(duration_s: float | None) -> str:
     return "None" if duration_s is None else f"{duration_s:.3f}"
 
