Choose replicas by the pace that they tell, and learn their lasting pace

Cause: the choice knew how slow a replica's last answers were, and ignored the fourth field of its load. Machines of one service differ up to 2.4 times for good, and each changes within a second. Change: ends of placements report the figure and its age. `PaceTracker` keeps the momentary pace, which decays with its age, and the lasting one, whose samples are cleared of the momentary. Their product replaces the slowdown in the cost and, from 1.3 on, divides the number of requests that a replica gets at once. Replicas that tell three fields, or a fixed or absurd figure, are chosen as before. A choice computes logarithms once for each replica and what a request needs once.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_attempt_runner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_attempt_runner.py
@@ -168,6 +168,7 @@
                 f"{replica_id} version={selection.replica.version or None}"
                 f" by={placement.owner or 'self'} load={selection.requests}"
                 f" told={request_state.reported_load} pace={selection.slowdown:.2f}"
+                f" told_pace={request_state.reported_pace}"
                 f" uncached={selection.uncached_tokens} head={_seconds(request_state.head_s)}"
                 f" limit={','.join(request_state.named_limits) or None} via={request_state.via}"
                 f" answer={request_state.answer_kind} events={asked_after}..{state.events.last_id}"
@@ -319,6 +320,8 @@
         outcome=AttemptOutcome.ANSWERED,
         # A stream tells the load of its first event, which has changed by its end.
         reported_load=None if is_stream else request_state.reported_load,
+        reported_pace=request_state.reported_pace,
+        reported_pace_age_s=max(0.0, took_s - (request_state.head_s or 0.0)),
         answer_s=took_s,
         event_s=request_state.event_s,
         is_stream=is_stream,
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_dispatch.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_dispatch.py
@@ -47,6 +47,8 @@
     requests that the replica told at the end of its answer. `answer_s` is how long a whole answer
     took, `event_s` the average time between the events of a stream. `parts` is the prompt that the
     replica has read. `names_no_limit` is set for a whole answer that names no limit.
+    `reported_pace` is the figure that the replica told of its pace (100 is usual), and
+    `reported_pace_age_s` how long before the end it was told.
     """
 
     route: str
@@ -57,6 +59,8 @@
     is_stream: bool = False
     parts: tuple[PromptPart, ...] = ()
     names_no_limit: bool = False
+    reported_pace: float | None = None
+    reported_pace_age_s: float = 0.0
 
 
 @dataclass(slots=True, eq=False)
@@ -83,7 +87,7 @@
         self._selector = selector
         self._tracker = tracker
         self._prompt_index = prompt_index
-        self._memory = selector.knowledge.memory
+        self.knowledge = selector.knowledge
         self._baselines = baselines
         self._queue_by_pool: dict[ReplicaPool, PlacementQueue[WaitingPlacement]] = {}
         self._is_waiting = trio.Event()
@@ -131,7 +135,7 @@
     def record_sent(self, replica: Replica, request: SelectionInput) -> MemoryClaim | None:
         """Count a request that another instance has placed and this one is about to send."""
         self._tracker.record_sent(replica.replica_id)
-        return self._memory.open(replica, request)
+        return self.knowledge.memory.open(replica, request)
 
     def record_end(
         self,
@@ -147,14 +151,14 @@
         if evidence.reported_load is not None:
             self._tracker.record_report(replica_id, evidence.reported_load, now_s=now)
         self._record_outcome(replica_id, evidence.outcome, sender)
-        self._record_pace(replica_id, evidence)
+        self._record_pace(replica, evidence)
         if evidence.parts:
             self._prompt_index.record(replica_id, replica.started, evidence.parts)
         self.free(pool, replica_id, claim)
 
     def free(self, pool: ReplicaPool, replica_id: str, claim: MemoryClaim | None) -> None:
         """Record that a request at a replica has ended or was never sent."""
-        self._memory.release(claim)
+        self.knowledge.memory.release(claim)
         self._tracker.record_ended(replica_id)
         self._queue(pool).record_freed(now_s=now_s())
         self._grant(pool)
@@ -168,15 +172,22 @@
                 self._grant_all()
             self._is_waiting = trio.Event()
 
-    def _record_pace(self, replica_id: str, evidence: PlacementEvidence) -> None:
+    def _record_pace(self, replica: Replica, evidence: PlacementEvidence) -> None:
         """Update the route's typical times; the pace follows events, or the answer of no stream."""
+        if evidence.reported_pace is not None:
+            told_at_s = now_s() - evidence.reported_pace_age_s
+            self.knowledge.pace.record_figure(replica, evidence.reported_pace, told_at_s=told_at_s)
         if evidence.answer_s is not None:
             ratio = self._baselines.record(evidence.route, "answer", evidence.answer_s)
             if not evidence.is_stream:
-                self._tracker.record_slowdown(replica_id, ratio, now_s=now_s())
+                self._record_sample(replica, ratio)
         if evidence.event_s is not None:
             ratio = self._baselines.record(evidence.route, "event", evidence.event_s)
-            self._tracker.record_slowdown(replica_id, ratio, now_s=now_s())
+            self._record_sample(replica, ratio)
+
+    def _record_sample(self, replica: Replica, ratio: float) -> None:
+        self._tracker.record_slowdown(replica.replica_id, ratio, now_s=now_s())
+        self.knowledge.pace.record_sample(replica, ratio, now_s=now_s())
 
     def _record_outcome(self, replica_id: str, outcome: AttemptOutcome | None, sender: str) -> None:
         record = _RECORDERS_BY_OUTCOME.get(outcome)
@@ -190,7 +201,7 @@
 
     def _apply_config(self, view: ConfigView | None) -> None:
         services = view.config.services_by_name if view is not None else {}
-        self._memory.set_capacities(
+        self.knowledge.memory.set_capacities(
             {name: service.memory_tokens for name, service in services.items()}
         )
 
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_messages.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_messages.py
@@ -227,7 +227,7 @@
     """Report that a placed request has ended, or is not wanted any more; it has no answer.
 
     `outcome` is the value of an `AttemptOutcome`, None if the request was cancelled or never sent.
-    The other fields are those of `PlacementEvidence`.
+    The other fields are those of `PlacementEvidence`; the pace is None from an earlier release.
     """
 
     instance: str
@@ -239,6 +239,8 @@
     event_s: float | None
     is_stream: bool
     names_no_limit: bool = False
+    reported_pace: float | None = None
+    reported_pace_age_s: float = 0.0
 
 
 class ReplicaLimitNews(msgspec.Struct, frozen=True, tag=True, array_like=True):
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_placement_client.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_placement_client.py
@@ -285,6 +285,8 @@
             event_s=evidence.event_s,
             is_stream=evidence.is_stream,
             names_no_limit=evidence.names_no_limit,
+            reported_pace=evidence.reported_pace,
+            reported_pace_age_s=evidence.reported_pace_age_s,
         )
         self._bus.post(owner, end)
 
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_placement_owner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_placement_owner.py
@@ -168,6 +168,8 @@
                 answer_s=end.answer_s,
                 event_s=end.event_s,
                 is_stream=end.is_stream,
+                reported_pace=end.reported_pace,
+                reported_pace_age_s=max(0.0, end.reported_pace_age_s),
                 parts=held.parts if is_answered else (),
             )
             self._dispatcher.record_end(
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_request_state.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_request_state.py
@@ -19,11 +19,11 @@
     clock, the `_wait_s` fields durations. The final answer is sent by `answer_deadline_s`.
     `attempt_log` has a line for each attempt.
 
-    The replica of the latest attempt told `reported_load` requests and the limits `named_limits`
-    with its answer, whose head took `head_s` and whose events came `event_s` apart on average. They
-    are None or empty without an answer. `answer_kind` is the answer's status and media type. The
-    replica was called through the instance `via`, if that is set, and `is_path_fault` says that its
-    failure shows nothing of the replica.
+    The replica of the latest attempt told `reported_load` requests, the figure `reported_pace` of
+    its pace and the limits `named_limits` with its answer, whose head took `head_s` and whose
+    events came `event_s` apart on average. They are None or empty without an answer. `answer_kind`
+    is the answer's status and media type. The replica was called through the instance `via`, if
+    that is set, and `is_path_fault` says that its failure shows nothing of the replica.
 
     On a route that keeps histories, `chain` is what the turn continues from, and `answer_text` the
     text of the events that the caller has got.
@@ -43,6 +43,7 @@
     first_byte_s: float | None = None
     last_event_s: float | None = None
     reported_load: int | None = None
+    reported_pace: float | None = None
     event_s: float | None = None
     named_limits: tuple[str, ...] = ()
     answer_kind: str | None = None
@@ -60,6 +61,7 @@
     def forget_answer(self) -> None:
         """Forget what the answer of the attempt before has shown of its replica."""
         self.reported_load = self.event_s = self.head_s = self.answer_kind = None
+        self.reported_pace = None
         self.named_limits = ()
         self.via, self.is_path_fault = None, False
 
--- a/packages/lagoonfold/src/lagoonfold/placement/__init__.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/__init__.py
@@ -4,10 +4,12 @@
 terms. Both are registries: a further reason is a function in a module of its own.
 """
 
+from lagoonfold.placement import _pace_rules  # noqa: F401, as it registers a rule and a term
 from lagoonfold.placement._candidates import Candidate, ReplicaKnowledge
 from lagoonfold.placement._capacity_rules import capacity_rule, find_rejection
 from lagoonfold.placement._cost_terms import cost_term, estimate_cost_s
 from lagoonfold.placement._memory_tracker import MemoryClaim, MemoryTracker
+from lagoonfold.placement._pace_tracker import MAX_FIGURE, PaceTracker
 from lagoonfold.placement._placement_queue import (
     PlacementOrder,
     PlacementQueue,
@@ -23,9 +25,11 @@
 from lagoonfold.placement._work_ranking import WorkRanking
 
 __all__ = [
+    "MAX_FIGURE",
     "Candidate",
     "MemoryClaim",
     "MemoryTracker",
+    "PaceTracker",
     "PlacementOrder",
     "PlacementQueue",
     "PlacementRefusal",
--- a/packages/lagoonfold/src/lagoonfold/placement/_candidates.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/_candidates.py
@@ -4,6 +4,7 @@
 
 from lagoonfold.forwarding import Replica
 from lagoonfold.placement._memory_tracker import MemoryTracker
+from lagoonfold.placement._pace_tracker import PaceTracker
 from lagoonfold.placement._prompt_cache_index import PromptCacheIndex
 from lagoonfold.placement._replica_limits import ReplicaLimits
 from lagoonfold.placement._replica_tracker import ReplicaTracker
@@ -18,6 +19,7 @@
     prompt_index: PromptCacheIndex
     limits: ReplicaLimits
     memory: MemoryTracker = field(default_factory=MemoryTracker)
+    pace: PaceTracker = field(default_factory=PaceTracker)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/lagoonfold/src/lagoonfold/placement/_memory_tracker.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/_memory_tracker.py
@@ -11,7 +11,6 @@
 from dataclasses import dataclass, field
 
 from lagoonfold.forwarding import Replica
-from lagoonfold.placement._prompt_cache_index import PromptPart
 from lagoonfold.placement._selection_input import SelectionInput
 
 # Estimates are right at the median, with errors in both directions. In the load of
@@ -34,6 +33,15 @@
     is_open: bool = True
 
 
+@dataclass(frozen=True, slots=True)
+class _Need:
+    """The memory that a request needs; `own_tokens` are those that it shares with no other."""
+
+    parts: tuple[_KeyedPart, ...]
+    own_tokens: int
+    all_tokens: int
+
+
 @dataclass(slots=True)
 class _Usage:
     """What the open placements at one incarnation of a replica occupy."""
@@ -57,8 +65,8 @@
         self._capacity_by_service: dict[str, int] = {}
         self._usage_by_incarnation: dict[_Incarnation, _Usage] = {}
         # The candidates for one request are considered one after the other.
-        self._last_parts: tuple[PromptPart, ...] = ()
-        self._last_keyed: tuple[_KeyedPart, ...] = ()
+        self._last_request: SelectionInput | None = None
+        self._last_need = _Need((), 0, 0)
 
     def set_capacities(self, capacity_by_service: Mapping[str, int]) -> None:
         """Set the memory in tokens of each replica of a service; 0 if it is not known."""
@@ -82,17 +90,19 @@
         usage = self._usage_by_incarnation.get((replica.replica_id, replica.started))
         if usage is None:
             return True
-        needed = _own_tokens(request) + sum(
-            part[1] for part in self._keyed(request.parts) if part not in usage.users_by_part
-        )
-        return usage.tokens + needed <= capacity
+        need = self._need(request)
+        if usage.tokens + need.all_tokens <= capacity:
+            return True
+        shared = sum(part[1] for part in need.parts if part in usage.users_by_part)
+        return usage.tokens + need.all_tokens - shared <= capacity
 
     def open(self, replica: Replica, request: SelectionInput) -> MemoryClaim | None:
         """Count a request that is placed at a replica; None if the memory is not known."""
         if replica.service not in self._capacity_by_service:
             return None
         incarnation = (replica.replica_id, replica.started)
-        claim = MemoryClaim(incarnation, self._keyed(request.parts), _own_tokens(request))
+        need = self._need(request)
+        claim = MemoryClaim(incarnation, need.parts, need.own_tokens)
         usage = self._usage_by_incarnation.setdefault(incarnation, _Usage())
         usage.placements += 1
         usage.tokens += claim.own_tokens
@@ -118,14 +128,10 @@
         if not usage.placements:
             del self._usage_by_incarnation[claim.incarnation]
 
-    def _keyed(self, parts: tuple[PromptPart, ...]) -> tuple[_KeyedPart, ...]:
-        if parts is not self._last_parts:
-            keyed, key = [], 0
-            for part in parts:
-                key = hash((key, part.part_id, part.tokens))
-                keyed.append((key, part.tokens))
-            self._last_parts, self._last_keyed = parts, tuple(keyed)
-        return self._last_keyed
+    def _need(self, request: SelectionInput) -> _Need:
+        if request is not self._last_request:
+            self._last_request, self._last_need = request, _need_of(request)
+        return self._last_need
 
 
 def expected_output_tokens(request: SelectionInput) -> int:
@@ -136,7 +142,12 @@
     return min(expected, request.output_tokens) if request.output_tokens else expected
 
 
-def _own_tokens(request: SelectionInput) -> int:
-    """Return the tokens that a request shares with no other: its output and unnamed prompt."""
-    named = sum(part.tokens for part in request.parts)
-    return max(0, request.prompt_tokens - named) + expected_output_tokens(request)
+def _need_of(request: SelectionInput) -> _Need:
+    parts: list[_KeyedPart] = []
+    key = named = 0
+    for part in request.parts:
+        key = hash((key, part.part_id, part.tokens))
+        parts.append((key, part.tokens))
+        named += part.tokens
+    own = max(0, request.prompt_tokens - named) + expected_output_tokens(request)
+    return _Need(tuple(parts), own, own + named)
--- a/tests/_compatibility_values.py
+++ b/tests/_compatibility_values.py
@@ -135,6 +135,8 @@
         event_s=0.05,
         is_stream=True,
         names_no_limit=True,
+        reported_pace=131.5,
+        reported_pace_age_s=0.3,
     ),
     ReplicaLimitNews(replica="r1", started=67, limit_per_s=7.5),
     ReplicaLeavingNews(replica="r1", started=67),
--- a/tests/on_platform/test_documents.py
+++ b/tests/on_platform/test_documents.py
@@ -36,7 +36,7 @@
         },
     ],
     "Services": [
-        {"Name": "m", "MaxConns": 150, "Engine": {"TokensPerEvent": 10}},
+        {"Name": "m", "MaxConns": 150, "Engine": {"TokensPerEvent": 10, "KvCapacityTokens": 48515}},
         {"Name": "n", "MaxConns": 100},
     ],
     "Limits": {
@@ -73,6 +73,8 @@
     assert stream.patience_s == 2.0 and write.patience_s is None
     assert write.kind is RouteKind.AT_MOST_ONCE and write.is_open and not write.may_repeat
     assert config.services_by_name["m"].tokens_per_event == 10
+    assert config.services_by_name["m"].memory_tokens == 48_515
+    assert config.services_by_name["n"].memory_tokens == 0
     assert config.limits.max_body_bytes == 1000
     account = config.accounts_by_key["k2"]
     assert (account.name, account.rank, account.limit.rate_per_s) == ("t1", 1, 77)
