--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_upstream_attempt.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_upstream_attempt.py
@@ -20,7 +20,7 @@
     RouteKind,
     engine_urgency,
 )
-from lagoonfold.placement import MAX_FIGURE, ReplicaSelection
+from lagoonfold.placement import ReplicaSelection
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._context import ForwardContext
 from lagoonfold_gateway._dialect import HeaderNames
@@ -42,7 +42,6 @@
 MISDIRECTED = 421
 NOT_RUN_STATUSES = (408, 429, 503)  # promise "not run" to a caller, so they need that header
 EVENT_STREAM = "text/event-stream"
-PACE_FIELDS = 4  # running, waiting, slots and, at some services, the pace
 MAX_IDLE_AT_MOST_ONCE_S = 1.0  # a server may close a longer idle connection as a request is sent
 
 
@@ -133,8 +132,8 @@
         media_type = find_header(response.head.headers, "content-type")
         request_state.answer_kind = f"{response.head.status},{media_type}"
         request_state.reported_load = _reported_load(response.head.headers, context)
-        request_state.reported_pace = _reported_pace(response.head.headers, context)
         statements = context.replica_statements
+        request_state.reported_pace = statements.told_pace(replica, response.head.headers)
         request_state.named_limits = statements.named_limits(response.head.headers)
         refusal = _check_head(response, request_state, context)
         if refusal is None or refusal.outcome is AttemptOutcome.FULL:
@@ -234,16 +233,3 @@
     if len(counts) < 2 or None in counts:
         return None
     return sum(count or 0 for count in counts)
-
-
-def _reported_pace(headers: Headers, context: ForwardContext) -> float | None:
-    """Return how long work takes at the replica at the moment, None if it told no usable figure."""
-    text = find_header(headers, context.dialect.headers.replica_load) or ""
-    parts = text.split(",")
-    if len(parts) < PACE_FIELDS:
-        return None
-    try:
-        figure = float(parts[PACE_FIELDS - 1])
-    except ValueError:
-        return None
-    return figure if 0 < figure <= MAX_FIGURE else None
--- a/tests/placement/_memory_load.py
+++ b/tests/placement/_memory_load.py
@@ -8,11 +8,10 @@
 """
 
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from result import Err
 
-from lagoonfold.forwarding import Replica
 from lagoonfold.placement import (
     PlacementOrder,
     PlacementQueue,
@@ -23,7 +22,7 @@
     ReplicaTracker,
     SelectionInput,
 )
-from tests.placement._placing_load import Clock
+from tests.placement._placing_load import SERVICE, Clock, make_replicas
 
 REPLICAS = 12
 SLOTS = 8
@@ -39,7 +38,6 @@
 STEP_S = 0.05
 TOKENS_PER_STEP = 10
 PATIENCE_S = 6.0
-SERVICE = "models"
 
 
 @dataclass(slots=True, eq=False)
@@ -135,7 +133,7 @@
         self.outcomes = Outcomes()
         self._per_s = per_s
         self._rng, self._clock = random.Random(seed), Clock()
-        self._replicas = [_replica(number) for number in range(REPLICAS)]
+        self._replicas = [replace(each, slots=SLOTS) for each in make_replicas()[:REPLICAS]]
         self._fake_by_id = {each.replica_id: FakeReplica(self.outcomes) for each in self._replicas}
         self._owners = [_Owner(f"{seed}-{number}", knows_memory) for number in range(owners)]
         if replace_at_s is not None:
@@ -232,13 +230,3 @@
         output_tokens=MAX_OUTPUT,
     )
     return Job(now_s, own, output, request)
-
-
-def _replica(number: int) -> Replica:
-    return Replica(
-        replica_id=f"r{number}",
-        service=SERVICE,
-        address=f"10.0.0.{number}:1",
-        failure_domain="zone-a",
-        slots=SLOTS,
-    )
--- a/tests/placement/_pace_load.py
+++ b/tests/placement/_pace_load.py
@@ -24,11 +24,10 @@
     ReplicaTracker,
     SelectionInput,
 )
-from tests.placement._placing_load import Clock
+from tests.placement._placing_load import SLOTS, Clock, make_replicas
 
 PACES = (0.7, 1.1, 1.68)
 REPLICAS = 12
-SLOTS = 6
 WORK_S = 0.4
 WORK_SPREAD = 0.5  # standard deviation of the logarithm
 NOISE = 0.4  # standard deviation of the logarithm of the momentary pace
@@ -103,8 +102,8 @@
         self._rng, self._clock = random.Random(seed), Clock()
         self._figure, self._streams = figure, streams
         self._fakes = [
-            FakeReplica(_replica(number), PACES[number % len(PACES)], random.Random(seed + number))
-            for number in range(REPLICAS)
+            FakeReplica(listed, PACES[number % len(PACES)], random.Random(seed + number))
+            for number, listed in enumerate(make_replicas()[:REPLICAS])
         ]
         self._listed = [fake.listed for fake in self._fakes]
         self._fake_by_id = {fake.listed.replica_id: fake for fake in self._fakes}
@@ -164,13 +163,3 @@
         pace.record_sample(fake.listed, ratio, now_s=now_s)
         self.tracker.record_ended(fake.listed.replica_id)
         self.queue.record_freed(now_s=now_s)
-
-
-def _replica(number: int) -> Replica:
-    return Replica(
-        replica_id=f"r{number}",
-        service="models",
-        address=f"10.0.0.{number}:1",
-        failure_domain="zone-a",
-        slots=SLOTS,
-    )
--- a/tests/placement/test_memory.py
+++ b/tests/placement/test_memory.py
@@ -1,6 +1,7 @@
 """The memory of replicas as a limit of what is placed there."""
 
 import random
+from dataclasses import replace
 
 from lagoonfold.forwarding import Replica
 from lagoonfold.placement import (
@@ -17,20 +18,14 @@
 from lagoonfold.placement._capacity_rules import MAX_REQUESTS_PER_SLOT
 from tests._suite import load_functions
 from tests.placement import _memory_load as load
+from tests.placement._placing_load import make_replicas
 
 SHARED = PromptPart("shared", 300)
 CALLERS_PATIENCE_S = 3.0  # for a whole answer; twice the time of a usual one on an idle replica
 
 
 def _replica(started: int = 1, replica_id: str = "r1") -> Replica:
-    return Replica(
-        replica_id=replica_id,
-        service="models",
-        address="10.0.0.1:1",
-        failure_domain="zone-a",
-        slots=8,
-        started=started,
-    )
+    return replace(make_replicas()[0], replica_id=replica_id, slots=8, started=started)
 
 
 def _request(*parts: PromptPart, prompt: int = 0, output: int = 0) -> SelectionInput:
--- a/tests/placement/test_pace.py
+++ b/tests/placement/test_pace.py
@@ -2,6 +2,7 @@
 
 import math
 import statistics
+from dataclasses import replace
 
 from lagoonfold.forwarding import Replica
 from lagoonfold.placement import (
@@ -16,20 +17,14 @@
 )
 from tests._suite import load_functions
 from tests.placement import _pace_load as load
+from tests.placement._placing_load import make_replicas
 
 SPAN_S = 30.0
 SEEDS = (1, 2)
 
 
 def _replica(started: int = 1) -> Replica:
-    return Replica(
-        replica_id="r1",
-        service="models",
-        address="10.0.0.1:1",
-        failure_domain="zone-a",
-        slots=8,
-        started=started,
-    )
+    return replace(make_replicas()[0], slots=8, started=started)
 
 
 def _tell(tracker: PaceTracker, *figures: float, started: int = 1) -> None:
