--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_dispatch.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_dispatch.py
@@ -16,6 +16,7 @@
     ReplicaDirectory,
 )
 from lagoonfold.placement import (
+    MemoryClaim,
     PlacementOrder,
     PlacementQueue,
     PlacementRefusal,
@@ -28,7 +29,7 @@
     ReplicaTracker,
     SelectionInput,
 )
-from lagoonfold_gateway._board import GatewayBoard
+from lagoonfold_gateway._board import ConfigView, GatewayBoard
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._latency_baselines import LatencyBaselines
 from lagoonfold_io.observe import EventLog
@@ -46,7 +47,9 @@
     requests that the replica told at the end of its answer. `answer_s` is how long a whole answer
     took, `event_s` the average time between the events of a stream. `parts` is the prompt that the
     replica has read. `names_no_limit` is set for a whole answer that names no limit. `cold_s` is
-    how long the replica is still cold by its answer, None if it does not tell.
+    how long the replica is still cold by its answer, None if it does not tell. `reported_pace` is
+    the figure that the replica told of its pace (100 is usual), and `reported_pace_age_s` how long
+    before the end it was told.
     """
 
     route: str
@@ -58,6 +61,8 @@
     parts: tuple[PromptPart, ...] = ()
     names_no_limit: bool = False
     cold_s: float | None = None
+    reported_pace: float | None = None
+    reported_pace_age_s: float = 0.0
 
 
 @dataclass(slots=True, eq=False)
@@ -84,10 +89,12 @@
         self._selector = selector
         self._tracker = tracker
         self._prompt_index = prompt_index
+        self.knowledge = selector.knowledge
         self._baselines = baselines
         self._queue_by_pool: dict[ReplicaPool, PlacementQueue[WaitingPlacement]] = {}
         self._is_waiting = trio.Event()
         board.replicas.subscribe(self._grant_all)
+        board.config.subscribe(self._apply_config)
 
     def typical_latency_s(self, route: str) -> float:
         """Return the typical time of an answer on a route, in seconds."""
@@ -122,7 +129,8 @@
                 await waiting.placed.wait()
         except trio.Cancelled:
             if waiting.selection is not None:
-                self.free(waiting.pool, waiting.selection.replica.replica_id)
+                selection = waiting.selection
+                self.free(waiting.pool, selection.replica.replica_id, selection.claim)
             raise
         finally:
             self._queue(waiting.pool).withdraw(waiting)
@@ -130,12 +138,19 @@
             return Err(PlacementRefusal(shortage=PlacementShortage.WAITING))
         return Ok(waiting.selection)
 
-    def record_sent(self, replica_id: str) -> None:
+    def record_sent(self, replica: Replica, request: SelectionInput) -> MemoryClaim | None:
         """Count a request that another instance has placed and this one is about to send."""
-        self._tracker.record_sent(replica_id)
+        self._tracker.record_sent(replica.replica_id)
+        return self.knowledge.memory.open(replica, request)
 
     def record_end(
-        self, pool: ReplicaPool, replica: Replica, evidence: PlacementEvidence, *, sender: str
+        self,
+        pool: ReplicaPool,
+        replica: Replica,
+        evidence: PlacementEvidence,
+        *,
+        sender: str,
+        claim: MemoryClaim | None = None,
     ) -> None:
         """Record the end of a request that an instance has sent to a replica."""
         replica_id, now = replica.replica_id, now_s()
@@ -143,15 +158,15 @@
             self._tracker.record_report(replica_id, evidence.reported_load, now_s=now)
         self._record_outcome(replica, evidence.outcome, sender)
         if evidence.cold_s is not None:
-            cold = self._selector.knowledge.cold
-            cold.record_told(replica_id, replica.started, evidence.cold_s, now_s=now)
-        self._record_pace(replica_id, evidence)
+            self.knowledge.cold.record_told(replica_id, replica.started, evidence.cold_s, now_s=now)
+        self._record_pace(replica, evidence)
         if evidence.parts:
             self._prompt_index.record(replica_id, replica.started, evidence.parts)
-        self.free(pool, replica_id)
+        self.free(pool, replica_id, claim)
 
-    def free(self, pool: ReplicaPool, replica_id: str) -> None:
+    def free(self, pool: ReplicaPool, replica_id: str, claim: MemoryClaim | None) -> None:
         """Record that a request at a replica has ended or was never sent."""
+        self.knowledge.memory.release(claim)
         self._tracker.record_ended(replica_id)
         self._queue(pool).record_freed(now_s=now_s())
         self._grant(pool)
@@ -165,23 +180,30 @@
                 self._grant_all()
             self._is_waiting = trio.Event()
 
-    def _record_pace(self, replica_id: str, evidence: PlacementEvidence) -> None:
+    def _record_pace(self, replica: Replica, evidence: PlacementEvidence) -> None:
         """Update the route's typical times; the pace follows events, or the answer of no stream.
 
         A request that ran while its replica was cold, even for a part of it, shows neither.
         """
+        if evidence.reported_pace is not None:
+            told_at_s = now_s() - evidence.reported_pace_age_s
+            self.knowledge.pace.record_figure(replica, evidence.reported_pace, told_at_s=told_at_s)
         if evidence.answer_s is None and evidence.event_s is None:
             return
-        cold_until_s = self._selector.knowledge.cold.until_s(replica_id)
+        cold_until_s = self.knowledge.cold.until_s(replica.replica_id)
         if now_s() - (evidence.answer_s or 0.0) < cold_until_s:
             return
         if evidence.answer_s is not None:
             ratio = self._baselines.record(evidence.route, "answer", evidence.answer_s)
             if not evidence.is_stream:
-                self._tracker.record_slowdown(replica_id, ratio, now_s=now_s())
+                self._record_sample(replica, ratio)
         if evidence.event_s is not None:
             ratio = self._baselines.record(evidence.route, "event", evidence.event_s)
-            self._tracker.record_slowdown(replica_id, ratio, now_s=now_s())
+            self._record_sample(replica, ratio)
+
+    def _record_sample(self, replica: Replica, ratio: float) -> None:
+        self._tracker.record_slowdown(replica.replica_id, ratio, now_s=now_s())
+        self.knowledge.pace.record_sample(replica, ratio, now_s=now_s())
 
     def _record_outcome(
         self, replica: Replica, outcome: AttemptOutcome | None, sender: str
@@ -199,6 +221,12 @@
         if is_ejected and not was_ejected and outcome is not AttemptOutcome.FULL:
             _log.info("replica.ejected", replica=replica_id, outcome=outcome.value, sender=sender)
 
+    def _apply_config(self, view: ConfigView | None) -> None:
+        services = view.config.services_by_name if view is not None else {}
+        self.knowledge.memory.set_capacities(
+            {name: service.memory_tokens for name, service in services.items()}
+        )
+
     def _queue(self, pool: ReplicaPool) -> PlacementQueue[WaitingPlacement]:
         queue = self._queue_by_pool.get(pool)
         if queue is None:
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_messages.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_messages.py
@@ -179,7 +179,9 @@
     would wait for longer than `wait_s`. The answer is of no use after `time_left_s`;
     `soft_time_left_s` is the time until the request's program should be done, `expected_tokens` the
     caller's estimate of the answer's length. With `version`, only replicas of that software version
-    may be selected. Requests of the same `affinity` concern the same object.
+    may be selected. Requests of the same `affinity` concern the same object. `prompt_tokens` is the
+    length of the prompt and `output_tokens` the most that the request may generate, 0 if that is
+    not known.
     """
 
     instance: str
@@ -200,6 +202,8 @@
     wait_s: float | None = None
     version: str | None = None
     affinity: str | None = None
+    prompt_tokens: int = 0
+    output_tokens: int = 0
 
 
 class Placed(msgspec.Struct, frozen=True, tag=True, array_like=True):
@@ -225,7 +229,7 @@
     """Report that a placed request has ended, or is not wanted any more; it has no answer.
 
     `outcome` is the value of an `AttemptOutcome`, None if the request was cancelled or never sent.
-    The other fields are those of `PlacementEvidence`.
+    The other fields are those of `PlacementEvidence`; the pace is None from an earlier release.
     """
 
     instance: str
@@ -238,6 +242,8 @@
     is_stream: bool
     names_no_limit: bool = False
     cold_s: float | None = None
+    reported_pace: float | None = None
+    reported_pace_age_s: float = 0.0
 
 
 class ReplicaLimitNews(msgspec.Struct, frozen=True, tag=True, array_like=True):
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_placement_owner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_placement_owner.py
@@ -17,6 +17,7 @@
     Replica,
 )
 from lagoonfold.placement import (
+    MemoryClaim,
     PlacementOrder,
     PlacementRefusal,
     PlacementShortage,
@@ -52,6 +53,7 @@
     parts: tuple[PromptPart, ...]
     placed_at_s: float
     drop_at_s: float
+    claim: MemoryClaim | None
 
 
 class PlacementOwner:
@@ -93,6 +95,8 @@
             expected_tokens=request.expected_tokens,
             version=request.version,
             affinity=request.affinity,
+            prompt_tokens=request.prompt_tokens,
+            output_tokens=request.output_tokens,
         )
         order = PlacementOrder(
             rank=request.rank,
@@ -140,7 +144,9 @@
         now = now_s()
         drop_at_s = now + request.time_left_s + OVERDUE_S
         key = (request.instance, request.number)
-        self._open_by_key[key] = _OpenPlacement(pool, selection.replica, parts, now, drop_at_s)
+        self._open_by_key[key] = _OpenPlacement(
+            pool, selection.replica, parts, now, drop_at_s, selection.claim
+        )
         return Placed(
             replica_id=selection.replica.replica_id,
             requests=selection.requests,
@@ -163,10 +169,14 @@
                 answer_s=end.answer_s,
                 event_s=end.event_s,
                 is_stream=end.is_stream,
+                reported_pace=end.reported_pace,
+                reported_pace_age_s=max(0.0, end.reported_pace_age_s),
                 parts=held.parts if is_answered else (),
                 cold_s=end.cold_s,
             )
-            self._dispatcher.record_end(held.pool, held.replica, evidence, sender=end.instance)
+            self._dispatcher.record_end(
+                held.pool, held.replica, evidence, sender=end.instance, claim=held.claim
+            )
             if end.names_no_limit:
                 self._limit_controller.record_unlimited(held.replica, placed_at_s=held.placed_at_s)
         return Ack()
@@ -178,7 +188,7 @@
     def _drop(self, keys: list[_Key]) -> None:
         for key in keys:
             held = self._open_by_key.pop(key)
-            self._dispatcher.free(held.pool, held.replica.replica_id)
+            self._dispatcher.free(held.pool, held.replica.replica_id, held.claim)
 
 
 def _wait_s(request: PlaceRequest) -> float:
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_upstream_attempt.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_upstream_attempt.py
@@ -133,6 +133,7 @@
         request_state.answer_kind = f"{response.head.status},{media_type}"
         request_state.reported_load = _reported_load(response.head.headers, context)
         statements = context.replica_statements
+        request_state.reported_pace = statements.told_pace(replica, response.head.headers)
         request_state.named_limits = statements.named_limits(response.head.headers)
         refusal = _check_head(response, request_state, context)
         if refusal is None or refusal.outcome is AttemptOutcome.FULL:
--- a/packages/lagoonfold/src/lagoonfold/forwarding/_documents.py
+++ b/packages/lagoonfold/src/lagoonfold/forwarding/_documents.py
@@ -69,7 +69,8 @@
     `max_connections` applies to each replica and is shared by all callers. `tokens_per_event` is
     the number of tokens that one event of a stream counts as. A replica is cold for `cold_start_s`
     after its start, never if that is 0, and takes `cold_per_s` requests a second then, from all
-    instances together.
+    instances together. `memory_tokens` is how many tokens
+    the requests at one replica may occupy together, 0 if that is not known.
     """
 
     name: str
@@ -77,6 +78,7 @@
     tokens_per_event: int = 1
     cold_start_s: float = 0.0
     cold_per_s: float = 0.0
+    memory_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/lagoonfold/src/lagoonfold/placement/__init__.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/__init__.py
@@ -4,13 +4,19 @@
 terms. Both are registries: a further reason is a function in a module of its own.
 """
 
-from lagoonfold.placement import _affinity_term, _cold_rule  # noqa: F401, as they register
+from lagoonfold.placement import (  # noqa: F401, as they register rules and terms
+    _affinity_term,
+    _cold_rule,
+    _pace_rules,
+)
 from lagoonfold.placement._candidates import Candidate, ReplicaKnowledge
 from lagoonfold.placement._capacity_rules import capacity_rule, find_rejection
 from lagoonfold.placement._cold_replicas import ColdReplicas
 from lagoonfold.placement._cold_terms import ColdTerms, is_cold_time, read_cold_terms
 from lagoonfold.placement._cost_terms import cost_term, estimate_cost_s
+from lagoonfold.placement._memory_tracker import MemoryClaim, MemoryTracker
 from lagoonfold.placement._object_index import ObjectIndex
+from lagoonfold.placement._pace_tracker import MAX_FIGURE, PaceTracker
 from lagoonfold.placement._placement_queue import (
     PlacementOrder,
     PlacementQueue,
@@ -26,10 +32,14 @@
 from lagoonfold.placement._work_ranking import WorkRanking
 
 __all__ = [
+    "MAX_FIGURE",
     "Candidate",
     "ColdReplicas",
     "ColdTerms",
     "ObjectIndex",
+    "MemoryClaim",
+    "MemoryTracker",
+    "PaceTracker",
     "PlacementOrder",
     "PlacementQueue",
     "PlacementRefusal",
--- a/packages/lagoonfold/src/lagoonfold/placement/_candidates.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/_candidates.py
@@ -1,10 +1,12 @@
 """A replica that is considered for a request, and what is known of it."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from lagoonfold.forwarding import Replica
 from lagoonfold.placement._cold_replicas import ColdReplicas
+from lagoonfold.placement._memory_tracker import MemoryTracker
 from lagoonfold.placement._object_index import ObjectIndex
+from lagoonfold.placement._pace_tracker import PaceTracker
 from lagoonfold.placement._prompt_cache_index import PromptCacheIndex
 from lagoonfold.placement._replica_limits import ReplicaLimits
 from lagoonfold.placement._replica_tracker import ReplicaTracker
@@ -20,6 +22,8 @@
     limits: ReplicaLimits
     cold: ColdReplicas
     objects: ObjectIndex
+    memory: MemoryTracker = field(default_factory=MemoryTracker)
+    pace: PaceTracker = field(default_factory=PaceTracker)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/lagoonfold/src/lagoonfold/placement/_selection_input.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/_selection_input.py
@@ -14,8 +14,9 @@
     `typical_latency_s` is that of its route, `parts` its prompt if it has one, and `failure_domain`
     that of the instance that sends it. The replicas in `excluded` must not be selected; `only`, if
     it is set, is the only one that may be, and so are replicas of `version`, if that is set.
-    `expected_tokens` is how many it is expected to generate, None if that is not known. Requests of
-    the same `affinity` concern the same object.
+    Requests of the same `affinity` concern the same object. `expected_tokens` is how many it is
+    expected to generate, None if that is not known. The most that it may generate is
+    `output_tokens`, the length of its prompt `prompt_tokens`; both are 0 if they are not known.
     """
 
     typical_latency_s: float
@@ -26,6 +27,8 @@
     expected_tokens: int | None = None
     version: str | None = None
     affinity: str | None = None
+    prompt_tokens: int = 0
+    output_tokens: int = 0
 
     @property
     def is_restricted(self) -> bool:
--- a/tests/on_platform/test_documents.py
+++ b/tests/on_platform/test_documents.py
@@ -36,7 +36,7 @@
         },
     ],
     "Services": [
-        {"Name": "m", "MaxConns": 150, "Engine": {"TokensPerEvent": 10}},
+        {"Name": "m", "MaxConns": 150, "Engine": {"TokensPerEvent": 10, "KvCapacityTokens": 48515}},
         {"Name": "n", "MaxConns": 100, "ColdStartS": 3.0, "ColdPerS": 27.0},
     ],
     "Limits": {
@@ -75,6 +75,7 @@
     warm, cold = config.services_by_name["m"], config.services_by_name["n"]
     assert (warm.tokens_per_event, warm.cold_start_s) == (10, 0.0)
     assert (cold.cold_start_s, cold.cold_per_s) == (3.0, 27.0)
+    assert (warm.memory_tokens, cold.memory_tokens) == (48_515, 0)
     assert config.limits.max_body_bytes == 1000
     account = config.accounts_by_key["k2"]
     assert (account.name, account.rank, account.limit.rate_per_s) == ("t1", 1, 77)
