Make a second attempt of a repeatable request whose first one is late

Cause: a request whose replica answers late waited for it although another replica was free. Change: `Hedger` makes a second attempt when `HedgePolicy` says so; `AttemptRace` runs both until one has a valid head, cancels the other and ends its placement. The owner of a pool places hedges by the field `is_hedge` of `PlaceRequest`, at once or not at all. Section `[hedging]` with `share`, counters `hedges` and `hedges_withheld`; log lines of attempts end with `hedge` or `overtaken`.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_attempt_runner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_attempt_runner.py
@@ -1,6 +1,7 @@
 """Runs the attempts of a forwarded request: selects a replica, sends, relays, retries."""
 
 from collections import defaultdict
+from dataclasses import dataclass
 from functools import partial
 
 from result import Err, Ok, Result
@@ -18,10 +19,15 @@
     pick_service,
     queue_rank,
 )
-from lagoonfold.placement import ReplicaSelection
+from lagoonfold_gateway._attempt_evidence import (
+    describe_answer,
+    describe_hedging,
+    describe_replica,
+    evidence_of,
+)
+from lagoonfold_gateway._attempt_refusals import answer_lost, no_path, unknown_origin
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._context import ForwardContext
-from lagoonfold_gateway._dispatch import PlacementEvidence
 from lagoonfold_gateway._placement_client import Placement, PlacementNeed
 from lagoonfold_gateway._relay import StreamState, finish_kept_turn, relay_plain, relay_stream
 from lagoonfold_gateway._request_state import RequestState
@@ -32,11 +38,17 @@
     build_request,
     resume_from,
 )
+from lagoonfold_gateway.hedging import Claim, Hedger
 from lagoonfold_io import Exchange
 
-UNKNOWN_ORIGIN_RETRY_S = 0.2  # an instance that knows the stream may be back
 MAX_PATH_FAULTS = 3  # replicas that neither this instance nor another could call
-NO_PATH_RETRY_S = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class _FailedAttempt:
+    replica_id: str
+    failure: AttemptFailure
+    decision: RetryDecision
 
 
 class AttemptRunner:
@@ -45,6 +57,7 @@
     def __init__(self, context: ForwardContext) -> None:
         self._context = context
         self._overdue_heads = OverdueHeads()
+        self._hedger = Hedger(context, self._overdue_heads)
         self._numbers_by_service: defaultdict[str, EventNumbers] = defaultdict(EventNumbers)
 
     async def run(self, request_state: RequestState, exchange: Exchange) -> Refusal | None:
@@ -65,22 +78,26 @@
         path_faults = 0
         while True:
             began_s = now_s()
-            placed = await self._place(service, state, request_state, avoided_ids, only_id)
+            need = self._need(service, state, request_state, avoided_ids, only_id)
+            placed = await self._context.placement_client.place(need)
             request_state.place_wait_s += now_s() - began_s
             if isinstance(placed, Err):
                 return self._placement_refusal(placed.err_value, request_state)
-            placement = placed.ok_value
-            replica_id = placement.selection.replica.replica_id
-            ended = await self._attempt(placement, state, request_state, exchange)
+            attempt = partial(self._attempt, state, request_state, exchange)
+            *others, ended = await self._hedger.attempt(
+                request_state, need, placed.ok_value, attempt
+            )
             if isinstance(ended, Ok):
                 await finish_kept_turn(state, request_state, exchange, self._context)
                 return None
-            failure, decision = ended.err_value
+            avoided_ids |= {other.err_value.replica_id for other in others}
+            failed = ended.err_value
+            failure, decision, replica_id = failed.failure, failed.decision, failed.replica_id
             if decision is RetryDecision.FAIL:
-                return _answer_lost(failure)
+                return answer_lost(failure)
             path_faults += request_state.is_path_fault and failure.outcome.is_not_run
             if path_faults and (self._is_cut_off() or path_faults == MAX_PATH_FAULTS):
-                return self._placement_refusal(_no_path(failure), request_state)
+                return self._placement_refusal(no_path(failure), request_state)
             only_id = None
             if decision is RetryDecision.SAME_OR_GONE:
                 only_id = self._id_if_available(replica_id, state.origin)
@@ -97,22 +114,27 @@
         stream_id = request_state.parsed.resumed_request
         found = await self._context.version_controller.find(stream_id, service)
         if isinstance(found, Err):
-            return Err(_unknown_origin(found.err_value))
+            return Err(unknown_origin(found.err_value))
         origin = found.ok_value
         services = {target.service for target in request_state.route.targets}
         if origin is not None and origin.service not in services:
             reason = f"service {origin.service!r} no longer serves route"
-            return Err(_unknown_origin(f"{reason} {request_state.route.name!r}"))
+            return Err(unknown_origin(f"{reason} {request_state.route.name!r}"))
         return found
 
-    async def _place(
+    def record_no_room(self, request_state: RequestState) -> None:
+        """Record that a request was refused since it got no place in time."""
+        targets = request_state.route.targets
+        self._hedger.record_no_room(pick_service(targets, request_state.stream_id))
+
+    def _need(
         self,
         service: str,
         state: StreamState,
         request_state: RequestState,
         avoided_ids: set[str],
         only_id: str | None,
-    ) -> Result[Placement, Refusal]:
+    ) -> PlacementNeed:
         version = state.origin.version if state.origin is not None else None
         replicas = self._context.board.replicas.read().available_for(service)
         if all(
@@ -120,7 +142,7 @@
             for replica in replicas
         ):
             avoided_ids = set()
-        need = PlacementNeed(
+        return PlacementNeed(
             service=service,
             route=request_state.route.name,
             request_id=request_state.parsed.request_id,
@@ -136,76 +158,77 @@
             expected_tokens=request_state.parsed.expected_tokens,
             version=version,
         )
-        return await self._context.placement_client.place(need)
 
     async def _attempt(
         self,
-        placement: Placement,
         state: StreamState,
         request_state: RequestState,
         exchange: Exchange,
-    ) -> Result[None, tuple[AttemptFailure, RetryDecision]]:
+        placement: Placement,
+        claim: Claim,
+    ) -> Result[None, _FailedAttempt]:
         """Make one attempt at the selected replica, and end the placement in any case."""
-        selection = placement.selection
-        replica_id = selection.replica.replica_id
-        may_have_run_before = replica_id in request_state.attempts.may_have_run
-        request_state.attempts.record_sent(replica_id)
-        request_state.forget_answer()
+        replica = placement.selection.replica
+        replica_id, attempts = replica.replica_id, request_state.attempts
+        may_have_run_before = replica_id in attempts.may_have_run
+        attempts.record_sent(replica_id)
+        seen = request_state.fork()
         asked_after = state.events.last_id
         began_s = now_s()
         ended: Result[None, AttemptFailure] | None = None
         try:
-            ended = await self._send(selection, state, request_state, exchange)
-            self._look_for_path_fault(ended, selection.replica, request_state)
+            ended = await self._send(placement, state, request_state, seen, exchange, claim)
         finally:
+            if claim.is_accepted:
+                seen = request_state
+            self._look_for_path_fault(ended, replica, seen)
+            if not claim.is_overtaken:
+                request_state.adopt_answer(seen)
             took_s = now_s() - began_s
-            self._context.placement_client.end(
-                placement, _evidence_of(ended, request_state, took_s)
-            )
+            evidence = evidence_of(ended, seen, placement, claim, took_s)
+            self._context.placement_client.end(placement, evidence)
             request_state.attempt_log.append(
-                f"{replica_id} version={selection.replica.version or None}"
-                f" by={placement.owner or 'self'} load={selection.requests}"
-                f" told={request_state.reported_load} pace={selection.slowdown:.2f}"
-                f" uncached={selection.uncached_tokens} head={_seconds(request_state.head_s)}"
-                f" limit={','.join(request_state.named_limits) or None} via={request_state.via}"
-                f" answer={request_state.answer_kind} events={asked_after}..{state.events.last_id}"
-                f" delivered={state.delivered_id}"
-                f" took={took_s:.3f}"
+                f"{describe_replica(placement)} {describe_answer(placement, seen)}"
+                f" events={asked_after}..{state.events.last_id} delivered={state.delivered_id}"
+                f" took={took_s:.3f}{describe_hedging(placement, claim)}"
             )
         if state.is_started and state.origin is None:
-            state.origin = _origin_at(selection.replica)
+            state.origin = _origin_at(replica)
         if isinstance(ended, Ok):
-            self._context.poison_tracker.record_completed(request_state.digest, selection.replica)
+            self._context.poison_tracker.record_completed(request_state.digest, replica)
             return Ok(None)
         failure = ended.err_value
         request_state.attempt_log[-1] += f" {failure.outcome.value}: {failure.reason}"
         self._context.metrics.count("tries_failed", failure.outcome.value)
-        self._look_for_crash(request_state, selection.replica, failure)
-        decision = request_state.attempts.record_outcome(
+        self._look_for_crash(request_state, replica, failure)
+        decision = attempts.record_outcome(
             replica_id, failure.outcome, may_have_run_before=may_have_run_before
         )
         can_go_on = request_state.route.can_resume and not state.has_unnumbered
         is_cut = state.is_started and not can_go_on
         if is_cut or failure.has_begun_answer:
             decision = RetryDecision.FAIL
-        return Err((failure, decision))
+        return Err(_FailedAttempt(replica_id, failure, decision))
 
     async def _send(
         self,
-        selection: ReplicaSelection,
+        placement: Placement,
         state: StreamState,
         request_state: RequestState,
+        seen: RequestState,
         exchange: Exchange,
+        claim: Claim,
     ) -> Result[None, AttemptFailure]:
+        selection = placement.selection
         request = build_request(request_state, selection, self._context)
         if state.is_started and state.events.last_id is not None:
             name = self._context.dialect.headers.last_event
             request = resume_from(request, name, state.events.last_id)
         new_connection = request_state.attempts.losses > 0
-        limit_s = self._head_limit_s(request_state, selection, state)
+        limit_s = self._head_limit_s(request_state, placement, state)
         began_s = now_s()
         async with attempt_upstream(
-            request_state,
+            seen,
             selection,
             request,
             self._context,
@@ -213,12 +236,15 @@
             head_limit_s=limit_s,
         ) as answered:
             if isinstance(answered, Err):
-                if limit_s is not None and now_s() - began_s >= limit_s:
+                is_overdue = limit_s is not None and now_s() - began_s >= limit_s
+                if is_overdue and not request_state.is_hedged:
                     self._overdue_heads.record_overdue()
                     self._context.metrics.count("heads_overdue")
                 return answered
+            await claim.accept()
+            request_state.adopt_answer(seen)
             response = answered.ok_value
-            self._overdue_heads.record_head(request_state.route.name, request_state.head_s or 0.0)
+            self._overdue_heads.record_head(request_state.route.name, seen.head_s or 0.0)
             is_success = response.head.status < SUCCESS_BELOW
             if request_state.route.kind is RouteKind.STREAM and is_success:
                 self._record_begun(selection.replica, state, request_state)
@@ -247,22 +273,24 @@
             state.on_start = record
 
     def _look_for_path_fault(
-        self, ended: Result[None, AttemptFailure], replica: Replica, request_state: RequestState
+        self, ended: Result[None, AttemptFailure] | None, replica: Replica, seen: RequestState
     ) -> None:
         """Note if an answer may have been lost on the path from a replica."""
         if isinstance(ended, Err) and ended.err_value.outcome is AttemptOutcome.LOST:
             is_faulty = self._context.replica_caller.must_relay(replica.address)
-            request_state.is_path_fault = is_faulty or request_state.via is not None
+            seen.is_path_fault = is_faulty or seen.via is not None
 
     def _head_limit_s(
-        self, request_state: RequestState, selection: ReplicaSelection, state: StreamState
+        self, request_state: RequestState, placement: Placement, state: StreamState
     ) -> float | None:
         """Return after how long the head of an answer is overdue; None if it may take all time.
 
         That is so for a request that may run once only, that has been sent before, or that waits
         for a slot at the replica.
         """
-        is_first = request_state.attempts.losses == 0 and not state.is_started
+        selection = placement.selection
+        is_sent_before = request_state.attempts.losses > 0 or placement.is_hedge
+        is_first = not is_sent_before and not state.is_started
         has_slot = selection.requests < selection.replica.slots
         if not (request_state.route.may_repeat and is_first and has_slot):
             return None
@@ -294,64 +322,12 @@
 
     def _placement_refusal(self, refusal: Refusal, request_state: RequestState) -> Refusal:
         """Return a placement refusal; it does not say "not run" if the request may have run."""
+        if refusal.kind is ErrorKind.QUEUE_FULL:
+            self.record_no_room(request_state)
         if request_state.attempts.has_not_run:
             return refusal
         return Refusal(kind=ErrorKind.UPSTREAM_FAILED, detail=refusal.detail, ran=Ran.UNKNOWN)
 
 
-def _evidence_of(
-    ended: Result[None, AttemptFailure] | None, request_state: RequestState, took_s: float
-) -> PlacementEvidence:
-    """Return what an attempt shows of its replica; `ended` is None if it was cancelled."""
-    route = request_state.route
-    is_stream = route.kind is RouteKind.STREAM
-    if ended is None:
-        return PlacementEvidence(route=route.name, outcome=None)
-    if isinstance(ended, Err):
-        failure = ended.err_value
-        is_evidence = failure.shows_fault and not request_state.is_path_fault
-        outcome = failure.outcome if is_evidence else None
-        return PlacementEvidence(route=route.name, outcome=outcome)
-    return PlacementEvidence(
-        route=route.name,
-        outcome=AttemptOutcome.ANSWERED,
-        # A stream tells the load of its first event, which has changed by its end.
-        reported_load=None if is_stream else request_state.reported_load,
-        answer_s=took_s,
-        event_s=request_state.event_s,
-        is_stream=is_stream,
-        parts=request_state.parsed.parts,
-        names_no_limit=request_state.status < SUCCESS_BELOW and not request_state.named_limits,
-    )
-
-
-def _seconds(duration_s: float | None) -> str:
-    return "None" if duration_s is None else f"{duration_s:.3f}"
-
-
 def _origin_at(replica: Replica) -> StreamOrigin:
     return StreamOrigin(replica.service, replica.version)
-
-
-def _unknown_origin(reason: str) -> Refusal:
-    return Refusal(
-        kind=ErrorKind.UPSTREAM_UNAVAILABLE,
-        detail=f"the stream cannot be taken up: {reason}",
-        retry_after_s=UNKNOWN_ORIGIN_RETRY_S,
-    )
-
-
-def _no_path(failure: AttemptFailure) -> Refusal:
-    return Refusal(
-        kind=ErrorKind.UPSTREAM_UNAVAILABLE,
-        detail=failure.reason,
-        retry_after_s=NO_PATH_RETRY_S,
-    )
-
-
-def _answer_lost(failure: AttemptFailure) -> Refusal:
-    return Refusal(
-        kind=ErrorKind.OUTCOME_UNKNOWN,
-        detail=f"the answer was lost: {failure.reason}",
-        ran=Ran.UNKNOWN,
-    )
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_context.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_context.py
@@ -18,7 +18,10 @@
 
 @dataclass(slots=True, kw_only=True)
 class ForwardContext:
-    """Holds the shared components; `nursery` outlives every request."""
+    """Holds the shared components; `nursery` outlives every request.
+
+    `hedge_share` is the share of requests that may get a second attempt while the first is late.
+    """
 
     dialect: Dialect
     board: GatewayBoard
@@ -32,3 +35,4 @@
     version_controller: VersionController
     metrics: Metrics
     nursery: TaskStarter
+    hedge_share: float
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_forwarder.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_forwarder.py
@@ -170,6 +170,7 @@
             exchange.abort()
             return
         if request_state.attempts.has_not_run:
+            self._attempt_runner.record_no_room(request_state)
             detail = "no replica had capacity in time"
             await self._answer(
                 Refusal(kind=ErrorKind.QUEUE_FULL, detail=detail), request_state, exchange
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
@@ -228,6 +228,7 @@
             version_controller=self.version_controller,
             metrics=self.metrics,
             nursery=self.tasks,
+            hedge_share=self.settings.hedging.share,
         )
         return Forwarder(context)
 
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_messages.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_messages.py
@@ -179,7 +179,8 @@
     would wait for longer than `wait_s`. The answer is of no use after `time_left_s`;
     `soft_time_left_s` is the time until the request's program should be done, `expected_tokens` the
     caller's estimate of the answer's length. With `version`, only replicas of that software version
-    may be selected.
+    may be selected. With `is_hedge` the request is a second attempt, which only a clearly free
+    replica gets; an owner of an earlier release places it like any other.
     """
 
     instance: str
@@ -199,6 +200,7 @@
     expected_tokens: int | None = None
     wait_s: float | None = None
     version: str | None = None
+    is_hedge: bool = False
 
 
 class Placed(msgspec.Struct, frozen=True, tag=True, array_like=True):
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_placement_client.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_placement_client.py
@@ -22,6 +22,7 @@
     ReplicaPool,
     ReplicaSelection,
     SelectionInput,
+    is_clearly_free,
     rank_pools,
 )
 from lagoonfold_gateway._board import GatewayBoard
@@ -50,7 +51,8 @@
 
     `excluded` must not be selected; `only`, if it is set, must be, and so must one of the software
     version `version`. A replica found later than `place_until_s` is of no use, and neither is an
-    answer after `answer_deadline_s`; `soft_deadline_s` is when its program should be done.
+    answer after `answer_deadline_s`; `soft_deadline_s` is when its program should be done. With
+    `is_hedge` it is a second attempt.
     """
 
     service: str
@@ -65,6 +67,7 @@
     only: str | None = None
     expected_tokens: int | None = None
     version: str | None = None
+    is_hedge: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -79,6 +82,7 @@
     number: int
     pool: ReplicaPool
     selection: ReplicaSelection
+    is_hedge: bool = False
 
 
 class PlacementClient:
@@ -115,6 +119,20 @@
                     return placed
         return await self._wait_for_place(pools, need)
 
+    async def place_hedge(self, need: PlacementNeed) -> Result[Placement, PlacementRefusal]:
+        """Place a second attempt at a clearly free replica, at once or not at all."""
+        replicas = [
+            replica
+            for replica in self._board.replicas.read().available_for(need.service)
+            if replica.replica_id not in need.excluded and _is_of_version(replica, need)
+        ]
+        if replicas:
+            for pool in self._pools(need, replicas)[:MAX_POOLS_ASKED]:
+                placed = await self._ask_owner(pool, need, hold_s=0.0)
+                if isinstance(placed, Ok):
+                    return placed
+        return Err(PlacementRefusal(shortage=PlacementShortage.FULL))
+
     async def _wait_for_place(
         self, pools: list[ReplicaPool], need: PlacementNeed
     ) -> Result[Placement, Refusal]:
@@ -193,7 +211,11 @@
         """Accept a placement, unless this instance knows that the replica must not be used."""
         replica = self._board.replicas.read().get(placed.replica_id)
         may_use = self._board.replicas.read().may_use(placed.replica_id)
-        if replica is None or not may_use or not _is_of_version(replica, need):
+        is_usable = replica is not None and may_use and _is_of_version(replica, need)
+        # An owner of an earlier release does not know hedges.
+        if need.is_hedge and replica is not None:
+            is_usable = is_usable and is_clearly_free(placed.requests, replica.slots)
+        if replica is None or not is_usable:
             self._report_end(owner, number, _unsent(need))
             return Err(PlacementRefusal(shortage=PlacementShortage.NO_REPLICA))
         if owner != self._bus.own_id:
@@ -205,12 +227,25 @@
             slowdown=placed.slowdown,
             uncached_tokens=placed.uncached_tokens,
         )
-        return Ok(Placement(owner=owner, number=number, pool=pool, selection=selection))
+        return Ok(
+            Placement(
+                owner=owner,
+                number=number,
+                pool=pool,
+                selection=selection,
+                is_hedge=need.is_hedge,
+            )
+        )
 
     async def _place_here(
         self, need: PlacementNeed, *, hold_s: float
     ) -> Result[Placement, PlacementRefusal]:
-        """Select a replica of the service by what this instance knows itself."""
+        """Select a replica of the service by what this instance knows itself.
+
+        That is too little to tell whether a replica is clearly free for a hedge.
+        """
+        if need.is_hedge:
+            return Err(PlacementRefusal(shortage=PlacementShortage.FULL))
         pool = ReplicaPool(need.service)
         wanted = SelectionInput(
             typical_latency_s=self._dispatcher.typical_latency_s(need.route),
@@ -256,6 +291,7 @@
             expected_tokens=need.expected_tokens,
             wait_s=wait_s,
             version=need.version,
+            is_hedge=need.is_hedge,
         )
 
     def _report_end(self, owner: str, number: int, evidence: PlacementEvidence) -> None:
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_placement_owner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_placement_owner.py
@@ -92,6 +92,7 @@
             failure_domain=request.failure_domain,
             expected_tokens=request.expected_tokens,
             version=request.version,
+            is_hedge=request.is_hedge,
         )
         order = PlacementOrder(
             rank=request.rank,
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_request_state.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_request_state.py
@@ -1,5 +1,6 @@
 """The state of one forwarded request from its arrival to the last byte of its answer."""
 
+import copy
 from dataclasses import dataclass, field
 
 from lagoonfold.forwarding import AttemptHistory, ClientAccount, ForwardRoute, RouteKind
@@ -9,6 +10,15 @@
 from lagoonfold_gateway._parsed_request import ParsedRequest
 
 FIRST_EVENT_S = 0.1  # from a replica with a free slot
+ANSWER_FIELDS = (  # what the answer of one attempt has shown
+    "reported_load",
+    "event_s",
+    "named_limits",
+    "answer_kind",
+    "head_s",
+    "via",
+    "is_path_fault",
+)
 
 
 @dataclass(slots=True, kw_only=True)
@@ -23,7 +33,8 @@
     with its answer, whose head took `head_s` and whose events came `event_s` apart on average. They
     are None or empty without an answer. `answer_kind` is the answer's status and media type. The
     replica was called through the instance `via`, if that is set, and `is_path_fault` says that its
-    failure shows nothing of the replica.
+    failure shows nothing of the replica. A request that `is_hedged` has got a second attempt while
+    the first was in progress; each of the two has a `fork` for what its answer shows.
 
     On a route that keeps histories, `chain` is what the turn continues from, and `answer_text` the
     text of the events that the caller has got.
@@ -49,6 +60,7 @@
     head_s: float | None = None
     via: str | None = None
     is_path_fault: bool = False
+    is_hedged: bool = False
     chain: Chain = Chain()
     chain_wait_s: float = 0.0
     keep_wait_s: float = 0.0
@@ -63,6 +75,20 @@
         self.named_limits = ()
         self.via, self.is_path_fault = None, False
 
+    def fork(self) -> "RequestState":
+        """Return a copy for one attempt, without what the answer of another has shown.
+
+        It shares the history and the log of attempts.
+        """
+        forked = copy.copy(self)
+        forked.forget_answer()
+        return forked
+
+    def adopt_answer(self, forked: "RequestState") -> None:
+        """Take over what the answer of an attempt has shown."""
+        for name in ANSWER_FIELDS:
+            setattr(self, name, getattr(forked, name))
+
     @property
     def is_stream_taken_up(self) -> bool:
         """Return whether the caller has a part of the stream from an earlier request."""
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_settings.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_settings.py
@@ -100,6 +100,15 @@
         )
 
 
+class HedgingSection(msgspec.Struct, frozen=True, kw_only=True):
+    """Second attempts of requests whose first one is late; see `lagoonfold.forwarding.HedgePolicy`.
+
+    `share` is that of the requests that may be repeated; 0 switches them off.
+    """
+
+    share: Annotated[float, Meta(ge=0, le=0.1, description="a share from 0 to 0.1")] = 0.03
+
+
 class LogSection(msgspec.Struct, frozen=True, kw_only=True):
     """The lowest level that is logged."""
 
@@ -116,6 +125,7 @@
     times: TimesSection = TimesSection()
     quotas: QuotasSection = QuotasSection()
     histories: HistoriesSection = HistoriesSection()
+    hedging: HedgingSection = HedgingSection()
     log: LogSection = LogSection()
 
 
--- a/packages/lagoonfold/src/lagoonfold/placement/_hedge_room.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/_hedge_room.py
@@ -1,14 +1,14 @@
 """The rule for hedges: a second attempt of a request goes to a clearly free replica only.
 
 A hedge that waits at its replica, or takes the last slot before a first attempt, costs others more
-than it saves its caller.
+than it saves its caller. Slow replicas are left to the cost: the slowdown of one whose answers take
+a few milliseconds is mostly noise, and a bound of 2 on it refused hedges at sound replicas.
 """
 
 from lagoonfold.placement._candidates import Candidate
 from lagoonfold.placement._capacity_rules import capacity_rule
 
 SPARE_SLOTS = 1  # left for first attempts
-MAX_SLOWDOWN = 2.0  # a hedge at a slower replica seldom overtakes the first attempt
 
 
 def is_clearly_free(requests: int, slots: int) -> bool:
@@ -23,5 +23,4 @@
         return True
     replica, limits = candidate.replica, candidate.knowledge.limits
     is_limited = limits.limit_per_s(replica.replica_id) is not None
-    is_fast = candidate.slowdown < MAX_SLOWDOWN
-    return not is_limited and is_fast and is_clearly_free(candidate.requests, replica.slots)
+    return not is_limited and is_clearly_free(candidate.requests, replica.slots)
--- a/tests/_compatibility_values.py
+++ b/tests/_compatibility_values.py
@@ -120,6 +120,7 @@
         expected_tokens=68,
         wait_s=1.25,
         version="v1.1",
+        is_hedge=True,
     ),
     Placed(replica_id="r1", requests=4, slowdown=1.5, uncached_tokens=65),
     PlacementRefused(shortage="full", retry_after_s=0.4),
