Check that the answer ends its request when one attempt has won

Cause: with the loser left running, the request ended at its deadline with an answer that was cut, and only one of two tests saw it.

--- a/tests/gateway/test_hedging.py
+++ b/tests/gateway/test_hedging.py
@@ -28,6 +28,7 @@
     abandoned: tuple[int, int]
     counts: dict[str, dict[str, float]]
     tries: list[str]
+    outcome: str = ""
 
 
 def _send_late(
@@ -88,9 +89,8 @@
         late.counts = gateway.metrics.counts()
 
     lines = run_and_collect_lines(check, config=make_config(**route), hedge_share=share)
-    (late.tries,) = [
-        line["tries"] for line in lines["request.done"] if line["request_id"] == "late"
-    ]
+    (done,) = [line for line in lines["request.done"] if line["request_id"] == "late"]
+    late.tries, late.outcome = done["tries"], done["outcome"]
     return late
 
 
@@ -106,6 +106,7 @@
     """The caller waited for the slow replica although another one was free."""
     late = _send_late(_silence_first)
     assert (late.status, late.runs, late.abandoned) == (200, (1, 1), (1, 0)), late
+    assert late.outcome == "answered", late
     assert late.counts["hedges"]["won"] >= 1 and "heads_overdue" not in late.counts, late
     hedge, first = sorted(late.tries, key=lambda line: line.endswith(" overtaken"))
     assert first.endswith(" overtaken") and hedge.endswith(" hedge"), late
@@ -120,6 +121,7 @@
 
     late = _send_late(slow_down_other)
     assert (late.status, late.runs, late.abandoned) == (200, (1, 1), (0, 1)), late
+    assert late.outcome == "answered", late
     assert late.counts["hedges"]["lost"] >= 1, late
     assert [line for line in late.tries if line.endswith(" hedge overtaken")], late
 
