--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_messages.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_messages.py
@@ -181,7 +181,8 @@
     caller's estimate of the answer's length. With `version`, only replicas of that software version
     may be selected. Requests of the same `affinity` concern the same object. `prompt_tokens` is the
     length of the prompt and `output_tokens` the most that the request may generate, 0 if that is
-    not known.
+    not known. With `is_hedge` the request is a second attempt, which only a clearly free
+    replica gets; an owner of an earlier release places it like any other.
     """
 
     instance: str
@@ -204,6 +205,7 @@
     affinity: str | None = None
     prompt_tokens: int = 0
     output_tokens: int = 0
+    is_hedge: bool = False
 
 
 class Placed(msgspec.Struct, frozen=True, tag=True, array_like=True):
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_placement_owner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_placement_owner.py
@@ -97,6 +97,7 @@
             affinity=request.affinity,
             prompt_tokens=request.prompt_tokens,
             output_tokens=request.output_tokens,
+            is_hedge=request.is_hedge,
         )
         order = PlacementOrder(
             rank=request.rank,
--- a/packages/lagoonfold/src/lagoonfold/placement/__init__.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/__init__.py
@@ -14,6 +14,7 @@
 from lagoonfold.placement._cold_replicas import ColdReplicas
 from lagoonfold.placement._cold_terms import ColdTerms, is_cold_time, read_cold_terms
 from lagoonfold.placement._cost_terms import cost_term, estimate_cost_s
+from lagoonfold.placement._hedge_room import is_clearly_free
 from lagoonfold.placement._memory_tracker import MemoryClaim, MemoryTracker
 from lagoonfold.placement._object_index import ObjectIndex
 from lagoonfold.placement._pace_tracker import MAX_FIGURE, PaceTracker
@@ -59,6 +60,7 @@
     "estimate_cost_s",
     "find_rejection",
     "is_cold_time",
+    "is_clearly_free",
     "parse_limit",
     "pool_of",
     "rank_pools",
--- a/packages/lagoonfold/src/lagoonfold/placement/_placement_queue.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/_placement_queue.py
@@ -99,11 +99,15 @@
         """Place a request that arrives; None means that it waits and `grant` will return it.
 
         A placed request counts as in flight at its replica until the tracker's `record_ended`, and
-        in its memory until the claim of the selection is released.
+        in its memory until the claim of the selection is released. A hedge is not placed while any
+        request waits.
         """
         if not replicas:
             return Err(PlacementRefusal(shortage=PlacementShortage.NO_REPLICA))
-        self._selector.record_arrival(request)
+        if not request.is_hedge:
+            self._selector.record_arrival(request)
+        elif len(self._queue):
+            return Err(PlacementRefusal(shortage=PlacementShortage.FULL))
         is_behind = self._queue.is_behind(order.rank, order.tie_break)
         if not is_behind or self._all_lack_memory():
             selection = self._choose(request, self._unheld(replicas), now_s)
--- a/packages/lagoonfold/src/lagoonfold/placement/_selection_input.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/_selection_input.py
@@ -17,6 +17,7 @@
     Requests of the same `affinity` concern the same object. `expected_tokens` is how many it is
     expected to generate, None if that is not known. The most that it may generate is
     `output_tokens`, the length of its prompt `prompt_tokens`; both are 0 if they are not known.
+    With `is_hedge` it is a second attempt, which only a clearly free replica gets.
     """
 
     typical_latency_s: float
@@ -29,6 +30,7 @@
     affinity: str | None = None
     prompt_tokens: int = 0
     output_tokens: int = 0
+    is_hedge: bool = False
 
     @property
     def is_restricted(self) -> bool:
--- a/tests/_compatibility_values.py
+++ b/tests/_compatibility_values.py
@@ -123,6 +123,7 @@
         affinity="object-1",
         prompt_tokens=2070,
         output_tokens=380,
+        is_hedge=True,
     ),
     Placed(replica_id="r1", requests=4, slowdown=1.5, uncached_tokens=65),
     PlacementRefused(shortage="full", retry_after_s=0.4),
