--- a/tests/on_platform/test_processes.py
+++ b/tests/on_platform/test_processes.py
@@ -50,8 +50,13 @@
             await trio.sleep(0.05)
 
 
-def _with_gateway(
+def with_gateway(
     check: Callable[[subprocess.Popen, HttpClient, str, str], Awaitable[None]],
+    *,
+    config: dict = CONFIG,
+    entry: dict = ENTRY,
+    respond: Callable[[HttpRequest, Exchange], Awaitable[None]] = _respond_slowly,
+    more_fields: dict[str, str] | None = None,
 ) -> list[dict]:
     """Run a gateway with a replica and a store; return the lines that it logged."""
 
@@ -59,11 +64,10 @@
         async with trio.open_nursery() as nursery:
             store = StoreStandIn()
             await nursery.start(store.serve)
-            port = await nursery.start(HttpServer(_respond_slowly).serve, "127.0.0.1", 0)
-            config = json.loads(json.dumps(CONFIG))
+            port = await nursery.start(HttpServer(respond).serve, "127.0.0.1", 0)
             store.put("op/config", json.dumps(config).encode())
-            entry = ENTRY | {"Service": "n", "Address": f"127.0.0.1:{port}"}
-            store.put("servers/i-1", json.dumps(entry).encode())
+            listed = entry | {"Service": "n", "Address": f"127.0.0.1:{port}"}
+            store.put("servers/i-1", json.dumps(listed).encode())
             address, readiness = f"127.0.0.1:{free_port()}", f"127.0.0.1:{free_port()}"
             fields = {
                 "NodeName": "front-1",
@@ -82,6 +86,9 @@
                 "FaultTolerance.Machines": "1",
                 "FaultTolerance.Zones": "0",
                 "FaultTolerance.Regions": "0",
+                "Limits.MemoryMb": "256",
+                "Limits.MaxFds": "4096",
+                **(more_fields or {}),
             }
             settings.write_text(render_template("gateway", fields))
             process = subprocess.Popen(
@@ -105,7 +112,7 @@
         return [json.loads(line) for line in log.read_text().splitlines()]
 
 
-def _request() -> HttpRequest:
+def ordinary_request() -> HttpRequest:
     headers = (("host", "a.example"), (HEADERS.request_id, "id-1"), (HEADERS.deadline_ms, "3000"))
     return HttpRequest(method="POST", path="/b/x", headers=headers, body=b"x")
 
@@ -117,7 +124,7 @@
     async with trio.open_nursery() as nursery:
 
         async def send() -> None:
-            answer = (await client.fetch(address, _request())).unwrap()
+            answer = (await client.fetch(address, ordinary_request())).unwrap()
             assert (answer.status, answer.body) == (200, b"whole")
 
         nursery.start_soon(send)
@@ -139,7 +146,7 @@
                 await trio.sleep(0.05)
         assert process.returncode == 0
 
-    lines = _with_gateway(check)
+    lines = with_gateway(check)
     events = [line["event"] for line in lines]
     assert "gateway.started" in events and events[-1] == "gateway.stopped"
     (done,) = [line for line in lines if line["event"] == "request.done"]
@@ -156,7 +163,7 @@
         await _signal_during_request(process, signal.SIGHUP, client, address)
         assert process.poll() is None
 
-    lines = _with_gateway(check)
+    lines = with_gateway(check)
     assert "settings.reloaded" in [line["event"] for line in lines]
 
 
@@ -260,7 +267,7 @@
     ) -> None:
         assert await _until_ended_by_many_signals(process) == 0
 
-    events = [line["event"] for line in _with_gateway(check)]
+    events = [line["event"] for line in with_gateway(check)]
     assert events[-1] == "gateway.stopped", events
 
 
