Bound the memory and the descriptors that clients can take up

Cause: bodies were kept as a list of parts until their end, whatever all of them held, and each connection was served for as long as it waited.

Change: MemoryBudget decides who may hold memory and whom to evict; a body is charged before it is read further, waits while memory is short, and the one that has held the most for the longest without progress is refused with 503 and Retry-After, which is true as no handler has run. Claims of up to 65,536 bytes may use an eighth of the budget that larger ones leave. Unread answers are charged while they are waited for, and given up when memory is short. Chunks are gathered into blocks, and one task at a time parses more than 64 parts of one input. An announced length over the limit is refused at the head. Where connections are short, the one that has waited the longest for a request or for the rest of its head is closed. Ports for readiness and metrics take 16 connections and no large bodies. Settings: [memory] of the gateway, filled from Limits.MemoryMb and Limits.MaxFds, and caller_memory_mb of the daemon. Counter caller_limits by cause, and a log line of each cause at most once a second.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_admin_endpoints.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_admin_endpoints.py
@@ -4,9 +4,12 @@
 
 import trio
 
-from lagoonfold_io import Exchange, HttpRequest, HttpResponse, HttpServer
+from lagoonfold_io import Exchange, HttpLimits, HttpRequest, HttpResponse, HttpServer
 from lagoonfold_io.observe import Metrics
 
+LIMITS = HttpLimits(  # its requests have no bodies, and come from a few programs
+    max_header_bytes=16_384, max_body_bytes=16_384, max_connections=16, idle_timeout_s=30.0
+)
 TEXT = (("content-type", "text/plain; version=0.0.4"),)
 
 
@@ -41,4 +44,4 @@
 
 async def _serve(address: str, handle: Callable, task_status: trio.TaskStatus[int]) -> None:
     host, _, port = address.rpartition(":")
-    await HttpServer(handle).serve(host, int(port), task_status=task_status)
+    await HttpServer(handle, limits=LIMITS).serve(host, int(port), task_status=task_status)
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
@@ -21,6 +21,7 @@
 from lagoonfold_gateway._board import ConfigView, GatewayBoard
 from lagoonfold_gateway._budget_client import BudgetClient
 from lagoonfold_gateway._budget_owner import BudgetOwner
+from lagoonfold_gateway._caller_limits import CallerLimits, relay_fault_response
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._config_controller import ConfigController
 from lagoonfold_gateway._context import ForwardContext
@@ -63,10 +64,6 @@
 SILENCE_LIMIT_S = 1.0  # of a replica with a request that can be sent elsewhere
 UNREPEATABLE_SILENCE_LIMIT_S = 3.0  # sound replicas may be silent for a second or two
 CONNECT_TIMEOUT_S = 0.5  # replicas are some ms away, but a dropped SYN is resent after seconds
-RELAY_LIMITS = HttpLimits(  # requests with all that a kept turn continues from
-    max_header_bytes=262_144, max_body_bytes=33_554_432, max_connections=1_000
-)
-MAX_CALLER_CONNECTIONS = 2_000  # half of the file descriptors of the smallest instances
 MIN_SHARING_INSTANCES = 10  # that share the connections to a replica
 SHARING_MARGIN = 1.3  # for instances that have started and are not yet known here
 MIN_CONNECTIONS_PER_REPLICA = 2  # one more than a request waiting for its answer needs
@@ -95,6 +92,7 @@
         self.board = GatewayBoard()
         self.metrics = Metrics()
         self.tasks = BackgroundTasks(nursery, self.metrics)
+        self.caller_limits = CallerLimits(settings.memory, self.metrics)
         self.usage = UsageReporter(self.metrics)
         store = CountedStore(store, self.metrics)
         self.client = HttpClient(
@@ -110,8 +108,11 @@
         )
         self.relay_server = HttpServer(
             ReplicaRelay(self.board, self.replica_caller, self.client, dialect.headers).handle,
-            limits=RELAY_LIMITS,
+            limits=self.caller_limits.for_relay(),
+            respond_to_fault=relay_fault_response,
             on_handler_error=self._record_handler_error,
+            memory=self.caller_limits.memory,
+            on_limit=self.caller_limits.record,
         )
         self.bus.serve_http = self.relay_server.serve_stream
         self.mirror = StoreMirror(store, _poll_terms_by_prefix(settings.times, dialect))
@@ -182,7 +183,11 @@
         )
         self.forwarder = self._make_forwarder(dialect)
         self.http_server = HttpServer(
-            self.forwarder.handle, on_handler_error=self._record_handler_error
+            self.forwarder.handle,
+            limits=HttpLimits(max_connections=self.caller_limits.max_caller_connections),
+            on_handler_error=self._record_handler_error,
+            memory=self.caller_limits.memory,
+            on_limit=self.caller_limits.record,
         )
         self.board.config.subscribe(self._apply_limits)
         self.board.live.subscribe(lambda view: self._share_connections())
@@ -317,7 +322,7 @@
             HttpLimits(
                 max_header_bytes=limits.max_header_bytes,
                 max_body_bytes=limits.max_body_bytes,
-                max_connections=MAX_CALLER_CONNECTIONS,
+                max_connections=self.caller_limits.max_caller_connections,
                 header_timeout_s=limits.header_timeout_s,
                 idle_timeout_s=limits.idle_timeout_s,
             )
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_settings.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_settings.py
@@ -100,6 +100,18 @@
         )
 
 
+class MemorySection(msgspec.Struct, frozen=True, kw_only=True):
+    """The limits of the machine, and how much of it is for callers; 0 stands for not known.
+
+    `caller_share` of the memory is for what is held for callers: bodies that are being read or
+    forwarded, and answers that callers do not read.
+    """
+
+    machine_mb: Annotated[int, Meta(ge=0, le=1_000_000, description="megabytes from 0")] = 0
+    caller_share: Annotated[float, Meta(gt=0, le=1, description="a share up to 1")] = 0.25
+    max_descriptors: Annotated[int, Meta(ge=0, le=10_000_000, description="a count from 0")] = 0
+
+
 class LogSection(msgspec.Struct, frozen=True, kw_only=True):
     """The lowest level that is logged."""
 
@@ -116,6 +128,7 @@
     times: TimesSection = TimesSection()
     quotas: QuotasSection = QuotasSection()
     histories: HistoriesSection = HistoriesSection()
+    memory: MemorySection = MemorySection()
     log: LogSection = LogSection()
 
 
--- a/packages/lagoonfold-io/src/lagoonfold_io/__init__.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/__init__.py
@@ -11,7 +11,7 @@
 from lagoonfold_io._http_client import HttpClient
 from lagoonfold_io._http_connection import ResponseHead, ResponseStream, StreamError
 from lagoonfold_io._http_exchange import ClientGoneError, Exchange
-from lagoonfold_io._http_faults import RequestFault
+from lagoonfold_io._http_faults import RequestFault, plain_fault_response
 from lagoonfold_io._http_messages import (
     Headers,
     HttpError,
@@ -22,6 +22,7 @@
     find_header,
 )
 from lagoonfold_io._http_server import HttpServer
+from lagoonfold_io._memory_budget import MemoryBudget
 from lagoonfold_io._signals import receive_signals
 from lagoonfold_io._tcp import open_tcp_stream, set_tcp_timeout
 
@@ -58,6 +59,7 @@
     "HttpRequest",
     "HttpResponse",
     "HttpServer",
+    "MemoryBudget",
     "RequestFault",
     "ResponseHead",
     "ResponseStream",
@@ -68,6 +70,7 @@
     "WriteBatch",
     "find_header",
     "open_tcp_stream",
+    "plain_fault_response",
     "receive_signals",
     "set_tcp_timeout",
 ]
--- a/packages/lagoonfold-io/src/lagoonfold_io/_http_exchange.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_exchange.py
@@ -13,6 +13,7 @@
 import trio
 
 from lagoonfold_io._http_messages import Headers, HttpLimits, HttpResponse, encode_headers
+from lagoonfold_io._memory_gate import MemoryGate
 
 CONNECTION_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError, OSError)
 _STREAM_HEADERS = ("transfer-encoding", "chunked")
@@ -36,7 +37,9 @@
         is_last: Callable[[], bool] = lambda: False,
         *,
         is_head: bool = False,
+        memory: MemoryGate | None = None,
     ) -> None:
+        self._memory = memory
         self._stream = stream
         self._protocol = protocol
         self._limits = limits
@@ -98,11 +101,19 @@
             self._write_unsent()
             if not self._unsent:
                 return
-            with trio.fail_after(self._limits.write_timeout_s):
-                await self._write_rest()
+            await self._write_rest_in_time()
         except (trio.TooSlowError, *CONNECTION_ERRORS) as error:
             raise ClientGoneError from error
 
+    async def _write_rest_in_time(self) -> None:
+        """Write the buffer; raise `trio.TooSlowError` if it takes too long or has to be freed."""
+        with trio.fail_after(self._limits.write_timeout_s) as scope:
+            if self._memory is None:
+                await self._write_rest()
+                return
+            with self._memory.hold_answer(len(self._unsent), scope.cancel):
+                await self._write_rest()
+
     async def _write_rest(self) -> None:
         """Write the buffer without copying it each time; a cancelled write keeps the rest."""
         unsent = memoryview(self._unsent)
--- a/packages/lagoonfold-io/src/lagoonfold_io/_http_server.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_server.py
@@ -18,11 +18,16 @@
 
 from lagoonfold_io._http_exchange import CONNECTION_ERRORS, ClientGoneError, Exchange
 from lagoonfold_io._http_faults import FaultError, RequestFault, plain_fault_response
-from lagoonfold_io._http_messages import READ_SIZE_BYTES, HttpLimits, HttpRequest, HttpResponse
-from lagoonfold_io._http_request_reader import RequestReader
+from lagoonfold_io._http_messages import HttpLimits, HttpRequest, HttpResponse
+from lagoonfold_io._http_request_reader import HEAD_EVICTED, ReaderContext, RequestReader
+from lagoonfold_io._listening import KeptOpenListener, linger
+from lagoonfold_io._memory_budget import MemoryBudget, MemoryClaim
+from lagoonfold_io._memory_gate import MemoryGate
 from lagoonfold_io._socket_input import is_readable
 
-_LINGER_S = 1.0
+_READ_AHEAD_BYTES = 4_096  # while a handler runs: to notice the end, and for one more request
+_MAX_REFUSALS = 32  # answered at once, beyond the limit of connections
+_DROPPED = "connection-dropped"
 _ACCEPT_WAITING_S = 0.5  # connections that wait are accepted without a pause
 
 Handler = Callable[[HttpRequest, Exchange], Awaitable[None]]
@@ -39,6 +44,8 @@
         limits: HttpLimits | None = None,
         respond_to_fault: FaultResponder = plain_fault_response,
         on_handler_error: Callable[[BaseException], None] | None = None,
+        memory: MemoryBudget | None = None,
+        on_limit: Callable[[str], None] = lambda cause: None,
     ) -> None:
         self._handler = handler
         self._limits = limits or HttpLimits()
@@ -48,7 +55,11 @@
         self._shutting_down = False
         self._announces_close = False
         self._accept_scope = trio.CancelScope()
-        self._idle_stream_by_scope: dict[trio.CancelScope, trio.SocketStream] = {}
+        self._on_limit = on_limit
+        self._memory = MemoryGate(memory or MemoryBudget(), on_limit)
+        self._readers = ReaderContext(
+            lambda: self._limits, lambda: self._shutting_down, self._memory
+        )
 
     async def serve(
         self,
@@ -64,7 +75,7 @@
         async with trio.open_nursery() as connections:
             try:
                 with self._accept_scope:
-                    kept_open = [_KeptOpenListener(listener) for listener in listeners]
+                    kept_open = [KeptOpenListener(listener) for listener in listeners]
                     await trio.serve_listeners(
                         self._serve_connection, kept_open, handler_nursery=connections
                     )
@@ -114,9 +125,7 @@
         self._announces_close = True
         self._shutting_down = True
         self._accept_scope.cancel()
-        for scope, stream in tuple(self._idle_stream_by_scope.items()):
-            if not is_readable(stream):
-                scope.cancel()
+        self._readers.waiting.close_idle()
 
     async def serve_stream(self, stream: trio.SocketStream, received: bytes) -> None:
         """Serve an accepted connection from which some bytes have been received."""
@@ -124,16 +133,22 @@
 
     async def _serve_connection(self, stream: trio.SocketStream, received: bytes = b"") -> None:
         self._connections += 1
+        claim = self._memory.open()
         try:
+            if not self._has_room():
+                self._on_limit(_DROPPED)
+                return
             protocol = h11.Connection(
                 our_role=h11.SERVER, max_incomplete_event_size=self._limits.max_header_bytes
             )
             if received:
                 protocol.receive_data(received)
             if self._connections > self._limits.max_connections:
-                await self._refuse(stream, protocol, RequestFault.TOO_MANY_CONNECTIONS)
-                return
-            await self._serve_requests(stream, protocol)
+                if not self._readers.waiting.close_longest():
+                    await self._refuse(stream, protocol, RequestFault.TOO_MANY_CONNECTIONS)
+                    return
+                self._on_limit(HEAD_EVICTED)
+            await self._serve_requests(stream, protocol, claim)
         except (ClientGoneError, *CONNECTION_ERRORS):
             pass
         except Exception as error:
@@ -141,20 +156,22 @@
                 self._on_handler_error(error)
         finally:
             self._connections -= 1
+            self._memory.close(claim)
             await trio.aclose_forcefully(stream)
 
-    async def _serve_requests(self, stream: trio.SocketStream, protocol: h11.Connection) -> None:
-        reader = RequestReader(
-            stream,
-            protocol,
-            lambda: self._limits,
-            self._idle_stream_by_scope,
-            lambda: self._shutting_down,
-        )
+    def _has_room(self) -> bool:
+        """Return whether a connection can be served or at least refused with an answer."""
+        return self._connections <= self._limits.max_connections + _MAX_REFUSALS
+
+    async def _serve_requests(
+        self, stream: trio.SocketStream, protocol: h11.Connection, claim: MemoryClaim
+    ) -> None:
+        reader = RequestReader(stream, protocol, self._readers, claim)
         while True:
             try:
                 request = await reader.read()
             except FaultError as error:
+                self._memory.release(claim)
                 await self._refuse(stream, protocol, error.fault, is_head=error.is_head)
                 return
             if request is None:
@@ -165,8 +182,11 @@
                 self._limits,
                 lambda: self._announces_close,
                 is_head=request.method == "HEAD",
+                memory=self._memory,
             )
             await self._run_handler(request, exchange, stream, protocol)
+            del request, exchange  # they are not held while the connection is idle
+            self._memory.release(claim)
             reusable = protocol.our_state is h11.DONE and protocol.their_state is h11.DONE
             if not reusable or self._shutting_down:
                 return
@@ -201,7 +221,7 @@
     ) -> None:
         """Read ahead while the handler runs; cancel it if the client closes its connection."""
         try:
-            data = await stream.receive_some(READ_SIZE_BYTES)
+            data = await stream.receive_some(_READ_AHEAD_BYTES)
         except CONNECTION_ERRORS:
             scope.cancel()
             return
@@ -219,37 +239,12 @@
         is_head: bool = False,
     ) -> None:
         """Send the response to a fault if none has been started, and end the connection."""
+        if fault is not RequestFault.MALFORMED:
+            self._on_limit(fault.value)
         if protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         response = self._respond_to_fault(fault)
         headers = (*response.headers, ("connection", "close"))
         closing = HttpResponse(status=response.status, headers=headers, body=response.body)
         await Exchange(stream, protocol, self._limits, is_head=is_head).respond(closing)
-        await _linger(stream)
-
-
-class _KeptOpenListener(trio.abc.Listener[trio.SocketStream]):
-    """A listener that stays open when `trio.serve_listeners` ends."""
-
-    def __init__(self, listener: trio.SocketListener) -> None:
-        self._listener = listener
-
-    async def accept(self) -> trio.SocketStream:
-        return await self._listener.accept()
-
-    async def aclose(self) -> None:
-        await trio.lowlevel.checkpoint()
-
-
-async def _linger(stream: trio.SocketStream) -> None:
-    """Read and drop further input for up to `_LINGER_S` seconds.
-
-    Closing with unread input resets the connection, and the client may lose the response.
-    """
-    try:
-        await stream.send_eof()
-        with trio.move_on_after(_LINGER_S):
-            while await stream.receive_some(READ_SIZE_BYTES):
-                pass
-    except CONNECTION_ERRORS:
-        pass
+        await linger(stream)
--- a/packages/lagoonfold-node/src/lagoonfold_node/_caller_api/_caller_api.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_caller_api/_caller_api.py
@@ -18,6 +18,7 @@
     HttpRequest,
     HttpResponse,
     HttpServer,
+    MemoryBudget,
     RequestFault,
 )
 from lagoonfold_io.observe import EventLog, Metrics
@@ -70,6 +71,7 @@
         decisions: DecisionLog,
         limits: HttpLimits,
         max_streams: int,
+        memory: MemoryBudget,
     ) -> None:
         self.board = board
         self.authenticator = authenticator
@@ -85,6 +87,8 @@
             self.handle,
             limits=limits,
             respond_to_fault=self._respond_to_fault,
+            memory=memory,
+            on_limit=lambda cause: metrics.count("caller_limits", cause),
         )
 
     @property
--- a/packages/lagoonfold-node/src/lagoonfold_node/_node.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_node.py
@@ -9,7 +9,7 @@
 
 from lagoonfold import InstanceId, ProgramId
 from lagoonfold.settings import Settings
-from lagoonfold_io import EtcdStore, HttpClient, HttpInstanceList, HttpLimits
+from lagoonfold_io import EtcdStore, HttpClient, HttpInstanceList, HttpLimits, MemoryBudget
 from lagoonfold_io.observe import EventLog, Metrics
 from lagoonfold_node._account_owners import ShardAccountOwners
 from lagoonfold_node._board import Board
@@ -36,6 +36,8 @@
     UpstreamDirectory,
 )
 
+BYTES_PER_MB = 1_000_000
+
 
 @dataclass(slots=True)
 class Node:
@@ -182,6 +184,7 @@
             decisions=self.decisions,
             limits=_http_limits(settings),
             max_streams=settings.limits.max_streams,
+            memory=MemoryBudget(settings.limits.caller_memory_mb * BYTES_PER_MB),
         )
 
     def _find_peer_address(self, instance_id: str) -> str | None:
--- a/packages/lagoonfold-node/src/lagoonfold_node/_problems.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_problems.py
@@ -12,6 +12,7 @@
 from lagoonfold_io import HttpResponse, RequestFault
 
 PROBLEM_CONTENT_TYPE = "application/problem+json"
+MEMORY_RETRY_AFTER_S = 1.0  # after which calm requests have given back their memory
 TYPE_PREFIX = "urn:lagoonfold:error:"
 REQUEST_ID_HEADER = "lagoonfold-request-id"
 
@@ -58,6 +59,12 @@
 
 def refusal_for_unreadable(fault: RequestFault) -> Refusal:
     """Return the refusal for a request that the HTTP server could not read."""
+    if fault is RequestFault.MEMORY_SHORT:
+        return Refusal(
+            kind=ErrorKind.QUEUE_FULL,
+            detail="no memory for the request",
+            retry_after_s=MEMORY_RETRY_AFTER_S,
+        )
     return Refusal(
         kind=ErrorKind(fault.value), detail=f"the request could not be read: {fault.value}"
     )
--- a/packages/lagoonfold/src/lagoonfold/settings/_models.py
+++ b/packages/lagoonfold/src/lagoonfold/settings/_models.py
@@ -81,12 +81,16 @@
 
 
 class LimitSettings(_Section):
-    """Limits on callers' connections and requests: sizes in bytes, times in seconds."""
+    """Limits on callers' connections and requests: sizes in bytes, times in seconds.
+
+    `caller_memory_mb` limits, in megabytes, what is held for all callers together.
+    """
 
     max_header_bytes: Annotated[int, Field(ge=1_024, le=1_048_576)] = 32_768
     max_body_bytes: Annotated[int, Field(ge=1_024, le=1_073_741_824)] = 8_388_608
     max_connections: PositiveInt = 2_000
     max_streams: PositiveInt = 1_000
+    caller_memory_mb: PositiveInt = 512
     header_timeout_s: PositiveSeconds = 10.0
     body_timeout_s: PositiveSeconds = 30.0
     idle_timeout_s: PositiveSeconds = 75.0
--- a/review/harness.py
+++ b/review/harness.py
@@ -494,6 +494,8 @@
             "FaultTolerance.Machines": "1",
             "FaultTolerance.Zones": "0",
             "FaultTolerance.Regions": "0",
+            "Limits.MemoryMb": "256",
+            "Limits.MaxFds": "4096",
         }
         return Gateway(name, fields, self.folder)
 
--- a/soak/_gateways.py
+++ b/soak/_gateways.py
@@ -87,6 +87,8 @@
             "FaultTolerance.Regions": "0",
             "DataDir": str(data),
             "Limits.DiskMb": "260",
+            "Limits.MemoryMb": "256",
+            "Limits.MaxFds": "4096",
         }
 
     def signal(self, number: int) -> None:
