Test the port for peers with unfinished messages and silent connections

Cause: it takes messages of up to 8,388,608 bytes beside HTTP requests, and nothing bounds them together. Change: the crowd and the bounds of the other tests (20 clients, 400 connections, 96 MB, 256 descriptors) with messages of 8,388,000 bytes that lack their last hundredth, and with connections that send nothing.

--- a/tests/on_platform/test_callers_outside_limits.py
+++ b/tests/on_platform/test_callers_outside_limits.py
@@ -25,6 +25,7 @@
 MACHINE_DESCRIPTORS = 256
 MAX_BODY_BYTES = 4_194_304
 BODY_BYTES = 4_150_000  # within the limit
+FRAME_BYTES = 8_388_000  # within the limit of messages between instances
 CHUNK_BYTES = 65_536
 ONE_BYTE_CHUNKS = 200_000
 LONG_ANSWER_BYTES = 8_000_000
@@ -52,6 +53,12 @@
     yield b"x" * (BODY_BYTES * 99 // 100)
 
 
+def _unfinished_frame() -> Iterator[bytes]:
+    """A message of an instance to another: its length in 4 bytes, and nearly all of it."""
+    yield FRAME_BYTES.to_bytes(4, "big")
+    yield b"x" * (FRAME_BYTES * 99 // 100)
+
+
 def _large_chunks() -> Iterator[bytes]:
     yield CHUNKED_HEAD
     chunk = b"%x\r\n%s\r\n" % (CHUNK_BYTES, b"x" * CHUNK_BYTES)
@@ -213,6 +220,16 @@
     _check_crowd(_unfinished_body, port="peers")
 
 
+def test_messages_that_lack_their_last_part_stay_within_memory() -> None:
+    """Messages between instances at the port for peers may be twice as large as bodies."""
+    _check_crowd(_unfinished_frame, port="peers")
+
+
+def test_silent_connections_at_the_port_for_peers_stay_within_the_descriptors() -> None:
+    """A connection that has sent nothing may become one for messages or one for requests."""
+    _check_crowd(lambda: iter(()), connections=CLIENTS * CONNECTIONS_EACH, port="peers")
+
+
 def test_one_body_of_the_largest_size_passes_at_a_small_machine() -> None:
     """Callers within the limits must not be affected by the limits on memory."""
 
