Charge messages at the port for peers, and close silent connections there

Cause: 20 unfinished messages of 8,388,000 bytes took 204.9 MB, and 400 silent connections 400 descriptors.

The storage role has the same, with an optional section [memory] in its settings. The test of unread answers kept no reference to its connections, which were closed at random; it keeps them now and uses longer answers.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
@@ -38,6 +38,7 @@
 from lagoonfold_gateway._leaving_controller import LeavingController
 from lagoonfold_gateway._limit_controller import LimitController
 from lagoonfold_gateway._member_controller import POLL_INTERVAL_S, MemberController
+from lagoonfold_gateway._peer_guard import PeerGuard
 from lagoonfold_gateway._peers import PeerBus
 from lagoonfold_gateway._placement_client import PlacementClient
 from lagoonfold_gateway._placement_owner import PlacementOwner
@@ -114,6 +115,7 @@
             memory=self.caller_limits.memory,
             on_limit=self.caller_limits.record,
         )
+        self.bus.guard = PeerGuard(self.caller_limits)
         self.bus.serve_http = self.relay_server.serve_stream
         self.mirror = StoreMirror(store, _poll_terms_by_prefix(settings.times, dialect))
         self.members = MemberController(
--- /dev/null
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_peer_guard.py
@@ -0,0 +1,79 @@
+"""Bounds what connections to the port for peers can take up.
+
+Messages of other instances that are not small are charged to the memory budget of the process. A
+connection that has sent nothing is closed when too many of them wait; instances send their first
+message as soon as they have connected. An instance whose connection is closed connects again.
+"""
+
+import math
+
+import trio
+
+from lagoonfold_gateway._caller_limits import CallerLimits
+from lagoonfold_io import (
+    SMALL_BYTES,
+    FaultError,
+    MemoryClaim,
+    MemoryGate,
+    WaitingConnections,
+)
+
+READ_SIZE_BYTES = 65_536
+COPIES = 2  # of a message: its bytes, and what is decoded from them
+FRAME_EVICTED = "message-evicted"
+SILENT_EVICTED = "silent-peer-evicted"
+
+
+class PeerGuard:
+    """The bounds of one port for peers."""
+
+    def __init__(self, limits: CallerLimits) -> None:
+        self._gate = MemoryGate(limits.memory, limits.record)
+        self._max_silent = limits.max_relay_connections
+        self._silent = WaitingConnections()
+
+    async def receive_first(self, stream: trio.SocketStream) -> bytes | None:
+        """Return the first bytes of a connection; None if it had to make room for others."""
+        if len(self._silent) >= self._max_silent and self._silent.close_longest():
+            self._gate.count(SILENT_EVICTED)
+        with self._silent.wait(stream, math.inf, is_idle=True):
+            return await stream.receive_some(READ_SIZE_BYTES)
+        return None
+
+    def open(self) -> "ChargedInput":
+        """Return the input of a connection, to be closed with it."""
+        return ChargedInput(self._gate, self._gate.open())
+
+
+class ChargedInput:
+    """Receives the bytes of one connection; what is not small is charged before it is read."""
+
+    def __init__(self, gate: MemoryGate, claim: MemoryClaim) -> None:
+        self._gate = gate
+        self._claim = claim
+
+    def close(self) -> None:
+        """Release what the connection holds."""
+        self._gate.close(self._claim)
+
+    async def receive(self, stream: trio.SocketStream, held_bytes: int) -> bytes:
+        """Return further input of a message; raise `trio.ClosedResourceError` without memory."""
+        if held_bytes <= SMALL_BYTES:
+            self._gate.release(self._claim)
+            return await stream.receive_some(READ_SIZE_BYTES)
+        if not self._claim.held_bytes:
+            self._claim.progressed_s = trio.current_time()
+        with trio.CancelScope() as eviction:
+            self._claim.evict = eviction.cancel
+            try:
+                await self._gate.hold(self._claim, COPIES * held_bytes + READ_SIZE_BYTES)
+                data = await stream.receive_some(READ_SIZE_BYTES)
+            except FaultError as error:
+                self._gate.count(error.fault.value)
+                raise trio.ClosedResourceError("no memory for a message") from error
+            finally:
+                self._claim.evict = None
+            self._claim.note_progress(len(data), trio.current_time())
+            return data
+        self._gate.count(FRAME_EVICTED)
+        raise trio.ClosedResourceError("a message without progress made room for others")
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_peer_link.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_peer_link.py
@@ -7,7 +7,7 @@
 
 import itertools
 import struct
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -54,11 +54,21 @@
     return _LENGTH.pack(len(body)) + body
 
 
+async def _receive(stream: trio.SocketStream, held_bytes: int) -> bytes:
+    return await stream.receive_some(READ_SIZE_BYTES)
+
+
 class FrameReader:
-    """Reads frames from a stream."""
+    """Reads frames from a stream; `receive` gets it and the number of bytes held so far."""
 
-    def __init__(self, stream: trio.SocketStream, received: bytes = b"") -> None:
+    def __init__(
+        self,
+        stream: trio.SocketStream,
+        received: bytes = b"",
+        receive: Callable[[trio.SocketStream, int], Awaitable[bytes]] = _receive,
+    ) -> None:
         self._stream = stream
+        self._receive = receive
         self._buffer = bytearray(received)
 
     async def read(self) -> Envelope | None:
@@ -73,7 +83,7 @@
                     envelope = _DECODER.decode(self._buffer[_LENGTH.size : end])
                     del self._buffer[:end]
                     return envelope
-            data = await self._stream.receive_some(READ_SIZE_BYTES)
+            data = await self._receive(self._stream, len(self._buffer))
             if not data:
                 return None
             self._buffer += data
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_peers.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_peers.py
@@ -16,6 +16,7 @@
 from lagoonfold_gateway._background import TaskStarter, record_failure
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._messages import Ack, Envelope, Heartbeat, Hello, Message, type_name
+from lagoonfold_gateway._peer_guard import ChargedInput, PeerGuard
 from lagoonfold_gateway._peer_link import (
     FRAME_START,
     PEER_LINK_ERRORS,
@@ -40,7 +41,8 @@
 
     `on_fault` is called with a peer that could not be reached, `on_answer` with one that answered,
     and `on_closed` with one whose connection to this instance has ended. `last_received_s` is when
-    any peer was heard last.
+    any peer was heard last. With a `guard`, what connections to this instance can take up is
+    bounded.
     """
 
     def __init__(self, own_id: str, nursery: TaskStarter, metrics: Metrics) -> None:
@@ -54,6 +56,7 @@
         self.on_answer: Callable[[str], None] = lambda peer: None
         self.on_closed: Callable[[str], None] = lambda peer: None
         self.serve_http: Callable[[trio.SocketStream, bytes], Awaitable[None]] | None = None
+        self.guard: PeerGuard | None = None
 
     def register_handler(self, message_type: type) -> Callable[[Handler], Handler]:
         """Return a decorator that registers a handler for a type of message."""
@@ -148,13 +151,21 @@
 
     async def _serve_peer(self, stream: trio.SocketStream) -> None:
         peer: str | None = None
+        charged: ChargedInput | None = None
         try:
             set_tcp_timeout(stream.socket, SILENCE_LIMIT_S)
-            received = await stream.receive_some(READ_SIZE_BYTES)
+            received = await self._receive_first(stream)
+            if received is None:
+                return
             if received[:1] > FRAME_START and self.serve_http is not None:
                 await self.serve_http(stream, received)
                 return
-            reader, writer = FrameReader(stream, received), FrameWriter(stream)
+            if self.guard is not None:
+                charged = self.guard.open()
+                reader = FrameReader(stream, received, charged.receive)
+            else:
+                reader = FrameReader(stream, received)
+            writer = FrameWriter(stream)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(writer.run)
                 while (envelope := await reader.read()) is not None:
@@ -168,9 +179,16 @@
             record_failure(self._serve_peer, errors, self._metrics)
         finally:
             stream.socket.close()
+            if charged is not None:
+                charged.close()
             if peer is not None:
                 self.on_closed(peer)
 
+    async def _receive_first(self, stream: trio.SocketStream) -> bytes | None:
+        if self.guard is not None:
+            return await self.guard.receive_first(stream)
+        return await stream.receive_some(READ_SIZE_BYTES)
+
     def _record_received(self) -> None:
         self.last_received_s = now_s()
 
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/storage/_node.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/storage/_node.py
@@ -6,9 +6,11 @@
 from lagoonfold.histories import Disk
 from lagoonfold_gateway._admin_endpoints import serve_metrics
 from lagoonfold_gateway._background import BackgroundTasks
+from lagoonfold_gateway._caller_limits import CallerLimits
 from lagoonfold_gateway._counted_store import CountedStore
 from lagoonfold_gateway._dialect import RetirementDialect
 from lagoonfold_gateway._disk_controller import DiskController
+from lagoonfold_gateway._peer_guard import PeerGuard
 from lagoonfold_gateway._peers import PeerBus
 from lagoonfold_gateway._store_watch import StoreGate
 from lagoonfold_gateway._usage import UsageReporter
@@ -47,6 +49,7 @@
         store = CountedStore(store, self.metrics)
         gate = StoreGate()
         self.bus = PeerBus(instance.id, self.tasks, self.metrics)
+        self.bus.guard = PeerGuard(CallerLimits(settings.memory, self.metrics))
         self.disk_controller = DiskController(self.disks, store, self.bus, store)
         self.turn_store = TurnStore(
             file, self.metrics, cache_bytes=histories.cache_mb * BYTES_PER_MB
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/storage/_settings.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/storage/_settings.py
@@ -26,6 +26,7 @@
     HistoriesSection,
     LogSection,
     Megabytes,
+    MemorySection,
     StoreSection,
 )
 
@@ -57,6 +58,7 @@
     store: StoreSection
     histories: HistoriesSection = HistoriesSection(cache_mb=32)
     repair: RepairSection = RepairSection()
+    memory: MemorySection = MemorySection()
     log: LogSection = LogSection()
 
 
--- a/packages/lagoonfold-io/src/lagoonfold_io/__init__.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/__init__.py
@@ -11,7 +11,7 @@
 from lagoonfold_io._http_client import HttpClient
 from lagoonfold_io._http_connection import ResponseHead, ResponseStream, StreamError
 from lagoonfold_io._http_exchange import ClientGoneError, Exchange
-from lagoonfold_io._http_faults import RequestFault, plain_fault_response
+from lagoonfold_io._http_faults import FaultError, RequestFault, plain_fault_response
 from lagoonfold_io._http_messages import (
     Headers,
     HttpError,
@@ -22,7 +22,9 @@
     find_header,
 )
 from lagoonfold_io._http_server import HttpServer
-from lagoonfold_io._memory_budget import MemoryBudget
+from lagoonfold_io._memory_budget import SMALL_BYTES, MemoryBudget, MemoryClaim
+from lagoonfold_io._memory_gate import MemoryGate
+from lagoonfold_io._open_connections import WaitingConnections
 from lagoonfold_io._signals import receive_signals
 from lagoonfold_io._tcp import open_tcp_stream, set_tcp_timeout
 
@@ -51,6 +53,7 @@
     "ConfigLogState",
     "EtcdStore",
     "Exchange",
+    "FaultError",
     "Headers",
     "HttpClient",
     "HttpError",
@@ -60,13 +63,17 @@
     "HttpResponse",
     "HttpServer",
     "MemoryBudget",
+    "MemoryClaim",
+    "MemoryGate",
     "RequestFault",
     "ResponseHead",
     "ResponseStream",
+    "SMALL_BYTES",
     "SendStatus",
     "StreamError",
     "TurnFile",
     "TurnFileError",
+    "WaitingConnections",
     "WriteBatch",
     "find_header",
     "open_tcp_stream",
--- a/packages/lagoonfold-io/src/lagoonfold_io/_open_connections.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_open_connections.py
@@ -18,6 +18,9 @@
         self._stream_by_scope: dict[trio.CancelScope, trio.SocketStream] = {}
         self._idle_scopes: set[trio.CancelScope] = set()
 
+    def __len__(self) -> int:
+        return len(self._stream_by_scope)
+
     @contextmanager
     def wait(
         self, stream: trio.SocketStream, timeout_s: float, *, is_idle: bool
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -112,15 +112,15 @@
     causes: list[str] = []
 
     async def answer(request: HttpRequest, exchange: Exchange) -> None:
-        await exchange.respond(HttpResponse(status=200, body=b"x" * 8_000_000))
+        await exchange.respond(HttpResponse(status=200, body=b"x" * 30_000_000))
 
     async def run() -> None:
         async with trio.open_nursery() as nursery:
-            server = HttpServer(answer, memory=MemoryBudget(10_000_000), on_limit=causes.append)
+            server = HttpServer(answer, memory=MemoryBudget(40_000_000), on_limit=causes.append)
             port = await nursery.start(server.serve, "127.0.0.1", 0)
             with trio.fail_after(30):
-                for _ in range(3):
-                    stream = await trio.open_tcp_stream("127.0.0.1", port)
+                streams = [await trio.open_tcp_stream("127.0.0.1", port) for _ in range(3)]
+                for stream in streams:
                     await stream.send_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
                 while causes.count("answer-evicted") < 2:
                     await trio.sleep(0.01)
