--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_admin_endpoints.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_admin_endpoints.py
@@ -8,7 +8,7 @@
 from lagoonfold_io.observe import Metrics
 
 LIMITS = HttpLimits(  # its requests have no bodies, and come from a few programs
-    max_header_bytes=16_384, max_body_bytes=16_384, max_connections=16, idle_timeout_s=30.0
+    max_header_bytes=16_384, max_body_bytes=16_384, max_connections=16
 )
 TEXT = (("content-type", "text/plain; version=0.0.4"),)
 
