--- a/packages/lagoonfold-node/src/lagoonfold_node/_caller_api/_caller_api.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_caller_api/_caller_api.py
@@ -71,7 +71,7 @@
         decisions: DecisionLog,
         limits: HttpLimits,
         max_streams: int,
-        memory: MemoryBudget,
+        memory: MemoryBudget | None = None,
     ) -> None:
         self.board = board
         self.authenticator = authenticator
