--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_ini.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_ini.py
@@ -1,10 +1,12 @@
 """Parses an INI file into checked sections.
 
 All faults are found before anything starts. Unknown sections and keys are faults; a value may be
-empty where its key has a default.
+empty where its key has a default. A placeholder that is left in a value counts as empty: what fills
+the templates may not know those of a later release.
 """
 
 import configparser
+import re
 from typing import Any, TypeVar, get_type_hints
 
 import msgspec
@@ -12,6 +14,8 @@
 
 T = TypeVar("T", bound=msgspec.Struct)
 
+_PLACEHOLDER = re.compile(r"\{\{[^{}]*\}\}")
+
 
 def parse_ini(text: str, settings_type: type[T], *, process: str) -> Result[T, tuple[str, ...]]:
     """Return the settings of a file's text, or every fault that was found.
@@ -47,7 +51,7 @@
         if key not in hints:
             faults.append(f"key {key!r} does not exist in section [{name}]")
             continue
-        if not value:
+        if not value or _PLACEHOLDER.fullmatch(value):
             continue
         try:
             checked[key] = msgspec.convert(value, hints[key], strict=False)
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_settings.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_settings.py
@@ -109,6 +109,18 @@
     share: Annotated[float, Meta(ge=0, le=0.1, description="a share from 0 to 0.1")] = 0.03
 
 
+class MemorySection(msgspec.Struct, frozen=True, kw_only=True):
+    """The limits of the machine, and how much of it is for callers; 0 stands for not known.
+
+    `caller_share` of the memory is for what is held for callers: bodies that are being read or
+    forwarded, and answers that callers do not read.
+    """
+
+    machine_mb: Annotated[int, Meta(ge=0, le=1_000_000, description="megabytes from 0")] = 0
+    caller_share: Annotated[float, Meta(gt=0, le=1, description="a share up to 1")] = 0.25
+    max_descriptors: Annotated[int, Meta(ge=0, le=10_000_000, description="a count from 0")] = 0
+
+
 class LogSection(msgspec.Struct, frozen=True, kw_only=True):
     """The lowest level that is logged."""
 
@@ -126,6 +138,7 @@
     quotas: QuotasSection = QuotasSection()
     histories: HistoriesSection = HistoriesSection()
     hedging: HedgingSection = HedgingSection()
+    memory: MemorySection = MemorySection()
     log: LogSection = LogSection()
 
 
--- a/tests/gateway/test_cold_replicas.py
+++ b/tests/gateway/test_cold_replicas.py
@@ -5,7 +5,7 @@
 from functools import partial
 
 from lagoonfold.forwarding import ForwardService
-from lagoonfold.placement import ColdTerms, ReplicaPool, rank_pools
+from lagoonfold.placement import ColdTerms, ReplicaPool, SelectionInput, rank_pools
 from lagoonfold_gateway._board import EvacuationView, GatewayBoard
 from lagoonfold_gateway._dispatch import PlacementEvidence
 from standins.replica import NAMES
@@ -112,7 +112,7 @@
         tracker, listed = owner.dispatcher._tracker, owner.board.replicas.read().get("r1")
         for answer_s in (0.01, 0.3):  # warm-up that counts as slowness leaves it unused for long
             ended = PlacementEvidence(route="r", outcome=None, answer_s=answer_s)
-            owner.dispatcher.record_sent("r1")
+            owner.dispatcher.record_sent(listed, SelectionInput(typical_latency_s=0.1))
             owner.dispatcher.record_end(ReplicaPool("models"), listed, ended, sender="g1")
         assert tracker.slowdown("r1", now_s=0.0) == 1.0
         await wait_for(False)
--- a/tests/gateway/test_settings_and_logs.py
+++ b/tests/gateway/test_settings_and_logs.py
@@ -48,6 +48,13 @@
     assert settings.times.replica_drained_ms == 2_000.0
 
 
+def test_placeholders_that_were_not_filled_count_as_empty() -> None:
+    """A template of this release, filled by what fills those of the one before, must not fail."""
+    text = GOOD + "[memory]\nmachine_mb = {{Machine.Memory}}\n"
+    assert parse_settings(text).unwrap().memory.machine_mb == 0
+    assert parse_settings(GOOD.replace("id = g1", "id = {{Name}}")).is_err()
+
+
 def test_all_faults_are_named_at_once() -> None:
     """Each fault names its section, key and value."""
     bad = GOOD.replace("127.0.0.1:1", "nowhere").replace("stop_s = 8", "stop_s = -1\nodd = 1")
--- a/tests/placement/test_pace.py
+++ b/tests/placement/test_pace.py
@@ -7,6 +7,8 @@
 from lagoonfold.forwarding import Replica
 from lagoonfold.placement import (
     Candidate,
+    ColdReplicas,
+    ObjectIndex,
     PaceTracker,
     PromptCacheIndex,
     ReplicaKnowledge,
@@ -64,7 +66,11 @@
 def test_slow_replica_gets_fewer_requests_at_once_but_always_one() -> None:
     """Otherwise all slots of a machine fill up that takes twice as long."""
     knowledge = ReplicaKnowledge(
-        tracker=ReplicaTracker(), prompt_index=PromptCacheIndex(), limits=ReplicaLimits()
+        tracker=ReplicaTracker(),
+        prompt_index=PromptCacheIndex(),
+        limits=ReplicaLimits(),
+        cold=ColdReplicas(),
+        objects=ObjectIndex(),
     )
 
     def most_requests() -> int:
