Order waiting placements by program, account share and waiting time

Cause: while a pool is short of room, requests were ordered by rank and soft deadline only, so that one account's flood took the places of all others and programs were begun that could not finish.

--- a/packages/lagoonfold/src/lagoonfold/_wait_queue.py
+++ b/packages/lagoonfold/src/lagoonfold/_wait_queue.py
@@ -29,13 +29,38 @@
     item: T = field(compare=False)
 
 
+class FreedRate:
+    """The rate at which slots or tokens have recently become free."""
+
+    def __init__(self) -> None:
+        self._freed_at_s: deque[float] = deque(maxlen=MAX_FREED_REMEMBERED)
+
+    def record(self, *, now_s: float) -> None:
+        """Count a slot or token that has become free."""
+        self._freed_at_s.append(now_s)
+
+    def per_s(self, *, waiting_since_s: float, now_s: float) -> float | None:
+        """Return the rate at which slots or tokens have recently become free, None if unknown.
+
+        Only the time since requests wait counts: before, no more become free than are asked for.
+        """
+        since_s = max(waiting_since_s, now_s - FREED_WINDOW_S)
+        recent = [at_s for at_s in self._freed_at_s if at_s > since_s]
+        if len(recent) == MAX_FREED_REMEMBERED:
+            since_s = recent[0]
+        span_s = now_s - since_s
+        if len(recent) < MIN_FREED_FOR_RATE or span_s < MIN_SPAN_FOR_RATE_S:
+            return None
+        return len(recent) / span_s
+
+
 class WaitQueue(Generic[T]):
     """The wait queue of one pool of replicas or one account, for the requests of all instances."""
 
     def __init__(self) -> None:
         self._heap: list[_Waiter[T]] = []
         self._sequence = itertools.count()
-        self._freed_at_s: deque[float] = deque(maxlen=MAX_FREED_REMEMBERED)
+        self._freed = FreedRate()
         self._waiting_since_s = -math.inf
 
     def __len__(self) -> int:
@@ -43,29 +68,15 @@
 
     def record_freed(self, *, now_s: float) -> None:
         """Count a slot or token that has become free."""
-        self._freed_at_s.append(now_s)
+        self._freed.record(now_s=now_s)
 
     def expected_wait_s(self, rank: int, tie_break: float, *, now_s: float) -> float | None:
         """Return how long a new request would wait, in seconds, None if the rate is unknown."""
-        freed_per_s = self._freed_per_s(now_s)
+        freed_per_s = self._freed.per_s(waiting_since_s=self._waiting_since_s, now_s=now_s)
         if freed_per_s is None:
             return None
         return self.count_before(rank, tie_break) / freed_per_s
 
-    def _freed_per_s(self, now_s: float) -> float | None:
-        """Return the rate at which slots or tokens have recently become free, None if unknown.
-
-        Only the time since requests wait counts: before, no more become free than are asked for.
-        """
-        since_s = max(self._waiting_since_s, now_s - FREED_WINDOW_S)
-        recent = [at_s for at_s in self._freed_at_s if at_s > since_s]
-        if len(recent) == MAX_FREED_REMEMBERED:
-            since_s = recent[0]
-        span_s = now_s - since_s
-        if len(recent) < MIN_FREED_FOR_RATE or span_s < MIN_SPAN_FOR_RATE_S:
-            return None
-        return len(recent) / span_s
-
     def count_before(self, rank: int, tie_break: float) -> int:
         """Return how many waiting requests would be served before a new one."""
         key = (rank, tie_break)
--- a/packages/lagoonfold/src/lagoonfold/placement/__init__.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/__init__.py
@@ -7,26 +7,30 @@
 from lagoonfold.placement._candidates import Candidate, ReplicaKnowledge
 from lagoonfold.placement._capacity_rules import capacity_rule, find_rejection
 from lagoonfold.placement._cost_terms import cost_term, estimate_cost_s
+from lagoonfold.placement._fair_shares import FairShares
 from lagoonfold.placement._placement_queue import (
-    PlacementOrder,
     PlacementQueue,
     PlacementRefusal,
     PlacementShortage,
 )
+from lagoonfold.placement._program_admission import PlacementOrder, ProgramAdmission
 from lagoonfold.placement._prompt_cache_index import PromptCacheIndex, PromptPart
 from lagoonfold.placement._replica_limits import ReplicaLimits, parse_limit
 from lagoonfold.placement._replica_pools import ReplicaPool, pool_of, rank_pools
 from lagoonfold.placement._replica_selection import ReplicaSelection, ReplicaSelector
 from lagoonfold.placement._replica_tracker import ReplicaTracker
+from lagoonfold.placement._return_times import ReturnTimes
 from lagoonfold.placement._selection_input import SelectionInput
 from lagoonfold.placement._work_ranking import WorkRanking
 
 __all__ = [
     "Candidate",
+    "FairShares",
     "PlacementOrder",
     "PlacementQueue",
     "PlacementRefusal",
     "PlacementShortage",
+    "ProgramAdmission",
     "PromptCacheIndex",
     "PromptPart",
     "ReplicaKnowledge",
@@ -35,6 +39,7 @@
     "ReplicaSelection",
     "ReplicaSelector",
     "ReplicaTracker",
+    "ReturnTimes",
     "SelectionInput",
     "WorkRanking",
     "capacity_rule",
--- a/packages/lagoonfold/src/lagoonfold/placement/_placement_queue.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/_placement_queue.py
@@ -1,11 +1,15 @@
-"""Places the requests for one pool of replicas; they wait in the order of their ranks.
+"""Places the requests for one pool of replicas; they wait in the order of `WaitingOrder`.
 
 Answers the load of many callers at once on few slots, or on replicas that have named limits: the
-request of the lowest rank gets the next place, and one that would not get one in time is refused at
-once. Everything is decided from arguments, without I/O; the caller calls `grant` when a place may
-have become free.
+request of the lowest rank gets the next place, and one that would not get one while it is of use is
+refused at once. Everything is decided from arguments, without I/O; the caller calls `grant` when a
+place may have become free.
 """
 
+import heapq
+import itertools
+import math
+import random
 from collections.abc import Iterator
 from dataclasses import dataclass
 from enum import Enum
@@ -13,11 +17,14 @@
 
 from result import Err, Ok, Result
 
-from lagoonfold._wait_queue import WaitQueue
+from lagoonfold._wait_queue import MAX_WAITING, FreedRate
 from lagoonfold.forwarding import Replica
+from lagoonfold.placement._program_admission import PlacementOrder, ProgramAdmission
 from lagoonfold.placement._replica_selection import ReplicaSelection, ReplicaSelector
 from lagoonfold.placement._replica_tracker import ReplicaTracker
+from lagoonfold.placement._return_times import ReturnTimes
 from lagoonfold.placement._selection_input import SelectionInput
+from lagoonfold.placement._waiting_order import WaitingOrder, WaitingRequest
 
 T = TypeVar("T")
 
@@ -47,36 +54,27 @@
     retry_after_s: float = 0.0
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class PlacementOrder:
-    """A request's place among those that wait: the lower rank first, then the lower tie break.
+class PlacementQueue(Generic[T]):
+    """The requests that wait for a slot of one pool.
 
-    `wait_until_s` is when waiting becomes useless; `may_wait` is false for a request that is to be
-    placed at once or not at all.
+    The times at which refused callers should come back are drawn from `rng`.
     """
 
-    rank: int
-    tie_break: float
-    wait_until_s: float
-    may_wait: bool = True
-
-
-@dataclass(slots=True, eq=False)
-class _Waiting(Generic[T]):
-    item: T
-    request: SelectionInput
-
-
-class PlacementQueue(Generic[T]):
-    """The requests that wait for a slot of one pool."""
-
-    def __init__(self, selector: ReplicaSelector, tracker: ReplicaTracker) -> None:
+    def __init__(
+        self, selector: ReplicaSelector, tracker: ReplicaTracker, rng: random.Random | None = None
+    ) -> None:
         self._selector = selector
         self._tracker = tracker
-        self._queue: WaitQueue[_Waiting[T]] = WaitQueue()
+        self._waiting: dict[int, WaitingRequest[T]] = {}
+        self._waiting_since_s = -math.inf
+        self._numbers = itertools.count()
+        self._freed = FreedRate()
+        self._order: WaitingOrder[T] = WaitingOrder()
+        self._admission = ProgramAdmission()
+        self._returns = ReturnTimes(rng if rng is not None else random.Random())
 
     def __len__(self) -> int:
-        return len(self._queue)
+        return len(self._waiting)
 
     def place(
         self,
@@ -94,17 +92,20 @@
         if not replicas:
             return Err(PlacementRefusal(shortage=PlacementShortage.NO_REPLICA))
         self._selector.record_arrival(request)
-        if not self._queue.is_behind(order.rank, order.tie_break):
-            selection = self._choose(request, replicas, now_s)
+        self._admission.record(order, now_s=now_s)
+        arriving = self._make_waiting(item, request, order, now_s)
+        before = self._count_before(arriving, now_s)
+        if not before:
+            selection = self._choose(arriving, replicas, now_s)
             if selection is not None:
                 return Ok(selection)
         if not order.may_wait:
             return Err(PlacementRefusal(shortage=PlacementShortage.FULL))
-        wait_s = self._expected_wait_s(request, order, replicas, now_s)
-        is_in_time = now_s + wait_s <= order.wait_until_s
-        if is_in_time and self._enqueue(item, request, order, now_s):
+        wait_s = self._expected_wait_s(request, before, replicas, now_s)
+        if now_s + wait_s <= arriving.latest_s and len(self._waiting) < MAX_WAITING:
+            self._enqueue(arriving, now_s)
             return Ok(None)
-        retry_after_s = max(0.0, now_s + wait_s - order.wait_until_s)
+        retry_after_s = self._retry_after_s(arriving, wait_s, now_s)
         return Err(PlacementRefusal(shortage=PlacementShortage.FULL, retry_after_s=retry_after_s))
 
     def grant(
@@ -115,10 +116,11 @@
         A request that may use only some of the replicas does not hold up those behind it.
         """
         passed_over = 0
-        for waiting in self._queue.in_order():
-            selection = self._choose(waiting.request, replicas, now_s)
+        for waiting in self._in_order(now_s):
+            selection = self._choose(waiting, replicas, now_s)
             if selection is not None:
-                self._queue.remove(waiting)
+                del self._waiting[waiting.number]
+                self._order.record_granted()
                 yield waiting.item, selection
             elif not waiting.request.is_restricted:
                 passed_over += 1
@@ -137,44 +139,96 @@
 
     def withdraw(self, item: T) -> None:
         """Remove a request that no longer waits."""
-        for waiting in self._queue.items():
+        for waiting in tuple(self._waiting.values()):
             if waiting.item is item:
-                self._queue.remove(waiting)
+                del self._waiting[waiting.number]
 
     def record_freed(self, *, now_s: float) -> None:
         """Count a slot that has become free, for the expected wait."""
-        self._queue.record_freed(now_s=now_s)
+        self._freed.record(now_s=now_s)
+
+    def _make_waiting(
+        self, item: T, request: SelectionInput, order: PlacementOrder, now_s: float
+    ) -> WaitingRequest[T]:
+        return WaitingRequest(
+            item=item,
+            request=request,
+            order=order,
+            number=next(self._numbers),
+            since_s=now_s - (order.waited_s or 0.0),
+            latest_s=self._admission.latest_place_s(order, request.typical_latency_s),
+            has_returned=self._returns.has_returned(order.caller, now_s=now_s),
+        )
+
+    def _enqueue(self, waiting: WaitingRequest[T], now_s: float) -> None:
+        if not self._waiting:
+            self._waiting_since_s = now_s
+        self._waiting[waiting.number] = waiting
+
+    def _useful(self, now_s: float) -> list[WaitingRequest[T]]:
+        """Return the waiting requests whose programs a place still helps."""
+        return [
+            each
+            for each in self._waiting.values()
+            if each.order.program is None or each.latest_s >= now_s
+        ]
+
+    def _in_order(self, now_s: float) -> Iterator[WaitingRequest[T]]:
+        """Return the waiting requests in the order in which they are to be placed."""
+        useful = self._useful(now_s)
+        self._order.update(useful, now_s=now_s)
+        overdue = self._order.find_overdue(useful, now_s=now_s)
+        if overdue is not None:
+            yield overdue
+        heap = [(self._order.key(each, now_s=now_s), each) for each in useful]
+        heapq.heapify(heap)
+        while heap:
+            _, waiting = heapq.heappop(heap)
+            if waiting is not overdue:
+                yield waiting
+
+    def _count_before(self, arriving: WaitingRequest[T], now_s: float) -> int:
+        """Return how many waiting requests would be placed before one that arrives."""
+        if not self._waiting:
+            return 0
+        useful = self._useful(now_s)
+        self._order.update(useful, now_s=now_s)
+        key = self._order.key(arriving, now_s=now_s)
+        return sum(self._order.key(each, now_s=now_s) < key for each in useful)
 
     def _expected_wait_s(
-        self,
-        request: SelectionInput,
-        order: PlacementOrder,
-        replicas: list[Replica],
-        now_s: float,
+        self, request: SelectionInput, before: int, replicas: list[Replica], now_s: float
     ) -> float:
         """Return how long a request would wait by the rate of freed slots and by limits."""
-        before = self._queue.count_before(order.rank, order.tie_break)
         allowed = [replica.replica_id for replica in replicas if request.allows(replica)]
         by_limits = self._selector.limits.wait_s(allowed, before + 1, now_s=now_s)
-        by_slots = self._queue.expected_wait_s(order.rank, order.tie_break, now_s=now_s)
-        return max(by_limits or 0.0, by_slots or 0.0)
-
-    def _enqueue(
-        self, item: T, request: SelectionInput, order: PlacementOrder, now_s: float
-    ) -> bool:
-        return self._queue.enqueue(
-            _Waiting(item, request),
-            rank=order.rank,
-            tie_break=order.tie_break,
-            wait_until_s=order.wait_until_s,
-            now_s=now_s,
+        freed_per_s = self._freed.per_s(waiting_since_s=self._waiting_since_s, now_s=now_s)
+        by_slots = before / freed_per_s if freed_per_s is not None else 0.0
+        return max(by_limits or 0.0, by_slots)
+
+    def _retry_after_s(self, refused: WaitingRequest[T], wait_s: float, now_s: float) -> float:
+        """Return after how long a refused caller should come back."""
+        order = refused.order
+        excess_s = max(0.0, now_s + wait_s - max(now_s, refused.latest_s))
+        if order.waited_s is None:
+            return excess_s
+        freed_per_s = self._freed.per_s(waiting_since_s=self._waiting_since_s, now_s=now_s)
+        if freed_per_s is not None:
+            excess_s += self._returns.count_outstanding(now_s=now_s) / freed_per_s
+        time_left_s = order.answer_until_s - now_s
+        if order.program is not None and order.tie_break > now_s:
+            time_left_s = min(time_left_s, order.tie_break - now_s)
+        return self._returns.tell(
+            order.caller, expected_s=excess_s, time_left_s=time_left_s, now_s=now_s
         )
 
     def _choose(
-        self, request: SelectionInput, replicas: list[Replica], now_s: float
+        self, waiting: WaitingRequest[T], replicas: list[Replica], now_s: float
     ) -> ReplicaSelection | None:
-        selection = self._selector.choose(replicas, request, now_s=now_s)
+        selection = self._selector.choose(replicas, waiting.request, now_s=now_s)
         if selection is not None:
             self._tracker.record_sent(selection.replica.replica_id)
             self._selector.limits.record_sent(selection.replica.replica_id, now_s=now_s)
+            self._order.record_placed(waiting.order, now_s=now_s)
+            self._returns.forget(waiting.order.caller)
         return selection
--- /dev/null
+++ b/packages/lagoonfold/src/lagoonfold/placement/_program_admission.py
@@ -0,0 +1,72 @@
+"""Until when a place is of use to a program that competes for scarce capacity.
+
+A program has its full value within its objective, and a part of it within twice that time. A
+program that has not begun is taken in only if it can still be done within its objective; one that
+has begun, as long as its turn can end within twice the objective. How long the objective was is
+known if the pool's owner has seen the program before it began; otherwise it stays open.
+"""
+
+import math
+from collections import OrderedDict
+from dataclasses import dataclass
+
+MAX_PROGRAMS = 8_192  # of one pool; beyond it the oldest are forgotten
+# Objectives are 1.2 to 1.6 times a program's time on idle replicas, and its later turns wait too.
+WORK_SHARE = 0.6
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PlacementOrder:
+    """A request's place among those that wait.
+
+    The order is: lower rank, begun programs, accounts below their share, callers that have waited
+    or come back as told, lower tie break, which is the soft deadline of the request's program.
+
+    `wait_until_s` is when waiting becomes useless; `may_wait` is false for a request that is to be
+    placed at once or not at all. `account` is the client account, None if it has none or is not
+    known, `program` the id of the program, `caller` what a caller is known by when it returns.
+    `waited_s` is how long the request has waited before, None if the instance that asks is of the
+    build before, which tells none of these. The caller waits until `answer_until_s`.
+    """
+
+    rank: int
+    tie_break: float
+    wait_until_s: float
+    may_wait: bool = True
+    is_begun: bool = True
+    account: str | None = None
+    program: str | None = None
+    caller: str | None = None
+    waited_s: float | None = None
+    answer_until_s: float = math.inf
+
+
+class ProgramAdmission:
+    """Knows the objectives of the programs that were seen before they began."""
+
+    def __init__(self) -> None:
+        self._objective_s_by_program: OrderedDict[str, float] = OrderedDict()
+
+    def record(self, order: PlacementOrder, *, now_s: float) -> None:
+        """Remember the objective of a program that has not begun."""
+        if order.program is None or order.is_begun:
+            return
+        left_s = order.tie_break - now_s
+        if left_s > self._objective_s_by_program.get(order.program, 0.0):
+            self._objective_s_by_program[order.program] = left_s
+        while len(self._objective_s_by_program) > MAX_PROGRAMS:
+            self._objective_s_by_program.popitem(last=False)
+
+    def latest_place_s(self, order: PlacementOrder, typical_s: float) -> float:
+        """Return until when a place is of use to a request that takes `typical_s` seconds."""
+        if order.program is None:
+            return order.wait_until_s
+        objective_s = self._objective_s_by_program.get(order.program)
+        if objective_s is None:
+            # Without its objective, a program that is late already may still be of use.
+            return order.wait_until_s if order.is_begun else -math.inf
+        if order.is_begun:
+            latest_s = order.tie_break + objective_s - typical_s
+        else:
+            latest_s = order.tie_break - max(typical_s, WORK_SHARE * objective_s)
+        return min(order.wait_until_s, latest_s)
--- /dev/null
+++ b/packages/lagoonfold/src/lagoonfold/placement/_waiting_order.py
@@ -0,0 +1,86 @@
+"""The order in which waiting requests of a pool are placed while it is short of room.
+
+Among equal ranks, begun programs go before others, and accounts that have had less than their share
+before those that have had it. One place in some is given to a request that has waited long or has
+come back as told, whatever its rank, so that no kind of request starves.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Generic, TypeVar
+
+from lagoonfold.placement._fair_shares import FairShares
+from lagoonfold.placement._program_admission import PlacementOrder
+from lagoonfold.placement._selection_input import SelectionInput
+
+T = TypeVar("T")
+
+LONG_WAIT_S = 0.8  # a fifth of a usual objective; the wait beyond which a request moves up
+OVERDUE_EVERY = 8  # one in so many granted places goes to a request that has waited long
+
+SortKey = tuple[int, bool, bool, bool, float, int]
+
+
+@dataclass(slots=True, eq=False)
+class WaitingRequest(Generic[T]):
+    """A request that waits, since when over all its waits, and until when a place is of use."""
+
+    item: T
+    request: SelectionInput
+    order: PlacementOrder
+    number: int
+    since_s: float
+    latest_s: float
+    has_returned: bool
+
+    def has_priority(self, now_s: float) -> bool:
+        """Return whether the request has waited long or has come back as told."""
+        if self.order.waited_s is None:
+            return False
+        return self.has_returned or now_s - self.since_s >= LONG_WAIT_S
+
+
+class WaitingOrder(Generic[T]):
+    """Orders waiting requests by the shares of their accounts and by how long they have waited."""
+
+    def __init__(self) -> None:
+        self.shares = FairShares()
+        self._granted = 0
+
+    def update(self, waiting: Iterable[WaitingRequest[T]], *, now_s: float) -> None:
+        """Take the waiting requests into account for the shares."""
+        accounts = (each.order.account for each in waiting)
+        self.shares.update((name for name in accounts if name is not None), now_s=now_s)
+
+    def key(self, waiting: WaitingRequest[T], *, now_s: float) -> SortKey:
+        """Return the sort key of a request: the lowest is placed first."""
+        order = waiting.order
+        is_over = order.account is not None and self.shares.is_over(order.account)
+        never_waited = not waiting.has_priority(now_s)
+        is_new = not order.is_begun
+        return order.rank, is_new, is_over, never_waited, order.tie_break, waiting.number
+
+    def record_placed(self, order: PlacementOrder, *, now_s: float) -> None:
+        """Count a placement for the share of its account."""
+        if order.account is not None:
+            self.shares.record(order.account, now_s=now_s)
+
+    def record_granted(self) -> None:
+        """Count a place that went to a waiting request."""
+        self._granted += 1
+
+    def find_overdue(
+        self, waiting: Iterable[WaitingRequest[T]], *, now_s: float
+    ) -> WaitingRequest[T] | None:
+        """Return the request that the next place goes to if it is the turn of those that waited.
+
+        The account with the fewest placements goes first, so that a flood gets no more of them.
+        """
+        if (self._granted + 1) % OVERDUE_EVERY:
+            return None
+        overdue = (each for each in waiting if each.has_priority(now_s))
+        return min(overdue, key=self._overdue_key, default=None)
+
+    def _overdue_key(self, waiting: WaitingRequest[T]) -> tuple[int, float]:
+        account = waiting.order.account
+        return (0 if account is None else self.shares.placed(account)), waiting.since_s
