Tell the owner of a pool account, program and wait of a request

Cause: an owner could not tell programs that have begun from new ones, nor accounts. Change: PlaceRequest has optional fields for them; the instance where a request arrives decides whether its program has begun. Slots for new programs are counted apart for their expected wait.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_attempt_runner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_attempt_runner.py
@@ -19,6 +19,7 @@
     queue_rank,
 )
 from lagoonfold.placement import ReplicaSelection
+from lagoonfold_gateway._begun_programs import BegunPrograms
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._context import ForwardContext
 from lagoonfold_gateway._dispatch import PlacementEvidence
@@ -45,6 +46,7 @@
     def __init__(self, context: ForwardContext) -> None:
         self._context = context
         self._overdue_heads = OverdueHeads()
+        self._begun_programs = BegunPrograms()
         self._numbers_by_service: defaultdict[str, EventNumbers] = defaultdict(EventNumbers)
 
     async def run(self, request_state: RequestState, exchange: Exchange) -> Refusal | None:
@@ -73,6 +75,7 @@
             replica_id = placement.selection.replica.replica_id
             ended = await self._attempt(placement, state, request_state, exchange)
             if isinstance(ended, Ok):
+                self._begun_programs.record_answered(request_state)
                 await finish_kept_turn(state, request_state, exchange, self._context)
                 return None
             failure, decision = ended.err_value
@@ -135,6 +138,9 @@
             only=only_id,
             expected_tokens=request_state.parsed.expected_tokens,
             version=version,
+            account=request_state.account_name or None,
+            is_begun=self._begun_programs.has_begun(request_state),
+            program=request_state.program_with_objective,
         )
         return await self._context.placement_client.place(need)
 
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_dispatch.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_dispatch.py
@@ -4,6 +4,7 @@
 shows of its replica is recorded here, at the instance that placed it and at the one that sent it.
 """
 
+import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -77,12 +78,14 @@
         tracker: ReplicaTracker,
         prompt_index: PromptCacheIndex,
         baselines: LatencyBaselines,
+        rng: random.Random | None = None,
     ) -> None:
         self._board = board
         self._selector = selector
         self._tracker = tracker
         self._prompt_index = prompt_index
         self._baselines = baselines
+        self._rng = rng if rng is not None else random.Random()
         self._queue_by_pool: dict[ReplicaPool, PlacementQueue[WaitingPlacement]] = {}
         self._is_waiting = trio.Event()
         board.replicas.subscribe(self._grant_all)
@@ -179,7 +182,9 @@
     def _queue(self, pool: ReplicaPool) -> PlacementQueue[WaitingPlacement]:
         queue = self._queue_by_pool.get(pool)
         if queue is None:
-            queue = self._queue_by_pool[pool] = PlacementQueue(self._selector, self._tracker)
+            queue = self._queue_by_pool[pool] = PlacementQueue(
+                self._selector, self._tracker, self._rng
+            )
         return queue
 
     def _replicas(self, pool: ReplicaPool) -> list[Replica]:
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
@@ -202,7 +202,12 @@
             count_rejection=lambda reason: self.metrics.count("placements_rejected", reason),
         )
         return Dispatcher(
-            self.board, selector, self.replica_tracker, prompt_index, LatencyBaselines()
+            self.board,
+            selector,
+            self.replica_tracker,
+            prompt_index,
+            LatencyBaselines(),
+            random.Random(),
         )
 
     def _make_forwarder(self, dialect: Dialect) -> Forwarder:
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_messages.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_messages.py
@@ -179,7 +179,9 @@
     would wait for longer than `wait_s`. The answer is of no use after `time_left_s`;
     `soft_time_left_s` is the time until the request's program should be done, `expected_tokens` the
     caller's estimate of the answer's length. With `version`, only replicas of that software version
-    may be selected.
+    may be selected. `account` is the client account, None without one; `program` is the program's
+    id if its objective is known, and `is_begun` says whether it has begun. The request has waited
+    for a place for `waited_s` before; an earlier release does not tell that.
     """
 
     instance: str
@@ -199,6 +201,10 @@
     expected_tokens: int | None = None
     wait_s: float | None = None
     version: str | None = None
+    account: str | None = None
+    is_begun: bool = True
+    program: str | None = None
+    waited_s: float | None = None
 
 
 class Placed(msgspec.Struct, frozen=True, tag=True, array_like=True):
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_placement_client.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_placement_client.py
@@ -7,7 +7,7 @@
 """
 
 import itertools
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 import trio
 from result import Err, Ok, Result
@@ -15,7 +15,6 @@
 from lagoonfold import ErrorKind, Refusal
 from lagoonfold.forwarding import Replica
 from lagoonfold.placement import (
-    PlacementOrder,
     PlacementRefusal,
     PlacementShortage,
     PromptPart,
@@ -30,6 +29,7 @@
 from lagoonfold_gateway._member_controller import MemberController
 from lagoonfold_gateway._messages import Placed, PlacementEnd, PlacementRefused, PlaceRequest
 from lagoonfold_gateway._peers import PeerBus
+from lagoonfold_gateway._placement_orders import SESSION_PART_INDEX, order_of
 from lagoonfold_io.observe import EventLog
 
 CALL_TIMEOUT_S = 0.15  # some hundred times the latency to a peer
@@ -38,8 +38,7 @@
 MAX_POOLS_ASKED = 2  # at once for a slot; a third would cost more time than it is likely to save
 NO_REPLICA_WAIT_S = 1.0  # a replacement is listed within a second, or it takes much longer
 NO_REPLICA_POLL_S = 0.05  # while a service has no replica
-RETRY_AFTER_S = 0.2  # about the time in which some of the waiting requests are served
-SESSION_PART_INDEX = 1  # first part of a prompt that sessions of a route don't share
+RETRY_AFTER_S = 0.2  # where an owner tells none; some waiting requests are served by then
 
 _log = EventLog("placement")
 
@@ -51,6 +50,8 @@
     `excluded` must not be selected; `only`, if it is set, must be, and so must one of the software
     version `version`. A replica found later than `place_until_s` is of no use, and neither is an
     answer after `answer_deadline_s`; `soft_deadline_s` is when its program should be done.
+    `program` is set if that is the program's own time. `is_begun` says whether the program has
+    begun; the request waits for a place since `waiting_since_s`.
     """
 
     service: str
@@ -65,6 +66,10 @@
     only: str | None = None
     expected_tokens: int | None = None
     version: str | None = None
+    account: str | None = None
+    is_begun: bool = True
+    program: str | None = None
+    waiting_since_s: float = field(default_factory=now_s)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -221,12 +226,7 @@
             expected_tokens=need.expected_tokens,
             version=need.version,
         )
-        order = PlacementOrder(
-            rank=need.rank,
-            tie_break=need.soft_deadline_s,
-            wait_until_s=need.place_until_s,
-            may_wait=hold_s > 0,
-        )
+        order = order_of(self._make_request(0, pool, need, hold_s), now_s=now_s())
         placed = self._dispatcher.place(pool, wanted, order)
         if isinstance(placed, Ok) and isinstance(placed.ok_value, WaitingPlacement):
             placed = await self._dispatcher.wait(placed.ok_value, hold_s=hold_s)
@@ -256,6 +256,10 @@
             expected_tokens=need.expected_tokens,
             wait_s=wait_s,
             version=need.version,
+            account=need.account,
+            is_begun=need.is_begun,
+            program=need.program,
+            waited_s=max(0.0, now_s() - need.waiting_since_s),
         )
 
     def _report_end(self, owner: str, number: int, evidence: PlacementEvidence) -> None:
@@ -326,5 +330,5 @@
     return Refusal(
         kind=ErrorKind.QUEUE_FULL,
         detail=f"no replica of service {service!r} has a slot in time",
-        retry_after_s=max(RETRY_AFTER_S, retry_after_s),
+        retry_after_s=retry_after_s if retry_after_s > 0 else RETRY_AFTER_S,
     )
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_placement_owner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_placement_owner.py
@@ -17,7 +17,6 @@
     Replica,
 )
 from lagoonfold.placement import (
-    PlacementOrder,
     PlacementRefusal,
     PlacementShortage,
     PromptPart,
@@ -38,6 +37,7 @@
     PlaceRequest,
 )
 from lagoonfold_gateway._peers import PeerBus
+from lagoonfold_gateway._placement_orders import order_of
 
 SWEEP_INTERVAL_S = 0.5  # between searches for placements whose request's time is over
 OVERDUE_S = 1.0  # a report of a request's end arrives within some ms of the end of its time
@@ -81,7 +81,6 @@
 
     def _handle_request(self, request: Message) -> Message | Awaitable[Message]:
         assert isinstance(request, PlaceRequest)
-        began_s = now_s()
         pool = ReplicaPool(request.service, request.pool_index, request.pool_count)
         parts = tuple(PromptPart(part_id, tokens) for part_id, tokens in request.parts)
         wanted = SelectionInput(
@@ -93,12 +92,7 @@
             expected_tokens=request.expected_tokens,
             version=request.version,
         )
-        order = PlacementOrder(
-            rank=request.rank,
-            tie_break=began_s + request.soft_time_left_s,
-            wait_until_s=began_s + _wait_s(request),
-            may_wait=request.hold_s > 0,
-        )
+        order = order_of(request, now_s=now_s())
         placed = self._dispatcher.place(pool, wanted, order)
         if isinstance(placed, Ok) and isinstance(placed.ok_value, WaitingPlacement):
             return self._wait(request, pool, parts, placed.ok_value)
@@ -177,8 +171,3 @@
         for key in keys:
             held = self._open_by_key.pop(key)
             self._dispatcher.free(held.pool, held.replica.replica_id)
-
-
-def _wait_s(request: PlaceRequest) -> float:
-    """Return for how long a request may wait; an earlier release tells only its whole time."""
-    return request.time_left_s if request.wait_s is None else request.wait_s
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_request_state.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_request_state.py
@@ -114,6 +114,12 @@
         until_s = waiting_since_s + self.route.patience_s - FIRST_EVENT_S
         return min(self.answer_deadline_s, until_s)
 
+    @property
+    def program_with_objective(self) -> str | None:
+        """Return the request's program if the caller has told when it should be done."""
+        turn = self.parsed.turn
+        return turn.program if turn is not None and turn.time_left_s is not None else None
+
     @property
     def soft_deadline_s(self) -> float:
         """Return when the request's program should be done; without a program, the request."""
--- a/packages/lagoonfold/src/lagoonfold/placement/_placement_queue.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/_placement_queue.py
@@ -22,7 +22,7 @@
 from lagoonfold.placement._program_admission import PlacementOrder, ProgramAdmission
 from lagoonfold.placement._replica_selection import ReplicaSelection, ReplicaSelector
 from lagoonfold.placement._replica_tracker import ReplicaTracker
-from lagoonfold.placement._return_times import ReturnTimes
+from lagoonfold.placement._return_times import MAX_SHARE_OF_TIME_LEFT, ReturnTimes
 from lagoonfold.placement._selection_input import SelectionInput
 from lagoonfold.placement._waiting_order import WaitingOrder, WaitingRequest
 
@@ -69,6 +69,7 @@
         self._waiting_since_s = -math.inf
         self._numbers = itertools.count()
         self._freed = FreedRate()
+        self._freed_for_new = FreedRate()  # slots that went to programs that had not begun
         self._order: WaitingOrder[T] = WaitingOrder()
         self._admission = ProgramAdmission()
         self._returns = ReturnTimes(rng if rng is not None else random.Random())
@@ -101,7 +102,7 @@
                 return Ok(selection)
         if not order.may_wait:
             return Err(PlacementRefusal(shortage=PlacementShortage.FULL))
-        wait_s = self._expected_wait_s(request, before, replicas, now_s)
+        wait_s = self._expected_wait_s(arriving, before, replicas, now_s)
         if now_s + wait_s <= arriving.latest_s and len(self._waiting) < MAX_WAITING:
             self._enqueue(arriving, now_s)
             return Ok(None)
@@ -197,29 +198,32 @@
         return sum(self._order.key(each, now_s=now_s) < key for each in useful)
 
     def _expected_wait_s(
-        self, request: SelectionInput, before: int, replicas: list[Replica], now_s: float
+        self, arriving: WaitingRequest[T], before: int, replicas: list[Replica], now_s: float
     ) -> float:
         """Return how long a request would wait by the rate of freed slots and by limits."""
+        request = arriving.request
         allowed = [replica.replica_id for replica in replicas if request.allows(replica)]
         by_limits = self._selector.limits.wait_s(allowed, before + 1, now_s=now_s)
-        freed_per_s = self._freed.per_s(waiting_since_s=self._waiting_since_s, now_s=now_s)
-        by_slots = before / freed_per_s if freed_per_s is not None else 0.0
+        freed = self._freed if arriving.order.is_begun else self._freed_for_new
+        per_s = freed.per_s(waiting_since_s=self._waiting_since_s, now_s=now_s)
+        by_slots = before / per_s if per_s is not None else 0.0
         return max(by_limits or 0.0, by_slots)
 
     def _retry_after_s(self, refused: WaitingRequest[T], wait_s: float, now_s: float) -> float:
         """Return after how long a refused caller should come back."""
         order = refused.order
-        excess_s = max(0.0, now_s + wait_s - max(now_s, refused.latest_s))
         if order.waited_s is None:
-            return excess_s
-        freed_per_s = self._freed.per_s(waiting_since_s=self._waiting_since_s, now_s=now_s)
-        if freed_per_s is not None:
-            excess_s += self._returns.count_outstanding(now_s=now_s) / freed_per_s
+            return max(0.0, now_s + wait_s - refused.latest_s)
+        freed = self._freed if order.is_begun else self._freed_for_new
+        per_s = freed.per_s(waiting_since_s=self._waiting_since_s, now_s=now_s)
+        told_s = self._returns.count_outstanding(now_s=now_s) / per_s if per_s is not None else 0.0
+        slack_s = refused.latest_s - now_s
+        expected_s = wait_s + told_s - max(0.0, slack_s)
         time_left_s = order.answer_until_s - now_s
-        if order.program is not None and order.tie_break > now_s:
-            time_left_s = min(time_left_s, order.tie_break - now_s)
+        if expected_s < slack_s:
+            time_left_s = min(time_left_s, slack_s / MAX_SHARE_OF_TIME_LEFT)
         return self._returns.tell(
-            order.caller, expected_s=excess_s, time_left_s=time_left_s, now_s=now_s
+            order.caller, expected_s=expected_s, time_left_s=time_left_s, now_s=now_s
         )
 
     def _choose(
@@ -229,6 +233,8 @@
         if selection is not None:
             self._tracker.record_sent(selection.replica.replica_id)
             self._selector.limits.record_sent(selection.replica.replica_id, now_s=now_s)
+            if not waiting.order.is_begun:
+                self._freed_for_new.record(now_s=now_s)
             self._order.record_placed(waiting.order, now_s=now_s)
             self._returns.forget(waiting.order.caller)
         return selection
--- a/packages/lagoonfold/src/lagoonfold/placement/_program_admission.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/_program_admission.py
@@ -11,8 +11,9 @@
 from dataclasses import dataclass
 
 MAX_PROGRAMS = 8_192  # of one pool; beyond it the oldest are forgotten
-# Objectives are 1.2 to 1.6 times a program's time on idle replicas, and its later turns wait too.
-WORK_SHARE = 0.6
+# Objectives are 1.2 to 1.6 times a program's time on idle replicas, and its later turns wait too;
+# with 0.6, programs were begun in bursts that were late after their first wait.
+WORK_SHARE = 0.8
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -41,32 +42,38 @@
     answer_until_s: float = math.inf
 
 
+@dataclass(frozen=True, slots=True)
+class _Objective:
+    soft_deadline_s: float
+    length_s: float
+
+
 class ProgramAdmission:
     """Knows the objectives of the programs that were seen before they began."""
 
     def __init__(self) -> None:
-        self._objective_s_by_program: OrderedDict[str, float] = OrderedDict()
+        self._objective_by_program: OrderedDict[str, _Objective] = OrderedDict()
 
     def record(self, order: PlacementOrder, *, now_s: float) -> None:
-        """Remember the objective of a program that has not begun."""
-        if order.program is None or order.is_begun:
+        """Remember the objective of a program that has not begun, from its first request."""
+        if order.program is None or order.is_begun or order.program in self._objective_by_program:
             return
-        left_s = order.tie_break - now_s
-        if left_s > self._objective_s_by_program.get(order.program, 0.0):
-            self._objective_s_by_program[order.program] = left_s
-        while len(self._objective_s_by_program) > MAX_PROGRAMS:
-            self._objective_s_by_program.popitem(last=False)
+        length_s = max(0.0, order.tie_break - now_s)
+        self._objective_by_program[order.program] = _Objective(order.tie_break, length_s)
+        if len(self._objective_by_program) > MAX_PROGRAMS:
+            self._objective_by_program.popitem(last=False)
 
     def latest_place_s(self, order: PlacementOrder, typical_s: float) -> float:
         """Return until when a place is of use to a request that takes `typical_s` seconds."""
         if order.program is None:
             return order.wait_until_s
-        objective_s = self._objective_s_by_program.get(order.program)
-        if objective_s is None:
-            # Without its objective, a program that is late already may still be of use.
-            return order.wait_until_s if order.is_begun else -math.inf
+        objective = self._objective_by_program.get(order.program)
+        if objective is None:
+            # Begun before this owner saw it: how long after its objective it is of use is unknown.
+            return order.wait_until_s
         if order.is_begun:
-            latest_s = order.tie_break + objective_s - typical_s
+            latest_s = objective.soft_deadline_s + objective.length_s - typical_s
         else:
-            latest_s = order.tie_break - max(typical_s, WORK_SHARE * objective_s)
+            needed_s = max(typical_s, WORK_SHARE * objective.length_s)
+            latest_s = objective.soft_deadline_s - needed_s
         return min(order.wait_until_s, latest_s)
--- a/packages/lagoonfold/src/lagoonfold/placement/_waiting_order.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/_waiting_order.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from typing import Generic, TypeVar
 
+from lagoonfold.forwarding._late_programs import LATE_RANK_PENALTY
 from lagoonfold.placement._fair_shares import FairShares
 from lagoonfold.placement._program_admission import PlacementOrder
 from lagoonfold.placement._selection_input import SelectionInput
@@ -18,7 +19,7 @@
 LONG_WAIT_S = 0.8  # a fifth of a usual objective; the wait beyond which a request moves up
 OVERDUE_EVERY = 8  # one in so many granted places goes to a request that has waited long
 
-SortKey = tuple[int, bool, bool, bool, float, int]
+SortKey = tuple[bool, bool, int, bool, bool, float, int]
 
 
 @dataclass(slots=True, eq=False)
@@ -55,10 +56,19 @@
     def key(self, waiting: WaitingRequest[T], *, now_s: float) -> SortKey:
         """Return the sort key of a request: the lowest is placed first."""
         order = waiting.order
-        is_over = order.account is not None and self.shares.is_over(order.account)
-        never_waited = not waiting.has_priority(now_s)
         is_new = not order.is_begun
-        return order.rank, is_new, is_over, never_waited, order.tie_break, waiting.number
+        is_over = is_new and order.account is not None and self.shares.is_over(order.account)
+        never_waited = is_new and not waiting.has_priority(now_s)
+        is_late = order.rank >= LATE_RANK_PENALTY
+        return (
+            is_late,
+            is_new,
+            order.rank,
+            is_over,
+            never_waited,
+            order.tie_break,
+            waiting.number,
+        )
 
     def record_placed(self, order: PlacementOrder, *, now_s: float) -> None:
         """Count a placement for the share of its account."""
