--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_dispatch.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_dispatch.py
@@ -64,8 +64,9 @@
     """A request that waits for a replica of a pool."""
 
     pool: ReplicaPool
-    placed: trio.Event = field(default_factory=trio.Event)
+    decided: trio.Event = field(default_factory=trio.Event)
     selection: ReplicaSelection | None = None
+    refusal: PlacementRefusal = PlacementRefusal(shortage=PlacementShortage.WAITING)
 
 
 class Dispatcher:
@@ -113,10 +114,10 @@
     async def wait(
         self, waiting: WaitingPlacement, *, hold_s: float
     ) -> Result[ReplicaSelection, PlacementRefusal]:
-        """Wait until a request is placed, for up to `hold_s` seconds; then it no longer waits."""
+        """Wait until a request is placed or refused, for up to `hold_s` seconds; then it no longer waits."""
         try:
             with trio.move_on_after(hold_s):
-                await waiting.placed.wait()
+                await waiting.decided.wait()
         except trio.Cancelled:
             if waiting.selection is not None:
                 self.free(waiting.pool, waiting.selection.replica.replica_id)
@@ -124,7 +125,7 @@
         finally:
             self._queue(waiting.pool).withdraw(waiting)
         if waiting.selection is None:
-            return Err(PlacementRefusal(shortage=PlacementShortage.WAITING))
+            return Err(waiting.refusal)
         return Ok(waiting.selection)
 
     def record_sent(self, replica_id: str) -> None:
@@ -200,7 +201,10 @@
             return
         for waiting, selection in queue.grant(self._replicas(pool), now_s=now_s()):
             waiting.selection = selection
-            waiting.placed.set()
+            waiting.decided.set()
+        for waiting, refusal in queue.refuse_late(now_s=now_s()):
+            waiting.refusal = refusal
+            waiting.decided.set()
 
 
 def _record_answered(tracker: ReplicaTracker, replica_id: str) -> None:
--- a/packages/lagoonfold/src/lagoonfold/placement/_placement_queue.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/_placement_queue.py
@@ -138,6 +138,17 @@
         )
         return MAX_PASSED_OVER if has_room else 0
 
+    def refuse_late(self, *, now_s: float) -> Iterator[tuple[T, PlacementRefusal]]:
+        """Refuse the waiting requests of programs that a place does not help any more."""
+        for waiting in tuple(self._waiting.values()):
+            if waiting.order.program is not None and waiting.latest_s < now_s:
+                del self._waiting[waiting.number]
+                wait_s = self._wait_by_slots_s(waiting, self._count_before(waiting, now_s), now_s)
+                retry_after_s = self._retry_after_s(waiting, wait_s, now_s)
+                yield waiting.item, PlacementRefusal(
+                    shortage=PlacementShortage.FULL, retry_after_s=retry_after_s
+                )
+
     def withdraw(self, item: T) -> None:
         """Remove a request that no longer waits."""
         for waiting in tuple(self._waiting.values()):
@@ -204,19 +215,21 @@
         request = arriving.request
         allowed = [replica.replica_id for replica in replicas if request.allows(replica)]
         by_limits = self._selector.limits.wait_s(allowed, before + 1, now_s=now_s)
-        freed = self._freed if arriving.order.is_begun else self._freed_for_new
+        return max(by_limits or 0.0, self._wait_by_slots_s(arriving, before, now_s))
+
+    def _wait_by_slots_s(self, waiting: WaitingRequest[T], before: int, now_s: float) -> float:
+        """Return how long so many requests take by the rate of slots freed for their kind."""
+        freed = self._freed if waiting.order.is_begun else self._freed_for_new
         per_s = freed.per_s(waiting_since_s=self._waiting_since_s, now_s=now_s)
-        by_slots = before / per_s if per_s is not None else 0.0
-        return max(by_limits or 0.0, by_slots)
+        return before / per_s if per_s is not None else 0.0
 
     def _retry_after_s(self, refused: WaitingRequest[T], wait_s: float, now_s: float) -> float:
         """Return after how long a refused caller should come back."""
         order = refused.order
         if order.waited_s is None:
             return max(0.0, now_s + wait_s - refused.latest_s)
-        freed = self._freed if order.is_begun else self._freed_for_new
-        per_s = freed.per_s(waiting_since_s=self._waiting_since_s, now_s=now_s)
-        told_s = self._returns.count_outstanding(now_s=now_s) / per_s if per_s is not None else 0.0
+        told = self._returns.count_outstanding(now_s=now_s)
+        told_s = self._wait_by_slots_s(refused, told, now_s)
         slack_s = refused.latest_s - now_s
         expected_s = wait_s + told_s - max(0.0, slack_s)
         time_left_s = order.answer_until_s - now_s
--- a/packages/lagoonfold/src/lagoonfold/placement/_waiting_order.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/_waiting_order.py
@@ -17,7 +17,7 @@
 T = TypeVar("T")
 
 LONG_WAIT_S = 0.8  # a fifth of a usual objective; the wait beyond which a request moves up
-OVERDUE_EVERY = 8  # one in so many granted places goes to a request that has waited long
+OVERDUE_EVERY = 16  # one in so many granted places goes to a request that has waited long
 
 SortKey = tuple[bool, bool, int, bool, bool, float, int]
 
@@ -40,6 +40,11 @@
             return False
         return self.has_returned or now_s - self.since_s >= LONG_WAIT_S
 
+    def is_overdue(self, now_s: float) -> bool:
+        """Return whether it has priority or has used up half of the time in which it may wait."""
+        is_half_over = not self.order.is_begun and now_s >= (self.since_s + self.latest_s) / 2
+        return self.has_priority(now_s) or (self.order.waited_s is not None and is_half_over)
+
 
 class WaitingOrder(Generic[T]):
     """Orders waiting requests by the shares of their accounts and by how long they have waited."""
@@ -88,7 +93,7 @@
         """
         if (self._granted + 1) % OVERDUE_EVERY:
             return None
-        overdue = (each for each in waiting if each.has_priority(now_s))
+        overdue = (each for each in waiting if each.is_overdue(now_s))
         return min(overdue, key=self._overdue_key, default=None)
 
     def _overdue_key(self, waiting: WaitingRequest[T]) -> tuple[int, float]:
