Say in the order's pages what it is

Cause: two doc comments described an earlier order. Change: they name the present one. Result: tests.gateway.test_forwarding, test_placement and test_rates, tests.placement.test_placing and test_replica_limits pass (46).

--- a/packages/lagoonfold/src/lagoonfold/placement/_program_admission.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/_program_admission.py
@@ -20,8 +20,7 @@
 class PlacementOrder:
     """A request's place among those that wait.
 
-    The order is: lower rank, begun programs, accounts below their share, callers that have waited
-    or come back as told, lower tie break, which is the soft deadline of the request's program.
+    `WaitingOrder` has the order; `tie_break` is the soft deadline of the request's program.
 
     `wait_until_s` is when waiting becomes useless; `may_wait` is false for a request that is to be
     placed at once or not at all. `account` is the client account, None if it has none or is not
--- a/packages/lagoonfold/src/lagoonfold/placement/_waiting_order.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/_waiting_order.py
@@ -1,8 +1,9 @@
 """The order in which waiting requests of a pool are placed while it is short of room.
 
-Among equal ranks, begun programs go before others, and accounts that have had less than their share
-before those that have had it. One place in some is given to a request that has waited long or has
-come back as told, whatever its rank, so that no kind of request starves.
+Programs that have begun go before new ones, those that are late behind all. New ones go by rank,
+and among equal ranks, accounts that have had less than their share go before the others. One place
+in some is given to a request that has waited long or has come back as told, whatever its rank, so
+that no kind of request starves.
 """
 
 from collections.abc import Iterable
@@ -16,7 +17,7 @@
 
 T = TypeVar("T")
 
-LONG_WAIT_S = 0.8  # a fifth of a usual objective; the wait beyond which a request moves up
+LONG_WAIT_S = 0.8  # longer than a hold of the instance that asks; then a request moves up
 # One in so many granted places goes to a request that has waited long. With 16, 2% fewer programs
 # ended in time in bursts; without any, those of the lower rank fell by a quarter.
 OVERDUE_EVERY = 32
@@ -44,7 +45,7 @@
         return self.has_returned or now_s - self.since_s >= LONG_WAIT_S
 
     def has_missed(self, now_s: float) -> bool:
-        """Return whether its program can no longer be done in time, as it has not begun by now."""
+        """Return whether it is too late for its program to begin, or for its turn to be of use."""
         return self.order.program is not None and now_s > self.in_time_until_s
 
     def is_overdue(self, now_s: float) -> bool:
