Merge admission of competing programs

The queue of a pool keeps its order of programs and accounts together with the replica that it holds for a request that lacks only memory (`MemoryHold`), cold replicas and hedges, which wait for nothing.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_attempt_runner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_attempt_runner.py
@@ -26,6 +26,7 @@
     evidence_of,
 )
 from lagoonfold_gateway._attempt_refusals import answer_lost, no_path, unknown_origin
+from lagoonfold_gateway._begun_programs import BegunPrograms
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._context import ForwardContext
 from lagoonfold_gateway._placement_client import Placement, PlacementNeed
@@ -58,6 +59,7 @@
         self._context = context
         self._overdue_heads = OverdueHeads()
         self._hedger = Hedger(context, self._overdue_heads)
+        self._begun_programs = BegunPrograms()
         self._numbers_by_service: defaultdict[str, EventNumbers] = defaultdict(EventNumbers)
 
     async def run(self, request_state: RequestState, exchange: Exchange) -> Refusal | None:
@@ -88,6 +90,7 @@
                 request_state, need, placed.ok_value, attempt
             )
             if isinstance(ended, Ok):
+                self._begun_programs.record_answered(request_state)
                 await finish_kept_turn(state, request_state, exchange, self._context)
                 return None
             avoided_ids |= {other.err_value.replica_id for other in others}
@@ -160,6 +163,9 @@
             affinity=request_state.affinity,
             prompt_tokens=request_state.parsed.prompt_tokens,
             output_tokens=request_state.parsed.output_tokens,
+            account=request_state.account_name or None,
+            is_begun=self._begun_programs.has_begun(request_state),
+            program=request_state.program_with_objective,
         )
 
     async def _attempt(
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_dispatch.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_dispatch.py
@@ -4,6 +4,7 @@
 shows of its replica is recorded here, at the instance that placed it and at the one that sent it.
 """
 
+import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -70,8 +71,9 @@
     """A request that waits for a replica of a pool."""
 
     pool: ReplicaPool
-    placed: trio.Event = field(default_factory=trio.Event)
+    decided: trio.Event = field(default_factory=trio.Event)
     selection: ReplicaSelection | None = None
+    refusal: PlacementRefusal = PlacementRefusal(shortage=PlacementShortage.WAITING)
 
 
 class Dispatcher:
@@ -84,6 +86,7 @@
         tracker: ReplicaTracker,
         prompt_index: PromptCacheIndex,
         baselines: LatencyBaselines,
+        rng: random.Random | None = None,
     ) -> None:
         self._board = board
         self._selector = selector
@@ -91,6 +94,7 @@
         self._prompt_index = prompt_index
         self.knowledge = selector.knowledge
         self._baselines = baselines
+        self._rng = rng if rng is not None else random.Random()
         self._queue_by_pool: dict[ReplicaPool, PlacementQueue[WaitingPlacement]] = {}
         self._is_waiting = trio.Event()
         board.replicas.subscribe(self._grant_all)
@@ -123,10 +127,10 @@
     async def wait(
         self, waiting: WaitingPlacement, *, hold_s: float
     ) -> Result[ReplicaSelection, PlacementRefusal]:
-        """Wait until a request is placed, for up to `hold_s` seconds; then it no longer waits."""
+        """Wait up to `hold_s` until a request is placed or refused; then it no longer waits."""
         try:
             with trio.move_on_after(hold_s):
-                await waiting.placed.wait()
+                await waiting.decided.wait()
         except trio.Cancelled:
             if waiting.selection is not None:
                 selection = waiting.selection
@@ -135,7 +139,7 @@
         finally:
             self._queue(waiting.pool).withdraw(waiting)
         if waiting.selection is None:
-            return Err(PlacementRefusal(shortage=PlacementShortage.WAITING))
+            return Err(waiting.refusal)
         return Ok(waiting.selection)
 
     def record_sent(self, replica: Replica, request: SelectionInput) -> MemoryClaim | None:
@@ -230,7 +234,9 @@
     def _queue(self, pool: ReplicaPool) -> PlacementQueue[WaitingPlacement]:
         queue = self._queue_by_pool.get(pool)
         if queue is None:
-            queue = self._queue_by_pool[pool] = PlacementQueue(self._selector, self._tracker)
+            queue = self._queue_by_pool[pool] = PlacementQueue(
+                self._selector, self._tracker, self._rng
+            )
         return queue
 
     def _replicas(self, pool: ReplicaPool) -> list[Replica]:
@@ -246,7 +252,10 @@
             return
         for waiting, selection in queue.grant(self._replicas(pool), now_s=now_s()):
             waiting.selection = selection
-            waiting.placed.set()
+            waiting.decided.set()
+        for waiting, refusal in queue.refuse_late(now_s=now_s()):
+            waiting.refusal = refusal
+            waiting.decided.set()
 
 
 def _record_answered(tracker: ReplicaTracker, replica_id: str) -> None:
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_messages.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_messages.py
@@ -181,8 +181,11 @@
     caller's estimate of the answer's length. With `version`, only replicas of that software version
     may be selected. Requests of the same `affinity` concern the same object. `prompt_tokens` is the
     length of the prompt and `output_tokens` the most that the request may generate, 0 if that is
-    not known. With `is_hedge` the request is a second attempt, which only a clearly free
-    replica gets; an owner of an earlier release places it like any other.
+    not known. With `is_hedge` the request is a second attempt, which only a clearly free replica
+    gets; an owner of an earlier release places it like any other. `account` is the client account,
+    None without one; `program` is the program's id if its objective is known, and `is_begun` says
+    whether it has begun. The request has waited for a place for `waited_s` before; an earlier
+    release does not tell that.
     """
 
     instance: str
@@ -206,6 +209,10 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     is_hedge: bool = False
+    account: str | None = None
+    is_begun: bool = True
+    program: str | None = None
+    waited_s: float | None = None
 
 
 class Placed(msgspec.Struct, frozen=True, tag=True, array_like=True):
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_placement_client.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_placement_client.py
@@ -7,7 +7,7 @@
 """
 
 import itertools
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 import trio
 from result import Err, Ok, Result
@@ -15,7 +15,6 @@
 from lagoonfold import ErrorKind, Refusal
 from lagoonfold.forwarding import Replica
 from lagoonfold.placement import (
-    PlacementOrder,
     PlacementRefusal,
     PlacementShortage,
     PromptPart,
@@ -31,6 +30,7 @@
 from lagoonfold_gateway._member_controller import MemberController
 from lagoonfold_gateway._messages import Placed, PlacementEnd, PlacementRefused, PlaceRequest
 from lagoonfold_gateway._peers import PeerBus
+from lagoonfold_gateway._placement_orders import SESSION_PART_INDEX, order_of
 from lagoonfold_io.observe import EventLog
 
 CALL_TIMEOUT_S = 0.15  # some hundred times the latency to a peer
@@ -39,8 +39,7 @@
 MAX_POOLS_ASKED = 2  # at once for a slot; a third would cost more time than it is likely to save
 NO_REPLICA_WAIT_S = 1.0  # a replacement is listed within a second, or it takes much longer
 NO_REPLICA_POLL_S = 0.05  # while a service has no replica
-RETRY_AFTER_S = 0.2  # about the time in which some of the waiting requests are served
-SESSION_PART_INDEX = 1  # first part of a prompt that sessions of a route don't share
+RETRY_AFTER_S = 0.2  # where an owner tells none; some waiting requests are served by then
 
 _log = EventLog("placement")
 
@@ -53,6 +52,8 @@
     version `version`. A replica found later than `place_until_s` is of no use, and neither is an
     answer after `answer_deadline_s`; `soft_deadline_s` is when its program should be done. Requests
     of the same `affinity` concern the same object. With `is_hedge` it is a second attempt.
+    `program` is set if that is the program's own time. `is_begun` says whether the program has
+    begun; the request waits for a place since `waiting_since_s`.
     """
 
     service: str
@@ -71,6 +72,10 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     is_hedge: bool = False
+    account: str | None = None
+    is_begun: bool = True
+    program: str | None = None
+    waiting_since_s: float = field(default_factory=now_s)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -274,12 +279,7 @@
         if need.is_hedge:
             return Err(PlacementRefusal(shortage=PlacementShortage.FULL))
         pool = ReplicaPool(need.service)
-        order = PlacementOrder(
-            rank=need.rank,
-            tie_break=need.soft_deadline_s,
-            wait_until_s=need.place_until_s,
-            may_wait=hold_s > 0,
-        )
+        order = order_of(self._make_request(0, pool, need, hold_s), now_s=now_s())
         placed = self._dispatcher.place(pool, self._selection_input(need), order)
         if isinstance(placed, Ok) and isinstance(placed.ok_value, WaitingPlacement):
             placed = await self._dispatcher.wait(placed.ok_value, hold_s=hold_s)
@@ -327,6 +327,10 @@
             prompt_tokens=need.prompt_tokens,
             output_tokens=need.output_tokens,
             is_hedge=need.is_hedge,
+            account=need.account,
+            is_begun=need.is_begun,
+            program=need.program,
+            waited_s=max(0.0, now_s() - need.waiting_since_s),
         )
 
     def _report_end(self, owner: str, number: int, evidence: PlacementEvidence) -> None:
@@ -400,5 +404,5 @@
     return Refusal(
         kind=ErrorKind.QUEUE_FULL,
         detail=f"no replica of service {service!r} has a slot in time",
-        retry_after_s=max(RETRY_AFTER_S, retry_after_s),
+        retry_after_s=retry_after_s if retry_after_s > 0 else RETRY_AFTER_S,
     )
--- a/packages/lagoonfold/src/lagoonfold/placement/__init__.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/__init__.py
@@ -14,21 +14,23 @@
 from lagoonfold.placement._cold_replicas import ColdReplicas
 from lagoonfold.placement._cold_terms import ColdTerms, is_cold_time, read_cold_terms
 from lagoonfold.placement._cost_terms import cost_term, estimate_cost_s
+from lagoonfold.placement._fair_shares import FairShares
 from lagoonfold.placement._hedge_room import is_clearly_free
 from lagoonfold.placement._memory_tracker import MemoryClaim, MemoryTracker
 from lagoonfold.placement._object_index import ObjectIndex
 from lagoonfold.placement._pace_tracker import MAX_FIGURE, PaceTracker
 from lagoonfold.placement._placement_queue import (
-    PlacementOrder,
     PlacementQueue,
     PlacementRefusal,
     PlacementShortage,
 )
+from lagoonfold.placement._program_admission import PlacementOrder, ProgramAdmission
 from lagoonfold.placement._prompt_cache_index import PromptCacheIndex, PromptPart
 from lagoonfold.placement._replica_limits import ReplicaLimits, parse_limit
 from lagoonfold.placement._replica_pools import ReplicaPool, pool_of, rank_pools
 from lagoonfold.placement._replica_selection import ReplicaSelection, ReplicaSelector
 from lagoonfold.placement._replica_tracker import ReplicaTracker
+from lagoonfold.placement._return_times import ReturnTimes
 from lagoonfold.placement._selection_input import SelectionInput
 from lagoonfold.placement._work_ranking import WorkRanking
 
@@ -41,10 +43,12 @@
     "MemoryClaim",
     "MemoryTracker",
     "PaceTracker",
+    "FairShares",
     "PlacementOrder",
     "PlacementQueue",
     "PlacementRefusal",
     "PlacementShortage",
+    "ProgramAdmission",
     "PromptCacheIndex",
     "PromptPart",
     "ReplicaKnowledge",
@@ -53,6 +57,7 @@
     "ReplicaSelection",
     "ReplicaSelector",
     "ReplicaTracker",
+    "ReturnTimes",
     "SelectionInput",
     "WorkRanking",
     "capacity_rule",
--- a/packages/lagoonfold/src/lagoonfold/placement/_placement_queue.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/_placement_queue.py
@@ -1,11 +1,15 @@
-"""Places the requests for one pool of replicas; they wait in the order of their ranks.
+"""Places the requests for one pool of replicas; they wait in the order of `WaitingOrder`.
 
 Answers the load of many callers at once on few slots, or on replicas that have named limits: the
-request of the lowest rank gets the next place, and one that would not get one in time is refused at
-once. Everything is decided from arguments, without I/O; the caller calls `grant` when a place may
-have become free.
+request of the lowest rank gets the next place, and one that would not get one while it is of use is
+refused at once. Everything is decided from arguments, without I/O; the caller calls `grant` when a
+place may have become free.
 """
 
+import heapq
+import itertools
+import math
+import random
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
 from enum import Enum
@@ -13,20 +17,23 @@
 
 from result import Err, Ok, Result
 
-from lagoonfold._wait_queue import WaitQueue
+from lagoonfold._wait_queue import MAX_WAITING, FreedRate
 from lagoonfold.forwarding import Replica
+from lagoonfold.placement._memory_hold import MemoryHold
+from lagoonfold.placement._program_admission import PlacementOrder, ProgramAdmission
 from lagoonfold.placement._replica_selection import (
     ReplicaSearch,
     ReplicaSelection,
     ReplicaSelector,
 )
 from lagoonfold.placement._replica_tracker import ReplicaTracker
+from lagoonfold.placement._return_times import MAX_SHARE_OF_TIME_LEFT, ReturnTimes
 from lagoonfold.placement._selection_input import SelectionInput
+from lagoonfold.placement._waiting_order import WaitingOrder, WaitingRequest
 
 T = TypeVar("T")
 
 MAX_PASSED_OVER = 32  # waiting requests that are tried before one that may use a limited replica
-MAX_SHORT_OF_MEMORY = 4  # waiting requests that smaller ones may overtake; each costs a search
 
 
 class PlacementShortage(Enum):
@@ -52,40 +59,29 @@
     retry_after_s: float = 0.0
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class PlacementOrder:
-    """A request's place among those that wait: the lower rank first, then the lower tie break.
+class PlacementQueue(Generic[T]):
+    """The requests that wait for a slot of one pool.
 
-    `wait_until_s` is when waiting becomes useless; `may_wait` is false for a request that is to be
-    placed at once or not at all.
+    The times at which refused callers should come back are drawn from `rng`.
     """
 
-    rank: int
-    tie_break: float
-    wait_until_s: float
-    may_wait: bool = True
-
-
-@dataclass(slots=True, eq=False)
-class _Waiting(Generic[T]):
-    item: T
-    request: SelectionInput
-    is_short_of_memory: bool = False
-
-
-class PlacementQueue(Generic[T]):
-    """The requests that wait for a slot of one pool."""
-
-    def __init__(self, selector: ReplicaSelector, tracker: ReplicaTracker) -> None:
+    def __init__(
+        self, selector: ReplicaSelector, tracker: ReplicaTracker, rng: random.Random | None = None
+    ) -> None:
         self._selector = selector
         self._tracker = tracker
-        self._queue: WaitQueue[_Waiting[T]] = WaitQueue()
-        # The replica kept free for the first waiting request that lacks only memory.
-        self._held_id: str | None = None
-        self._held_for: _Waiting[T] | None = None
+        self._waiting: dict[int, WaitingRequest[T]] = {}
+        self._memory_hold = MemoryHold()
+        self._waiting_since_s = -math.inf
+        self._numbers = itertools.count()
+        self._freed = FreedRate()
+        self._freed_for_new = FreedRate()  # slots that went to programs that had not begun
+        self._order: WaitingOrder[T] = WaitingOrder()
+        self._admission = ProgramAdmission()
+        self._returns = ReturnTimes(rng if rng is not None else random.Random())
 
     def __len__(self) -> int:
-        return len(self._queue)
+        return len(self._waiting)
 
     def place(
         self,
@@ -104,24 +100,23 @@
         """
         if not replicas:
             return Err(PlacementRefusal(shortage=PlacementShortage.NO_REPLICA))
-        if not request.is_hedge:
-            self._selector.record_arrival(request)
-        elif len(self._queue):
-            return Err(PlacementRefusal(shortage=PlacementShortage.FULL))
-        is_behind = self._queue.is_behind(order.rank, order.tie_break)
-        if not is_behind or self._all_lack_memory():
-            selection = self._choose(request, self._unheld(replicas), now_s)
-            if selection is None and not is_behind and self._held_id is not None:
-                selection = self._choose(request, replicas, now_s)
-            if selection is not None:
-                return Ok(selection)
+        if request.is_hedge:
+            return self._place_hedge(request, order, replicas, now_s)
+        self._selector.record_arrival(request)
+        self._admission.record(order, now_s=now_s)
+        arriving = self._make_waiting(item, request, order, now_s)
+        before = self._count_before(arriving, now_s)
+        selection = self._choose_on_arrival(arriving, before, replicas, now_s)
+        if selection is not None:
+            return Ok(selection)
         if not order.may_wait:
             return Err(PlacementRefusal(shortage=PlacementShortage.FULL))
-        wait_s = self._expected_wait_s(request, order, replicas, now_s)
-        is_in_time = now_s + wait_s <= order.wait_until_s
-        if is_in_time and self._enqueue(item, request, order, now_s):
+        wait_s = self._expected_wait_s(arriving, before, replicas, now_s)
+        is_in_time = now_s + wait_s <= arriving.latest_s or self._is_unserved(arriving, now_s)
+        if is_in_time and len(self._waiting) < MAX_WAITING:
+            self._enqueue(arriving, now_s)
             return Ok(None)
-        retry_after_s = max(0.0, now_s + wait_s - order.wait_until_s)
+        retry_after_s = self._retry_after_s(arriving, wait_s, now_s)
         return Err(PlacementRefusal(shortage=PlacementShortage.FULL, retry_after_s=retry_after_s))
 
     def grant(
@@ -133,19 +128,16 @@
         does one that lacks only memory: a replica is held for the first of these until it fits
         there, and the others of the pool go on.
         """
-        passed_over = short_of_memory = 0
-        former_hold, self._held_id = self._held_id, None
-        for waiting in self._queue.in_order():
-            search = self._search(waiting.request, self._unheld(replicas), now_s)
+        passed_over = 0
+        self._memory_hold.begin_round()
+        for waiting in self._in_order(now_s):
+            search = self._search(waiting, self._memory_hold.unheld(replicas), now_s)
             if search.selection is not None:
-                self._queue.remove(waiting)
+                del self._waiting[waiting.number]
+                self._order.record_granted()
                 yield waiting.item, search.selection
-                continue
-            waiting.is_short_of_memory = search.short is not None
-            if search.short is not None:
-                short_of_memory += 1
-                self._hold(waiting, search.short.replica_id, former_hold)
-                if short_of_memory > MAX_SHORT_OF_MEMORY:
+            elif search.short is not None:
+                if not self._memory_hold.record_short(waiting.number, search.short.replica_id):
                     return
             elif not waiting.request.is_restricted:
                 passed_over += 1
@@ -154,26 +146,7 @@
 
     def holds(self, replica_id: str) -> bool:
         """Return whether a replica is held for a waiting request that lacks only memory."""
-        return len(self._queue) > 0 and replica_id == self._held_id
-
-    def _hold(self, waiting: _Waiting[T], replica_id: str, former_hold: str | None) -> None:
-        """Hold a replica for a request, unless one is held; a request keeps the one it had."""
-        if self._held_id is None:
-            is_same = self._held_for is waiting and former_hold is not None
-            self._held_id = former_hold if is_same else replica_id
-            self._held_for = waiting
-
-    def _unheld(self, replicas: list[Replica]) -> list[Replica]:
-        """Return the replicas that are not held for a request that waits for memory."""
-        if self._held_id is None:
-            return replicas
-        return [replica for replica in replicas if not self.holds(replica.replica_id)]
-
-    def _all_lack_memory(self) -> bool:
-        """Return whether those that wait lack only memory, so that others may overtake them."""
-        return len(self._queue) <= MAX_SHORT_OF_MEMORY and all(
-            waiting.is_short_of_memory for waiting in self._queue.items()
-        )
+        return bool(self._waiting) and self._memory_hold.holds(replica_id)
 
     def _max_passed_over(self, replicas: list[Replica], now_s: float) -> int:
         """Return how many waiting requests may leave limited or cold replicas with room unused."""
@@ -189,57 +162,170 @@
         )
         return MAX_PASSED_OVER if has_room else 0
 
+    def refuse_late(self, *, now_s: float) -> Iterator[tuple[T, PlacementRefusal]]:
+        """Refuse the waiting requests of programs that a place does not help any more."""
+        for waiting in tuple(self._waiting.values()):
+            if waiting.order.program is not None and waiting.latest_s < now_s:
+                del self._waiting[waiting.number]
+                wait_s = self._wait_by_slots_s(waiting, self._count_before(waiting, now_s), now_s)
+                retry_after_s = self._retry_after_s(waiting, wait_s, now_s)
+                yield waiting.item, PlacementRefusal(
+                    shortage=PlacementShortage.FULL, retry_after_s=retry_after_s
+                )
+
     def withdraw(self, item: T) -> None:
         """Remove a request that no longer waits."""
-        for waiting in self._queue.items():
+        for waiting in tuple(self._waiting.values()):
             if waiting.item is item:
-                self._queue.remove(waiting)
+                del self._waiting[waiting.number]
 
     def record_freed(self, *, now_s: float) -> None:
         """Count a slot that has become free, for the expected wait."""
-        self._queue.record_freed(now_s=now_s)
+        self._freed.record(now_s=now_s)
+
+    def _make_waiting(
+        self, item: T, request: SelectionInput, order: PlacementOrder, now_s: float
+    ) -> WaitingRequest[T]:
+        typical_s = request.typical_latency_s
+        in_time_until_s = self._admission.latest_place_s(order, typical_s)
+        has_returned = self._returns.has_returned(order.caller, now_s=now_s)
+        if has_returned:
+            latest_s = self._admission.useful_until_s(order, typical_s)
+        else:
+            latest_s = in_time_until_s
+        return WaitingRequest(
+            item=item,
+            request=request,
+            order=order,
+            number=next(self._numbers),
+            since_s=now_s - (order.waited_s or 0.0),
+            in_time_until_s=in_time_until_s,
+            latest_s=latest_s,
+            has_returned=has_returned,
+        )
+
+    def _is_unserved(self, arriving: WaitingRequest[T], now_s: float) -> bool:
+        """Return whether its account has had less than its share and has none waiting.
+
+        The expected wait leaves out the places for overdue requests, which such a one gets first.
+        """
+        account = arriving.order.account
+        if account is None or self._order.shares.is_over(account) or now_s > arriving.latest_s:
+            return False
+        return all(each.order.account != account for each in self._waiting.values())
+
+    def _enqueue(self, waiting: WaitingRequest[T], now_s: float) -> None:
+        if not self._waiting:
+            self._waiting_since_s = now_s
+        self._waiting[waiting.number] = waiting
+
+    def _useful(self, now_s: float) -> list[WaitingRequest[T]]:
+        """Return the waiting requests whose programs a place still helps."""
+        return [
+            each
+            for each in self._waiting.values()
+            if each.order.program is None or each.latest_s >= now_s
+        ]
+
+    def _in_order(self, now_s: float) -> Iterator[WaitingRequest[T]]:
+        """Return the waiting requests in the order in which they are to be placed."""
+        useful = self._useful(now_s)
+        self._order.update(useful, now_s=now_s)
+        overdue = self._order.find_overdue(useful, now_s=now_s)
+        if overdue is not None:
+            yield overdue
+        heap = [(self._order.key(each, now_s=now_s), each) for each in useful]
+        heapq.heapify(heap)
+        while heap:
+            _, waiting = heapq.heappop(heap)
+            if waiting is not overdue:
+                yield waiting
+
+    def _count_before(self, arriving: WaitingRequest[T], now_s: float) -> int:
+        """Return how many waiting requests would be placed before one that arrives."""
+        if not self._waiting:
+            return 0
+        useful = self._useful(now_s)
+        self._order.update(useful, now_s=now_s)
+        key = self._order.key(arriving, now_s=now_s)
+        return sum(self._order.key(each, now_s=now_s) < key for each in useful)
 
     def _expected_wait_s(
+        self, arriving: WaitingRequest[T], before: int, replicas: list[Replica], now_s: float
+    ) -> float:
+        """Return how long a request would wait by the rate of freed slots and by limits."""
+        request = arriving.request
+        allowed = [replica.replica_id for replica in replicas if request.allows(replica)]
+        by_limits = self._selector.limits.wait_s(allowed, before + 1, now_s=now_s)
+        return max(by_limits or 0.0, self._wait_by_slots_s(arriving, before, now_s))
+
+    def _wait_by_slots_s(self, waiting: WaitingRequest[T], before: int, now_s: float) -> float:
+        """Return how long so many requests take by the rate of slots freed for their kind."""
+        freed = self._freed if waiting.order.is_begun else self._freed_for_new
+        per_s = freed.per_s(waiting_since_s=self._waiting_since_s, now_s=now_s)
+        return before / per_s if per_s is not None else 0.0
+
+    def _retry_after_s(self, refused: WaitingRequest[T], wait_s: float, now_s: float) -> float:
+        """Return after how long a refused caller should come back."""
+        order = refused.order
+        if order.waited_s is None:
+            return max(0.0, now_s + wait_s - refused.latest_s)
+        told = self._returns.count_outstanding(now_s=now_s)
+        told_s = self._wait_by_slots_s(refused, told, now_s)
+        slack_s = refused.latest_s - now_s
+        expected_s = wait_s + told_s - max(0.0, slack_s)
+        time_left_s = order.answer_until_s - now_s
+        if expected_s < slack_s:
+            time_left_s = min(time_left_s, slack_s / MAX_SHARE_OF_TIME_LEFT)
+        return self._returns.tell(
+            order.caller, expected_s=expected_s, time_left_s=time_left_s, now_s=now_s
+        )
+
+    def _place_hedge(
         self,
         request: SelectionInput,
         order: PlacementOrder,
         replicas: list[Replica],
         now_s: float,
-    ) -> float:
-        """Return how long a request would wait by freed slots, limits and cold replicas."""
-        before = self._queue.count_before(order.rank, order.tie_break)
-        allowed = [replica.replica_id for replica in replicas if request.allows(replica)]
-        by_limits = self._selector.limits.wait_s(allowed, before + 1, now_s=now_s)
-        by_cold = self._selector.knowledge.cold.wait_s(allowed, before + 1, now_s=now_s)
-        by_slots = self._queue.expected_wait_s(order.rank, order.tie_break, now_s=now_s)
-        return max(by_limits or 0.0, by_cold or 0.0, by_slots or 0.0)
-
-    def _enqueue(
-        self, item: T, request: SelectionInput, order: PlacementOrder, now_s: float
-    ) -> bool:
-        return self._queue.enqueue(
-            _Waiting(item, request),
-            rank=order.rank,
-            tie_break=order.tie_break,
-            wait_until_s=order.wait_until_s,
-            now_s=now_s,
+    ) -> Result[ReplicaSelection | None, PlacementRefusal]:
+        hedge = WaitingRequest(
+            item=None, request=request, order=order, number=next(self._numbers), since_s=now_s
         )
+        selection = None if self._waiting else self._search(hedge, replicas, now_s).selection
+        if selection is None:
+            return Err(PlacementRefusal(shortage=PlacementShortage.FULL))
+        return Ok(selection)
 
-    def _choose(
-        self, request: SelectionInput, replicas: list[Replica], now_s: float
+    def _choose_on_arrival(
+        self, arriving: WaitingRequest[T], before: int, replicas: list[Replica], now_s: float
     ) -> ReplicaSelection | None:
-        return self._search(request, replicas, now_s).selection
+        """Place a request that nothing that waits goes before, or only what lacks memory."""
+        if before and not self._memory_hold.may_overtake(self._waiting):
+            return None
+        unheld = self._memory_hold.unheld(replicas) if self._waiting else replicas
+        selection = self._search(arriving, unheld, now_s).selection
+        if selection is None and not before and len(unheld) < len(replicas):
+            selection = self._search(arriving, replicas, now_s).selection
+        return selection
 
     def _search(
-        self, request: SelectionInput, replicas: list[Replica], now_s: float
+        self, waiting: WaitingRequest[T], replicas: list[Replica], now_s: float
     ) -> ReplicaSearch:
         """Search a replica for a request; record the placement if there is one."""
+        request = waiting.request
         search = self._selector.search(replicas, request, now_s=now_s)
-        selection = search.selection
-        if selection is None:
+        if search.selection is None:
             return search
-        replica = selection.replica
+        replica = search.selection.replica
         self._tracker.record_sent(replica.replica_id)
         self._selector.record_placed(request, replica, now_s=now_s)
         claim = self._selector.knowledge.memory.open(replica, request)
-        return ReplicaSearch(selection=replace(selection, claim=claim))
+        if not request.is_hedge:
+            self._record_placed(waiting, now_s)
+        return ReplicaSearch(selection=replace(search.selection, claim=claim))
+
+    def _record_placed(self, placed: WaitingRequest[T], now_s: float) -> None:
+        if not placed.order.is_begun:
+            self._freed_for_new.record(now_s=now_s)
+        self._order.record_placed(placed.order, now_s=now_s)
+        self._returns.forget(placed.order.caller)
