Move placing and attempts of the gateway into folders of their own

Change: `placing` and `attempts` hold what their names say; needs and refusals of the client are modules of their own. No logic changed.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_forwarder.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_forwarder.py
@@ -13,12 +13,12 @@
 from lagoonfold import PROBLEM_TYPES_BY_KIND, ErrorKind, Ran, Refusal
 from lagoonfold.rates import ProgramCall
 from lagoonfold_gateway._admission import admit
-from lagoonfold_gateway._attempt_runner import AttemptRunner
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._context import ForwardContext
 from lagoonfold_gateway._rate_limiter import MAX_WAIT_SHARE, TokenReceipt
 from lagoonfold_gateway._refusals import refusal_response
 from lagoonfold_gateway._request_state import RequestState
+from lagoonfold_gateway.attempts._attempt_runner import AttemptRunner
 from lagoonfold_io import Exchange, HttpRequest
 from lagoonfold_io.observe import EventLog
 
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
@@ -29,19 +29,15 @@
 from lagoonfold_gateway._dialect import Dialect
 from lagoonfold_gateway._disk_caller import DiskCaller
 from lagoonfold_gateway._disk_controller import DiskController
-from lagoonfold_gateway._dispatch import Dispatcher
 from lagoonfold_gateway._feed_client import FeedClient
 from lagoonfold_gateway._forwarder import Forwarder
 from lagoonfold_gateway._heartbeats import Heartbeats
 from lagoonfold_gateway._history_client import HistoryClient
-from lagoonfold_gateway._latency_baselines import LatencyBaselines
 from lagoonfold_gateway._leaving_controller import LeavingController
 from lagoonfold_gateway._limit_controller import LimitController
 from lagoonfold_gateway._member_controller import POLL_INTERVAL_S, MemberController
 from lagoonfold_gateway._peer_guard import PeerGuard
 from lagoonfold_gateway._peers import PeerBus
-from lagoonfold_gateway._placement_client import PlacementClient
-from lagoonfold_gateway._placement_owner import PlacementOwner
 from lagoonfold_gateway._poison_tracker import PoisonTracker
 from lagoonfold_gateway._pool_owners import PoolOwners
 from lagoonfold_gateway._rate_limiter import RateLimiter
@@ -60,6 +56,7 @@
 from lagoonfold_gateway._version_controller import VersionController
 from lagoonfold_gateway.cold import ColdController
 from lagoonfold_gateway.evacuation import EvacuationController
+from lagoonfold_gateway.placing import Dispatcher, LatencyBaselines, PlacementClient, PlacementOwner
 from lagoonfold_io import HttpClient, HttpLimits, HttpServer
 from lagoonfold_io.observe import EventLog, Metrics
 
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_replica_relay.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_replica_relay.py
@@ -16,7 +16,7 @@
     without_proxy_status,
 )
 from lagoonfold_gateway._replica_caller import ReplicaCaller, is_unreached
-from lagoonfold_gateway._upstream_attempt import MAX_IDLE_AT_MOST_ONCE_S, says_not_run
+from lagoonfold_gateway.attempts._upstream_attempt import MAX_IDLE_AT_MOST_ONCE_S, says_not_run
 from lagoonfold_io import (
     Exchange,
     Headers,
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_attempt_evidence.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/attempts/_attempt_evidence.py
@@ -4,11 +4,10 @@
 
 from lagoonfold.forwarding import AttemptOutcome, RouteKind
 from lagoonfold_gateway._clock import now_s
-from lagoonfold_gateway._dispatch import PlacementEvidence
-from lagoonfold_gateway._placement_client import Placement
 from lagoonfold_gateway._request_state import RequestState
-from lagoonfold_gateway._upstream_attempt import SUCCESS_BELOW, AttemptFailure
+from lagoonfold_gateway.attempts._upstream_attempt import SUCCESS_BELOW, AttemptFailure
 from lagoonfold_gateway.hedging import Claim
+from lagoonfold_gateway.placing import Placement, PlacementEvidence
 
 
 def evidence_of(
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_attempt_refusals.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/attempts/_attempt_refusals.py
@@ -1,7 +1,7 @@
 """Refusals of requests whose attempts have ended without an answer."""
 
 from lagoonfold import ErrorKind, Ran, Refusal
-from lagoonfold_gateway._upstream_attempt import AttemptFailure
+from lagoonfold_gateway.attempts._upstream_attempt import AttemptFailure
 
 UNKNOWN_ORIGIN_RETRY_S = 0.2  # an instance that knows the stream may be back
 NO_PATH_RETRY_S = 0.2
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_attempt_runner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/attempts/_attempt_runner.py
@@ -19,20 +19,24 @@
     pick_service,
     queue_rank,
 )
-from lagoonfold_gateway._attempt_evidence import (
+from lagoonfold_gateway._clock import now_s
+from lagoonfold_gateway._context import ForwardContext
+from lagoonfold_gateway._request_state import RequestState
+from lagoonfold_gateway.attempts._attempt_evidence import (
     describe_answer,
     describe_hedging,
     describe_replica,
     evidence_of,
 )
-from lagoonfold_gateway._attempt_refusals import answer_lost, no_path, unknown_origin
-from lagoonfold_gateway._begun_programs import BegunPrograms
-from lagoonfold_gateway._clock import now_s
-from lagoonfold_gateway._context import ForwardContext
-from lagoonfold_gateway._placement_client import Placement, PlacementNeed
-from lagoonfold_gateway._relay import StreamState, finish_kept_turn, relay_plain, relay_stream
-from lagoonfold_gateway._request_state import RequestState
-from lagoonfold_gateway._upstream_attempt import (
+from lagoonfold_gateway.attempts._attempt_refusals import answer_lost, no_path, unknown_origin
+from lagoonfold_gateway.attempts._begun_programs import BegunPrograms
+from lagoonfold_gateway.attempts._relay import (
+    StreamState,
+    finish_kept_turn,
+    relay_plain,
+    relay_stream,
+)
+from lagoonfold_gateway.attempts._upstream_attempt import (
     SUCCESS_BELOW,
     AttemptFailure,
     attempt_upstream,
@@ -40,6 +44,7 @@
     resume_from,
 )
 from lagoonfold_gateway.hedging import Claim, Hedger
+from lagoonfold_gateway.placing import Placement, PlacementNeed
 from lagoonfold_io import Exchange
 
 MAX_PATH_FAULTS = 3  # replicas that neither this instance nor another could call
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_begun_programs.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/attempts/_begun_programs.py
@@ -8,8 +8,8 @@
 
 from collections import OrderedDict
 
-from lagoonfold_gateway._placement_orders import SESSION_PART_INDEX
 from lagoonfold_gateway._request_state import RequestState
+from lagoonfold_gateway.placing._placement_orders import SESSION_PART_INDEX
 
 MAX_PROGRAMS = 4_096  # some minutes of programs at one instance; the oldest are forgotten
 
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/hedging/_hedger.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/hedging/_hedger.py
@@ -15,9 +15,9 @@
 from lagoonfold.forwarding import HedgePolicy, OverdueHeads, RouteKind
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._context import ForwardContext
-from lagoonfold_gateway._placement_client import Placement, PlacementNeed
 from lagoonfold_gateway._request_state import RequestState
 from lagoonfold_gateway.hedging._race import AttemptRace, Claim
+from lagoonfold_gateway.placing import Placement, PlacementNeed
 
 T = TypeVar("T")
 
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_dispatch.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/placing/_dispatch.py
@@ -32,7 +32,7 @@
 )
 from lagoonfold_gateway._board import ConfigView, GatewayBoard
 from lagoonfold_gateway._clock import now_s
-from lagoonfold_gateway._latency_baselines import LatencyBaselines
+from lagoonfold_gateway.placing._latency_baselines import LatencyBaselines
 from lagoonfold_io.observe import EventLog
 
 RECHECK_INTERVAL_S = 0.02  # ejections and reports of replicas end without notice
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_placement_client.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/placing/_placement_client.py
@@ -7,30 +7,39 @@
 """
 
 import itertools
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 
 import trio
 from result import Err, Ok, Result
 
-from lagoonfold import ErrorKind, Refusal
+from lagoonfold import Refusal
 from lagoonfold.forwarding import Replica
 from lagoonfold.placement import (
     PlacementRefusal,
     PlacementShortage,
-    PromptPart,
     ReplicaPool,
     ReplicaSelection,
     SelectionInput,
     is_clearly_free,
-    rank_pools,
 )
 from lagoonfold_gateway._board import GatewayBoard
 from lagoonfold_gateway._clock import now_s
-from lagoonfold_gateway._dispatch import Dispatcher, PlacementEvidence, WaitingPlacement
 from lagoonfold_gateway._member_controller import MemberController
 from lagoonfold_gateway._messages import Placed, PlacementEnd, PlacementRefused, PlaceRequest
 from lagoonfold_gateway._peers import PeerBus
-from lagoonfold_gateway._placement_orders import SESSION_PART_INDEX, order_of
+from lagoonfold_gateway.placing._dispatch import Dispatcher, PlacementEvidence, WaitingPlacement
+from lagoonfold_gateway.placing._placement_needs import (
+    Placement,
+    PlacementNeed,
+    is_of_version,
+    pools_of,
+)
+from lagoonfold_gateway.placing._placement_orders import order_of
+from lagoonfold_gateway.placing._placement_refusals import (
+    no_replica,
+    no_replica_of_version,
+    queue_full,
+)
 from lagoonfold_io.observe import EventLog
 
 CALL_TIMEOUT_S = 0.15  # some hundred times the latency to a peer
@@ -39,60 +48,10 @@
 MAX_POOLS_ASKED = 2  # at once for a slot; a third would cost more time than it is likely to save
 NO_REPLICA_WAIT_S = 1.0  # a replacement is listed within a second, or it takes much longer
 NO_REPLICA_POLL_S = 0.05  # while a service has no replica
-RETRY_AFTER_S = 0.2  # where an owner tells none; some waiting requests are served by then
 
 _log = EventLog("placement")
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class PlacementNeed:
-    """A request that needs a replica.
-
-    `excluded` must not be selected; `only`, if it is set, must be, and so must one of the software
-    version `version`. A replica found later than `place_until_s` is of no use, and neither is an
-    answer after `answer_deadline_s`; `soft_deadline_s` is when its program should be done. Requests
-    of the same `affinity` concern the same object. With `is_hedge` it is a second attempt.
-    `program` is set if that is the program's own time. `is_begun` says whether the program has
-    begun; the request waits for a place since `waiting_since_s`.
-    """
-
-    service: str
-    route: str
-    request_id: str
-    parts: tuple[PromptPart, ...]
-    rank: int
-    soft_deadline_s: float
-    answer_deadline_s: float
-    place_until_s: float
-    excluded: frozenset[str] = frozenset()
-    only: str | None = None
-    expected_tokens: int | None = None
-    version: str | None = None
-    affinity: str | None = None
-    prompt_tokens: int = 0
-    output_tokens: int = 0
-    is_hedge: bool = False
-    account: str | None = None
-    is_begun: bool = True
-    program: str | None = None
-    waiting_since_s: float = field(default_factory=now_s)
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Placement:
-    """A request's place at a replica.
-
-    `owner` is the instance that placed it under this number, None if this instance did so by its
-    own knowledge.
-    """
-
-    owner: str | None
-    number: int
-    pool: ReplicaPool
-    selection: ReplicaSelection
-    is_hedge: bool = False
-
-
 class PlacementClient:
     """Places the requests that arrive at this instance."""
 
@@ -116,9 +75,9 @@
         """Place a request; it counts as in flight at its replica until `end`."""
         replicas = await self._wait_for_replicas(need.service)
         if not replicas:
-            return Err(_no_replica(need.service))
-        if not any(_is_of_version(replica, need) for replica in replicas):
-            return Err(_no_replica_of_version(need.service, need.version))
+            return Err(no_replica(need.service))
+        if not any(is_of_version(replica, need) for replica in replicas):
+            return Err(no_replica_of_version(need.service, need.version))
         pools = self._pools(need, replicas)
         if len(pools) > 1:
             for pool in pools[:MAX_POOLS_ASKED]:
@@ -132,7 +91,7 @@
         replicas = [
             replica
             for replica in self._board.replicas.read().available_for(need.service)
-            if replica.replica_id not in need.excluded and _is_of_version(replica, need)
+            if replica.replica_id not in need.excluded and is_of_version(replica, need)
         ]
         if replicas:
             for pool in self._pools(need, replicas)[:MAX_POOLS_ASKED]:
@@ -154,12 +113,12 @@
                 evacuated = self._evacuated_ids(need.service)
                 others = self._other_pools(need, pools)
                 if not others and evacuated <= need.excluded:
-                    return Err(_queue_full(need.service, refusal.retry_after_s))
+                    return Err(queue_full(need.service, refusal.retry_after_s))
                 pools = others or pools
                 # The owner may not know of an evacuation yet.
                 need = replace(need, excluded=need.excluded | evacuated)
             elif refusal.shortage is not PlacementShortage.WAITING:
-                return Err(_queue_full(need.service, refusal.retry_after_s))
+                return Err(queue_full(need.service, refusal.retry_after_s))
 
     def _evacuated_ids(self, service: str) -> frozenset[str]:
         directory = self._board.replicas.read()
@@ -169,7 +128,7 @@
     def _other_pools(self, need: PlacementNeed, asked: list[ReplicaPool]) -> list[ReplicaPool]:
         """Return the pools to ask once no replica of the first one gets new requests."""
         replicas = self._board.replicas.read().available_for(need.service)
-        if not any(_is_of_version(replica, need) for replica in replicas):
+        if not any(is_of_version(replica, need) for replica in replicas):
             return []
         pools = self._pools(need, replicas)
         return pools if pools[:1] != asked[:1] else []
@@ -177,7 +136,7 @@
     def _pools(self, need: PlacementNeed, replicas: list[Replica]) -> list[ReplicaPool]:
         """Return the pools that may take a request, the first one of its session first."""
         listed = len(self._board.replicas.read().staying_at(need.service))
-        return _pools(need, replicas, listed)
+        return pools_of(need, replicas, listed)
 
     def end(self, placement: Placement, evidence: PlacementEvidence) -> None:
         """Record the end of a request at its replica, and report it to the owner."""
@@ -241,7 +200,7 @@
             return Err(PlacementRefusal(shortage=PlacementShortage.WAITING))
         replica = self._board.replicas.read().get(placed.replica_id)
         may_use = self._board.replicas.read().may_use(placed.replica_id)
-        is_usable = replica is not None and may_use and _is_of_version(replica, need)
+        is_usable = replica is not None and may_use and is_of_version(replica, need)
         # An owner of an earlier release does not know hedges.
         if need.is_hedge and replica is not None:
             is_usable = is_usable and is_clearly_free(placed.requests, replica.slots)
@@ -362,47 +321,5 @@
         return directory.available_for(service)
 
 
-def _pools(need: PlacementNeed, replicas: list[Replica], listed: int) -> list[ReplicaPool]:
-    has_session = len(need.parts) > SESSION_PART_INDEX
-    key = need.parts[SESSION_PART_INDEX].part_id if has_session else need.affinity
-    pools = rank_pools(need.service, replicas, key or need.request_id, listed=listed)
-    if need.only is not None:
-        return [pool for pool in pools if pool.holds(need.only)] or pools[:1]
-    usable = [
-        replica
-        for replica in replicas
-        if replica.replica_id not in need.excluded and _is_of_version(replica, need)
-    ]
-    return [pool for pool in pools if pool.select(usable)] or pools
-
-
-def _is_of_version(replica: Replica, need: PlacementNeed) -> bool:
-    return need.version in (None, replica.version)
-
-
 def _unsent(need: PlacementNeed) -> PlacementEvidence:
     return PlacementEvidence(route=need.route, outcome=None)
-
-
-def _no_replica(service: str) -> Refusal:
-    return Refusal(
-        kind=ErrorKind.UPSTREAM_UNAVAILABLE,
-        detail=f"service {service!r} has no replica",
-        retry_after_s=RETRY_AFTER_S,
-    )
-
-
-def _no_replica_of_version(service: str, version: str | None) -> Refusal:
-    return Refusal(
-        kind=ErrorKind.UPSTREAM_UNAVAILABLE,
-        detail=f"service {service!r} has no replica of software version {version!r}",
-        retry_after_s=RETRY_AFTER_S,
-    )
-
-
-def _queue_full(service: str, retry_after_s: float) -> Refusal:
-    return Refusal(
-        kind=ErrorKind.QUEUE_FULL,
-        detail=f"no replica of service {service!r} has a slot in time",
-        retry_after_s=retry_after_s if retry_after_s > 0 else RETRY_AFTER_S,
-    )
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_placement_owner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/placing/_placement_owner.py
@@ -27,7 +27,6 @@
 )
 from lagoonfold_gateway._board import GatewayBoard, LiveView
 from lagoonfold_gateway._clock import now_s
-from lagoonfold_gateway._dispatch import Dispatcher, PlacementEvidence, WaitingPlacement
 from lagoonfold_gateway._limit_controller import LimitController
 from lagoonfold_gateway._messages import (
     Ack,
@@ -38,7 +37,8 @@
     PlaceRequest,
 )
 from lagoonfold_gateway._peers import PeerBus
-from lagoonfold_gateway._placement_orders import order_of
+from lagoonfold_gateway.placing._dispatch import Dispatcher, PlacementEvidence, WaitingPlacement
+from lagoonfold_gateway.placing._placement_orders import order_of
 
 SWEEP_INTERVAL_S = 0.5  # between searches for placements whose request's time is over
 OVERDUE_S = 1.0  # a report of a request's end arrives within some ms of the end of its time
--- a/tests/gateway/_limited_replicas.py
+++ b/tests/gateway/_limited_replicas.py
@@ -31,12 +31,12 @@
     rank_pools,
 )
 from lagoonfold_gateway._board import GatewayBoard, LiveView
-from lagoonfold_gateway._dispatch import Dispatcher, PlacementEvidence
-from lagoonfold_gateway._latency_baselines import LatencyBaselines
 from lagoonfold_gateway._limit_controller import LimitController
 from lagoonfold_gateway._messages import Message
 from lagoonfold_gateway._pool_owners import PoolOwners
 from lagoonfold_gateway.cold import ColdController
+from lagoonfold_gateway.placing import LatencyBaselines
+from lagoonfold_gateway.placing._dispatch import Dispatcher, PlacementEvidence
 from tests.placement._placing_load import Clock
 
 SERVICE = "models"
--- a/tests/gateway/test_cold_replicas.py
+++ b/tests/gateway/test_cold_replicas.py
@@ -7,7 +7,7 @@
 from lagoonfold.forwarding import ForwardService
 from lagoonfold.placement import ColdTerms, ReplicaPool, SelectionInput, rank_pools
 from lagoonfold_gateway._board import EvacuationView, GatewayBoard
-from lagoonfold_gateway._dispatch import PlacementEvidence
+from lagoonfold_gateway.placing import PlacementEvidence
 from standins.replica import NAMES
 from tests._suite import load_functions
 from tests.gateway._fleet import Fleet, make_config, run_and_collect_lines, wait_until
--- a/tests/gateway/test_leaving_replicas.py
+++ b/tests/gateway/test_leaving_replicas.py
@@ -4,7 +4,7 @@
 
 from lagoonfold import rendezvous_weight
 from lagoonfold.placement import pool_of
-from lagoonfold_gateway._placement_client import NO_REPLICA_WAIT_S
+from lagoonfold_gateway.placing._placement_client import NO_REPLICA_WAIT_S
 from tests._suite import load_functions
 from tests.gateway._fleet import Fleet, knows_all, make_config, run_with_fleet, wait_until
 
