--- a/packages/lagoonfold/src/lagoonfold/placement/__init__.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/__init__.py
@@ -19,11 +19,8 @@
 from lagoonfold.placement._memory_tracker import MemoryClaim, MemoryTracker
 from lagoonfold.placement._object_index import ObjectIndex
 from lagoonfold.placement._pace_tracker import MAX_FIGURE, PaceTracker
-from lagoonfold.placement._placement_queue import (
-    PlacementQueue,
-    PlacementRefusal,
-    PlacementShortage,
-)
+from lagoonfold.placement._placement_queue import PlacementQueue
+from lagoonfold.placement._placement_results import PlacementRefusal, PlacementShortage
 from lagoonfold.placement._program_admission import PlacementOrder, ProgramAdmission
 from lagoonfold.placement._prompt_cache_index import PromptCacheIndex, PromptPart
 from lagoonfold.placement._replica_limits import ReplicaLimits, parse_limit
@@ -39,11 +36,11 @@
     "Candidate",
     "ColdReplicas",
     "ColdTerms",
-    "ObjectIndex",
+    "FairShares",
     "MemoryClaim",
     "MemoryTracker",
+    "ObjectIndex",
     "PaceTracker",
-    "FairShares",
     "PlacementOrder",
     "PlacementQueue",
     "PlacementRefusal",
@@ -64,8 +61,8 @@
     "cost_term",
     "estimate_cost_s",
     "find_rejection",
-    "is_cold_time",
     "is_clearly_free",
+    "is_cold_time",
     "parse_limit",
     "pool_of",
     "rank_pools",
--- a/packages/lagoonfold/src/lagoonfold/placement/_placement_queue.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/_placement_queue.py
@@ -11,8 +11,7 @@
 import math
 import random
 from collections.abc import Iterator
-from dataclasses import dataclass, replace
-from enum import Enum
+from dataclasses import replace
 from typing import Generic, TypeVar
 
 from result import Err, Ok, Result
@@ -20,6 +19,7 @@
 from lagoonfold._wait_queue import MAX_WAITING, FreedRate
 from lagoonfold.forwarding import Replica
 from lagoonfold.placement._memory_hold import MemoryHold
+from lagoonfold.placement._placement_results import PlacementRefusal, PlacementShortage
 from lagoonfold.placement._program_admission import PlacementOrder, ProgramAdmission
 from lagoonfold.placement._replica_selection import (
     ReplicaSearch,
@@ -36,29 +36,6 @@
 MAX_PASSED_OVER = 32  # waiting requests that are tried before one that may use a limited replica
 
 
-class PlacementShortage(Enum):
-    """Why a request is not placed.
-
-    `NO_REPLICA`: the pool has no replica. `FULL`: it would not get a slot in time, or not at once
-    if it may not wait. `WAITING`: it could still get one, but whoever asked wants to know by now.
-    """
-
-    NO_REPLICA = "no-replica"
-    FULL = "full"
-    WAITING = "waiting"
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class PlacementRefusal:
-    """A request that is not placed: why, and after how many seconds it may find a place in time.
-
-    `retry_after_s` is 0 where that is not known.
-    """
-
-    shortage: PlacementShortage
-    retry_after_s: float = 0.0
-
-
 class PlacementQueue(Generic[T]):
     """The requests that wait for a slot of one pool.
 
