--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_settings.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_settings.py
@@ -106,7 +106,7 @@
     `share` is that of the requests that may be repeated; 0 switches them off.
     """
 
-    share: Annotated[float, Meta(ge=0, le=0.1, description="a share from 0 to 0.1")] = 0.03
+    share: Annotated[float, Meta(ge=0, le=0.1, description="a share from 0 to 0.1")] = 0.0
 
 
 class MemorySection(msgspec.Struct, frozen=True, kw_only=True):
