--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_context.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_context.py
@@ -22,6 +22,7 @@
     """Holds the shared components; `nursery` outlives every request.
 
     `hedge_share` is the share of requests that may get a second attempt while the first is late.
+    With `admits_by_program`, owners of pools are told the program and the account of each request.
     """
 
     dialect: Dialect
@@ -38,3 +39,4 @@
     metrics: Metrics
     nursery: TaskStarter
     hedge_share: float
+    admits_by_program: bool
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
@@ -247,6 +247,7 @@
             metrics=self.metrics,
             nursery=self.tasks,
             hedge_share=self.settings.hedging.share,
+            admits_by_program=self.settings.admission.by_program,
         )
         return Forwarder(context)
 
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_settings.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_settings.py
@@ -100,6 +100,15 @@
         )
 
 
+class AdmissionSection(msgspec.Struct, frozen=True, kw_only=True):
+    """With `by_program`, programs and accounts decide what a pool takes while it is short of room.
+
+    See `lagoonfold.placement.ProgramAdmission`. Without it, each request is ordered by itself.
+    """
+
+    by_program: bool = False
+
+
 class HedgingSection(msgspec.Struct, frozen=True, kw_only=True):
     """Second attempts of requests whose first one is late; see `lagoonfold.forwarding.HedgePolicy`.
 
@@ -137,6 +146,7 @@
     times: TimesSection = TimesSection()
     quotas: QuotasSection = QuotasSection()
     histories: HistoriesSection = HistoriesSection()
+    admission: AdmissionSection = AdmissionSection()
     hedging: HedgingSection = HedgingSection()
     memory: MemorySection = MemorySection()
     log: LogSection = LogSection()
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/attempts/_attempt_runner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/attempts/_attempt_runner.py
@@ -1,7 +1,7 @@
 """Runs the attempts of a forwarded request: selects a replica, sends, relays, retries."""
 
 from collections import defaultdict
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
 
 from result import Err, Ok, Result
@@ -150,7 +150,7 @@
             for replica in replicas
         ):
             avoided_ids = set()
-        return PlacementNeed(
+        need = PlacementNeed(
             service=service,
             route=request_state.route.name,
             request_id=request_state.parsed.request_id,
@@ -168,9 +168,15 @@
             affinity=request_state.affinity,
             prompt_tokens=request_state.parsed.prompt_tokens,
             output_tokens=request_state.parsed.output_tokens,
+        )
+        if not self._context.admits_by_program:
+            return need
+        return replace(
+            need,
             account=request_state.account_name or None,
             is_begun=self._begun_programs.has_begun(request_state),
             program=request_state.program_with_objective,
+            waiting_since_s=now_s(),
         )
 
     async def _attempt(
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/placing/_placement_client.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/placing/_placement_client.py
@@ -113,12 +113,12 @@
                 evacuated = self._evacuated_ids(need.service)
                 others = self._other_pools(need, pools)
                 if not others and evacuated <= need.excluded:
-                    return Err(queue_full(need.service, refusal.retry_after_s))
+                    return Err(queue_full(need, refusal.retry_after_s))
                 pools = others or pools
                 # The owner may not know of an evacuation yet.
                 need = replace(need, excluded=need.excluded | evacuated)
             elif refusal.shortage is not PlacementShortage.WAITING:
-                return Err(queue_full(need.service, refusal.retry_after_s))
+                return Err(queue_full(need, refusal.retry_after_s))
 
     def _evacuated_ids(self, service: str) -> frozenset[str]:
         directory = self._board.replicas.read()
@@ -289,7 +289,7 @@
             account=need.account,
             is_begun=need.is_begun,
             program=need.program,
-            waited_s=max(0.0, now_s() - need.waiting_since_s),
+            waited_s=_waited_s(need),
         )
 
     def _report_end(self, owner: str, number: int, evidence: PlacementEvidence) -> None:
@@ -321,5 +321,10 @@
         return directory.available_for(service)
 
 
+def _waited_s(need: PlacementNeed) -> float | None:
+    since_s = need.waiting_since_s
+    return None if since_s is None else max(0.0, now_s() - since_s)
+
+
 def _unsent(need: PlacementNeed) -> PlacementEvidence:
     return PlacementEvidence(route=need.route, outcome=None)
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/placing/_placement_needs.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/placing/_placement_needs.py
@@ -1,10 +1,9 @@
 """What a request needs of a replica, the place that it gets, and the pools that may give one."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from lagoonfold.forwarding import Replica
 from lagoonfold.placement import PromptPart, ReplicaPool, ReplicaSelection, rank_pools
-from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway.placing._placement_orders import SESSION_PART_INDEX
 
 
@@ -17,7 +16,8 @@
     answer after `answer_deadline_s`; `soft_deadline_s` is when its program should be done. Requests
     of the same `affinity` concern the same object. With `is_hedge` it is a second attempt.
     `program` is set if that is the program's own time. `is_begun` says whether the program has
-    begun; the request waits for a place since `waiting_since_s`.
+    begun; the request waits for a place since `waiting_since_s`. These and the `account` are told
+    only to owners that admit by program.
     """
 
     service: str
@@ -39,7 +39,7 @@
     account: str | None = None
     is_begun: bool = True
     program: str | None = None
-    waiting_since_s: float = field(default_factory=now_s)
+    waiting_since_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/placing/_placement_refusals.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/placing/_placement_refusals.py
@@ -1,6 +1,7 @@
 """The refusals of requests that get no replica; none of them has run."""
 
 from lagoonfold import ErrorKind, Refusal
+from lagoonfold_gateway.placing._placement_needs import PlacementNeed
 
 RETRY_AFTER_S = 0.2  # where an owner tells none; some waiting requests are served by then
 
@@ -23,10 +24,14 @@
     )
 
 
-def queue_full(service: str, retry_after_s: float) -> Refusal:
-    """Return the refusal of a request that gets no place in time; 0 stands for no known time."""
+def queue_full(need: PlacementNeed, retry_after_s: float) -> Refusal:
+    """Return the refusal of a request that gets no place in time; 0 stands for no known time.
+
+    Owners that admit by program tell callers apart, and may have one return sooner.
+    """
+    is_spread = need.waiting_since_s is not None and retry_after_s > 0
     return Refusal(
         kind=ErrorKind.QUEUE_FULL,
-        detail=f"no replica of service {service!r} has a slot in time",
-        retry_after_s=retry_after_s if retry_after_s > 0 else RETRY_AFTER_S,
+        detail=f"no replica of service {need.service!r} has a slot in time",
+        retry_after_s=retry_after_s if is_spread else max(RETRY_AFTER_S, retry_after_s),
     )
