--- a/packages/lagoonfold/src/lagoonfold/placement/_memory_tracker.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/_memory_tracker.py
@@ -13,10 +13,7 @@
 from lagoonfold.forwarding import Replica
 from lagoonfold.placement._selection_input import SelectionInput
 
-# Estimates are right at the median, with errors in both directions. In the load of
-# tests/placement/_memory_load.py the memory was exceeded in 14 of 24 trials at 1.0 and in one at
-# 1.5; with estimates nearly twice as far off, 91 preemptions became 29. A larger margin leaves
-# memory idle.
+# Estimates are right at the median only, and an output that exceeds its estimate preempts others.
 OUTPUT_MARGIN = 1.5
 
 _Incarnation = tuple[str, int]
--- a/packages/lagoonfold/src/lagoonfold/placement/_pace_rules.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/_pace_rules.py
@@ -7,10 +7,8 @@
 from lagoonfold.placement._capacity_rules import MAX_REQUESTS_PER_SLOT, capacity_rule
 from lagoonfold.placement._cost_terms import cost_term
 
-# Up to this pace a replica gets as many requests as others, and beyond it in proportion to it.
-# Dividing all by the pace from here on let slots idle in overload (mean 13 in 100 longer than
-# without the rule, this one 2 in 100), and a limit at 1.5 leaves one of twice the usual time its
-# slots' share.
+# Up to this pace a replica gets as many requests as others, and beyond it fewer in proportion.
+# Dividing by the whole pace would leave slots idle in overload.
 CLEARLY_SLOW = 1.3
 # The slowdown of the last seconds counts in place of the pace when it is so much higher: the
 # replica has become slow in a way that its figures don't show. Noise alone rarely doubles it.
--- a/packages/lagoonfold/src/lagoonfold/placement/_program_admission.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/_program_admission.py
@@ -11,9 +11,7 @@
 from dataclasses import dataclass
 
 MAX_PROGRAMS = 8_192  # of one pool; beyond it the oldest are forgotten
-# Objectives are 1.2 to 1.6 times a program's time on idle replicas, and its later turns wait too;
-# with 0.6, programs were begun in bursts that were late after their first wait.
-WORK_SHARE = 0.8
+WORK_SHARE = 0.8  # of an objective; it is 1.2 to 1.6 times the program's time on idle replicas
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
