--- a/packages/lagoonfold/src/lagoonfold/placement/_waiting_order.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/_waiting_order.py
@@ -19,8 +19,8 @@
 T = TypeVar("T")
 
 LONG_WAIT_S = 0.8  # longer than a hold of the instance that asks; then a request moves up
-# One in so many granted places goes to a request that has waited long, so that no rank starves; each
-# of these places delays a program that could still end in time.
+# One in so many granted places goes to a request that has waited long, so that no rank starves.
+# Each of these places delays a program that could still end in time.
 OVERDUE_EVERY = 32
 
 SortKey = tuple[bool, bool, int, bool, bool, float, int]
