Copy what placement and rates decide by, for explanations

Cause: many look-ups change state (a quota refills, a queue is made on first use, a selection draws random numbers and counts rejections), so an explanation cannot ask the real objects. RateOwner makes its queues in one method for both uses. Decisions are the same as before.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_rate_owner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_rate_owner.py
@@ -90,6 +90,17 @@
         board.live.subscribe(self._drop_unowned)
         members.presence.subscribe(self._drop_all)
 
+    def snapshot(self, account: str) -> TokenQueue[object] | None:
+        """Return a copy of the queue that an account has or would get here, for an explanation.
+
+        What it decides changes nothing here. None if the account has no limit.
+        """
+        owned = self._owned_by_account.get(account)
+        if owned is not None:
+            return owned.queue.snapshot()
+        limit = _limits_by_account(self._board.config.read()).get(account)
+        return self._make_queue(account, limit)[0] if limit is not None else None
+
     def _handle_request(self, request: Message) -> Message | Awaitable[Message]:
         assert isinstance(request, TokenRequest)
         if not self._members.owns(request.account) or self._members.is_isolated():
@@ -198,11 +209,8 @@
         limit = _limits_by_account(self._board.config.read()).get(account)
         if limit is None:
             return None
-        live = self._board.live.read()
-        empty_s = max(self._away_until_s, self._dropped_s_by_account.pop(account, -math.inf))
-        is_new = self._is_first_start and live.is_stable_since_start and empty_s == -math.inf
-        owned_s = now_s() if is_new else max(empty_s, live.since_s)
-        queue = TokenQueue[_WaitingCall](limit, self._terms, now_s=owned_s, is_new=is_new)
+        queue, is_new = self._make_queue(account, limit)
+        self._dropped_s_by_account.pop(account, None)
         owned = _OwnedAccount(account, queue, self._terms.window_s)
         self._owned_by_account[account] = owned
         _log.info(
@@ -214,6 +222,14 @@
         )
         return owned
 
+    def _make_queue(self, account: str, limit: RateLimit) -> tuple[TokenQueue[_WaitingCall], bool]:
+        """Return the queue of an account that begins to be owned now, and whether it is new."""
+        live = self._board.live.read()
+        empty_s = max(self._away_until_s, self._dropped_s_by_account.get(account, -math.inf))
+        is_new = self._is_first_start and live.is_stable_since_start and empty_s == -math.inf
+        owned_s = now_s() if is_new else max(empty_s, live.since_s)
+        return TokenQueue(limit, self._terms, now_s=owned_s, is_new=is_new), is_new
+
     def _drop_unowned(self, live: LiveView) -> None:
         """Drop the accounts that another instance owns now."""
         for account in tuple(self._owned_by_account):
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/placing/_dispatch.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/placing/_dispatch.py
@@ -108,6 +108,23 @@
         """Return whether a replica takes only some requests a second for now."""
         return self._selector.knowledge.cold.is_cold(replica_id, now_s=now_s())
 
+    def replicas_of(self, pool: ReplicaPool) -> list[Replica]:
+        """Return the replicas of a pool that may get new requests."""
+        return self._replicas(pool)
+
+    def snapshot(
+        self, pool: ReplicaPool
+    ) -> tuple[ReplicaSelector, PlacementQueue[WaitingPlacement]]:
+        """Return copies of the selector and of a pool's queue, for an explanation.
+
+        What they decide changes nothing here.
+        """
+        ids = {replica.replica_id for replica in self._replicas(pool)}
+        selector, queue = self._selector.snapshot(ids), self._queue_by_pool.get(pool)
+        if queue is None:
+            return selector, PlacementQueue(selector, selector.knowledge.tracker, random.Random(0))
+        return selector, queue.snapshot(selector)
+
     def place(
         self, pool: ReplicaPool, request: SelectionInput, order: PlacementOrder
     ) -> Result[ReplicaSelection | WaitingPlacement, PlacementRefusal]:
--- a/packages/lagoonfold/src/lagoonfold/_wait_queue.py
+++ b/packages/lagoonfold/src/lagoonfold/_wait_queue.py
@@ -9,7 +9,7 @@
 import itertools
 import math
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Generic, TypeVar
 
 T = TypeVar("T")
@@ -18,6 +18,7 @@
 FREED_WINDOW_S = 1.0  # for the rate at which slots or tokens become free
 MAX_FREED_REMEMBERED = 256  # at a higher rate, the latest ones are counted
 MIN_SPAN_FOR_RATE_S = 0.05  # slots often become free together
+FIRST_OF_SNAPSHOT = 2**62  # numbers in a snapshot come after those of all that waits
 MIN_FREED_FOR_RATE = 3  # with fewer, the rate is unknown and no request is refused by it
 
 
@@ -39,6 +40,12 @@
         """Count a slot or token that has become free."""
         self._freed_at_s.append(now_s)
 
+    def snapshot(self) -> "FreedRate":
+        """Return a copy."""
+        copied = FreedRate()
+        copied._freed_at_s = self._freed_at_s.copy()
+        return copied
+
     def per_s(self, *, waiting_since_s: float, now_s: float) -> float | None:
         """Return the rate at which slots or tokens have recently become free, None if unknown.
 
@@ -66,6 +73,15 @@
     def __len__(self) -> int:
         return len(self._heap)
 
+    def snapshot(self) -> "WaitQueue[T]":
+        """Return a copy to which requests can be added without any effect here."""
+        copied: WaitQueue[T] = WaitQueue()
+        copied._heap = [replace(waiter) for waiter in self._heap]
+        copied._sequence = itertools.count(FIRST_OF_SNAPSHOT)
+        copied._freed = self._freed.snapshot()
+        copied._waiting_since_s = self._waiting_since_s
+        return copied
+
     def record_freed(self, *, now_s: float) -> None:
         """Count a slot or token that has become free."""
         self._freed.record(now_s=now_s)
--- a/packages/lagoonfold/src/lagoonfold/placement/__init__.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/__init__.py
@@ -13,7 +13,7 @@
 from lagoonfold.placement._capacity_rules import capacity_rule, find_rejection
 from lagoonfold.placement._cold_replicas import ColdReplicas
 from lagoonfold.placement._cold_terms import ColdTerms, is_cold_time, read_cold_terms
-from lagoonfold.placement._cost_terms import cost_term, estimate_cost_s
+from lagoonfold.placement._cost_terms import cost_term, cost_terms_s, estimate_cost_s
 from lagoonfold.placement._fair_shares import FairShares
 from lagoonfold.placement._hedge_room import is_clearly_free
 from lagoonfold.placement._memory_tracker import MemoryClaim, MemoryTracker
@@ -59,6 +59,7 @@
     "WorkRanking",
     "capacity_rule",
     "cost_term",
+    "cost_terms_s",
     "estimate_cost_s",
     "find_rejection",
     "is_clearly_free",
--- a/packages/lagoonfold/src/lagoonfold/placement/_cold_replicas.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/_cold_replicas.py
@@ -13,8 +13,8 @@
 
 import math
 from collections import OrderedDict, deque
-from collections.abc import Callable, Iterable, Iterator, Mapping
-from dataclasses import dataclass, field
+from collections.abc import Callable, Collection, Iterable, Iterator, Mapping
+from dataclasses import dataclass, field, replace
 
 from lagoonfold.forwarding import Replica
 from lagoonfold.placement._cold_terms import (
@@ -72,6 +72,19 @@
         self._state_by_id: dict[str, _ReplicaState] = {}
         self._gone_by_id: OrderedDict[str, _ReplicaState] = OrderedDict()
 
+    def snapshot(self, replica_ids: Collection[str]) -> "ColdReplicas":
+        """Return a copy with what is known of some replicas, which can be drawn on."""
+        copied = ColdReplicas(self._placing_since_s)
+        copied._terms_by_service = dict(self._terms_by_service)
+        for replica_id in replica_ids:
+            state = self._state_by_id.get(replica_id)
+            if state is not None:
+                quota = state.quota.snapshot() if state.quota is not None else None
+                copied._state_by_id[replica_id] = replace(
+                    state, quota=quota, sent_at_s=state.sent_at_s.copy()
+                )
+        return copied
+
     def set_terms(self, terms_by_service: Mapping[str, ColdTerms]) -> None:
         """Apply the terms of the services with cold replicas; others' replicas are never cold."""
         self._terms_by_service = dict(terms_by_service)
--- a/packages/lagoonfold/src/lagoonfold/placement/_fair_shares.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/_fair_shares.py
@@ -6,6 +6,7 @@
 places, accounts that ask for 10, 30 and 400 get 10, 30 and 60; the level is 60.
 """
 
+import copy
 from collections import Counter, deque
 from collections.abc import Iterable
 
@@ -23,6 +24,13 @@
         self._level = 0.0
         self._level_until_s = 0.0
 
+    def snapshot(self) -> "FairShares":
+        """Return a copy that can be updated without any effect here."""
+        copied = copy.copy(self)
+        copied._placements = self._placements.copy()
+        copied._count_by_account = self._count_by_account.copy()
+        return copied
+
     def record(self, account: str, *, now_s: float) -> None:
         """Count a placement of an account."""
         self._placements.append((now_s, account))
--- a/packages/lagoonfold/src/lagoonfold/placement/_memory_hold.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/_memory_hold.py
@@ -4,6 +4,7 @@
 large one, which would wait until its time is over.
 """
 
+import copy
 from collections.abc import Iterable
 
 from lagoonfold.forwarding import Replica
@@ -20,6 +21,12 @@
         self._number: int | None = None
         self._short_numbers: set[int] = set()
 
+    def snapshot(self) -> "MemoryHold":
+        """Return a copy."""
+        copied = copy.copy(self)
+        copied._short_numbers = set(self._short_numbers)
+        return copied
+
     def begin_round(self) -> None:
         """Release the replica, to find out in the order of waiting for which request to hold it."""
         self._former_id, self._replica_id = self._replica_id, None
--- a/packages/lagoonfold/src/lagoonfold/placement/_memory_tracker.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/_memory_tracker.py
@@ -7,7 +7,7 @@
 """
 
 import math
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 
 from lagoonfold.forwarding import Replica
@@ -68,6 +68,17 @@
         self._last_request: SelectionInput | None = None
         self._last_need = _Need((), 0, 0)
 
+    def snapshot(self, replica_ids: Collection[str]) -> "MemoryTracker":
+        """Return a copy with the open placements at some replicas."""
+        copied = MemoryTracker()
+        copied._capacity_by_service = dict(self._capacity_by_service)
+        copied._usage_by_incarnation = {
+            incarnation: _Usage(usage.placements, usage.tokens, dict(usage.users_by_part))
+            for incarnation, usage in self._usage_by_incarnation.items()
+            if incarnation[0] in replica_ids
+        }
+        return copied
+
     def set_capacities(self, capacity_by_service: Mapping[str, int]) -> None:
         """Set the memory in tokens of each replica of a service; 0 if it is not known."""
         self._capacity_by_service = {
--- a/packages/lagoonfold/src/lagoonfold/placement/_object_index.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/_object_index.py
@@ -19,6 +19,12 @@
     def __init__(self) -> None:
         self._latest_by_key: OrderedDict[str, tuple[str, int, float]] = OrderedDict()
 
+    def snapshot(self) -> "ObjectIndex":
+        """Return a copy."""
+        copied = ObjectIndex()
+        copied._latest_by_key = self._latest_by_key.copy()
+        return copied
+
     def record(self, key: str, replica: Replica, *, now_s: float) -> None:
         """Record that a request for an object is placed at a replica."""
         self._latest_by_key[key] = (replica.replica_id, replica.started, now_s)
--- a/packages/lagoonfold/src/lagoonfold/placement/_pace_tracker.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/_pace_tracker.py
@@ -10,7 +10,8 @@
 """
 
 import math
-from dataclasses import dataclass
+from collections.abc import Collection
+from dataclasses import dataclass, replace
 
 from lagoonfold.forwarding import Replica
 
@@ -55,6 +56,21 @@
     def __init__(self) -> None:
         self._pace_by_id: dict[str, _Pace] = {}
 
+    def snapshot(self, replica_ids: Collection[str]) -> "PaceTracker":
+        """Return a copy with what is known of some replicas."""
+        copied = PaceTracker()
+        copied._pace_by_id = {
+            replica_id: replace(self._pace_by_id[replica_id])
+            for replica_id in replica_ids
+            if replica_id in self._pace_by_id
+        }
+        return copied
+
+    def told_age_s(self, replica: Replica, *, now_s: float) -> float | None:
+        """Return how old the latest figure of a replica's start is, None if it told none."""
+        pace = self._of(replica)
+        return None if pace is None or pace.figure is None else now_s - pace.told_at_s
+
     @property
     def has_any(self) -> bool:
         """Return whether anything is known of a replica's pace."""
--- a/packages/lagoonfold/src/lagoonfold/placement/_placement_queue.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/_placement_queue.py
@@ -15,7 +15,7 @@
 
 from result import Err, Ok, Result
 
-from lagoonfold._wait_queue import MAX_WAITING, FreedRate
+from lagoonfold._wait_queue import FIRST_OF_SNAPSHOT, MAX_WAITING, FreedRate
 from lagoonfold.forwarding import Replica
 from lagoonfold.placement._memory_hold import MAX_SHORT_OF_MEMORY, MemoryHold
 from lagoonfold.placement._placement_results import PlacementRefusal, PlacementShortage
@@ -60,6 +60,41 @@
     def __len__(self) -> int:
         return len(self._waiting)
 
+    def snapshot(self, selector: ReplicaSelector) -> "PlacementQueue[T]":
+        """Return a copy for an explanation: it decides as this queue, without any effect here.
+
+        `selector` is a snapshot of the selector of this queue.
+        """
+        rng = random.Random(0)
+        copied: PlacementQueue[T] = PlacementQueue(selector, selector.knowledge.tracker, rng)
+        copied._memory_hold = self._memory_hold.snapshot()
+        copied._waiting_since_s = self._waiting_since_s
+        copied._numbers = itertools.count(FIRST_OF_SNAPSHOT)
+        copied._freed = self._freed.snapshot()
+        copied._freed_for_new = self._freed_for_new.snapshot()
+        copied._order = self._order.snapshot()
+        copied._waiting = self._waiting.snapshot(copied._order)
+        copied._admission = self._admission.snapshot()
+        copied._returns = self._returns.snapshot(rng)
+        return copied
+
+    def outlook(
+        self,
+        request: SelectionInput,
+        order: PlacementOrder,
+        replicas: list[Replica],
+        *,
+        now_s: float,
+    ) -> tuple[int, float | None]:
+        """Return how many requests go before one that arrives, and how long it would wait.
+
+        The time is None if the rate at which slots become free is not known. Ask a snapshot only.
+        """
+        arriving = self._make_waiting(None, request, order, now_s)
+        before = self._waiting.count_before(arriving, now_s=now_s)
+        wait_s = self._expected_wait_s(arriving, before, replicas, now_s)
+        return before, None if before and not wait_s else wait_s
+
     def place(
         self,
         item: T,
--- a/packages/lagoonfold/src/lagoonfold/placement/_program_admission.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/_program_admission.py
@@ -53,6 +53,12 @@
     def __init__(self) -> None:
         self._objective_by_program: OrderedDict[str, _Objective] = OrderedDict()
 
+    def snapshot(self) -> "ProgramAdmission":
+        """Return a copy."""
+        copied = ProgramAdmission()
+        copied._objective_by_program = self._objective_by_program.copy()
+        return copied
+
     def record(self, order: PlacementOrder, *, now_s: float) -> None:
         """Remember the objective of a program that has not begun, from its first request."""
         if order.program is None or order.is_begun or order.program in self._objective_by_program:
--- a/packages/lagoonfold/src/lagoonfold/placement/_replica_limits.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/_replica_limits.py
@@ -14,8 +14,8 @@
 import math
 import re
 from collections import defaultdict, deque
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from collections.abc import Callable, Collection, Iterable
+from dataclasses import dataclass, replace
 
 from result import Err, Ok, Result
 
@@ -86,6 +86,23 @@
             lambda: deque(maxlen=MAX_COUNTED_BEFORE)
         )
 
+    def snapshot(self, replica_ids: Collection[str]) -> "ReplicaLimits":
+        """Return a copy with the limits of some replicas, which can be drawn on."""
+        copied = ReplicaLimits(self._placing_since_s)
+        for replica_id in replica_ids:
+            limited = self._limited_by_id.get(replica_id)
+            if limited is not None:
+                quota = limited.quota.snapshot() if limited.quota is not None else None
+                copied._limited_by_id[replica_id] = replace(limited, quota=quota)
+            if replica_id in self._sent_at_s_by_id:
+                copied._sent_at_s_by_id[replica_id] = self._sent_at_s_by_id[replica_id].copy()
+        return copied
+
+    def named_age_s(self, replica_id: str, *, now_s: float) -> float | None:
+        """Return how long ago a replica has named its limit last, None if it names none."""
+        limited = self._limited_by_id.get(replica_id)
+        return now_s - limited.named_at_s if limited is not None else None
+
     @property
     def has_any(self) -> bool:
         """Return whether any replica names a limit."""
--- a/packages/lagoonfold/src/lagoonfold/placement/_replica_selection.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/_replica_selection.py
@@ -12,8 +12,8 @@
 """
 
 import random
-from collections.abc import Callable, Iterable, Iterator
-from dataclasses import dataclass
+from collections.abc import Callable, Collection, Iterable, Iterator
+from dataclasses import dataclass, replace
 
 from lagoonfold._rendezvous import rendezvous_weight
 from lagoonfold.forwarding import Replica
@@ -89,6 +89,30 @@
         self._rng = rng
         self._count_rejection = count_rejection
         self._ranking = WorkRanking()
+        self._jitter = COST_JITTER
+
+    def snapshot(self, replica_ids: Collection[str]) -> "ReplicaSelector":
+        """Return a copy by what is known of some replicas, for an explanation.
+
+        Its selections change nothing here, and it selects the replica of the lowest cost without
+        the random part that spreads requests.
+        """
+        known = self.knowledge
+        copied = ReplicaSelector(
+            known.tracker.snapshot(replica_ids),
+            known.prompt_index,
+            random.Random(0),
+            known.limits.snapshot(replica_ids),
+            cold=known.cold.snapshot(replica_ids),
+        )
+        copied.knowledge = replace(
+            copied.knowledge,
+            objects=known.objects.snapshot(),
+            memory=known.memory.snapshot(replica_ids),
+            pace=known.pace.snapshot(replica_ids),
+        )
+        copied._ranking, copied._jitter = self._ranking.snapshot(), 0.0
+        return copied
 
     def record_arrival(self, request: SelectionInput) -> None:
         """Record the expected work of a request that is to be placed."""
@@ -124,7 +148,7 @@
                 if reason == MEMORY:
                     short.append(candidate.replica)
                 continue
-            cost_s = estimate_cost_s(candidate, terms) * (1 + COST_JITTER * self._rng.random())
+            cost_s = estimate_cost_s(candidate, terms) * (1 + self._jitter * self._rng.random())
             if cost_s < best_cost_s:
                 best, best_cost_s = candidate, cost_s
         if best is None:
--- a/packages/lagoonfold/src/lagoonfold/placement/_replica_tracker.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/_replica_tracker.py
@@ -9,7 +9,8 @@
 
 import math
 from collections import defaultdict
-from dataclasses import dataclass
+from collections.abc import Collection
+from dataclasses import dataclass, replace
 
 REPORT_TTL_S = 0.3  # a replica's own counts are some hundred ms old on arrival
 SLOWDOWN_HALF_LIFE_S = 3.0  # a recovered replica gets requests again within seconds
@@ -39,6 +40,22 @@
     def __init__(self) -> None:
         self._state_by_id: dict[str, _ReplicaState] = defaultdict(_ReplicaState)
 
+    def snapshot(self, replica_ids: Collection[str]) -> "ReplicaTracker":
+        """Return a copy with what is known of some replicas."""
+        copied = ReplicaTracker()
+        for replica_id in replica_ids:
+            if replica_id in self._state_by_id:
+                copied._state_by_id[replica_id] = replace(self._state_by_id[replica_id])
+        return copied
+
+    def ages_s(self, replica_id: str, *, now_s: float) -> dict[str, float]:
+        """Return how old the replica's own count and its slowdown are, as far as it has any."""
+        state = self._state_by_id.get(replica_id)
+        if state is None:
+            return {}
+        at_s = {"requests_told": state.reported_at_s, "slowdown": state.slowdown_at_s}
+        return {name: now_s - each_s for name, each_s in at_s.items() if each_s > -math.inf}
+
     def record_sent(self, replica_id: str) -> None:
         """Count a request that is about to be sent."""
         self._state_by_id[replica_id].sent += 1
--- a/packages/lagoonfold/src/lagoonfold/placement/_return_times.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/_return_times.py
@@ -31,6 +31,13 @@
         self._rng = rng
         self._told_by_caller: OrderedDict[str, _Told] = OrderedDict()
 
+    def snapshot(self, rng: random.Random) -> "ReturnTimes":
+        """Return a copy that draws from another source of random numbers."""
+        copied = ReturnTimes(rng)
+        for caller, told in self._told_by_caller.items():
+            copied._told_by_caller[caller] = _Told(told.due_s, told.is_outstanding)
+        return copied
+
     def tell(
         self, caller: str | None, *, expected_s: float, time_left_s: float, now_s: float
     ) -> float:
--- a/packages/lagoonfold/src/lagoonfold/placement/_waiting_list.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/_waiting_list.py
@@ -29,6 +29,16 @@
     def __len__(self) -> int:
         return len(self._waiting_by_number)
 
+    def snapshot(self, order: WaitingOrder[T]) -> "WaitingList[T]":
+        """Return a copy by a copy of the order, which can be added to without any effect here."""
+        copied: WaitingList[T] = WaitingList(order)
+        copied._waiting_by_number = dict(self._waiting_by_number)
+        copied._number_by_item_id = dict(self._number_by_item_id)
+        copied._sorted = list(self._sorted)
+        copied._key_by_number = dict(self._key_by_number)
+        copied._moving_by_number = dict(self._moving_by_number)
+        return copied
+
     @property
     def numbers(self) -> frozenset[int]:
         """Return the numbers of all waiting requests."""
--- a/packages/lagoonfold/src/lagoonfold/placement/_waiting_order.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/_waiting_order.py
@@ -74,6 +74,12 @@
         self.shares = FairShares()
         self._granted = 0
 
+    def snapshot(self) -> "WaitingOrder[T]":
+        """Return a copy that can be updated without any effect here."""
+        copied: WaitingOrder[T] = WaitingOrder()
+        copied.shares, copied._granted = self.shares.snapshot(), self._granted
+        return copied
+
     def update(self, waiting: Iterable[WaitingRequest[T]], *, now_s: float) -> None:
         """Take the waiting requests into account for the shares."""
         accounts = (each.order.account for each in waiting)
--- a/packages/lagoonfold/src/lagoonfold/placement/_work_ranking.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/_work_ranking.py
@@ -23,6 +23,12 @@
         self._latest: deque[float] = deque()
         self._sorted: list[float] = []
 
+    def snapshot(self) -> "WorkRanking":
+        """Return a copy."""
+        copied = WorkRanking()
+        copied._latest, copied._sorted = self._latest.copy(), list(self._sorted)
+        return copied
+
     def record(self, work: float) -> None:
         """Record the expected work of a request."""
         self._latest.append(work)
--- a/packages/lagoonfold/src/lagoonfold/rates/_quota.py
+++ b/packages/lagoonfold/src/lagoonfold/rates/_quota.py
@@ -10,6 +10,7 @@
 than `slack_calls`.
 """
 
+import copy
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -68,6 +69,12 @@
         """Return how many tokens can be taken at once when none was taken before."""
         return min(self._depth, self._window_size)
 
+    def snapshot(self) -> "Quota":
+        """Return a copy that can be asked and drawn on without any effect here."""
+        copied = copy.copy(self)
+        copied._taken_at_s = self._taken_at_s.copy()
+        return copied
+
     def change_limit(self, limit: RateLimit, *, now_s: float) -> None:
         """Apply a new rate and burst to the calls from now on.
 
--- a/packages/lagoonfold/src/lagoonfold/rates/_token_queue.py
+++ b/packages/lagoonfold/src/lagoonfold/rates/_token_queue.py
@@ -8,6 +8,7 @@
 `next_grant_s` tells.
 """
 
+import copy
 from collections.abc import Iterator
 from dataclasses import dataclass
 from enum import Enum
@@ -70,6 +71,14 @@
     def __len__(self) -> int:
         return len(self._queue)
 
+    def snapshot(self) -> "TokenQueue[T]":
+        """Return a copy for calls without a program, which can be asked without any effect here."""
+        copied = copy.copy(self)
+        copied._quota = self._quota.snapshot()
+        copied._programs = ProgramTracker()
+        copied._queue = self._queue.snapshot()
+        return copied
+
     @property
     def limit(self) -> RateLimit:
         """Return the rate and burst in force."""
@@ -124,6 +133,10 @@
             self._queue.remove(waiting)
             yield waiting.item
 
+    def expected_wait_s(self, call: ProgramCall, *, now_s: float) -> float:
+        """Return how long a call that arrives would wait for its token; ask a snapshot only."""
+        return self._expected_wait_s(self._programs.prioritize(call, now_s=now_s), now_s)
+
     def next_grant_s(self, *, now_s: float) -> float:
         """Return the seconds after which the next waiting call may get a token."""
         waiting = self._queue.head()
