--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_admin_endpoints.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_admin_endpoints.py
@@ -1,4 +1,4 @@
-"""HTTP endpoints on ports of their own: readiness for the balancer, and metrics."""
+"""HTTP endpoints on ports of their own: readiness for the balancer, metrics and explanations."""
 
 from collections.abc import Callable
 
@@ -7,10 +7,11 @@
 from lagoonfold_io import Exchange, HttpLimits, HttpRequest, HttpResponse, HttpServer
 from lagoonfold_io.observe import Metrics
 
-LIMITS = HttpLimits(  # its requests have no bodies, and come from a few programs
+LIMITS = HttpLimits(  # its requests have small bodies, and come from a few programs
     max_header_bytes=16_384, max_body_bytes=16_384, max_connections=16
 )
 TEXT = (("content-type", "text/plain; version=0.0.4"),)
+EXPLAIN = ("POST", "/explain")
 
 
 async def serve_readiness(
@@ -30,12 +31,19 @@
 async def serve_metrics(
     address: str,
     metrics: Metrics,
+    explain: Callable[[bytes], HttpResponse] | None = None,
     *,
     task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
 ) -> None:
-    """Answer every request with the counters and latencies as text."""
+    """Answer every request with the counters and latencies as text.
+
+    `POST /explain` is answered by `explain`, which gets its body, where there is one.
+    """
 
     async def handle(request: HttpRequest, exchange: Exchange) -> None:
+        if explain is not None and (request.method, request.path) == EXPLAIN:
+            await exchange.respond(explain(request.body))
+            return
         body = metrics.render().encode()
         await exchange.respond(HttpResponse(status=200, headers=TEXT, body=body))
 
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
@@ -56,6 +56,7 @@
 from lagoonfold_gateway._version_controller import VersionController
 from lagoonfold_gateway.cold import ColdController
 from lagoonfold_gateway.evacuation import EvacuationController
+from lagoonfold_gateway.explaining import ExplainEndpoint, Explainer
 from lagoonfold_gateway.placing import Dispatcher, LatencyBaselines, PlacementClient, PlacementOwner
 from lagoonfold_io import HttpClient, HttpLimits, HttpServer
 from lagoonfold_io.observe import EventLog, Metrics
@@ -184,6 +185,14 @@
         self.placement_owner = PlacementOwner(
             self.board, self.bus, self.dispatcher, self.limit_controller
         )
+        self.explainer = Explainer(
+            self.board,
+            self.members,
+            self.rate_owner,
+            self.dispatcher,
+            failure_domain=instance.failure_domain,
+            admits_by_program=settings.admission.by_program,
+        )
         self.forwarder = self._make_forwarder(dialect)
         self.http_server = HttpServer(
             self.forwarder.handle,
@@ -267,7 +276,8 @@
         await nursery.start(self.http_server.serve, host, port)
         await nursery.start(serve_readiness, instance.readiness, self.is_ready)
         if instance.metrics is not None:
-            await nursery.start(serve_metrics, instance.metrics, self.metrics)
+            explain = ExplainEndpoint(self.explainer).handle
+            await nursery.start(serve_metrics, instance.metrics, self.metrics, explain)
         duties = (
             self.config_controller.watch.run,
             self.replica_controller.watch.run,
--- a/tests/gateway/_fleet.py
+++ b/tests/gateway/_fleet.py
@@ -142,6 +142,7 @@
     client: HttpClient = field(default_factory=HttpClient)
     storage_by_name: dict[str, Storage] = field(default_factory=dict)
     hedge_share: float = 0.03
+    serves_metrics: bool = False
     _requests: int = 0
 
     def put_config(self, config: ForwardConfig) -> None:
@@ -195,6 +196,7 @@
                 listen=f"127.0.0.1:{listen}",
                 readiness=f"127.0.0.1:{readiness}",
                 peers=f"127.0.0.1:{peers}",
+                metrics=f"127.0.0.1:{free_port()}" if self.serves_metrics else None,
                 is_first_start=is_first_start,
             ),
             store=StoreSection(address="127.0.0.1:1"),
@@ -395,6 +397,7 @@
     storage: str = "",
     config: ForwardConfig | None = None,
     hedge_share: float = 0.03,
+    serves_metrics: bool = False,
 ):
     """Start gateways, replicas and storage instances; yield them once they know each other.
 
@@ -404,7 +407,9 @@
     the response, where callers don't see it.
     """
     async with trio.open_nursery() as nursery:
-        fleet = Fleet(MemoryStore(), nursery, hedge_share=hedge_share)
+        fleet = Fleet(
+            MemoryStore(), nursery, hedge_share=hedge_share, serves_metrics=serves_metrics
+        )
         fleet.put_config(config or make_config())
         for number in range(replicas):
             await fleet.add_replica(f"r{number + 1}")
