--- a/packages/lagoonfold-ctl/src/lagoonfold_ctl/_main.py
+++ b/packages/lagoonfold-ctl/src/lagoonfold_ctl/_main.py
@@ -27,6 +27,7 @@
 from lagoonfold_ctl._session import EXIT_REFUSED, EXIT_USAGE, CommandError, Session, unwrap
 from lagoonfold_ctl._story import describe_line, read_timeline
 from lagoonfold_ctl._usage import USAGE, wants_overview
+from lagoonfold_ctl._where import WhereCommands, WhereOptions
 
 _TRUE_WORDS = ("true", "1", "yes")
 _DEFAULT_HISTORY_LIMIT = 20
@@ -108,6 +109,34 @@
         """Show what the storage instances at ADDRESSES (metrics, comma-separated) hold."""
         DiskCommands(self._session).show(addresses)
 
+    @command
+    def where(
+        self,
+        at: str = "",
+        host: str = "",
+        path: str = "",
+        account: str = "",
+        parts: str = "",
+        prompt_tokens: str = "0",
+        output_tokens: str = "0",
+        deadline_ms: str = "",
+    ) -> None:
+        """Explain where a request would go now, and why, by the instances at AT (metrics ports).
+
+        Nothing is sent or charged. PARTS are parts of the prompt: ID:TOKENS,ID:TOKENS.
+        """
+        options = WhereOptions(
+            at=at,
+            host=host,
+            path=path,
+            account=account,
+            parts=parts,
+            prompt_tokens=prompt_tokens,
+            output_tokens=output_tokens,
+            deadline_ms=deadline_ms,
+        )
+        WhereCommands(self._session).show(options)
+
     @command
     def check(self, file: str) -> None:
         """Check a settings file and print every fault in it."""
--- a/packages/lagoonfold-ctl/src/lagoonfold_ctl/_usage.py
+++ b/packages/lagoonfold-ctl/src/lagoonfold_ctl/_usage.py
@@ -17,6 +17,7 @@
   lagoonfold explain ID              each decision about a program or a request
   lagoonfold story ID FILE...        the log lines about a request or a program
   lagoonfold disks ADDRESS,...       what storage instances hold, and turns short of copies
+  lagoonfold where --at ADDRESS,...  where a request would go now, and why
   lagoonfold check FILE              every fault in a settings file
 
 Common options:
