Select the owners of pools by processor capacity

Cause: the one owner of the 22 model replicas of a deployment had 0.516 cores and ran out of processor time, while other instances there have 2.15. Change: instances tell the processor cores of their settings with their status, and the owner of a pool is selected by rendezvous hashing weighted by cores. The pools of a service are assigned one after the other, so that none owns two while one that is left over owns none. All that ask for the owner of a pool use PoolOwners; rates, budgets and streams keep the unweighted owner. Since when an instance owns a pool is noted there, as an owner may now change without a change of the live instances: limited and cold replicas are then counted from an empty bucket. LimitedFleet of the tests asks PoolOwners in place of its own copy. Compatibility: an optional field of the status, absent from the previous build; the frames recorded before are kept among those before fields were added.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_board.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_board.py
@@ -6,6 +6,7 @@
 | `replicas` | replica controller | the directory of replicas; written again with each change |
 | `evacuations` | evacuation controller | the evacuated failure domains |
 | `live` | member controller | the live instances, this one included |
+| `capacities` | member controller | the processor cores of the live instances by id |
 | `disks` | disk controller | the disks that hold kept turns; None until they are known |
 | `stopping` | `Gateway.stop` | whether this instance is leaving |
 """
@@ -64,5 +65,6 @@
         default_factory=lambda: Cell("evacuations", EvacuationView())
     )
     live: Cell[LiveView] = field(default_factory=lambda: Cell("live", LiveView((), 0.0)))
+    capacities: Cell[Mapping[str, float]] = field(default_factory=lambda: Cell("capacities", {}))
     disks: Cell[tuple[Disk, ...] | None] = field(default_factory=lambda: Cell("disks", None))
     stopping: Cell[bool] = field(default_factory=lambda: Cell("stopping", False))
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
@@ -171,8 +171,10 @@
         self.budget_owner = BudgetOwner(
             self.board, self.bus, store, self.members, self.tasks, is_first_start=first
         )
-        pool_owners = PoolOwners(self.board, self.members)
-        self.limit_controller = LimitController(self.board, self.bus, self.members, pool_owners)
+        self.pool_owners = PoolOwners(self.board, self.members.presence)
+        self.limit_controller = LimitController(
+            self.board, self.bus, self.members, self.pool_owners
+        )
         self.cold_controller = ColdController(
             self.board, self.limit_controller.placing_since_s, self.replica_controller
         )
@@ -223,7 +225,7 @@
         placement_client = PlacementClient(
             self.board,
             self.bus,
-            self.members,
+            self.pool_owners,
             self.dispatcher,
             self.settings.instance.failure_domain,
         )
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_limit_controller.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_limit_controller.py
@@ -85,7 +85,9 @@
         replica = self._board.replicas.read().get(replica_id)
         if replica is None or self._pool_owners.owner(replica) != self._bus.own_id:
             return None
-        return self._board.live.read().since_s if self._members.hears_most() else None
+        if not self._members.hears_most():
+            return None
+        return max(self._board.live.read().since_s, self._pool_owners.owned_since_s(replica))
 
     def _handle_news(self, news: Message) -> Message:
         assert isinstance(news, ReplicaLimitNews)
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_member_controller.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_member_controller.py
@@ -30,6 +30,7 @@
     StatusTable,
 )
 from lagoonfold_gateway._board import GatewayBoard, LiveView
+from lagoonfold_gateway._capacities import Capacities
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._peer_link import PeerFault
 from lagoonfold_gateway._peers import PeerBus
@@ -80,6 +81,7 @@
         self._must_list = trio.Event()
         self.is_listed = trio.Event()
         self.registration = Registration(store, instance.id, entry, self._must_list.set)
+        self._capacities = Capacities(board.capacities)
         self.own_status = InstanceStatus(
             instance=instance.id,
             start_id=start_id,
@@ -87,6 +89,7 @@
             address=instance.peers,
             is_first_start=instance.is_first_start,
             failure_domain=instance.failure_domain,
+            processor_cores=self._capacities.check_own(instance.id, instance.capacity),
         )
         self._started_s = now_s()
         self.initial_members = InitialMembers(
@@ -111,6 +114,7 @@
             on_event=self._apply_event,
             terms=COPY_TERMS,
         )
+        self._capacities.write((self.instance_id,), self._table)
         board.live.write(LiveView((self.instance_id,), now_s()))
 
     @property
@@ -422,6 +426,7 @@
             live = tuple(key for key in live if key not in without)
         if self._is_cut_off or not live:
             live = (self.instance_id,)
+        self._capacities.write(live, self._table)
         before = self._board.live.read()
         if live == before.ids:
             return
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_settings.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_settings.py
@@ -32,7 +32,9 @@
 class InstanceSection(msgspec.Struct, frozen=True, kw_only=True):
     """This instance: its id, failure domain and addresses.
 
-    `is_first_start` is true only when the whole system starts for the first time.
+    `is_first_start` is true only when the whole system starts for the first time. The processor
+    capacity is the product of `processor_cores` and `processor_share`, the share of their time that
+    the instance may use; a product that cannot be used counts as 1.0 core.
     """
 
     id: Annotated[str, Meta(min_length=1, description="a name")]
@@ -42,6 +44,13 @@
     peers: Address
     metrics: Address | None = None
     is_first_start: bool = False
+    processor_cores: float = 1.0
+    processor_share: float = 1.0
+
+    @property
+    def capacity(self) -> float:
+        """Return the processor capacity in cores, as it stands in the settings."""
+        return self.processor_cores * self.processor_share
 
 
 class StoreSection(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/placing/_placement_client.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/placing/_placement_client.py
@@ -24,9 +24,9 @@
 )
 from lagoonfold_gateway._board import GatewayBoard
 from lagoonfold_gateway._clock import now_s
-from lagoonfold_gateway._member_controller import MemberController
 from lagoonfold_gateway._messages import Placed, PlacementEnd, PlacementRefused, PlaceRequest
 from lagoonfold_gateway._peers import PeerBus
+from lagoonfold_gateway._pool_owners import PoolOwners
 from lagoonfold_gateway.placing._dispatch import Dispatcher, PlacementEvidence, WaitingPlacement
 from lagoonfold_gateway.placing._placement_needs import (
     Placement,
@@ -59,13 +59,13 @@
         self,
         board: GatewayBoard,
         bus: PeerBus,
-        members: MemberController,
+        pool_owners: PoolOwners,
         dispatcher: Dispatcher,
         failure_domain: str,
     ) -> None:
         self._board = board
         self._bus = bus
-        self._members = members
+        self._pool_owners = pool_owners
         self._dispatcher = dispatcher
         self._failure_domain = failure_domain
         self._numbers = itertools.count(1)
@@ -156,7 +156,7 @@
         self, pool: ReplicaPool, need: PlacementNeed, *, hold_s: float
     ) -> Result[Placement, PlacementRefusal]:
         """Ask a pool's owner for a replica; select one here if the owner does not answer."""
-        owner = self._members.owner(pool.subject)
+        owner = self._pool_owners.duty(pool).owner
         if now_s() < self._distrusted_until_s.get(owner, 0.0):
             return await self._place_here(need, hold_s=hold_s)
         number = next(self._numbers)
--- a/packages/lagoonfold/src/lagoonfold/liveness/__init__.py
+++ b/packages/lagoonfold/src/lagoonfold/liveness/__init__.py
@@ -12,6 +12,7 @@
     table.ring.watchers_of("i-1")    # (), as there is no other
 """
 
+from lagoonfold.liveness._capacity import DEFAULT_CORES, is_capacity, usable_cores
 from lagoonfold.liveness._feed_sources import FeedPlan, plan_feeds
 from lagoonfold.liveness._initial_members import DISCOVERY_S, InitialMembers
 from lagoonfold.liveness._relay_paths import RelayPaths
@@ -20,6 +21,7 @@
 from lagoonfold.liveness._status_table import LEAVING, LIVE, LOST, InstanceStatus, StatusTable
 
 __all__ = [
+    "DEFAULT_CORES",
     "DISCOVERY_S",
     "LEAVING",
     "LIVE",
@@ -32,5 +34,7 @@
     "Ring",
     "SilenceTracker",
     "StatusTable",
+    "is_capacity",
     "plan_feeds",
+    "usable_cores",
 ]
--- a/packages/lagoonfold/src/lagoonfold/liveness/_status_table.py
+++ b/packages/lagoonfold/src/lagoonfold/liveness/_status_table.py
@@ -24,6 +24,8 @@
     `address` is that for peers; the failure domain is "" for an instance of an earlier release.
     `number` grows with each start and each refuted claim. `state` is `LIVE`, `LEAVING` or `LOST`.
     `is_first_start` means that this start was part of the first start of the whole system.
+    `processor_cores` is the processor capacity, None where an instance of an earlier release told
+    the status or passed it on.
     """
 
     instance: str
@@ -33,6 +35,7 @@
     address: str = ""
     is_first_start: bool = False
     failure_domain: str = ""
+    processor_cores: float | None = None
 
     @property
     def is_live(self) -> bool:
@@ -58,10 +61,15 @@
         self.ring = Ring()
 
     def merge(self, status: InstanceStatus) -> bool:
-        """Apply a status; return whether it was news."""
+        """Apply a status; return whether it was news.
+
+        A capacity that an earlier release has not passed on is taken from another status of the
+        same start, so that it does not depend on who told the status first.
+        """
         known = self._status_by_id.get(status.instance)
         if known is not None and not status.supersedes(known):
-            return False
+            return self._complete(known, status)
+        status = _with_cores_of(known, status)
         self._digest ^= _digest_of(known) ^ _digest_of(status)
         self._status_by_id[status.instance] = status
         was_live = known is not None and known.is_live
@@ -73,6 +81,12 @@
             self.ring.remove(status.instance)
         return True
 
+    def _complete(self, known: InstanceStatus, status: InstanceStatus) -> bool:
+        """Add the capacity of a status that is no news to the known one; return if it lacked it."""
+        completed = _with_cores_of(status, known)
+        self._status_by_id[known.instance] = completed
+        return completed is not known
+
     def merge_all(self, statuses: Iterable[InstanceStatus]) -> list[InstanceStatus]:
         """Apply statuses; return those that were news."""
         return [status for status in statuses if self.merge(status)]
@@ -106,6 +120,15 @@
         return self._digest
 
 
+def _with_cores_of(source: InstanceStatus | None, status: InstanceStatus) -> InstanceStatus:
+    """Return a status with the capacity told by another one of the same start, if it lacks it."""
+    if status.processor_cores is not None or source is None or source.processor_cores is None:
+        return status
+    if source.start_id != status.start_id:
+        return status
+    return msgspec.structs.replace(status, processor_cores=source.processor_cores)
+
+
 def _digest_of(status: InstanceStatus | None) -> int:
     if status is None or not status.is_live:
         return 0
--- a/packages/lagoonfold/src/lagoonfold/placement/__init__.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/__init__.py
@@ -21,10 +21,11 @@
 from lagoonfold.placement._pace_tracker import MAX_FIGURE, PaceTracker
 from lagoonfold.placement._placement_queue import PlacementQueue
 from lagoonfold.placement._placement_results import PlacementRefusal, PlacementShortage
+from lagoonfold.placement._pool_duties import PoolDuties, PoolDuty
 from lagoonfold.placement._program_admission import PlacementOrder, ProgramAdmission
 from lagoonfold.placement._prompt_cache_index import PromptCacheIndex, PromptPart
 from lagoonfold.placement._replica_limits import ReplicaLimits, parse_limit
-from lagoonfold.placement._replica_pools import ReplicaPool, pool_of, rank_pools
+from lagoonfold.placement._replica_pools import ReplicaPool, pool_count, pool_of, rank_pools
 from lagoonfold.placement._replica_selection import ReplicaSelection, ReplicaSelector
 from lagoonfold.placement._replica_tracker import ReplicaTracker
 from lagoonfold.placement._return_times import ReturnTimes
@@ -45,6 +46,8 @@
     "PlacementQueue",
     "PlacementRefusal",
     "PlacementShortage",
+    "PoolDuties",
+    "PoolDuty",
     "ProgramAdmission",
     "PromptCacheIndex",
     "PromptPart",
@@ -64,6 +67,7 @@
     "is_clearly_free",
     "is_cold_time",
     "parse_limit",
+    "pool_count",
     "pool_of",
     "rank_pools",
     "read_cold_terms",
--- a/soak/_gateways.py
+++ b/soak/_gateways.py
@@ -89,6 +89,8 @@
             "Limits.DiskMb": "260",
             "Limits.MemoryMb": "256",
             "Limits.MaxFds": "4096",
+            "Limits.Cores": "2",
+            "Limits.CpuShare": "0.5",
         }
 
     def signal(self, number: int) -> None:
--- a/tests/_compatibility_values.py
+++ b/tests/_compatibility_values.py
@@ -86,6 +86,7 @@
     state=LOST,
     address="10.0.0.1:7780",
     failure_domain="zone-a",
+    processor_cores=2.151,
 )
 KEPT_TURN = KeptTurn(
     turn_id="turn-2",
--- a/tests/gateway/_limited_replicas.py
+++ b/tests/gateway/_limited_replicas.py
@@ -15,13 +15,13 @@
 
 from result import Ok
 
-from lagoonfold import rendezvous_weight
 from lagoonfold.forwarding import (
     AttemptOutcome,
     Replica,
 )
 from lagoonfold.placement import (
     PlacementOrder,
+    PoolDuties,
     PromptCacheIndex,
     ReplicaPool,
     ReplicaSelection,
@@ -80,16 +80,6 @@
         self._own_id = own_id
         self._board = board
         self._known = known
-        self._owner_by_subject: dict[str, str] = {}
-        board.live.subscribe(lambda view: self._owner_by_subject.clear())
-
-    def owner(self, subject: str) -> str:
-        if subject not in self._owner_by_subject:
-            ids = self._board.live.read().ids
-            self._owner_by_subject[subject] = max(
-                ids, key=lambda key: rendezvous_weight(subject, key)
-            )
-        return self._owner_by_subject[subject]
 
     def hears_most(self) -> bool:
         return 2 * len(self._board.live.read().ids) > len(self._known)
@@ -102,8 +92,9 @@
         self.board = GatewayBoard()
         self.bus = _Bus(own_id, fleet)
         self.members = _Members(own_id, self.board, fleet.known)
+        self.pool_owners = PoolOwners(self.board, SimpleNamespace(check=lambda: None))
         self.limit_controller = LimitController(
-            self.board, self.bus, self.members, PoolOwners(self.board, self.members)
+            self.board, self.bus, self.members, self.pool_owners
         )
         self.store = SimpleNamespace()
         self.cold_controller = ColdController(
@@ -181,7 +172,9 @@
     def owner(self, pool: ReplicaPool) -> str:
         """Return the instance that the largest group takes for the owner of a pool."""
         ids = [key for key in self.instance_by_id if not self.group_by_id[key]]
-        return max(ids, key=lambda key: rendezvous_weight(pool.subject, key))
+        duties = PoolDuties()
+        duties.set_instances(dict.fromkeys(ids, 1.0))
+        return duties.assign(pool.service, pool.count)[pool.index].owner
 
     def carry(self, sender: str, receiver: str, deliver: Callable[[], None]) -> bool:
         """Deliver a message after the latency, unless it cannot arrive; return whether it can."""
@@ -221,7 +214,7 @@
         instance = self.instance_by_id[instance_id]
         replicas = list(self.replica_by_id.values())
         pool = rank_pools(SERVICE, replicas, str(self.rng.random()))[0]
-        owner = instance.members.owner(pool.subject)
+        owner = instance.pool_owners.duty(pool).owner
         is_asked = self.carry(instance_id, owner, lambda: self._place_at(owner, instance_id, pool))
         if not is_asked:
             self._place_at(instance_id, instance_id, ReplicaPool(SERVICE))
--- a/tests/gateway/_simulated_fleet.py
+++ b/tests/gateway/_simulated_fleet.py
@@ -167,10 +167,10 @@
     view_by_id: dict[str, StoreView] = field(default_factory=dict)
     _starts: int = 0
 
-    async def start(self, instance_id: str, domain: str = "zone-a") -> None:
+    async def start(self, instance_id: str, domain: str = "zone-a", *, cores: float = 1.0) -> None:
         """Start an instance."""
         self._starts += 1
-        await self.nursery.start(self._run, instance_id, f"start-{self._starts}", domain)
+        await self.nursery.start(self._run, instance_id, f"start-{self._starts}", domain, cores)
 
     async def start_all(self, count: int, domains: int = 1) -> None:
         """Start instances in some failure domains, and wait until all know each other."""
@@ -207,7 +207,13 @@
         return trio.current_time() - began_s
 
     async def _run(
-        self, instance_id: str, start_id: str, domain: str, *, task_status: trio.TaskStatus[None]
+        self,
+        instance_id: str,
+        start_id: str,
+        domain: str,
+        cores: float,
+        *,
+        task_status: trio.TaskStatus[None],
     ) -> None:
         async with trio.open_nursery() as nursery:
             board = GatewayBoard()
@@ -218,6 +224,7 @@
                 listen="127.0.0.1:1",
                 readiness="127.0.0.1:2",
                 peers="127.0.0.1:3",
+                processor_cores=cores,
             )
             view = self.view_by_id.setdefault(instance_id, StoreView(self.store))
             mirror = StoreMirror(view, POLL_TERMS_BY_PREFIX)
--- a/tests/liveness/test_decisions.py
+++ b/tests/liveness/test_decisions.py
@@ -1,7 +1,9 @@
 """Merging of statuses, the ring of watchers and silences."""
 
+import math
 import random
 
+import msgspec
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -16,6 +18,7 @@
     Ring,
     SilenceTracker,
     StatusTable,
+    usable_cores,
 )
 from tests._suite import load_functions
 
@@ -143,4 +146,25 @@
     assert silence.silent_for(0.5, now_s=9.8) == ["b"]
 
 
+def test_capacity_does_not_depend_on_who_passes_a_status_on() -> None:
+    """An instance of an earlier release drops it; others would then select different owners."""
+    told = InstanceStatus(instance="a", start_id="s", number=5, processor_cores=2.15)
+    passed_on = msgspec.structs.replace(told, processor_cores=None)
+    raised = msgspec.structs.replace(passed_on, number=6)
+    for statuses in (
+        (told, passed_on, raised),
+        (passed_on, told, raised),
+        (passed_on, raised, told),
+    ):
+        table = StatusTable()
+        table.merge_all(statuses)
+        known = table.get("a")
+        assert known is not None and (known.number, known.processor_cores) == (6, 2.15), statuses
+    restarted = msgspec.structs.replace(raised, start_id="s2", number=7)
+    assert table.merge(restarted) and table.get("a").processor_cores is None
+    assert [usable_cores(each) for each in (None, 0.0, -1.0, math.nan, math.inf, 1_025.0)] == 6 * [
+        1.0
+    ]
+
+
 load_tests = load_functions(globals())
--- a/tests/on_platform/test_processes.py
+++ b/tests/on_platform/test_processes.py
@@ -88,6 +88,8 @@
                 "FaultTolerance.Regions": "0",
                 "Limits.MemoryMb": "256",
                 "Limits.MaxFds": "4096",
+                "Limits.Cores": "2",
+                "Limits.CpuShare": "0.5",
                 **(more_fields or {}),
             }
             settings.write_text(render_template("gateway", fields))
