Ask a pool's deputy while its owner does not respond or is busy

Cause: an owner that ran out of processor time did not answer, and 150 to 410 of 480 placements a second were made by instances that knew only of their own requests, on replicas that reported 13 to 24 requests for 6 slots. Change: all instances agree on a deputy of each pool, which is asked after the owner; only if it does not respond either does an instance place by itself, with the loads that replicas reported to it within the last second where these are higher than its own count. An owner whose event loop is so late that answers would take more than 0.1 s answers "busy" without a search. After a silence one request asks again and the others follow its outcome. A deputy places nothing at cold replicas and at those that name limits; the simulated fleet of their tests now asks deputies, and a deputy that placed there fails its new test (60 requests in a window that allows 47). Compatibility: optional fields knows_busy and is_busy; the previous build is served by a busy owner, as it would ask again without a pause.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
@@ -228,6 +228,7 @@
             self.pool_owners,
             self.dispatcher,
             self.settings.instance.failure_domain,
+            self.metrics,
         )
         context = ForwardContext(
             dialect=dialect,
@@ -287,6 +288,7 @@
             self.dispatcher.run,
             self.cold_controller.run,
             self.placement_owner.sweep,
+            self.placement_owner.measure_load,
             self._follow_disks,
         )
         for duty in duties:
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_messages.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_messages.py
@@ -185,7 +185,8 @@
     gets; an owner of an earlier release places it like any other. `account` is the client account,
     None without one; `program` is the program's id if its objective is known, and `is_begun` says
     whether it has begun. The request has waited for a place for `waited_s` before; an earlier
-    release does not tell that.
+    release does not tell that. `knows_busy` is set if the sender understands that the receiver is
+    busy.
     """
 
     instance: str
@@ -213,6 +214,7 @@
     is_begun: bool = True
     program: str | None = None
     waited_s: float | None = None
+    knows_busy: bool = False
 
 
 class Placed(msgspec.Struct, frozen=True, tag=True, array_like=True):
@@ -227,11 +229,13 @@
 class PlacementRefused(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Answer of a pool's owner: the value of a `PlacementShortage`, and when to come back.
 
-    `retry_after_s` is 0 where that is not known.
+    `retry_after_s` is 0 where that is not known. With `is_busy` the receiver has not looked for a
+    replica, as its answers would come too late: another instance is to be asked.
     """
 
     shortage: str
     retry_after_s: float = 0.0
+    is_busy: bool = False
 
 
 class PlacementEnd(msgspec.Struct, frozen=True, tag=True, array_like=True):
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/placing/_placement_client.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/placing/_placement_client.py
@@ -2,8 +2,9 @@
 
 Reads `replicas`. The owner of the pool of the request's session is asked for a replica. If that
 pool has no slot, the owner of another one is asked, and if none has one, the request waits at the
-first. If an owner does not answer, this instance selects a replica itself, by what it knows of its
-own requests.
+first. If an owner does not answer or is busy, its deputy is asked. If that one does not answer
+either, this instance selects a replica itself, by what it knows of its own requests and by what
+replicas have reported to it.
 """
 
 import itertools
@@ -15,6 +16,7 @@
 from lagoonfold import Refusal
 from lagoonfold.forwarding import Replica
 from lagoonfold.placement import (
+    OwnerTrust,
     PlacementRefusal,
     PlacementShortage,
     ReplicaPool,
@@ -24,7 +26,7 @@
 )
 from lagoonfold_gateway._board import GatewayBoard
 from lagoonfold_gateway._clock import now_s
-from lagoonfold_gateway._messages import Placed, PlacementEnd, PlacementRefused, PlaceRequest
+from lagoonfold_gateway._messages import Placed, PlacementRefused, PlaceRequest
 from lagoonfold_gateway._peers import PeerBus
 from lagoonfold_gateway._pool_owners import PoolOwners
 from lagoonfold_gateway.placing._dispatch import Dispatcher, PlacementEvidence, WaitingPlacement
@@ -40,15 +42,17 @@
     no_replica_of_version,
     queue_full,
 )
-from lagoonfold_io.observe import EventLog
+from lagoonfold_gateway.placing._placement_requests import make_end, make_request
+from lagoonfold_io.observe import EventLog, Metrics
 
 CALL_TIMEOUT_S = 0.15  # some hundred times the latency to a peer
 HOLD_S = 0.5  # an owner answers at least as often while a request waits there
-DISTRUST_S = 0.5  # after an owner did not answer; by then it is known whether it is lost
 MAX_POOLS_ASKED = 2  # at once for a slot; a third would cost more time than it is likely to save
 NO_REPLICA_WAIT_S = 1.0  # a replacement is listed within a second, or it takes much longer
 NO_REPLICA_POLL_S = 0.05  # while a service has no replica
 
+_OWNER, _DEPUTY, _SELF = "owner", "deputy", "self"  # who placed a request
+
 _log = EventLog("placement")
 
 
@@ -62,14 +66,16 @@
         pool_owners: PoolOwners,
         dispatcher: Dispatcher,
         failure_domain: str,
+        metrics: Metrics,
     ) -> None:
         self._board = board
         self._bus = bus
         self._pool_owners = pool_owners
         self._dispatcher = dispatcher
         self._failure_domain = failure_domain
+        self._metrics = metrics
         self._numbers = itertools.count(1)
-        self._distrusted_until_s: dict[str, float] = {}
+        self._trust = OwnerTrust()
 
     async def place(self, need: PlacementNeed) -> Result[Placement, Refusal]:
         """Place a request; it counts as in flight at its replica until `end`."""
@@ -81,7 +87,7 @@
         pools = self._pools(need, replicas)
         if len(pools) > 1:
             for pool in pools[:MAX_POOLS_ASKED]:
-                placed = await self._ask_owner(pool, need, hold_s=0.0)
+                placed = await self._ask(pool, need, hold_s=0.0)
                 if isinstance(placed, Ok):
                     return placed
         return await self._wait_for_place(pools, need)
@@ -95,7 +101,7 @@
         ]
         if replicas:
             for pool in self._pools(need, replicas)[:MAX_POOLS_ASKED]:
-                placed = await self._ask_owner(pool, need, hold_s=0.0)
+                placed = await self._ask(pool, need, hold_s=0.0)
                 if isinstance(placed, Ok):
                     return placed
         return Err(PlacementRefusal(shortage=PlacementShortage.FULL))
@@ -105,7 +111,7 @@
     ) -> Result[Placement, Refusal]:
         """Let a request wait at its first pool until it is placed or refused."""
         while True:
-            placed = await self._ask_owner(pools[0], need, hold_s=HOLD_S)
+            placed = await self._ask(pools[0], need, hold_s=HOLD_S)
             if isinstance(placed, Ok):
                 return placed
             refusal = placed.err_value
@@ -152,33 +158,61 @@
         if placement.owner is not None:
             self._report_end(placement.owner, placement.number, evidence)
 
-    async def _ask_owner(
+    async def _ask(
         self, pool: ReplicaPool, need: PlacementNeed, *, hold_s: float
     ) -> Result[Placement, PlacementRefusal]:
-        """Ask a pool's owner for a replica; select one here if the owner does not answer."""
-        owner = self._pool_owners.duty(pool).owner
-        if now_s() < self._distrusted_until_s.get(owner, 0.0):
-            return await self._place_here(need, hold_s=hold_s)
+        """Ask a pool's owner for a replica, then its deputy; select one here if neither answers.
+
+        A hedge is only placed by the owner, which alone can tell that a replica is clearly free.
+        """
+        duty, asked = self._pool_owners.duty(pool), []
+        while True:
+            placing = self._trust.next_to_ask(
+                duty, asked=asked, now_s=now_s(), owner_only=need.is_hedge
+            )
+            if placing is None:
+                return self._counted(await self._place_here(need, hold_s=hold_s), _SELF)
+            placed = await self._ask_instance(placing, pool, need, hold_s=hold_s)
+            if placed is not None:
+                return self._counted(placed, _OWNER if placing == duty.owner else _DEPUTY)
+            asked.append(placing)
+
+    async def _ask_instance(
+        self, placing: str, pool: ReplicaPool, need: PlacementNeed, *, hold_s: float
+    ) -> Result[Placement, PlacementRefusal] | None:
+        """Ask an instance for a replica; return None if another one is to be asked."""
         number = next(self._numbers)
         request = self._make_request(number, pool, need, hold_s)
         asked_s = now_s()
         try:
-            answer = await self._bus.call(owner, request, timeout_s=hold_s + CALL_TIMEOUT_S)
+            answer = await self._bus.call(placing, request, timeout_s=hold_s + CALL_TIMEOUT_S)
         except trio.Cancelled:
-            self._report_end(owner, number, _unsent(need))
+            self._report_end(placing, number, _unsent(need))
             raise
         if isinstance(answer, Ok) and isinstance(answer.ok_value, Placed):
+            self._trust.record_answered(placing)
             is_late = now_s() - asked_s > hold_s + CALL_TIMEOUT_S
-            return self._accept(owner, number, pool, need, answer.ok_value, is_late=is_late)
+            return self._accept(placing, number, pool, need, answer.ok_value, is_late=is_late)
         if isinstance(answer, Ok) and isinstance(answer.ok_value, PlacementRefused):
             refused = answer.ok_value
+            if refused.is_busy:
+                self._trust.record_busy(placing, now_s=now_s())
+                return None
+            self._trust.record_answered(placing)
             shortage = PlacementShortage(refused.shortage)
             return Err(PlacementRefusal(shortage=shortage, retry_after_s=refused.retry_after_s))
         reason = answer.err_value.value if isinstance(answer, Err) else "unknown message"
-        _log.info("placement.owner_silent", owner=owner, pool=pool.subject, reason=reason)
-        self._distrusted_until_s[owner] = now_s() + DISTRUST_S
-        self._report_end(owner, number, _unsent(need))
-        return await self._place_here(need, hold_s=hold_s)
+        _log.info("placement.owner_silent", owner=placing, pool=pool.subject, reason=reason)
+        self._trust.record_silent(placing, now_s=now_s())
+        self._report_end(placing, number, _unsent(need))
+        return None
+
+    def _counted(
+        self, placed: Result[Placement, PlacementRefusal], by: str
+    ) -> Result[Placement, PlacementRefusal]:
+        if isinstance(placed, Ok):
+            self._metrics.count("placements", by)
+        return placed
 
     def _accept(
         self,
@@ -239,7 +273,8 @@
             return Err(PlacementRefusal(shortage=PlacementShortage.FULL))
         pool = ReplicaPool(need.service)
         order = order_of(self._make_request(0, pool, need, hold_s), now_s=now_s())
-        placed = self._dispatcher.place(pool, self._selection_input(need), order)
+        wanted = replace(self._selection_input(need), by_reports=True)
+        placed = self._dispatcher.place(pool, wanted, order)
         if isinstance(placed, Ok) and isinstance(placed.ok_value, WaitingPlacement):
             placed = await self._dispatcher.wait(placed.ok_value, hold_s=hold_s)
         if isinstance(placed, Err):
@@ -263,51 +298,11 @@
     def _make_request(
         self, number: int, pool: ReplicaPool, need: PlacementNeed, hold_s: float
     ) -> PlaceRequest:
-        wait_s = max(0.0, need.place_until_s - now_s())
-        return PlaceRequest(
-            instance=self._bus.own_id,
-            number=number,
-            service=pool.service,
-            pool_index=pool.index,
-            pool_count=pool.count,
-            route=need.route,
-            parts=tuple((part.part_id, part.tokens) for part in need.parts),
-            excluded=tuple(need.excluded),
-            only=need.only,
-            failure_domain=self._failure_domain,
-            rank=need.rank,
-            soft_time_left_s=need.soft_deadline_s - now_s(),
-            time_left_s=max(0.0, need.answer_deadline_s - now_s()),
-            hold_s=min(hold_s, wait_s),
-            expected_tokens=need.expected_tokens,
-            wait_s=wait_s,
-            version=need.version,
-            affinity=need.affinity,
-            prompt_tokens=need.prompt_tokens,
-            output_tokens=need.output_tokens,
-            is_hedge=need.is_hedge,
-            account=need.account,
-            is_begun=need.is_begun,
-            program=need.program,
-            waited_s=_waited_s(need),
-        )
+        own_id, domain = self._bus.own_id, self._failure_domain
+        return make_request(own_id, domain, number, pool, need, hold_s)
 
     def _report_end(self, owner: str, number: int, evidence: PlacementEvidence) -> None:
-        end = PlacementEnd(
-            instance=self._bus.own_id,
-            number=number,
-            route=evidence.route,
-            outcome=evidence.outcome.value if evidence.outcome is not None else None,
-            reported_load=evidence.reported_load,
-            answer_s=evidence.answer_s,
-            event_s=evidence.event_s,
-            is_stream=evidence.is_stream,
-            names_no_limit=evidence.names_no_limit,
-            cold_s=evidence.cold_s,
-            reported_pace=evidence.reported_pace,
-            reported_pace_age_s=evidence.reported_pace_age_s,
-        )
-        self._bus.post(owner, end)
+        self._bus.post(owner, make_end(self._bus.own_id, number, evidence))
 
     async def _wait_for_replicas(self, service: str) -> list[Replica]:
         """Return the replicas of a service, waiting for `NO_REPLICA_WAIT_S` if it has none.
@@ -321,10 +316,5 @@
         return directory.available_for(service)
 
 
-def _waited_s(need: PlacementNeed) -> float | None:
-    since_s = need.waiting_since_s
-    return None if since_s is None else max(0.0, now_s() - since_s)
-
-
 def _unsent(need: PlacementNeed) -> PlacementEvidence:
     return PlacementEvidence(route=need.route, outcome=None)
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/placing/_placement_owner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/placing/_placement_owner.py
@@ -1,11 +1,13 @@
 """Owner side of placement: places the requests of all instances on the replicas of a pool.
 
-Reads `replicas` and `live`. A pool's owner is the first live instance by rendezvous hashing, but
-any instance places a request that it is asked to place: two owners unaware of each other only know
-less of each other's requests. A placement that is never reported as ended is dropped when its
-instance is lost or its request's time is over.
+Reads `replicas` and `live`. A pool's owner is the first live instance of its ranking, but any
+instance places a request that it is asked to place: two owners unaware of each other only know
+less of each other's requests. While this instance falls behind, it only says that it is busy, and
+whoever asked turns to the pool's deputy; reports of ends are handled all the same. A placement that
+is never reported as ended is dropped when its instance is lost or its request's time is over.
 """
 
+import math
 from collections.abc import Awaitable
 from dataclasses import dataclass
 
@@ -17,7 +19,9 @@
     Replica,
 )
 from lagoonfold.placement import (
+    TIMER_S,
     MemoryClaim,
+    OwnerLoad,
     PlacementRefusal,
     PlacementShortage,
     PromptPart,
@@ -39,10 +43,16 @@
 from lagoonfold_gateway._peers import PeerBus
 from lagoonfold_gateway.placing._dispatch import Dispatcher, PlacementEvidence, WaitingPlacement
 from lagoonfold_gateway.placing._placement_orders import order_of
+from lagoonfold_io.observe import EventLog
 
 SWEEP_INTERVAL_S = 0.5  # between searches for placements whose request's time is over
 OVERDUE_S = 1.0  # a report of a request's end arrives within some ms of the end of its time
 
+MEASURE_S = 1.0  # after a request for a place; other instances need no timer
+BUSY_LOG_INTERVAL_S = 1.0  # between lines on requests refused as this instance was busy
+
+_log = EventLog("placement")
+
 _Key = tuple[str, int]
 
 
@@ -66,6 +76,12 @@
         dispatcher: Dispatcher,
         limit_controller: LimitController,
     ) -> None:
+        self._board = board
+        self.load = OwnerLoad()
+        self._asked_s = -math.inf
+        self._is_asked = trio.Event()
+        self._busy_logged_s = -math.inf
+        self._refused_as_busy = 0
         self._dispatcher = dispatcher
         self._limit_controller = limit_controller
         self._open_by_key: dict[_Key, _OpenPlacement] = {}
@@ -81,8 +97,23 @@
             now = now_s()
             self._drop([key for key, held in self._open_by_key.items() if held.drop_at_s < now])
 
+    async def measure_load(self) -> None:
+        """Measure how late the event loop is while requests are placed here, until cancelled."""
+        while True:
+            await self._is_asked.wait()
+            while now_s() - self._asked_s < MEASURE_S:
+                self.load.expect(now_s() + TIMER_S)
+                await trio.sleep(TIMER_S)
+                self.load.record_ran(now_s=now_s())
+            self.load.stop()
+            self._is_asked = trio.Event()
+
     def _handle_request(self, request: Message) -> Message | Awaitable[Message]:
         assert isinstance(request, PlaceRequest)
+        self._asked_s = now_s()
+        self._is_asked.set()
+        if request.knows_busy and self._is_busy():
+            return PlacementRefused(shortage=PlacementShortage.WAITING.value, is_busy=True)
         pool = ReplicaPool(request.service, request.pool_index, request.pool_count)
         parts = tuple(PromptPart(part_id, tokens) for part_id, tokens in request.parts)
         wanted = SelectionInput(
@@ -104,6 +135,17 @@
             return self._wait(request, pool, parts, placed.ok_value)
         return self._answer(request, pool, parts, placed)
 
+    def _is_busy(self) -> bool:
+        """Return whether another instance is to place a request, if there is one."""
+        now = now_s()
+        if len(self._board.live.read().ids) == 1 or not self.load.is_busy(now_s=now):
+            return False
+        self._refused_as_busy += 1
+        if now - self._busy_logged_s >= BUSY_LOG_INTERVAL_S:
+            _log.warning("placement.owner_busy", refused=self._refused_as_busy)
+            self._busy_logged_s, self._refused_as_busy = now, 0
+        return True
+
     async def _wait(
         self,
         request: PlaceRequest,
--- a/packages/lagoonfold/src/lagoonfold/placement/__init__.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/__init__.py
@@ -18,6 +18,8 @@
 from lagoonfold.placement._hedge_room import is_clearly_free
 from lagoonfold.placement._memory_tracker import MemoryClaim, MemoryTracker
 from lagoonfold.placement._object_index import ObjectIndex
+from lagoonfold.placement._owner_load import TIMER_S, OwnerLoad
+from lagoonfold.placement._owner_trust import OwnerTrust
 from lagoonfold.placement._pace_tracker import MAX_FIGURE, PaceTracker
 from lagoonfold.placement._placement_queue import PlacementQueue
 from lagoonfold.placement._placement_results import PlacementRefusal, PlacementShortage
@@ -34,6 +36,7 @@
 
 __all__ = [
     "MAX_FIGURE",
+    "TIMER_S",
     "Candidate",
     "ColdReplicas",
     "ColdTerms",
@@ -41,6 +44,8 @@
     "MemoryClaim",
     "MemoryTracker",
     "ObjectIndex",
+    "OwnerLoad",
+    "OwnerTrust",
     "PaceTracker",
     "PlacementOrder",
     "PlacementQueue",
--- a/packages/lagoonfold/src/lagoonfold/placement/_replica_selection.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/_replica_selection.py
@@ -147,6 +147,7 @@
         """Return the replicas that a request may use, with what is known of each."""
         replicas = tuple(replicas)
         tracker = self.knowledge.tracker
+        requests_at = tracker.told_requests_at if request.by_reports else tracker.requests_at
         home_id = self._home_id(replicas, request.parts)
         reading = self.knowledge.prompt_index.reading(request.parts)
         min_fill = self._min_fill(replicas, request)
@@ -164,7 +165,7 @@
                 request=request,
                 knowledge=self.knowledge,
                 now_s=now_s,
-                requests=tracker.requests_at(replica_id, now_s=now_s),
+                requests=requests_at(replica_id, now_s=now_s),
                 slowdown=tracker.slowdown(replica_id, now_s=now_s),
                 uncached_tokens=uncached,
                 min_limit_fill=min_fill,
--- a/packages/lagoonfold/src/lagoonfold/placement/_replica_tracker.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/_replica_tracker.py
@@ -11,6 +11,7 @@
 from collections import defaultdict
 from dataclasses import dataclass
 
+TOLD_TTL_S = 1.0  # of a report at an instance that places without the owner's knowledge
 REPORT_TTL_S = 0.3  # a replica's own counts are some hundred ms old on arrival
 SLOWDOWN_HALF_LIFE_S = 3.0  # a recovered replica gets requests again within seconds
 SLOWDOWN_SAMPLE_WEIGHT = 0.35  # share of a new sample; two slow answers suffice to avoid a replica
@@ -25,6 +26,7 @@
 class _ReplicaState:
     sent: int = 0
     sent_by_others: int = 0
+    reported: int = 0
     reported_at_s: float = -math.inf
     slowdown: float = 1.0
     slowdown_at_s: float = -math.inf
@@ -54,6 +56,7 @@
         """
         state = self._state_by_id[replica_id]
         state.sent_by_others = max(0, requests - state.sent)
+        state.reported = requests
         state.reported_at_s = now_s
 
     def record_slowdown(self, replica_id: str, ratio: float, *, now_s: float) -> None:
@@ -103,6 +106,12 @@
             return state.sent + state.sent_by_others
         return state.sent
 
+    def told_requests_at(self, replica_id: str, *, now_s: float) -> int:
+        """Return the estimated number of requests, at least that reported within `TOLD_TTL_S`."""
+        requests, state = self.requests_at(replica_id, now_s=now_s), self._state_by_id[replica_id]
+        is_recent = now_s - state.reported_at_s <= TOLD_TTL_S
+        return max(requests, state.reported) if is_recent else requests
+
     def slowdown(self, replica_id: str, *, now_s: float) -> float:
         """Return the replica's slowdown; 1 is usual, higher is slower.
 
--- a/packages/lagoonfold/src/lagoonfold/placement/_selection_input.py
+++ b/packages/lagoonfold/src/lagoonfold/placement/_selection_input.py
@@ -17,7 +17,9 @@
     Requests of the same `affinity` concern the same object. `expected_tokens` is how many it is
     expected to generate, None if that is not known. The most that it may generate is
     `output_tokens`, the length of its prompt `prompt_tokens`; both are 0 if they are not known.
-    With `is_hedge` it is a second attempt, which only a clearly free replica gets.
+    With `is_hedge` it is a second attempt, which only a clearly free replica gets. With
+    `by_reports` the instance that selects does not know what others place, and a replica counts for
+    at least the requests that it has reported within the last second.
     """
 
     typical_latency_s: float
@@ -31,6 +33,7 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     is_hedge: bool = False
+    by_reports: bool = False
 
     @property
     def is_restricted(self) -> bool:
--- a/tests/_compatibility_values.py
+++ b/tests/_compatibility_values.py
@@ -129,9 +129,10 @@
         is_begun=False,
         program="prg-1",
         waited_s=0.6,
+        knows_busy=True,
     ),
     Placed(replica_id="r1", requests=4, slowdown=1.5, uncached_tokens=65),
-    PlacementRefused(shortage="full", retry_after_s=0.4),
+    PlacementRefused(shortage="full", retry_after_s=0.4, is_busy=True),
     PlacementEnd(
         instance="g1",
         number=62,
--- a/tests/gateway/_limited_replicas.py
+++ b/tests/gateway/_limited_replicas.py
@@ -10,6 +10,7 @@
 from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from types import SimpleNamespace
 from unittest import mock
 
@@ -119,7 +120,10 @@
 
 @dataclass(slots=True)
 class LimitedFleet:
-    """Instances and replicas; `arrived_at_s` are the times of the requests at each replica."""
+    """Instances and replicas; `arrived_at_s` are the times of the requests at each replica.
+
+    For `busy_share` of the requests the owner of the pool says that it is busy.
+    """
 
     rng: random.Random
     clock: Clock = field(default_factory=Clock)
@@ -130,6 +134,7 @@
     group_by_id: dict[str, int] = field(default_factory=lambda: defaultdict(int))
     arrived_at_s: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
     refused: int = 0
+    busy_share: float = 0.0
 
     def add_replicas(self, count: int) -> None:
         """List replicas, before any instance starts."""
@@ -210,14 +215,17 @@
             self.clock.run_until(end_s)
 
     def _place(self, instance_id: str) -> None:
-        """Ask the owner of a pool for a replica; without an answer, select one alone."""
+        """Ask the owner of a pool for a replica, then its deputy; without an answer, select one."""
         instance = self.instance_by_id[instance_id]
         replicas = list(self.replica_by_id.values())
         pool = rank_pools(SERVICE, replicas, str(self.rng.random()))[0]
-        owner = instance.pool_owners.duty(pool).owner
-        is_asked = self.carry(instance_id, owner, lambda: self._place_at(owner, instance_id, pool))
-        if not is_asked:
-            self._place_at(instance_id, instance_id, ReplicaPool(SERVICE))
+        duty = instance.pool_owners.duty(pool)
+        is_owner_busy = self.busy_share > 0 and self.rng.random() < self.busy_share
+        for placing in (duty.deputy,) if is_owner_busy else (duty.owner, duty.deputy):
+            place = partial(self._place_at, placing, instance_id, pool)
+            if placing is not None and self.carry(instance_id, placing, place):
+                return
+        self._place_at(instance_id, instance_id, ReplicaPool(SERVICE))
 
     def _place_at(self, placing: str, sender: str, pool: ReplicaPool) -> None:
         instance = self.instance_by_id.get(placing)
--- a/tests/gateway/test_cold_replicas.py
+++ b/tests/gateway/test_cold_replicas.py
@@ -50,9 +50,10 @@
     """Owners that are lost, replaced and cut off must not together crash a cold replica.
 
     Half of the replicas are a release of which each is cold, the others a domain that returns.
+    Deputies of owners that say that they are busy place as well.
     """
-    for size, replicas in ((7, 6), (56, 24)):
-        fleet = LimitedFleet(random.Random(size))
+    for size, replicas, busy_share in ((7, 6, 0.0), (7, 6, 0.5), (56, 24, 0.0)):
+        fleet = LimitedFleet(random.Random(size), busy_share=busy_share)
         fleet.add_replicas(replicas)
         restarted_ids, restored_ids = (list(fleet.replica_by_id)[start::2] for start in (0, 1))
         for key in restored_ids:
--- a/tests/gateway/test_replica_limits.py
+++ b/tests/gateway/test_replica_limits.py
@@ -130,9 +130,12 @@
     return max(sum(end - WINDOW_S <= at_s <= end for at_s in arrived_at_s) for end in ends)
 
 
-def _play_changes_of_owners(size: int, replicas: int, limit_per_s: float) -> LimitedFleet:
+def _play_changes_of_owners(
+    size: int, replicas: int, limit_per_s: float, *, busy_share: float = 0.0
+) -> LimitedFleet:
     """Let owners of pools be lost, replaced and cut off while four in five replicas are limited."""
     fleet = LimitedFleet(random.Random(f"{size}-{limit_per_s}"))
+    fleet.busy_share = busy_share
     fleet.add_replicas(replicas)
     fleet.start(*(f"i{number}" for number in range(size)))
     fleet.send_requests(USUAL_PER_S * replicas, END_S)
@@ -171,6 +174,15 @@
                     assert most <= allowed, (size, replica_id, limit_per_s, most, allowed)
 
 
+def test_deputies_of_busy_owners_keep_within_a_limit() -> None:
+    """Owner, deputy and next owner would be three that place, of which the limit allows two."""
+    fleet = _play_changes_of_owners(7, 5, 7.0, busy_share=0.5)
+    for number, replica_id in enumerate(fleet.replica_by_id):
+        if number % 5:
+            most = _most_in_a_window(fleet.arrived_at_s[replica_id], ENDS_AT_S)
+            assert most <= TOLERANCE * 7.0 * WINDOW_S + SLACK_REQUESTS, (replica_id, most)
+
+
 def test_limited_replicas_are_used_up_to_their_limits_and_freely_after_them() -> None:
     """Changes of the owner cost little, and an ended limit is forgotten at once."""
     for size, replicas in SIZES_AND_REPLICAS[:2]:
