--- a/tests/gateway/_limited_replicas.py
+++ b/tests/gateway/_limited_replicas.py
@@ -10,18 +10,19 @@
 from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from types import SimpleNamespace
 from unittest import mock
 
 from result import Ok
 
-from lagoonfold import rendezvous_weight
 from lagoonfold.forwarding import (
     AttemptOutcome,
     Replica,
 )
 from lagoonfold.placement import (
     PlacementOrder,
+    PoolDuties,
     PromptCacheIndex,
     ReplicaPool,
     ReplicaSelection,
@@ -80,16 +81,6 @@
         self._own_id = own_id
         self._board = board
         self._known = known
-        self._owner_by_subject: dict[str, str] = {}
-        board.live.subscribe(lambda view: self._owner_by_subject.clear())
-
-    def owner(self, subject: str) -> str:
-        if subject not in self._owner_by_subject:
-            ids = self._board.live.read().ids
-            self._owner_by_subject[subject] = max(
-                ids, key=lambda key: rendezvous_weight(subject, key)
-            )
-        return self._owner_by_subject[subject]
 
     def hears_most(self) -> bool:
         return 2 * len(self._board.live.read().ids) > len(self._known)
@@ -102,8 +93,9 @@
         self.board = GatewayBoard()
         self.bus = _Bus(own_id, fleet)
         self.members = _Members(own_id, self.board, fleet.known)
+        self.pool_owners = PoolOwners(self.board, SimpleNamespace(check=lambda: None))
         self.limit_controller = LimitController(
-            self.board, self.bus, self.members, PoolOwners(self.board, self.members)
+            self.board, self.bus, self.members, self.pool_owners
         )
         self.store = SimpleNamespace()
         self.cold_controller = ColdController(
@@ -128,7 +120,10 @@
 
 @dataclass(slots=True)
 class LimitedFleet:
-    """Instances and replicas; `arrived_at_s` are the times of the requests at each replica."""
+    """Instances and replicas; `arrived_at_s` are the times of the requests at each replica.
+
+    For `busy_share` of the requests the owner of the pool says that it is busy.
+    """
 
     rng: random.Random
     clock: Clock = field(default_factory=Clock)
@@ -139,6 +134,7 @@
     group_by_id: dict[str, int] = field(default_factory=lambda: defaultdict(int))
     arrived_at_s: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
     refused: int = 0
+    busy_share: float = 0.0
 
     def add_replicas(self, count: int) -> None:
         """List replicas, before any instance starts."""
@@ -181,7 +177,9 @@
     def owner(self, pool: ReplicaPool) -> str:
         """Return the instance that the largest group takes for the owner of a pool."""
         ids = [key for key in self.instance_by_id if not self.group_by_id[key]]
-        return max(ids, key=lambda key: rendezvous_weight(pool.subject, key))
+        duties = PoolDuties()
+        duties.set_instances(dict.fromkeys(ids, 1.0))
+        return duties.assign(pool.service, pool.count)[pool.index].owner
 
     def carry(self, sender: str, receiver: str, deliver: Callable[[], None]) -> bool:
         """Deliver a message after the latency, unless it cannot arrive; return whether it can."""
@@ -217,14 +215,17 @@
             self.clock.run_until(end_s)
 
     def _place(self, instance_id: str) -> None:
-        """Ask the owner of a pool for a replica; without an answer, select one alone."""
+        """Ask the owner of a pool for a replica, then its deputy; without an answer, select one."""
         instance = self.instance_by_id[instance_id]
         replicas = list(self.replica_by_id.values())
         pool = rank_pools(SERVICE, replicas, str(self.rng.random()))[0]
-        owner = instance.members.owner(pool.subject)
-        is_asked = self.carry(instance_id, owner, lambda: self._place_at(owner, instance_id, pool))
-        if not is_asked:
-            self._place_at(instance_id, instance_id, ReplicaPool(SERVICE))
+        duty = instance.pool_owners.duty(pool)
+        is_owner_busy = self.busy_share > 0 and self.rng.random() < self.busy_share
+        for placing in (duty.deputy,) if is_owner_busy else (duty.owner, duty.deputy):
+            place = partial(self._place_at, placing, instance_id, pool)
+            if placing is not None and self.carry(instance_id, placing, place):
+                return
+        self._place_at(instance_id, instance_id, ReplicaPool(SERVICE))
 
     def _place_at(self, placing: str, sender: str, pool: ReplicaPool) -> None:
         instance = self.instance_by_id.get(placing)
