--- a/tests/on_platform/test_processes.py
+++ b/tests/on_platform/test_processes.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import re
 import signal
 import subprocess
 import sys
@@ -167,10 +168,18 @@
     assert "settings.reloaded" in [line["event"] for line in lines]
 
 
-def _with_storage(
-    check: Callable[[subprocess.Popen, StoreStandIn], Awaitable[None]], **changed: str
+def with_storage(
+    check: Callable[[subprocess.Popen, StoreStandIn], Awaitable[None]],
+    *,
+    settings_text: str = "",
+    metrics: str = "",
+    limit_s: float = WAIT_S,
+    **changed: str,
 ) -> list[dict]:
-    """Run a storage instance with a store; return the lines that it logged."""
+    """Run a storage instance with a store; return the lines that it logged.
+
+    `settings_text` is appended to the settings. The metrics port is a free one unless it is given.
+    """
 
     async def run(folder: Path) -> None:
         async with trio.open_nursery() as nursery:
@@ -190,7 +199,10 @@
                 "FaultTolerance.Regions": "0",
             }
             settings = folder / "settings.ini"
-            settings.write_text(render_template("storage", fields | changed))
+            text = render_template("storage", fields | changed) + settings_text
+            if metrics:
+                text = re.sub("^metrics = .*$", f"metrics = {metrics}", text, flags=re.MULTILINE)
+            settings.write_text(text)
             process = subprocess.Popen(
                 [sys.executable, str(START), "storage"],
                 cwd=ROOT,
@@ -199,7 +211,7 @@
                 stderr=subprocess.STDOUT,
             )
             try:
-                with trio.fail_after(WAIT_S):
+                with trio.fail_after(limit_s):
                     await check(process, store)
             finally:
                 process.kill()
@@ -238,7 +250,7 @@
         entry = json.loads(store.value("lagoonfold/disks/storage-1"))
         assert entry["failure_domain"] == "zone-a" and not entry["is_leaving"], entry
 
-    lines = _with_storage(check)
+    lines = with_storage(check)
     events = [line["event"] for line in lines]
     assert "storage.started" in events and events[-1] == "storage.stopped", events
     assert all(line["instance"] == "storage-1" for line in lines)
@@ -255,7 +267,7 @@
         assert await _until_ended_by_many_signals(process) == 0
 
     for _ in range(3):
-        events = [line["event"] for line in _with_storage(check)]
+        events = [line["event"] for line in with_storage(check)]
         assert events[-1] == "storage.stopped", events
 
 
@@ -282,7 +294,7 @@
             await trio.sleep(0.05)
         assert store.value("lagoonfold/disks/storage-1") is None
 
-    lines = _with_storage(check)
+    lines = with_storage(check)
     assert "retirement.complete" in [line["event"] for line in lines]
 
 
