Charge answers to other instances that are not read

Cause: the port for peers queued the answers on a connection without bound; a question of some 30 bytes may have an answer of 1,048,576 bytes and more. Change: what is unsent on a connection above 65,536 bytes is charged to the budget of the process. While memory is short, the connection whose answers take up the most for the longest time is closed (answer-evicted), and what is queued on it is freed at once. Frames are joined up to 65,536 bytes only, so that long ones are not copied.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_peer_guard.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_peer_guard.py
@@ -6,6 +6,7 @@
 """
 
 import math
+from collections.abc import Callable
 
 import trio
 
@@ -13,7 +14,6 @@
 from lagoonfold_io import (
     SMALL_BYTES,
     FaultError,
-    MemoryClaim,
     MemoryGate,
     WaitingConnections,
 )
@@ -40,21 +40,28 @@
             return await stream.receive_some(READ_SIZE_BYTES)
         return None
 
-    def open(self) -> "ChargedInput":
-        """Return the input of a connection, to be closed with it."""
-        return ChargedInput(self._gate, self._gate.open())
+    def open(self) -> "ChargedConnection":
+        """Return what charges a connection, to be closed with it."""
+        return ChargedConnection(self._gate)
 
 
-class ChargedInput:
-    """Receives the bytes of one connection; what is not small is charged before it is read."""
+class ChargedConnection:
+    """Charges what one connection takes up: its message that is being read, its unread answers.
 
-    def __init__(self, gate: MemoryGate, claim: MemoryClaim) -> None:
+    While memory is short, connections are closed that take up the most for the longest time;
+    `drop_answers` is called for those whose answers do. Up to `SMALL_BYTES` are not charged.
+    """
+
+    def __init__(self, gate: MemoryGate) -> None:
         self._gate = gate
-        self._claim = claim
+        self._claim = gate.open()
+        self._answers = gate.open()
+        self.drop_answers: Callable[[], None] = lambda: None
 
     def close(self) -> None:
         """Release what the connection holds."""
         self._gate.close(self._claim)
+        self._gate.close(self._answers)
 
     async def receive(self, stream: trio.SocketStream, held_bytes: int) -> bytes:
         """Return further input of a message; raise `trio.ClosedResourceError` without memory."""
@@ -77,3 +84,14 @@
             return data
         self._gate.count(FRAME_EVICTED)
         raise trio.ClosedResourceError("a message without progress made room for others")
+
+    def charge_answers(self, unsent_bytes: int) -> None:
+        """Hold as much as is unsent, and evict connections if that is too much."""
+        if unsent_bytes <= SMALL_BYTES:
+            if self._answers.held_bytes:
+                self._gate.release(self._answers)
+            return
+        if unsent_bytes > self._answers.held_bytes:
+            self._gate.hold_queued(self._answers, unsent_bytes, self.drop_answers)
+        elif not self._answers.is_evicted:
+            self._gate.shrink(self._answers, unsent_bytes)
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_peer_link.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_peer_link.py
@@ -7,6 +7,7 @@
 
 import itertools
 import struct
+from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -24,6 +25,7 @@
 CONNECT_TIMEOUT_S = 0.3  # some hundred times the latency between failure domains of a region
 SILENCE_LIMIT_S = 1.0  # until a silent connection to a peer is replaced
 READ_SIZE_BYTES = 65_536
+BATCH_BYTES = 65_536  # of small frames that are joined to be sent at once
 FRAME_START = b"\0"  # of a length below 2^24
 
 _LENGTH = struct.Struct(">I")
@@ -90,25 +92,60 @@
 
 
 class FrameWriter:
-    """Sends frames on one stream in the order in which they are put, several at once if it can."""
+    """Sends frames on one stream in the order in which they are put, small ones together.
 
-    def __init__(self, stream: trio.SocketStream) -> None:
+    `on_unsent` gets the number of bytes that are queued or being sent whenever it changes.
+    """
+
+    def __init__(
+        self,
+        stream: trio.SocketStream,
+        on_unsent: Callable[[int], None] = lambda unsent_bytes: None,
+    ) -> None:
         self._stream = stream
-        self._frames: list[bytes] = []
+        self._on_unsent = on_unsent
+        self._frames: deque[bytes] = deque()
+        self._unsent_bytes = 0
+        self._is_dropped = False
         self._wake = trio.Event()
 
     def put(self, envelope: Envelope) -> None:
         """Queue a message to be sent, without waiting."""
-        self._frames.append(encode_frame(envelope))
+        if self._is_dropped:
+            return
+        frame = encode_frame(envelope)
+        self._frames.append(frame)
         self._wake.set()
+        self._count(len(frame))
+
+    def drop(self) -> None:
+        """Drop what is queued and whatever is put from now on, and close the connection."""
+        self._is_dropped = True
+        self._frames.clear()
+        self._stream.socket.close()
 
     async def run(self) -> None:
         """Send queued frames until cancelled; raise one of `PEER_LINK_ERRORS` on a fault."""
         while True:
             await self._wake.wait()
             self._wake = trio.Event()
-            frames, self._frames = self._frames, []
-            await self._stream.send_all(b"".join(frames))
+            while self._frames:
+                batch = self._take_batch()
+                await self._stream.send_all(batch)
+                self._count(-len(batch))
+
+    def _take_batch(self) -> bytes:
+        """Return the first frame, and with it those that follow up to `BATCH_BYTES`."""
+        batch = [self._frames.popleft()]
+        size = len(batch[0])
+        while self._frames and size + len(self._frames[0]) <= BATCH_BYTES:
+            batch.append(self._frames.popleft())
+            size += len(batch[-1])
+        return batch[0] if len(batch) == 1 else b"".join(batch)
+
+    def _count(self, more_bytes: int) -> None:
+        self._unsent_bytes += more_bytes
+        self._on_unsent(self._unsent_bytes)
 
 
 @dataclass(slots=True)
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_peers.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_peers.py
@@ -16,7 +16,7 @@
 from lagoonfold_gateway._background import TaskStarter, record_failure
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._messages import Ack, Envelope, Heartbeat, Hello, Message, type_name
-from lagoonfold_gateway._peer_guard import ChargedInput, PeerGuard
+from lagoonfold_gateway._peer_guard import ChargedConnection, PeerGuard
 from lagoonfold_gateway._peer_link import (
     FRAME_START,
     PEER_LINK_ERRORS,
@@ -151,7 +151,7 @@
 
     async def _serve_peer(self, stream: trio.SocketStream) -> None:
         peer: str | None = None
-        charged: ChargedInput | None = None
+        charged: ChargedConnection | None = None
         try:
             set_tcp_timeout(stream.socket, SILENCE_LIMIT_S)
             received = await self._receive_first(stream)
@@ -163,9 +163,10 @@
             if self.guard is not None:
                 charged = self.guard.open()
                 reader = FrameReader(stream, received, charged.receive)
+                writer = FrameWriter(stream, charged.charge_answers)
+                charged.drop_answers = writer.drop
             else:
-                reader = FrameReader(stream, received)
-            writer = FrameWriter(stream)
+                reader, writer = FrameReader(stream, received), FrameWriter(stream)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(writer.run)
                 while (envelope := await reader.read()) is not None:
--- a/packages/lagoonfold-io/src/lagoonfold_io/_memory_gate.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_memory_gate.py
@@ -62,6 +62,19 @@
     def hold_answer(self, size: int, evict: Callable[[], None]) -> Iterator[None]:
         """Count an answer that the caller does not read; if memory is short, evict some."""
         claim = self.open()
+        try:
+            self.hold_queued(claim, size, evict)
+            yield
+        finally:
+            self.close(claim)
+
+    def hold_queued(self, claim: MemoryClaim, size: int, evict: Callable[[], None]) -> None:
+        """Raise a claim to the size of queued answers; if memory is short, evict some.
+
+        `evict` may be called before this returns.
+        """
+        if not claim.held_bytes:
+            claim.progressed_s = trio.current_time()
         self.budget.hold(claim, size)
 
         def evict_answer() -> None:
@@ -69,11 +82,15 @@
             evict()
 
         claim.evict = evict_answer
-        try:
-            self._evict(claim, size)
-            yield
-        finally:
-            self.close(claim)
+        self._evict(claim, size)
+
+    def shrink(self, claim: MemoryClaim, size: int) -> None:
+        """Lower a claim that is not evicted to a size; what has left counts as progress."""
+        claim.note_progress(claim.held_bytes - size, trio.current_time())
+        evict = claim.evict
+        self.budget.release(claim)
+        self.budget.hold(claim, size)
+        claim.evict = evict
 
     def _evict(self, claim: MemoryClaim, size: int) -> None:
         for victim in self.budget.pick_victims(claim, size, trio.current_time()):
