Let connections whose first message is unfinished make room as well

Cause: at the port for peers only connections that had sent nothing were bounded; after one byte of a message a connection kept its descriptor for good. Change: a connection counts as silent until its first whole message has arrived.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_peer_guard.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_peer_guard.py
@@ -1,8 +1,8 @@
 """Bounds what connections to the port for peers can take up.
 
 Messages of other instances that are not small are charged to the memory budget of the process. A
-connection that has sent nothing is closed when too many of them wait; instances send their first
-message as soon as they have connected. An instance whose connection is closed connects again.
+connection that has sent no whole message is closed when too many of them wait; instances send their
+first message as soon as they have connected. An instance whose connection is closed connects again.
 """
 
 import math
@@ -11,6 +11,8 @@
 import trio
 
 from lagoonfold_gateway._caller_limits import CallerLimits
+from lagoonfold_gateway._messages import Envelope
+from lagoonfold_gateway._peer_link import FrameReader
 from lagoonfold_io import (
     SMALL_BYTES,
     FaultError,
@@ -40,6 +42,12 @@
             return await stream.receive_some(READ_SIZE_BYTES)
         return None
 
+    async def read_first(self, stream: trio.SocketStream, reader: FrameReader) -> Envelope | None:
+        """Return the first message of a connection; None if it ended or had to make room."""
+        with self._silent.wait(stream, math.inf, is_idle=True):
+            return await reader.read()
+        return None
+
     def open(self) -> "ChargedConnection":
         """Return what charges a connection, to be closed with it."""
         return ChargedConnection(self._gate)
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_peers.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_peers.py
@@ -169,10 +169,12 @@
                 reader, writer = FrameReader(stream, received), FrameWriter(stream)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(writer.run)
-                while (envelope := await reader.read()) is not None:
+                envelope = await self._read_first(stream, reader)
+                while envelope is not None:
                     self._record_received()
                     peer = _sender_of(envelope.message) or peer
                     self._serve_message(envelope, writer, nursery)
+                    envelope = await reader.read()
                 nursery.cancel_scope.cancel()
         except* PEER_LINK_ERRORS as errors:
             _log.debug("peer.connection_broke", reason=str(errors.exceptions[0]))
@@ -190,6 +192,11 @@
             return await self.guard.receive_first(stream)
         return await stream.receive_some(READ_SIZE_BYTES)
 
+    async def _read_first(self, stream: trio.SocketStream, reader: FrameReader) -> Envelope | None:
+        if self.guard is not None:
+            return await self.guard.read_first(stream, reader)
+        return await reader.read()
+
     def _record_received(self) -> None:
         self.last_received_s = now_s()
 
