Charge answers of plain services at the daemon while they are read

Cause: the daemon read whole answers of plain services, up to 33,554,432 bytes each, and held them while callers did not read; only what was unsent of them was counted, and after it was read. Change: an answer is charged to the budget of caller_memory_mb before it is read further, three times its size while it is read. One that finds no memory, or has to make room for others, ends its call with 503; that does not promise that it has not run. Answers of model and tool calls in programs are not charged.

--- a/packages/lagoonfold-io/src/lagoonfold_io/__init__.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/__init__.py
@@ -9,7 +9,13 @@
 from typing import TYPE_CHECKING
 
 from lagoonfold_io._http_client import HttpClient
-from lagoonfold_io._http_connection import ResponseHead, ResponseStream, StreamError
+from lagoonfold_io._http_connection import (
+    BeforeRead,
+    ResponseHead,
+    ResponseStream,
+    StreamError,
+    read_at_once,
+)
 from lagoonfold_io._http_exchange import ClientGoneError, Exchange
 from lagoonfold_io._http_faults import FaultError, RequestFault, plain_fault_response
 from lagoonfold_io._http_messages import (
@@ -23,7 +29,7 @@
 )
 from lagoonfold_io._http_server import HttpServer
 from lagoonfold_io._memory_budget import SMALL_BYTES, MemoryBudget, MemoryClaim
-from lagoonfold_io._memory_gate import MemoryGate
+from lagoonfold_io._memory_gate import ANSWER_EVICTED, MemoryGate
 from lagoonfold_io._open_connections import WaitingConnections
 from lagoonfold_io._signals import receive_signals
 from lagoonfold_io._tcp import open_tcp_stream, set_tcp_timeout
@@ -47,6 +53,8 @@
 }
 
 __all__ = [
+    "ANSWER_EVICTED",
+    "BeforeRead",
     "CallRateLimiter",
     "ClientGoneError",
     "ConfigLog",
@@ -80,6 +88,7 @@
     "plain_fault_response",
     "receive_signals",
     "set_tcp_timeout",
+    "read_at_once",
 ]
 
 
--- a/packages/lagoonfold-io/src/lagoonfold_io/_http_client.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_client.py
@@ -24,6 +24,7 @@
 from lagoonfold import parse_count
 from lagoonfold_io._http_connection import (
     CLIENT_CONNECTION_ERRORS,
+    BeforeRead,
     ClientConnection,
     ResponseHead,
     ResponseStream,
@@ -34,6 +35,7 @@
     has_input,
     has_trailing_data,
     next_event,
+    read_at_once,
 )
 from lagoonfold_io._http_messages import (
     Headers,
@@ -95,10 +97,12 @@
         timeout_s: float = DEFAULT_PROGRESS_TIMEOUT_S,
         new_connection: bool = False,
         max_bytes: int = MAX_FETCHED_BYTES,
+        before_read: BeforeRead = read_at_once,
     ) -> Result[HttpResponse, HttpError]:
         """Send a request and read the whole response within `timeout_s` seconds.
 
-        A body of more than `max_bytes` is an error.
+        A body of more than `max_bytes` is an error. `before_read` is awaited before each read of
+        the body with the number of bytes read so far, and may delay it.
 
         `new_connection` forbids the reuse of a connection, for requests that may not be sent twice.
         """
@@ -108,7 +112,9 @@
         response: Result[HttpResponse, HttpError] = Err(timeout_error)
         began_at = trio.current_time()
         with trio.move_on_after(timeout_s) as limit:
-            response = await self._fetch(address, request, timeout_s, new_connection, max_bytes)
+            response = await self._fetch(
+                address, request, timeout_s, new_connection, max_bytes, before_read
+            )
         if limit.cancelled_caught:
             self._close_idle(address, opened_until=began_at)
         return response
@@ -120,6 +126,7 @@
         timeout_s: float,
         new_connection: bool,
         max_bytes: int,
+        before_read: BeforeRead,
     ) -> Result[HttpResponse, HttpError]:
         async with self.stream(
             address, request, progress_timeout_s=timeout_s, new_connection=new_connection
@@ -128,7 +135,7 @@
                 return opened
             response = opened.ok_value
             try:
-                body = await response.read_all(max_bytes)
+                body = await response.read_all(max_bytes, before_read)
             except StreamError as error:
                 return Err(error.error)
             head = response.head
--- a/packages/lagoonfold-io/src/lagoonfold_io/_http_connection.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_connection.py
@@ -2,7 +2,7 @@
 
 import math
 import os
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field
 
 import h11
@@ -23,6 +23,8 @@
 CHUNK_TERMINATOR_BYTES = 2  # the CRLF after the data of a chunk
 MAX_PARTS_PER_READ = 32  # small parts take some ms of processor time; then others get theirs
 
+BeforeRead = Callable[[int], Awaitable[None]]  # gets the number of bytes read so far
+
 CLIENT_CONNECTION_ERRORS = (
     trio.BrokenResourceError,
     trio.ClosedResourceError,
@@ -31,6 +33,10 @@
 )
 
 
+async def read_at_once(read_bytes: int) -> None:
+    """Delay no read."""
+
+
 @dataclass(slots=True, eq=False)
 class ClientConnection:
     """An open connection with its protocol state.
@@ -117,11 +123,16 @@
         self._was_full = len(parts) == MAX_PARTS_PER_READ
         return bytes(parts[0]) if len(parts) == 1 else b"".join(parts)
 
-    async def read_all(self, max_bytes: int) -> bytes:
-        """Return the whole body; raise `StreamError` also if it has more than `max_bytes`."""
+    async def read_all(self, max_bytes: int, before_read: BeforeRead = read_at_once) -> bytes:
+        """Return the whole body; raise `StreamError` also if it has more than `max_bytes`.
+
+        `before_read` is awaited before each read with the number of bytes read so far.
+        """
         body = bytearray()
+        await before_read(0)
         while data := await self.read():
             body += data
+            await before_read(len(body))
             if len(body) > max_bytes:
                 self._broke = True
                 detail = f"body of more than {max_bytes} bytes"
--- a/packages/lagoonfold-node/src/lagoonfold_node/_caller_api/_service_proxy.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_caller_api/_service_proxy.py
@@ -7,6 +7,7 @@
 """
 
 from dataclasses import dataclass
+from functools import partial
 
 import trio
 from result import Err, Ok, Result
@@ -23,9 +24,10 @@
 )
 from lagoonfold.config import Configuration, Route, RouteKind
 from lagoonfold.records import digest_of_content
-from lagoonfold_io import HttpRequest
+from lagoonfold_io import BeforeRead, HttpRequest, MemoryBudget, MemoryGate
 from lagoonfold_node._board import Board
 from lagoonfold_node._caller_api._caller_sink import CallerSink
+from lagoonfold_node._caller_api._charged_answer import ChargedAnswer
 from lagoonfold_node._caller_api._operation_forwarder import OperationForwarder
 from lagoonfold_node._dispatch import Placement, PlacementRequest
 from lagoonfold_node._execution import (
@@ -38,6 +40,7 @@
     make_service_call,
     run_attempts,
 )
+from lagoonfold_node._problems import MEMORY_RETRY_AFTER_S
 from lagoonfold_node._upstreams import (
     RequestIdentity,
     ServiceAnswer,
@@ -101,11 +104,16 @@
     """Makes calls to plain services for callers."""
 
     def __init__(
-        self, board: Board, forwarder: OperationForwarder, upstream_clients: UpstreamClients
+        self,
+        board: Board,
+        forwarder: OperationForwarder,
+        upstream_clients: UpstreamClients,
+        memory: MemoryGate | None = None,
     ) -> None:
         self._board = board
         self._forwarder = forwarder
         self._upstream_clients = upstream_clients
+        self._memory = memory or MemoryGate(MemoryBudget(), lambda cause: None)
 
     def find_route(self, name: str) -> Route | None:
         """Return the route of a plain service, or None."""
@@ -129,7 +137,18 @@
         is_recorded = call.idempotency_key and not call.route.is_idempotent
         if is_recorded and call.account_id != NO_ACCOUNT:
             return await self._make_recorded(call, sink)
-        answered = await self._make_locally(call)
+        answer = ChargedAnswer(self._memory)
+        try:
+            return await self._make_charged(call, sink, answer)
+        finally:
+            answer.close()
+
+    async def _make_charged(
+        self, call: ProxiedCall, sink: CallerSink, charged: ChargedAnswer
+    ) -> Refusal | None:
+        answered = await charged.read(partial(self._make_locally, call))
+        if answered is None:
+            return _evicted(call.route)
         if isinstance(answered, Err):
             return answered.err_value
         answer = answered.ok_value
@@ -172,7 +191,9 @@
         )
         return await self._forwarder.perform(run, sink)
 
-    async def _make_locally(self, call: ProxiedCall) -> Result[ServiceAnswer, Refusal]:
+    async def _make_locally(
+        self, call: ProxiedCall, before_read: BeforeRead
+    ) -> Result[ServiceAnswer, Refusal]:
         call_id = CallId(new_id("call"))
         deadline_s = trio.current_time() + min(call.timeout_s, call.route.timeout_s)
         service_request = call.upstream_request()
@@ -188,7 +209,7 @@
                 is_idempotent=call.route.is_idempotent,
                 deadline_s=deadline_s,
             )
-            called = await self._upstream_clients.services.call(sent)
+            called = await self._upstream_clients.services.call(sent, before_read)
             return called.map(lambda answer: AttemptResult(value=answer))
 
         content = encode_service_request(service_request)
@@ -210,6 +231,17 @@
         return Err(_outcome_unknown(answered.err_value))
 
 
+def _evicted(route: Route) -> Refusal:
+    """Return the refusal of a call whose answer there was no memory for."""
+    refusal = Refusal(
+        kind=ErrorKind.QUEUE_FULL,
+        detail="no memory for the answer",
+        ran=Ran.UNKNOWN,
+        retry_after_s=MEMORY_RETRY_AFTER_S if route.is_idempotent else 0.0,
+    )
+    return refusal if route.is_idempotent else _outcome_unknown(refusal)
+
+
 def _outcome_unknown(refusal: Refusal) -> Refusal:
     """Return a refusal that reports an unknown outcome unless the call did not run."""
     if refusal.ran is Ran.NO:
--- a/packages/lagoonfold-node/src/lagoonfold_node/_node.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_node.py
@@ -4,12 +4,20 @@
 """
 
 from dataclasses import dataclass, field
+from functools import partial
 
 import trio
 
 from lagoonfold import InstanceId, ProgramId
 from lagoonfold.settings import Settings
-from lagoonfold_io import EtcdStore, HttpClient, HttpInstanceList, HttpLimits, MemoryBudget
+from lagoonfold_io import (
+    EtcdStore,
+    HttpClient,
+    HttpInstanceList,
+    HttpLimits,
+    MemoryBudget,
+    MemoryGate,
+)
 from lagoonfold_io.observe import EventLog, Metrics
 from lagoonfold_node._account_owners import ShardAccountOwners
 from lagoonfold_node._board import Board
@@ -173,18 +181,22 @@
             executor=self.executor,
             metrics=self.metrics,
         )
+        memory = MemoryBudget(settings.limits.caller_memory_mb * BYTES_PER_MB)
+        count_limit = partial(self.metrics.count, "caller_limits")
         self.authenticator = KeyAuthenticator(self.board.config, settings.keys.max_config_age_s)
         self.caller_api = CallerApi(
             board=self.board,
             authenticator=self.authenticator,
             rates=self.rates,
             forwarder=forwarder,
-            service_proxy=ServiceProxy(self.board, forwarder, upstream_clients),
+            service_proxy=ServiceProxy(
+                self.board, forwarder, upstream_clients, MemoryGate(memory, count_limit)
+            ),
             metrics=self.metrics,
             decisions=self.decisions,
             limits=_http_limits(settings),
             max_streams=settings.limits.max_streams,
-            memory=MemoryBudget(settings.limits.caller_memory_mb * BYTES_PER_MB),
+            memory=memory,
         )
 
     def _find_peer_address(self, instance_id: str) -> str | None:
--- a/packages/lagoonfold-node/src/lagoonfold_node/_upstreams/_service.py
+++ b/packages/lagoonfold-node/src/lagoonfold_node/_upstreams/_service.py
@@ -11,7 +11,7 @@
 from result import Err, Ok, Result
 
 from lagoonfold import Ran
-from lagoonfold_io import Headers, HttpClient, HttpRequest
+from lagoonfold_io import BeforeRead, Headers, HttpClient, HttpRequest, read_at_once
 from lagoonfold_node._upstreams._engine import UpstreamFailure, failure_for_error
 from lagoonfold_node._upstreams._headers import RequestIdentity, upstream_headers
 
@@ -48,8 +48,13 @@
     def __init__(self, client: HttpClient) -> None:
         self._client = client
 
-    async def call(self, call: ServiceCall) -> Result[ServiceAnswer, UpstreamFailure]:
-        """Send a call and return its answer; a 5xx answer is a failure whose call may have run."""
+    async def call(
+        self, call: ServiceCall, before_read: BeforeRead = read_at_once
+    ) -> Result[ServiceAnswer, UpstreamFailure]:
+        """Send a call and return its answer; a 5xx answer is a failure whose call may have run.
+
+        `before_read` is awaited before each read of the answer with the bytes read so far.
+        """
         request = HttpRequest(
             method=call.method,
             path=call.path,
@@ -58,7 +63,11 @@
             body=call.body,
         )
         fetched = await self._client.fetch(
-            call.address, request, timeout_s=call.timeout_s, new_connection=not call.is_idempotent
+            call.address,
+            request,
+            timeout_s=call.timeout_s,
+            new_connection=not call.is_idempotent,
+            before_read=before_read,
         )
         if isinstance(fetched, Err):
             probe = partial(self._client.can_connect, call.address)
--- a/tests/node/test_daemon_outside_limits.py
+++ b/tests/node/test_daemon_outside_limits.py
@@ -6,7 +6,7 @@
 
 import os
 import sys
-from collections.abc import Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator
 from functools import partial
 from itertools import repeat
 
@@ -97,22 +97,29 @@
     assert peak_mb <= MACHINE_MB, f"peak of {peak_mb:.1f} MB"
 
 
-def _check_crowd(
-    blocks: Callable[[], Iterator[bytes]], *, connections: int = CLIENTS, port: str = "listen"
-) -> None:
-    """Let a crowd send blocks; check the process while it is there and after it has left."""
-
+def _with_fleet(check: Callable[[Fleet], Awaitable[None]]) -> None:
     async def run() -> None:
         async with trio.open_nursery() as nursery:
             number = await nursery.start(HttpServer(_respond).serve, "127.0.0.1", 0)
             fleet = await trio.to_thread.run_sync(_start_fleet, f"127.0.0.1:{number}")
             with fleet:
-                await _check_instance(fleet, blocks, connections, port)
+                await check(fleet)
             nursery.cancel_scope.cancel()
 
     trio.run(run)
 
 
+def _check_crowd(
+    blocks: Callable[[], Iterator[bytes]], *, connections: int = CLIENTS, port: str = "listen"
+) -> None:
+    """Let a crowd send blocks; check the process while it is there and after it has left."""
+
+    async def check(fleet: Fleet) -> None:
+        await _check_instance(fleet, blocks, connections, port)
+
+    _with_fleet(check)
+
+
 def test_bodies_that_lack_their_last_part_stay_within_memory() -> None:
     """Each client holds nearly a whole body, which together exceed the machine."""
     _check_crowd(partial(_crowds.unfinished_body, HEAD, BODY_BYTES))
@@ -172,4 +179,20 @@
     _check_crowd(lambda: iter(()), connections=CONNECTIONS, port="peer")
 
 
+def test_one_long_answer_after_another_passes_at_a_small_machine() -> None:
+    """Callers that read what they ask for must not be affected by the limits on memory."""
+
+    async def check(fleet: Fleet) -> None:
+        client, address = HttpClient(), fleet.instances_by_id["i1"].listen
+        path = SERVICE_PATH.replace("/open/x", "/open/long")
+        request = HttpRequest(method="POST", path=path, headers=(("host", "a.example"),), body=b"x")
+        with trio.fail_after(GUARD_S):
+            await _until_answered(client, address)
+            for _ in range(3):
+                answer = (await client.fetch(address, request)).unwrap()
+                assert (answer.status, len(answer.body)) == (200, LONG_ANSWER_BYTES)
+
+    _with_fleet(check)
+
+
 load_tests = load_functions(globals())
