Close the connection of a whole answer that was given up

Cause: the protocol counts a whole answer as sent before it is written. When its write was given up, for time or for memory, the connection stayed open after a part of the answer, and the answer to a further request would have followed that part. Change: a connection is used again only if all of its last answer was written.

--- a/packages/lagoonfold-io/src/lagoonfold_io/_http_server.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_server.py
@@ -185,9 +185,11 @@
                 memory=self._memory,
             )
             await self._run_handler(request, exchange, stream, protocol)
+            # The protocol is done with a whole answer before all of it has been written.
+            reusable = exchange.finished and protocol.our_state is h11.DONE
+            reusable = reusable and protocol.their_state is h11.DONE
             del request, exchange  # they are not held while the connection is idle
             self._memory.release(claim)
-            reusable = protocol.our_state is h11.DONE and protocol.their_state is h11.DONE
             if not reusable or self._shutting_down:
                 return
             protocol.start_next_cycle()
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -129,6 +129,31 @@
     trio.run(run)
 
 
+def test_connection_of_an_answer_that_was_given_up_is_closed() -> None:
+    """Guards against a connection on which a further answer would follow a part of this one."""
+
+    async def answer(request: HttpRequest, exchange: Exchange) -> None:
+        await exchange.respond(HttpResponse(status=200, body=b"x" * 30_000_000))
+
+    async def run() -> None:
+        async with trio.open_nursery() as nursery:
+            server = HttpServer(answer, memory=MemoryBudget(MAX_BYTES))
+            port = await nursery.start(server.serve, "127.0.0.1", 0)
+            with trio.fail_after(30):
+                stream = await trio.open_tcp_stream("127.0.0.1", port)
+                await stream.send_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+                size = 0
+                try:
+                    while data := await stream.receive_some():
+                        size += len(data)
+                except trio.BrokenResourceError:
+                    pass
+                assert size < 30_000_000
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+
+
 def test_idle_connection_makes_room_for_one_with_a_request() -> None:
     """Connections without a request must not lock out callers that have one."""
     causes: list[str] = []
