--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_peer_guard.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_peer_guard.py
@@ -1,19 +1,21 @@
 """Bounds what connections to the port for peers can take up.
 
 Messages of other instances that are not small are charged to the memory budget of the process. A
-connection that has sent nothing is closed when too many of them wait; instances send their first
-message as soon as they have connected. An instance whose connection is closed connects again.
+connection that has sent no whole message is closed when too many of them wait; instances send their
+first message as soon as they have connected. An instance whose connection is closed connects again.
 """
 
 import math
+from collections.abc import Callable
 
 import trio
 
 from lagoonfold_gateway._caller_limits import CallerLimits
+from lagoonfold_gateway._messages import Envelope
+from lagoonfold_gateway._peer_link import FrameReader
 from lagoonfold_io import (
     SMALL_BYTES,
     FaultError,
-    MemoryClaim,
     MemoryGate,
     WaitingConnections,
 )
@@ -40,21 +42,34 @@
             return await stream.receive_some(READ_SIZE_BYTES)
         return None
 
-    def open(self) -> "ChargedInput":
-        """Return the input of a connection, to be closed with it."""
-        return ChargedInput(self._gate, self._gate.open())
+    async def read_first(self, stream: trio.SocketStream, reader: FrameReader) -> Envelope | None:
+        """Return the first message of a connection; None if it ended or had to make room."""
+        with self._silent.wait(stream, math.inf, is_idle=True):
+            return await reader.read()
+        return None
+
+    def open(self) -> "ChargedConnection":
+        """Return what charges a connection, to be closed with it."""
+        return ChargedConnection(self._gate)
 
 
-class ChargedInput:
-    """Receives the bytes of one connection; what is not small is charged before it is read."""
+class ChargedConnection:
+    """Charges what one connection takes up: its message that is being read, its unread answers.
 
-    def __init__(self, gate: MemoryGate, claim: MemoryClaim) -> None:
+    While memory is short, connections are closed that take up the most for the longest time;
+    `drop_answers` is called for those whose answers do. Up to `SMALL_BYTES` are not charged.
+    """
+
+    def __init__(self, gate: MemoryGate) -> None:
         self._gate = gate
-        self._claim = claim
+        self._claim = gate.open()
+        self._answers = gate.open()
+        self.drop_answers: Callable[[], None] = lambda: None
 
     def close(self) -> None:
         """Release what the connection holds."""
         self._gate.close(self._claim)
+        self._gate.close(self._answers)
 
     async def receive(self, stream: trio.SocketStream, held_bytes: int) -> bytes:
         """Return further input of a message; raise `trio.ClosedResourceError` without memory."""
@@ -77,3 +92,14 @@
             return data
         self._gate.count(FRAME_EVICTED)
         raise trio.ClosedResourceError("a message without progress made room for others")
+
+    def charge_answers(self, unsent_bytes: int) -> None:
+        """Hold as much as is unsent, and evict connections if that is too much."""
+        if unsent_bytes <= SMALL_BYTES:
+            if self._answers.held_bytes:
+                self._gate.release(self._answers)
+            return
+        if unsent_bytes > self._answers.held_bytes:
+            self._gate.hold_queued(self._answers, unsent_bytes, self.drop_answers)
+        elif not self._answers.is_evicted:
+            self._gate.shrink(self._answers, unsent_bytes)
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_peers.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_peers.py
@@ -16,7 +16,7 @@
 from lagoonfold_gateway._background import TaskStarter, record_failure
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._messages import Ack, Envelope, Heartbeat, Hello, Message, type_name
-from lagoonfold_gateway._peer_guard import ChargedInput, PeerGuard
+from lagoonfold_gateway._peer_guard import ChargedConnection, PeerGuard
 from lagoonfold_gateway._peer_link import (
     FRAME_START,
     PEER_LINK_ERRORS,
@@ -151,7 +151,7 @@
 
     async def _serve_peer(self, stream: trio.SocketStream) -> None:
         peer: str | None = None
-        charged: ChargedInput | None = None
+        charged: ChargedConnection | None = None
         try:
             set_tcp_timeout(stream.socket, SILENCE_LIMIT_S)
             received = await self._receive_first(stream)
@@ -163,15 +163,18 @@
             if self.guard is not None:
                 charged = self.guard.open()
                 reader = FrameReader(stream, received, charged.receive)
+                writer = FrameWriter(stream, charged.charge_answers)
+                charged.drop_answers = writer.drop
             else:
-                reader = FrameReader(stream, received)
-            writer = FrameWriter(stream)
+                reader, writer = FrameReader(stream, received), FrameWriter(stream)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(writer.run)
-                while (envelope := await reader.read()) is not None:
+                envelope = await self._read_first(stream, reader)
+                while envelope is not None:
                     self._record_received()
                     peer = _sender_of(envelope.message) or peer
                     self._serve_message(envelope, writer, nursery)
+                    envelope = await reader.read()
                 nursery.cancel_scope.cancel()
         except* PEER_LINK_ERRORS as errors:
             _log.debug("peer.connection_broke", reason=str(errors.exceptions[0]))
@@ -189,6 +192,11 @@
             return await self.guard.receive_first(stream)
         return await stream.receive_some(READ_SIZE_BYTES)
 
+    async def _read_first(self, stream: trio.SocketStream, reader: FrameReader) -> Envelope | None:
+        if self.guard is not None:
+            return await self.guard.read_first(stream, reader)
+        return await reader.read()
+
     def _record_received(self) -> None:
         self.last_received_s = now_s()
 
