Soak: evacuate failure domains and check their replicas' arrivals

The soak did not play evacuations, so a request sent to an evacuated failure domain could not be seen with real processes.

Checks over a whole run are entered in a registry (`soak/run_checks`); the first reports requests that reach an evacuated replica later than 5.5 s after the acknowledgement. Gateways that were suspended within 4 s are not in contact and are left out.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -13,9 +13,11 @@
 
 from soak._callers import Caller
 from soak._checks import MOST_JOINED_VERSIONS, find_faults, find_joined_versions
+from soak._evacuations import run_evacuations
 from soak._records import Stream
 from soak._troubles import run_troubles
 from soak._world import World
+from soak.run_checks import CHECK_BY_NAME
 
 ROOT = Path(__file__).resolve().parents[1]
 PROGRAMS_PER_S = 10.0
@@ -35,6 +37,7 @@
 
 async def run(options: argparse.Namespace) -> int:
     """Run everything; return the exit status."""
+    options.out, options.code = options.out.resolve(), options.code.resolve()
     options.out.mkdir(parents=True, exist_ok=True)
     async with trio.open_nursery() as nursery:
         world = World(options.seed, options.code, options.out, nursery, options.trouble)
@@ -43,6 +46,7 @@
             await world.start(options.gateways)
             async with trio.open_nursery() as running:
                 running.start_soon(run_troubles, world, options.seconds)
+                running.start_soon(run_evacuations, world, options.seconds)
                 running.start_soon(_run_callers, world, caller, options.seconds)
         finally:
             world.close()
@@ -64,6 +68,13 @@
         by_name = {stream.name: stream for stream in streams}
         for name in names:
             lines += _describe(world, by_name[name], {"two versions": [service]})
+    evidence = world.make_evidence(streams)
+    for name, check in CHECK_BY_NAME.items():
+        if options.untimed and check.is_timed:
+            continue
+        if faults := check.find(evidence):
+            wrong[name] = len(faults)
+            lines += [f"WRONG {name}: {fault}" for fault in faults]
     whole = sum(stream.is_whole for stream in streams)
     begun = sum(not stream.is_whole and bool(stream.pieces) for stream in streams)
     runs = Counter(stream_run.answer for stream_run in run_by_id.values())
@@ -110,6 +121,11 @@
     parser.add_argument("--seconds", type=float, default=30.0)
     parser.add_argument("--gateways", type=int, default=4)
     parser.add_argument("--trouble", type=float, default=1.0)
+    parser.add_argument(
+        "--untimed",
+        action="store_true",
+        help="leave out the checks whose result depends on the machine's speed",
+    )
     parser.add_argument("--code", type=Path, default=ROOT)
     parser.add_argument("--out", type=Path, default=ROOT / "target" / "soak")
     return trio.run(run, parser.parse_args())
--- a/soak/_replicas.py
+++ b/soak/_replicas.py
@@ -13,6 +13,7 @@
 from soak._answers import MAKE_BY_NAME, Part
 from soak._records import Run
 from soak._store import LeasingStore
+from soak.run_checks import Arrival
 
 BEAT_S = 1.2
 EVENT_MS = (3, 60)  # between events
@@ -34,6 +35,7 @@
     trouble: float = 1.0
     run_by_id: dict[int, Run] = field(default_factory=dict)
     runs_by_stream: Counter[str] = field(default_factory=Counter)
+    arrivals: list[Arrival] = field(default_factory=list)
 
     def plan(self, stream: str) -> tuple[str, random.Random]:
         """Return the answer of the next run of a stream: "sound", "broken" or a wrong one."""
@@ -131,6 +133,8 @@
                 f"HTTP/1.1 421 Misdirected\r\n{fields}content-length: 0\r\n\r\n".encode()
             )
             return True
+        arrival = Arrival(trio.current_time(), attempt, self.replica_id, self.zone)
+        self.ledger.arrivals.append(arrival)
         after = int(headers.get("last-event-id", 0))
         answer, rng = self.ledger.plan(parts[2])
         run_id = len(self.ledger.run_by_id) + 1
--- a/soak/_troubles.py
+++ b/soak/_troubles.py
@@ -8,6 +8,7 @@
 
 from soak._gateways import Instance
 from soak._world import World
+from soak.run_checks import Freeze
 
 GAP_S = (1.5, 5.0)  # between the beginnings of two troubles, which may overlap
 FREEZE_S = (0.2, 2.5)
@@ -68,11 +69,14 @@
 async def _freeze(world: World, rng: random.Random) -> None:
     gateway = rng.choice(world.gateways)
     gateway.signal(signal.SIGSTOP)
+    freeze = Freeze(gateway.name, trio.current_time())
+    world.freezes.append(freeze)
     world.note(f"freeze {gateway.name}")
     try:
         await trio.sleep(rng.uniform(*FREEZE_S))
     finally:
         gateway.signal(signal.SIGCONT)
+        freeze.ended_s = trio.current_time()
         world.note(f"thaw {gateway.name}")
 
 
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -1,14 +1,17 @@
 """Everything of one run: the store, the replicas, the processes and their record."""
 
 import json
+import math
 from dataclasses import dataclass, field
 from pathlib import Path
 
 import trio
 
 from soak._gateways import Instance
+from soak._records import Stream
 from soak._replicas import Ledger, Replica
 from soak._store import LeasingStore
+from soak.run_checks import Evacuation, Evidence, Freeze
 
 SERVICES = ("quill", "pen")
 REPLICAS = 6  # of each service at the beginning
@@ -33,6 +36,8 @@
     stopping: set[str] = field(default_factory=set)
     notes: list[str] = field(default_factory=list)
     config_version: int = 0
+    evacuations: list[Evacuation] = field(default_factory=list)
+    freezes: list[Freeze] = field(default_factory=list)
     began_s: float = field(default_factory=trio.current_time)
     ledger: Ledger = field(init=False)
 
@@ -54,6 +59,33 @@
         config = make_config(self.config_version, timeout_ms=timeout_ms, rate_per_s=rate_per_s)
         self.store.put("op/config", json.dumps(config).encode())
 
+    def evacuate(self, zone: str, value: bytes = b"{}") -> None:
+        """Request the evacuation of a failure domain; the store acknowledges at once."""
+        self.store.put(f"op/evacuate/{zone}", value)
+        self.note(f"evacuate {zone}")
+        if not any(each.zone == zone for each in self._open_evacuations()):
+            self.evacuations.append(Evacuation(zone, trio.current_time()))
+
+    def restore(self, zone: str) -> None:
+        """Withdraw the request for the evacuation of a failure domain, if there is one."""
+        for each in self._open_evacuations():
+            if each.zone == zone:
+                each.removed_s = trio.current_time()
+                self.store.remove(f"op/evacuate/{zone}")
+                self.note(f"restore {zone}")
+
+    def _open_evacuations(self) -> list[Evacuation]:
+        return [each for each in self.evacuations if each.removed_s == math.inf]
+
+    def make_evidence(self, streams: list[Stream]) -> Evidence:
+        """Return what the checks over the whole run examine."""
+        return Evidence(
+            arrivals=self.ledger.arrivals,
+            evacuations=self.evacuations,
+            freezes=self.freezes,
+            try_by_attempt={each.attempt: each for stream in streams for each in stream.tries},
+        )
+
     def begin_replica(self, replica_id: str, service: str, zone: str, version: str) -> None:
         """Start a replica; one of the same id is taken out of the list."""
         self.replicas = [each for each in self.replicas if each.replica_id != replica_id]
