Soak: flood from a client account, check rates and repeated runs

The soak had neither a client account beyond its rate nor requests that must run at most once.

One account with 10 requests per second sends 5 to 7.5 times that for 3 to 6 s at a time. A check counts, in any 5 s, its requests that were both sent and received by a replica, so that queueing is not taken for excess. A route of non-idempotent requests is added; a check reports those that several replicas received, and those that ran although the answer's status guarantees the opposite. A limit that is lowered is expected to apply 5.0 s later: 2.0 s for the configuration, 2.5 s for a suspended gateway, rounded up.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -14,6 +14,7 @@
 from soak._callers import Caller
 from soak._checks import MOST_JOINED_VERSIONS, find_faults, find_joined_versions
 from soak._evacuations import run_evacuations
+from soak._flood import run_floods
 from soak._records import Stream
 from soak._troubles import run_troubles
 from soak._world import World
@@ -47,6 +48,7 @@
             async with trio.open_nursery() as running:
                 running.start_soon(run_troubles, world, options.seconds)
                 running.start_soon(run_evacuations, world, options.seconds)
+                running.start_soon(run_floods, caller, options.seed, options.seconds)
                 running.start_soon(_run_callers, world, caller, options.seconds)
         finally:
             world.close()
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -16,7 +16,16 @@
 EVENT_TOKENS = 12
 MEAN_EVENTS = 6
 MAX_EVENTS = 24
-ROUTES = (("drafts", 0.4), ("sweeps", 0.1), ("split", 0.2), ("once", 0.1), ("kept", 0.2))
+ROUTES = (
+    ("drafts", 0.3),
+    ("sweeps", 0.1),
+    ("split", 0.2),
+    ("once", 0.1),
+    ("kept", 0.2),
+    ("orders", 0.1),
+)
+CAN_RESUME_BY_ROUTE = {"once": False, "orders": False}
+
 REFUSED = (429, 503)
 BUDGET_SPENT = 402
 
@@ -47,7 +56,9 @@
         route = rng.choices(routes, shares)[0]
         for turn in range(turns):
             total = min(MAX_EVENTS, max(1, round(rng.lognormvariate(1.6, 0.8))))
-            stream = Stream(f"s{number}x{turn}", total, route, can_resume=route != "once")
+            stream = Stream(
+                f"s{number}x{turn}", total, route, can_resume=CAN_RESUME_BY_ROUTE.get(route, True)
+            )
             self.streams.append(stream)
             await self._run_stream(stream, fields, rng)
             if stream.tries[-1].status == BUDGET_SPENT:
@@ -62,22 +73,24 @@
             left_ms = int(1000 * (ends_s - trio.current_time()))
             if left_ms < MIN_LEFT_MS or not _may_try(stream):
                 return
-            gateway = self._pick_gateway(stream, rng)
-            await self._try(stream, gateway, {**fields, "Deadline-Ms": str(left_ms)}, rng)
+            gateway = self.pick_gateway(stream, rng)
+            await self.send(stream, gateway, {**fields, "Deadline-Ms": str(left_ms)}, rng)
             await trio.sleep(0.02)
 
-    def _pick_gateway(self, stream: Stream, rng: random.Random) -> Instance:
+    def pick_gateway(self, stream: Stream, rng: random.Random) -> Instance:
         """Return a gateway that the stream has not tried, mostly one that is up."""
         tried = {each.gateway for each in stream.tries}
         left = [each for each in self.gateways if each.name not in tried]
         up = [each for each in left if each.name not in self.stopping]
         return rng.choice(up if up and rng.random() >= SPREAD_SHARE else left)
 
-    async def _try(
+    async def send(
         self, stream: Stream, gateway: Instance, fields: dict, rng: random.Random
     ) -> None:
+        """Send one request of a stream, and record what comes of it."""
         self.requests += 1
         each = Try(f"a{self.requests}", gateway.name, stream.last_number, trio.current_time())
+        each.account = fields["Key"].replace("key", "tenant")
         begun = [earlier for earlier in stream.tries if earlier.status == 200 and earlier.pieces]
         if begun:
             fields |= {"Last-Event-Id": str(stream.last_number), "Resumes": begun[0].attempt}
--- a/soak/_records.py
+++ b/soak/_records.py
@@ -40,6 +40,7 @@
     gateway: str
     after: int
     sent_s: float
+    account: str = ""
     status: int = 0
     is_sealed: bool = False
     is_complete: bool = False
--- a/soak/_replicas.py
+++ b/soak/_replicas.py
@@ -16,6 +16,7 @@
 from soak.run_checks import Arrival
 
 BEAT_S = 1.2
+ORDERS = "orders"  # the route of non-idempotent requests
 EVENT_MS = (3, 60)  # between events
 BROKEN_SHARE = 0.5  # of first runs
 WRONG_SHARE = 0.5  # of later runs
@@ -37,8 +38,11 @@
     runs_by_stream: Counter[str] = field(default_factory=Counter)
     arrivals: list[Arrival] = field(default_factory=list)
 
-    def plan(self, stream: str) -> tuple[str, random.Random]:
-        """Return the answer of the next run of a stream: "sound", "broken" or a wrong one."""
+    def plan(self, stream: str, route: str) -> tuple[str, random.Random]:
+        """Return the answer of the next run of a stream: "sound", "broken" or a wrong one.
+
+        Answers of the route `ORDERS` are passed on as they are, so none of them is wrong.
+        """
         number = self.runs_by_stream[stream]
         self.runs_by_stream[stream] += 1
         rng = random.Random(f"{self.seed}/{stream}/{number}")
@@ -46,6 +50,7 @@
             return "sound", rng
         share = rng.random()
         wrong_share = WRONG_SHARE if number else WRONG_FIRST_SHARE
+        wrong_share = 0 if route == ORDERS else wrong_share
         if share < wrong_share:
             return rng.choice(list(MAKE_BY_NAME)), rng
         return (
@@ -136,7 +141,7 @@
         arrival = Arrival(trio.current_time(), attempt, self.replica_id, self.zone)
         self.ledger.arrivals.append(arrival)
         after = int(headers.get("last-event-id", 0))
-        answer, rng = self.ledger.plan(parts[2])
+        answer, rng = self.ledger.plan(parts[2], parts[1])
         run_id = len(self.ledger.run_by_id) + 1
         self.ledger.run_by_id[run_id] = Run(
             run_id, parts[2], attempt, after, self.replica_id, self.service, self.version, answer
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -9,14 +9,16 @@
 
 from soak._gateways import Instance
 from soak._records import Stream
-from soak._replicas import Ledger, Replica
+from soak._replicas import ORDERS, Ledger, Replica
 from soak._store import LeasingStore
-from soak.run_checks import Evacuation, Evidence, Freeze
+from soak.run_checks import AccountLimit, Evacuation, Evidence, Freeze
 
 SERVICES = ("quill", "pen")
 REPLICAS = 6  # of each service at the beginning
 STORAGES = 2
 TENANTS = 8
+FLOOD_ACCOUNT_NUMBER = TENANTS + 1
+FLOOD_RATE_PER_S = 10.0  # of the account that floods, also its burst
 READY_S = 30.0
 
 
@@ -38,6 +40,7 @@
     config_version: int = 0
     evacuations: list[Evacuation] = field(default_factory=list)
     freezes: list[Freeze] = field(default_factory=list)
+    limits: list[AccountLimit] = field(default_factory=list)
     began_s: float = field(default_factory=trio.current_time)
     ledger: Ledger = field(init=False)
 
@@ -58,6 +61,11 @@
         self.config_version += 3
         config = make_config(self.config_version, timeout_ms=timeout_ms, rate_per_s=rate_per_s)
         self.store.put("op/config", json.dumps(config).encode())
+        now_s = trio.current_time()
+        self.limits += [
+            AccountLimit(each["Name"], now_s, each["RatePerS"], each["Burst"])
+            for each in config["Tenants"]
+        ]
 
     def evacuate(self, zone: str, value: bytes = b"{}") -> None:
         """Request the evacuation of a failure domain; the store acknowledges at once."""
@@ -83,6 +91,14 @@
             arrivals=self.ledger.arrivals,
             evacuations=self.evacuations,
             freezes=self.freezes,
+            limits=self.limits,
+            began_s=self.began_s,
+            once_attempts=frozenset(
+                each.attempt
+                for stream in streams
+                if stream.route == ORDERS
+                for each in stream.tries
+            ),
             try_by_attempt={each.attempt: each for stream in streams for each in stream.tries},
         )
 
@@ -142,6 +158,8 @@
         "GapTargetMs": 150,
     }
     split = [{"Service": "quill", "Weight": 0.5}, {"Service": "pen", "Weight": 0.5}]
+    rates = [(number, rate_per_s) for number in range(1, TENANTS + 1)]
+    rates.append((FLOOD_ACCOUNT_NUMBER, FLOOD_RATE_PER_S))
     engine = {"Slots": 8, "KvCapacityTokens": 130176, "TokensPerEvent": 12}
     return {
         "Version": version,
@@ -163,6 +181,14 @@
                 "Service": "pen",
                 "AllowResume": False,
             },
+            {
+                **route,
+                "Name": ORDERS,
+                "PathPrefix": f"/{ORDERS}/",
+                "Service": "pen",
+                "RouteType": "non_idempotent",
+                "AllowResume": False,
+            },
         ],
         "Services": [
             {"Name": name, "HealthPath": "/health", "MaxConns": 130, "Engine": engine}
@@ -179,9 +205,9 @@
                 "Name": f"tenant-{number}",
                 "ApiKeys": [f"key-{number}"],
                 "Priority": number % 2,
-                "RatePerS": rate_per_s,
-                "Burst": rate_per_s,
+                "RatePerS": rate,
+                "Burst": rate,
             }
-            for number in range(1, TENANTS + 1)
+            for number, rate in rates
         ],
     }
--- a/soak/run_checks/_evidence.py
+++ b/soak/run_checks/_evidence.py
@@ -34,6 +34,16 @@
     ended_s: float = math.inf
 
 
+@dataclass(frozen=True, slots=True)
+class AccountLimit:
+    """A client account's limit that is in force from a time on, until its next one."""
+
+    account: str
+    since_s: float
+    rate_per_s: float
+    burst: float
+
+
 @dataclass(slots=True)
 class Evidence:
     """The observations of a run.
@@ -45,6 +55,9 @@
     arrivals: list[Arrival] = field(default_factory=list)
     evacuations: list[Evacuation] = field(default_factory=list)
     freezes: list[Freeze] = field(default_factory=list)
+    limits: list[AccountLimit] = field(default_factory=list)
+    once_attempts: frozenset[str] = frozenset()
+    began_s: float = 0.0
     try_by_attempt: dict[str, Try] = field(default_factory=dict)
     old_gateways: frozenset[str] = frozenset()
 
--- a/tests/soak/test_run_checks.py
+++ b/tests/soak/test_run_checks.py
@@ -3,7 +3,16 @@
 from dataclasses import replace
 
 from soak._records import Try
-from soak.run_checks import Arrival, Evacuation, Evidence, Freeze, find_evacuated_arrivals
+from soak.run_checks import (
+    AccountLimit,
+    Arrival,
+    Evacuation,
+    Evidence,
+    Freeze,
+    find_evacuated_arrivals,
+    find_exceeded_rates,
+    find_repeated_runs,
+)
 from tests._suite import load_functions
 
 LATE = Arrival(16.0, "a1", "r1", "zone-a")
@@ -11,7 +20,7 @@
 
 def _evidence(*arrivals: Arrival, **options: object) -> Evidence:
     """Return evidence of arrivals, whose requests were all sent by the gateway g1."""
-    tries = {each.attempt: Try(each.attempt, "g1", 0, each.at_s) for each in arrivals}
+    tries = {each.attempt: Try(each.attempt, "g1", 0, each.at_s, "t") for each in arrivals}
     fields: dict = {"try_by_attempt": tries, **options}
     return Evidence(arrivals=list(arrivals), **fields)
 
@@ -46,4 +55,49 @@
     assert find_evacuated_arrivals(evidence) == []
 
 
+def _requests(count: int, from_s: float, gap_s: float) -> list[Arrival]:
+    return [replace(LATE, attempt=f"a{n}", at_s=from_s + n * gap_s) for n in range(count)]
+
+
+def test_account_above_its_rate_is_found() -> None:
+    """An account gets more than (10 x 5 + 10) x 1.1 + 20 = 86 requests within 5 s."""
+    limits = [AccountLimit("t", 0.0, 10.0, 10.0)]
+    for arrivals, count in ((_requests(87, 8.0, 0.05), 1), (_requests(86, 8.0, 0.05), 0)):
+        assert len(find_exceeded_rates(_evidence(*arrivals, limits=limits))) == count
+    arrivals = _requests(100, 8.0, 0.06)  # 84 within any 5 s
+    assert find_exceeded_rates(_evidence(*arrivals, limits=limits)) == []
+
+
+def test_requests_sent_before_the_window_and_repeated_ones_count_once_at_most() -> None:
+    """A queue that empties at once, and a second run, are no requests beyond the rate."""
+    limits = [AccountLimit("t", 0.0, 10.0, 10.0)]
+    arrivals = _requests(80, 8.0, 0.05)
+    assert find_exceeded_rates(_evidence(*arrivals, *arrivals[:20], limits=limits)) == []
+    evidence = _evidence(*_requests(100, 8.0, 0.01), limits=limits)
+    assert len(find_exceeded_rates(evidence)) == 1
+    for sent in evidence.try_by_attempt.values():
+        sent.sent_s -= 6.0
+    assert find_exceeded_rates(evidence) == []
+
+
+def test_lowered_rate_is_checked_once_it_applies() -> None:
+    """The earlier limit allows more only until the later one must be in force."""
+    limits = [AccountLimit("t", 0.0, 40.0, 40.0), AccountLimit("t", 10.0, 10.0, 10.0)]
+    for from_s, count in ((9.0, 0), (30.0, 1)):
+        evidence = _evidence(*_requests(100, from_s, 0.04), limits=limits)
+        assert len(find_exceeded_rates(evidence)) == count
+
+
+def test_request_that_runs_twice_is_found() -> None:
+    """Also one that has run although its status guarantees that it has not."""
+    once = {"once_attempts": frozenset({"a1"})}
+    assert find_repeated_runs(_evidence(LATE, **once)) == []
+    again = replace(LATE, replica="r2")
+    assert find_repeated_runs(_evidence(LATE, again)) == []
+    assert find_repeated_runs(_evidence(LATE, again, **once)) == ["a1 ran at r1, r2"]
+    evidence = _evidence(LATE, **once)
+    evidence.try_by_attempt["a1"].status = 503
+    assert find_repeated_runs(evidence) == ["a1 ran at r1 but was answered with 503"]
+
+
 load_tests = load_functions(globals())
