Soak: cold replicas that crash, and a check of their requests per second

Replicas of the soak were never cold, so nothing bounded what they got after a start.

They are cold for 3.0 s after each start, report it in their entry and their responses, and crash above 60 requests in a second. A check reports a cold replica that gets more than 45.5 requests in a second; windows in which the loop of the replicas stood still for over 0.1 s are left out, as what waited is received at once. The configuration moves to a module of its own.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -13,6 +13,7 @@
 
 from soak._callers import Caller
 from soak._checks import MOST_JOINED_VERSIONS, find_faults, find_joined_versions
+from soak._cold_starts import run_cold_starts
 from soak._evacuations import run_evacuations
 from soak._flood import run_floods
 from soak._records import Stream
@@ -49,6 +50,7 @@
                 running.start_soon(run_troubles, world, options.seconds)
                 running.start_soon(run_evacuations, world, options.seconds)
                 running.start_soon(run_floods, caller, options.seed, options.seconds)
+                running.start_soon(run_cold_starts, world, caller, options.seconds)
                 running.start_soon(_run_callers, world, caller, options.seconds)
         finally:
             world.close()
@@ -94,6 +96,7 @@
         if len({each.gateway for each in stream.tries if each.pieces}) > 1
     ]
     lines.append(f"streams with events from several gateways: {len(taken_up)}")
+    lines.append(f"stalls of the soak's own loop: {len(world.stalls)}")
     lines.append(f"ends at a start: {sum(each.ends_at_start for each in world.gateways)}")
     (options.out / "record.txt").write_text("\n".join(lines) + "\n")
     print(summary)
--- a/soak/_evacuations.py
+++ b/soak/_evacuations.py
@@ -4,14 +4,13 @@
 
 import trio
 
-from soak._world import World
+from soak._world import ZONES, World
 
 GAP_S = (2.0, 5.0)  # between a removal and the next evacuation
 HOLD_S = (7.0, 11.0)  # longer than the time after which no request may arrive
 TWICE_SHARE = 0.3  # of evacuations that are requested a second time
-BOTH_SHARE = 0.15  # of evacuations of all failure domains at once
+BOTH_SHARE = 0.1  # of evacuations of all failure domains at once
 EMPTY_SHARE = 0.3  # of those beside one of a failure domain without replicas, with a broken value
-ZONES = ("zone-a", "zone-b")
 EMPTY_ZONE = "zone-c"
 
 
--- a/soak/_flood.py
+++ b/soak/_flood.py
@@ -5,8 +5,8 @@
 import trio
 
 from soak._callers import Caller
+from soak._config import FLOOD_ACCOUNT_NUMBER, FLOOD_RATE_PER_S
 from soak._records import Stream
-from soak._world import FLOOD_ACCOUNT_NUMBER, FLOOD_RATE_PER_S
 
 GAP_S = (2.0, 5.0)
 FLOOD_S = (3.0, 6.0)
--- a/soak/_replicas.py
+++ b/soak/_replicas.py
@@ -5,7 +5,7 @@
 import socket
 import struct
 import time
-from collections import Counter
+from collections import Counter, deque
 from dataclasses import dataclass, field, replace
 
 import trio
@@ -16,6 +16,8 @@
 from soak.run_checks import Arrival
 
 BEAT_S = 1.2
+COLD_START_S = 3.0
+COLD_CRASH_PER_S = 60  # well above the 45.5 that the system may send
 ORDERS = "orders"  # the route of non-idempotent requests
 EVENT_MS = (3, 60)  # between events
 BROKEN_SHARE = 0.5  # of first runs
@@ -71,23 +73,28 @@
     slots: int = 8
     state: str = "ready"
     active: int = 0
+    born_ms: int = 0
+    cold_until_s: float = 0.0
+    crash_cause: str = ""
+    cold_arrivals_s: deque[float] = field(default_factory=deque)
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
 
     async def serve(self) -> None:
         """Serve until the scope is cancelled, as by a crash."""
         listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
         address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
-        born = int(time.time() * 1000)
+        self.born_ms = int(time.time() * 1000)
+        self.cold_until_s = trio.current_time() + COLD_START_S
         with self.scope:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(trio.serve_listeners, self._serve_connection, listeners)
                 sequence = 0
                 while True:
                     sequence += 1
-                    self._register(address, born, sequence)
+                    self._register(address, sequence)
                     await trio.sleep(BEAT_S)
 
-    def _register(self, address: str, born: int, sequence: int) -> None:
+    def _register(self, address: str, sequence: int) -> None:
         entry = {
             "Service": self.service,
             "Address": address,
@@ -95,12 +102,32 @@
             "Version": self.version,
             "Slots": self.slots,
             "State": self.state,
-            "ColdRemainingMs": 0,
+            "ColdRemainingMs": self.cold_ms,
             "Sequence": sequence,
-            "born": born,
+            "born": self.born_ms,
         }
         self.store.put(f"servers/{self.replica_id}", json.dumps(entry).encode())
 
+    @property
+    def cold_ms(self) -> int:
+        """Return for how many milliseconds the replica is still cold."""
+        return max(0, round((self.cold_until_s - trio.current_time()) * 1000))
+
+    def _receive(self, attempt: str) -> None:
+        """Record a request; a cold replica with too many in a second crashes."""
+        now_s, is_cold = trio.current_time(), self.cold_ms > 0
+        self.ledger.arrivals.append(
+            Arrival(now_s, attempt, self.replica_id, self.zone, self.born_ms, is_cold)
+        )
+        if not is_cold:
+            return
+        self.cold_arrivals_s.append(now_s)
+        while self.cold_arrivals_s[0] <= now_s - 1:
+            self.cold_arrivals_s.popleft()
+        if len(self.cold_arrivals_s) > COLD_CRASH_PER_S:
+            self.crash_cause = f"{len(self.cold_arrivals_s)} requests in a second while cold"
+            self.scope.cancel()
+
     def remove_entry(self) -> None:
         """Remove the entry, as the platform does after a replica has left or fallen silent."""
         self.store.remove(f"servers/{self.replica_id}")
@@ -126,6 +153,7 @@
         attempt = headers.get("attempt-id", "")
         fields = f"attempt-id: {attempt}\r\nreplica-id: {self.replica_id}\r\n"
         fields += f"replica-load: {self.active},0,{self.slots}\r\n"
+        fields += f"cold-ms: {self.cold_ms}\r\n" if self.cold_ms else ""
         parts = path.split("/")
         if len(parts) < 4:
             status = "200 OK" if path == "/health" else "404 Not Found"
@@ -138,8 +166,7 @@
                 f"HTTP/1.1 421 Misdirected\r\n{fields}content-length: 0\r\n\r\n".encode()
             )
             return True
-        arrival = Arrival(trio.current_time(), attempt, self.replica_id, self.zone)
-        self.ledger.arrivals.append(arrival)
+        self._receive(attempt)
         after = int(headers.get("last-event-id", 0))
         answer, rng = self.ledger.plan(parts[2], parts[1])
         run_id = len(self.ledger.run_by_id) + 1
--- a/soak/run_checks/_evidence.py
+++ b/soak/run_checks/_evidence.py
@@ -14,6 +14,16 @@
     attempt: str
     replica: str
     zone: str
+    started: int = 0  # of the replica, in Unix milliseconds
+    is_cold: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Stall:
+    """A time during which the loop of callers and replicas stood still."""
+
+    begun_s: float
+    ended_s: float
 
 
 @dataclass(slots=True)
@@ -55,6 +65,7 @@
     arrivals: list[Arrival] = field(default_factory=list)
     evacuations: list[Evacuation] = field(default_factory=list)
     freezes: list[Freeze] = field(default_factory=list)
+    stalls: list[Stall] = field(default_factory=list)
     limits: list[AccountLimit] = field(default_factory=list)
     once_attempts: frozenset[str] = frozenset()
     began_s: float = 0.0
--- a/tests/soak/test_run_checks.py
+++ b/tests/soak/test_run_checks.py
@@ -9,6 +9,8 @@
     Evacuation,
     Evidence,
     Freeze,
+    Stall,
+    find_cold_excesses,
     find_evacuated_arrivals,
     find_exceeded_rates,
     find_repeated_runs,
@@ -55,6 +57,18 @@
     assert find_evacuated_arrivals(evidence) == []
 
 
+def test_cold_replica_with_too_many_requests_is_found() -> None:
+    """A cold replica gets 46 requests in a second, where 45.5 are allowed."""
+    cold = replace(LATE, started=1, is_cold=True)
+    arrivals = [replace(cold, attempt=f"a{n}", at_s=10.0 + n * 0.02) for n in range(46)]
+    assert len(find_cold_excesses(_evidence(*arrivals))) == 1
+    assert find_cold_excesses(_evidence(*arrivals[:45])) == []
+    assert find_cold_excesses(_evidence(*(replace(each, is_cold=False) for each in arrivals))) == []
+    halves = [replace(each, started=2) for each in arrivals[23:]]
+    assert find_cold_excesses(_evidence(*arrivals[:23], *halves)) == []
+    assert find_cold_excesses(_evidence(*arrivals, stalls=[Stall(10.1, 10.3)])) == []
+
+
 def _requests(count: int, from_s: float, gap_s: float) -> list[Arrival]:
     return [replace(LATE, attempt=f"a{n}", at_s=from_s + n * gap_s) for n in range(count)]
 
