Soak: replicas that report their pace, and replicas with little memory

All replicas of the soak worked equally fast and held any request, so neither the fourth value of their load nor their token memory mattered.

Replicas of `pen` hold 1,500 tokens, parts that requests share counted once; the newest requests beyond that wait and read their prompt again. No check is named for either: preemptions are counted in the record. What reads requests and sends events moves to a module of its own.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -97,6 +97,7 @@
     ]
     lines.append(f"streams with events from several gateways: {len(taken_up)}")
     lines.append(f"stalls of the soak's own loop: {len(world.stalls)}")
+    lines.append(f"preemptions: {world.ledger.preemptions}")
     lines.append(f"ends at a start: {sum(each.ends_at_start for each in world.gateways)}")
     (options.out / "record.txt").write_text("\n".join(lines) + "\n")
     print(summary)
--- a/soak/_config.py
+++ b/soak/_config.py
@@ -1,6 +1,6 @@
 """The operator's configuration: routes, services, and client accounts with their limits."""
 
-from soak._replicas import COLD_START_S, ORDERS
+from soak._replicas import COLD_START_S, MEMORY_TOKENS_BY_SERVICE, ORDERS
 from soak.run_checks import COLD_PER_S
 
 SERVICES = ("quill", "pen")
@@ -33,7 +33,7 @@
     rates = [(number, rate_per_s) for number in range(1, TENANTS + 1)]
     rates.append((FLOOD_ACCOUNT_NUMBER, FLOOD_RATE_PER_S))
     rates.append((SURGE_ACCOUNT_NUMBER, SURGE_RATE_PER_S))
-    engine = {"Slots": 8, "KvCapacityTokens": 130176, "TokensPerEvent": 12}
+    engine = {"Slots": 8, "TokensPerEvent": 12}
     return {
         "Version": version,
         "Routes": [
@@ -69,7 +69,7 @@
                 "Name": name,
                 "HealthPath": "/health",
                 "MaxConns": 130,
-                "Engine": engine,
+                "Engine": {**engine, "KvCapacityTokens": MEMORY_TOKENS_BY_SERVICE[name]},
                 "ColdStartS": COLD_START_S,
                 "ColdPerS": COLD_PER_S,
             }
--- a/soak/_replicas.py
+++ b/soak/_replicas.py
@@ -3,7 +3,6 @@
 import json
 import random
 import socket
-import struct
 import time
 from collections import Counter, deque
 from dataclasses import dataclass, field, replace
@@ -11,20 +10,23 @@
 import trio
 
 from soak._answers import MAKE_BY_NAME, Part
+from soak._engine import TokenMemory, pace_at, read_claim
 from soak._records import Run
+from soak._replica_wire import read_request, reset_sometimes, send_events, send_in_parts
 from soak._store import LeasingStore
 from soak.run_checks import Arrival
 
 BEAT_S = 1.2
+MEMORY_TOKENS_BY_SERVICE = {"quill": 130_176, "pen": 1_500}  # "pen" holds five requests or so
+PACED = frozenset({"quill"})  # services whose replicas report how long work takes
+READ_S = 0.05  # to read a prompt
+PREEMPTED_POLL_S = 0.01
 COLD_START_S = 3.0
 COLD_CRASH_PER_S = 60  # well above the 45.5 that the system may send
 ORDERS = "orders"  # the route of non-idempotent requests
-EVENT_MS = (3, 60)  # between events
 BROKEN_SHARE = 0.5  # of first runs
 WRONG_SHARE = 0.5  # of later runs
 WRONG_FIRST_SHARE = 0.08
-RESET_SHARE = 0.3
-RESET = struct.pack("ii", 1, 0)  # a close then resets the connection
 
 
 @dataclass(slots=True)
@@ -39,6 +41,7 @@
     run_by_id: dict[int, Run] = field(default_factory=dict)
     runs_by_stream: Counter[str] = field(default_factory=Counter)
     arrivals: list[Arrival] = field(default_factory=list)
+    preemptions: int = 0
 
     def plan(self, stream: str, route: str) -> tuple[str, random.Random]:
         """Return the answer of the next run of a stream: "sound", "broken" or a wrong one.
@@ -76,9 +79,13 @@
     born_ms: int = 0
     cold_until_s: float = 0.0
     crash_cause: str = ""
+    memory: TokenMemory = field(init=False)
     cold_arrivals_s: deque[float] = field(default_factory=deque)
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
 
+    def __post_init__(self) -> None:
+        self.memory = TokenMemory(MEMORY_TOKENS_BY_SERVICE[self.service])
+
     async def serve(self) -> None:
         """Serve until the scope is cancelled, as by a crash."""
         listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
@@ -136,7 +143,7 @@
         stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, True)
         buffer = bytearray()
         try:
-            while (request := await _read_request(stream, buffer)) is not None:
+            while (request := await read_request(stream, buffer)) is not None:
                 self.active += 1
                 try:
                     goes_on = await self._answer(stream, *request)
@@ -152,7 +159,9 @@
         """Answer a request; return whether the connection may be used again."""
         attempt = headers.get("attempt-id", "")
         fields = f"attempt-id: {attempt}\r\nreplica-id: {self.replica_id}\r\n"
-        fields += f"replica-load: {self.active},0,{self.slots}\r\n"
+        waiting = len(self.memory.preempted())
+        fields += f"replica-load: {self.active - waiting},{waiting},{self.slots}"
+        fields += f",{round(100 * self._pace())}\r\n" if self.service in PACED else "\r\n"
         fields += f"cold-ms: {self.cold_ms}\r\n" if self.cold_ms else ""
         parts = path.split("/")
         if len(parts) < 4:
@@ -178,72 +187,31 @@
             made = MAKE_BY_NAME[answer](part)
             own = (("server-seal", f"{self.replica_id}.{attempt}"), ("attempt-id", attempt))
             made = replace(made, headers=(*own, *made.headers))
-            await _send_in_parts(stream, made.encode(self.replica_id, attempt), rng)
-            _reset_sometimes(stream, rng, RESET_SHARE)
+            await send_in_parts(stream, made.encode(self.replica_id, attempt), rng)
+            reset_sometimes(stream, rng)
             return False
         fields += f"server-seal: {self.replica_id}.{attempt}\r\ncontent-type: text/event-stream\r\n"
-        return await _stream(stream, fields, part, rng, is_broken=answer == "broken")
-
-
-async def _read_request(
-    stream: trio.SocketStream, buffer: bytearray
-) -> tuple[str, dict[str, str]] | None:
-    """Return the path and the headers of the next request, None at the end."""
-    while (end := buffer.find(b"\r\n\r\n")) < 0:
-        data = await stream.receive_some(65_536)
-        if not data:
-            return None
-        buffer += data
-    first, *lines = bytes(buffer[:end]).decode("latin-1").split("\r\n")
-    pairs = (line.partition(":") for line in lines)
-    headers = {name.strip().lower(): value.strip() for name, _, value in pairs}
-    length = end + 4 + int(headers.get("content-length", 0))
-    while len(buffer) < length:
-        data = await stream.receive_some(65_536)
-        if not data:
-            return None
-        buffer += data
-    del buffer[:length]
-    return first.split(" ")[1], headers
-
-
-async def _stream(
-    stream: trio.SocketStream, fields: str, part: Part, rng: random.Random, *, is_broken: bool
-) -> bool:
-    """Send the events; one that is broken stops within or after an event."""
-    head = f"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n"
-    await stream.send_all(head.encode())
-    left = part.total - part.after
-    events_before_break = rng.randint(0, max(0, left)) if is_broken else left
-    cut_bytes = rng.choice((0, 1, 5, 40, 91)) if is_broken else 0
-    step_ms = rng.uniform(*EVENT_MS)
-    for number in range(part.after + 1, part.after + events_before_break + 1):
-        await trio.sleep(step_ms / 1000)
-        await stream.send_all(_chunk(part.event(number)))
-    if not is_broken:
-        await stream.send_all(b"0\r\n\r\n")
-        return True
-    if cut_bytes and events_before_break < left:
-        data = _chunk(part.event(part.after + events_before_break + 1)[:cut_bytes])
-        await stream.send_all(data[: rng.choice((len(data), len(data) - 2))])
-    _reset_sometimes(stream, rng, RESET_SHARE)
-    return False
-
-
-def _chunk(data: bytes) -> bytes:
-    return b"%x\r\n%s\r\n" % (len(data), data)
-
-
-def _reset_sometimes(stream: trio.SocketStream, rng: random.Random, share: float) -> None:
-    if rng.random() < share:
-        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
-
-
-async def _send_in_parts(stream: trio.SocketStream, data: bytes, rng: random.Random) -> None:
-    """Send bytes whole, or in two parts with a pause between them."""
-    at = rng.choice((len(data), rng.randint(0, len(data))))
-    if data[:at]:
-        await stream.send_all(data[:at])
-    if data[at:]:
-        await trio.sleep(rng.uniform(0.005, 0.06))
-        await stream.send_all(data[at:])
+        self.memory.claim_by_run[run_id] = read_claim(
+            headers.get("token-count", ""), headers.get("prompt-prefix", "")
+        )
+        try:
+            return await send_events(
+                stream, fields, part, rng, self._work, is_broken=answer == "broken"
+            )
+        finally:
+            del self.memory.claim_by_run[run_id]
+
+    def _pace(self) -> float:
+        """Return how long work takes now, where 1 is normal."""
+        if self.service not in PACED:
+            return 1.0
+        return pace_at(self.ledger.seed, self.replica_id, trio.current_time())
+
+    async def _work(self, run_id: int, usual_s: float) -> None:
+        """Take the time of some work of a run; one that is preempted reads its prompt again."""
+        if run_id in self.memory.preempted():
+            self.ledger.preemptions += 1
+            while run_id in self.memory.preempted():
+                await trio.sleep(PREEMPTED_POLL_S)
+            usual_s += READ_S
+        await trio.sleep(usual_s * self._pace())
