Soak: gateways of two builds side by side

Instances are replaced one by one, so two builds run together, and the soak ran only one.

`--old-code` is a built clone of the previous build and `--old-gateways` the number of gateways that run it, with the template of that clone. The checks over a whole run leave out the requests that callers sent to them. `--untimed` also leaves out the count of streams of two versions, which depends on when a release meets a stream.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -40,12 +40,15 @@
 async def run(options: argparse.Namespace) -> int:
     """Run everything; return the exit status."""
     options.out, options.code = options.out.resolve(), options.code.resolve()
+    options.old_code = options.old_code.resolve() if options.old_code else None
     options.out.mkdir(parents=True, exist_ok=True)
     async with trio.open_nursery() as nursery:
-        world = World(options.seed, options.code, options.out, nursery, options.trouble)
+        world = World(
+            options.seed, options.code, options.out, nursery, options.trouble, options.old_code
+        )
         caller = Caller(world.gateways, world.stopping, random.Random(f"{options.seed}/callers"))
         try:
-            await world.start(options.gateways)
+            await world.start(options.gateways, options.old_gateways if options.old_code else 0)
             async with trio.open_nursery() as running:
                 running.start_soon(run_troubles, world, options.seconds)
                 running.start_soon(run_evacuations, world, options.seconds)
@@ -66,7 +69,7 @@
         if faults := find_faults(stream, run_by_id):
             wrong.update(faults.keys())
             lines += _describe(world, stream, faults)
-    joined = find_joined_versions(streams, run_by_id)
+    joined = {} if options.untimed else find_joined_versions(streams, run_by_id)
     for service, names in joined.items():
         wrong[f"two versions of {service}, at most {MOST_JOINED_VERSIONS}"] = len(names)
         by_name = {stream.name: stream for stream in streams}
@@ -120,8 +123,8 @@
     return lines
 
 
-def main() -> int:
-    """Parse the command line, run, and return the exit status."""
+def make_parser() -> argparse.ArgumentParser:
+    """Return the parser of the command line."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=30.0)
@@ -133,8 +136,21 @@
         help="leave out the checks whose result depends on the machine's speed",
     )
     parser.add_argument("--code", type=Path, default=ROOT)
+    parser.add_argument(
+        "--old-code", type=Path, help="built clone of the previous build; checks leave it out"
+    )
+    parser.add_argument("--old-gateways", type=int, default=1, help="how many gateways run it")
     parser.add_argument("--out", type=Path, default=ROOT / "target" / "soak")
-    return trio.run(run, parser.parse_args())
+    return parser
+
+
+def main() -> int:
+    """Parse the command line, run, and return the exit status."""
+    parser = make_parser()
+    options = parser.parse_args()
+    if not 0 <= options.old_gateways <= options.gateways:
+        parser.error(f"--old-gateways is {options.old_gateways}, of {options.gateways} gateways")
+    return trio.run(run, options)
 
 
 if __name__ == "__main__":
