Soak: count statuses of programs, floods and surges apart

The record had one count of statuses, in which the rejections of the flooding account and of the surges hid what ordinary programs got.

The record now has a line for each kind.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -6,7 +6,7 @@
 import argparse
 import random
 import sys
-from collections import Counter
+from collections import Counter, defaultdict
 from pathlib import Path
 
 import trio
@@ -24,6 +24,7 @@
 ROOT = Path(__file__).resolve().parents[1]
 PROGRAMS_PER_S = 10.0
 LAST_ANSWERS_S = 15.0
+KIND_BY_FIRST_LETTER = {"s": "programs", "f": "floods", "c": "surges"}  # of streams' names
 
 
 async def _run_callers(world: World, caller: Caller, seconds: float) -> None:
@@ -89,9 +90,8 @@
         f"seed {options.seed}: {options.seconds:g} s, {len(streams)} streams, {whole} whole,"
         f" {begun} broken, {len(streams) - whole - begun} without an event; wrong: {dict(wrong)}"
     )
-    statuses = Counter(each.status for stream in streams for each in stream.tries)
     errors = Counter(each.error[:60] for stream in streams for each in stream.tries)
-    lines += [summary, f"statuses {dict(statuses)}", f"errors {dict(errors)}"]
+    lines += [summary, *_count_statuses(streams), f"errors {dict(errors)}"]
     lines.append(f"runs {dict(runs)}")
     taken_up = [
         stream
@@ -108,6 +108,15 @@
     return 1 if has_many or any(not form.startswith("two versions") for form in wrong) else 0
 
 
+def _count_statuses(streams: list[Stream]) -> list[str]:
+    """Return the numbers of statuses for programs, floods and surges."""
+    counts: defaultdict[str, Counter[int]] = defaultdict(Counter)
+    for stream in streams:
+        kind = KIND_BY_FIRST_LETTER[stream.name[0]]
+        counts[kind].update(each.status for each in stream.tries)
+    return [f"statuses of {kind}: {dict(count)}" for kind, count in counts.items()]
+
+
 def _describe(world: World, stream: Stream, faults: dict[str, list[str]]) -> list[str]:
     """Return the record of a stream that is wrong."""
     lines = [f"WRONG {stream.name} on {stream.route}, {stream.total} events: {faults}"]
