--- a/review/9/case.py
+++ b/review/9/case.py
@@ -10,9 +10,13 @@
 BUDGET = 3_000
 MOST = 300  # tokens of one turn
 TOKENS_PER_EVENT = 10
-PROGRAMS = 9
+FRONTS = 7
+PROGRAMS = 18
 RETENTION_S = 60.0
 FREEZE_S = 3.0
+PAUSE_S = (
+    0.7  # between the first turns and the freeze; their ends are told to their owners meanwhile
+)
 THINK_S = 1.5  # between the first turn of a program and the next ones
 MAX_TURNS = 30  # of a program that loops until it is told that its budget is spent
 RETURN_S = 30.0  # after the first stop, within the retention
@@ -99,17 +103,18 @@
 
 async def case(world: harness.World, has_trouble: bool) -> bool:
     """Return whether no program was handed more than its budget and one turn."""
-    for number in (1, 2, 3):
-        world.add_machine(f"front-{number}", "gateway", f"zone-{number}")
+    for number in range(FRONTS):
+        world.add_machine(f"front-{number + 1}", "gateway", f"zone-{number % 3 + 1}")
     for zone in ("zone-1", "zone-2", "zone-3"):
         await world.add_replica("model", zone, run_turn)
     world.configure(configuration())
     await world.start_machines()
-    first, frozen, third = world.machines
+    first, frozen, third = world.machines[:3]
     programs = [Program(world, f"p{number}") for number in range(PROGRAMS)]
     gather, sleep = harness.asyncio.gather, harness.asyncio.sleep
 
     await gather(*(program.turn(first, 100) for program in programs))
+    await sleep(PAUSE_S)
     if has_trouble:
         frozen.signal(harness.signal.SIGSTOP)
     await sleep(THINK_S)
