--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_context.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_context.py
@@ -7,12 +7,12 @@
 from lagoonfold_gateway._board import GatewayBoard
 from lagoonfold_gateway._budget_client import BudgetClient
 from lagoonfold_gateway._dialect import Dialect
-from lagoonfold_gateway._history_client import HistoryClient
 from lagoonfold_gateway._poison_tracker import PoisonTracker
 from lagoonfold_gateway._rate_limiter import RateLimiter
 from lagoonfold_gateway._replica_caller import ReplicaCaller
 from lagoonfold_gateway._replica_statements import ReplicaStatements
 from lagoonfold_gateway._version_controller import VersionController
+from lagoonfold_gateway.histories._history_client import HistoryClient
 from lagoonfold_gateway.placing import PlacementClient
 from lagoonfold_io.observe import Metrics
 
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
@@ -27,12 +27,9 @@
 from lagoonfold_gateway._context import ForwardContext
 from lagoonfold_gateway._counted_store import CountedStore
 from lagoonfold_gateway._dialect import Dialect
-from lagoonfold_gateway._disk_caller import DiskCaller
-from lagoonfold_gateway._disk_controller import DiskController
 from lagoonfold_gateway._feed_client import FeedClient
 from lagoonfold_gateway._forwarder import Forwarder
 from lagoonfold_gateway._heartbeats import Heartbeats
-from lagoonfold_gateway._history_client import HistoryClient
 from lagoonfold_gateway._leaving_controller import LeavingController
 from lagoonfold_gateway._limit_controller import LimitController
 from lagoonfold_gateway._member_controller import POLL_INTERVAL_S, MemberController
@@ -57,6 +54,9 @@
 from lagoonfold_gateway.cold import ColdController
 from lagoonfold_gateway.evacuation import EvacuationController
 from lagoonfold_gateway.explaining import ExplainEndpoint, Explainer
+from lagoonfold_gateway.histories._disk_caller import DiskCaller
+from lagoonfold_gateway.histories._disk_controller import DiskController
+from lagoonfold_gateway.histories._history_client import HistoryClient
 from lagoonfold_gateway.placing import Dispatcher, LatencyBaselines, PlacementClient, PlacementOwner
 from lagoonfold_io import HttpClient, HttpLimits, HttpServer
 from lagoonfold_io.observe import EventLog, Metrics
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_request_state.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_request_state.py
@@ -6,8 +6,8 @@
 from lagoonfold.forwarding import AttemptHistory, ClientAccount, ForwardRoute, RouteKind
 from lagoonfold.histories import KeptTurn, make_prompt
 from lagoonfold_gateway._budget_client import AdmittedTurn
-from lagoonfold_gateway._history_client import Chain
 from lagoonfold_gateway._parsed_request import ParsedRequest
+from lagoonfold_gateway.histories._history_client import Chain
 
 FIRST_EVENT_S = 0.1  # from a replica with a free slot
 ANSWER_FIELDS = (  # what the answer of one attempt has shown
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_retirement_responder.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_retirement_responder.py
@@ -11,8 +11,8 @@
 from lagoonfold import ABSENT_REVISION, Check, Put, StoreError, TransactionalStore, WatchEvent
 from lagoonfold_gateway._background import TaskStarter
 from lagoonfold_gateway._dialect import RetirementDialect
-from lagoonfold_gateway._disk_controller import DISK_PREFIX
 from lagoonfold_gateway._member_controller import MemberController
+from lagoonfold_gateway.histories._disk_controller import DISK_PREFIX
 from lagoonfold_io.observe import EventLog
 
 TURN_S = 1.0  # for which the next instance waits for the one before
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/attempts/_relay.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/attempts/_relay.py
@@ -24,10 +24,10 @@
 from lagoonfold_gateway._budget_client import AdmittedTurn
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._context import ForwardContext
-from lagoonfold_gateway._history_client import MAX_TURN_BYTES
 from lagoonfold_gateway._parsed_request import headers_to_return
 from lagoonfold_gateway._request_state import RequestState
 from lagoonfold_gateway.attempts._upstream_attempt import AttemptFailure
+from lagoonfold_gateway.histories._history_client import MAX_TURN_BYTES
 from lagoonfold_io import Exchange, HttpResponse, ResponseHead, ResponseStream, StreamError
 
 MAX_HELD_BYTES = 262_144  # of a plain answer; an instance has about 1 MB for each request
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_history_client.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/histories/_history_client.py
@@ -13,9 +13,9 @@
 from lagoonfold.histories import ChainSearch, CopyRule, Disk, KeptTurn, rank_disks
 from lagoonfold_gateway._board import GatewayBoard
 from lagoonfold_gateway._clock import now_s
-from lagoonfold_gateway._disk_caller import DiskCaller
-from lagoonfold_gateway._disk_controller import DiskController
 from lagoonfold_gateway._messages import KeepTurns, TurnQuery, TurnsFound, TurnsKept
+from lagoonfold_gateway.histories._disk_caller import DiskCaller
+from lagoonfold_gateway.histories._disk_controller import DiskController
 from lagoonfold_io.observe import EventLog, Metrics
 
 KEPT_SPANS = 2  # of a route's retention; turns of a long chain are renewed once in each span
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/storage/_disk_cleanup.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/storage/_disk_cleanup.py
@@ -9,7 +9,7 @@
 from lagoonfold import Cell, Check, TransactionalStore
 from lagoonfold.histories import Disk
 from lagoonfold_gateway._clock import now_s
-from lagoonfold_gateway._disk_controller import DISK_PREFIX, DiskController
+from lagoonfold_gateway.histories._disk_controller import DISK_PREFIX, DiskController
 from lagoonfold_gateway.storage._repair import Repair
 from lagoonfold_io.observe import EventLog
 
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/storage/_disk_registration.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/storage/_disk_registration.py
@@ -14,8 +14,8 @@
 from lagoonfold import Cell, Put, TransactionalStore
 from lagoonfold.histories import Disk
 from lagoonfold_gateway._clock import now_s
-from lagoonfold_gateway._disk_controller import DISK_PREFIX, DiskEntry
 from lagoonfold_gateway._settings import HistoriesSection
+from lagoonfold_gateway.histories._disk_controller import DISK_PREFIX, DiskEntry
 from lagoonfold_gateway.storage._settings import StorageInstanceSection
 from lagoonfold_gateway.storage._turn_store import TurnStore
 from lagoonfold_io.observe import EventLog
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/storage/_node.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/storage/_node.py
@@ -9,11 +9,11 @@
 from lagoonfold_gateway._caller_limits import CallerLimits
 from lagoonfold_gateway._counted_store import CountedStore
 from lagoonfold_gateway._dialect import RetirementDialect
-from lagoonfold_gateway._disk_controller import DiskController
 from lagoonfold_gateway._peer_guard import PeerGuard
 from lagoonfold_gateway._peers import PeerBus
 from lagoonfold_gateway._store_watch import StoreGate
 from lagoonfold_gateway._usage import UsageReporter
+from lagoonfold_gateway.histories._disk_controller import DiskController
 from lagoonfold_gateway.storage._disk_cleanup import DiskCleanup
 from lagoonfold_gateway.storage._disk_registration import DiskRegistration
 from lagoonfold_gateway.storage._repair import Repair
--- a/tests/_compatibility_names.py
+++ b/tests/_compatibility_names.py
@@ -23,8 +23,8 @@
 from lagoonfold_ctl._main import Lagoonfold
 from lagoonfold_gateway import DEFAULT_DIALECT, DEFAULT_RETIREMENT
 from lagoonfold_gateway._charges import BUDGET_PREFIX
-from lagoonfold_gateway._disk_controller import DISK_PREFIX
 from lagoonfold_gateway._registration import MEMBER_PREFIX
+from lagoonfold_gateway.histories._disk_controller import DISK_PREFIX
 from lagoonfold_io._http_connection import StreamError
 from lagoonfold_io._http_exchange import ClientGoneError
 from lagoonfold_io._http_faults import FaultError
--- a/tests/gateway/test_retirement.py
+++ b/tests/gateway/test_retirement.py
@@ -3,7 +3,7 @@
 import trio
 
 from lagoonfold_gateway import DEFAULT_RETIREMENT
-from lagoonfold_gateway._disk_controller import DISK_PREFIX
+from lagoonfold_gateway.histories._disk_controller import DISK_PREFIX
 from tests._suite import load_functions
 from tests.gateway._fleet import Fleet, run_with_fleet, wait_until
 
--- a/tests/test_compatibility.py
+++ b/tests/test_compatibility.py
@@ -23,10 +23,10 @@
 from lagoonfold.resilience import PoisonNotice
 from lagoonfold.settings import parse_settings as parse_daemon_settings
 from lagoonfold_gateway import DEFAULT_DIALECT, parse_settings
-from lagoonfold_gateway._disk_controller import DiskEntry
 from lagoonfold_gateway._messages import Envelope, Message
 from lagoonfold_gateway._peer_link import FrameReader, encode_frame
 from lagoonfold_gateway._registration import MemberEntry
+from lagoonfold_gateway.histories._disk_controller import DiskEntry
 from lagoonfold_gateway.storage import parse_storage_settings
 from lagoonfold_node._execution._tool_call import ServiceRequest, encode_service_request
 from lagoonfold_node._peers._messages import MESSAGE_TYPES_BY_TAG, Codec
