--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_forwarder.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_forwarder.py
@@ -67,6 +67,7 @@
             )
             raise
         finally:
+            request_state.chain.close()
             self._end_turn(request_state)
             self._log_request(request_state)
 
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
@@ -58,7 +58,7 @@
 from lagoonfold_gateway.histories._disk_controller import DiskController
 from lagoonfold_gateway.histories._history_client import HistoryClient
 from lagoonfold_gateway.placing import Dispatcher, LatencyBaselines, PlacementClient, PlacementOwner
-from lagoonfold_io import HttpClient, HttpLimits, HttpServer
+from lagoonfold_io import HttpClient, HttpLimits, HttpServer, MemoryGate
 from lagoonfold_io.observe import EventLog, Metrics
 
 SILENCE_LIMIT_S = 1.0  # of a replica with a request that can be sent elsewhere
@@ -147,6 +147,7 @@
             settings.histories.rule(),
             instance.failure_domain,
             self.metrics,
+            MemoryGate(self.caller_limits.memory, self.caller_limits.record),
             cache_bytes=settings.histories.cache_mb * BYTES_PER_MB,
         )
         self.heartbeats = Heartbeats(
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_messages.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_messages.py
@@ -379,10 +379,14 @@
 
 
 class TurnQuery(msgspec.Struct, frozen=True, tag=True, array_like=True):
-    """Question for a turn of an account and what it continues from; the answer is `TurnsFound`."""
+    """Question for a turn of an account and what it continues from; the answer is `TurnsFound`.
+
+    If the turn is larger than `max_bytes`, the answer is `TurnTooLarge`; 0 stands for any size.
+    """
 
     turn_id: str
     account: str
+    max_bytes: int = 0
 
 
 class TurnsFound(msgspec.Struct, frozen=True, tag=True, array_like=True):
@@ -397,6 +401,12 @@
     kept_for_s: tuple[float, ...] = ()
 
 
+class TurnTooLarge(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """Answer: the disk holds the turn, which has more bytes than the asker has memory for now."""
+
+    size_bytes: int
+
+
 class DiskRelay(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """A message to a storage instance that the sender cannot reach, for the receiver to pass on.
 
@@ -477,6 +487,7 @@
     | KeepRefused
     | TurnQuery
     | TurnsFound
+    | TurnTooLarge
     | DiskRelay
     | DiskUnreached
     | CopyOffer
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_peer_link.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_peer_link.py
@@ -82,7 +82,8 @@
                     raise msgspec.DecodeError(f"frame of {length} bytes")
                 end = _LENGTH.size + length
                 if len(self._buffer) >= end:
-                    envelope = _DECODER.decode(self._buffer[_LENGTH.size : end])
+                    with memoryview(self._buffer) as buffer:
+                        envelope = _DECODER.decode(buffer[_LENGTH.size : end])
                     del self._buffer[:end]
                     return envelope
             data = await self._receive(self._stream, len(self._buffer))
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_request_state.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_request_state.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from lagoonfold.forwarding import AttemptHistory, ClientAccount, ForwardRoute, RouteKind
-from lagoonfold.histories import KeptTurn, make_prompt
+from lagoonfold.histories import KeptTurn, prompt_parts
 from lagoonfold_gateway._budget_client import AdmittedTurn
 from lagoonfold_gateway._parsed_request import ParsedRequest
 from lagoonfold_gateway.histories._history_client import Chain
@@ -119,10 +119,9 @@
         return self.parsed.affinity if self.route.is_program_turn else None
 
     @property
-    def upstream_body(self) -> bytes:
-        """Return the body for the upstream, which gets all that a kept turn continues from."""
-        body = self.parsed.request.body
-        return make_prompt(self.chain.turns, body) if self.chain.turns else body
+    def prompt_parts(self) -> tuple[bytes, ...]:
+        """Return what the upstream gets before the body: all that a kept turn continues from."""
+        return prompt_parts(self.chain.turns)
 
     def kept_turn(self) -> KeptTurn:
         """Return the record of a turn whose answer is complete."""
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/attempts/_upstream_attempt.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/attempts/_upstream_attempt.py
@@ -10,7 +10,7 @@
 import math
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from result import Err, Ok, Result
 
@@ -81,20 +81,15 @@
         path=parsed.request.path,
         target=parsed.request.target,
         headers=tuple(headers),
-        body=request_state.upstream_body,
+        body=parsed.request.body,
+        lead_parts=request_state.prompt_parts,
     )
 
 
 def resume_from(request: HttpRequest, name: str, last_event: int) -> HttpRequest:
     """Return a request for the events after the last one that the caller has."""
     headers = tuple((key, value) for key, value in request.headers if key != name)
-    return HttpRequest(
-        method=request.method,
-        path=request.path,
-        target=request.target,
-        headers=(*headers, (name, str(last_event))),
-        body=request.body,
-    )
+    return replace(request, headers=(*headers, (name, str(last_event))))
 
 
 @asynccontextmanager
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/storage/_node.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/storage/_node.py
@@ -21,7 +21,7 @@
 from lagoonfold_gateway.storage._settings import StorageSettings
 from lagoonfold_gateway.storage._turn_server import TurnServer
 from lagoonfold_gateway.storage._turn_store import TurnStore
-from lagoonfold_io import TurnFile
+from lagoonfold_io import MemoryGate, TurnFile
 from lagoonfold_io.observe import EventLog, Metrics
 
 BYTES_PER_MB = 1_000_000
@@ -49,7 +49,8 @@
         store = CountedStore(store, self.metrics)
         gate = StoreGate()
         self.bus = PeerBus(instance.id, self.tasks, self.metrics)
-        self.bus.guard = PeerGuard(CallerLimits(settings.memory, self.metrics))
+        caller_limits = CallerLimits(settings.memory, self.metrics)
+        self.bus.guard = PeerGuard(caller_limits)
         self.disk_controller = DiskController(self.disks, store, self.bus, store)
         self.turn_store = TurnStore(
             file, self.metrics, cache_bytes=histories.cache_mb * BYTES_PER_MB
@@ -58,7 +59,13 @@
         self.registration = DiskRegistration(
             instance, histories, store, self.disks, self.turn_store
         )
-        self.turn_server = TurnServer(self.bus, self.turn_store, self.registration, self.metrics)
+        self.turn_server = TurnServer(
+            self.bus,
+            self.turn_store,
+            self.registration,
+            self.metrics,
+            MemoryGate(caller_limits.memory, caller_limits.record),
+        )
         self.repair = Repair(
             settings, self.disks, self.bus, self.turn_store, self.registration, self.metrics
         )
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/storage/_turn_store.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/storage/_turn_store.py
@@ -8,7 +8,7 @@
 shorten the time for which it is kept.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
 import trio
@@ -95,6 +95,11 @@
         """Return the programs of all durable turns."""
         return {key: indexed.program for key, indexed in self._indexed_by_key.items()}
 
+    def size_bytes(self, key: str) -> int:
+        """Return the size of a turn's texts, 0 for one that is not here."""
+        indexed = self._indexed_by_key.get(key)
+        return 0 if indexed is None else indexed.size_bytes
+
     def kept_for_s(self, key: str) -> float:
         """Return for how many seconds a turn is still kept."""
         indexed = self._indexed_by_key.get(key)
@@ -190,7 +195,7 @@
 
     def _make_batch(self, writes: list[_Write], deleted: list[str]) -> WriteBatch:
         counted_s = self._counted_s()
-        contents: dict[str, tuple[str, float, bytes]] = {}
+        contents: dict[str, tuple[KeptTurn, float]] = {}
         extended: list[tuple[str, float]] = []
         for write in writes:
             for turn, keep_s in zip(write.turns, write.keep_s, strict=True):
@@ -198,9 +203,9 @@
                 if turn.key in self._indexed_by_key:
                     extended.append((turn.key, until_s))
                 else:
-                    contents[turn.key] = (turn.key, until_s, encode_kept_turn(turn))
+                    contents[turn.key] = (turn, until_s)
         return WriteBatch(
-            contents=list(contents.values()),
+            contents=_encoded(tuple(contents.values())),
             extended=extended,
             deleted=[
                 key for key in deleted if key not in contents and key not in self._indexed_by_key
@@ -249,3 +254,9 @@
             else:
                 _log.info("disk.works_again")
         self.last_fault = fault
+
+
+def _encoded(turns: tuple[tuple[KeptTurn, float], ...]) -> Iterator[tuple[str, float, bytes]]:
+    """Yield what is written of turns, one encoded turn at a time."""
+    for turn, until_s in turns:
+        yield turn.key, until_s, encode_kept_turn(turn)
--- a/packages/lagoonfold-io/src/lagoonfold_io/_http_client.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_client.py
@@ -285,11 +285,12 @@
         is_own: Callable[[Headers], bool] | None,
     ) -> Result[ResponseStream, HttpError]:
         deadline_s = trio.current_time() + timeout_s
-        data = encode_request(connection.protocol, address, request)
+        blocks = encode_request(connection.protocol, address, request)
         try:
             with trio.fail_after(timeout_s):
-                await connection.stream.send_all(data)
-            self.bytes_sent += len(data)
+                for block in blocks:
+                    await connection.stream.send_all(block)
+                    self.bytes_sent += len(block)
             connection.received_at = trio.current_time()
             response = await _next_response(connection, timeout_s)
             for _ in range(MAX_SKIPPED_RESPONSES if connection.is_reused and is_own else 0):
--- a/packages/lagoonfold-io/src/lagoonfold_io/_http_connection.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_connection.py
@@ -2,7 +2,7 @@
 
 import math
 import os
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from dataclasses import dataclass, field
 
 import h11
@@ -21,6 +21,7 @@
 
 SMALL_INPUT_BYTES = 4_096  # `trailing_data` copies the unparsed input
 CHUNK_TERMINATOR_BYTES = 2  # the CRLF after the data of a chunk
+JOINED_BYTES = 65_536  # of the parts of a body that are copied to be sent at once
 MAX_PARTS_PER_READ = 32  # small parts take some ms of processor time; then others get theirs
 
 BeforeRead = Callable[[int], Awaitable[None]]  # gets the number of bytes read so far
@@ -255,27 +256,44 @@
     Raises `h11.LocalProtocolError` if the server closes the connection after that response.
     """
     connection.protocol.start_next_cycle()
-    encode_request(connection.protocol, address, request)
+    for _ in encode_request(connection.protocol, address, request):
+        pass
     connection.needs_input = False
 
 
-def encode_request(protocol: h11.Connection, address: str, request: HttpRequest) -> bytes:
-    """Return the bytes of a whole request."""
+def encode_request(protocol: h11.Connection, address: str, request: HttpRequest) -> Iterator[bytes]:
+    """Return the bytes of a whole request, in blocks to be sent one after the other.
+
+    Small parts are joined, large ones are not copied. For the protocol the request has been sent
+    once all blocks have been taken.
+    """
     target = request.target or request.path
     if request.query and not request.target:
         target = f"{request.path}?{request.query}"
     headers = list(request.headers)
     if find_header(request.headers, "host") is None:
         headers.insert(0, ("host", address))
-    if request.body or request.method in ("POST", "PUT"):
-        headers.append(("content-length", str(len(request.body))))
+    size = sum(map(len, request.lead_parts)) + len(request.body)
+    if size or request.method in ("POST", "PUT"):
+        headers.append(("content-length", str(size)))
     head = h11.Request(
         method=request.method,
         target=target.encode("latin-1"),
         headers=encode_headers(tuple(headers)),
     )
-    parts = [protocol.send(head)]
-    if request.body:
-        parts.append(protocol.send(h11.Data(data=request.body)))
-    parts.append(protocol.send(h11.EndOfMessage()))
-    return b"".join(parts)
+    return _with_body(protocol, protocol.send(head), (*request.lead_parts, request.body))
+
+
+def _with_body(
+    protocol: h11.Connection, head: bytes, body_parts: tuple[bytes, ...]
+) -> Iterator[bytes]:
+    waiting, waiting_bytes = [head], 0
+    for part in filter(None, body_parts):
+        if waiting_bytes + len(part) > JOINED_BYTES:
+            yield b"".join(waiting)
+            waiting, waiting_bytes = [], 0
+        waiting.append(protocol.send(h11.Data(data=part)))
+        waiting_bytes += len(part)
+    if end := protocol.send(h11.EndOfMessage()):
+        waiting.append(end)
+    yield b"".join(waiting)
--- a/packages/lagoonfold-io/src/lagoonfold_io/_http_messages.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_messages.py
@@ -34,6 +34,8 @@
     """A whole request; header names are in lower case.
 
     `target` holds path and query as they were received, for a forwarder to send them unchanged.
+    `lead_parts` are sent as the body's beginning, before `body`, without being joined to it:
+    requests may share them.
     """
 
     method: str
@@ -42,6 +44,7 @@
     target: str = ""
     headers: Headers = ()
     body: bytes = b""
+    lead_parts: tuple[bytes, ...] = ()
 
     def header(self, name: str) -> str | None:
         """Return the first value of the header, whose name is in lower case, or None."""
--- a/packages/lagoonfold-io/src/lagoonfold_io/_turn_file.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_turn_file.py
@@ -13,7 +13,7 @@
 import os
 import sqlite3
 import threading
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
@@ -49,11 +49,12 @@
 class WriteBatch:
     """Changes to write together.
 
-    `contents` are turns with the count of seconds until which they are kept, `extended` turns that
-    are in the file and kept for longer, `deleted` turns to remove. `counted_s` is the count now.
+    `contents` are turns with the count of seconds until which they are kept, taken one at a time,
+    `extended` turns that are in the file and kept for longer, `deleted` turns to remove.
+    `counted_s` is the count now.
     """
 
-    contents: list[tuple[str, float, bytes]] = field(default_factory=list)
+    contents: Iterable[tuple[str, float, bytes]] = ()
     extended: list[tuple[str, float]] = field(default_factory=list)
     deleted: list[str] = field(default_factory=list)
     counted_s: float
--- a/packages/lagoonfold/src/lagoonfold/histories/__init__.py
+++ b/packages/lagoonfold/src/lagoonfold/histories/__init__.py
@@ -8,6 +8,7 @@
     decode_kept_turn,
     encode_kept_turn,
     make_prompt,
+    prompt_parts,
     text_of_event,
     turn_key,
 )
@@ -21,6 +22,7 @@
     "decode_kept_turn",
     "encode_kept_turn",
     "make_prompt",
+    "prompt_parts",
     "rank_disks",
     "text_of_event",
     "turn_key",
--- a/packages/lagoonfold/src/lagoonfold/histories/_turns.py
+++ b/packages/lagoonfold/src/lagoonfold/histories/_turns.py
@@ -81,9 +81,11 @@
     return b"\n".join(values) + b"\n" if values else b""
 
 
+def prompt_parts(chain: Iterable[KeptTurn]) -> tuple[bytes, ...]:
+    """Return what an upstream gets before a new input: the turns of a chain, oldest first."""
+    return tuple(part for turn in chain for part in (turn.request, turn.answer))
+
+
 def make_prompt(chain: Iterable[KeptTurn], request: bytes) -> bytes:
     """Return the body for an upstream: the turns of a chain, oldest first, and the new input."""
-    parts: list[bytes] = []
-    for turn in chain:
-        parts += (turn.request, turn.answer)
-    return b"".join((*parts, request))
+    return b"".join((*prompt_parts(chain), request))
--- a/tests/_compatibility_values.py
+++ b/tests/_compatibility_values.py
@@ -73,6 +73,7 @@
     TurnRequest,
     TurnsFound,
     TurnsKept,
+    TurnTooLarge,
 )
 from lagoonfold_node._peers._messages import Frame
 
@@ -205,9 +206,10 @@
     KeepTurns(turns=(KEPT_TURN,), keep_s=(120.5,)),
     TurnsKept(disk_id="disk-1"),
     KeepRefused(reason="the disk is leaving"),
-    TurnQuery(turn_id="turn-2", account="north"),
+    TurnQuery(turn_id="turn-2", account="north", max_bytes=68),
+    TurnTooLarge(size_bytes=69),
     TurnsFound(disk_id="disk-1", turns=(KEPT_TURN,), kept_for_s=(60.25,)),
-    DiskRelay(disk="storage-1", message=TurnQuery(turn_id="turn-2", account="north")),
+    DiskRelay(disk="storage-1", message=TurnQuery(turn_id="turn-2", account="north", max_bytes=68)),
     DiskUnreached(reason="timeout"),
     ReplicaProbe(address="10.0.0.9:8080"),
     ReplicaProbed(is_reached=True, can_tell=True),
--- a/tests/on_platform/test_processes.py
+++ b/tests/on_platform/test_processes.py
@@ -58,8 +58,12 @@
     entry: dict = ENTRY,
     respond: Callable[[HttpRequest, Exchange], Awaitable[None]] = _respond_slowly,
     more_fields: dict[str, str] | None = None,
+    more_entries: Callable[[trio.Nursery], Awaitable[dict[str, bytes]]] | None = None,
 ) -> list[dict]:
-    """Run a gateway with a replica and a store; return the lines that it logged."""
+    """Run a gateway with a replica and a store; return the lines that it logged.
+
+    `more_entries` starts what else the gateway finds by the store, and returns its entries.
+    """
 
     async def run(log: Path, settings: Path) -> None:
         async with trio.open_nursery() as nursery:
@@ -69,6 +73,9 @@
             store.put("op/config", json.dumps(config).encode())
             listed = entry | {"Service": "n", "Address": f"127.0.0.1:{port}"}
             store.put("servers/i-1", json.dumps(listed).encode())
+            entries = await more_entries(nursery) if more_entries is not None else {}
+            for key, value in entries.items():
+                store.put(key, value)
             address, readiness = f"127.0.0.1:{free_port()}", f"127.0.0.1:{free_port()}"
             fields = {
                 "NodeName": "front-1",
@@ -173,14 +180,15 @@
 def with_storage(
     check: Callable[[subprocess.Popen, StoreStandIn], Awaitable[None]],
     *,
-    settings_text: str = "",
     metrics: str = "",
     limit_s: float = WAIT_S,
+    more_fields: dict[str, str] | None = None,
     **changed: str,
 ) -> list[dict]:
     """Run a storage instance with a store; return the lines that it logged.
 
-    `settings_text` is appended to the settings. The metrics port is a free one unless it is given.
+    `more_fields` replaces fields of the template whose names have dots. The metrics port is a free
+    one unless it is given.
     """
 
     async def run(folder: Path) -> None:
@@ -196,12 +204,14 @@
                 "Provider.Address": store.address,
                 "DataDir": str(folder),
                 "Limits.DiskMb": "20",
+                "Limits.MemoryMb": "256",
+                "Limits.MaxFds": "4096",
                 "FaultTolerance.Machines": "1",
                 "FaultTolerance.Zones": "0",
                 "FaultTolerance.Regions": "0",
             }
             settings = folder / "settings.ini"
-            text = render_template("storage", fields | changed) + settings_text
+            text = render_template("storage", fields | (more_fields or {}) | changed)
             if metrics:
                 text = re.sub("^metrics = .*$", f"metrics = {metrics}", text, flags=re.MULTILINE)
             settings.write_text(text)
--- a/tests/on_platform/test_storage_outside_limits.py
+++ b/tests/on_platform/test_storage_outside_limits.py
@@ -42,9 +42,10 @@
 MEASURED = "LAGOONFOLD_MEASURED"  # if set, what was measured is printed
 ATTEMPT_S = GUARD_S / 10
 HEAD = "POST / HTTP/1.1\r\nhost: a.example\r\n"
-MEMORY_SETTINGS = (
-    f"\n[memory]\nmachine_mb = {MACHINE_MB}\nmax_descriptors = {MACHINE_DESCRIPTORS}\n"
-)
+MEMORY_FIELDS = {
+    "Limits.MemoryMb": str(MACHINE_MB),
+    "Limits.MaxFds": str(MACHINE_DESCRIPTORS),
+}
 TURN = KeptTurn(
     turn_id="t", account="a", previous=None, program="p", request=b"x" * TURN_BYTES, answer=b"y"
 )
@@ -118,7 +119,7 @@
 
     with_storage(
         check,
-        settings_text=MEMORY_SETTINGS,
+        more_fields=MEMORY_FIELDS,
         metrics=address_by_port["metrics"],
         limit_s=2 * GUARD_S,
         **{"PortRange.0": address_by_port["peers"].rpartition(":")[2]},
