--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_messages.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_messages.py
@@ -424,13 +424,18 @@
 
 
 class CopyOffer(msgspec.Struct, frozen=True, tag=True, array_like=True):
-    """Keys of turns that the receiver should hold; the answer is `CopiesLacking`."""
+    """Keys of turns that the receiver should hold; the answer is `CopiesLacking`.
+
+    `kept_for_s` has the seconds for which the sender keeps each turn; an earlier release leaves it
+    empty.
+    """
 
     keys: tuple[str, ...]
+    kept_for_s: tuple[float, ...] = ()
 
 
 class CopiesLacking(msgspec.Struct, frozen=True, tag=True, array_like=True):
-    """Answer: which of the offered turns are not durable on the disk of this id."""
+    """Answer: which of the offered turns the disk of this id does not hold for as long."""
 
     disk_id: str
     keys: tuple[str, ...]
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/histories/_history_client.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/histories/_history_client.py
@@ -12,7 +12,15 @@
 from result import Err, Ok, Result
 
 from lagoonfold import ByteLimitedCache, ErrorKind, Refusal
-from lagoonfold.histories import ChainSearch, CopyRule, Disk, KeptTurn, rank_disks, turn_key
+from lagoonfold.histories import (
+    MAX_COPY_LAG_S,
+    ChainSearch,
+    CopyRule,
+    Disk,
+    KeptTurn,
+    rank_disks,
+    turn_key,
+)
 from lagoonfold_gateway._board import GatewayBoard
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._messages import (
@@ -219,7 +227,7 @@
         began_s = now_s()
         keep_s = KEPT_SPANS * retention_s
         while True:
-            renewed = self._ending_soon(chain, began_s + retention_s)
+            renewed = self._ending_soon(chain, began_s + retention_s + MAX_COPY_LAG_S)
             messages = _split([turn, *renewed], keep_s)
             size = sum(kept.size_bytes for kept in (turn, *renewed))
             async with self._write_limiter.hold(size):
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/storage/_repair.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/storage/_repair.py
@@ -58,10 +58,12 @@
         self._disk_id_by_name: dict[str, str] = {}
         self._lost: set[str] = set()
         self._tracker_knows_leaving = False
-        turn_store.on_added = self._tracker.add
+        turn_store.on_kept = self._add
         turn_store.on_removed = self._tracker.remove
-        for key, program in turn_store.program_by_key().items():
-            self._tracker.add(key, program)
+        turn_store.tell_all_kept()
+
+    def _add(self, key: str, program: str, kept_until_s: float) -> None:
+        self._tracker.add(key, program, kept_until_s=kept_until_s)
 
     def is_lost(self, name: str) -> bool:
         """Return whether a disk has not answered this instance for `LOST_AFTER_S`."""
@@ -94,15 +96,19 @@
         for start in range(0, max(1, len(keys)), MAX_OFFERED):
             offered = keys[start : start + MAX_OFFERED]
             self._asked_s_by_name[name] = now_s()
-            answer = await self._bus.call(
-                name, CopyOffer(keys=tuple(offered)), timeout_s=CALL_TIMEOUT_S
+            kept_until_s_by_key = self._tracker.kept_until_s(offered)
+            offer = CopyOffer(
+                keys=tuple(offered), kept_for_s=tuple(map(self._turn_store.kept_for_s, offered))
             )
+            answer = await self._bus.call(name, offer, timeout_s=CALL_TIMEOUT_S)
             if not isinstance(answer, Ok) or not isinstance(answer.ok_value, CopiesLacking):
                 return
             self._answered_s_by_name[name] = now_s()
             lacking = answer.ok_value
             self._note_disk_id(name, lacking.disk_id)
-            self._tracker.record_held(lacking.disk_id, set(offered) - set(lacking.keys))
+            for key in lacking.keys:
+                kept_until_s_by_key.pop(key, None)
+            self._tracker.record_held(lacking.disk_id, kept_until_s_by_key)
             if not await self._copy(name, lacking):
                 return
 
@@ -125,13 +131,14 @@
 
     async def _send(self, name: str, turns: list[KeptTurn]) -> bool:
         keep_s = tuple(self._turn_store.kept_for_s(turn.key) for turn in turns)
+        kept_until_s_by_key = self._tracker.kept_until_s(turn.key for turn in turns)
         message = KeepTurns(turns=tuple(turns), keep_s=keep_s)
         answer = await self._bus.call(name, message, timeout_s=KEEP_TIMEOUT_S)
         if not isinstance(answer, Ok) or not isinstance(answer.ok_value, TurnsKept):
             reason = answer.err_value.value if not isinstance(answer, Ok) else answer.ok_value
             _log.warning("turns.not_copied", disk=name, turns=len(turns), reason=str(reason))
             return False
-        self._tracker.record_held(answer.ok_value.disk_id, [turn.key for turn in turns])
+        self._tracker.record_held(answer.ok_value.disk_id, kept_until_s_by_key)
         size = sum(turn.size_bytes for turn in turns)
         self._metrics.count("turns_copied", name, len(turns))
         self._metrics.count("turn_bytes_copied", name, size)
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/storage/_turn_server.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/storage/_turn_server.py
@@ -8,7 +8,7 @@
 
 from result import Err
 
-from lagoonfold.histories import KeptTurn, turn_key
+from lagoonfold.histories import KeptTurn, lacks_copy, turn_key
 from lagoonfold_gateway._messages import (
     CopiesLacking,
     CopyOffer,
@@ -117,5 +117,11 @@
 
     def _handle_offer(self, offer: Message) -> Message:
         assert isinstance(offer, CopyOffer)
-        lacking = tuple(key for key in offer.keys if key not in self._turn_store)
+        offered_for_s = offer.kept_for_s or (0.0,) * len(offer.keys)
+        lacking = tuple(
+            key
+            for key, kept_for_s in zip(offer.keys, offered_for_s, strict=True)
+            if key not in self._turn_store
+            or lacks_copy(self._turn_store.kept_for_s(key), kept_for_s)
+        )
         return CopiesLacking(disk_id=self._turn_store.disk_id, keys=lacking)
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/storage/_turn_store.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/storage/_turn_store.py
@@ -46,8 +46,9 @@
 class TurnStore:
     """Keeps turns by their keys.
 
-    `on_added` is called with the key and the program of each turn that has become durable,
-    `on_removed` with the key of each that has expired.
+    `on_kept` is called with the key and the program of each turn that has become durable or is kept
+    for longer, and until when on the clock of `kept_for_s`; `on_removed` with the key of each that
+    has expired.
     """
 
     def __init__(self, file: TurnFile, metrics: Metrics, *, cache_bytes: int) -> None:
@@ -62,7 +63,7 @@
         self._wake = trio.Event()
         self._file_user = trio.CapacityLimiter(1)
         self.last_fault: str | None = None
-        self.on_added: Callable[[str, str], None] = lambda key, program: None
+        self.on_kept: Callable[[str, str, float], None] = lambda key, program, until_s: None
         self.on_removed: Callable[[str], None] = lambda key: None
 
     @property
@@ -91,9 +92,10 @@
     def __contains__(self, key: str) -> bool:
         return key in self._indexed_by_key
 
-    def program_by_key(self) -> dict[str, str]:
-        """Return the programs of all durable turns."""
-        return {key: indexed.program for key, indexed in self._indexed_by_key.items()}
+    def tell_all_kept(self) -> None:
+        """Call `on_kept` for all durable turns."""
+        for key, indexed in self._indexed_by_key.items():
+            self.on_kept(key, indexed.program, indexed.kept_until_s)
 
     def size_bytes(self, key: str) -> int:
         """Return the size of a turn's texts, 0 for one that is not here."""
@@ -223,8 +225,8 @@
             kept_until_s = max(kept_until_s, known.kept_until_s)
         self._indexed_by_key[turn.key] = _Indexed(turn.program, kept_until_s, turn.size_bytes)
         self._cache.put(turn.key, turn, size_bytes=turn.size_bytes)
-        if known is None:
-            self.on_added(turn.key, turn.program)
+        if known is None or kept_until_s > known.kept_until_s:
+            self.on_kept(turn.key, turn.program, kept_until_s)
 
     def _expire(self) -> None:
         counted_s = self._counted_s()
--- a/packages/lagoonfold/src/lagoonfold/histories/__init__.py
+++ b/packages/lagoonfold/src/lagoonfold/histories/__init__.py
@@ -1,7 +1,7 @@
 """Histories that the system keeps: turns, the disks that hold them, and their copies."""
 
 from lagoonfold.histories._chain_search import ChainSearch
-from lagoonfold.histories._copy_tracker import CopyTracker
+from lagoonfold.histories._copy_tracker import MAX_COPY_LAG_S, CopyTracker, lacks_copy
 from lagoonfold.histories._disks import CopyRule, Disk, rank_disks
 from lagoonfold.histories._turns import (
     KeptTurn,
@@ -14,6 +14,7 @@
 )
 
 __all__ = [
+    "MAX_COPY_LAG_S",
     "ChainSearch",
     "CopyRule",
     "CopyTracker",
@@ -21,6 +22,7 @@
     "KeptTurn",
     "decode_kept_turn",
     "encode_kept_turn",
+    "lacks_copy",
     "make_prompt",
     "prompt_parts",
     "rank_disks",
--- a/tests/_compatibility_values.py
+++ b/tests/_compatibility_values.py
@@ -213,7 +213,7 @@
     DiskUnreached(reason="timeout"),
     ReplicaProbe(address="10.0.0.9:8080"),
     ReplicaProbed(is_reached=True, can_tell=True),
-    CopyOffer(keys=("north\nturn-2",)),
+    CopyOffer(keys=("north\nturn-2",), kept_for_s=(60.5,)),
     CopiesLacking(disk_id="disk-1", keys=("north\nturn-2",)),
     Ack(),
 )
--- a/tests/gateway/test_histories.py
+++ b/tests/gateway/test_histories.py
@@ -1,13 +1,18 @@
 """Turns that are kept: whole prompts at replicas, durable answers, lost and emptied disks."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import replace
+from functools import partial
 
 import trio
 
 from lagoonfold.forwarding import ClientAccount, ForwardConfig
+from lagoonfold.histories import MAX_COPY_LAG_S
 from lagoonfold_gateway import DEFAULT_RETIREMENT, Gateway
-from lagoonfold_io import HttpRequest, HttpResponse
+from lagoonfold_gateway._messages import CopyOffer, Message, TurnQuery
+from lagoonfold_gateway.storage._turn_server import TurnServer
+from lagoonfold_io import SMALL_BYTES, HttpRequest, HttpResponse
+from lagoonfold_io._memory_budget import SMALL_SHARE
 from standins._ports import free_port
 from standins.replica import EVENTS, NAMES
 from tests._suite import load_functions
@@ -24,6 +29,8 @@
 
 OTHER_KEY = "key-2"
 ANSWER_TEXT = b"".join(b"part %d\n" % number for number in range(1, EVENTS + 1))
+LONG_BYTES = 500_000
+ASK_S = 5.0
 UNANSWERED_S = 0.5  # longer than a disk that works takes by far
 
 
@@ -406,6 +413,29 @@
     _check(check, config=_config(retention_s=1.3))
 
 
+def test_copy_on_a_disk_that_was_away_is_kept_for_as_long_as_the_others() -> None:
+    """It missed a renewal and expired early, and two more losses lost the turn (LOST, review/8)."""
+
+    async def check(fleet: Fleet) -> None:
+        (gateway,) = fleet.gateways
+
+        def left_s(name: str) -> float:
+            return fleet.storage_by_name[name].node.turn_store.kept_for_s("acme\nt1")
+
+        await _send(fleet, gateway, b"<1>", turn_id="t1")
+        away, other = sorted(_holders(fleet, "t1"))
+        await trio.sleep(4.0)
+        before_s = left_s(away)
+        settings = await fleet.stop_storage(away)
+        await _send(fleet, gateway, b"<2>", turn_id="t2", previous="t1")
+        await fleet.restart_storage(settings)
+        assert left_s(other) > before_s + MAX_COPY_LAG_S
+        await wait_until(lambda: left_s(away) >= left_s(other) - MAX_COPY_LAG_S)
+        assert left_s(away) > 0
+
+    _check(check, config=_config(retention_s=5.0))
+
+
 def test_age_of_a_turn_counts_only_while_its_instance_runs() -> None:
     """Neither a restart nor the time before it shortens what is left."""
 
@@ -422,4 +452,53 @@
     _check(check)
 
 
+def test_messages_of_the_build_before_are_answered_as_before() -> None:
+    """Its questions state no memory, and its offers no times."""
+
+    async def check(fleet: Fleet) -> None:
+        (gateway,) = fleet.gateways
+        body = b"x" * LONG_BYTES
+        await _send(fleet, gateway, body, turn_id="t1")
+        name = sorted(_holders(fleet, "t1"))[0]
+        call = partial(gateway.disk_bus.call, name, timeout_s=ASK_S)
+        found = await call(TurnQuery(turn_id="t1", account="acme"))
+        assert found.ok_value.turns[0].request == body
+        too_large = await call(TurnQuery(turn_id="t1", account="acme", max_bytes=1_000))
+        assert too_large.ok_value.size_bytes == LONG_BYTES + len(ANSWER_TEXT)
+        keys = ("acme\nt1", "acme\nt9")
+        assert (await call(CopyOffer(keys=keys))).ok_value.keys == ("acme\nt9",)
+        offer = CopyOffer(keys=keys, kept_for_s=(10_000.0, 10_000.0))
+        assert (await call(offer)).ok_value.keys == keys
+
+    _check(check)
+
+
+def test_storage_instance_of_the_build_before_answers_with_turns_of_any_size() -> None:
+    """It does not know how much memory the gateway has reserved for its answer."""
+
+    async def check(fleet: Fleet) -> None:
+        (gateway,) = fleet.gateways
+        body = b"x" * LONG_BYTES
+        await _send(fleet, gateway, body, turn_id="t1")
+        for storage in fleet.storage_by_name.values():
+            server = storage.node.turn_server
+
+            def answer(query: TurnQuery, server: TurnServer = server) -> Awaitable[Message]:
+                return server._handle_query(TurnQuery(query.turn_id, query.account))
+
+            storage.node.bus.register_handler(TurnQuery)(answer)
+        fleet.kill(gateway)
+        gateway = await fleet.add_gateway("g2", is_first_start=False)
+        await wait_until(lambda: knows_disks(gateway, fleet))
+        memory = gateway.caller_limits.memory
+        claim = memory.open(now_s=0.0)
+        memory.hold(claim, int(memory.max_bytes * (1 - SMALL_SHARE)) - SMALL_BYTES)
+        answer = await _send(fleet, gateway, b"<2>", turn_id="t2", previous="t1")
+        assert answer.status == 200 and body + ANSWER_TEXT + b"<2>" in _bodies(fleet)
+        memory.close(claim)
+        await wait_until(lambda: not memory.used_bytes)
+
+    _check(check)
+
+
 load_tests = load_functions(globals())
--- a/tests/histories/test_copy_tracker.py
+++ b/tests/histories/test_copy_tracker.py
@@ -3,12 +3,14 @@
 import random
 from dataclasses import replace
 
-from lagoonfold.histories import CopyRule, CopyTracker, Disk, rank_disks
+from lagoonfold.histories import CopyRule, CopyTracker, Disk, lacks_copy, rank_disks
 from tests._suite import load_functions
 from tests.histories.test_disks import make_disks
 
 RULE = CopyRule.for_losses(machines=1, domains=0)
 ROUNDS_TO_REPAIR = 3  # offer, copy, and once more after a change in between
+UNTIL_S = 100.0
+LATER_S = 200.0  # until when a turn is kept that has been renewed
 
 
 def _program_on(first: str, second: str, disks: list[Disk]) -> str:
@@ -25,9 +27,9 @@
     disks = make_disks("abc")
     tracker = CopyTracker("s-a-1", RULE)
     tracker.set_disks(disks, lost=())
-    tracker.add("t1", _program_on("s-a-1", "s-b-1", disks))
+    tracker.add("t1", _program_on("s-a-1", "s-b-1", disks), kept_until_s=UNTIL_S)
     assert tracker.wanted() == {"s-b-1": ["t1"]} and tracker.short() == ["t1"]
-    tracker.record_held("disk-b-1", ["t1", "unknown"])
+    tracker.record_held("disk-b-1", {"t1": UNTIL_S, "unknown": UNTIL_S})
     assert tracker.wanted() == {} and tracker.short() == []
 
 
@@ -36,12 +38,12 @@
     disks = make_disks("abc")
     tracker = CopyTracker("s-a-1", RULE)
     tracker.set_disks(disks, lost=())
-    tracker.add("t1", _program_on("s-a-1", "s-b-1", disks))
-    tracker.record_held("disk-b-1", ["t1"])
+    tracker.add("t1", _program_on("s-a-1", "s-b-1", disks), kept_until_s=UNTIL_S)
+    tracker.record_held("disk-b-1", {"t1": UNTIL_S})
     assert tracker.wanted() == {}
     assert tracker.set_disks(disks, lost={"s-b-1"})
     assert tracker.wanted() == {"s-c-1": ["t1"]} and tracker.short() == ["t1"]
-    tracker.record_held("disk-c-1", ["t1"])
+    tracker.record_held("disk-c-1", {"t1": UNTIL_S})
     assert tracker.wanted() == {} and tracker.short() == []
     emptied = [replace(disk, disk_id="new") if disk.name == "s-b-1" else disk for disk in disks]
     assert tracker.set_disks(emptied, lost=())
@@ -55,17 +57,32 @@
     tracker = CopyTracker("s-a-1", RULE)
     leaving = [replace(disk, is_leaving=disk.name == "s-a-1") for disk in disks]
     tracker.set_disks(leaving, lost=())
-    tracker.add("t1", "p1")
+    tracker.add("t1", "p1", kept_until_s=UNTIL_S)
     assert tracker.wanted().keys() == {"s-b-1", "s-c-1"}
-    tracker.record_held("disk-b-1", ["t1"])
+    tracker.record_held("disk-b-1", {"t1": UNTIL_S})
     assert tracker.short() == ["t1"]
-    tracker.record_held("disk-c-1", ["t1"])
+    tracker.record_held("disk-c-1", {"t1": UNTIL_S})
     assert tracker.short() == []
     both = [replace(disk, is_leaving=disk.name != "s-c-1") for disk in disks]
     tracker.set_disks(both, lost=())
     assert tracker.short() == ["t1"]
 
 
+def test_copy_that_has_missed_a_renewal_is_no_copy() -> None:
+    """The disk was away while the turn was renewed; nobody copied it again (LOST, review/8)."""
+    disks = make_disks("abc")
+    tracker = CopyTracker("s-a-1", RULE)
+    tracker.set_disks(disks, lost=())
+    program = _program_on("s-a-1", "s-b-1", disks)
+    tracker.add("t1", program, kept_until_s=UNTIL_S)
+    tracker.record_held("disk-b-1", {"t1": UNTIL_S})
+    assert tracker.wanted() == {}
+    tracker.add("t1", program, kept_until_s=LATER_S)
+    assert tracker.wanted() == {"s-b-1": ["t1"]} and tracker.short() == ["t1"]
+    tracker.record_held("disk-b-1", {"t1": LATER_S})
+    assert tracker.wanted() == {} and tracker.short() == []
+
+
 def test_turns_with_fewest_copies_are_copied_first() -> None:
     """A turn on this disk alone goes before one that another disk holds already."""
     disks = make_disks("abcd")
@@ -73,35 +90,44 @@
     tracker = CopyTracker("s-a-1", rule)
     tracker.set_disks(disks, lost=())
     for key in ("t1", "t2", "t3"):
-        tracker.add(key, "p1")
+        tracker.add(key, "p1", kept_until_s=UNTIL_S)
     targets = [disk for disk in rank_disks("p1", disks)[:3] if disk.name != "s-a-1"]
-    tracker.record_held(targets[0].disk_id, ["t1", "t3"])
+    tracker.record_held(targets[0].disk_id, {"t1": UNTIL_S, "t3": UNTIL_S})
     assert tracker.wanted()[targets[1].name][0] == "t2"
 
 
 class _Cluster:
-    """Disks that hold keys in memory, each with its tracker; messages arrive at once."""
+    """Disks that hold keys in memory, each with its tracker; messages arrive at once.
+
+    Each turn of a disk has its program and until when that disk keeps it.
+    """
 
     def __init__(self, rule: CopyRule, disks: list[Disk]) -> None:
         self.rule = rule
         self.disk_by_name = {disk.name: disk for disk in disks}
-        self.held_by_name: dict[str, dict[str, str]] = {disk.name: {} for disk in disks}
+        self.held_by_name: dict[str, dict[str, tuple[str, float]]] = {
+            disk.name: {} for disk in disks
+        }
         self.tracker_by_name = {disk.name: CopyTracker(disk.name, rule) for disk in disks}
         self.down: set[str] = set()
         self.copies = 0
 
-    def keep(self, key: str, program: str) -> bool:
-        """Write a turn as a gateway does; return whether it has enough copies."""
+    def keep(self, key: str, program: str, until_s: float) -> bool:
+        """Write or renew a turn as a gateway does; return whether it has enough copies."""
         usable = [disk for disk in self.disk_by_name.values() if disk.name not in self.down]
         chosen = rank_disks(program, [disk for disk in usable if not disk.is_leaving])
         chosen = chosen[: self.rule.copies]
         for disk in chosen:
-            self.put(disk.name, key, program)
+            self.put(disk.name, key, program, until_s)
         return self.rule.is_met_by(chosen)
 
-    def put(self, name: str, key: str, program: str) -> None:
-        self.held_by_name[name][key] = program
-        self.tracker_by_name[name].add(key, program)
+    def put(self, name: str, key: str, program: str, until_s: float) -> None:
+        until_s = max(until_s, self.until_s(name, key))
+        self.held_by_name[name][key] = program, until_s
+        self.tracker_by_name[name].add(key, program, kept_until_s=until_s)
+
+    def until_s(self, name: str, key: str) -> float:
+        return self.held_by_name[name].get(key, ("", 0.0))[1]
 
     def wipe(self, name: str, number: int) -> None:
         disk = replace(self.disk_by_name[name], disk_id=f"{name}-wiped-{number}")
@@ -116,14 +142,16 @@
                 continue
             tracker.set_disks(self.disk_by_name.values(), lost=self.down)
             for target, keys in tracker.wanted().items():
-                lacking = [key for key in keys if key not in self.held_by_name[target]]
-                for key in lacking:
-                    self.put(target, key, self.held_by_name[name][key])
-                    self.copies += 1
-                tracker.record_held(self.disk_by_name[target].disk_id, keys)
+                offered = tracker.kept_until_s(keys)
+                for key, until_s in offered.items():
+                    if lacks_copy(self.until_s(target, key), until_s):
+                        self.put(target, key, *self.held_by_name[name][key])
+                        self.copies += 1
+                tracker.record_held(self.disk_by_name[target].disk_id, offered)
 
-    def holders(self, key: str) -> list[str]:
-        return [name for name, held in self.held_by_name.items() if key in held]
+    def holders(self, key: str, until_s: float) -> list[str]:
+        """Return the disks that keep a turn until then at least."""
+        return [name for name in self.held_by_name if self.until_s(name, key) >= until_s]
 
 
 class _Play:
@@ -134,7 +162,8 @@
         self.rng = random.Random(seed)
         self.losses = losses
         self.cluster = _Cluster(CopyRule.for_losses(machines=losses, domains=0), disks)
-        self.kept: list[str] = []
+        self.kept_until_s_by_key: dict[str, float] = {}
+        self.program_by_key: dict[str, str] = {}
 
     def run(self) -> None:
         for step in range(60):
@@ -146,9 +175,14 @@
         self.check_that_copies_end()
 
     def keep_some(self, step: int) -> None:
-        for number in range(self.rng.randrange(4)):
-            if self.cluster.keep(f"{step}-{number}", f"p{self.rng.randrange(12)}"):
-                self.kept.append(f"{step}-{number}")
+        new = {f"{step}-{n}": f"p{self.rng.randrange(12)}" for n in range(self.rng.randrange(4))}
+        known = sorted(self.program_by_key)
+        renewed = self.rng.sample(known, min(len(known), self.rng.randrange(3)))
+        until_s = UNTIL_S * (step + 1)
+        for key, program in [*new.items(), *((key, self.program_by_key[key]) for key in renewed)]:
+            if self.cluster.keep(key, program, until_s):
+                self.kept_until_s_by_key[key] = until_s
+                self.program_by_key[key] = program
 
     def up(self) -> list[str]:
         return [name for name in self.cluster.disk_by_name if name not in self.cluster.down]
@@ -186,8 +220,8 @@
     def check(self, step: int) -> None:
         cluster = self.cluster
         usable = len(cluster.disk_by_name) - len(cluster.down)
-        for key in self.kept:
-            holders = [name for name in cluster.holders(key) if name not in cluster.down]
+        for key, until_s in self.kept_until_s_by_key.items():
+            holders = [name for name in cluster.holders(key, until_s) if name not in cluster.down]
             where = (self.seed, step, key, holders)
             assert len(holders) >= min(cluster.rule.copies, usable), where
             assert len(holders) > self.losses - len(cluster.down), where
