--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_heartbeats.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_heartbeats.py
@@ -45,6 +45,7 @@
 EXCHANGE_TIMEOUT_S = 1.0
 MISMATCH_S = 0.5  # news reach all within some ms; a digest that differs for longer missed some
 POISON_REPEAT_S = 1.0  # a report is sent twice, since a connection may break
+CLEARED_SPREAD_S = 1.0  # a message to all peers takes some ms, so few instances tell the same
 WATCH_LAG_S = 0.75  # between the changes that two instances have heard of while both are well fed
 
 _log = EventLog("members")
@@ -100,6 +101,7 @@
         members.on_new_peer = self._greet
         members.presence.on_resumed = self._tell_resumed
         poison_tracker.on_notice = self._report_poison
+        poison_tracker.on_cleared = self._report_cleared
 
     async def run(self) -> None:
         """Send heartbeats until cancelled."""
@@ -267,12 +269,27 @@
 
     def _handle_poison_report(self, report: Message) -> Message:
         assert isinstance(report, PoisonReport)
-        self._poison_tracker.add_peer_notices(report.notices)
+        self._poison_tracker.add_peer_report(report)
         return Ack()
 
     def _report_poison(self, report: PoisonReport) -> None:
         self._nursery.start_soon(self._send_poison_report, report)
 
+    def _report_cleared(self, digest: str) -> None:
+        self._nursery.start_soon(self._send_cleared, digest)
+
+    async def _send_cleared(self, digest: str) -> None:
+        """Tell all peers that a blamed request has run to its end, unless one tells it before.
+
+        The instances whose answers were lost tell it at once, others after a random time: with a
+        popular request all instances find out at the same moment.
+        """
+        if not self._poison_tracker.has_blamed(digest):
+            await trio.sleep(self._rng.random() * CLEARED_SPREAD_S)
+        report = self._poison_tracker.report_cleared(digest)
+        if report is not None:
+            await self._send_poison_report(report)
+
     async def _send_poison_report(self, report: PoisonReport) -> None:
         for pause_s in (POISON_REPEAT_S, 0.0):
             for peer in self._bus.peer_ids:
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_messages.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_messages.py
@@ -50,10 +50,23 @@
     """Question whether the receiver lives; the answer is `Ack`."""
 
 
+class CompletedRun(msgspec.Struct, frozen=True, array_like=True):
+    """A request that a replica ran to its end, `age_s` seconds before it was told."""
+
+    digest: str
+    age_s: float
+
+
 class PoisonReport(msgspec.Struct, frozen=True, tag=True, array_like=True):
-    """Requests whose attempts crashed replicas, sent to all peers; it has no answer."""
+    """Requests whose attempts crashed replicas, sent to all peers; it has no answer.
+
+    `ages_s` has the seconds since the answer of each notice was lost, and `completed` requests
+    blamed before that have run to their end; an earlier release leaves both empty.
+    """
 
     notices: tuple[PoisonNotice, ...]
+    ages_s: tuple[float, ...] = ()
+    completed: tuple[CompletedRun, ...] = ()
 
 
 class TurnRequest(msgspec.Struct, frozen=True, tag="TurnAsk", array_like=True):
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/attempts/_attempt_runner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/attempts/_attempt_runner.py
@@ -215,7 +215,7 @@
         if state.is_started and state.origin is None:
             state.origin = _origin_at(replica)
         if isinstance(ended, Ok):
-            self._context.poison_tracker.record_completed(request_state.digest, replica)
+            self._context.poison_tracker.record_completed(request_state.digest)
             return Ok(None)
         failure = ended.err_value
         request_state.attempt_log[-1] += f" {failure.outcome.value}: {failure.reason}"
@@ -327,8 +327,9 @@
             )
 
     async def _record_crash(self, digest: str, replica: Replica, request_id: str) -> None:
+        lost_s = now_s()
         if await self._context.replica_caller.is_down(replica.address):
-            self._context.poison_tracker.record_crash(digest, replica, request_id)
+            self._context.poison_tracker.record_crash(digest, replica, request_id, lost_s=lost_s)
 
     def _id_if_available(self, replica_id: str, origin: StreamOrigin | None) -> str | None:
         """Return the replica's id if it can go on with the request, otherwise None.
--- a/packages/lagoonfold/src/lagoonfold/resilience/_poison.py
+++ b/packages/lagoonfold/src/lagoonfold/resilience/_poison.py
@@ -14,6 +14,7 @@
   which of them is the cause.
 """
 
+import math
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -154,7 +155,27 @@
         if record.running_by_upstream[upstream_id] <= 0:
             del record.running_by_upstream[upstream_id]
         if is_finished:
-            record.finished_s = now_s
+            self.record_finished(digest, finished_s=now_s)
+
+    def record_finished(self, digest: str, *, finished_s: float) -> None:
+        """Record that an upstream, here or at a peer, ran a request of this digest to its end."""
+        record = self._record(digest)
+        record.finished_s = max(finished_s, record.finished_s or finished_s)
+
+    def last_failure_s(self, digest: str) -> float:
+        """Return when the latest failure of the digest was, minus infinity without one."""
+        record = self._records_by_digest.get(digest, _DigestRecord())
+        times = (record.seen_s_by_incident, record.disconnect_seen_s_by_incident)
+        return max((at_s for each in times for at_s in each.values()), default=-math.inf)
+
+    def is_suspect(self, digest: str, *, now_s: float) -> bool:
+        """Return whether failures of the digest count that came after its last run to the end."""
+        record = self._records_by_digest.get(digest)
+        if record is None:
+            return False
+        oldest_s = now_s - self._incident_ttl_s
+        incidents = record.count_incidents(oldest_s, cleared_by_completion=True)
+        return incidents + record.count_disconnects(oldest_s) > 0
 
     def notices(self) -> tuple[PoisonNotice, ...]:
         """Return all notices, for a peer that has just started."""
--- a/tests/_compatibility_values.py
+++ b/tests/_compatibility_values.py
@@ -33,6 +33,7 @@
 from lagoonfold_gateway._messages import (
     Ack,
     BudgetExhausted,
+    CompletedRun,
     CopiesLacking,
     CopyOffer,
     DiskRelay,
@@ -103,7 +104,11 @@
     StatusNews(statuses=(STATUS,)),
     StatusExchange(statuses=(STATUS, STATUS)),
     Probe(),
-    PoisonReport(notices=(POISON_NOTICE,)),
+    PoisonReport(
+        notices=(POISON_NOTICE,),
+        ages_s=(0.25,),
+        completed=(CompletedRun(digest="digest-2", age_s=0.75),),
+    ),
     PlaceRequest(
         instance="g1",
         number=62,
