--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_budget_owner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_budget_owner.py
@@ -6,6 +6,11 @@
 charge: its first initial member (see `lagoonfold.liveness.InitialMembers`), as long as the process
 of the system's first start runs there and the requesting instance knows the same initial members.
 It does so once (see `lagoonfold.budgets.FirstGrants`).
+
+An owner removes a record once the program's retention is over since its own last turn. Another one
+may serve the program meanwhile from credit that it has left, without a charge. So each owner looks
+the record of a program that it serves up within `CHECK_SHARE` of the retention, learns what others
+have charged, and tells the one that wrote the record last that the program is in use.
 """
 
 import itertools
@@ -44,6 +49,8 @@
 SETTLE_WAIT_S = 0.1  # a turn's end is reported to the owner some ms after its caller has it
 SETTLE_POLL_S = 0.005  # a few polls within the usual delay of that report
 MAX_CHARGES_PER_REQUEST = 3  # owners that change each other's record settle after one round
+CHECK_SHARE = 0.5  # of the retention; with a sweep it is over before another owner removes
+TELL_TIMEOUT_S = 0.5  # an owner answers from memory; one that does not is told again
 SWEEP_INTERVAL_S = 5.0  # between searches for programs whose retention is over
 
 _STOPPING = OwnerUnavailable(reason="the owner stops")
@@ -57,6 +64,13 @@
     lock: trio.Lock
     retention_s: float
     used_s: float
+    checked_s: float
+    looked_up_revision: int | None = None
+
+    def must_check(self, now_s: float) -> bool:
+        """Return whether the program was used here since its record was last looked up."""
+        is_due = now_s - self.checked_s >= CHECK_SHARE * self.retention_s
+        return is_due and self.used_s >= self.checked_s
 
 
 class BudgetOwner:
@@ -74,6 +88,7 @@
     ) -> None:
         self._members = members
         self._nursery = nursery
+        self._bus = bus
         self._store = store
         self._is_first_start = is_first_start
         self._owned_by_program: dict[str, _OwnedProgram] = {}
@@ -107,31 +122,97 @@
                 if not owned.ledger.running_turns and now - owned.used_s > owned.retention_s
             ][:MAX_RECORDS_PER_COMMIT]
             await self._remove(due)
+            await self._check_in_use()
             await self._forget_first_grants()
 
+    async def _check_in_use(self) -> None:
+        """Look up the records of programs that are in use here."""
+        now = now_s()
+        due = [
+            program for program, owned in self._owned_by_program.items() if owned.must_check(now)
+        ]
+        for start in range(0, len(due), MAX_RECORDS_PER_COMMIT):
+            await self._check_records(due[start : start + MAX_RECORDS_PER_COMMIT])
+
+    async def _check_records(self, programs: list[str]) -> None:
+        """Learn what other owners have charged, and tell them that the programs are in use."""
+        owned_by_program = {
+            program: owned
+            for program in programs
+            if (owned := self._owned_by_program.get(program)) and owned.must_check(now_s())
+        }
+        before_s_by_program = {each: owned.checked_s for each, owned in owned_by_program.items()}
+        for owned in owned_by_program.values():
+            owned.checked_s = now_s()
+        entry_by_program = await self._find_records(list(owned_by_program))
+        async with trio.open_nursery() as nursery:
+            for program, owned in owned_by_program.items():
+                entry = entry_by_program.get(program) if entry_by_program is not None else None
+                if entry_by_program is None:
+                    owned.checked_s = before_s_by_program[program]
+                elif entry is not None:
+                    nursery.start_soon(
+                        self._share_use, program, owned, entry, before_s_by_program[program]
+                    )
+
+    async def _share_use(
+        self, program: str, owned: _OwnedProgram, entry: Entry, before_s: float
+    ) -> None:
+        """Update a ledger from its record, and tell the owner that wrote it last of the use."""
+        keeper = self.writer.keeper_of(entry)
+        if not keeper:
+            return
+        async with owned.lock:
+            if owned.ledger.revision is None or owned.ledger.revision < entry.revision:
+                self.writer.sync(program, owned.ledger, entry)
+                owned.looked_up_revision = entry.revision
+        instance = self._members.live_instance_of_writer(keeper)
+        if instance is None:
+            return
+        end = TurnEnd(program=program, turn_id="", delivered_tokens=0)
+        told = await self._bus.call(instance, end, timeout_s=TELL_TIMEOUT_S)
+        if isinstance(told, Err):
+            owned.checked_s = before_s
+            _log.warning("budget.use_not_told", program=program, owner=instance)
+
     async def _forget_first_grants(self) -> None:
         """Forget the first credit of programs that no other owner uses: they have no record."""
         due = self._first_grants.due(
             now_s=now_s(), at_most=MAX_RECORDS_PER_COMMIT, in_use=self._owned_by_program
         )
-        if not due:
+        entry_by_program = await self._find_records(due)
+        if entry_by_program is None:
             return
-        checks = tuple(Check(key=BUDGET_PREFIX + each, revision=ABSENT_REVISION) for each in due)
-        checked = await self._store.commit(checks=checks)
-        if isinstance(checked, Err):
-            _log.warning("budget.not_checked", count=len(due), reason=checked.err_value.detail)
-            return
-        entries = checked.ok_value.conflicting if checked.ok_value.revision is None else ()
-        used = {entry.key for entry in entries if entry.revision != ABSENT_REVISION}
         for program in due:
-            if BUDGET_PREFIX + program in used:
+            if program in entry_by_program:
                 self._first_grants.keep(program, now_s=now_s())
             else:
                 self._first_grants.forget(program)
 
+    async def _find_records(self, programs: list[str]) -> dict[str, Entry] | None:
+        """Return the records that programs have, None if the store does not answer."""
+        if not programs:
+            return {}
+        checks = tuple(
+            Check(key=BUDGET_PREFIX + each, revision=ABSENT_REVISION) for each in programs
+        )
+        checked = await self._store.commit(checks=checks)
+        if isinstance(checked, Err):
+            _log.warning("budget.not_checked", count=len(checks), reason=checked.err_value.detail)
+            return None
+        entries = checked.ok_value.conflicting if checked.ok_value.revision is None else ()
+        entry_by_key = {each.key: each for each in entries if each.revision != ABSENT_REVISION}
+        return {
+            program: entry_by_key[BUDGET_PREFIX + program]
+            for program in programs
+            if BUDGET_PREFIX + program in entry_by_key
+        }
+
     async def _remove(self, due: list[tuple[str, _OwnedProgram]]) -> None:
-        """Remove the programs' records, but those that other owners have changed are forgotten."""
-        recorded = [(program, owned.ledger.revision) for program, owned in due]
+        """Remove the programs' records, but those of other owners are only forgotten."""
+        recorded = [
+            (program, owned.ledger.revision) for program, owned in due if self._may_remove(owned)
+        ]
         checks = tuple(
             Check(key=BUDGET_PREFIX + program, revision=revision)
             for program, revision in recorded
@@ -152,6 +233,17 @@
         for program, _ in due:
             self._owned_by_program.pop(program, None)
 
+    def _may_remove(self, owned: _OwnedProgram) -> bool:
+        """Return whether the record is this owner's: others remove the one that they wrote last.
+
+        That of a lost owner is the one's that has taken the program over.
+        """
+        process = owned.ledger.last_writer.partition(LEDGER_SEPARATOR)[0]
+        is_own = not process or process == self._members.writer_id
+        was_looked_up = owned.ledger.revision == owned.looked_up_revision
+        is_lost = self._members.live_instance_of_writer(process) is None
+        return is_own or (is_lost and not was_looked_up)
+
     def _forget_changed(self, checks: tuple[Check, ...], entries: tuple[Entry, ...]) -> None:
         """Forget the programs whose records another owner has changed."""
         revision_by_key = {entry.key: entry.revision for entry in entries}
@@ -163,28 +255,11 @@
         assert isinstance(request, TurnRequest)
         if self._is_released:
             return _STOPPING
-        owned = self._owned_by_program.get(request.program)
-        if owned is None:
-            uncharged_credit = request.max_tokens if self._may_grant_first(request) else 0
-            owned = _OwnedProgram(
-                ProgramLedger(
-                    budget=request.budget,
-                    uncharged_credit=uncharged_credit,
-                    number=next(self._ledger_numbers),
-                ),
-                trio.Lock(),
-                request.retention_s,
-                now_s(),
-            )
-            self._owned_by_program[request.program] = owned
-            if uncharged_credit:
-                self._first_grants.record(
-                    request.program, retention_s=request.retention_s, now_s=now_s()
-                )
-            else:
-                _log.info("budget.taken_over", program=request.program, budget=request.budget)
+        owned = self._owned_by_program.get(request.program) or self._own(request)
         owned.used_s = now_s()
         ledger = owned.ledger
+        if owned.must_check(now_s()):
+            self._nursery.start_soon(self._check_records, [request.program])
         if ledger.revision is None and not ledger.has_unspent_first_credit:
             failed = await self._take_over(request, owned)
             if failed is not None:
@@ -213,6 +288,26 @@
             return OwnerUnavailable(reason="no credit is left and the store does not answer")
         return TurnCredit(credit=credit)
 
+    def _own(self, request: TurnRequest) -> _OwnedProgram:
+        """Begin to own a program."""
+        uncharged_credit = request.max_tokens if self._may_grant_first(request) else 0
+        ledger = ProgramLedger(
+            budget=request.budget,
+            uncharged_credit=uncharged_credit,
+            number=next(self._ledger_numbers),
+        )
+        owned = _OwnedProgram(
+            ledger, trio.Lock(), request.retention_s, used_s=now_s(), checked_s=now_s()
+        )
+        self._owned_by_program[request.program] = owned
+        if uncharged_credit:
+            self._first_grants.record(
+                request.program, retention_s=request.retention_s, now_s=now_s()
+            )
+        else:
+            _log.info("budget.taken_over", program=request.program, budget=request.budget)
+        return owned
+
     async def _charge_ahead(self, request: TurnRequest, owned: _OwnedProgram) -> None:
         """Charge a program for its next turn, unless a charge is being made already."""
         is_current = self._owned_by_program.get(request.program) is owned
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_charges.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_charges.py
@@ -202,18 +202,29 @@
             if revision == (charge.ledger.revision or 0):
                 self._requeue(charge)
                 continue
-            record = _decode(entry)
-            own_writer = self._writer_of(charge.ledger)
-            charge.ledger.sync_with_record(record, revision, own_writer=own_writer)
-            _log.info(
-                "budget.record_changed",
-                program=charge.program,
-                revision=revision,
-                charged=charge.ledger.charged,
-                own=record is not None and record.writer == own_writer,
-            )
+            self.sync(charge.program, charge.ledger, entry)
             charge.finish(Ok(False))
 
+    def sync(self, program: str, ledger: ProgramLedger, entry: Entry | None) -> None:
+        """Update a ledger from the program's entry in the store, None if there is none."""
+        record = _decode(entry)
+        revision = entry.revision if entry is not None else ABSENT_REVISION
+        own_writer = self._writer_of(ledger)
+        ledger.sync_with_record(record, revision, own_writer=own_writer)
+        _log.info(
+            "budget.record_changed",
+            program=program,
+            revision=revision,
+            charged=ledger.charged,
+            own=record is not None and record.writer == own_writer,
+        )
+
+    def keeper_of(self, entry: Entry) -> str:
+        """Return the process that wrote a record last, "" if that was this one."""
+        record = _decode(entry)
+        process = record.writer.partition(LEDGER_SEPARATOR)[0] if record is not None else ""
+        return "" if process == self._writer_id else process
+
     def _requeue(self, charge: _Charge) -> None:
         """Queue a charge again, merged into a newer one of its program if there is one."""
         newer = self._waiting_by_program.setdefault(charge.program, charge)
--- a/packages/lagoonfold/src/lagoonfold/budgets/_ledger.py
+++ b/packages/lagoonfold/src/lagoonfold/budgets/_ledger.py
@@ -58,7 +58,7 @@
         self.number = number
         self.charged = 0
         self.revision: int | None = None
-        self.last_writer = ""
+        self.last_writer = ""  # as the record was last read, "" if this ledger wrote it since
         self.uncharged_credit = uncharged_credit
         self._own_charged = 0
         self._delivered_tokens = 0
@@ -167,6 +167,7 @@
         self._own_charged += charged_total - self.charged
         self.charged = charged_total
         self.revision = revision
+        self.last_writer = ""
 
     def sync_with_record(
         self, record: BudgetRecord | None, revision: int, *, own_writer: str
@@ -179,7 +180,7 @@
         self.revision = revision
         if record is None:
             return
-        self.last_writer = record.writer
+        self.last_writer = "" if record.writer == own_writer else record.writer
         if record.writer == own_writer:
             self._own_charged += record.charged - self.charged
         self.charged = record.charged
--- a/tests/gateway/test_budget_owner.py
+++ b/tests/gateway/test_budget_owner.py
@@ -6,7 +6,8 @@
 
 import msgspec
 import trio
-from result import Err, Result
+from msgspec.structs import replace
+from result import Err, Ok, Result
 
 from lagoonfold import Cell, StoreError, StoreErrorKind
 from lagoonfold.budgets import BudgetRecord
@@ -14,6 +15,7 @@
 from lagoonfold_gateway._budget_owner import BudgetOwner
 from lagoonfold_gateway._charges import BUDGET_PREFIX
 from lagoonfold_gateway._messages import (
+    Ack,
     BudgetExhausted,
     Message,
     OwnerRedirect,
@@ -172,6 +174,116 @@
     _run_first_owner(check)
 
 
+class _Peers:
+    """The bus of one of several owners, whose buses are given by the names of their instances."""
+
+    def __init__(self, own: _Bus, bus_by_name: dict[str, _Bus]) -> None:
+        self.register_handler = own.register_handler
+        self._bus_by_name = bus_by_name
+
+    async def call(self, peer: str, message: Message, *, timeout_s: float) -> Result:
+        """Call a peer's handler, whose answer is an acknowledgement."""
+        self._bus_by_name[peer].tell(message)
+        return Ok(Ack())
+
+
+def _run_two_owners(check: Callable[[_Bus, _Bus, MemoryStore], Awaitable[None]]) -> None:
+    """Run a check with the owner that may grant the first credit, and one that may not."""
+
+    async def run() -> None:
+        store = MemoryStore()
+        board = GatewayBoard(live=Cell("live", LiveView(("first", "second"), 0.0)))
+        bus_by_name: dict[str, _Bus] = {}
+        async with trio.open_nursery() as nursery:
+            for name in ("first", "second"):
+                members = SimpleNamespace(
+                    instance_id=name,
+                    writer_id=f"{name}/start",
+                    initial_members=SimpleNamespace(digest="initial"),
+                    initial_owner=lambda program: "first",
+                    live_instance_of_writer=lambda writer: writer.partition("/")[0],
+                )
+                bus = bus_by_name[name] = _Bus(nursery)
+                peers = _Peers(bus, bus_by_name)
+                owner = BudgetOwner(board, peers, store, members, nursery, is_first_start=True)
+                nursery.start_soon(owner.writer.run)
+                nursery.start_soon(owner.sweep)
+            await check(bus_by_name["first"], bus_by_name["second"], store)
+            nursery.cancel_scope.cancel()
+
+    run_on_virtual_clock(run)
+
+
+async def _use_up(bus: _Bus, label: str, *, unavailable: tuple[str, ...] = ()) -> int:
+    """Run turns with all their tokens until the budget is spent; return the tokens granted."""
+    granted = 0
+    for number in range(2 * BUDGET // MAX_TOKENS):
+        turn_id = f"{label}-{number}"
+        request = replace(_request(turn_id, "initial"), unavailable_owners=unavailable)
+        answer = await bus.call(request)
+        if isinstance(answer, BudgetExhausted):
+            break
+        credit = answer.credit if isinstance(answer, TurnCredit) else 0
+        more = TurnCreditRequest(program="p", turn_id=turn_id, max_tokens=MAX_TOKENS)
+        answer = await bus.call(more)
+        credit = max(credit, answer.credit if isinstance(answer, TurnCredit) else 0)
+        bus.tell(TurnEnd(program="p", turn_id=turn_id, delivered_tokens=credit))
+        granted += credit
+        await trio.sleep(0.1)
+    return granted
+
+
+async def _check_returns(
+    first: _Bus, second: _Bus, first_turns: tuple[int, ...], returns_s: tuple[float, ...]
+) -> None:
+    """Use a program at its first owner, at a second one, and at the first one after some times."""
+    for number, tokens in enumerate(first_turns):
+        await _run_turn(first, f"t{number}", tokens)
+    granted = sum(first_turns)
+    await trio.sleep(2.0)
+    granted += await _use_up(second, "second", unavailable=("first",))
+    await trio.sleep(returns_s[0])
+    answer = await _run_turn(first, "back", 5)
+    granted += 5 if isinstance(answer, TurnCredit) else 0
+    await trio.sleep(returns_s[1])
+    granted += await _use_up(first, "again")
+    assert granted <= BUDGET + MAX_TOKENS, (first_turns, returns_s, granted)
+
+
+def test_record_is_not_removed_while_another_owner_serves_the_program() -> None:
+    """An owner that used its first credit, or what it had charged, left no trace (review/9)."""
+    for first_turns in ((10,), (MAX_TOKENS, MAX_TOKENS, MAX_TOKENS)):
+        for returns_s in ((30.0, 39.0), (5.0, 58.0), (20.0, 45.0), (45.0, 50.0)):
+
+            async def check(
+                first: _Bus,
+                second: _Bus,
+                store: MemoryStore,
+                first_turns: tuple[int, ...] = first_turns,
+                returns_s: tuple[float, ...] = returns_s,
+            ) -> None:
+                await _check_returns(first, second, first_turns, returns_s)
+
+            _run_two_owners(check)
+
+
+def test_records_of_programs_that_are_no_longer_used_go() -> None:
+    """Owners look records up, and tell each other, only after a use."""
+
+    async def check(first: _Bus, second: _Bus, store: MemoryStore) -> None:
+        for turn_id in ("t1", "t2", "t3"):
+            await _run_turn(first, turn_id, MAX_TOKENS)
+        await _use_up(second, "second", unavailable=("first",))
+        assert store.value(BUDGET_PREFIX + "p") is not None
+        await trio.sleep(3 * 60.0)
+        assert store.value(BUDGET_PREFIX + "p") is None
+        calls = store.calls
+        await trio.sleep(5 * 60.0)
+        assert store.calls == calls
+
+    _run_two_owners(check)
+
+
 def test_turn_that_an_owner_without_credit_gets_back_is_refused_at_once() -> None:
     """It was admitted by what the owner knew before its freeze, and waited for credit."""
 
