--- a/packages/lagoonfold-io/src/lagoonfold_io/_http_client.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_client.py
@@ -57,6 +57,7 @@
 MAX_SKIPPED_BYTES = 1_048_576  # of the body of one late copy
 MAX_FETCHED_BYTES = 33_554_432  # of a body that is read whole; twice the largest list of instances
 KEEP_ALIVE_MARGIN_S = 0.5  # a server announces whole seconds and measures its own idle time
+MAX_STATUS = 599  # of RFC 9110, section 15; the parser refuses those below 100
 DEFAULT_TCP_TIMEOUT_S = 2.0  # without acknowledgements, for busy and idle connections
 
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
@@ -369,6 +370,9 @@
     """Return the head of the response after at most `MAX_INTERIM_HEADS` interim ones."""
     for _ in range(MAX_INTERIM_HEADS + 1):
         event = await next_event(connection, timeout_s)
+        if isinstance(event, h11.Response) and event.status_code > MAX_STATUS:
+            detail = f"status {event.status_code} is none of HTTP"
+            raise StreamError(HttpError(detail=detail, sent=SendStatus.MAYBE_SENT))
         if not isinstance(event, h11.InformationalResponse):
             return event
     detail = f"more than {MAX_INTERIM_HEADS} interim responses"
--- a/standins/scripted_replica.py
+++ b/standins/scripted_replica.py
@@ -50,7 +50,10 @@
             fields.append(("content-type", self.media_type))
         is_chunked = self.is_chunked and self.status != 204
         fields.append(("transfer-encoding", "chunked") if is_chunked else ("connection", "close"))
-        lines = [f"HTTP/1.1 {self.status} Status", *(f"{name}: {value}" for name, value in fields)]
+        lines = [
+            f"HTTP/1.1 {self.status:03d} Status",
+            *(f"{name}: {value}" for name, value in fields),
+        ]
         head = "\r\n".join([*lines, "", ""]).encode()
         if not is_chunked:
             return head + self.body
--- a/tests/gateway/test_stream_answers.py
+++ b/tests/gateway/test_stream_answers.py
@@ -56,7 +56,11 @@
         headers=(("content-type", EVENT_STREAM),),
     ),
     "status 500 of a stream": Answer(status=500, body=b"id: 3\ndata: no room\n\n"),
+    "status 000": Answer(status=0, media_type=None),
+    "status 000 of a stream": Answer(status=0, body=events(3)),
+    "status 999 of a stream": Answer(status=999, body=events(3)),
 }
+NO_STATUSES = (0, 99, 600, 999)  # those of HTTP are from 100 to 599
 BODIES = {
     "text": b"no room\n\n",
     "text after an event": events(3, 3) + b"no room\n\n",
@@ -451,6 +455,23 @@
     _run(check)
 
 
+def test_answer_whose_status_is_none_of_http_is_no_answer() -> None:
+    """A replica in trouble sent the status 000, and its caller got it as an answer (MIXED)."""
+
+    async def check(fleet: Fleet, gateway: Gateway, script: Script) -> None:
+        for status in NO_STATUSES:
+            for path in ("/read/x", "/write/x", "/turns/x"):
+                script.answers.clear()
+                script.answers.append(Answer(status=status, body=b"no room"))
+                answer = await fleet.send(gateway, path)
+                is_whole = answer.status == 200 and answer.body == WHOLE
+                assert is_whole or answer.status == 502, (path, status, answer)
+                assert is_whole or path == "/write/x", (path, status, answer)
+                assert (await fleet.send(gateway, path)).body == WHOLE
+
+    _run(check)
+
+
 def test_broken_answer_does_not_look_complete_to_an_http_1_0_caller() -> None:
     """Its answer has no chunks, and the end of its connection was the end of the answer."""
     broken = Answer(body=events(1, BROKEN_AFTER), is_whole=False)
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -64,6 +64,28 @@
     _with_server(check)
 
 
+def test_response_whose_status_is_none_of_http_is_no_response() -> None:
+    """Replicas, the store, engines and peers are all read by this client."""
+
+    async def check() -> None:
+        for status in (b"000", b"099", b"600", b"999", b"0200", b"20", b"2000", b"-20", b"2 0"):
+            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+
+            async def answer(stream: trio.SocketStream, status: bytes = status) -> None:
+                await stream.receive_some()
+                await stream.send_all(b"HTTP/1.1 %s X\r\ncontent-length: 0\r\n\r\n" % status)
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(trio.serve_listeners, answer, listeners)
+                address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+                fetched = await HttpClient().fetch(address, HttpRequest(method="GET", path="/"))
+                assert isinstance(fetched, Err), (status, fetched)
+                assert fetched.err_value.sent is SendStatus.MAYBE_SENT, (status, fetched)
+                nursery.cancel_scope.cancel()
+
+    trio.run(check)
+
+
 def test_streamed_response() -> None:
     """A streamed response arrives complete."""
 
