--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_gateway.py
@@ -142,7 +142,9 @@
         self.disk_controller = DiskController(self.board.disks, store, self.disk_bus, self.mirror)
         self.history_client = HistoryClient(
             self.board,
-            DiskCaller(self.board, self.bus, self.disk_bus, self.metrics, random.Random()),
+            DiskCaller(
+                self.board, self.bus, self.disk_bus, self.metrics, random.Random(), self.tasks
+            ),
             self.disk_controller,
             settings.histories.rule(),
             instance.failure_domain,
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_messages.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_messages.py
@@ -380,15 +380,17 @@
 
 
 class TurnsKept(msgspec.Struct, frozen=True, tag=True, array_like=True):
-    """Answer: the turns are durable on the disk of this id."""
+    """Answer: the turns are durable on the disk of this id, which may be full now."""
 
     disk_id: str
+    is_full: bool = False
 
 
 class KeepRefused(msgspec.Struct, frozen=True, tag=True, array_like=True):
-    """Answer: the turns are not kept, for the given reason."""
+    """Answer: the turns are not kept, for the given reason; the disk may be full."""
 
     reason: str
+    is_full: bool = False
 
 
 class TurnQuery(msgspec.Struct, frozen=True, tag=True, array_like=True):
@@ -406,12 +408,14 @@
     """Answer: the turns of a chain that a disk holds, newest first, beginning with the one asked.
 
     `turns` is empty if the disk does not hold that turn. A long chain may be cut short; the asker
-    asks for the rest. `kept_for_s` has the seconds for which each turn is kept.
+    asks for the rest. `kept_for_s` has the seconds for which each turn is kept. A disk that
+    `is_full` has hardly room for new turns.
     """
 
     disk_id: str
     turns: tuple[KeptTurn, ...] = ()
     kept_for_s: tuple[float, ...] = ()
+    is_full: bool = False
 
 
 class TurnTooLarge(msgspec.Struct, frozen=True, tag=True, array_like=True):
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/histories/_disk_caller.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/histories/_disk_caller.py
@@ -1,7 +1,8 @@
 """Calls storage instances, by way of another gateway while one cannot be reached from here.
 
 Reads `live`. A gateway that is cut off from some storage instances may still reach other gateways,
-and these the storage instances.
+and these the storage instances. Storage instances tell in their answers whether their disks are
+full; such a disk is asked again now and then while turns would be written to it.
 """
 
 import random
@@ -11,21 +12,29 @@
 
 from lagoonfold.histories import Disk
 from lagoonfold.liveness import RelayPaths
+from lagoonfold_gateway._background import TaskStarter
 from lagoonfold_gateway._board import GatewayBoard
 from lagoonfold_gateway._clock import now_s
 from lagoonfold_gateway._messages import (
     DiskRelay,
     DiskUnreached,
+    KeepRefused,
     KeepTurns,
     Message,
     TurnQuery,
+    TurnsFound,
+    TurnsKept,
 )
 from lagoonfold_gateway._peer_link import PeerFault
 from lagoonfold_gateway._peers import PeerBus
-from lagoonfold_io.observe import Metrics
+from lagoonfold_io.observe import EventLog, Metrics
 
 RELAY_TIMEOUT_S = 0.5  # a disk's own time and a hop more
 MAX_RELAYS_TRIED = 2
+ROOM_POLL_S = 0.5  # between questions to a full disk; turns expire at any time
+ROOM_TIMEOUT_S = 0.3  # for an answer from memory
+
+_log = EventLog("histories")
 
 
 class DiskCaller:
@@ -38,7 +47,10 @@
         disk_bus: PeerBus,
         metrics: Metrics,
         rng: random.Random,
+        nursery: TaskStarter,
     ) -> None:
+        self._nursery = nursery
+        self._asked_s_by_full_name: dict[str, float] = {}
         self._board = board
         self._bus = bus
         self._disk_bus = disk_bus
@@ -56,6 +68,20 @@
         """Return whether a disk's instance answered lately neither here nor through others."""
         return self._paths.is_out_of_reach(disk.name, now_s=now_s())
 
+    def is_full(self, disk: Disk) -> bool:
+        """Return whether a disk has said that it is full, and find out whether it still is."""
+        asked_s = self._asked_s_by_full_name.get(disk.name)
+        if asked_s is None:
+            return False
+        if now_s() - asked_s >= ROOM_POLL_S:
+            self._asked_s_by_full_name[disk.name] = now_s()
+            self._nursery.start_soon(self._ask_for_room, disk)
+        return True
+
+    async def _ask_for_room(self, disk: Disk) -> None:
+        """Ask for a turn that does not exist; the answer tells whether the disk is full."""
+        await self.call(disk, TurnQuery(turn_id="", account=""), timeout_s=ROOM_TIMEOUT_S)
+
     def record_refused(self, disk: Disk) -> None:
         """Record that a disk's instance has refused to keep a turn, for whichever reason."""
         self._paths.record_failed(disk.name, now_s=now_s())
@@ -67,6 +93,24 @@
 
         One that did not answer lately is called through others first.
         """
+        answer = await self._call(disk, message, timeout_s)
+        if isinstance(answer, Ok):
+            self._note_room(disk, answer.ok_value)
+        return answer
+
+    def _note_room(self, disk: Disk, answer: Message) -> None:
+        if not isinstance(answer, TurnsKept | KeepRefused | TurnsFound):
+            return
+        if answer.is_full:
+            if disk.name not in self._asked_s_by_full_name:
+                _log.warning("disk.full", disk=disk.name)
+                self._asked_s_by_full_name[disk.name] = now_s()
+        elif self._asked_s_by_full_name.pop(disk.name, None) is not None:
+            _log.info("disk.has_room", disk=disk.name)
+
+    async def _call(
+        self, disk: Disk, message: KeepTurns | TurnQuery, timeout_s: float
+    ) -> Result[Message, PeerFault]:
         if self.is_faulty(disk) and not self.is_out_of_reach(disk):
             relayed = await self._call_through_others(disk, message)
             if isinstance(relayed, Ok):
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/histories/_history_client.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/histories/_history_client.py
@@ -46,6 +46,7 @@
 LIST_AGAIN_S = 1.0  # between reads of the list while turns cannot be kept
 RETRY_AFTER_S = 0.3  # for a caller; an instance that was killed is back by then, or takes long
 MEMORY_RETRY_AFTER_S = 1.0  # for a caller, after this instance has waited for memory itself
+FULL_RETRY_AFTER_S = 1.0  # for a caller while disks are full; turns expire all the time
 MAX_WRITTEN_BYTES = 8_388_608  # of turns on their way to disks; each has a message for them
 MAX_MESSAGE_BYTES = 2_097_152  # of turns in one message, unless one turn is larger
 MAX_TURN_BYTES = 6_291_456  # fits into a message with a margin
@@ -134,12 +135,18 @@
         disks = self._board.disks.read()
         if disks is None:
             return _unavailable("the list of disks has not been read yet")
-        writable = [
+        reached = [
             disk for disk in disks if not disk.is_leaving and not self._caller.is_out_of_reach(disk)
         ]
+        if not self._rule.is_met_by(reached):
+            detail = f"turns cannot be kept: {len(reached)} of {len(disks)} disks answer"
+            return _unavailable(detail)
+        writable = [disk for disk in reached if not self._caller.is_full(disk)]
         if self._rule.is_met_by(writable):
             return None
-        return _unavailable(f"turns cannot be kept: {len(writable)} of {len(disks)} disks answer")
+        self._metrics.count("histories", "disks_full")
+        detail = f"turns cannot be kept: {len(writable)} of {len(disks)} disks have room"
+        return _unavailable(detail, retry_after_s=FULL_RETRY_AFTER_S)
 
     async def find_chain(self, turn_id: str, account: str, program: str) -> Result[Chain, Refusal]:
         """Return a turn and all that it continues from; the caller closes the chain.
@@ -270,7 +277,10 @@
     async def _write(self, messages: list[KeepTurns], turn: KeptTurn) -> bool:
         """Write to the first disks by rank, and to further ones while copies are missing."""
         disks = [disk for disk in self._board.disks.read() or () if not disk.is_leaving]
-        waiting = sorted(rank_disks(turn.program, disks), key=self._caller.is_faulty)
+        waiting = sorted(
+            rank_disks(turn.program, disks),
+            key=lambda disk: (self._caller.is_faulty(disk), self._caller.is_full(disk)),
+        )
         kept_on: list[Disk] = []
         needs_more = trio.Event()
         pending = 0
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/storage/_turn_server.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/storage/_turn_server.py
@@ -74,8 +74,8 @@
             self._memory.close(claim)
         if isinstance(kept, Err):
             self._metrics.count("turns_refused")
-            return KeepRefused(reason=kept.err_value)
-        return TurnsKept(disk_id=self._turn_store.disk_id)
+            return KeepRefused(reason=kept.err_value, is_full=self._turn_store.is_full)
+        return TurnsKept(disk_id=self._turn_store.disk_id, is_full=self._turn_store.is_full)
 
     async def _handle_query(self, query: Message) -> Message:
         assert isinstance(query, TurnQuery)
@@ -113,6 +113,7 @@
             disk_id=self._turn_store.disk_id,
             turns=tuple(turns),
             kept_for_s=tuple(self._turn_store.kept_for_s(turn.key) for turn in turns),
+            is_full=self._turn_store.is_full,
         )
 
     def _handle_offer(self, offer: Message) -> Message:
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/storage/_turn_store.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/storage/_turn_store.py
@@ -22,6 +22,7 @@
 
 MAX_WAITING_BYTES = 33_554_432  # of turns that a stalled disk keeps waiting
 EXPIRY_INTERVAL_S = 5.0  # between deletions of expired turns, each of which costs a write
+FULL_SHARE = 0.05  # of the disk, left for turns that are answered before gateways learn it
 MAX_DELETED = 1_000  # turns in one write, which takes some ms then
 
 _log = EventLog("turns")
@@ -76,6 +77,12 @@
         """Return whether no turn waits for the disk."""
         return self._waiting_bytes == 0
 
+    @property
+    def is_full(self) -> bool:
+        """Return whether there is hardly room for further turns, with those that wait."""
+        free_bytes = self._file.free_bytes - self._waiting_bytes
+        return free_bytes < FULL_SHARE * self._file.max_bytes
+
     @property
     def listed_as(self) -> str:
         """Return how the disk was listed last, "" if it never was."""
@@ -182,8 +189,7 @@
         self._waiting_bytes -= sum(write.size_bytes for write in writes)
         self._log_fault(written)
         if isinstance(written, Err):
-            self._expired += deleted
-            await trio.lowlevel.checkpoint()
+            await self._delete_alone(deleted, batch)
         for write in writes:
             if isinstance(written, Ok):
                 self._add_all(write, batch.counted_s)
@@ -195,6 +201,19 @@
         self._metrics.set_gauge("disk_bytes", self._file.size_bytes())
         self._metrics.set_gauge("turn_cache_bytes", self._cache.size_bytes)
 
+    async def _delete_alone(self, deleted: list[str], failed: WriteBatch) -> None:
+        """Delete expired turns after a write that failed, as new turns may not have fitted."""
+        if not failed.deleted:
+            self._expired += deleted
+            await trio.lowlevel.checkpoint()
+            return
+        batch = WriteBatch(deleted=failed.deleted, counted_s=failed.counted_s)
+        written = await trio.to_thread.run_sync(
+            self._file.write, batch, limiter=self._file_user, abandon_on_cancel=True
+        )
+        if isinstance(written, Err):
+            self._expired += deleted
+
     def _make_batch(self, writes: list[_Write], deleted: list[str]) -> WriteBatch:
         counted_s = self._counted_s()
         contents: dict[str, tuple[KeptTurn, float]] = {}
--- a/packages/lagoonfold-io/src/lagoonfold_io/_turn_file.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_turn_file.py
@@ -72,11 +72,14 @@
     """An open file of turns.
 
     `disk_id` is drawn when the file is created: a disk that was lost has another one. `listed_as`
-    says how the disk was listed last, "" if it never was.
+    says how the disk was listed last, "" if it never was. `free_bytes` of `max_bytes` were free
+    after the last write.
     """
 
-    def __init__(self, path: str, connection: sqlite3.Connection) -> None:
+    def __init__(self, path: str, connection: sqlite3.Connection, max_bytes: int) -> None:
         self._path = path
+        self.max_bytes = max_bytes
+        self.free_bytes = max_bytes
         self._connection = connection
         self._in_use = threading.Lock()
         self._must_close = False
@@ -91,7 +94,7 @@
             connection = sqlite3.connect(path, isolation_level=None, check_same_thread=False)
             for pragma in (*_PRAGMAS, f"max_page_count = {max(1, max_bytes // PAGE_BYTES)}"):
                 connection.execute(f"PRAGMA {pragma}")
-            turn_file = cls(path, connection)
+            turn_file = cls(path, connection, max_bytes)
             turn_file._load_state()
             _sync_folder(path)
         except (sqlite3.Error, OSError, ValueError) as error:
@@ -107,6 +110,7 @@
             self._put_state(_DISK_ID, new_id("disk"))
             value_by_name = dict(self._connection.execute("SELECT name, value FROM state"))
         self._connection.execute("COMMIT")
+        self._count_free_bytes()
         self.disk_id = value_by_name[_DISK_ID]
         self.counted_s = float(value_by_name.get(_COUNTED_S, "0"))
         self.listed_as = value_by_name.get(_LISTED_AS, "")
@@ -147,22 +151,34 @@
 
     def _apply(self, batch: WriteBatch) -> None:
         run = self._connection.executemany
+        # First, as the pages that this frees are used by the new turns.
+        run("DELETE FROM turns WHERE key = ?", [(key,) for key in batch.deleted])
         run("INSERT OR REPLACE INTO turns VALUES (?, ?, ?)", batch.contents)
         run(
             "UPDATE turns SET kept_until_s = max(kept_until_s, ?) WHERE key = ?",
             [(until_s, key) for key, until_s in batch.extended],
         )
-        run("DELETE FROM turns WHERE key = ?", [(key,) for key in batch.deleted])
         self._put_state(_COUNTED_S, repr(batch.counted_s))
 
     def _commit(self, change: Callable[[], None]) -> Result[None, TurnFileError]:
         try:
-            with self._using_connection(), self._transaction():
-                change()
+            with self._using_connection():
+                with self._transaction():
+                    change()
+                self._count_free_bytes()
         except sqlite3.Error as error:
             return Err(_describe(f"file {self._path!r} cannot be written", error))
         return Ok(None)
 
+    def _count_free_bytes(self) -> None:
+        """Count the pages that the file may still grow by, and those in it that are not used."""
+        counts = (
+            self._connection.execute(f"PRAGMA {name}").fetchone()[0]
+            for name in ("max_page_count", "page_count", "freelist_count")
+        )
+        most, used, unused = counts
+        self.free_bytes = (most - used + unused) * PAGE_BYTES
+
     @contextmanager
     def _transaction(self) -> Iterator[None]:
         self._connection.execute("BEGIN IMMEDIATE")
--- a/tests/gateway/test_histories.py
+++ b/tests/gateway/test_histories.py
@@ -7,7 +7,7 @@
 import trio
 
 from lagoonfold.forwarding import ClientAccount, ForwardConfig
-from lagoonfold.histories import MAX_COPY_LAG_S
+from lagoonfold.histories import MAX_COPY_LAG_S, KeptTurn
 from lagoonfold_gateway import DEFAULT_RETIREMENT, Gateway
 from lagoonfold_gateway._messages import CopyOffer, Message, TurnQuery
 from lagoonfold_gateway.storage._turn_server import TurnServer
@@ -30,6 +30,7 @@
 OTHER_KEY = "key-2"
 ANSWER_TEXT = b"".join(b"part %d\n" % number for number in range(1, EVENTS + 1))
 LONG_BYTES = 500_000
+FILLED_BYTES = 15_000_000  # of the 20 MB of a disk, before a turn is refused
 ASK_S = 5.0
 UNANSWERED_S = 0.5  # longer than a disk that works takes by far
 
@@ -452,6 +453,52 @@
     _check(check)
 
 
+def test_turns_that_do_not_fit_on_the_disks_are_refused_until_others_expire() -> None:
+    """They were run and cut off, and so was each later one: disks stayed full (LOST, review/7)."""
+
+    async def check(fleet: Fleet) -> None:
+        (gateway,) = fleet.gateways
+        statuses = []
+        while 503 not in statuses:
+            answer = await _send(fleet, gateway, b"x" * LONG_BYTES, turn_id=f"t{len(statuses)}")
+            assert answer.status == 200 or answer.header("retry-after"), answer
+            statuses.append(answer.status)
+        assert statuses.count(200) * LONG_BYTES > FILLED_BYTES
+        assert len(_bodies(fleet)) == statuses.count(200)
+        stores = [storage.node.turn_store for storage in fleet.storage_by_name.values()]
+        assert not any(store.last_fault for store in stores)
+        with trio.fail_after(30.0):
+            while (await _send(fleet, gateway, b"<1>", turn_id=fleet.next_id())).status != 200:
+                await trio.sleep(0.1)
+
+    _check(check, config=_config(retention_s=4.0))
+
+
+def test_disk_that_is_full_to_the_last_page_takes_turns_again_once_others_expire() -> None:
+    """Turns that had expired were deleted only together with new ones, which did not fit."""
+
+    async def check(fleet: Fleet) -> None:
+        store = next(iter(fleet.storage_by_name.values())).node.turn_store
+
+        def turns(count: int, label: str) -> tuple[KeptTurn, ...]:
+            return tuple(
+                KeptTurn(f"{label}{number}", "acme", None, "p", b"x" * LONG_BYTES, b"")
+                for number in range(count)
+            )
+
+        count = 0
+        while (await store.keep(turns(1, f"first{count}-"), (3.0,))).is_ok():
+            count += 1
+        most = turns(count - 2, "second")
+        assert (await store.keep(most, (60.0,) * len(most))).is_err()
+        await trio.sleep(3.5)
+        with trio.fail_after(30.0):
+            while (await store.keep(most, (60.0,) * len(most))).is_err():
+                await trio.sleep(0.1)
+
+    _check(check)
+
+
 def test_messages_of_the_build_before_are_answered_as_before() -> None:
     """Its questions state no memory, and its offers no times."""
 
--- a/tests/histories/test_turn_file.py
+++ b/tests/histories/test_turn_file.py
@@ -10,7 +10,7 @@
 from contextlib import contextmanager
 from pathlib import Path
 
-from result import Ok
+from result import Err, Ok
 
 from lagoonfold_io import TurnFile, WriteBatch
 from tests._suite import load_functions
@@ -223,4 +223,19 @@
         assert _held(_open(folder)) == {"t1": b"first", "t2": b"second"}
 
 
+def test_new_contents_use_the_room_of_those_that_are_deleted_with_them() -> None:
+    """They came first, did not fit, and nothing was ever deleted again (LOST, review/7)."""
+    with _folder() as folder:
+        file = _open(folder, max_bytes=200_000)
+        held = 0
+        while file.free_bytes > 30_000:
+            _write(file, held, size=20_000)
+            held += 1
+        contents = [("new", 60.0, _content(1_000, 50_000))]
+        assert isinstance(file.write(WriteBatch(contents=contents, counted_s=1.0)), Err)
+        deleted = [f"t{number}" for number in range(held)]
+        file.write(WriteBatch(contents=contents, deleted=deleted, counted_s=1.0)).unwrap()
+        assert set(_held(file)) == {"new"} and file.free_bytes > 100_000
+
+
 load_tests = load_functions(globals())
