Count a turn's tokens by the service that serves it (BUDGET)

Cause: a turn is admitted before its service is known, and was counted by the first of its route.

Change: the credit meter gets the tokens of an event once the service is picked, or found for a stream that is taken up.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_budget_client.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_budget_client.py
@@ -82,10 +82,12 @@
         turn_id: str,
         budget: int,
         max_tokens: int,
-        tokens_per_event: int,
         retention_s: float,
     ) -> Result[AdmittedTurn, Refusal]:
-        """Request admission of a turn; if it is refused, it has not run."""
+        """Request admission of a turn; if it is refused, it has not run.
+
+        Its events count as one token each until the service that serves it is known.
+        """
         request = TurnRequest(
             program=program,
             turn_id=turn_id,
@@ -100,9 +102,7 @@
         if isinstance(granted, Err):
             return granted
         owner, credit = granted.ok_value
-        credit_meter = TurnCreditMeter(
-            max_tokens=max_tokens, credit=credit, tokens_per_event=tokens_per_event
-        )
+        credit_meter = TurnCreditMeter(max_tokens=max_tokens, credit=credit, tokens_per_event=1)
         return Ok(AdmittedTurn(request=request, owner=owner, credit_meter=credit_meter))
 
     async def _request_turn(
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_forwarder.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_forwarder.py
@@ -148,15 +148,11 @@
         turn = request_state.parsed.turn
         if turn is None or not request_state.route.is_program_turn or not turn.budget_tokens:
             return None
-        service = request_state.route.targets[0].service
-        view = self._context.board.config.read()
-        plan = view.config.services_by_name.get(service) if view is not None else None
         started = await self._context.budget_client.start_turn(
             program=turn.program,
             turn_id=request_state.parsed.request_id,
             budget=turn.budget_tokens,
             max_tokens=turn.max_tokens,
-            tokens_per_event=plan.tokens_per_event if plan is not None else 1,
             retention_s=request_state.route.retention_s,
         )
         if isinstance(started, Err):
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/attempts/_attempt_runner.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/attempts/_attempt_runner.py
@@ -77,6 +77,7 @@
                 return found.err_value
             origin = found.ok_value
             service = origin.service if origin is not None else service
+        self._count_tokens_by(service, request_state)
         last_event = request_state.parsed.last_event
         events = EventFilter(last_event, self._numbers_by_service[service])
         state = StreamState(events, delivered_id=last_event, origin=origin)
@@ -112,6 +113,13 @@
             elif failure.outcome is not AttemptOutcome.FULL:
                 avoided_ids.add(replica_id)
 
+    def _count_tokens_by(self, service: str, request_state: RequestState) -> None:
+        """Count the tokens of a turn as the service does that serves it, of those of its route."""
+        view, turn = self._context.board.config.read(), request_state.admitted_turn
+        plan = view.config.services_by_name.get(service) if view is not None else None
+        if turn is not None and plan is not None:
+            turn.credit_meter.tokens_per_event = plan.tokens_per_event
+
     def _is_cut_off(self) -> bool:
         return self._context.replica_caller.is_cut_off
 
--- a/packages/lagoonfold/src/lagoonfold/budgets/_credit_meter.py
+++ b/packages/lagoonfold/src/lagoonfold/budgets/_credit_meter.py
@@ -8,20 +8,23 @@
 
     meter = TurnCreditMeter(max_tokens=300, credit=100, tokens_per_event=10)
     meter.try_consume()    # True: the event may be delivered
+
+    `tokens_per_event` is that of the service that serves the turn, and is set before its first
+    event.
     """
 
-    __slots__ = ("_tokens_per_event", "credit", "delivered_tokens", "max_tokens")
+    __slots__ = ("credit", "delivered_tokens", "max_tokens", "tokens_per_event")
 
     def __init__(self, *, max_tokens: int, credit: int, tokens_per_event: int) -> None:
         self.max_tokens = max_tokens
         self.credit = credit
         self.delivered_tokens = 0
-        self._tokens_per_event = tokens_per_event
+        self.tokens_per_event = tokens_per_event
 
     @property
     def needs_more_credit(self) -> bool:
         """Return whether to request more credit now."""
-        low_credit = LOW_CREDIT_EVENTS * self._tokens_per_event
+        low_credit = LOW_CREDIT_EVENTS * self.tokens_per_event
         return self.credit < self.max_tokens and self.credit - self.delivered_tokens < low_credit
 
     @property
@@ -31,7 +34,7 @@
 
     def covers(self, events: int) -> bool:
         """Return whether the turn may have so many further events; the last one in part."""
-        tokens_before_last = (events - 1) * self._tokens_per_event
+        tokens_before_last = (events - 1) * self.tokens_per_event
         return not events or self.delivered_tokens + tokens_before_last < self.max_tokens
 
     def try_consume(self) -> bool:
@@ -40,7 +43,7 @@
         The last event of a turn with credit for all of its `max_tokens` may exceed it in part.
         """
         is_fully_credited = self.credit >= self.max_tokens
-        if not is_fully_credited and self.delivered_tokens + self._tokens_per_event > self.credit:
+        if not is_fully_credited and self.delivered_tokens + self.tokens_per_event > self.credit:
             return False
-        self.delivered_tokens += self._tokens_per_event
+        self.delivered_tokens += self.tokens_per_event
         return True
--- a/tests/gateway/test_budget_client.py
+++ b/tests/gateway/test_budget_client.py
@@ -52,7 +52,6 @@
         turn_id="t",
         budget=2_000,
         max_tokens=300,
-        tokens_per_event=15,
         retention_s=60.0,
     )
 
--- a/tests/gateway/test_budgets.py
+++ b/tests/gateway/test_budgets.py
@@ -2,11 +2,13 @@
 
 import itertools
 from collections.abc import Iterable, Iterator
+from dataclasses import replace
 
 import msgspec
 
 from lagoonfold import rendezvous_weight
 from lagoonfold.budgets import BudgetRecord
+from lagoonfold.forwarding import WeightedService
 from lagoonfold_gateway import Gateway
 from lagoonfold_gateway._budget_client import OUTAGE_RETRY_AFTER_S
 from lagoonfold_gateway._charges import BUDGET_PREFIX
@@ -56,6 +58,33 @@
     run_with_fleet(check, gateways=3)
 
 
+def test_tokens_of_a_split_route_are_counted_by_the_service_that_serves_a_turn() -> None:
+    """They were counted by its first service, whose events have fewer tokens (BUDGET)."""
+    config = make_config()
+    services = {
+        name: replace(config.services_by_name["models"], name=name, tokens_per_event=tokens)
+        for name, tokens in (("models", 2), ("large-models", 20))
+    }
+    targets = (
+        WeightedService(service="models", weight=1),
+        WeightedService(service="large-models", weight=1_000_000),
+    )
+    routes = tuple(replace(route, targets=targets) for route in config.routes)
+
+    async def check(fleet: Fleet) -> None:
+        for replica in fleet.replica_by_id.values():
+            fleet.list_replica(replica, service="large-models")
+        (gateway,) = fleet.gateways
+        view = gateway.board.replicas
+        await wait_until(lambda: view.read().available_for("large-models"))
+        ran = await _run_until_refused(fleet, fleet.gateways, "p")
+        assert ran * EVENTS * 20 <= BUDGET + MAX_TOKENS
+        assert ran == _runs(fleet)
+
+    config = replace(config, routes=routes, services_by_name=services)
+    run_with_fleet(check, config=config)
+
+
 def test_turn_whose_replica_sends_more_than_it_may_have_is_broken_off() -> None:
     """Its replica does not keep to the turn's tokens, and its budget was exceeded (BUDGET)."""
 
