Spend less processor time on long chains

Change: a turn that is cached is charged without a second claim, those who wait for memory are counted in place of asking the event, and small parts are joined up to 64 KB before they are encoded.

--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/histories/_turn_memory.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/histories/_turn_memory.py
@@ -63,8 +63,20 @@
         return charged.turn
 
     async def take(self, turn: KeptTurn, kept_until_s: float) -> None:
-        """Charge and use a turn that is in memory; raise `FaultError` without memory for it."""
+        """Charge and use a turn that is cached and that no request uses.
+
+        Raises `FaultError` without memory for it.
+        """
         claim = self._gate.open()
+        if not self._gate.budget.try_hold(claim, turn.size_bytes):
+            await self._wait_and_take(turn, kept_until_s, claim)
+            return
+        charged = _Charged(turn, kept_until_s, claim)
+        self._charged_by_key[turn.key] = charged
+        self._use(turn.key, charged)
+
+    async def _wait_and_take(self, turn: KeptTurn, kept_until_s: float, claim: MemoryClaim) -> None:
+        """Charge and use a turn once there is memory; another request may have done so by then."""
         try:
             await self._gate.hold(claim, turn.size_bytes)
             self.adopt(turn, kept_until_s, claim)
--- a/packages/lagoonfold-io/src/lagoonfold_io/_http_connection.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_http_connection.py
@@ -287,13 +287,19 @@
 def _with_body(
     protocol: h11.Connection, head: bytes, body_parts: tuple[bytes, ...]
 ) -> Iterator[bytes]:
-    waiting, waiting_bytes = [head], 0
+    unsent, joined, joined_bytes = head, [], 0
     for part in filter(None, body_parts):
-        if waiting_bytes + len(part) > JOINED_BYTES:
-            yield b"".join(waiting)
-            waiting, waiting_bytes = [], 0
-        waiting.append(protocol.send(h11.Data(data=part)))
-        waiting_bytes += len(part)
-    if end := protocol.send(h11.EndOfMessage()):
-        waiting.append(end)
-    yield b"".join(waiting)
+        if joined_bytes + len(part) > JOINED_BYTES:
+            yield _with_data(protocol, unsent, joined)
+            unsent, joined, joined_bytes = b"", [], 0
+        joined.append(part)
+        joined_bytes += len(part)
+    last = _with_data(protocol, unsent, joined)
+    end = protocol.send(h11.EndOfMessage())
+    yield last + end if end else last
+
+
+def _with_data(protocol: h11.Connection, unsent: bytes, parts: list[bytes]) -> bytes:
+    """Return parts of a body after what is not sent yet; a single part alone is not copied."""
+    data = protocol.send(h11.Data(data=b"".join(parts))) if parts else b""
+    return unsent + data if unsent and data else unsent or data
--- a/packages/lagoonfold-io/src/lagoonfold_io/_memory_gate.py
+++ b/packages/lagoonfold-io/src/lagoonfold_io/_memory_gate.py
@@ -27,6 +27,7 @@
         self.budget = budget
         self.count = on_cause
         self._released = trio.Event()
+        self._waiting = 0
         budget.on_release.append(self._wake)
 
     def open(self) -> MemoryClaim:
@@ -49,6 +50,13 @@
             raise FaultError(RequestFault.MEMORY_SHORT)
         if size <= SMALL_BYTES:
             self._evict(claim, size)
+        self._waiting += 1
+        try:
+            await self._wait_for(claim, size)
+        finally:
+            self._waiting -= 1
+
+    async def _wait_for(self, claim: MemoryClaim, size: int) -> None:
         for _ in range(MAX_PAUSES):
             with trio.move_on_after(PAUSE_S):
                 while True:
@@ -98,6 +106,6 @@
                 victim.evict()
 
     def _wake(self) -> None:
-        if self._released.statistics().tasks_waiting:
+        if self._waiting:
             self._released.set()
             self._released = trio.Event()
