--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_messages.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_messages.py
@@ -60,8 +60,8 @@
 class PoisonReport(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Requests whose attempts crashed replicas, sent to all peers; it has no answer.
 
-    `ages_s` has the seconds since the answer of each notice was lost, and `completed` requests
-    blamed before that have run to their end; an earlier release leaves both empty.
+    `ages_s` has the seconds since the answer of each notice was lost, and `completed` the last run
+    to the end of requests that are or were blamed; an earlier release leaves both empty.
     """
 
     notices: tuple[PoisonNotice, ...]
--- a/packages/lagoonfold-gateway/src/lagoonfold_gateway/_poison_tracker.py
+++ b/packages/lagoonfold-gateway/src/lagoonfold_gateway/_poison_tracker.py
@@ -1,11 +1,11 @@
 """Detects poison requests, whose attempts crash the replicas that run them.
 
-A lost answer counts as a crash if its replica then is down. A request with
-`MAX_CRASHES` crashes that has not run to its end since the first of them is refused at every
-instance. A crash counts from when the answer was lost, since it takes up to seconds to find out
-that the replica is down, and the request may run to its end elsewhere meanwhile. What the other
-instances must be told are the crashes, and that a request that was blamed has run to its end: those
-that refuse it cannot find that out.
+A lost answer counts as a crash if its replica then is down. A request with `MAX_CRASHES` crashes
+that has not run to its end since the first of them is refused at every instance; one that ran to
+its end before them, as a popular request does, with one crash more. A crash counts from when the
+answer was lost, since it takes up to seconds to find out that the replica is down, and the request
+may run to its end elsewhere meanwhile. What the other instances must be told are the crashes, and
+that a request that was blamed has run to its end: those that refuse it cannot find that out.
 """
 
 from collections.abc import Callable
@@ -21,6 +21,7 @@
 from lagoonfold_io.observe import EventLog
 
 MAX_CRASHES = 2  # a third attempt may be in flight elsewhere before the notice arrives
+MAX_CRASHES_AFTER_RUN = 3  # of a request that ran to its end before; two may have one other cause
 INCIDENT_TTL_S = 600.0  # a caller that repeats such a request does so within minutes
 MAX_RUNS = 4_096  # requests whose last run to the end is remembered; a gateway has 14 a second
 CLEANUP_INTERVAL_S = 10.0  # between removals of expired digests
@@ -64,7 +65,11 @@
 
     def is_poisonous(self, digest: str) -> bool:
         """Return whether the request must not reach another replica."""
-        return self._registry.is_poisonous(digest, now_s=now_s())
+        now, run = now_s(), self._run_by_digest.get(digest)
+        has_run = run is not None and run.completed_s > now - INCIDENT_TTL_S
+        return self._registry.is_poisonous(
+            digest, now_s=now, max_incidents=MAX_CRASHES_AFTER_RUN if has_run else MAX_CRASHES
+        )
 
     def has_blamed(self, digest: str) -> bool:
         """Return whether this instance has recorded a crash of the request itself."""
@@ -90,7 +95,13 @@
         )
         self._registry.add_notice(notice, now_s=lost_s)
         self._blamed_s_by_digest[digest] = now_s()
-        self.on_notice(PoisonReport(notices=(notice,), ages_s=(now_s() - lost_s,)))
+        run = self._run_by_digest.get(digest)
+        completed = () if run is None else (CompletedRun(digest, now_s() - run.completed_s),)
+        if run is not None and run.completed_s >= lost_s:
+            run.is_told = True
+        self.on_notice(
+            PoisonReport(notices=(notice,), ages_s=(now_s() - lost_s,), completed=completed)
+        )
         self._drop_expired()
         _log.warning(
             "request.blamed", request_id=request_id, digest=digest, replica=replica.replica_id
--- a/packages/lagoonfold/src/lagoonfold/resilience/_poison.py
+++ b/packages/lagoonfold/src/lagoonfold/resilience/_poison.py
@@ -112,12 +112,15 @@
         """Return whether the registry has a record of the digest."""
         return digest in self._records_by_digest
 
-    def is_poisonous(self, digest: str, *, now_s: float) -> bool:
-        """Return whether the digest has reached a bound on its failures and must be refused."""
+    def is_poisonous(self, digest: str, *, now_s: float, max_incidents: int | None = None) -> bool:
+        """Return whether the digest has reached a bound on its failures and must be refused.
+
+        `max_incidents` replaces the registry's bound on incidents for this digest.
+        """
         record = self._records_by_digest.get(digest)
         return record is not None and record.is_poisonous(
             now_s - self._incident_ttl_s,
-            max_incidents=self._max_incidents,
+            max_incidents=max_incidents or self._max_incidents,
             cleared_by_completion=self._cleared_by_completion,
         )
 
