Remove the folders of a test's storage instances

on_platform.test_chains_within_memory left two folders of some 64 MB each in the temporary folder with each of its two runs. They are in one that is removed with the test; what is checked is the same. Both tests pass, and leave nothing (22 folders before and after).

--- a/tests/on_platform/test_chains_within_memory.py
+++ b/tests/on_platform/test_chains_within_memory.py
@@ -6,6 +6,8 @@
 import json
 import subprocess
 import tempfile
+from functools import partial
+from pathlib import Path
 
 import trio
 
@@ -58,17 +60,18 @@
     )
 
 
-async def _add_disks(nursery: trio.Nursery) -> dict[str, bytes]:
-    """Start two storage instances that hold all parents; return their entries."""
+async def _add_disks(root: Path, nursery: trio.Nursery) -> dict[str, bytes]:
+    """Start two storage instances in a folder that hold all parents; return their entries."""
     disk_store, entries = MemoryStore(), {}
     for name in ("storage-1", "storage-2"):
-        folder = tempfile.mkdtemp()
+        folder = root / name
+        folder.mkdir()
         settings = StorageSettings(
             instance=StorageInstanceSection(
                 id=name,
                 failure_domain="zone-a",
                 peers=f"127.0.0.1:{free_port()}",
-                data_folder=folder,
+                data_folder=str(folder),
             ),
             store=StoreSection(address="127.0.0.1:1"),
         )
@@ -128,14 +131,15 @@
         after = await _go_on(client, address, 0, "afterwards")
         assert after.status == 200, after
 
-    with_gateway(
-        check,
-        config=RETAINING_CONFIG,
-        entry=ENTRY | {"Slots": 100, "ColdRemainingMs": 0},
-        respond=_respond,
-        more_fields={"Limits.MemoryMb": str(MACHINE_MB)},
-        more_entries=_add_disks,
-    )
+    with tempfile.TemporaryDirectory() as folder:
+        with_gateway(
+            check,
+            config=RETAINING_CONFIG,
+            entry=ENTRY | {"Slots": 100, "ColdRemainingMs": 0},
+            respond=_respond,
+            more_fields={"Limits.MemoryMb": str(MACHINE_MB)},
+            more_entries=partial(_add_disks, Path(folder)),
+        )
     return answers
 
 
